Lay the thin whole path as separate processes

A caller's request goes through entry, a prefill runner, the transfer of its KV cache and a decode runner, and is streamed back; control, entry and the stand-in runners are processes of their own.

Tornado's simple client cannot cancel a running fetch, so calls run on http1connection with a socket owned by the calling task.

--- /dev/null
+++ b/limpetroute/agreement/__init__.py
@@ -0,0 +1,1 @@
+"""Pure replica state machine: no sockets, no clock, no disk."""
--- /dev/null
+++ b/limpetroute/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load, experiment and capacity measurements."""
--- /dev/null
+++ b/limpetroute/border/__init__.py
@@ -0,0 +1,1 @@
+"""Validated models of all that enters from outside."""
--- /dev/null
+++ b/limpetroute/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Commands of the limpetroute program."""
--- /dev/null
+++ b/limpetroute/cli/main.py
@@ -0,0 +1,59 @@
+"""The ``limpetroute`` program.
+
+Usage:
+  limpetroute <command> [<args>...]
+  limpetroute -h | --help
+  limpetroute --version
+
+Commands:
+  entry      Run the process that callers talk to.
+  control    Run one replica of the control log.
+  demo       Run the whole path as tasks of one process.
+  standin    Run one stand-in runner, for trials.
+
+`limpetroute <command> --help` shows each command with an example.
+
+Exit codes:
+  0  done
+  1  the command ran and the answer is no
+  2  wrong arguments, settings or manifest; nothing was started
+  3  the system could not be reached, or the outcome is unknown
+"""
+
+import importlib
+import sys
+import typing
+
+import docopt
+
+import limpetroute
+
+COMMANDS = ('entry', 'control', 'demo', 'standin')
+EXIT_USAGE = 2
+
+
+def main(argv: typing.Sequence[str] | None = None) -> int:
+    """Run one command and return its exit code."""
+    assert __doc__ is not None
+    words = list(sys.argv[1:] if argv is None else argv)
+    try:
+        args = docopt.docopt(
+            __doc__,
+            words,
+            version=f'limpetroute {limpetroute.__version__}',
+            options_first=True,
+        )
+    except docopt.DocoptExit as exc:
+        print(exc, file=sys.stderr)
+        return EXIT_USAGE
+    name = args['<command>']
+    if name not in COMMANDS:
+        allowed = ', '.join(COMMANDS)
+        print(f'{name!r} is not one of: {allowed}', file=sys.stderr)
+        return EXIT_USAGE
+    module = importlib.import_module(f'limpetroute.cli.{name}')
+    try:
+        return int(module.run([name, *args['<args>']]))
+    except docopt.DocoptExit as exc:
+        print(exc, file=sys.stderr)
+        return EXIT_USAGE
--- /dev/null
+++ b/limpetroute/cli/serving.py
@@ -0,0 +1,61 @@
+"""Runs a server until SIGINT or SIGTERM."""
+
+import asyncio
+import logging
+import pathlib
+import signal
+import sys
+import typing
+
+import pydantic
+
+from limpetroute.border import errors
+from limpetroute.border import settings_file
+
+EXIT_SETTINGS = 2
+_Model = typing.TypeVar('_Model', bound=pydantic.BaseModel)
+
+
+class Server(typing.Protocol):
+    """Something that serves until told to stop."""
+
+    def start(self) -> None:
+        """Begin to serve."""
+
+    async def stop(self) -> None:
+        """Finish what is in progress and end."""
+
+
+def load_or_explain(model: type[_Model], path: str) -> _Model | None:
+    """Load settings, or print every wrong field and return None."""
+    try:
+        return settings_file.load(model, pathlib.Path(path))
+    except errors.InvalidInputError as exc:
+        for line in exc.lines:
+            print(f'{path}: {line}', file=sys.stderr)
+        return None
+
+
+def serve(
+    make: typing.Callable[[], Server],
+    on_ready: typing.Callable[[typing.Any], None],
+) -> int:
+    """Make a server, run it until a signal, and return the exit code."""
+    logging.basicConfig(level=logging.INFO)
+    return asyncio.run(_serve(make, on_ready))
+
+
+async def _serve(
+    make: typing.Callable[[], Server],
+    on_ready: typing.Callable[[typing.Any], None],
+) -> int:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, stopping.set)
+    server = make()
+    server.start()
+    on_ready(server)
+    await stopping.wait()
+    await server.stop()
+    return 0
--- /dev/null
+++ b/limpetroute/cli/standin.py
@@ -0,0 +1,38 @@
+"""Run one stand-in runner, for trials.
+
+Usage:
+  limpetroute standin --settings FILE
+
+Options:
+  --settings FILE  JSON settings.
+  -h --help        Show this help.
+
+Example:
+  limpetroute standin --settings examples/federation/review-1.json
+"""
+
+import typing
+
+import docopt
+
+from limpetroute.border import standin_settings
+from limpetroute.cli import serving
+from limpetroute.standins import engine_server
+
+
+def run(argv: typing.Sequence[str]) -> int:
+    """Run the command."""
+    assert __doc__ is not None
+    args = docopt.docopt(__doc__, list(argv))
+    settings = serving.load_or_explain(
+        standin_settings.StandinSettings, args['--settings']
+    )
+    if settings is None:
+        return serving.EXIT_SETTINGS
+    return serving.serve(
+        lambda: engine_server.EngineServer(settings=settings), _print_ready
+    )
+
+
+def _print_ready(engine: engine_server.EngineServer) -> None:
+    print(f'ready: runner {engine.port}', flush=True)
--- /dev/null
+++ b/limpetroute/decisions/__init__.py
@@ -0,0 +1,1 @@
+"""Pure decisions under load: no network, no clock."""
--- /dev/null
+++ b/limpetroute/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The process that callers talk to."""
--- /dev/null
+++ b/limpetroute/entry/health_handler.py
@@ -0,0 +1,23 @@
+"""``GET /healthz`` and ``GET /readyz``."""
+
+from limpetroute.entry import base_handler
+from limpetroute.entry import host as host_module
+
+
+class HealthHandler(base_handler.BaseHandler):
+    """Says whether the process is alive, or takes work."""
+
+    def initialize(  # type: ignore[override]
+        self, host: host_module.Host, readiness: bool
+    ) -> None:
+        """Take the shared state and the question asked."""
+        super().initialize(host)
+        self._readiness = readiness
+
+    def get(self) -> None:
+        """Answer 200 or 503."""
+        if self._readiness and not self.host.ready:
+            self.set_status(503)
+            self.finish({'ready': False})
+            return
+        self.finish({'ready': self.host.ready})
--- /dev/null
+++ b/limpetroute/entry/models_handler.py
@@ -0,0 +1,23 @@
+"""``GET /v1/models``."""
+
+from limpetroute.entry import base_handler
+
+
+class ModelsHandler(base_handler.BaseHandler):
+    """Lists the models that runners carry now."""
+
+    def get(self) -> None:
+        """Answer the list."""
+        names: set[str] = set()
+        for body in self.host.runners.all():
+            names.update(body.models)
+        data = [
+            {
+                'id': name,
+                'object': 'model',
+                'created': 0,
+                'owned_by': 'limpetroute',
+            }
+            for name in sorted(names)
+        ]
+        self.finish({'object': 'list', 'data': data})
--- /dev/null
+++ b/limpetroute/entry/run_request.py
@@ -0,0 +1,34 @@
+"""A validated request on its way through the entry process."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RunRequest:
+    """What a caller asked for.
+
+    Parameters
+    ----------
+    request_id : str
+        Name told to the caller.
+    team : str
+        The caller's team.
+    key : str
+        Idempotency key; the request id where none was given.
+    body_digest : str
+        Digest of the body.
+    model : str
+        Model that is to answer.
+    prompt : str
+        The whole prompt.
+    max_tokens : int
+        Most tokens of the answer.
+    """
+
+    request_id: str
+    team: str
+    key: str
+    body_digest: str
+    model: str
+    prompt: str
+    max_tokens: int
--- /dev/null
+++ b/limpetroute/entry/server.py
@@ -0,0 +1,100 @@
+"""The entry process's two ports."""
+
+import logging
+
+import tornado.httpserver
+import tornado.netutil
+import tornado.web
+
+from limpetroute.border import entry_settings
+from limpetroute.border import listen_settings
+from limpetroute.entry import completions_handler
+from limpetroute.entry import health_handler
+from limpetroute.entry import host as host_module
+from limpetroute.entry import models_handler
+from limpetroute.entry import runners_handler
+
+LOG = logging.getLogger(__name__)
+
+
+class EntryServer:
+    """Serves callers on one port, runners and operators on another.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Checked settings.
+    """
+
+    def __init__(self, *, settings: entry_settings.EntrySettings) -> None:
+        self.host = host_module.Host(settings=settings)
+        self._settings = settings
+        self._servers: list[tornado.httpserver.HTTPServer] = []
+        self.port = 0
+        self.internal_port = 0
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(port={self.port!r})'
+
+    def start(self) -> None:
+        """Listen on both ports."""
+        self.port = self._listen(self._caller_routes(), self._settings.listen)
+        self.internal_port = self._listen(
+            self._internal_routes(), self._settings.internal_listen
+        )
+        self.host.start()
+        LOG.info('entry %s on port %d', self._settings.host_id, self.port)
+
+    async def stop(self) -> None:
+        """Close both ports and end the periodic work."""
+        for server in self._servers:
+            server.stop()
+            await server.close_all_connections()
+        await self.host.stop()
+
+    def _listen(
+        self,
+        routes: list[tornado.web.URLSpec],
+        listen: listen_settings.ListenSettings,
+    ) -> int:
+        server = tornado.httpserver.HTTPServer(
+            tornado.web.Application(routes, log_function=_no_access_log),
+            max_body_size=self._settings.max_body_bytes,
+            body_timeout=self._settings.body_timeout_s,
+        )
+        sockets = tornado.netutil.bind_sockets(listen.port, listen.address)
+        server.add_sockets(sockets)
+        self._servers.append(server)
+        return int(sockets[0].getsockname()[1])
+
+    def _caller_routes(self) -> list[tornado.web.URLSpec]:
+        host = {'host': self.host}
+        url = tornado.web.url
+        completions = completions_handler.CompletionsHandler
+        return [
+            url('/v1/completions', completions, {**host, 'chat': False}),
+            url('/v1/chat/completions', completions, {**host, 'chat': True}),
+            url('/v1/models', models_handler.ModelsHandler, host),
+            *self._health_routes(),
+        ]
+
+    def _internal_routes(self) -> list[tornado.web.URLSpec]:
+        host = {'host': self.host}
+        url = tornado.web.url
+        return [
+            url('/v1/runners', runners_handler.RunnersHandler, host),
+            *self._health_routes(),
+        ]
+
+    def _health_routes(self) -> list[tornado.web.URLSpec]:
+        host = {'host': self.host}
+        url = tornado.web.url
+        handler = health_handler.HealthHandler
+        return [
+            url('/healthz', handler, {**host, 'readiness': False}),
+            url('/readyz', handler, {**host, 'readiness': True}),
+        ]
+
+
+def _no_access_log(handler: tornado.web.RequestHandler) -> None:
+    """Write no line for a request: counters do that."""
--- /dev/null
+++ b/limpetroute/peers/__init__.py
@@ -0,0 +1,1 @@
+"""What entry hosts share with each other."""
--- /dev/null
+++ b/limpetroute/runners/__init__.py
@@ -0,0 +1,1 @@
+"""Announcements of runners and the client that drives them."""
--- /dev/null
+++ b/limpetroute/runners/engine_failure.py
@@ -0,0 +1,22 @@
+"""Outcomes of a runner's refusal or failure."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Refused:
+    """The runner says itself that it did not run the call."""
+
+    reason: str
+    free_slots: int = 0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Failed:
+    """The call failed; with ``sent`` true the runner may have run it."""
+
+    reason: str
+    sent: bool
+
+
+EngineFailure = Refused | Failed
--- /dev/null
+++ b/limpetroute/standins/engine_faults.py
@@ -0,0 +1,30 @@
+"""Faults a stand-in engine shows on command."""
+
+import pydantic
+
+from limpetroute.border import strict_model
+
+
+class EngineFaults(strict_model.StrictModel):
+    """Faults in force; all off at first.
+
+    Parameters
+    ----------
+    fail_prefill, fail_decode_after : int or None
+        Fail this many prefills; fail a decode after this many words.
+    stall_transfer : bool
+        Transfers never end.
+    slow_factor : float
+        Factor on all times.
+    silent : bool
+        Streams stay open and bring nothing.
+    refuse : bool
+        Refuse all new work, with the engine's own word for it.
+    """
+
+    fail_prefill: int = 0
+    fail_decode_after: int | None = None
+    stall_transfer: bool = False
+    slow_factor: float = pydantic.Field(default=1.0, gt=0)
+    silent: bool = False
+    refuse: bool = False
--- /dev/null
+++ b/limpetroute/standins/engine_handlers.py
@@ -0,0 +1,227 @@
+"""HTTP face of the stand-in engine."""
+
+import asyncio
+import json
+import typing
+
+import tornado.iostream
+import tornado.web
+
+from limpetroute.standins import engine_faults
+from limpetroute.standins import engine_state
+from limpetroute.wire import call_failed
+from limpetroute.wire import caller
+
+TRANSFER_TIMEOUT_S = 60.0
+
+
+class _Handler(tornado.web.RequestHandler):
+    state: engine_state.EngineState
+
+    def initialize(self, state: engine_state.EngineState) -> None:
+        self.state = state
+
+    def body(self) -> dict[str, typing.Any]:
+        return dict(json.loads(self.request.body))
+
+    def refuse(self, reason: str) -> None:
+        free = self.state.settings.slots - len(self.state.active)
+        self.set_status(409)
+        self.finish({'refused': True, 'reason': reason, 'free_slots': free})
+
+    def refused_early(self, fence: int) -> bool:
+        state = self.state
+        if state.faults.refuse or state.leaving:
+            self.refuse('leaving')
+            return True
+        if state.settings.refuses_old_fence and fence < state.fence:
+            self.refuse('old fence')
+            return True
+        state.fence = max(state.fence, fence)
+        return False
+
+
+class PrefillHandler(_Handler):
+    """``POST /v1/prefill``."""
+
+    async def post(self) -> None:
+        """Read a prompt."""
+        body = self.body()
+        if self.refused_early(body['fence']):
+            return
+        state = self.state
+        if state.faults.fail_prefill > 0:
+            left = state.faults.fail_prefill - 1
+            state.faults = state.faults.model_copy(
+                update={'fail_prefill': left}
+            )
+            self.request.connection.close()  # type: ignore[union-attr]
+            return
+        held, cached = await state.prefill(body['run_id'], body['prompt'])
+        tokens = held.kv_bytes // state.settings.kv_bytes_per_token
+        await self.finish(
+            {
+                'handle': held.handle,
+                'prompt_tokens': tokens,
+                'cached_tokens': cached,
+                'kv_bytes': held.kv_bytes,
+                'expires_in_s': state.settings.result_ttl_s,
+            }
+        )
+
+
+class ExportHandler(_Handler):
+    """``GET /v1/kv/{handle}``: one read takes the cache away."""
+
+    def get(self, handle: str) -> None:
+        """Hand a KV cache over."""
+        held = self.state.held.pop(handle, None)
+        if held is None:
+            self.refuse('no such KV cache')
+            self.set_status(404)
+            return
+        self.finish({'prompt': held.prompt, 'kv_bytes': held.kv_bytes})
+
+
+class ImportHandler(_Handler):
+    """``POST /v1/kv/import``."""
+
+    def initialize(  # type: ignore[override]
+        self, state: engine_state.EngineState, http: caller.Caller
+    ) -> None:
+        """Take the engine and what fetches the cache."""
+        super().initialize(state)
+        self._http = http
+
+    async def post(self) -> None:
+        """Fetch a KV cache from another engine."""
+        body = self.body()
+        if self.refused_early(body['fence']):
+            return
+        state = self.state
+        if not state.has_room(0):
+            state.counts['over_asked'] += 1
+            self.refuse('no slot')
+            return
+        got = await self._http.call(
+            method='GET',
+            url=f'{body["source_url"]}/v1/kv/{body["handle"]}',
+            timeout_s=TRANSFER_TIMEOUT_S,
+        )
+        if isinstance(got, call_failed.CallFailed) or not got.ok:
+            self.refuse('no such KV cache')
+            return
+        cache = got.json()
+        seconds = cache['kv_bytes'] / state.settings.link_bytes_per_s
+        if state.faults.stall_transfer:
+            seconds = TRANSFER_TIMEOUT_S
+        await asyncio.sleep(seconds * state.faults.slow_factor)
+        if not state.has_room(cache['kv_bytes']):
+            state.counts['over_asked'] += 1
+            self.refuse('no room')
+            return
+        state.add_run(body['run_id'], cache['prompt'], cache['kv_bytes'])
+        await self.finish({'kv_bytes': cache['kv_bytes']})
+
+
+class RunsHandler(_Handler):
+    """``POST /v1/runs``: write an answer."""
+
+    async def post(self) -> None:
+        """Start a run and stream it."""
+        body = self.body()
+        run = self.state.runs.get(body['run_id'])
+        if run is None:
+            self.refuse('no such run')
+            return
+        self.state.start_run(run, body['max_tokens'])
+        await stream(self, self.state, run, 0)
+
+
+class EventsHandler(_Handler):
+    """``GET /v1/runs/{run}/events?after=N``: the rest of an answer."""
+
+    async def get(self, run_id: str) -> None:
+        """Stream from an event on."""
+        run = self.state.runs.get(run_id)
+        if run is None:
+            self.refuse('no such run')
+            return
+        after = int(self.get_query_argument('after', '-1'))
+        await stream(self, self.state, run, after + 1)
+
+
+class RunHandler(_Handler):
+    """``DELETE /v1/runs/{run}``: end a run."""
+
+    def delete(self, run_id: str) -> None:
+        """Cancel; idempotent."""
+        self.state.cancel(run_id)
+        self.set_status(204)
+
+
+class OrdersHandler(_Handler):
+    """``POST /v1/orders``."""
+
+    def post(self) -> None:
+        """Load a model or change the role."""
+        body = self.body()
+        if self.refused_early(body.get('fence', 0)):
+            return
+        self.state.counts[f'order_{body.get("kind")}'] += 1
+        self.finish({})
+
+
+class FaultsHandler(_Handler):
+    """``POST /v1/faults``: set the faults in force."""
+
+    def post(self) -> None:
+        """Replace all faults."""
+        self.state.faults = engine_faults.EngineFaults.model_validate_json(
+            self.request.body
+        )
+        self.set_status(204)
+
+
+class CountsHandler(_Handler):
+    """``GET /v1/counts``: what tests compare."""
+
+    def get(self) -> None:
+        """Show counts and memory."""
+        state = self.state
+        self.finish(
+            {
+                'counts': dict(state.counts),
+                'run_starts': dict(state.run_starts),
+                'kv_used_bytes': state.kv_used_bytes,
+                'active': [run.run_id for run in state.active],
+            }
+        )
+
+
+async def stream(
+    handler: tornado.web.RequestHandler,
+    state: engine_state.EngineState,
+    run: engine_state.Run,
+    place: int,
+) -> None:
+    """Write a run's events, from ``place`` on, as JSON lines."""
+    handler.set_header('Content-Type', 'application/x-ndjson')
+    try:
+        await handler.flush()
+        while True:
+            changed = run.changed
+            for number in range(place, len(run.words)):
+                line = {'i': number, 't': run.words[number]}
+                handler.write(json.dumps(line) + '\n')
+            place = len(run.words)
+            if run.end is not None:
+                end = {'end': run.end, 'n': len(run.words)}
+                handler.write(json.dumps(end) + '\n')
+                await handler.finish()
+                return
+            if not state.faults.silent:
+                await handler.flush()
+            await changed.wait()
+    except tornado.iostream.StreamClosedError:
+        return
--- /dev/null
+++ b/limpetroute/standins/engine_server.py
@@ -0,0 +1,167 @@
+"""The stand-in engine: its port, its steps and its heartbeats."""
+
+import asyncio
+import logging
+import time
+import typing
+
+import tornado.httpserver
+import tornado.netutil
+import tornado.web
+
+from limpetroute.border import standin_settings
+from limpetroute.standins import engine_handlers
+from limpetroute.standins import engine_state
+from limpetroute.wire import caller
+
+LOG = logging.getLogger(__name__)
+
+EXPIRE_S = 0.05
+ANNOUNCE_TIMEOUT_S = 1.0
+
+
+class EngineServer:
+    """One stand-in engine.
+
+    Parameters
+    ----------
+    settings : StandinSettings
+        Checked settings.
+    """
+
+    def __init__(self, *, settings: standin_settings.StandinSettings) -> None:
+        self.settings = settings
+        self.state = engine_state.EngineState(settings=settings)
+        self.port = 0
+        self._http = caller.Caller()
+        self._server: tornado.httpserver.HTTPServer | None = None
+        self._tasks: list[asyncio.Task[None]] = []
+        self._sequence = 0
+        self._incarnation = time.time_ns()
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(port={self.port!r})'
+
+    @property
+    def url(self) -> str:
+        """Address announced to the entry hosts."""
+        return f'http://{self.settings.listen.address}:{self.port}'
+
+    def start(self) -> None:
+        """Listen, step and announce."""
+        self._server = tornado.httpserver.HTTPServer(
+            tornado.web.Application(self._routes(), log_function=_no_log),
+            max_body_size=64 << 20,
+        )
+        listen = self.settings.listen
+        sockets = tornado.netutil.bind_sockets(listen.port, listen.address)
+        self._server.add_sockets(sockets)
+        self.port = int(sockets[0].getsockname()[1])
+        self._tasks = [
+            asyncio.create_task(self.state.steps()),
+            asyncio.create_task(self._expire()),
+            asyncio.create_task(self._heartbeats()),
+        ]
+        LOG.info('engine %s on port %d', self.settings.runner_id, self.port)
+
+    async def stop(self) -> None:
+        """Die as a killed process does: sockets close, nothing is said."""
+        for task in self._tasks:
+            task.cancel()
+        if self._server is not None:
+            self._server.stop()
+            await self._server.close_all_connections()
+
+    async def leave(self) -> None:
+        """Say that no more work is wanted."""
+        self.state.leaving = True
+        await self.announce()
+
+    async def announce(self) -> None:
+        """Announce once to every entry host."""
+        body = self._announcement()
+        calls = [
+            self._http.call(
+                method='POST',
+                url=f'{url.rstrip("/")}/v1/runners',
+                body=body,
+                timeout_s=ANNOUNCE_TIMEOUT_S,
+            )
+            for url in self.settings.announce_urls
+        ]
+        await asyncio.gather(*calls)
+
+    def _announcement(self) -> dict[str, typing.Any]:
+        settings = self.settings
+        state = self.state
+        self._sequence += 1
+        events = []
+        if state.stored or state.evicted:
+            events.append(
+                {
+                    'sequence': self._sequence,
+                    'stored': state.stored,
+                    'evicted': state.evicted,
+                }
+            )
+            state.stored = []
+            state.evicted = []
+        return {
+            'runner_id': settings.runner_id,
+            'incarnation': self._incarnation,
+            'url': self.url,
+            'role': settings.role,
+            'zone': settings.zone,
+            'models': settings.models,
+            'service': settings.service,
+            'slots': settings.slots,
+            'kv_capacity_bytes': settings.kv_capacity_bytes,
+            'kv_bytes_per_token': settings.kv_bytes_per_token,
+            'leaving': state.leaving,
+            'refuses_old_fence': settings.refuses_old_fence,
+            'report': {
+                'sequence': self._sequence,
+                'age_s': 0.0,
+                'running': len(state.active),
+                'waiting': state.waiting,
+                'waiting_tokens': state.waiting_tokens,
+                'kv_used_bytes': state.kv_used_bytes,
+                'step_s': settings.step_s * state.faults.slow_factor,
+                'runs': [run.run_id for run in state.active],
+            },
+            'cache_events': events,
+        }
+
+    async def _heartbeats(self) -> None:
+        while True:
+            await self.announce()
+            await asyncio.sleep(self.settings.heartbeat_s)
+
+    async def _expire(self) -> None:
+        while True:
+            await asyncio.sleep(EXPIRE_S)
+            self.state.expire(asyncio.get_running_loop().time())
+
+    def _routes(self) -> list[tornado.web.URLSpec]:
+        state = {'state': self.state}
+        url = tornado.web.url
+        handlers = engine_handlers
+        return [
+            url('/v1/prefill', handlers.PrefillHandler, state),
+            url(
+                '/v1/kv/import',
+                handlers.ImportHandler,
+                {**state, 'http': self._http},
+            ),
+            url('/v1/kv/([^/]+)', handlers.ExportHandler, state),
+            url('/v1/runs', handlers.RunsHandler, state),
+            url('/v1/runs/([^/]+)', handlers.RunHandler, state),
+            url('/v1/runs/([^/]+)/events', handlers.EventsHandler, state),
+            url('/v1/orders', handlers.OrdersHandler, state),
+            url('/v1/faults', handlers.FaultsHandler, state),
+            url('/v1/counts', handlers.CountsHandler, state),
+        ]
+
+
+def _no_log(handler: tornado.web.RequestHandler) -> None:
+    """Write no line for a request."""
--- /dev/null
+++ b/limpetroute/telemetry/__init__.py
@@ -0,0 +1,1 @@
+"""Logging, metrics and spans."""
--- /dev/null
+++ b/limpetroute/wire/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP calls between processes, with deadlines and cancellation."""
--- /dev/null
+++ b/limpetroute/wire/connection.py
@@ -0,0 +1,236 @@
+"""One HTTP connection owned by the task that made it."""
+
+import asyncio
+import ssl
+import typing
+
+from tornado import http1connection
+from tornado import httputil
+from tornado import iostream
+from tornado import tcpclient
+
+from limpetroute.wire import call_failed
+from limpetroute.wire import reply
+
+CHUNK_BYTES = 65536
+MAX_BODY_BYTES = 64 << 20
+MAX_WAITING_CHUNKS = 16
+
+
+class _Collector(httputil.HTTPMessageDelegate):
+    """Gathers one response and hands its chunks to a queue."""
+
+    def __init__(self) -> None:
+        self.status = 0
+        self.headers: httputil.HTTPHeaders = httputil.HTTPHeaders()
+        self.started = asyncio.Event()
+        self.chunks: asyncio.Queue[bytes | None] = asyncio.Queue()
+        self.room = asyncio.Event()
+        self.whole = False
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> None:
+        assert isinstance(start_line, httputil.ResponseStartLine)
+        self.status = start_line.code
+        self.headers = headers
+        self.started.set()
+
+    def data_received(self, chunk: bytes) -> typing.Awaitable[None] | None:
+        self.chunks.put_nowait(chunk)
+        if self.chunks.qsize() < MAX_WAITING_CHUNKS:
+            return None
+        return self._wait_for_room()
+
+    async def _wait_for_room(self) -> None:
+        self.room.clear()
+        await self.room.wait()
+
+    def finish(self) -> None:
+        self.whole = True
+        self.chunks.put_nowait(None)
+
+    def on_connection_close(self) -> None:
+        self.started.set()
+        self.chunks.put_nowait(None)
+
+
+class Connection:
+    """One request and its response on a socket of its own.
+
+    A library client that cannot cancel a running fetch would leave a
+    decode running for a caller that is gone; here `close` ends the
+    socket, and the runner sees it at once.
+
+    Parameters
+    ----------
+    host : str
+        Address of the other end.
+    port : int
+        TCP port of the other end.
+    tls : ssl.SSLContext or None
+        Context for TLS, or None for plain text.
+    """
+
+    __slots__ = ('_collector', '_host', '_port', '_stream', '_task', '_tls')
+
+    def __init__(
+        self, *, host: str, port: int, tls: ssl.SSLContext | None = None
+    ) -> None:
+        self._host = host
+        self._port = port
+        self._tls = tls
+        self._stream: iostream.IOStream | None = None
+        self._collector = _Collector()
+        self._task: asyncio.Future[bool] | None = None
+
+    def __repr__(self) -> str:
+        return (
+            f'{type(self).__name__}(host={self._host!r}, port={self._port!r})'
+        )
+
+    async def send(
+        self,
+        *,
+        method: str,
+        path: str,
+        headers: typing.Mapping[str, str],
+        body: bytes,
+        timeout_s: float,
+    ) -> call_failed.CallFailed | None:
+        """Connect, send the request and wait for the response headers.
+
+        Returns
+        -------
+        CallFailed or None
+            None once the headers have arrived.
+        """
+        sent = False
+        try:
+            async with asyncio.timeout(timeout_s):
+                self._stream = await tcpclient.TCPClient().connect(
+                    self._host, self._port, ssl_options=self._tls
+                )
+                self._stream.set_nodelay(True)
+                sent = True
+                await self._write(method, path, headers, body)
+                await self._collector.started.wait()
+        except TimeoutError:
+            self.close()
+            kind = call_failed.FailureKind.TIMEOUT
+            if not sent:
+                kind = call_failed.FailureKind.CONNECT
+            return call_failed.CallFailed(kind=kind, sent=sent)
+        except (OSError, iostream.StreamClosedError) as exc:
+            self.close()
+            kind = call_failed.FailureKind.CLOSED
+            if not sent:
+                kind = call_failed.FailureKind.CONNECT
+            return call_failed.CallFailed(
+                kind=kind, sent=sent, detail=str(exc)
+            )
+        except asyncio.CancelledError:
+            self.close()
+            raise
+        if not self._collector.status:
+            self.close()
+            return call_failed.CallFailed(
+                kind=call_failed.FailureKind.CLOSED, sent=True
+            )
+        return None
+
+    async def _write(
+        self,
+        method: str,
+        path: str,
+        headers: typing.Mapping[str, str],
+        body: bytes,
+    ) -> None:
+        assert self._stream is not None
+        connection = http1connection.HTTP1Connection(
+            self._stream,
+            True,
+            http1connection.HTTP1ConnectionParameters(
+                no_keep_alive=True,
+                chunk_size=CHUNK_BYTES,
+                max_body_size=MAX_BODY_BYTES,
+            ),
+        )
+        fields = httputil.HTTPHeaders(dict(headers))
+        fields['Host'] = f'{self._host}:{self._port}'
+        fields['Connection'] = 'close'
+        if body or method in ('POST', 'PUT', 'PATCH'):
+            fields['Content-Length'] = str(len(body))
+        await connection.write_headers(
+            httputil.RequestStartLine(method, path, 'HTTP/1.1'), fields, body
+        )
+        connection.finish()
+        self._task = asyncio.ensure_future(
+            connection.read_response(self._collector)
+        )
+        self._task.add_done_callback(self._on_read_end)
+
+    def _on_read_end(self, task: 'asyncio.Future[bool]') -> None:
+        if not task.cancelled():
+            task.exception()
+        self._collector.on_connection_close()
+
+    @property
+    def status(self) -> int:
+        """Status of the response."""
+        return self._collector.status
+
+    @property
+    def headers(self) -> typing.Mapping[str, str]:
+        """Headers of the response."""
+        return self._collector.headers
+
+    @property
+    def whole(self) -> bool:
+        """Whether the response arrived to its end."""
+        return self._collector.whole
+
+    async def chunks(
+        self, *, idle_timeout_s: float
+    ) -> typing.AsyncIterator[bytes]:
+        """Yield the body as it arrives.
+
+        A silent connection, both ends alive and its packets dropped in
+        between, gives no error for ever; it shows as no chunk for
+        ``idle_timeout_s``, and the iteration raises `TimeoutError`.
+        """
+        while True:
+            async with asyncio.timeout(idle_timeout_s):
+                chunk = await self._collector.chunks.get()
+            self._collector.room.set()
+            if chunk is None:
+                return
+            yield chunk
+
+    async def read(
+        self, *, timeout_s: float
+    ) -> reply.Reply | call_failed.CallFailed:
+        """Read the whole body."""
+        parts = []
+        try:
+            async with asyncio.timeout(timeout_s):
+                async for chunk in self.chunks(idle_timeout_s=timeout_s):
+                    parts.append(chunk)
+        except TimeoutError:
+            return call_failed.CallFailed(
+                kind=call_failed.FailureKind.TIMEOUT, sent=True
+            )
+        if not self.whole:
+            return call_failed.CallFailed(
+                kind=call_failed.FailureKind.CLOSED, sent=True
+            )
+        return reply.Reply(
+            status=self.status, headers=self.headers, body=b''.join(parts)
+        )
+
+    def close(self) -> None:
+        """End the socket; the other end sees it at once."""
+        if self._stream is not None:
+            self._stream.close()
--- /dev/null
+++ b/tests/whole_path/processes.py
@@ -0,0 +1,67 @@
+"""Starts the product's processes for a test, each by its command."""
+
+import json
+import os
+import pathlib
+import re
+import signal
+import subprocess
+import sys
+import typing
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+READY_S = 20
+
+
+class Process:
+    """One ``limpetroute`` process with a settings file of its own."""
+
+    def __init__(
+        self,
+        command: str,
+        settings: dict[str, typing.Any],
+        folder: pathlib.Path,
+        name: str,
+    ) -> None:
+        path = folder / f'{name}.json'
+        path.write_text(json.dumps(settings))
+        self._log = (folder / f'{name}.log').open('w')
+        self._popen = subprocess.Popen(
+            [
+                sys.executable,
+                '-m',
+                'limpetroute',
+                command,
+                '--settings',
+                str(path),
+            ],
+            cwd=ROOT,
+            stdout=subprocess.PIPE,
+            stderr=self._log,
+            env={**os.environ, 'PYTHONPATH': str(ROOT)},
+            text=True,
+        )
+        self.ready_line = ''
+
+    @property
+    def pid(self) -> int:
+        return self._popen.pid
+
+    def wait_ready(self) -> list[int]:
+        """Return the ports of the ready line."""
+        assert self._popen.stdout is not None
+        self.ready_line = self._popen.stdout.readline()
+        assert self.ready_line.startswith('ready:'), self.ready_line
+        return [int(word) for word in re.findall(r' (\d+)', self.ready_line)]
+
+    def send_signal(self, number: int) -> None:
+        self._popen.send_signal(number)
+
+    def stop(self, number: int = signal.SIGTERM) -> int:
+        if self._popen.poll() is None:
+            self._popen.send_signal(number)
+        code = self._popen.wait(timeout=READY_S)
+        if self._popen.stdout is not None:
+            self._popen.stdout.close()
+        self._log.close()
+        return code
