Name every wrong setting at once; operators' commands

Settings, manifests and sets of files are checked with the path and the allowed values of each wrong field; numbers inside strings, host names, repeated fields and unknown zones are refused. A field validator stands in for the model validator of zones and pools: the latter ran only once all fields were right, so an operator saw its error in a second round.

--- a/limpetroute/border/control_settings.py
+++ b/limpetroute/border/control_settings.py
@@ -1,16 +1,17 @@
 """Settings of ``limpetroute control``."""
 
-import pathlib
-
+from limpetroute.border import addresses
 from limpetroute.border import listen_settings
-from limpetroute.border import strict_model
+from limpetroute.border import names
+from limpetroute.border import paths
+from limpetroute.border import trust_settings
 
 
-class ControlSettings(strict_model.StrictModel):
+class ControlSettings(trust_settings.TrustSettings):
     """Settings of ``limpetroute control``."""
 
-    host_id: str
-    zone: str
+    host_id: names.Name
+    zone: names.Name
     listen: listen_settings.ListenSettings = listen_settings.ListenSettings()
-    data_dir: pathlib.Path
-    peer_urls: list[str] = []
+    data_dir: paths.FilePath
+    peer_urls: list[addresses.HostUrl] = []
--- a/limpetroute/border/entry_settings.py
+++ b/limpetroute/border/entry_settings.py
@@ -2,23 +2,25 @@
 
 import pydantic
 
+from limpetroute.border import addresses
 from limpetroute.border import listen_settings
-from limpetroute.border import strict_model
+from limpetroute.border import names
+from limpetroute.border import trust_settings
 from limpetroute.border import units
 
 
-class EntrySettings(strict_model.StrictModel):
+class EntrySettings(trust_settings.TrustSettings):
     """Settings of ``limpetroute entry``."""
 
-    host_id: str
-    zone: str
-    zones: list[str]
+    host_id: names.Name
+    zones: list[names.Name] = pydantic.Field(min_length=1)
+    zone: names.Name
     listen: listen_settings.ListenSettings = listen_settings.ListenSettings()
     internal_listen: listen_settings.ListenSettings = (
         listen_settings.ListenSettings()
     )
-    control_urls: list[str] = []
-    peer_urls: list[str] = []
+    control_urls: list[addresses.HostUrl] = []
+    peer_urls: list[addresses.HostUrl] = []
     runner_timeout_s: units.Seconds = 3.0
     first_token_s: units.Seconds = 1.0
     token_gap_s: units.Seconds = 0.031
@@ -34,9 +36,10 @@
     drain_timeout_s: units.Seconds = 60.0
     believe_team_header: bool = True
 
-    @pydantic.model_validator(mode='after')
-    def _zone_is_known(self) -> 'EntrySettings':
-        if self.zone not in self.zones:
-            allowed = ', '.join(self.zones)
-            raise ValueError(f'zone: {self.zone!r} is not one of {allowed}')
-        return self
+    @pydantic.field_validator('zone')
+    @classmethod
+    def _zone_is_known(cls, zone: str, info: pydantic.ValidationInfo) -> str:
+        zones = info.data.get('zones')
+        if zones is not None and zone not in zones:
+            raise ValueError(f'allowed is one of {", ".join(zones)}')
+        return zone
--- a/limpetroute/border/errors.py
+++ b/limpetroute/border/errors.py
@@ -1,9 +1,17 @@
 """Turns pydantic's errors into one line for each field."""
 
+import difflib
+import json
 import typing
 
 import pydantic
 
+from limpetroute.border import field_errors
+from limpetroute.border import strict_model
+
+MAX_SHOWN = 60
+MAX_ALLOWED = 8
+
 _Model = typing.TypeVar('_Model', bound=pydantic.BaseModel)
 
 
@@ -21,27 +29,118 @@
         self.lines = tuple(lines)
 
 
-def describe(error: pydantic.ValidationError) -> list[str]:
+def describe(
+    error: pydantic.ValidationError,
+    model: type[pydantic.BaseModel] | None = None,
+) -> list[str]:
     """Give one line for each wrong field, with its path."""
     lines = []
     for item in error.errors(include_url=False):
-        path = '.'.join(str(part) for part in item['loc']) or '(whole)'
-        shown = repr(item.get('input'))
-        if len(shown) > 60:
-            shown = shown[:57] + '...'
-        lines.append(f'{path}: {item["msg"]} (got {shown})')
+        path = '.'.join(str(part) for part in item['loc'])
+        cause = item.get('ctx', {}).get('error')
+        if isinstance(cause, field_errors.FieldErrors):
+            for below, text in cause.found:
+                lines.append(f'{path}.{below}: {text}'.lstrip('.'))
+            continue
+        text = item['msg'].removeprefix('Value error, ')
+        if item['type'] == 'extra_forbidden':
+            text = _unknown_field(model, item['loc'])
+        shown = _shorten(item.get('input'))
+        if item['type'] == 'missing':
+            lines.append(f'{path}: {text}')
+            continue
+        lines.append(f'{path or "(whole)"}: {text} (got {shown})')
     return lines
 
 
-def parse(model: type[_Model], data: bytes | str) -> _Model:
+def parse(
+    model: type[_Model],
+    data: bytes | str,
+    *,
+    context: typing.Mapping[str, typing.Any] | None = None,
+) -> _Model:
     """Validate JSON text.
 
+    Models of the product's own files and messages take no ``"3"`` for
+    a number: a unit inside a string would be lost in silence.
+
     Raises
     ------
     InvalidInputError
         If it is not JSON or does not fit the model.
     """
+    strict = issubclass(model, strict_model.StrictModel) or None
     try:
-        return model.model_validate_json(data)
+        return model.model_validate_json(data, strict=strict, context=context)
     except pydantic.ValidationError as exc:
-        raise InvalidInputError(lines=describe(exc)) from exc
+        raise InvalidInputError(lines=describe(exc, model)) from exc
+
+
+def repeated_fields(data: bytes) -> list[str]:
+    """Name the fields that stand twice in one JSON object.
+
+    A parser keeps the last one in silence, so an operator's earlier
+    line would be without effect and nobody told.
+    """
+    found: list[str] = []
+
+    def note(pairs: list[tuple[str, typing.Any]]) -> dict[str, typing.Any]:
+        seen = set()
+        for name, _ in pairs:
+            if name in seen:
+                found.append(f'{name}: the field stands twice')
+            seen.add(name)
+        return dict(pairs)
+
+    try:
+        json.loads(data, object_pairs_hook=note)
+    except (ValueError, RecursionError):
+        return []
+    return found
+
+
+def _shorten(value: typing.Any) -> str:
+    shown = repr(value)
+    if len(shown) > MAX_SHOWN:
+        return shown[: MAX_SHOWN - 3] + '...'
+    return shown
+
+
+def _unknown_field(
+    model: type[pydantic.BaseModel] | None, loc: tuple[int | str, ...]
+) -> str:
+    names = _fields_at(model, loc[:-1])
+    if not names:
+        return 'no such field'
+    near = difflib.get_close_matches(str(loc[-1]), names, cutoff=0.6)
+    if near:
+        return f'no such field; near it: {", ".join(near)}'
+    if len(names) <= MAX_ALLOWED:
+        return f'no such field; allowed: {", ".join(names)}'
+    return 'no such field'
+
+
+def _fields_at(
+    model: type[pydantic.BaseModel] | None, loc: tuple[int | str, ...]
+) -> list[str]:
+    """Return the field names of the model that a path leads to."""
+    here: typing.Any = model
+    for part in loc:
+        if isinstance(part, int) or here is None:
+            continue
+        field = here.model_fields.get(part)
+        here = _model_in(field.annotation) if field else None
+    return list(here.model_fields) if here is not None else []
+
+
+def _model_in(annotation: typing.Any) -> type[pydantic.BaseModel] | None:
+    """Return the model inside ``list[X]``, ``X | None`` and the like."""
+    if isinstance(annotation, type) and issubclass(
+        annotation, pydantic.BaseModel
+    ):
+        return annotation
+    for inner in typing.get_args(annotation):
+        found = _model_in(inner)
+        if found is not None:
+            return found
+    return None
--- a/limpetroute/border/manifest.py
+++ b/limpetroute/border/manifest.py
@@ -5,11 +5,11 @@
 
 import pydantic
 
+from limpetroute.border import field_errors
+from limpetroute.border import names
 from limpetroute.border import strict_model
 
-Name = typing.Annotated[
-    str, pydantic.Field(min_length=1, max_length=200, pattern=r'^[\w.:/-]+$')
-]
+Name = names.Name
 
 
 class ModelBody(strict_model.StrictModel):
@@ -80,19 +80,39 @@
     services: list[ServiceBody] = []
     teams: list[TeamBody] = []
 
-    @pydantic.model_validator(mode='after')
-    def _pools_name_models(self) -> 'ManifestBody':
-        known = {model.name for model in self.models}
-        for place, pool in enumerate(self.pools):
-            for name in pool.models:
+    @pydantic.field_validator('models', 'pools', 'services', 'teams')
+    @classmethod
+    def _names_are_unique(cls, items: list[typing.Any]) -> list[typing.Any]:
+        field_errors.check_unique(items, lambda item: item.name, 'name')
+        return items
+
+    @pydantic.field_validator('teams')
+    @classmethod
+    def _tokens_are_unique(cls, teams: list[TeamBody]) -> list[TeamBody]:
+        field_errors.check_unique(
+            teams, lambda team: team.token_sha256, 'token_sha256'
+        )
+        return teams
+
+    @pydantic.field_validator('pools')
+    @classmethod
+    def _pools_name_models(
+        cls, pools: list[PoolBody], info: pydantic.ValidationInfo
+    ) -> list[PoolBody]:
+        if 'models' not in info.data:
+            return pools
+        known = {model.name for model in info.data['models']}
+        found = []
+        for place, pool in enumerate(pools):
+            for number, name in enumerate(pool.models):
                 if name in known:
                     continue
                 allowed = ', '.join(sorted(known)) or 'none'
-                raise ValueError(
-                    f'pools.{place}.models: {name!r} is not one of '
-                    f'the models: {allowed}'
-                )
-        return self
+                path = f'{place}.models.{number}'
+                found.append((path, f'allowed: {allowed} (got {name!r})'))
+        if found:
+            raise field_errors.FieldErrors(found=found)
+        return pools
 
     @property
     def digest(self) -> str:
--- a/limpetroute/border/settings_file.py
+++ b/limpetroute/border/settings_file.py
@@ -6,6 +6,8 @@
 import pydantic
 
 from limpetroute.border import errors
+from limpetroute.border import listen_settings
+from limpetroute.border import trust_settings
 
 _Model = typing.TypeVar('_Model', bound=pydantic.BaseModel)
 
@@ -18,9 +20,59 @@
     InvalidInputError
         If the file cannot be read or a field is wrong.
     """
+    return parse(model, read(path), folder=path.parent)
+
+
+def read(path: pathlib.Path) -> bytes:
+    """Read a file.
+
+    Raises
+    ------
+    InvalidInputError
+        If it cannot be read.
+    """
     try:
-        data = path.read_bytes()
+        return path.read_bytes()
     except OSError as exc:
-        line = f'{path}: {exc.strerror}'
+        line = f'(whole): cannot be read: {exc.strerror}'
         raise errors.InvalidInputError(lines=[line]) from exc
-    return errors.parse(model, data)
+
+
+def parse(model: type[_Model], data: bytes, *, folder: pathlib.Path) -> _Model:
+    """Validate the content of a file and name every wrong field.
+
+    Raises
+    ------
+    InvalidInputError
+        If a field is wrong or stands twice.
+    """
+    lines = errors.repeated_fields(data)
+    try:
+        found = errors.parse(model, data, context={'folder': folder})
+    except errors.InvalidInputError as exc:
+        raise errors.InvalidInputError(lines=[*lines, *exc.lines]) from exc
+    if isinstance(found, trust_settings.TrustSettings):
+        lines.extend(found.missing_trust())
+        lines.extend(_unusable_files(found))
+    if lines:
+        raise errors.InvalidInputError(lines=lines)
+    return found
+
+
+def _unusable_files(settings: trust_settings.TrustSettings) -> list[str]:
+    """Name each certificate, key or token file that cannot be used."""
+    lines: list[str] = []
+    try:
+        settings.credentials()
+    except errors.InvalidInputError as exc:
+        lines.extend(exc.lines)
+    for name in type(settings).model_fields:
+        value = getattr(settings, name)
+        if not isinstance(value, listen_settings.ListenSettings):
+            continue
+        try:
+            value.tls_context()
+        except errors.InvalidInputError as exc:
+            prefixed = [f'{name}.{line}' for line in exc.lines]
+            lines.extend(prefixed)
+    return lines
--- a/limpetroute/border/standin_settings.py
+++ b/limpetroute/border/standin_settings.py
@@ -4,19 +4,23 @@
 
 import pydantic
 
+from limpetroute.border import addresses
 from limpetroute.border import listen_settings
-from limpetroute.border import strict_model
+from limpetroute.border import names
+from limpetroute.border import trust_settings
 from limpetroute.border import units
 
 
-class StandinSettings(strict_model.StrictModel):
+class StandinSettings(trust_settings.TrustSettings):
     """Settings of a stand-in runner."""
 
-    runner_id: str
+    # A stand-in is for trials: its port may stay open.
+    demo: bool = True
+    runner_id: names.Name
     role: typing.Literal['prefill', 'decode', 'service']
-    zone: str
+    zone: names.Name
     listen: listen_settings.ListenSettings = listen_settings.ListenSettings()
-    announce_urls: list[str]
+    announce_urls: list[addresses.HostUrl]
     models: list[str] = []
     service: str | None = None
     slots: int = pydantic.Field(default=20, ge=1)
--- a/limpetroute/cli/control.py
+++ b/limpetroute/cli/control.py
@@ -16,6 +16,7 @@
 import docopt
 
 from limpetroute.border import control_settings
+from limpetroute.cli import exit_code
 from limpetroute.cli import serving
 from limpetroute.control import server
 
@@ -28,7 +29,7 @@
         control_settings.ControlSettings, args['--settings']
     )
     if settings is None:
-        return serving.EXIT_SETTINGS
+        return exit_code.USAGE
     return serving.serve(
         lambda: server.ControlServer(settings=settings), _print_ready
     )
--- a/limpetroute/cli/demo.py
+++ b/limpetroute/cli/demo.py
@@ -17,9 +17,9 @@
 import docopt
 
 from limpetroute.cli import demo_fleet
+from limpetroute.cli import exit_code
 from limpetroute.cli import serving
 
-EXIT_USAGE = 2
 MAX_PORT = 65535
 
 
@@ -30,7 +30,7 @@
     word = args['--port']
     if not word.isdigit() or int(word) > MAX_PORT:
         print(f'--port: {word!r} is not 0 to {MAX_PORT}', file=sys.stderr)
-        return EXIT_USAGE
+        return exit_code.USAGE
     return serving.serve(
         lambda: demo_fleet.DemoFleet(port=int(word)), _print_ready
     )
--- a/limpetroute/cli/entry.py
+++ b/limpetroute/cli/entry.py
@@ -16,6 +16,7 @@
 import docopt
 
 from limpetroute.border import entry_settings
+from limpetroute.cli import exit_code
 from limpetroute.cli import serving
 from limpetroute.entry import server
 
@@ -28,7 +29,7 @@
         entry_settings.EntrySettings, args['--settings']
     )
     if settings is None:
-        return serving.EXIT_SETTINGS
+        return exit_code.USAGE
     return serving.serve(
         lambda: server.EntryServer(settings=settings), _print_ready
     )
--- /dev/null
+++ b/limpetroute/cli/file_kind.py
@@ -0,0 +1,62 @@
+"""Tells which kind of file a JSON text is."""
+
+import enum
+import importlib
+import json
+import pathlib
+import typing
+
+import pydantic
+
+
+class FileKind(enum.StrEnum):
+    """Files that ``limpetroute check`` knows."""
+
+    ENTRY = 'entry'
+    CONTROL = 'control'
+    STANDIN = 'standin'
+    MANIFEST = 'manifest'
+    EXPERIMENT = 'experiment'
+    TRACE = 'trace'
+
+
+# Fields that only one kind of file has.
+TELLTALES = (
+    (FileKind.STANDIN, 'runner_id'),
+    (FileKind.STANDIN, 'announce_urls'),
+    (FileKind.CONTROL, 'data_dir'),
+    (FileKind.ENTRY, 'zones'),
+    (FileKind.ENTRY, 'internal_listen'),
+    (FileKind.MANIFEST, 'number'),
+    (FileKind.MANIFEST, 'teams'),
+    (FileKind.EXPERIMENT, 'policies'),
+)
+MODELS = {
+    FileKind.ENTRY: ('entry_settings', 'EntrySettings'),
+    FileKind.CONTROL: ('control_settings', 'ControlSettings'),
+    FileKind.STANDIN: ('standin_settings', 'StandinSettings'),
+    FileKind.MANIFEST: ('manifest', 'ManifestBody'),
+}
+
+
+def guess(path: pathlib.Path, data: bytes) -> FileKind | None:
+    """Guess the kind from the name and the fields."""
+    if path.suffix == '.jsonl':
+        return FileKind.TRACE
+    try:
+        body = json.loads(data)
+    except (ValueError, RecursionError):
+        return None
+    if not isinstance(body, dict):
+        return None
+    for kind, field in TELLTALES:
+        if field in body:
+            return kind
+    return None
+
+
+def model_of(kind: FileKind) -> type[pydantic.BaseModel]:
+    """Import the model of a kind only when a file of it is there."""
+    module_name, class_name = MODELS[kind]
+    module = importlib.import_module(f'limpetroute.border.{module_name}')
+    return typing.cast(type[pydantic.BaseModel], getattr(module, class_name))
--- a/limpetroute/cli/main.py
+++ b/limpetroute/cli/main.py
@@ -10,6 +10,11 @@
   control    Run one replica of the control log.
   demo       Run the whole path as tasks of one process.
   standin    Run one stand-in runner, for trials.
+  status     Show how each entry host is.
+  runners    Show the runners that entry hosts know.
+  drain      Give a runner or an entry host no new work.
+  requests   List requests that entry hosts hold.
+  check      Check settings, manifests and traces; start nothing.
 
 `limpetroute <command> --help` shows each command with an example.
 
@@ -27,9 +32,19 @@
 import docopt
 
 import limpetroute
+from limpetroute.cli import exit_code
 
-COMMANDS = ('entry', 'control', 'demo', 'standin')
-EXIT_USAGE = 2
+COMMANDS = (
+    'entry',
+    'control',
+    'demo',
+    'standin',
+    'status',
+    'runners',
+    'drain',
+    'requests',
+    'check',
+)
 
 
 def main(argv: typing.Sequence[str] | None = None) -> int:
@@ -45,15 +60,15 @@
         )
     except docopt.DocoptExit as exc:
         print(exc, file=sys.stderr)
-        return EXIT_USAGE
+        return exit_code.USAGE
     name = args['<command>']
     if name not in COMMANDS:
         allowed = ', '.join(COMMANDS)
         print(f'{name!r} is not one of: {allowed}', file=sys.stderr)
-        return EXIT_USAGE
+        return exit_code.USAGE
     module = importlib.import_module(f'limpetroute.cli.{name}')
     try:
         return int(module.run([name, *args['<args>']]))
     except docopt.DocoptExit as exc:
         print(exc, file=sys.stderr)
-        return EXIT_USAGE
+        return exit_code.USAGE
--- a/limpetroute/cli/serving.py
+++ b/limpetroute/cli/serving.py
@@ -1,7 +1,6 @@
 """Runs a server until SIGINT or SIGTERM."""
 
 import asyncio
-import logging
 import pathlib
 import signal
 import sys
@@ -11,8 +10,9 @@
 
 from limpetroute.border import errors
 from limpetroute.border import settings_file
+from limpetroute.cli import exit_code
+from limpetroute.telemetry import log_setup
 
-EXIT_SETTINGS = 2
 _Model = typing.TypeVar('_Model', bound=pydantic.BaseModel)
 
 
@@ -41,7 +41,7 @@
     on_ready: typing.Callable[[typing.Any], None],
 ) -> int:
     """Make a server, run it until a signal, and return the exit code."""
-    logging.basicConfig(level=logging.INFO)
+    log_setup.set_up()
     return asyncio.run(_serve(make, on_ready))
 
 
@@ -54,8 +54,15 @@
     for number in (signal.SIGINT, signal.SIGTERM):
         loop.add_signal_handler(number, stopping.set)
     server = make()
-    server.start()
+    try:
+        server.start()
+    except OSError as exc:
+        # An address in use or not of this host: nothing serves, and the
+        # parts begun before it are ended again.
+        print(f'cannot listen: {exc}', file=sys.stderr)
+        await server.stop()
+        return exit_code.USAGE
     on_ready(server)
     await stopping.wait()
     await server.stop()
-    return 0
+    return exit_code.DONE
--- a/limpetroute/cli/standin.py
+++ b/limpetroute/cli/standin.py
@@ -16,6 +16,7 @@
 import docopt
 
 from limpetroute.border import standin_settings
+from limpetroute.cli import exit_code
 from limpetroute.cli import serving
 from limpetroute.standins import engine_server
 
@@ -28,7 +29,7 @@
         standin_settings.StandinSettings, args['--settings']
     )
     if settings is None:
-        return serving.EXIT_SETTINGS
+        return exit_code.USAGE
     return serving.serve(
         lambda: engine_server.EngineServer(settings=settings), _print_ready
     )
--- a/limpetroute/control/server.py
+++ b/limpetroute/control/server.py
@@ -11,6 +11,7 @@
 from limpetroute.border import errors
 from limpetroute.border import manifest as manifest_module
 from limpetroute.control import manifest_store
+from limpetroute.wire import token_guard
 
 LOG = logging.getLogger(__name__)
 
@@ -70,7 +71,10 @@
             )
         ]
         self._server = tornado.httpserver.HTTPServer(
-            tornado.web.Application(routes, log_function=_no_log)
+            token_guard.GuardedApplication(
+                routes, tokens=self.settings.credentials().tokens
+            ),
+            ssl_options=self.settings.listen.tls_context(),
         )
         listen = self.settings.listen
         sockets = tornado.netutil.bind_sockets(listen.port, listen.address)
@@ -83,7 +87,3 @@
         if self._server is not None:
             self._server.stop()
             await self._server.close_all_connections()
-
-
-def _no_log(handler: tornado.web.RequestHandler) -> None:
-    """Write no line for a request."""
--- a/limpetroute/entry/host.py
+++ b/limpetroute/entry/host.py
@@ -40,7 +40,8 @@
 
     def __init__(self, *, settings: entry_settings.EntrySettings) -> None:
         self.settings = settings
-        self.http = caller.Caller()
+        trust = settings.credentials()
+        self.http = caller.Caller(tls=trust.client_tls, token=trust.token)
         self.runners = directory.Directory(timeout_s=settings.runner_timeout_s)
         self.engines = engine_pool.EnginePool(
             runners=self.runners, http=self.http
@@ -53,6 +54,7 @@
         self.records = record_store.RecordStore()
         self.manifest: manifest_module.ManifestBody | None = None
         self.draining = False
+        self.drained_runners: set[str] = set()
         self._ticker: asyncio.Task[None] | None = None
 
     def __repr__(self) -> str:
@@ -76,10 +78,23 @@
     def announced(self, body: announcement.AnnouncementBody) -> None:
         """Take a runner's announcement."""
         now_s = time.monotonic()
+        if body.runner_id in self.drained_runners:
+            body = body.model_copy(update={'leaving': True})
         if self.runners.announce(body, now_s):
             LOG.info('runner %s announced as %s', body.runner_id, body.role)
         self.scheduler.announced(body)
 
+    def drain_runner(self, runner_id: str) -> None:
+        """Give a runner no new work, now and when it announces again."""
+        self.drained_runners.add(runner_id)
+        body = self.runners.get(runner_id)
+        if body is not None:
+            self.announced(body.model_copy(update={'cache_events': []}))
+
+    def undrain_runner(self, runner_id: str) -> None:
+        """Give it work again from its next announcement on."""
+        self.drained_runners.discard(runner_id)
+
     def submit(
         self, request: run_request.RunRequest
     ) -> live_record.LiveRecord:
--- /dev/null
+++ b/limpetroute/entry/operator_requests_handler.py
@@ -0,0 +1,39 @@
+"""``GET /v1/operator/requests`` of the internal port."""
+
+import typing
+
+from limpetroute.entry import base_handler
+from limpetroute.entry import live_record
+
+MAX_SHOWN = 1000
+
+
+class OperatorRequestsHandler(base_handler.BaseHandler):
+    """Lists requests, never their texts or keys."""
+
+    def get(self) -> None:
+        """Answer with the requests in progress, or with all kept."""
+        ended_too = self.get_query_argument('all', '') == '1'
+        found: list[dict[str, typing.Any]] = []
+        hidden = 0
+        for live in self.host.records:
+            if live.record.end is not None and not ended_too:
+                continue
+            if len(found) >= MAX_SHOWN:
+                hidden += 1
+                continue
+            found.append(_row(live))
+        self.finish({'requests': found, 'not_shown': hidden})
+
+
+def _row(live: live_record.LiveRecord) -> dict[str, typing.Any]:
+    record = live.record
+    return {
+        'request_id': record.request_id,
+        'team': record.team,
+        'run_id': record.run_id,
+        'events': len(record.events),
+        'delivered_index': record.delivered_index,
+        'attached': live.attached,
+        'outcome': str(record.end.kind) if record.end else None,
+    }
--- /dev/null
+++ b/limpetroute/entry/operator_status_handler.py
@@ -0,0 +1,31 @@
+"""``GET /v1/operator/status`` of the internal port."""
+
+import os
+import time
+
+from limpetroute.entry import base_handler
+
+
+class OperatorStatusHandler(base_handler.BaseHandler):
+    """Shows how this host is."""
+
+    def get(self) -> None:
+        """Answer with one object of plain values."""
+        host = self.host
+        manifest = host.manifest
+        in_progress = [live for live in host.records if not live.record.end]
+        self.finish(
+            {
+                'host_id': host.settings.host_id,
+                'zone': host.settings.zone,
+                'pid': os.getpid(),
+                'ready': host.ready,
+                'draining': host.draining,
+                'manifest_number': manifest.number if manifest else None,
+                'requests_in_progress': len(in_progress),
+                'records': len(host.records),
+                'runners': len(host.runners),
+                'drained_runners': sorted(host.drained_runners),
+                'cpu_s': time.process_time(),
+            }
+        )
--- a/limpetroute/entry/server.py
+++ b/limpetroute/entry/server.py
@@ -1,6 +1,7 @@
 """The entry process's two ports."""
 
 import logging
+import typing
 
 import tornado.httpserver
 import tornado.netutil
@@ -12,7 +13,9 @@
 from limpetroute.entry import health_handler
 from limpetroute.entry import host as host_module
 from limpetroute.entry import models_handler
+from limpetroute.entry import operator_routes
 from limpetroute.entry import runners_handler
+from limpetroute.wire import token_guard
 
 LOG = logging.getLogger(__name__)
 
@@ -40,7 +43,9 @@
         """Listen on both ports."""
         self.port = self._listen(self._caller_routes(), self._settings.listen)
         self.internal_port = self._listen(
-            self._internal_routes(), self._settings.internal_listen
+            self._internal_routes(),
+            self._settings.internal_listen,
+            self._settings.credentials().tokens,
         )
         self.host.start()
         LOG.info('entry %s on port %d', self._settings.host_id, self.port)
@@ -56,9 +61,11 @@
         self,
         routes: list[tornado.web.URLSpec],
         listen: listen_settings.ListenSettings,
+        tokens: typing.Sequence[str] = (),
     ) -> int:
         server = tornado.httpserver.HTTPServer(
-            tornado.web.Application(routes, log_function=_no_access_log),
+            token_guard.GuardedApplication(routes, tokens=tokens),
+            ssl_options=listen.tls_context(),
             max_body_size=self._settings.max_body_bytes,
             body_timeout=self._settings.body_timeout_s,
         )
@@ -83,6 +90,7 @@
         url = tornado.web.url
         return [
             url('/v1/runners', runners_handler.RunnersHandler, host),
+            *operator_routes.routes(self.host),
             *self._health_routes(),
         ]
 
@@ -94,7 +102,3 @@
             url('/healthz', handler, {**host, 'readiness': False}),
             url('/readyz', handler, {**host, 'readiness': True}),
         ]
-
-
-def _no_access_log(handler: tornado.web.RequestHandler) -> None:
-    """Write no line for a request: counters do that."""
--- a/limpetroute/standins/engine_server.py
+++ b/limpetroute/standins/engine_server.py
@@ -13,6 +13,7 @@
 from limpetroute.standins import engine_handlers
 from limpetroute.standins import engine_state
 from limpetroute.wire import caller
+from limpetroute.wire import token_guard
 
 LOG = logging.getLogger(__name__)
 
@@ -33,7 +34,10 @@
         self.settings = settings
         self.state = engine_state.EngineState(settings=settings)
         self.port = 0
-        self._http = caller.Caller()
+        self._trust = settings.credentials()
+        self._http = caller.Caller(
+            tls=self._trust.client_tls, token=self._trust.token
+        )
         self._server: tornado.httpserver.HTTPServer | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._sequence = 0
@@ -45,12 +49,16 @@
     @property
     def url(self) -> str:
         """Address announced to the entry hosts."""
-        return f'http://{self.settings.listen.address}:{self.port}'
+        scheme = 'https' if self.settings.listen.tls else 'http'
+        return f'{scheme}://{self.settings.listen.address}:{self.port}'
 
     def start(self) -> None:
         """Listen, step and announce."""
         self._server = tornado.httpserver.HTTPServer(
-            tornado.web.Application(self._routes(), log_function=_no_log),
+            token_guard.GuardedApplication(
+                self._routes(), tokens=self._trust.tokens
+            ),
+            ssl_options=self.settings.listen.tls_context(),
             max_body_size=64 << 20,
         )
         listen = self.settings.listen
@@ -161,7 +169,3 @@
             url('/v1/faults', handlers.FaultsHandler, state),
             url('/v1/counts', handlers.CountsHandler, state),
         ]
-
-
-def _no_log(handler: tornado.web.RequestHandler) -> None:
-    """Write no line for a request."""
--- /dev/null
+++ b/limpetroute/telemetry/log_setup.py
@@ -0,0 +1,21 @@
+"""Sets up logging for the program; the library never does."""
+
+import logging
+import sys
+
+from pythonjsonlogger import json as json_logger
+
+
+def set_up(level: int = logging.INFO) -> None:
+    """Write each record as one JSON line to standard error."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        json_logger.JsonFormatter(
+            ['levelname', 'name', 'message', 'exc_info'],
+            timestamp='time',
+            rename_fields={'levelname': 'level', 'name': 'logger'},
+        )
+    )
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level)
--- /dev/null
+++ b/tests/cli/commands.py
@@ -0,0 +1,59 @@
+"""Runs ``limpetroute`` commands for tests."""
+
+import os
+import pathlib
+import re
+import signal
+import subprocess
+import sys
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+END_S = 30
+ENVIRONMENT = {**os.environ, 'PYTHONPATH': str(ROOT)}
+
+
+def run(*args, cwd=ROOT):
+    """Run a command to its end; return its code, stdout and stderr."""
+    done = subprocess.run(
+        [sys.executable, '-m', 'limpetroute', *map(str, args)],
+        cwd=cwd,
+        env=ENVIRONMENT,
+        capture_output=True,
+        text=True,
+        timeout=END_S,
+    )
+    return done.returncode, done.stdout, done.stderr
+
+
+class Started:
+    """A daemon started by its command."""
+
+    def __init__(self, *args, log, cwd=ROOT, program=None):
+        program = program or [sys.executable, '-m', 'limpetroute']
+        self._log = log.open('w')
+        self._popen = subprocess.Popen(
+            [*program, *map(str, args)],
+            cwd=cwd,
+            env=ENVIRONMENT,
+            stdout=subprocess.PIPE,
+            stderr=self._log,
+            text=True,
+        )
+
+    @property
+    def pid(self):
+        return self._popen.pid
+
+    def ports(self):
+        """Wait for the ready line and return its ports."""
+        line = self._popen.stdout.readline()
+        assert line.startswith('ready'), line
+        return [int(word) for word in re.findall(r'[ :](\d+)', line)]
+
+    def stop(self):
+        if self._popen.poll() is None:
+            self._popen.send_signal(signal.SIGTERM)
+        code = self._popen.wait(timeout=END_S)
+        self._popen.stdout.close()
+        self._log.close()
+        return code
--- a/tests/whole_path/processes.py
+++ b/tests/whole_path/processes.py
@@ -24,7 +24,7 @@
         name: str,
     ) -> None:
         path = folder / f'{name}.json'
-        path.write_text(json.dumps(settings))
+        path.write_text(json.dumps({'demo': True, **settings}))
         self._log = (folder / f'{name}.log').open('w')
         self._popen = subprocess.Popen(
             [
