--- /dev/null
+++ b/limpetroute/bench/capacity/__init__.py
@@ -0,0 +1,1 @@
+"""Slopes measured on one machine, and what they mean at goal size."""
