--- a/limpetroute/bench/capacity/record_probe.py
+++ b/limpetroute/bench/capacity/record_probe.py
@@ -1,5 +1,7 @@
 """What one request record costs in memory."""
 
+import functools
+
 from limpetroute.bench.capacity import figure
 from limpetroute.bench.capacity import memory
 from limpetroute.peers import request_record
@@ -16,10 +18,8 @@
         """Keep records and read the growth."""
         found = []
         for events in (SHORT_EVENTS, LONG_EVENTS):
-            each, _ = memory.bytes_each(
-                lambda number, events=events: _record(number, events),
-                RECORDS,
-            )
+            make = functools.partial(_record, events)
+            each, _ = memory.bytes_each(make, RECORDS)
             found.append(
                 figure.Figure(
                     name=f'record.memory_bytes_{events}_events',
@@ -31,7 +31,7 @@
         return found
 
 
-def _record(number: int, events: int) -> request_record.RequestRecord:
+def _record(events: int, number: int) -> request_record.RequestRecord:
     record = request_record.RequestRecord(
         request_id=f'req-{number:024d}',
         team=f'team-{number}',
