--- a/limpetroute/border/entry_settings.py
+++ b/limpetroute/border/entry_settings.py
@@ -5,6 +5,7 @@
 from limpetroute.border import addresses
 from limpetroute.border import listen_settings
 from limpetroute.border import names
+from limpetroute.border import telemetry_settings
 from limpetroute.border import trust_settings
 from limpetroute.border import units
 
@@ -34,6 +35,9 @@
     max_body_bytes: int = pydantic.Field(default=4 << 20, ge=1024)
     body_timeout_s: units.Seconds = 10.0
     drain_timeout_s: units.Seconds = 60.0
+    telemetry: telemetry_settings.TelemetrySettings = (
+        telemetry_settings.TelemetrySettings()
+    )
     believe_team_header: bool = True
 
     @pydantic.field_validator('zone')
--- a/limpetroute/entry/base_handler.py
+++ b/limpetroute/entry/base_handler.py
@@ -8,6 +8,7 @@
 from limpetroute.entry import answer_format
 from limpetroute.entry import host as host_module
 from limpetroute.peers import run_end
+from limpetroute.telemetry import trace_context
 
 DEFAULT_TEAM = 'default'
 STATUS_OF_KIND = {
@@ -26,6 +27,10 @@
         """Take the process's shared state."""
         self.host = host
 
+    def prepare(self) -> None:
+        """Take up the caller's trace, if it sent one."""
+        trace_context.receive(self.request.headers.get(trace_context.HEADER))
+
     @property
     def team(self) -> str:
         """The caller's team."""
--- a/limpetroute/entry/host.py
+++ b/limpetroute/entry/host.py
@@ -13,6 +13,7 @@
 from limpetroute.decisions import round_robin
 from limpetroute.decisions import work
 from limpetroute.entry import grants as grants_module
+from limpetroute.entry import host_exports
 from limpetroute.entry import live_record
 from limpetroute.entry import record_store
 from limpetroute.entry import run_request
@@ -21,7 +22,6 @@
 from limpetroute.peers import request_record
 from limpetroute.runners import directory
 from limpetroute.runners import engine_pool
-from limpetroute.telemetry import meters as meters_module
 from limpetroute.wire import caller
 
 LOG = logging.getLogger(__name__)
@@ -50,7 +50,12 @@
             policy=round_robin.RoundRobin()
         )
         self.grants: grants_module.GrantSource = grants_module.LocalGrants()
-        self.meters: meters_module.Meters = meters_module.NullMeters()
+        self.exports = host_exports.build(settings)
+        self.meters = self.exports.meters
+        self.hops = self.exports.hops
+        self.exports.observe('records', lambda: len(self.records))
+        self.exports.observe('runners', lambda: len(self.runners))
+        self.exports.observe('ready', lambda: self.ready)
         self.records = record_store.RecordStore()
         self.manifest: manifest_module.ManifestBody | None = None
         self.draining = False
@@ -74,6 +79,7 @@
         if self._ticker is not None:
             self._ticker.cancel()
         self.scheduler.close()
+        await asyncio.to_thread(self.exports.close)
 
     def announced(self, body: announcement.AnnouncementBody) -> None:
         """Take a runner's announcement."""
--- a/limpetroute/entry/server.py
+++ b/limpetroute/entry/server.py
@@ -12,6 +12,7 @@
 from limpetroute.entry import completions_handler
 from limpetroute.entry import health_handler
 from limpetroute.entry import host as host_module
+from limpetroute.entry import metrics_handler
 from limpetroute.entry import models_handler
 from limpetroute.entry import operator_routes
 from limpetroute.entry import runners_handler
@@ -90,6 +91,7 @@
         url = tornado.web.url
         return [
             url('/v1/runners', runners_handler.RunnersHandler, host),
+            url('/metrics', metrics_handler.MetricsHandler, host),
             *operator_routes.routes(self.host),
             *self._health_routes(),
         ]
--- a/limpetroute/wire/caller.py
+++ b/limpetroute/wire/caller.py
@@ -5,6 +5,7 @@
 import typing
 import urllib.parse
 
+from limpetroute.telemetry import trace_context
 from limpetroute.wire import call_failed
 from limpetroute.wire import connection
 from limpetroute.wire import reply
@@ -97,6 +98,9 @@
         fields = {'Content-Type': 'application/json'}
         if self._token:
             fields['Authorization'] = f'Bearer {self._token}'
+        traceparent = trace_context.current()
+        if traceparent:
+            fields[trace_context.HEADER] = traceparent
         fields.update(extra or {})
         return fields
 
--- a/limpetroute/wire/token_guard.py
+++ b/limpetroute/wire/token_guard.py
@@ -66,9 +66,15 @@
     """
 
     def __init__(
-        self, routes: list[web.URLSpec], *, tokens: typing.Sequence[str]
+        self,
+        routes: list[web.URLSpec],
+        *,
+        tokens: typing.Sequence[str],
+        **settings: typing.Any,
     ) -> None:
-        super().__init__(typing.cast(typing.Any, routes), log_function=_no_log)
+        super().__init__(
+            typing.cast(typing.Any, routes), log_function=_no_log, **settings
+        )
         self._guard = TokenGuard(tokens=tokens)
 
     def find_handler(
