Ship one file that unpacks itself and says why it cannot

make dist gathers the locked runtime libraries of the environment, without a network, and builds one file by shiv.

--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,7 @@
 PORT ?= 8080
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.locked
+SOURCES := limpetroute tests build_tools
 
 .PHONY: demo test lint format dist clean
 
@@ -20,15 +21,18 @@
 	$(BIN)/python -m pytest
 
 lint: $(STAMP)
-	$(BIN)/ruff format --check limpetroute tests
-	$(BIN)/ruff check limpetroute tests
-	$(BIN)/flake8 limpetroute tests
+	$(BIN)/ruff format --check $(SOURCES)
+	$(BIN)/ruff check $(SOURCES)
+	$(BIN)/flake8 $(SOURCES)
 	$(BIN)/lint-imports --no-cache
 	$(BIN)/mypy
 
 format: $(STAMP)
-	$(BIN)/ruff check --fix limpetroute tests
-	$(BIN)/ruff format limpetroute tests
+	$(BIN)/ruff check --fix $(SOURCES)
+	$(BIN)/ruff format $(SOURCES)
+
+dist: $(STAMP)
+	$(BIN)/python build_tools/build_dist.py dist/limpetroute
 
 clean:
 	rm -rf build dist .venv
