--- /dev/null
+++ b/tests/known_red.py
@@ -0,0 +1,43 @@
+"""Reads KNOWN-RED.txt, the list of tests that fail for a known fault."""
+
+import dataclasses
+import pathlib
+
+PATH = pathlib.Path(__file__).resolve().parents[1] / 'KNOWN-RED.txt'
+MAX_LINES = 3
+FIELDS = ('test', 'command', 'seed', 'cause', 'issue')
+
+
+class KnownRedError(ValueError):
+    """A line of the list is of no use."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class KnownRed:
+    """One test that may fail, and why."""
+
+    test: str
+    cause: str
+    issue: str
+
+
+def parse(text: str) -> list[KnownRed]:
+    """Read the list.
+
+    Raises
+    ------
+    KnownRedError
+        If a line has not all fields, or there are too many lines.
+    """
+    found = []
+    for line in text.splitlines():
+        if not line.strip() or line.startswith('#'):
+            continue
+        parts = [part.strip() for part in line.split('|')]
+        if len(parts) != len(FIELDS) or not all(parts):
+            wanted = ' | '.join(FIELDS)
+            raise KnownRedError(f'{line!r} is not of the form: {wanted}')
+        found.append(KnownRed(test=parts[0], cause=parts[3], issue=parts[4]))
+    if len(found) > MAX_LINES:
+        raise KnownRedError(f'{len(found)} lines, at most {MAX_LINES}')
+    return found
--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,49 @@
+import pytest
+
+from tests import known_red
+
+pytest_plugins = ['pytester']
+
+TESTS = """
+def test_green():
+    pass
+
+def test_red():
+    assert False
+"""
+
+
+def _line(name):
+    return f'test_it.py::{name} | pytest | 0 | a cause | 7\n'
+
+
+def _verdict(pytester, listed):
+    """Run a small suite with this tree's hooks and the list given."""
+    pytester.makepyfile(test_it=TESTS)
+    path = pytester.path / 'red.txt'
+    path.write_text('# heading\n' + ''.join(listed))
+    done = pytester.runpytest_inprocess(
+        '-p', 'tests.conftest', '-p', 'no:cacheprovider', f'--known-red={path}'
+    )
+    return int(done.ret), str(done.stdout) + str(done.stderr)
+
+
+@pytest.mark.parametrize(
+    ('names', 'code', 'said'),
+    [
+        ([], 1, '1 failed'),
+        (['test_red'], 0, 'KNOWN RED: test_it.py::test_red: a cause'),
+        (['test_red', 'test_green'], 1, 'XPASS(strict)'),
+        (['test_red', 'test_gone'], 4, 'no such test: test_it.py::test_gone'),
+        (['test_red'] * 4, 4, '4 lines, at most 3'),
+    ],
+)
+def test_only_listed_failures_pass(pytester, names, code, said):
+    got, output = _verdict(pytester, [_line(name) for name in names])
+    assert got == code
+    assert said in output
+
+
+def test_a_line_without_its_fields_is_refused():
+    with pytest.raises(known_red.KnownRedError, match='test_it.py'):
+        known_red.parse('test_it.py::test_red | no cause\n')
