--- a/limpetroute/border/completion_body.py
+++ b/limpetroute/border/completion_body.py
@@ -4,9 +4,12 @@
 
 import pydantic
 
+ROUTER_FIELDS = frozenset({'user', 'metadata', 'store'})
+
 
 class _CallerModel(pydantic.BaseModel):
-    # Callers' libraries send fields that mean nothing to the router.
+    # Callers' libraries send fields that mean nothing to the router;
+    # those of the body itself are passed on to the engine.
     model_config = pydantic.ConfigDict(extra='ignore', frozen=True)
 
 
@@ -16,48 +19,92 @@
     include_usage: bool = False
 
 
+class TextPart(_CallerModel):
+    """A text part of a message."""
+
+    type: typing.Literal['text']
+    text: str
+
+
 class MessageBody(_CallerModel):
     """One message of a chat."""
 
     role: str = pydantic.Field(max_length=40)
-    content: str
+    content: str | list[TextPart] | None = None
 
+    def text(self) -> str:
+        """Return the message's text."""
+        if self.content is None:
+            return ''
+        if isinstance(self.content, str):
+            return self.content
+        return ''.join(part.text for part in self.content)
 
-class CompletionBody(_CallerModel):
-    """Body of ``POST /v1/completions``."""
+
+class _AnswerBody(_CallerModel):
+    model_config = pydantic.ConfigDict(extra='allow', frozen=True)
 
     model: str = pydantic.Field(min_length=1, max_length=200)
-    prompt: str = pydantic.Field(min_length=1)
-    max_tokens: int = pydantic.Field(default=16, ge=1, le=65536)
     stream: bool = False
     stream_options: StreamOptions | None = None
-    n: typing.Literal[1] = 1
+    n: typing.Literal[1] | None = 1
+
+    @property
+    def include_usage(self) -> bool:
+        """Whether a streamed answer is to end with its usage."""
+        options = self.stream_options
+        return options is not None and options.include_usage
+
+    @property
+    def options(self) -> dict[str, typing.Any]:
+        """Fields for the engine, such as the sampling temperature."""
+        extra = self.model_extra or {}
+        return {
+            name: value
+            for name, value in extra.items()
+            if name not in ROUTER_FIELDS
+        }
+
+
+class CompletionBody(_AnswerBody):
+    """Body of ``POST /v1/completions``."""
+
+    prompt: (
+        str
+        | typing.Annotated[
+            list[str], pydantic.Field(min_length=1, max_length=1)
+        ]
+    )
+    max_tokens: int | None = pydantic.Field(default=16, ge=1, le=65536)
+
+    @pydantic.field_validator('prompt')
+    @classmethod
+    def _prompt_has_text(cls, value: str | list[str]) -> str | list[str]:
+        if not ''.join(value):
+            raise ValueError('must not be empty')
+        return value
 
     def text(self) -> str:
         """Return the prompt."""
-        return self.prompt
+        return ''.join(self.prompt)
 
     def token_limit(self) -> int:
         """Return the most tokens of the answer."""
-        return self.max_tokens
+        return self.max_tokens or 16
 
 
-class ChatBody(_CallerModel):
+class ChatBody(_AnswerBody):
     """Body of ``POST /v1/chat/completions``."""
 
-    model: str = pydantic.Field(min_length=1, max_length=200)
     messages: list[MessageBody] = pydantic.Field(min_length=1)
     max_tokens: int | None = pydantic.Field(default=None, ge=1, le=65536)
     max_completion_tokens: int | None = pydantic.Field(
         default=None, ge=1, le=65536
     )
-    stream: bool = False
-    stream_options: StreamOptions | None = None
-    n: typing.Literal[1] = 1
 
     def text(self) -> str:
         """Return the messages as one prompt."""
-        parts = [f'{item.role}: {item.content}\n' for item in self.messages]
+        parts = [f'{item.role}: {item.text()}\n' for item in self.messages]
         return ''.join(parts) + 'assistant:'
 
     def token_limit(self) -> int:
--- a/limpetroute/border/entry_settings.py
+++ b/limpetroute/border/entry_settings.py
@@ -28,6 +28,7 @@
     resume_grace_s: units.Seconds = 5.0
     retain_s: units.Seconds = 300.0
     write_stall_s: units.Seconds = 10.0
+    keep_alive_s: units.Seconds = 5.0
     max_buffer_bytes: int = pydantic.Field(default=262144, ge=4096)
     max_body_bytes: int = pydantic.Field(default=4 << 20, ge=1024)
     body_timeout_s: units.Seconds = 10.0
--- a/limpetroute/entry/answer_format.py
+++ b/limpetroute/entry/answer_format.py
@@ -6,10 +6,16 @@
 
 from limpetroute.peers import run_end
 
+OUTCOME_FIELD = 'limpetroute_outcome'
+_MARK = '\x00'
+
 
 class AnswerFormat:
     """Builds whole answers and streamed chunks of one request.
 
+    A chunk's frame is the same for all events of a request, so it is
+    encoded once; each event then costs the encoding of its text alone.
+
     Parameters
     ----------
     request_id : str
@@ -20,13 +26,24 @@
         Whether the chat shape is wanted.
     """
 
-    __slots__ = ('_chat', '_created', '_model', '_request_id')
+    __slots__ = (
+        '_after',
+        '_before',
+        '_chat',
+        '_created',
+        '_model',
+        '_request_id',
+    )
 
     def __init__(self, *, request_id: str, model: str, chat: bool) -> None:
         self._request_id = request_id
         self._model = model
         self._chat = chat
         self._created = int(time.time())
+        frame = encode(self._choice(_MARK, {'content': _MARK}, None))
+        before, after = frame.split(encode(_MARK))
+        self._before = before
+        self._after = after
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(request_id={self._request_id!r})'
@@ -49,14 +66,16 @@
 
     def chunk(self, text: str, *, first: bool) -> bytes:
         """Return the body of one streamed chunk."""
-        delta: dict[str, str] = {'content': text}
-        if first:
-            delta['role'] = 'assistant'
-        return self._choice(text, delta, None)
+        if first and self._chat:
+            delta = {'role': 'assistant', 'content': text}
+            return encode(self._choice(text, delta, None))
+        return self._before + json.dumps(text).encode() + self._after
 
     def last_chunk(self, end: run_end.RunEnd) -> bytes:
-        """Return the chunk that carries the finish reason."""
-        return self._choice('', {}, end.finish_reason)
+        """Return the chunk that carries the finish reason and outcome."""
+        body = self._choice('', {}, end.finish_reason)
+        body[OUTCOME_FIELD] = str(end.kind)
+        return encode(body)
 
     def usage_chunk(self, end: run_end.RunEnd) -> bytes:
         """Return the chunk that carries the usage."""
@@ -67,7 +86,7 @@
 
     def _choice(
         self, text: str, delta: dict[str, str], finish: str | None
-    ) -> bytes:
+    ) -> dict[str, typing.Any]:
         choice: dict[str, typing.Any] = {
             'index': 0,
             'finish_reason': finish,
@@ -79,7 +98,7 @@
             choice['text'] = text
         body = self._head(streamed=True)
         body['choices'] = [choice]
-        return encode(body)
+        return body
 
     def _head(self, *, streamed: bool) -> dict[str, typing.Any]:
         kind = 'text_completion'
@@ -108,14 +127,23 @@
 
 
 def error_body(
-    message: str, kind: str, code: str, param: str | None = None
+    message: str,
+    kind: str,
+    code: str,
+    *,
+    param: str | None = None,
+    outcome: str | None = None,
+    retry_after_s: float | None = None,
 ) -> dict[str, typing.Any]:
     """Return an error in the ecosystem's shape."""
-    return {
-        'error': {
-            'message': message,
-            'type': kind,
-            'code': code,
-            'param': param,
-        }
+    error: dict[str, typing.Any] = {
+        'message': message,
+        'type': kind,
+        'code': code,
+        'param': param,
     }
+    if outcome is not None:
+        error[OUTCOME_FIELD] = outcome
+    if retry_after_s is not None:
+        error['retry_after_s'] = retry_after_s
+    return {'error': error}
--- /dev/null
+++ b/limpetroute/entry/answer_handler.py
@@ -0,0 +1,155 @@
+"""Sends a record's answer to the connection of a handler."""
+
+import http
+import sys
+
+import tornado.iostream
+
+from limpetroute.entry import answer_format
+from limpetroute.entry import attachment_writer
+from limpetroute.entry import base_handler
+from limpetroute.entry import body_handler
+from limpetroute.entry import live_record
+from limpetroute.peers import request_record
+from limpetroute.peers import run_end
+
+
+class AnswerHandler(body_handler.BodyHandler):
+    """Attaches to a record and answers from it."""
+
+    _live: live_record.LiveRecord | None = None
+    _grace_s: float | None = None
+
+    async def answer(
+        self,
+        live: live_record.LiveRecord,
+        *,
+        stream: bool,
+        after_index: int | None,
+    ) -> None:
+        """Attach and answer, then detach.
+
+        Parameters
+        ----------
+        live : LiveRecord
+            The record.
+        stream : bool
+            Whether the answer is streamed.
+        after_index : int or None
+            Last event the caller has; None starts with the first.
+        """
+        first = -1 if after_index is None else after_index
+        attachment = live.attach(after_index=first)
+        self._live = live
+        self._attached = True
+        self.set_header('Limpetroute-Request-Id', live.record.request_id)
+        try:
+            if stream:
+                await self._stream(live, attachment)
+            else:
+                await self._whole(live, attachment)
+        finally:
+            self._detach()
+
+    def on_connection_close(self) -> None:
+        """Start the grace at once when the caller goes."""
+        super().on_connection_close()
+        self._detach()
+
+    def _detach(self) -> None:
+        live, self._live = self._live, None
+        if live is None:
+            return
+        grace_s = self._grace_s
+        if grace_s is None or self._headers_written:
+            grace_s = self.host.settings.resume_grace_s
+        live.detach(grace_s)
+
+    async def _stream(
+        self,
+        live: live_record.LiveRecord,
+        attachment: request_record.Attachment,
+    ) -> None:
+        settings = self.host.settings
+        record = live.record
+        # Until the first word or the first keep-alive, a refusal still
+        # gets its own status.
+        await live.wait_past(
+            attachment, attachment.next_index, settings.keep_alive_s
+        )
+        end = record.end
+        if end is not None and self._is_refusal(end, attachment, record):
+            record.mark_end_delivered(attachment)
+            self.fail_with_end(end)
+            return
+        told = base_handler.PENDING if end is None else str(end.kind)
+        self.set_header('Limpetroute-Outcome', told)
+        self.set_header('Content-Type', 'text/event-stream')
+        self.set_header('Cache-Control', 'no-store')
+        self.set_header('X-Accel-Buffering', 'no')
+        writer = attachment_writer.AttachmentWriter(
+            handler=self,
+            live=live,
+            attachment=attachment,
+            write_stall_s=settings.write_stall_s,
+            keep_alive_s=settings.keep_alive_s,
+            max_buffer_bytes=settings.max_buffer_bytes,
+        )
+        if await writer.run():
+            self.finish()
+            return
+        self._break_off()
+
+    @staticmethod
+    def _is_refusal(
+        end: run_end.RunEnd,
+        attachment: request_record.Attachment,
+        record: request_record.RequestRecord,
+    ) -> bool:
+        if end.kind is run_end.EndKind.COMPLETED:
+            return False
+        return attachment.next_index == len(record.events) == 0
+
+    async def _whole(
+        self,
+        live: live_record.LiveRecord,
+        attachment: request_record.Attachment,
+    ) -> None:
+        record = live.record
+        while record.end is None and record.is_current(attachment):
+            await live.wait_past(
+                attachment, sys.maxsize, self.host.settings.keep_alive_s
+            )
+        if not record.is_current(attachment):
+            self.fail(
+                http.HTTPStatus.CONFLICT,
+                'a newer connection took this request over',
+                code='attached_elsewhere',
+                outcome='unknown',
+            )
+            return
+        end = record.end
+        assert end is not None
+        if end.kind is not run_end.EndKind.COMPLETED:
+            record.mark_end_delivered(attachment)
+            self.fail_with_end(end)
+            return
+        self.set_header('Limpetroute-Outcome', str(end.kind))
+        self.set_header('Content-Type', 'application/json')
+        body = live.shape.whole(record.text, end)
+        self.write(answer_format.encode(body))
+        try:
+            await self.finish()
+        except tornado.iostream.StreamClosedError:
+            return
+        record.mark_delivered(attachment, len(record.events) - 1)
+        record.mark_end_delivered(attachment)
+
+    def _break_off(self) -> None:
+        """Close without the mark of a clean end.
+
+        The caller's library sees a broken stream and not a short
+        answer that looks whole.
+        """
+        stream = self.request.connection.stream  # type: ignore[union-attr]
+        stream.close()
--- a/limpetroute/entry/attachment_writer.py
+++ b/limpetroute/entry/attachment_writer.py
@@ -6,14 +6,22 @@
 import tornado.web
 
 from limpetroute.entry import answer_format
+from limpetroute.entry import end_status
 from limpetroute.entry import live_record
 from limpetroute.peers import request_record
 from limpetroute.peers import run_end
 
+KEEP_ALIVE = b': keep-alive\n\n'
+DONE = b'data: [DONE]\n\n'
+
 
 class AttachmentWriter:
     """Streams one attachment until its end, a fence or a lost caller.
 
+    At most ``max_buffer_bytes`` are handed to the connection before it
+    has taken the last ones: a slow reader holds no more than that, and
+    the rest stays in the record, where it is kept for a resume anyway.
+
     Parameters
     ----------
     handler : RequestHandler
@@ -22,20 +30,23 @@
         The record.
     attachment : Attachment
         The attachment this connection holds.
-    shape : AnswerFormat
-        Shape of the chunks.
-    include_usage : bool
-        Whether the caller asked for usage at the end.
     write_stall_s : float
         Longest time a write may wait for the caller to read.
+    keep_alive_s : float
+        Silence after which a comment is written. It keeps proxies from
+        closing the connection, and a caller whose link is dead shows,
+        because its writes stall.
+    max_buffer_bytes : int
+        Most bytes written at a time.
     """
 
     __slots__ = (
         '_attachment',
         '_handler',
-        '_include_usage',
+        '_keep_alive_s',
         '_live',
-        '_shape',
+        '_max_buffer_bytes',
+        '_prefix',
         '_write_stall_s',
     )
 
@@ -45,65 +56,85 @@
         handler: tornado.web.RequestHandler,
         live: live_record.LiveRecord,
         attachment: request_record.Attachment,
-        shape: answer_format.AnswerFormat,
-        include_usage: bool,
         write_stall_s: float,
+        keep_alive_s: float,
+        max_buffer_bytes: int,
     ) -> None:
         self._handler = handler
         self._live = live
         self._attachment = attachment
-        self._shape = shape
-        self._include_usage = include_usage
         self._write_stall_s = write_stall_s
+        self._keep_alive_s = keep_alive_s
+        self._max_buffer_bytes = max_buffer_bytes
+        self._prefix = f'id: {live.record.run_id}-'.encode()
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(live={self._live!r})'
 
     async def run(self) -> bool:
         """Write until the end; return whether the caller got it all."""
-        record = self._live.record
-        index = self._attachment.next_index
         try:
-            while True:
-                await self._live.wait_past(self._attachment, index)
-                if not record.is_current(self._attachment):
-                    return False
-                upto = len(record.events)
-                if index == upto:
-                    break
-                for place in range(index, upto):
-                    self._write_event(place)
-                await self._flush()
-                index = upto
-                record.mark_delivered(self._attachment, index - 1)
-            assert record.end is not None
-            self._write_end(record.end)
-            await self._flush()
-            record.mark_end_delivered(self._attachment)
-            return True
+            return await self._run()
         except (tornado.iostream.StreamClosedError, TimeoutError):
             return False
 
-    def _write_event(self, place: int) -> None:
-        record = self._live.record
-        body = self._shape.chunk(record.events[place], first=place == 0)
-        self._handler.write(
-            b'id: %s-%d\ndata: %s\n\n' % (record.run_id.encode(), place, body)
-        )
+    async def _run(self) -> bool:
+        live = self._live
+        record = live.record
+        attachment = self._attachment
+        index = attachment.next_index
+        while True:
+            woken = await live.wait_past(attachment, index, self._keep_alive_s)
+            if not record.is_current(attachment):
+                return False
+            if not woken:
+                await self._write(KEEP_ALIVE)
+                continue
+            if index == len(record.events):
+                break
+            batch, index = self._batch(index)
+            await self._write(batch)
+            record.mark_delivered(attachment, index - 1)
+        assert record.end is not None
+        await self._write(self._ending(record.end))
+        record.mark_end_delivered(attachment)
+        return record.is_current(attachment)
 
-    def _write_end(self, end: run_end.RunEnd) -> None:
+    def _batch(self, index: int) -> tuple[bytes, int]:
+        shape = self._live.shape
+        events = self._live.record.events
+        parts = []
+        size = 0
+        while index < len(events) and size < self._max_buffer_bytes:
+            body = shape.chunk(events[index], first=index == 0)
+            part = b'%s%d\ndata: %s\n\n' % (self._prefix, index, body)
+            parts.append(part)
+            size += len(part)
+            index += 1
+        return b''.join(parts), index
+
+    def _ending(self, end: run_end.RunEnd) -> bytes:
         if end.kind is not run_end.EndKind.COMPLETED:
             body = answer_format.error_body(
-                f'the request ended as {end.kind}: {end.finish_reason}',
+                end_status.message_of(end),
                 'server_error',
-                end.finish_reason,
+                end_status.code_of(end),
+                outcome=str(end.kind),
+                retry_after_s=end.retry_after_s,
             )
-            self._handler.write(b'data: %s\n\n' % answer_format.encode(body))
+            return b'data: %s\n\n' % answer_format.encode(body)
+        shape = self._live.shape
+        parts = [b'data: %s\n\n' % shape.last_chunk(end)]
+        if self._live.include_usage:
+            parts.append(b'data: %s\n\n' % shape.usage_chunk(end))
+        parts.append(DONE)
+        return b''.join(parts)
+
+    async def _write(self, data: bytes) -> None:
+        self._handler.write(data)
+        written = self._handler.flush()
+        if written.done():
+            written.result()
             return
-        last = self._shape.last_chunk(end)
-        self._handler.write(b'data: %s\n\n' % last)
-        if self._include_usage:
-            used = self._shape.usage_chunk(end)
-            self._handler.write(b'data: %s\n\n' % used)
-        self._handler.write(b'data: [DONE]\n\n')
-
-    async def _flush(self) -> None:
         async with asyncio.timeout(self._write_stall_s):
-            await self._handler.flush()
+            await written
--- a/limpetroute/entry/base_handler.py
+++ b/limpetroute/entry/base_handler.py
@@ -1,35 +1,88 @@
 """What all handlers of the entry process share."""
 
+import http.client
 import math
+import re
 import typing
 
 import tornado.web
 
 from limpetroute.entry import answer_format
+from limpetroute.entry import end_status
 from limpetroute.entry import host as host_module
 from limpetroute.peers import run_end
 
 DEFAULT_TEAM = 'default'
-STATUS_OF_KIND = {
-    run_end.EndKind.NOT_RUN: 503,
-    run_end.EndKind.UNKNOWN: 502,
-    run_end.EndKind.CANCELLED: 499,
-}
+TEAM_PATTERN = re.compile(r'[\w.:/-]{1,200}')
+BEARER = 'bearer '
+MAX_HEADERS = 100
+MAX_HEADER_BYTES = 16384
+INTERNAL_ERROR = 500
+PENDING = 'pending'
 
 
 class BaseHandler(tornado.web.RequestHandler):
     """Answers in the ecosystem's error shape."""
 
     host: host_module.Host
+    _team: str | None = None
 
     def initialize(self, host: host_module.Host) -> None:
         """Take the process's shared state."""
         self.host = host
 
+    def prepare(self) -> None:
+        """Refuse headers past the limits."""
+        fields = list(self.request.headers.get_all())
+        size = sum(len(name) + len(value) for name, value in fields)
+        if len(fields) <= MAX_HEADERS and size <= MAX_HEADER_BYTES:
+            return
+        self.fail(
+            431,
+            f'at most {MAX_HEADERS} headers and {MAX_HEADER_BYTES} bytes',
+            code='headers_too_large',
+        )
+
     @property
     def team(self) -> str:
-        """The caller's team."""
-        return self.request.headers.get('Limpetroute-Team', DEFAULT_TEAM)
+        """The caller's team, once `authenticate` has found it."""
+        if self._team is None:
+            raise RuntimeError('the caller is not authenticated')
+        return self._team
+
+    def authenticate(self) -> bool:
+        """Find the caller's team; answer 401 if there is none."""
+        index = self.host.manifest_index
+        if not index.has_tokens:
+            return self._believe()
+        given = self.request.headers.get('Authorization', '')
+        if given[: len(BEARER)].lower() == BEARER:
+            self._team = index.team_of(given[len(BEARER) :].strip())
+        if self._team is not None:
+            return True
+        self.set_header('WWW-Authenticate', 'Bearer')
+        self.fail(
+            401,
+            'no valid token; send it as: Authorization: Bearer TOKEN',
+            code='invalid_api_key',
+        )
+        return False
+
+    def _believe(self) -> bool:
+        self._team = DEFAULT_TEAM
+        given = self.request.headers.get('Limpetroute-Team')
+        if given is None or not self.host.settings.believe_team_header:
+            return True
+        if TEAM_PATTERN.fullmatch(given) is None:
+            self.fail(
+                400,
+                f'Limpetroute-Team: {given[:80]!r} is no team name',
+                code='invalid_team',
+                param='Limpetroute-Team',
+            )
+            return False
+        self._team = given
+        return True
 
     def fail(
         self,
@@ -42,23 +95,54 @@
         retry_after_s: float | None = None,
     ) -> None:
         """Finish with an error."""
-        kind = 'invalid_request_error' if status < 500 else 'server_error'
-        self.set_status(status, 'Error')
+        kind = 'server_error'
+        if status < INTERNAL_ERROR:
+            kind = 'invalid_request_error'
+        self.set_status(status, http.client.responses.get(status, 'Error'))
         self.set_header('Limpetroute-Outcome', outcome)
+        if status == http.HTTPStatus.CONFLICT:
+            # Client libraries repeat a 409 by themselves.
+            self.set_header('x-should-retry', 'false')
         if retry_after_s is not None:
             self.set_header('Retry-After', str(math.ceil(retry_after_s)))
-        self.finish(answer_format.error_body(message, kind, code, param))
+        self.finish(
+            answer_format.error_body(
+                message,
+                kind,
+                code,
+                param=param,
+                outcome=outcome,
+                retry_after_s=retry_after_s,
+            )
+        )
 
     def fail_with_end(self, end: run_end.RunEnd) -> None:
         """Finish with the error that an unsuccessful end stands for."""
         self.fail(
-            STATUS_OF_KIND[end.kind],
-            f'the request ended as {end.kind}: {end.finish_reason}',
-            code=end.finish_reason,
+            end_status.status_of(end),
+            end_status.message_of(end),
+            code=end_status.code_of(end),
             outcome=str(end.kind),
             retry_after_s=end.retry_after_s,
         )
 
     def write_error(self, status_code: int, **kwargs: typing.Any) -> None:
         """Answer errors raised inside tornado in the same shape."""
-        self.fail(status_code, self._reason, code='error')
+        reason = http.client.responses.get(status_code, 'Error')
+        code = reason.lower().replace(' ', '_')
+        # A fault of ours may come after something was sent to a runner.
+        broken = status_code >= INTERNAL_ERROR
+        self.fail(
+            status_code,
+            reason,
+            code=code,
+            outcome='unknown' if broken else 'not_run',
+        )
+
+
+class NotFoundHandler(BaseHandler):
+    """Answers paths that do not exist."""
+
+    def prepare(self) -> None:
+        """Answer 404."""
+        self.fail(404, f'no such path: {self.request.path}', code='not_found')
--- a/limpetroute/entry/completions_handler.py
+++ b/limpetroute/entry/completions_handler.py
@@ -1,21 +1,24 @@
 """``POST /v1/completions`` and ``POST /v1/chat/completions``."""
 
-import asyncio
+import http
 import typing
 
+from limpetroute.border import caller_body
 from limpetroute.border import completion_body
 from limpetroute.border import errors
-from limpetroute.entry import answer_format
-from limpetroute.entry import attachment_writer
-from limpetroute.entry import base_handler
+from limpetroute.decisions import prefix
+from limpetroute.entry import answer_handler
+from limpetroute.entry import event_id
 from limpetroute.entry import host as host_module
 from limpetroute.entry import live_record
 from limpetroute.entry import run_request
-from limpetroute.peers import request_record
 from limpetroute.peers import run_end
 
+MAX_KEY_CHARS = 255
+Body = completion_body.CompletionBody | completion_body.ChatBody
 
-class CompletionsHandler(base_handler.BaseHandler):
+
+class CompletionsHandler(answer_handler.AnswerHandler):
     """Starts a run, or attaches to the one its key names."""
 
     def initialize(  # type: ignore[override]
@@ -24,51 +27,91 @@
         """Take the shared state and the shape wanted."""
         super().initialize(host)
         self._chat = chat
-        self._live: live_record.LiveRecord | None = None
 
     async def post(self) -> None:
         """Answer one request."""
+        if not self.body_is_whole() or not self.authenticate():
+            return
         model: type[typing.Any] = completion_body.CompletionBody
         if self._chat:
             model = completion_body.ChatBody
         try:
-            body = errors.parse(model, self.request.body)
+            body, digest = caller_body.read(model, self.body)
         except errors.InvalidInputError as exc:
             self.fail(400, str(exc), code='invalid_body')
             return
-        if not self.host.ready:
-            self.fail(503, 'draining', code='draining', retry_after_s=1)
+        last_event_id = self.request.headers.get('Last-Event-ID')
+        if last_event_id is not None:
+            await self._resume(body, digest, last_event_id)
             return
-        live = self._find_or_start(body)
+        live = await self._find_or_start(body, digest)
+        if live is not None:
+            await self.answer(live, stream=body.stream, after_index=None)
+
+    async def _resume(
+        self, body: Body, digest: str, last_event_id: str
+    ) -> None:
+        found = event_id.parse(last_event_id)
+        if found is None:
+            self._fail_event_id(last_event_id)
+            return
+        run_id, index = found
+        live = await self.host.finder.by_run(self.team, run_id)
         if live is None:
+            self.fail(
+                http.HTTPStatus.CONFLICT,
+                'that answer is no longer held; '
+                'start over without Last-Event-ID',
+                code='start_over',
+                param='Last-Event-ID',
+            )
             return
-        attachment = live.record.attach()
-        live.wake()
-        self._live = live
-        live.attached += 1
-        try:
-            await self._answer(body, live, attachment)
-        finally:
-            live.attached -= 1
-
-    def on_connection_close(self) -> None:
-        """Cancel the run when nobody waits for it after the grace."""
-        live = self._live
-        if live is None or live.record.end is not None:
+        if self._is_other(live, digest):
+            return
+        if index >= len(live.record.events):
+            self._fail_event_id(last_event_id)
             return
-        loop = asyncio.get_running_loop()
-        grace_s = self.host.settings.resume_grace_s
-        loop.call_later(grace_s, _cancel_unless_attached, live)
+        await self.answer(live, stream=body.stream, after_index=index)
 
-    def _find_or_start(
-        self, body: completion_body.CompletionBody | completion_body.ChatBody
+    async def _find_or_start(
+        self, body: Body, digest: str
     ) -> live_record.LiveRecord | None:
-        digest = host_module.digest(self.request.body)
         key = self.request.headers.get('Idempotency-Key')
-        if key is not None:
-            live = self.host.records.by_key(self.team, key)
-            if live is not None:
-                return self._repeat(live, digest)
+        if key is None:
+            # A caller that goes before it was told the request's name
+            # cannot come back for it.
+            self._grace_s = 0.0
+            return self._start(body, digest, None)
+        if not 1 <= len(key) <= MAX_KEY_CHARS:
+            self.fail(
+                400,
+                f'Idempotency-Key: 1 to {MAX_KEY_CHARS} characters',
+                code='invalid_key',
+                param='Idempotency-Key',
+            )
+            return None
+        await self.host.finder.by_key(self.team, key)
+        # Asked for again after the wait: another connection may have
+        # started the same key meanwhile.
+        live = self.host.records.by_key(self.team, key)
+        if live is None:
+            return self._start(body, digest, key)
+        if self._is_other(live, digest):
+            return None
+        return self._repeat(live, body, digest, key)
+
+    def _start(
+        self, body: Body, digest: str, key: str | None
+    ) -> live_record.LiveRecord | None:
+        if not self.host.ready:
+            self.host.meters.refused('draining')
+            self.fail(
+                503, 'this host is draining', code='draining', retry_after_s=1
+            )
+            return None
+        text = body.text()
+        if self._is_unfit(body.model, text):
+            return None
         request_id = host_module.new_request_id()
         return self.host.submit(
             run_request.RunRequest(
@@ -77,110 +120,78 @@
                 key=key or request_id,
                 body_digest=digest,
                 model=body.model,
-                prompt=body.text(),
+                prompt=text,
                 max_tokens=body.token_limit(),
+                chat=self._chat,
+                include_usage=body.include_usage,
+                options=body.options,
             )
         )
 
-    def _repeat(
-        self, live: live_record.LiveRecord, digest: str
-    ) -> live_record.LiveRecord | None:
-        if live.record.body_digest != digest:
-            self.fail(
-                422,
-                'Idempotency-Key stands for another body',
-                code='key_reused',
-                param='Idempotency-Key',
-            )
-            return None
-        if live.record.end_delivered:
+    def _is_unfit(self, model: str, text: str) -> bool:
+        if not self.host.knows_model(model):
+            self.host.meters.refused('unknown_model')
             self.fail(
-                409,
-                'the whole answer was delivered',
-                code='already_delivered',
-                outcome='already_delivered',
+                404,
+                f'the model {model!r} does not exist',
+                code='model_not_found',
+                param='model',
             )
-            return None
-        return live
-
-    async def _answer(
-        self,
-        body: completion_body.CompletionBody | completion_body.ChatBody,
-        live: live_record.LiveRecord,
-        attachment: request_record.Attachment,
-    ) -> None:
-        record = live.record
-        shape = answer_format.AnswerFormat(
-            request_id=record.request_id, model=body.model, chat=self._chat
+            return True
+        limit = self.host.manifest_index.max_prompt_tokens(model)
+        tokens = prefix.estimate_tokens(text.encode())
+        if limit is None or tokens <= limit:
+            return False
+        self.host.meters.refused('too_long')
+        self.fail(
+            400,
+            f'the prompt has about {tokens} tokens; '
+            f'{model!r} takes at most {limit}',
+            code='context_length_exceeded',
+            param='messages' if self._chat else 'prompt',
         )
-        self.set_header('Limpetroute-Request-Id', record.request_id)
-        await live.wait_past(attachment, attachment.next_index)
-        end = record.end
-        if end is not None and end.kind is not run_end.EndKind.COMPLETED:
-            if not record.events:
-                record.mark_end_delivered(attachment)
-                self.host.records.discard(live)
-                self.fail_with_end(end)
-                return
-        if body.stream:
-            await self._stream(body, live, attachment, shape)
-            return
-        await self._whole(live, attachment, shape)
+        return True
 
-    async def _stream(
-        self,
-        body: completion_body.CompletionBody | completion_body.ChatBody,
-        live: live_record.LiveRecord,
-        attachment: request_record.Attachment,
-        shape: answer_format.AnswerFormat,
-    ) -> None:
-        self.set_header('Content-Type', 'text/event-stream')
-        self.set_header('Cache-Control', 'no-store')
-        options = body.stream_options
-        writer = attachment_writer.AttachmentWriter(
-            handler=self,
-            live=live,
-            attachment=attachment,
-            shape=shape,
-            include_usage=options is not None and options.include_usage,
-            write_stall_s=self.host.settings.write_stall_s,
+    def _is_other(self, live: live_record.LiveRecord, digest: str) -> bool:
+        if live.record.body_digest == digest:
+            return False
+        self.fail(
+            422,
+            'this key stands for another body',
+            code='key_reused',
+            param='Idempotency-Key',
         )
-        if await writer.run():
-            self.finish()
-            return
-        self.request.connection.close()  # type: ignore[union-attr]
+        return True
 
-    async def _whole(
+    def _repeat(
         self,
         live: live_record.LiveRecord,
-        attachment: request_record.Attachment,
-        shape: answer_format.AnswerFormat,
-    ) -> None:
+        body: Body,
+        digest: str,
+        key: str,
+    ) -> live_record.LiveRecord | None:
         record = live.record
-        while record.end is None and record.is_current(attachment):
-            await live.wait_past(attachment, len(record.events))
-        if not record.is_current(attachment):
-            self.fail(
-                409,
-                'a newer connection took this request over',
-                code='attached_elsewhere',
-                outcome='unknown',
-            )
-            return
         end = record.end
-        assert end is not None
-        if end.kind is not run_end.EndKind.COMPLETED:
-            self.fail_with_end(end)
-            return
-        self.set_header('Limpetroute-Outcome', str(end.kind))
-        self.set_header('Content-Type', 'application/json')
-        self.write(answer_format.encode(shape.whole(record.text, end)))
-        await self.finish()
-        record.mark_delivered(attachment, len(record.events) - 1)
-        record.mark_end_delivered(attachment)
-
+        if end is not None and end.kind is not run_end.EndKind.COMPLETED:
+            # No whole answer came of it, and a model's answer changes
+            # nothing in the world: the repeat starts over.
+            return self._start(body, digest, key)
+        if not record.end_delivered:
+            return live
+        self.set_header('Limpetroute-Request-Id', record.request_id)
+        self.fail(
+            http.HTTPStatus.CONFLICT,
+            'the whole answer was delivered; '
+            f'read it again at /v1/requests/{record.request_id}/events',
+            code='already_delivered',
+            outcome='already_delivered',
+        )
+        return None
 
-def _cancel_unless_attached(live: live_record.LiveRecord) -> None:
-    if live.attached or live.task is None:
-        return
-    live.task.cancel()
+    def _fail_event_id(self, text: str) -> None:
+        self.fail(
+            400,
+            f'Last-Event-ID: {text[:80]!r} names no event of this request',
+            code='invalid_event_id',
+            param='Last-Event-ID',
+        )
--- /dev/null
+++ b/limpetroute/entry/events_handler.py
@@ -0,0 +1,34 @@
+"""``GET /v1/requests/{id}/events``: the rest of an answer."""
+
+from limpetroute.entry import answer_handler
+from limpetroute.entry import event_id
+
+
+class EventsHandler(answer_handler.AnswerHandler):
+    """Streams a request's events, from the first or after a given one."""
+
+    async def get(self, request_id: str) -> None:
+        """Attach to a request."""
+        if not self.body_is_whole() or not self.authenticate():
+            return
+        live = await self.host.finder.by_id(self.team, request_id)
+        if live is None:
+            self.fail(404, 'no such request', code='request_not_found')
+            return
+        after_index = -1
+        given = self.request.headers.get('Last-Event-ID')
+        if given:
+            found = event_id.parse(given)
+            events = len(live.record.events)
+            wrong = found is None or found[0] != live.record.run_id
+            if found is None or wrong or found[1] >= events:
+                self.fail(
+                    400,
+                    f'Last-Event-ID: {given[:80]!r} names no event of '
+                    'this request',
+                    code='invalid_event_id',
+                    param='Last-Event-ID',
+                )
+                return
+            after_index = found[1]
+        await self.answer(live, stream=True, after_index=after_index)
--- a/limpetroute/entry/host.py
+++ b/limpetroute/entry/host.py
@@ -1,7 +1,6 @@
 """Everything one entry process shares between its handlers."""
 
 import asyncio
-import hashlib
 import logging
 import secrets
 import time
@@ -9,16 +8,23 @@
 from limpetroute.border import announcement
 from limpetroute.border import entry_settings
 from limpetroute.border import manifest as manifest_module
+from limpetroute.control import claim_book
 from limpetroute.decisions import prefix
 from limpetroute.decisions import round_robin
 from limpetroute.decisions import work
+from limpetroute.entry import answer_format
 from limpetroute.entry import grants as grants_module
 from limpetroute.entry import live_record
+from limpetroute.entry import manifest_index as manifest_index_module
+from limpetroute.entry import record_finder
 from limpetroute.entry import record_store
+from limpetroute.entry import run_freer
 from limpetroute.entry import run_request
 from limpetroute.entry import run_task
+from limpetroute.entry import run_tools
 from limpetroute.entry import scheduler as scheduler_module
 from limpetroute.peers import request_record
+from limpetroute.peers import run_end
 from limpetroute.runners import directory
 from limpetroute.runners import engine_pool
 from limpetroute.telemetry import meters as meters_module
@@ -27,6 +33,8 @@
 LOG = logging.getLogger(__name__)
 
 TICK_S = 0.25
+FREE_TIMEOUT_S = 5.0
+CALLERS_POLL_S = 0.02
 
 
 class Host:
@@ -50,9 +58,19 @@
         )
         self.grants: grants_module.GrantSource = grants_module.LocalGrants()
         self.meters: meters_module.Meters = meters_module.NullMeters()
-        self.records = record_store.RecordStore()
+        self.claims: claim_book.ClaimBook | None = None
+        self.freer = run_freer.RunFreer()
+        self.records = record_store.RecordStore(retain_s=settings.retain_s)
+        self.finder: record_finder.RecordFinder = (
+            record_finder.LocalRecordFinder(records=self.records)
+        )
         self.manifest: manifest_module.ManifestBody | None = None
         self.draining = False
+        # Whether another host holds copies of the records and goes on
+        # with the runs that are left when this host's drain lapses.
+        self.hands_over = False
+        self._index = manifest_index_module.ManifestIndex(manifest=None)
+        self._open: set[live_record.LiveRecord] = set()
         self._ticker: asyncio.Task[None] | None = None
 
     def __repr__(self) -> str:
@@ -63,10 +81,60 @@
         """Whether this host takes new work."""
         return not self.draining
 
+    @property
+    def in_progress(self) -> int:
+        """Requests that have not ended."""
+        return len(self._open)
+
+    @property
+    def manifest_index(self) -> manifest_index_module.ManifestIndex:
+        """Look-ups in the manifest in force."""
+        if self._index.manifest is not self.manifest:
+            self._index = manifest_index_module.ManifestIndex(
+                manifest=self.manifest
+            )
+        return self._index
+
+    def knows_model(self, name: str) -> bool:
+        """Whether the manifest or a runner names the model.
+
+        A host that has heard of nothing yet cannot tell a wrong name
+        from an early one.
+        """
+        if self.manifest_index.has_model(name):
+            return True
+        if self.manifest is None and not len(self.runners):
+            return True
+        return any(name in body.models for body in self.runners.all())
+
     def start(self) -> None:
         """Start the periodic work."""
         self._ticker = asyncio.create_task(self._tick())
 
+    async def drain(self) -> None:
+        """Let all that is in progress end, within the time limit."""
+        self.draining = True
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + self.settings.drain_timeout_s
+        while self._open and loop.time() < until_s:
+            await self._wait_for_end(until_s - loop.time())
+        for live in list(self._open):
+            live.handed_over = self.hands_over
+            live.cancel('draining_resume_elsewhere')
+        tasks = [live.task for live in self._open if live.task is not None]
+        if tasks:
+            await asyncio.wait(tasks, timeout=FREE_TIMEOUT_S)
+        await self.freer.drain(FREE_TIMEOUT_S)
+
+    async def callers_done(self) -> None:
+        """Wait until attached callers have been told how it ended."""
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + self.settings.write_stall_s
+        while loop.time() < until_s:
+            if not any(live.attached for live in self.records):
+                return
+            await asyncio.sleep(CALLERS_POLL_S)
+
     async def stop(self) -> None:
         """Stop the periodic work."""
         if self._ticker is not None:
@@ -89,25 +157,43 @@
             team=request.team,
             key=request.key,
             body_digest=request.body_digest,
-            run_id=f'run-{secrets.token_hex(8)}',
+            run_id=f'run-{secrets.token_hex(16)}',
+        )
+        shape = answer_format.AnswerFormat(
+            request_id=request.request_id,
+            model=request.model,
+            chat=request.chat,
+        )
+        live = live_record.LiveRecord(
+            record=record,
+            shape=shape,
+            include_usage=request.include_usage,
+            on_end=self._ended,
         )
-        live = live_record.LiveRecord(record=record)
+        live.arrived_s = asyncio.get_running_loop().time()
         self.records.add(live)
+        self._open.add(live)
         task = run_task.RunTask(
             request=request,
-            item=self._work(request),
+            item=self._work(request, live.arrived_s),
             live=live,
-            scheduler=self.scheduler,
-            engines=self.engines,
-            grants=self.grants,
-            settings=self.settings,
+            tools=run_tools.RunTools(
+                scheduler=self.scheduler,
+                engines=self.engines,
+                grants=self.grants,
+                freer=self.freer,
+                meters=self.meters,
+                settings=self.settings,
+            ),
         )
         live.task = asyncio.create_task(task.run())
         return live
 
-    def _work(self, request: run_request.RunRequest) -> work.Work:
+    def _work(
+        self, request: run_request.RunRequest, now_s: float
+    ) -> work.Work:
         prompt = request.prompt.encode()
-        now_s = asyncio.get_running_loop().time()
+        first_token_s, token_gap_s = self._targets()
         return work.Work(
             work_id=request.request_id,
             team=request.team,
@@ -115,16 +201,55 @@
             prompt_tokens=prefix.estimate_tokens(prompt),
             max_tokens=request.max_tokens,
             arrived_s=now_s,
-            first_token_by_s=now_s + self.settings.first_token_s,
-            token_gap_s=self.settings.token_gap_s,
+            first_token_by_s=now_s + first_token_s,
+            token_gap_s=token_gap_s,
             prefix_blocks=prefix.prefix_blocks(prompt),
             zone=self.settings.zone,
         )
 
+    def _targets(self) -> tuple[float, float]:
+        if self.manifest is not None:
+            targets = self.manifest.targets
+            return targets.first_token_s, targets.token_gap_s
+        return self.settings.first_token_s, self.settings.token_gap_s
+
+    def _ended(self, live: live_record.LiveRecord) -> None:
+        self._open.discard(live)
+        self.records.ended(live, time.monotonic())
+        end = live.record.end
+        assert end is not None
+        if end.kind is run_end.EndKind.NOT_RUN:
+            self.meters.refused(end.finish_reason)
+        self.meters.ended(str(end.kind), good=self._is_good(live))
+
+    def _is_good(self, live: live_record.LiveRecord) -> bool:
+        end = live.record.end
+        if end is None or end.kind is not run_end.EndKind.COMPLETED:
+            return False
+        if live.first_token_s is None or live.last_token_s is None:
+            return False
+        first_s = live.first_token_s - live.arrived_s
+        gaps = max(1, len(live.record.events) - 1)
+        gap_s = (live.last_token_s - live.first_token_s) / gaps
+        self.meters.first_token(first_s)
+        self.meters.token_gap(gap_s)
+        first_token_s, token_gap_s = self._targets()
+        return first_s <= first_token_s and gap_s <= token_gap_s
+
+    async def _wait_for_end(self, timeout_s: float) -> None:
+        tasks = [live.task for live in self._open if live.task is not None]
+        if not tasks:
+            return
+        await asyncio.wait(
+            tasks, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
+        )
+
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
-            for runner_id in self.runners.expire(time.monotonic()):
+            now_s = time.monotonic()
+            self.records.expire(now_s)
+            for runner_id in self.runners.expire(now_s):
                 LOG.info('runner %s went silent', runner_id)
                 self.scheduler.runner_gone(runner_id)
 
@@ -132,8 +257,3 @@
 def new_request_id() -> str:
     """Return an id that cannot be guessed."""
     return f'req-{secrets.token_urlsafe(18)}'
-
-
-def digest(body: bytes) -> str:
-    """Return the digest of a body."""
-    return hashlib.sha256(body).hexdigest()
--- a/limpetroute/entry/live_record.py
+++ b/limpetroute/entry/live_record.py
@@ -1,7 +1,11 @@
 """A request record together with those who wait for its events."""
 
 import asyncio
+import time
+import typing
 
+from limpetroute.decisions import stage as stage_module
+from limpetroute.entry import answer_format
 from limpetroute.peers import request_record
 from limpetroute.peers import run_end
 
@@ -13,42 +17,176 @@
     ----------
     record : RequestRecord
         The record.
+    shape : AnswerFormat
+        Shape of the answers, the same for every attachment.
+    include_usage : bool
+        Whether streams end with the usage.
+    on_end : callable
+        Called once with this record when it ends.
     """
 
-    __slots__ = ('_changed', 'attached', 'record', 'task')
+    __slots__ = (
+        '_grace',
+        '_on_end',
+        '_waiters',
+        'arrived_s',
+        'attached',
+        'attempt_run_id',
+        'cancel_reason',
+        'ended_s',
+        'first_token_s',
+        'gone_s',
+        'handed_over',
+        'include_usage',
+        'last_token_s',
+        'record',
+        'runner_id',
+        'shape',
+        'size_bytes',
+        'stage',
+        'task',
+    )
 
-    def __init__(self, *, record: request_record.RequestRecord) -> None:
+    def __init__(
+        self,
+        *,
+        record: request_record.RequestRecord,
+        shape: answer_format.AnswerFormat,
+        include_usage: bool = False,
+        on_end: typing.Callable[['LiveRecord'], None] | None = None,
+    ) -> None:
         self.record = record
+        self.shape = shape
+        self.include_usage = include_usage
+        self.arrived_s = 0.0
         self.attached = 0
         self.task: asyncio.Task[None] | None = None
-        self._changed = asyncio.Event()
+        self.stage = stage_module.Stage.QUEUED
+        self.attempt_run_id: str | None = None
+        self.runner_id: str | None = None
+        self.cancel_reason = 'caller_gone'
+        self.handed_over = False
+        self.gone_s: float | None = None
+        self.ended_s: float | None = None
+        self.first_token_s: float | None = None
+        self.last_token_s: float | None = None
+        self.size_bytes = 0
+        self._on_end = on_end
+        self._grace: asyncio.TimerHandle | None = None
+        self._waiters: list[asyncio.Future[bool]] = []
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(record={self.record!r})'
 
-    def append(self, text: str) -> None:
+    def append(self, text: str, now_s: float) -> None:
         """Add an event."""
+        if self.first_token_s is None:
+            self.first_token_s = now_s
+        self.last_token_s = now_s
+        self.size_bytes += len(text)
         self.record.append(text)
         self.wake()
 
     def finish(self, end: run_end.RunEnd) -> None:
         """Set the end; only the first one counts."""
-        self.record.finish(end)
+        if not self.record.finish(end):
+            return
+        self.ended_s = time.monotonic()
         self.wake()
+        if self._on_end is not None:
+            self._on_end(self)
+
+    def cancel(self, reason: str) -> None:
+        """End the run; nobody is to receive more of it."""
+        if self.record.end is not None or self.task is None:
+            return
+        self.cancel_reason = reason
+        self.task.cancel()
+
+    async def ended(self) -> None:
+        """Wait for the end of the run."""
+        if self.task is not None:
+            await asyncio.wait([self.task])
+
+    def attach(
+        self, *, after_index: int | None = None
+    ) -> request_record.Attachment:
+        """Make a new attachment, which fences the older ones."""
+        attachment = self.record.attach(after_index=after_index)
+        self.attached += 1
+        self.gone_s = None
+        if self._grace is not None:
+            self._grace.cancel()
+            self._grace = None
+        self.wake()
+        return attachment
+
+    def detach(self, grace_s: float) -> None:
+        """Take a connection away that has ended.
+
+        The run goes on for ``grace_s``, in which the caller may come
+        back; then it is cancelled, so that no engine memory is held for
+        an answer that nobody is going to read.
+        """
+        self.attached -= 1
+        if self.attached or self.record.end is not None:
+            return
+        self.gone_s = time.monotonic()
+        loop = asyncio.get_running_loop()
+        self._grace = loop.call_later(grace_s, self._cancel_unless_attached)
 
     def wake(self) -> None:
         """Wake all that wait in `wait_past`."""
-        self._changed.set()
-        self._changed = asyncio.Event()
+        waiters, self._waiters = self._waiters, []
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(False)
 
     async def wait_past(
+        self,
+        attachment: request_record.Attachment,
+        index: int,
+        timeout_s: float,
+    ) -> bool:
+        """Wait for an event from ``index`` on, the end, or a fence.
+
+        Returns
+        -------
+        bool
+            False if none of them came within ``timeout_s``.
+        """
+        if self._is_past(attachment, index):
+            return True
+        loop = asyncio.get_running_loop()
+        due_s = loop.time() + timeout_s
+        while not self._is_past(attachment, index):
+            waiter = loop.create_future()
+            self._waiters.append(waiter)
+            timer = loop.call_at(due_s, _expire, waiter)
+            try:
+                timed_out = await waiter
+                if timed_out:
+                    return self._is_past(attachment, index)
+            finally:
+                timer.cancel()
+                if waiter in self._waiters:
+                    self._waiters.remove(waiter)
+        return True
+
+    def _is_past(
         self, attachment: request_record.Attachment, index: int
-    ) -> None:
-        """Wait for an event from ``index`` on, the end, or a fence."""
-        while True:
-            record = self.record
-            if len(record.events) > index or record.end is not None:
-                return
-            if not record.is_current(attachment):
-                return
-            await self._changed.wait()
+    ) -> bool:
+        record = self.record
+        if len(record.events) > index or record.end is not None:
+            return True
+        return not record.is_current(attachment)
+
+    def _cancel_unless_attached(self) -> None:
+        self._grace = None
+        if not self.attached:
+            self.cancel('caller_gone')
+
+
+def _expire(waiter: 'asyncio.Future[bool]') -> None:
+    if not waiter.done():
+        waiter.set_result(True)
--- a/limpetroute/entry/outcome.py
+++ b/limpetroute/entry/outcome.py
@@ -3,14 +3,15 @@
 import dataclasses
 
 from limpetroute.entry import send_guard
+from limpetroute.peers import run_end
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class NotRun:
     """Nothing of the request ran.
 
-    It takes a proof, which only a `SendGuard` gives: so that a caller
-    who is told ``not_run`` can repeat the request safely.
+    It takes a proof, which only holds for a request of which nothing
+    ran: a caller who is told ``not_run`` can repeat it safely.
     """
 
     proof: send_guard.NotRunProof
@@ -23,6 +24,7 @@
     """The request may have run."""
 
     reason: str
+    retry_after_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -31,14 +33,52 @@
 
     finish_reason: str
     prompt_tokens: int
-    completion_tokens: int
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Cancelled:
-    """The caller went away, and the run was ended."""
+    """The run was ended before its answer was whole."""
 
     reason: str
 
 
 Outcome = NotRun | Unknown | Completed | Cancelled
+
+
+def given_up(
+    guard: send_guard.SendGuard, reason: str, retry_after_s: float
+) -> NotRun | Unknown:
+    """Return what is known of a request that is not run further."""
+    proof = guard.not_run_proof()
+    if proof is None:
+        return Unknown(reason=reason, retry_after_s=retry_after_s)
+    return NotRun(proof=proof, reason=reason, retry_after_s=retry_after_s)
+
+
+def as_run_end(result: Outcome, completion_tokens: int) -> run_end.RunEnd:
+    """Turn an outcome into the end that its record keeps.
+
+    This is the one place that makes an end of kind ``not_run``.
+    """
+    if isinstance(result, Completed):
+        return run_end.RunEnd(
+            kind=run_end.EndKind.COMPLETED,
+            finish_reason=result.finish_reason,
+            prompt_tokens=result.prompt_tokens,
+            completion_tokens=completion_tokens,
+        )
+    if isinstance(result, Cancelled):
+        return run_end.RunEnd(
+            kind=run_end.EndKind.CANCELLED,
+            finish_reason=result.reason,
+            completion_tokens=completion_tokens,
+        )
+    kind = run_end.EndKind.UNKNOWN
+    if isinstance(result, NotRun):
+        kind = run_end.EndKind.NOT_RUN
+    return run_end.RunEnd(
+        kind=kind,
+        finish_reason=str(result.reason),
+        completion_tokens=completion_tokens,
+        retry_after_s=result.retry_after_s,
+    )
--- a/limpetroute/entry/record_store.py
+++ b/limpetroute/entry/record_store.py
@@ -1,18 +1,57 @@
 """The records that this host holds."""
 
+import collections
 import typing
 
 from limpetroute.entry import live_record
 
+RECORD_BYTES = 2048
+MAX_ENDED_BYTES = 64 << 20
+
 
 class RecordStore:
-    """Finds records by id and by team and key."""
+    """Finds records by id, by team and key, and by run.
+
+    Records that have ended are kept for a resume, for ``retain_s`` and
+    at most ``max_ended_bytes`` of them in all: without the second bound
+    a burst of long answers would fill the memory of the host.
+
+    Parameters
+    ----------
+    retain_s : float
+        How long a record is kept after its end.
+    max_ended_bytes : int
+        Most memory of ended records; the oldest go first.
+    """
 
-    __slots__ = ('_by_id', '_by_key')
+    __slots__ = (
+        '_by_id',
+        '_by_key',
+        '_by_run',
+        '_ended',
+        '_max_ended_bytes',
+        '_retain_s',
+        'ended_bytes',
+    )
 
-    def __init__(self) -> None:
+    def __init__(
+        self, *, retain_s: float, max_ended_bytes: int = MAX_ENDED_BYTES
+    ) -> None:
+        self._retain_s = retain_s
+        self._max_ended_bytes = max_ended_bytes
+        self.ended_bytes = 0
         self._by_id: dict[str, live_record.LiveRecord] = {}
         self._by_key: dict[tuple[str, str], live_record.LiveRecord] = {}
+        self._by_run: dict[str, live_record.LiveRecord] = {}
+        self._ended: collections.deque[
+            tuple[float, int, live_record.LiveRecord]
+        ] = collections.deque()
+
+    def __repr__(self) -> str:
+        return (
+            f'{type(self).__name__}'
+            f'(records={len(self)!r}, ended_bytes={self.ended_bytes!r})'
+        )
 
     def __len__(self) -> int:
         return len(self._by_id)
@@ -21,26 +60,58 @@
         return iter(list(self._by_id.values()))
 
     def add(self, live: live_record.LiveRecord) -> None:
-        """Keep a record."""
+        """Keep a record; its key names it from now on."""
         record = live.record
         self._by_id[record.request_id] = live
         self._by_key[record.team, record.key] = live
+        self._by_run[record.run_id] = live
+
+    def ended(self, live: live_record.LiveRecord, now_s: float) -> None:
+        """Note that a record has ended; it is dropped later."""
+        size = RECORD_BYTES + live.size_bytes
+        self._ended.append((now_s + self._retain_s, size, live))
+        self.ended_bytes += size
+        while self.ended_bytes > self._max_ended_bytes:
+            self._drop_oldest()
+
+    def expire(self, now_s: float) -> None:
+        """Drop records whose time is over."""
+        while self._ended and self._ended[0][0] <= now_s:
+            self._drop_oldest()
 
     def discard(self, live: live_record.LiveRecord) -> None:
         """Drop a record."""
         record = live.record
         self._by_id.pop(record.request_id, None)
-        self._by_key.pop((record.team, record.key), None)
+        self._by_run.pop(record.run_id, None)
+        place = record.team, record.key
+        # The key may name a newer request by now.
+        if self._by_key.get(place) is live:
+            del self._by_key[place]
 
     def by_id(
         self, team: str, request_id: str
     ) -> live_record.LiveRecord | None:
         """Find a team's record; another team's id is not found."""
-        live = self._by_id.get(request_id)
-        if live is None or live.record.team != team:
-            return None
-        return live
+        return _of_team(self._by_id.get(request_id), team)
+
+    def by_run(self, team: str, run_id: str) -> live_record.LiveRecord | None:
+        """Find a team's record by its run."""
+        return _of_team(self._by_run.get(run_id), team)
 
     def by_key(self, team: str, key: str) -> live_record.LiveRecord | None:
         """Find a record by idempotency key, inside one team."""
         return self._by_key.get((team, key))
+
+    def _drop_oldest(self) -> None:
+        _, size, live = self._ended.popleft()
+        self.ended_bytes -= size
+        self.discard(live)
+
+
+def _of_team(
+    live: live_record.LiveRecord | None, team: str
+) -> live_record.LiveRecord | None:
+    if live is None or live.record.team != team:
+        return None
+    return live
--- /dev/null
+++ b/limpetroute/entry/request_handler.py
@@ -0,0 +1,52 @@
+"""``GET`` and ``DELETE /v1/requests/{id}``: state of a request."""
+
+from limpetroute.entry import base_handler
+from limpetroute.entry import live_record
+
+
+class RequestHandler(base_handler.BaseHandler):
+    """Shows a request, or cancels it."""
+
+    async def get(self, request_id: str) -> None:
+        """Show the state."""
+        live = await self._find(request_id)
+        if live is not None:
+            self._show(live)
+
+    async def delete(self, request_id: str) -> None:
+        """Cancel at once; a request that has ended stays as it is."""
+        live = await self._find(request_id)
+        if live is None:
+            return
+        live.cancel('cancelled_by_caller')
+        if live.task is not None:
+            await live.ended()
+        self._show(live)
+
+    async def _find(self, request_id: str) -> live_record.LiveRecord | None:
+        if not self.authenticate():
+            return None
+        live = await self.host.finder.by_id(self.team, request_id)
+        if live is None:
+            self.fail(404, 'no such request', code='request_not_found')
+        return live
+
+    def _show(self, live: live_record.LiveRecord) -> None:
+        record = live.record
+        end = record.end
+        outcome = base_handler.PENDING if end is None else str(end.kind)
+        self.set_header('Limpetroute-Request-Id', record.request_id)
+        self.set_header('Limpetroute-Outcome', outcome)
+        self.finish(
+            {
+                'id': record.request_id,
+                'state': str(live.stage) if end is None else 'ended',
+                'outcome': outcome,
+                'reason': None if end is None else end.finish_reason,
+                'events': len(record.events),
+                'delivered_index': record.delivered_index,
+                'delivered': record.end_delivered,
+                'attached': live.attached,
+                'retry_after_s': None if end is None else end.retry_after_s,
+            }
+        )
--- /dev/null
+++ b/limpetroute/entry/run_holdings.py
@@ -0,0 +1,150 @@
+"""What a request holds at runners and at their lease holders."""
+
+import functools
+import time
+
+from limpetroute.entry import attempt as attempt_module
+from limpetroute.entry import grants as grants_module
+from limpetroute.entry import live_record
+from limpetroute.entry import run_tools
+from limpetroute.runners import engine_client
+
+
+class RunHoldings:
+    """Keeps the newest attempt, and frees what the one before held.
+
+    Parameters
+    ----------
+    live : LiveRecord
+        The request's record.
+    tools : RunTools
+        What frees.
+    """
+
+    __slots__ = ('_live', '_tools', 'attempt')
+
+    def __init__(
+        self, *, live: live_record.LiveRecord, tools: run_tools.RunTools
+    ) -> None:
+        self._live = live
+        self._tools = tools
+        self.attempt: attempt_module.Attempt | None = None
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(attempt={self.attempt!r})'
+
+    def start(self, attempt: attempt_module.Attempt) -> attempt_module.Attempt:
+        """Take a new attempt, and free the one before."""
+        self.free()
+        self.attempt = attempt
+        self._live.attempt_run_id = attempt.run_id
+        return attempt
+
+    def touch(
+        self, runner_id: str, engine: engine_client.EngineClient
+    ) -> None:
+        """Note that the runner may hold something from now on."""
+        if self.attempt is not None:
+            self.attempt.touched[runner_id] = engine
+
+    def untouch(self, runner_id: str) -> None:
+        """Note that the runner provably holds nothing."""
+        if self.attempt is not None:
+            self.attempt.touched.pop(runner_id, None)
+
+    async def acquire(self, runner_id: str, kv_bytes: int) -> int | None:
+        """Get room at a runner, unless it is held already.
+
+        Returns
+        -------
+        int or None
+            The runner's free slots if there is no room; None if there
+            is.
+        """
+        attempt = self.attempt
+        assert attempt is not None
+        if runner_id in attempt.fences:
+            return None
+        got = await self._tools.grants.acquire(
+            runner_id=runner_id, work_id=attempt.run_id, kv_bytes=kv_bytes
+        )
+        if isinstance(got, grants_module.Denied):
+            return got.free_slots
+        attempt.fences[runner_id] = got.fence
+        return None
+
+    def let_go(self) -> None:
+        """Give room back after an end that the runner itself told."""
+        attempt, self.attempt = self.attempt, None
+        if attempt is None:
+            return
+        for runner_id in attempt.fences:
+            self._release(runner_id, attempt.run_id)
+
+    def free(self) -> None:
+        """Free memory at every runner that the attempt has touched."""
+        attempt, self.attempt = self.attempt, None
+        if attempt is None:
+            return
+        self._count_waste(attempt)
+        for runner_id, engine in attempt.touched.items():
+            self._free(attempt, runner_id, engine)
+        for runner_id in attempt.fences:
+            if runner_id not in attempt.touched:
+                self._release(runner_id, attempt.run_id)
+
+    def free_one(self, runner_id: str) -> None:
+        """Free memory at one runner; the attempt goes on elsewhere."""
+        attempt = self.attempt
+        assert attempt is not None
+        engine = attempt.touched.pop(runner_id, None)
+        if engine is not None:
+            self._free(attempt, runner_id, engine)
+        elif runner_id in attempt.fences:
+            self._release(runner_id, attempt.run_id)
+        attempt.fences.pop(runner_id, None)
+
+    def _free(
+        self,
+        attempt: attempt_module.Attempt,
+        runner_id: str,
+        engine: engine_client.EngineClient,
+    ) -> None:
+        # Room is given back only once the runner holds nothing: given
+        # back before, the slot would be granted twice.
+        self._tools.freer.free(
+            run_id=attempt.run_id,
+            engine=engine,
+            on_end=functools.partial(
+                self._freed,
+                runner_id,
+                attempt.run_id,
+                str(self._live.stage),
+                self._live.gone_s,
+            ),
+        )
+
+    def _freed(
+        self,
+        runner_id: str,
+        run_id: str,
+        at: str,
+        gone_s: float | None,
+        confirmed: bool,
+    ) -> None:
+        self._release(runner_id, run_id)
+        if gone_s is not None and confirmed:
+            self._tools.meters.gone_caller_freed(at, time.monotonic() - gone_s)
+
+    def _release(self, runner_id: str, run_id: str) -> None:
+        self._tools.grants.release(runner_id=runner_id, work_id=run_id)
+
+    def _count_waste(self, attempt: attempt_module.Attempt) -> None:
+        result = attempt.result
+        if result is None:
+            return
+        if len(self._live.record.events) > attempt.base:
+            return
+        self._tools.meters.wasted_prefill(
+            max(0, result.prompt_tokens - result.cached_tokens)
+        )
--- a/limpetroute/entry/run_request.py
+++ b/limpetroute/entry/run_request.py
@@ -1,6 +1,7 @@
 """A validated request on its way through the entry process."""
 
 import dataclasses
+import typing
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -23,6 +24,12 @@
         The whole prompt.
     max_tokens : int
         Most tokens of the answer.
+    chat : bool
+        Whether the chat shape is wanted.
+    include_usage : bool
+        Whether a streamed answer ends with its usage.
+    options : mapping
+        Fields of the body that only the engine understands.
     """
 
     request_id: str
@@ -32,3 +39,8 @@
     model: str
     prompt: str
     max_tokens: int
+    chat: bool = False
+    include_usage: bool = False
+    options: typing.Mapping[str, typing.Any] = dataclasses.field(
+        default_factory=dict
+    )
--- a/limpetroute/entry/run_task.py
+++ b/limpetroute/entry/run_task.py
@@ -1,30 +1,35 @@
 """Takes one request from the queue to the end of its answer."""
 
 import asyncio
+import contextlib
 import logging
+import typing
 
-from limpetroute.border import entry_settings
 from limpetroute.decisions import action
 from limpetroute.decisions import stage
 from limpetroute.decisions import work
-from limpetroute.entry import grants as grants_module
+from limpetroute.entry import answer_reader
+from limpetroute.entry import attempt as attempt_module
 from limpetroute.entry import live_record
+from limpetroute.entry import outcome
+from limpetroute.entry import run_holdings
 from limpetroute.entry import run_request
-from limpetroute.entry import scheduler as scheduler_module
+from limpetroute.entry import run_tools
 from limpetroute.entry import send_guard
 from limpetroute.peers import run_end
 from limpetroute.runners import engine_call
 from limpetroute.runners import engine_client
 from limpetroute.runners import engine_failure
-from limpetroute.runners import engine_pool
 
 LOG = logging.getLogger(__name__)
 
-CANCEL_TIMEOUT_S = 2.0
+MAX_RESUMES = 2
+RESUME_PAUSE_S = 0.05
+INTERNAL_RETRY_AFTER_S = 1.0
 
 
 class RunTask:
-    """One run: prefill, transfer, decode.
+    """One request: prefill, transfer, decode, and again if one fails.
 
     Parameters
     ----------
@@ -34,27 +39,19 @@
         The same, as the router sees it.
     live : LiveRecord
         Where the answer goes.
-    scheduler : Scheduler
-        Decides what happens next.
-    engines : EnginePool
-        Clients of the runners.
-    grants : GrantSource
-        Room at the runners.
-    settings : EntrySettings
-        Time limits.
+    tools : RunTools
+        What the run works with.
     """
 
     __slots__ = (
-        '_engines',
-        '_grants',
         '_guard',
+        '_handed_on',
+        '_holdings',
         '_item',
         '_live',
         '_request',
-        '_scheduler',
-        '_settings',
-        '_touched',
-        '_prefilled',
+        '_tools',
+        '_tries',
     )
 
     def __init__(
@@ -63,209 +60,311 @@
         request: run_request.RunRequest,
         item: work.Work,
         live: live_record.LiveRecord,
-        scheduler: scheduler_module.Scheduler,
-        engines: engine_pool.EnginePool,
-        grants: grants_module.GrantSource,
-        settings: entry_settings.EntrySettings,
+        tools: run_tools.RunTools,
     ) -> None:
         self._request = request
         self._item = item
         self._live = live
-        self._scheduler = scheduler
-        self._engines = engines
-        self._grants = grants
-        self._settings = settings
+        self._tools = tools
         self._guard = send_guard.SendGuard()
-        self._touched: dict[str, engine_client.EngineClient] = {}
-        self._prefilled: (
-            tuple[engine_client.EngineClient, engine_call.PrefillResult] | None
-        ) = None
+        self._holdings = run_holdings.RunHoldings(live=live, tools=tools)
+        self._handed_on = False
+        self._tries = 0
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(work_id={self._item.work_id!r})'
 
     async def run(self) -> None:
         """Carry the router's actions out until the request is over."""
-        work_id = self._item.work_id
-        inbox = self._scheduler.offer(self._item)
-        how = stage.Ending.FAILED
+        inbox = self._tools.scheduler.offer(self._item)
         try:
-            while self._live.record.end is None:
-                await self._step(await inbox.get())
-            if self._live.record.end.kind is run_end.EndKind.COMPLETED:
-                how = stage.Ending.COMPLETED
+            await self._work(inbox)
         except asyncio.CancelledError:
+            self._finish(outcome.Cancelled(reason=self._live.cancel_reason))
+        except Exception:  # noqa: BLE001 - a fault of ours must end the run
+            LOG.exception('run %s broke', self._live.record.run_id)
+            self._finish(
+                outcome.given_up(
+                    self._guard, 'internal', INTERNAL_RETRY_AFTER_S
+                )
+            )
+        finally:
+            self._close()
+
+    def _close(self) -> None:
+        end = self._live.record.end
+        how = stage.Ending.FAILED
+        if end is not None and end.kind is run_end.EndKind.COMPLETED:
+            how = stage.Ending.COMPLETED
+        if end is not None and end.kind is run_end.EndKind.CANCELLED:
             how = stage.Ending.CANCELLED
-            self._finish(run_end.EndKind.CANCELLED, 'caller_gone')
-            raise
+        self._tools.scheduler.end(self._item.work_id, how)
+        if how is stage.Ending.COMPLETED:
+            self._holdings.let_go()
+            return
+        if self._live.handed_over:
+            return
+        self._holdings.free()
+
+    async def _work(self, inbox: 'asyncio.Queue[action.Action]') -> None:
+        """Run one step at a time, and drop it when the router says so."""
+        step: asyncio.Task[None] | None = None
+        next_one = asyncio.ensure_future(inbox.get())
+        try:
+            while self._live.record.end is None:
+                waiting: list[asyncio.Future[typing.Any]] = [next_one]
+                if step is not None:
+                    waiting.append(step)
+                await asyncio.wait(
+                    waiting, return_when=asyncio.FIRST_COMPLETED
+                )
+                if not next_one.done():
+                    assert step is not None
+                    step.result()
+                    step = None
+                    continue
+                todo = next_one.result()
+                next_one = asyncio.ensure_future(inbox.get())
+                if step is not None:
+                    await self._settle(step)
+                    step = None
+                if isinstance(todo, action.GiveUp):
+                    self._give_up(todo)
+                    continue
+                self._handed_on = False
+                step = asyncio.create_task(self._step(todo))
         finally:
-            self._scheduler.end(work_id, how)
-            await asyncio.shield(self._free_runners(how))
+            next_one.cancel()
+            if step is not None:
+                await _end(step)
 
-    async def _step(self, todo: action.Action) -> None:
+    async def _settle(self, step: 'asyncio.Task[None]') -> None:
+        """Let a step finish that handed on, and drop one that did not.
+
+        The router decides anew for a request in progress when its
+        runner went silent: waiting for the call to time out would cost
+        the caller the whole time limit.
+        """
+        if self._handed_on:
+            await step
+            return
+        await _end(step)
+
+    async def _step(
+        self, todo: action.StartPrefill | action.StartDecode
+    ) -> None:
         if isinstance(todo, action.StartPrefill):
             await self._prefill(todo)
             return
-        if isinstance(todo, action.StartDecode):
-            await self._decode(todo)
-            return
-        self._give_up(todo)
+        await self._decode(todo)
 
     async def _prefill(self, todo: action.StartPrefill) -> None:
-        work_id = self._item.work_id
-        engine = self._engines.get(todo.runner_id)
+        if self._is_whole():
+            self._complete('length', 0)
+            return
+        self._live.stage = stage.Stage.PREFILL
+        attempt = self._new_attempt()
+        engine = self._tools.engines.get(todo.runner_id)
         if engine is None:
             self._failed(stage.Stage.PREFILL, todo.runner_id)
             return
-        fence = 0
         if todo.decode_runner_id is not None:
-            room = await self._grants.acquire(
-                runner_id=todo.decode_runner_id,
-                work_id=work_id,
-                kv_bytes=todo.kv_bytes,
-            )
-            if isinstance(room, grants_module.Denied):
-                self._scheduler.denied(
-                    work_id, todo.decode_runner_id, room.free_slots
-                )
+            if not await self._grant(todo.decode_runner_id, todo.kv_bytes):
                 return
-            fence = room.fence
-        self._guard.mark_sending()
-        self._touched[todo.runner_id] = engine
+        self._send(todo.runner_id, engine)
         got = await engine.prefill(
             engine_call.PrefillCall(
-                run_id=self._live.record.run_id,
+                run_id=attempt.run_id,
                 model=self._request.model,
                 prompt=self._request.prompt + self._live.record.text,
                 priority=0,
-                fence=fence,
-                latest_start_s=self._settings.prefill_timeout_s,
+                fence=0,
+                latest_start_s=self._tools.settings.prefill_timeout_s,
             ),
-            timeout_s=self._settings.prefill_timeout_s,
+            timeout_s=self._tools.settings.prefill_timeout_s,
         )
         if not isinstance(got, engine_call.PrefillResult):
-            self._note(got)
-            if todo.decode_runner_id is not None:
-                self._grants.release(
-                    runner_id=todo.decode_runner_id, work_id=work_id
-                )
+            self._note(got, todo.runner_id)
+            self._holdings.free()
             self._failed(stage.Stage.PREFILL, todo.runner_id)
             return
-        self._prefilled = (engine, got)
-        self._scheduler.prefill_done(work_id, got.cached_tokens)
+        attempt.source = engine
+        attempt.result = got
+        self._handed_on = True
+        self._tools.scheduler.prefill_done(
+            self._item.work_id, got.cached_tokens
+        )
 
     async def _decode(self, todo: action.StartDecode) -> None:
-        engine = self._engines.get(todo.runner_id)
-        if engine is None or self._prefilled is None:
-            self._failed(stage.Stage.TRANSFER, todo.runner_id)
+        engine = self._tools.engines.get(todo.runner_id)
+        attempt = self._holdings.attempt
+        if engine is None or attempt is None:
+            self._transfer_failed(todo.runner_id)
+            return
+        source, result = attempt.source, attempt.result
+        if source is None or result is None:
+            self._transfer_failed(todo.runner_id)
+            return
+        self._live.stage = stage.Stage.TRANSFER
+        if not await self._grant(todo.runner_id, todo.kv_bytes):
             return
-        source, result = self._prefilled
-        run_id = self._live.record.run_id
-        self._touched[todo.runner_id] = engine
+        self._send(todo.runner_id, engine)
         moved = await engine.import_kv(
             engine_call.ImportCall(
-                run_id=run_id,
+                run_id=attempt.run_id,
                 source_url=source.url,
                 handle=result.handle,
-                fence=0,
+                fence=attempt.fences.get(todo.runner_id, 0),
             ),
-            timeout_s=self._settings.transfer_timeout_s,
+            timeout_s=self._tools.settings.transfer_timeout_s,
         )
         if not isinstance(moved, int):
-            LOG.debug('transfer of %s failed: %s', run_id, moved)
-            self._failed(stage.Stage.TRANSFER, todo.runner_id)
+            LOG.debug('transfer of %s failed: %s', attempt.run_id, moved)
+            self._note(moved, todo.runner_id)
+            self._holdings.free_one(todo.runner_id)
+            self._transfer_failed(todo.runner_id)
             return
-        self._scheduler.transfer_done(self._item.work_id)
-        failure = await self._stream(engine, result.prompt_tokens)
-        if failure is None:
+        self._tools.scheduler.transfer_done(self._item.work_id)
+        await self._answer(engine, todo.runner_id, attempt, result)
+
+    async def _answer(
+        self,
+        engine: engine_client.EngineClient,
+        runner_id: str,
+        attempt: attempt_module.Attempt,
+        result: engine_call.PrefillResult,
+    ) -> None:
+        self._live.stage = stage.Stage.DECODE
+        self._live.runner_id = runner_id
+        got = await self._read(engine, runner_id, attempt)
+        if isinstance(got, engine_call.EndEvent):
+            self._complete(got.finish_reason, result.prompt_tokens)
             return
-        LOG.debug('decode of %s failed: %s', run_id, failure)
-        self._failed(stage.Stage.DECODE, todo.runner_id)
+        if self._is_whole():
+            # Every word came and only the end was lost with the stream.
+            self._complete('length', result.prompt_tokens)
+            return
+        LOG.debug('decode of %s failed: %s', attempt.run_id, got)
+        self._holdings.free()
+        self._failed(stage.Stage.DECODE, runner_id)
 
-    async def _stream(
-        self, engine: engine_client.EngineClient, prompt_tokens: int
-    ) -> engine_failure.EngineFailure | None:
-        record = self._live.record
-        base = len(record.events)
-        events = engine.decode(
-            engine_call.DecodeCall(
-                run_id=record.run_id,
-                model=self._request.model,
-                max_tokens=self._request.max_tokens - base,
-                priority=0,
-                fence=0,
-            ),
-            token_timeout_s=self._settings.token_timeout_s,
+    async def _read(
+        self,
+        engine: engine_client.EngineClient,
+        runner_id: str,
+        attempt: attempt_module.Attempt,
+    ) -> engine_call.EndEvent | engine_failure.EngineFailure:
+        """Read the answer, and resume the same run if its stream breaks.
+
+        A run whose stream broke goes on at the engine: asking it for
+        the rest keeps the one sampling, and costs no second prefill.
+        """
+        reader = answer_reader.AnswerReader(append=self._append)
+        timeout_s = self._tools.settings.token_timeout_s
+        call = engine_call.DecodeCall(
+            run_id=attempt.run_id,
+            model=self._request.model,
+            max_tokens=self._request.max_tokens - attempt.base,
+            priority=0,
+            fence=attempt.fences.get(runner_id, 0),
+            options=self._request.options,
         )
-        async for event in events:
-            if isinstance(event, engine_call.TokenEvent):
-                # An event that comes late or twice is already here.
-                if base + event.index < len(record.events):
-                    continue
-                if base + event.index > len(record.events):
-                    return engine_failure.Failed(reason='gap', sent=True)
-                self._live.append(event.text)
-                self._scheduler.tokens(self._item.work_id, 1)
-                continue
-            if isinstance(event, engine_call.EndEvent):
-                self._live.finish(
-                    run_end.RunEnd(
-                        kind=run_end.EndKind.COMPLETED,
-                        finish_reason=event.finish_reason,
-                        prompt_tokens=prompt_tokens,
-                        completion_tokens=len(record.events),
-                    )
+        self._guard.mark_sending()
+        got = await reader.read(engine.decode(call, token_timeout_s=timeout_s))
+        tries = 0
+        while isinstance(got, engine_failure.Failed) and got.resumable:
+            if tries == MAX_RESUMES:
+                break
+            before = reader.last_index
+            self._tools.meters.retried('resume')
+            await asyncio.sleep(RESUME_PAUSE_S)
+            if before < 0:
+                # The order itself may be lost; a second one for the
+                # same run id starts nothing twice.
+                events = engine.decode(call, token_timeout_s=timeout_s)
+            else:
+                events = engine.resume(
+                    attempt.run_id,
+                    after_index=before,
+                    token_timeout_s=timeout_s,
                 )
-                return None
-            return event
-        return engine_failure.Failed(reason='stream closed', sent=True)
+            got = await reader.read(events)
+            tries = 0 if reader.last_index > before else tries + 1
+        return got
 
-    def _note(self, failure: engine_failure.EngineFailure) -> None:
-        if isinstance(failure, engine_failure.Refused):
-            self._guard.mark_refused()
+    def _append(self, text: str) -> None:
+        if self._is_whole():
             return
-        if not failure.sent:
+        self._live.append(text, self._tools.scheduler.now_s)
+        self._tools.scheduler.tokens(self._item.work_id, 1)
+
+    def _is_whole(self) -> bool:
+        return len(self._live.record.events) >= self._request.max_tokens
+
+    def _new_attempt(self) -> attempt_module.Attempt:
+        if self._tries:
+            self._tools.meters.retried(str(self._live.stage))
+        self._tries += 1
+        record = self._live.record
+        return self._holdings.start(
+            attempt_module.Attempt(
+                run_id=attempt_module.run_id_of(record.run_id, self._tries),
+                base=len(record.events),
+            )
+        )
+
+    async def _grant(self, runner_id: str, kv_bytes: int) -> bool:
+        free_slots = await self._holdings.acquire(runner_id, kv_bytes)
+        if free_slots is None:
+            return True
+        self._handed_on = True
+        self._tools.scheduler.denied(self._item.work_id, runner_id, free_slots)
+        return False
+
+    def _send(
+        self, runner_id: str, engine: engine_client.EngineClient
+    ) -> None:
+        self._guard.mark_sending()
+        self._holdings.touch(runner_id, engine)
+
+    def _note(
+        self, failure: engine_failure.EngineFailure, runner_id: str
+    ) -> None:
+        refused = isinstance(failure, engine_failure.Refused)
+        if refused or not failure.sent:  # type: ignore[union-attr]
             self._guard.mark_refused()
+            self._holdings.untouch(runner_id)
+
+    def _transfer_failed(self, runner_id: str) -> None:
+        self._failed(stage.Stage.TRANSFER, runner_id)
+        # The router may use the KV cache on another runner at once. If
+        # it does not, nobody is going to fetch it: it is freed.
+        if not self._tools.scheduler.has_action(self._item.work_id):
+            self._holdings.free()
 
     def _failed(self, at: stage.Stage, runner_id: str) -> None:
-        self._scheduler.failed(self._item.work_id, at, runner_id)
+        self._live.stage = stage.Stage.QUEUED
+        self._handed_on = True
+        self._tools.scheduler.failed(self._item.work_id, at, runner_id)
 
     def _give_up(self, todo: action.GiveUp) -> None:
-        if self._guard.not_run_proof() is None:
-            self._finish(
-                run_end.EndKind.UNKNOWN, todo.reason, todo.retry_after_s
-            )
-            return
-        self._finish(run_end.EndKind.NOT_RUN, todo.reason, todo.retry_after_s)
+        self._finish(
+            outcome.given_up(self._guard, todo.reason, todo.retry_after_s)
+        )
 
-    def _finish(
-        self,
-        kind: run_end.EndKind,
-        reason: str,
-        retry_after_s: float | None = None,
-    ) -> None:
-        self._live.finish(
-            run_end.RunEnd(
-                kind=kind,
-                finish_reason=str(reason),
-                completion_tokens=len(self._live.record.events),
-                retry_after_s=retry_after_s,
+    def _complete(self, finish_reason: str, prompt_tokens: int) -> None:
+        self._finish(
+            outcome.Completed(
+                finish_reason=finish_reason, prompt_tokens=prompt_tokens
             )
         )
 
-    async def _free_runners(self, how: stage.Ending) -> None:
-        """Free memory at every runner the request has touched.
+    def _finish(self, result: outcome.Outcome) -> None:
+        events = len(self._live.record.events)
+        self._live.finish(outcome.as_run_end(result, events))
 
-        A prefill result whose caller has gone would hold KV memory
-        until it expires, and a decode until its end; both are ended
-        here, whatever the way out was.
-        """
-        for runner_id, engine in self._touched.items():
-            self._grants.release(
-                runner_id=runner_id, work_id=self._item.work_id
-            )
-            if how is stage.Ending.COMPLETED:
-                continue
-            await engine.cancel(
-                self._live.record.run_id, timeout_s=CANCEL_TIMEOUT_S
-            )
+
+async def _end(step: 'asyncio.Task[None]') -> None:
+    step.cancel()
+    with contextlib.suppress(asyncio.CancelledError):
+        await step
--- /dev/null
+++ b/limpetroute/entry/run_tools.py
@@ -0,0 +1,38 @@
+"""What every run works with."""
+
+import dataclasses
+
+from limpetroute.border import entry_settings
+from limpetroute.entry import grants as grants_module
+from limpetroute.entry import run_freer
+from limpetroute.entry import scheduler as scheduler_module
+from limpetroute.runners import engine_pool
+from limpetroute.telemetry import meters as meters_module
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class RunTools:
+    """The shared parts of the process that a run uses.
+
+    Parameters
+    ----------
+    scheduler : Scheduler
+        Decides what happens next.
+    engines : EnginePool
+        Clients of the runners.
+    grants : GrantSource
+        Room at the runners.
+    freer : RunFreer
+        Ends runs at runners.
+    meters : Meters
+        Counts.
+    settings : EntrySettings
+        Time limits.
+    """
+
+    scheduler: scheduler_module.Scheduler
+    engines: engine_pool.EnginePool
+    grants: grants_module.GrantSource
+    freer: run_freer.RunFreer
+    meters: meters_module.Meters
+    settings: entry_settings.EntrySettings
--- a/limpetroute/entry/scheduler.py
+++ b/limpetroute/entry/scheduler.py
@@ -89,6 +89,11 @@
         self._policy.on_failed(work_id, at, runner_id, self.now_s, may_repeat)
         self._pump()
 
+    def has_action(self, work_id: str) -> bool:
+        """Whether an action waits for the run task."""
+        inbox = self._inboxes.get(work_id)
+        return inbox is not None and not inbox.empty()
+
     def end(self, work_id: str, how: stage.Ending) -> None:
         """Forget work that is over."""
         self._inboxes.pop(work_id, None)
--- a/limpetroute/entry/send_guard.py
+++ b/limpetroute/entry/send_guard.py
@@ -3,19 +3,6 @@
 import dataclasses
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class NotRunProof:
-    """Evidence that a request did not run.
-
-    Parameters
-    ----------
-    refusals : int
-        Sends that the runner itself refused; 0 if nothing was sent.
-    """
-
-    refusals: int
-
-
 class SendGuard:
     """Counts sends of one request and the refusals of them."""
 
@@ -39,8 +26,38 @@
         """Note that the newest send provably did not run."""
         self._refused += 1
 
-    def not_run_proof(self) -> NotRunProof | None:
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a send stands that no runner has refused."""
+        return self._sent != self._refused
+
+    def not_run_proof(self) -> 'NotRunProof | None':
         """Return the proof, or None if something may have run."""
-        if self._sent != self._refused:
+        if self.may_have_run:
             return None
-        return NotRunProof(refusals=self._refused)
+        return NotRunProof(guard=self)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class NotRunProof:
+    """Evidence that a request did not run.
+
+    It cannot be made for a request that may have run: the guard is
+    asked again when the proof is made.
+
+    Parameters
+    ----------
+    guard : SendGuard
+        Guard of the request, none of whose sends ran.
+
+    Raises
+    ------
+    ValueError
+        If something of the request may have run.
+    """
+
+    guard: SendGuard
+
+    def __post_init__(self) -> None:
+        if self.guard.may_have_run:
+            raise ValueError(f'may have run: {self.guard!r}')
--- a/limpetroute/entry/server.py
+++ b/limpetroute/entry/server.py
@@ -1,6 +1,7 @@
 """The entry process's two ports."""
 
 import logging
+import socket
 
 import tornado.httpserver
 import tornado.netutil
@@ -8,14 +9,24 @@
 
 from limpetroute.border import entry_settings
 from limpetroute.border import listen_settings
+from limpetroute.entry import base_handler
 from limpetroute.entry import completions_handler
+from limpetroute.entry import connections
+from limpetroute.entry import events_handler
 from limpetroute.entry import health_handler
 from limpetroute.entry import host as host_module
 from limpetroute.entry import models_handler
+from limpetroute.entry import request_handler
 from limpetroute.entry import runners_handler
 
 LOG = logging.getLogger(__name__)
 
+# Past these, tornado closes without an answer. The handlers' own limits
+# lie below, and answer in the ecosystem's shape.
+MAX_HEADER_BYTES = 256 << 10
+MAX_BODY_BYTES = 1 << 40
+IDLE_CONNECTION_S = 75.0
+
 
 class EntryServer:
     """Serves callers on one port, runners and operators on another.
@@ -38,17 +49,33 @@
 
     def start(self) -> None:
         """Listen on both ports."""
-        self.port = self._listen(self._caller_routes(), self._settings.listen)
+        self.port = self._listen(
+            self._caller_routes(),
+            self._settings.listen,
+            max_body_size=MAX_BODY_BYTES,
+            body_timeout=None,
+        )
         self.internal_port = self._listen(
-            self._internal_routes(), self._settings.internal_listen
+            self._internal_routes(),
+            self._settings.internal_listen,
+            max_body_size=self._settings.max_body_bytes,
+            body_timeout=self._settings.body_timeout_s,
         )
         self.host.start()
         LOG.info('entry %s on port %d', self._settings.host_id, self.port)
 
     async def stop(self) -> None:
-        """Close both ports and end the periodic work."""
+        """Finish what is in progress, then close both ports.
+
+        The ports stay open meanwhile: callers are told that this host
+        takes no new work and may still resume what it holds, and the
+        runners' heartbeats keep the runs in progress alive.
+        """
+        await self.host.drain()
         for server in self._servers:
             server.stop()
+        await self.host.callers_done()
+        for server in self._servers:
             await server.close_all_connections()
         await self.host.stop()
 
@@ -56,17 +83,36 @@
         self,
         routes: list[tornado.web.URLSpec],
         listen: listen_settings.ListenSettings,
+        *,
+        max_body_size: int,
+        body_timeout: float | None,
     ) -> int:
         server = tornado.httpserver.HTTPServer(
-            tornado.web.Application(routes, log_function=_no_access_log),
-            max_body_size=self._settings.max_body_bytes,
-            body_timeout=self._settings.body_timeout_s,
+            tornado.web.Application(
+                routes,
+                log_function=_no_access_log,
+                default_handler_class=base_handler.NotFoundHandler,
+                default_handler_args={'host': self.host},
+            ),
+            max_header_size=MAX_HEADER_BYTES,
+            max_body_size=max_body_size,
+            body_timeout=body_timeout,
+            idle_connection_timeout=IDLE_CONNECTION_S,
         )
         sockets = tornado.netutil.bind_sockets(listen.port, listen.address)
+        for item in sockets:
+            self._bound(item)
         server.add_sockets(sockets)
         self._servers.append(server)
         return int(sockets[0].getsockname()[1])
 
+    def _bound(self, item: socket.socket) -> None:
+        connections.bound(
+            item,
+            send_buffer_bytes=self._settings.max_buffer_bytes,
+            stall_s=self._settings.write_stall_s,
+        )
+
     def _caller_routes(self) -> list[tornado.web.URLSpec]:
         host = {'host': self.host}
         url = tornado.web.url
@@ -75,6 +121,12 @@
             url('/v1/completions', completions, {**host, 'chat': False}),
             url('/v1/chat/completions', completions, {**host, 'chat': True}),
             url('/v1/models', models_handler.ModelsHandler, host),
+            url(
+                '/v1/requests/([^/]+)/events',
+                events_handler.EventsHandler,
+                host,
+            ),
+            url('/v1/requests/([^/]+)', request_handler.RequestHandler, host),
             *self._health_routes(),
         ]
 
--- a/limpetroute/runners/engine_call.py
+++ b/limpetroute/runners/engine_call.py
@@ -1,6 +1,7 @@
 """Messages to and from an engine."""
 
 import dataclasses
+import typing
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -45,6 +46,9 @@
     max_tokens: int
     priority: int
     fence: int
+    options: typing.Mapping[str, typing.Any] = dataclasses.field(
+        default_factory=dict
+    )
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/limpetroute/runners/http_engine.py
+++ b/limpetroute/runners/http_engine.py
@@ -12,8 +12,9 @@
 from limpetroute.wire import line_splitter
 from limpetroute.wire import reply
 
-CONNECT_TIMEOUT_S = 2.0
-HTTP_NO_CONTENT = 204
+MAX_EVENT_BYTES = 65536
+GOOD_ENDS = frozenset({'stop', 'length', 'content_filter', 'tool_calls'})
+HTTP_OK = 200
 HTTP_NOT_FOUND = 404
 
 
@@ -50,9 +51,9 @@
         if not isinstance(got, dict):
             return got
         try:
-            return engine_call.PrefillResult(**got)
-        except TypeError as exc:
-            return engine_failure.Failed(reason=str(exc), sent=True)
+            return _prefill_result(got)
+        except (KeyError, TypeError, ValueError) as exc:
+            return engine_failure.Failed(reason=repr(exc), sent=True)
 
     async def import_kv(
         self, call: engine_call.ImportCall, *, timeout_s: float
@@ -61,7 +62,10 @@
         got = await self._post('/v1/kv/import', call, timeout_s)
         if not isinstance(got, dict):
             return got
-        return int(got.get('kv_bytes', 0))
+        try:
+            return int(got['kv_bytes'])
+        except (KeyError, TypeError, ValueError) as exc:
+            return engine_failure.Failed(reason=repr(exc), sent=True)
 
     async def decode(
         self, call: engine_call.DecodeCall, *, token_timeout_s: float
@@ -141,42 +145,63 @@
         engine_call.DecodeEvent | engine_failure.EngineFailure
     ]:
         if isinstance(link, call_failed.CallFailed):
-            yield _failed(link)
+            yield _broken(str(link.kind), sent=link.sent)
             return
         try:
-            if link.status != 200:
+            if link.status != HTTP_OK:
                 got = await link.read(timeout_s=token_timeout_s)
                 if isinstance(got, call_failed.CallFailed):
-                    yield _failed(got)
+                    yield _broken(str(got.kind))
                 else:
                     yield _refused(got)
                 return
-            lines = line_splitter.LineSplitter()
+            lines = line_splitter.LineSplitter(max_line_bytes=MAX_EVENT_BYTES)
             async for chunk in link.chunks(idle_timeout_s=token_timeout_s):
                 for line in lines.feed(chunk):
-                    event = _decode_event(line)
-                    yield event
-                    if not isinstance(event, engine_call.TokenEvent):
-                        return
-            yield engine_failure.Failed(reason='stream closed', sent=True)
+                    yield _decode_event(line)
+            yield _broken('stream closed')
         except TimeoutError:
-            yield engine_failure.Failed(reason='stream silent', sent=True)
-        except ValueError as exc:
-            yield engine_failure.Failed(reason=str(exc), sent=True)
+            yield _broken('stream silent')
+        except (KeyError, TypeError, ValueError) as exc:
+            # A torn or garbled line: what came before it stands, and
+            # the engine is asked for the rest.
+            yield _broken(repr(exc))
         finally:
             link.close()
 
 
+def _broken(reason: str, *, sent: bool = True) -> engine_failure.Failed:
+    return engine_failure.Failed(reason=reason, sent=sent, resumable=True)
+
+
+def _prefill_result(
+    got: typing.Mapping[str, typing.Any],
+) -> engine_call.PrefillResult:
+    return engine_call.PrefillResult(
+        handle=str(got['handle']),
+        prompt_tokens=int(got['prompt_tokens']),
+        cached_tokens=int(got['cached_tokens']),
+        kv_bytes=int(got['kv_bytes']),
+        expires_in_s=float(got['expires_in_s']),
+    )
+
+
 def _decode_event(
     line: bytes,
 ) -> engine_call.DecodeEvent | engine_failure.Failed:
     body = json.loads(line)
     if 'i' in body:
-        return engine_call.TokenEvent(index=body['i'], text=body['t'])
-    if body.get('end') == 'failed':
-        return engine_failure.Failed(reason='engine failed', sent=True)
+        index, text = body['i'], body['t']
+        if type(index) is not int or type(text) is not str:
+            raise ValueError(f'not an event: {line[:80]!r}')
+        return engine_call.TokenEvent(index=index, text=text)
+    reason = body['end']
+    if reason not in GOOD_ENDS:
+        # Failed or cancelled at the engine: the run is over there, and
+        # its text is no whole answer.
+        return engine_failure.Failed(reason=f'engine: {reason}', sent=True)
     return engine_call.EndEvent(
-        finish_reason=body['end'], completion_tokens=body['n']
+        finish_reason=reason, completion_tokens=int(body['n'])
     )
 
 
--- a/limpetroute/standins/engine_faults.py
+++ b/limpetroute/standins/engine_faults.py
@@ -20,6 +20,14 @@
         Streams stay open and bring nothing.
     refuse : bool
         Refuse all new work, with the engine's own word for it.
+    break_stream_after : int or None
+        Cut each stream after this many events; the run goes on.
+    disorder : bool
+        Events of a batch come backwards, and each twice.
+    fail_cancels : int
+        Fail this many cancel calls.
+    mute_prefill : bool
+        Prefills never answer.
     """
 
     fail_prefill: int = 0
@@ -28,3 +36,7 @@
     slow_factor: float = pydantic.Field(default=1.0, gt=0)
     silent: bool = False
     refuse: bool = False
+    break_stream_after: int | None = None
+    disorder: bool = False
+    fail_cancels: int = 0
+    mute_prefill: bool = False
--- a/limpetroute/standins/engine_handlers.py
+++ b/limpetroute/standins/engine_handlers.py
@@ -9,10 +9,13 @@
 
 from limpetroute.standins import engine_faults
 from limpetroute.standins import engine_state
+from limpetroute.standins import stream_faults
 from limpetroute.wire import call_failed
 from limpetroute.wire import caller
 
 TRANSFER_TIMEOUT_S = 60.0
+MUTE_S = 60.0
+DISORDER_EVENTS = 3
 
 
 class _Handler(tornado.web.RequestHandler):
@@ -57,7 +60,17 @@
             )
             self.request.connection.close()  # type: ignore[union-attr]
             return
-        held, cached = await state.prefill(body['run_id'], body['prompt'])
+        if state.is_cancelled(body['run_id']):
+            self.refuse('cancelled')
+            return
+        if state.faults.mute_prefill:
+            await asyncio.sleep(MUTE_S)
+        done = await state.prefill(body['run_id'], body['prompt'])
+        if done is None:
+            self.set_status(410)
+            await self.finish({'reason': 'cancelled'})
+            return
+        held, cached = done
         tokens = held.kv_bytes // state.settings.kv_bytes_per_token
         await self.finish(
             {
@@ -99,6 +112,9 @@
         if self.refused_early(body['fence']):
             return
         state = self.state
+        if state.is_cancelled(body['run_id']):
+            self.refuse('cancelled')
+            return
         if not state.has_room(0):
             state.counts['over_asked'] += 1
             self.refuse('no slot')
@@ -116,6 +132,9 @@
         if state.faults.stall_transfer:
             seconds = TRANSFER_TIMEOUT_S
         await asyncio.sleep(seconds * state.faults.slow_factor)
+        if state.is_cancelled(body['run_id']):
+            self.refuse('cancelled')
+            return
         if not state.has_room(cache['kv_bytes']):
             state.counts['over_asked'] += 1
             self.refuse('no room')
@@ -156,6 +175,13 @@
 
     def delete(self, run_id: str) -> None:
         """Cancel; idempotent."""
+        faults = self.state.faults
+        if faults.fail_cancels > 0:
+            self.state.faults = faults.model_copy(
+                update={'fail_cancels': faults.fail_cancels - 1}
+            )
+            self.request.connection.close()  # type: ignore[union-attr]
+            return
         self.state.cancel(run_id)
         self.set_status(204)
 
@@ -207,14 +233,25 @@
 ) -> None:
     """Write a run's events, from ``place`` on, as JSON lines."""
     handler.set_header('Content-Type', 'application/x-ndjson')
+    first = place
     try:
         await handler.flush()
         while True:
             changed = run.changed
-            for number in range(place, len(run.words)):
-                line = {'i': number, 't': run.words[number]}
-                handler.write(json.dumps(line) + '\n')
-            place = len(run.words)
+            upto = len(run.words)
+            after = state.faults.break_stream_after
+            if after is not None and upto - first >= after:
+                upto = first + after
+            if _too_few(run, upto - place, state.faults):
+                await changed.wait()
+                continue
+            for line in stream_faults.lines(run, place, upto, state.faults):
+                handler.write(line)
+            place = upto
+            if place < len(run.words):
+                await handler.flush()
+                handler.request.connection.close()  # type: ignore[union-attr]
+                return
             if run.end is not None:
                 end = {'end': run.end, 'n': len(run.words)}
                 handler.write(json.dumps(end) + '\n')
@@ -225,3 +262,9 @@
             await changed.wait()
     except tornado.iostream.StreamClosedError:
         return
+
+
+def _too_few(
+    run: engine_state.Run, count: int, faults: engine_faults.EngineFaults
+) -> bool:
+    return faults.disorder and run.end is None and count < DISORDER_EVENTS
--- a/limpetroute/standins/engine_state.py
+++ b/limpetroute/standins/engine_state.py
@@ -9,6 +9,9 @@
 from limpetroute.standins import answer_text
 from limpetroute.standins import engine_faults
 
+MAX_CANCELLED = 10_000
+RUN_KEPT_S = 30.0
+
 
 @dataclasses.dataclass(kw_only=True, slots=True)
 class Run:
@@ -21,6 +24,7 @@
     started: bool = False
     words: list[str] = dataclasses.field(default_factory=list)
     end: str | None = None
+    ended_s: float = 0.0
     changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
 
@@ -62,6 +66,9 @@
         self.evicted: list[int] = []
         self._prefill_lock = asyncio.Lock()
         self._wake = asyncio.Event()
+        self._cancelled: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(runs={len(self.runs)!r})'
@@ -77,14 +84,24 @@
         decodes = sum(run.kv_bytes for run in self.active)
         return decodes + sum(item.kv_bytes for item in self.held.values())
 
-    async def prefill(self, run_id: str, prompt: str) -> tuple[Held, int]:
-        """Read a prompt, one at a time, and hold its KV cache."""
+    async def prefill(
+        self, run_id: str, prompt: str
+    ) -> tuple[Held, int] | None:
+        """Read a prompt, one at a time, and hold its KV cache.
+
+        Returns
+        -------
+        tuple or None
+            The result and its cached tokens; None if cancelled.
+        """
         tokens = prefix.estimate_tokens(prompt.encode())
         self.run_starts[run_id] += 1
         self.waiting += 1
         self.waiting_tokens += tokens
         try:
             async with self._prefill_lock:
+                if self.is_cancelled(run_id):
+                    return None
                 cached = self._use_cache(prompt)
                 seconds = (tokens - cached) / (
                     self.settings.prefill_tokens_per_s
@@ -94,6 +111,8 @@
             self.waiting -= 1
             self.waiting_tokens -= tokens
         self.counts['prefill_tokens'] += tokens
+        if self.is_cancelled(run_id):
+            return None
         now_s = asyncio.get_running_loop().time()
         held = Held(
             handle=f'kv-{run_id}-{self.counts["prefills"]}',
@@ -127,6 +146,10 @@
             self.evicted.append(block)
         return hits * block_tokens
 
+    def is_cancelled(self, run_id: str) -> bool:
+        """Whether the run id has been cancelled."""
+        return run_id in self._cancelled
+
     def expire(self, now_s: float) -> None:
         """Drop prefill results past their time."""
         for handle, held in list(self.held.items()):
@@ -134,6 +157,9 @@
                 continue
             del self.held[handle]
             self.counts['results_expired'] += 1
+        for run_id, run in list(self.runs.items()):
+            if run.end is not None and run.ended_s + RUN_KEPT_S < now_s:
+                del self.runs[run_id]
 
     def has_room(self, kv_bytes: int) -> bool:
         """Whether one more run fits."""
@@ -158,7 +184,14 @@
         self._wake.set()
 
     def cancel(self, run_id: str) -> None:
-        """End a run and drop all that is held for it."""
+        """End a run and drop all that is held for it.
+
+        The run id takes nothing from now on: a cancel may overtake the
+        order it cancels, which would then hold memory for ever.
+        """
+        self._cancelled[run_id] = None
+        while len(self._cancelled) > MAX_CANCELLED:
+            self._cancelled.popitem(last=False)
         for handle, held in list(self.held.items()):
             if held.run_id == run_id:
                 del self.held[handle]
@@ -200,6 +233,7 @@
 
     def _end(self, run: Run, how: str) -> None:
         run.end = how
+        run.ended_s = asyncio.get_running_loop().time()
         self._signal(run)
 
     def _signal(self, run: Run) -> None:
--- a/limpetroute/wire/connection.py
+++ b/limpetroute/wire/connection.py
@@ -13,6 +13,7 @@
 from limpetroute.wire import reply
 
 CHUNK_BYTES = 65536
+CONNECT_TIMEOUT_S = 2.0
 MAX_BODY_BYTES = 64 << 20
 MAX_WAITING_CHUNKS = 16
 
@@ -110,9 +111,10 @@
         sent = False
         try:
             async with asyncio.timeout(timeout_s):
-                self._stream = await tcpclient.TCPClient().connect(
-                    self._host, self._port, ssl_options=self._tls
-                )
+                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                    self._stream = await tcpclient.TCPClient().connect(
+                        self._host, self._port, ssl_options=self._tls
+                    )
                 self._stream.set_nodelay(True)
                 sent = True
                 await self._write(method, path, headers, body)
--- /dev/null
+++ b/tests/entry/test_gone_callers.py
@@ -0,0 +1,186 @@
+import pytest
+
+from limpetroute.decisions import stage
+from tests.entry import fleet as fleet_module
+from tests.entry import raw_caller
+
+LIMIT_S = 2.0
+WAYS = ('fin', 'rst')
+LONG = {'max_tokens': 4000}
+
+
+async def _all_free(fleet: fleet_module.Fleet) -> None:
+    await fleet_module.until(
+        lambda: (
+            fleet.host.in_progress == 0
+            and fleet.host.freer.pending == 0
+            and fleet.kv_used_bytes() == 0
+        ),
+        limit_s=LIMIT_S,
+    )
+    assert all(not engine.state.active for engine in fleet.engines)
+
+
+async def _at(fleet: fleet_module.Fleet, where: stage.Stage) -> None:
+    await fleet_module.until(
+        lambda: any(live.stage is where for live in fleet.host.records)
+    )
+
+
+@pytest.mark.parametrize('way', WAYS)
+@pytest.mark.parametrize('streamed', [True, False])
+def test_caller_goes_in_decode(way: str, streamed: bool) -> None:
+    # A clerk closes the window while the verdict is written. Nobody
+    # reads the rest, yet the run would hold its slot and KV memory to
+    # the last word. After the grace the run is ended at the runner.
+    async def story(fleet: fleet_module.Fleet) -> None:
+        caller = await raw_caller.ask(fleet, stream=streamed, **LONG)
+        await _at(fleet, stage.Stage.DECODE)
+        await fleet_module.until(lambda: fleet.count('words') > 3)
+        assert fleet.kv_used_bytes() > 0
+        getattr(caller, way)()
+        await _all_free(fleet)
+        assert fleet.count('runs_cancelled') == 1
+
+    fleet_module.play(story)
+
+
+@pytest.mark.parametrize('way', WAYS)
+@pytest.mark.parametrize('streamed', [True, False])
+def test_caller_goes_in_transfer(way: str, streamed: bool) -> None:
+    # The caller goes while the KV cache is on its way. The cancel
+    # reaches the decode runner before the transfer ends; a runner that
+    # forgot the cancel would take the cache in and hold it for ever.
+    async def story(fleet: fleet_module.Fleet) -> None:
+        fleet.fault(fleet.decodes[0], slow_factor=1000.0)
+        caller = await raw_caller.ask(fleet, stream=streamed)
+        await _at(fleet, stage.Stage.TRANSFER)
+        getattr(caller, way)()
+        await _all_free(fleet)
+
+    fleet_module.play(
+        story, transfer_timeout_s=5.0, engine={'link_bytes_per_s': 1e9}
+    )
+
+
+@pytest.mark.parametrize('way', WAYS)
+@pytest.mark.parametrize('streamed', [True, False])
+def test_caller_goes_in_prefill(way: str, streamed: bool) -> None:
+    # The caller goes while the prompt is read. The prefill's result
+    # must be dropped when it comes, not held until it expires.
+    async def story(fleet: fleet_module.Fleet) -> None:
+        fleet.fault(fleet.prefills[0], slow_factor=200.0)
+        caller = await raw_caller.ask(fleet, stream=streamed)
+        await _at(fleet, stage.Stage.PREFILL)
+        getattr(caller, way)()
+        await _all_free(fleet)
+        await fleet_module.until(
+            lambda: fleet.prefills[0].state.waiting == 0
+        )
+        assert fleet.kv_used_bytes() == 0
+        assert fleet.count('results_expired') == 0
+
+    fleet_module.play(
+        story, engine={'result_ttl_s': 60.0, 'prefill_tokens_per_s': 5000.0}
+    )
+
+
+@pytest.mark.parametrize('way', WAYS)
+@pytest.mark.parametrize('streamed', [True, False])
+def test_caller_goes_while_queued(way: str, streamed: bool) -> None:
+    # The only decode slot is taken and the second caller gives up its
+    # place in the queue. Its work must not start once the slot is free.
+    async def story(fleet: fleet_module.Fleet) -> None:
+        first = await raw_caller.ask(fleet, max_tokens=100)
+        await first.read_events(1)
+        second = await raw_caller.ask(fleet, stream=streamed)
+        await fleet_module.until(lambda: fleet.host.in_progress == 2)
+        getattr(second, way)()
+        await fleet_module.until(lambda: fleet.host.in_progress == 1)
+        await first.read_events()
+        await _all_free(fleet)
+        assert fleet.count('prefills') == 1
+
+    fleet_module.play(story, engine={'slots': 1})
+
+
+def test_silent_caller() -> None:
+    # A caller's link goes dead: no FIN, no RST, it only stops reading.
+    # Its writes stall; past the limit the run is ended and its KV freed.
+    async def story(fleet: fleet_module.Fleet) -> None:
+        caller = raw_caller.RawCaller(fleet.port, receive_bytes=4096)
+        await caller.send(
+            'POST',
+            '/v1/completions',
+            {
+                'model': fleet_module.MODEL,
+                'prompt': fleet_module.PROMPT,
+                'max_tokens': 60000,
+                'stream': True,
+            },
+        )
+        await _at(fleet, stage.Stage.DECODE)
+        await fleet_module.until(
+            lambda: fleet.host.in_progress == 0, limit_s=20
+        )
+        assert fleet.only_record().record.end.kind == 'cancelled'
+        await _all_free(fleet)
+        caller.fin()
+
+    fleet_module.play(
+        story, max_buffer_bytes=4096, engine={'step_s': 0.0001}
+    )
+
+
+def test_first_cancel_fails() -> None:
+    # The caller goes, and the cancel call to the runner breaks. Were it
+    # not repeated, the run would hold its slot until the last word.
+    async def story(fleet: fleet_module.Fleet) -> None:
+        caller = await raw_caller.ask(fleet, **LONG)
+        await caller.read_events(2)
+        fleet.fault(fleet.decodes[0], fail_cancels=3)
+        caller.fin()
+        await _all_free(fleet)
+        assert fleet.count('runs_cancelled') == 1
+
+    fleet_module.play(story)
+
+
+def test_cancel_survives_the_shutdown() -> None:
+    # The caller goes just before the host is told to stop, and the
+    # first cancel calls fail. The host must not exit with the run
+    # still holding memory at the runner.
+    async def story(fleet: fleet_module.Fleet) -> None:
+        caller = await raw_caller.ask(fleet, **LONG)
+        await caller.read_events(2)
+        fleet.fault(fleet.decodes[0], fail_cancels=3)
+        caller.fin()
+        await fleet.entry.stop()
+        assert fleet.kv_used_bytes() == 0
+        assert fleet.count('runs_cancelled') == 1
+
+    fleet_module.play(story)
+
+
+def test_two_hundred_callers_go() -> None:
+    # Two hundred callers leave within a moment, some queued, some in
+    # prefill, some in decode, by FIN and by RST. Two seconds after the
+    # last has gone no runner holds a byte for any of them.
+    async def story(fleet: fleet_module.Fleet) -> None:
+        callers = [
+            await raw_caller.ask(
+                fleet, prompt=f'Dossier {number}\n' + 'x' * 2000, **LONG
+            )
+            for number in range(200)
+        ]
+        await fleet_module.until(lambda: fleet.count('words') > 200)
+        stages = {live.stage for live in fleet.host.records}
+        assert stage.Stage.QUEUED in stages
+        assert stage.Stage.DECODE in stages
+        for number, caller in enumerate(callers):
+            getattr(caller, WAYS[number % 2])()
+        await _all_free(fleet)
+
+    fleet_module.play(
+        story, prefills=2, decodes=3, first_token_s=30.0
+    )
