--- /dev/null
+++ b/limpetroute/peers/lease_holder.py
@@ -0,0 +1,242 @@
+"""The asking side of the leases."""
+
+import dataclasses
+import typing
+
+from limpetroute.peers import lease_config
+from limpetroute.peers import lease_message
+
+__all__ = ['LeaseHeld', 'LeaseHolder']
+
+KEEP_ASKS = 64
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LeaseHeld:
+    """A lease that may be used.
+
+    Parameters
+    ----------
+    resource : str
+        What is leased.
+    fence : int
+        Fencing number; grows with each new holding.
+    previous_fence : int
+        Highest number that the voters had seen before this one.
+    since_s, until_s : float
+        When it was first held, and when its use must end.
+    """
+
+    resource: str
+    fence: int
+    previous_fence: int
+    since_s: float
+    until_s: float
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Wanted:
+    fence: int
+    previous_fence: int = 0
+    since_s: float | None = None
+    promised_s: dict[str, float] = dataclasses.field(default_factory=dict)
+    refused_by: dict[str, str] = dataclasses.field(default_factory=dict)
+
+
+class LeaseHolder:
+    """Wants leases, renews them, and knows until when it may use them.
+
+    Parameters
+    ----------
+    holder_id : str
+        This host.
+    voters : sequence of str
+        The hosts that vote, the same list on every host.
+    config : LeaseConfig
+        Times, the same on every host.
+    """
+
+    __slots__ = (
+        '_asks',
+        '_config',
+        '_id',
+        '_next_ask_s',
+        '_number',
+        '_releases',
+        '_voters',
+        '_wanted',
+    )
+
+    def __init__(
+        self,
+        *,
+        holder_id: str,
+        voters: typing.Sequence[str],
+        config: lease_config.LeaseConfig,
+    ) -> None:
+        if not voters:
+            raise ValueError(f'no voters: {voters!r}')
+        self._id = holder_id
+        self._voters = tuple(voters)
+        self._config = config
+        self._wanted: dict[str, _Wanted] = {}
+        self._releases: list[lease_message.LeaseWant] = []
+        self._asks: dict[int, float] = {}
+        self._number = 0
+        self._next_ask_s = 0.0
+
+    def __repr__(self) -> str:
+        return (
+            f'{type(self).__name__}(holder_id={self._id!r}, '
+            f'wanted={len(self._wanted)!r})'
+        )
+
+    @property
+    def wanted(self) -> tuple[str, ...]:
+        """Resources this host wants or holds."""
+        return tuple(self._wanted)
+
+    def want(self, resource: str, *, fence_floor: int) -> None:
+        """Ask for a resource from the next tick on.
+
+        Parameters
+        ----------
+        resource : str
+            What is wanted.
+        fence_floor : int
+            Lowest number to use, for instance from the control log.
+        """
+        if resource in self._wanted:
+            return
+        self._wanted[resource] = _Wanted(fence=fence_floor)
+        self._next_ask_s = 0.0
+
+    def unwant(self, resource: str) -> None:
+        """Stop using a resource and give it back at the next tick."""
+        wanted = self._wanted.pop(resource, None)
+        if wanted is None:
+            return
+        self._releases.append(
+            lease_message.LeaseWant(resource=resource, fence=wanted.fence)
+        )
+        self._next_ask_s = 0.0
+
+    def held(self, resource: str, now_s: float) -> LeaseHeld | None:
+        """Return the lease if it may be used now."""
+        wanted = self._wanted.get(resource)
+        if wanted is None or wanted.since_s is None:
+            return None
+        until_s = self._until_s(wanted)
+        if until_s is None or until_s <= now_s:
+            return None
+        return LeaseHeld(
+            resource=resource,
+            fence=wanted.fence,
+            previous_fence=wanted.previous_fence,
+            since_s=wanted.since_s,
+            until_s=until_s,
+        )
+
+    def other_holder(self, resource: str) -> str | None:
+        """Return who holds it by the voters' refusals, if any said."""
+        wanted = self._wanted.get(resource)
+        if wanted is None:
+            return None
+        for holder_id in wanted.refused_by.values():
+            if holder_id and holder_id != self._id:
+                return holder_id
+        return None
+
+    def tick(self, now_s: float) -> list[tuple[str, lease_message.LeaseAsk]]:
+        """Return the asks that are due, each with its voter."""
+        self._drop_lapsed(now_s)
+        if now_s < self._next_ask_s:
+            return []
+        self._next_ask_s = now_s + self._config.renew_s
+        if not self._wanted and not self._releases:
+            return []
+        self._number += 1
+        self._asks[self._number] = now_s
+        self._asks.pop(self._number - KEEP_ASKS, None)
+        wants = [
+            lease_message.LeaseWant(resource=name, fence=item.fence)
+            for name, item in self._wanted.items()
+        ]
+        ask = lease_message.LeaseAsk(
+            number=self._number,
+            holder_id=self._id,
+            wants=tuple(wants),
+            releases=tuple(self._releases),
+        )
+        self._releases = []
+        return [(voter_id, ask) for voter_id in self._voters]
+
+    def on_vote(self, vote: lease_message.LeaseVote, now_s: float) -> None:
+        """Take a voter's answers."""
+        asked_s = self._asks.get(vote.number)
+        if asked_s is None or vote.voter_id not in self._voters:
+            return
+        for answer in vote.answers:
+            self._take(vote.voter_id, answer, asked_s, now_s)
+
+    def _take(
+        self,
+        voter_id: str,
+        answer: lease_message.LeaseAnswer,
+        asked_s: float,
+        now_s: float,
+    ) -> None:
+        wanted = self._wanted.get(answer.resource)
+        if wanted is None or answer.fence != wanted.fence:
+            return
+        if not answer.granted:
+            wanted.refused_by[voter_id] = answer.holder_id
+            self._raise_fence(wanted, answer)
+            return
+        wanted.refused_by.pop(voter_id, None)
+        if wanted.since_s is None:
+            wanted.previous_fence = max(
+                wanted.previous_fence, answer.highest_fence
+            )
+        # Promises count from the asking, as the answer may be late.
+        before_s = wanted.promised_s.get(voter_id, asked_s)
+        wanted.promised_s[voter_id] = max(before_s, asked_s)
+        until_s = self._until_s(wanted)
+        if wanted.since_s is None and until_s is not None:
+            if until_s > now_s:
+                wanted.since_s = now_s
+
+    def _raise_fence(
+        self, wanted: _Wanted, answer: lease_message.LeaseAnswer
+    ) -> None:
+        if wanted.since_s is not None:
+            return
+        if answer.highest_fence < wanted.fence:
+            return
+        wanted.fence = answer.highest_fence + 1
+        wanted.previous_fence = max(
+            wanted.previous_fence, answer.highest_fence
+        )
+        wanted.promised_s.clear()
+        self._next_ask_s = 0.0
+
+    def _drop_lapsed(self, now_s: float) -> None:
+        for wanted in self._wanted.values():
+            if wanted.since_s is None:
+                continue
+            until_s = self._until_s(wanted)
+            if until_s is not None and until_s > now_s:
+                continue
+            # Somebody else may have held it since: it is a new holding
+            # under a new number, and its user starts over.
+            wanted.previous_fence = wanted.fence
+            wanted.fence += 1
+            wanted.since_s = None
+            wanted.promised_s.clear()
+
+    def _until_s(self, wanted: _Wanted) -> float | None:
+        majority = len(self._voters) // 2 + 1
+        newest = sorted(wanted.promised_s.values(), reverse=True)
+        if len(newest) < majority:
+            return None
+        return newest[majority - 1] + self._config.use_s
--- /dev/null
+++ b/limpetroute/peers/lease_message.py
@@ -0,0 +1,67 @@
+"""Messages between those who want leases and those who vote."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LeaseWant:
+    """A resource and the fencing number it is wanted under."""
+
+    resource: str
+    fence: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LeaseAsk:
+    """A batch of requests, renewals and releases of one host.
+
+    Parameters
+    ----------
+    number : int
+        Names the ask; its vote repeats it.
+    holder_id : str
+        The host that asks.
+    wants : tuple of LeaseWant
+        New leases and renewals.
+    releases : tuple of LeaseWant
+        Leases given back.
+    """
+
+    number: int
+    holder_id: str
+    wants: tuple[LeaseWant, ...] = ()
+    releases: tuple[LeaseWant, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LeaseAnswer:
+    """A voter's word on one resource.
+
+    Parameters
+    ----------
+    resource : str
+        The resource.
+    fence : int
+        The number it was wanted under.
+    granted : bool
+        Whether the voter promises it to the host that asked.
+    highest_fence : int
+        Highest number the voter had seen before.
+    holder_id : str
+        Host that the voter's promise stands for; empty if none.
+    """
+
+    resource: str
+    fence: int
+    granted: bool
+    highest_fence: int
+    holder_id: str = ''
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LeaseVote:
+    """A voter's answers to one ask."""
+
+    number: int
+    voter_id: str
+    answers: tuple[LeaseAnswer, ...] = ()
