--- a/tests/cli/test_examples.py
+++ b/tests/cli/test_examples.py
@@ -35,9 +35,10 @@
             code, out, _ = commands.run(
                 'runners', '--json', '--settings', settings
             )
-            if len(json.loads(out)['runners']) == RUNNERS[deployment]:
+            shown = len(json.loads(out)['runners'])
+            if (code, shown) == (0, RUNNERS[deployment]):
                 break
-        assert code == 0
+        assert (code, shown) == (0, RUNNERS[deployment])
         for number in (1, 7):
             path = folder / f'entry-{number}.json'
             address = json.loads(path.read_text())['listen']['address']
