--- a/limpetroute/peers/lease_config.py
+++ b/limpetroute/peers/lease_config.py
@@ -17,8 +17,8 @@
         Most that a clock gains or loses, as a share: 0.01 is 1%.
     """
 
-    duration_s: float = 4.5
-    renew_s: float = 1.5
+    duration_s: float = 6.0
+    renew_s: float = 2.0
     drift: float = 0.01
 
     def __post_init__(self) -> None:
--- a/limpetroute/peers/lease_holder.py
+++ b/limpetroute/peers/lease_holder.py
@@ -60,6 +60,7 @@
         '_asks',
         '_config',
         '_id',
+        '_last_fences',
         '_next_ask_s',
         '_number',
         '_releases',
@@ -80,9 +81,10 @@
         self._voters = tuple(voters)
         self._config = config
         self._wanted: dict[str, _Wanted] = {}
-        self._releases: list[lease_message.LeaseWant] = []
+        self._releases: list[lease_message.LeaseRelease] = []
         self._asks: dict[int, float] = {}
         self._number = 0
+        self._last_fences: dict[str, int] = {}
         self._next_ask_s = 0.0
 
     def __repr__(self) -> str:
@@ -104,23 +106,45 @@
         resource : str
             What is wanted.
         fence_floor : int
-            Lowest number to use, for instance from the control log.
+            Lowest number to use. It must be higher after each start
+            of the process, as the time of the start or a number from
+            the control log is.
         """
         if resource in self._wanted:
             return
-        self._wanted[resource] = _Wanted(fence=fence_floor)
+        # Under a number used before, a release of the earlier holding
+        # that arrives late would end the promises of this one.
+        last = self._last_fences.get(resource, 0)
+        self._wanted[resource] = _Wanted(fence=max(fence_floor, last + 1))
         self._next_ask_s = 0.0
 
-    def unwant(self, resource: str) -> None:
-        """Stop using a resource and give it back at the next tick."""
-        wanted = self._wanted.pop(resource, None)
+    def unwant(self, resource: str, *, heir_id: str = '') -> None:
+        """Stop using a resource and give it back at the next tick.
+
+        Parameters
+        ----------
+        resource : str
+            The resource.
+        heir_id : str
+            Host that alone may have it before it would have lapsed.
+        """
+        wanted = self._wanted.get(resource)
         if wanted is None:
             return
+        self.forsake(resource)
         self._releases.append(
-            lease_message.LeaseWant(resource=resource, fence=wanted.fence)
+            lease_message.LeaseRelease(
+                resource=resource, fence=wanted.fence, heir_id=heir_id
+            )
         )
         self._next_ask_s = 0.0
 
+    def forsake(self, resource: str) -> None:
+        """Stop using a resource and let its lease lapse."""
+        wanted = self._wanted.pop(resource, None)
+        if wanted is not None:
+            self._last_fences[resource] = wanted.fence
+
     def held(self, resource: str, now_s: float) -> LeaseHeld | None:
         """Return the lease if it may be used now."""
         wanted = self._wanted.get(resource)
--- a/limpetroute/peers/lease_message.py
+++ b/limpetroute/peers/lease_message.py
@@ -11,6 +11,26 @@
     fence: int
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LeaseRelease:
+    """A lease given back.
+
+    Parameters
+    ----------
+    resource : str
+        The resource.
+    fence : int
+        The number it was held under.
+    heir_id : str
+        Host that has the holder's books and alone may have the lease
+        before it would have lapsed; empty if anybody may.
+    """
+
+    resource: str
+    fence: int
+    heir_id: str = ''
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class LeaseAsk:
     """A batch of requests, renewals and releases of one host.
@@ -23,14 +43,14 @@
         The host that asks.
     wants : tuple of LeaseWant
         New leases and renewals.
-    releases : tuple of LeaseWant
+    releases : tuple of LeaseRelease
         Leases given back.
     """
 
     number: int
     holder_id: str
     wants: tuple[LeaseWant, ...] = ()
-    releases: tuple[LeaseWant, ...] = ()
+    releases: tuple[LeaseRelease, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/limpetroute/peers/lease_voter.py
+++ b/limpetroute/peers/lease_voter.py
@@ -70,12 +70,18 @@
             number=ask.number, voter_id=self._id, answers=tuple(answers)
         )
 
-    def _release(self, holder_id: str, item: lease_message.LeaseWant) -> None:
+    def _release(
+        self, holder_id: str, item: lease_message.LeaseRelease
+    ) -> None:
         promise = self._promises.get(item.resource)
         if promise is None or promise.holder_id != holder_id:
             return
-        if promise.fence == item.fence:
-            del self._promises[item.resource]
+        if promise.fence != item.fence:
+            return
+        if item.heir_id:
+            promise.holder_id = item.heir_id
+            return
+        del self._promises[item.resource]
 
     def _answer(
         self, holder_id: str, item: lease_message.LeaseWant, now_s: float
--- a/limpetroute/peers/membership.py
+++ b/limpetroute/peers/membership.py
@@ -120,7 +120,7 @@
 
     @property
     def claim(self) -> member_claim.MemberClaim:
-        """This host's claim about itself."""
+        """What the host claims of itself."""
         return self._self
 
     @property
