--- a/limpetroute/entry/host.py
+++ b/limpetroute/entry/host.py
@@ -122,9 +122,10 @@
             live.handed_over = self.hands_over
             live.cancel('draining_resume_elsewhere')
         tasks = [live.task for live in self._open if live.task is not None]
+        free_s = min(FREE_TIMEOUT_S, self.settings.drain_timeout_s)
         if tasks:
-            await asyncio.wait(tasks, timeout=FREE_TIMEOUT_S)
-        await self.freer.drain(FREE_TIMEOUT_S)
+            await asyncio.wait(tasks, timeout=free_s)
+        await self.freer.drain(free_s)
 
     async def callers_done(self) -> None:
         """Wait until attached callers have been told how it ended."""
--- a/limpetroute/standins/engine_faults.py
+++ b/limpetroute/standins/engine_faults.py
@@ -28,6 +28,9 @@
         Fail this many cancel calls.
     mute_prefill : bool
         Prefills never answer.
+    drop_prefill_reply : int
+        Run this many prefills and break the connection instead of the
+        reply.
     """
 
     fail_prefill: int = 0
@@ -40,3 +43,4 @@
     disorder: bool = False
     fail_cancels: int = 0
     mute_prefill: bool = False
+    drop_prefill_reply: int = 0
--- a/limpetroute/standins/engine_handlers.py
+++ b/limpetroute/standins/engine_handlers.py
@@ -15,6 +15,8 @@
 
 TRANSFER_TIMEOUT_S = 60.0
 MUTE_S = 60.0
+# A close in the same packet as the last words may drop them unread.
+BREAK_S = 0.02
 DISORDER_EVENTS = 3
 
 
@@ -71,6 +73,13 @@
             await self.finish({'reason': 'cancelled'})
             return
         held, cached = done
+        if state.faults.drop_prefill_reply > 0:
+            left = state.faults.drop_prefill_reply - 1
+            state.faults = state.faults.model_copy(
+                update={'drop_prefill_reply': left}
+            )
+            self.request.connection.close()  # type: ignore[union-attr]
+            return
         tokens = held.kv_bytes // state.settings.kv_bytes_per_token
         await self.finish(
             {
@@ -250,6 +259,7 @@
             place = upto
             if place < len(run.words):
                 await handler.flush()
+                await asyncio.sleep(BREAK_S)
                 handler.request.connection.close()  # type: ignore[union-attr]
                 return
             if run.end is not None:
--- a/limpetroute/standins/engine_server.py
+++ b/limpetroute/standins/engine_server.py
@@ -33,6 +33,7 @@
         self.settings = settings
         self.state = engine_state.EngineState(settings=settings)
         self.port = 0
+        self.announced_url: str | None = None
         self._http = caller.Caller()
         self._server: tornado.httpserver.HTTPServer | None = None
         self._tasks: list[asyncio.Task[None]] = []
@@ -45,6 +46,8 @@
     @property
     def url(self) -> str:
         """Address announced to the entry hosts."""
+        if self.announced_url is not None:
+            return self.announced_url
         return f'http://{self.settings.listen.address}:{self.port}'
 
     def start(self) -> None:
--- a/tests/entry/fleet.py
+++ b/tests/entry/fleet.py
@@ -33,7 +33,9 @@
 
 
 def play(
-    story: typing.Callable[..., typing.Coroutine[typing.Any, typing.Any, None]],
+    story: typing.Callable[
+        ..., typing.Coroutine[typing.Any, typing.Any, None]
+    ],
     *,
     limit_s: float = 30.0,
     **kwargs: typing.Any,
--- a/tests/entry/test_gone_callers.py
+++ b/tests/entry/test_gone_callers.py
@@ -1,3 +1,5 @@
+import asyncio
+
 import pytest
 
 from limpetroute.decisions import stage
@@ -5,6 +7,7 @@
 from tests.entry import raw_caller
 
 LIMIT_S = 2.0
+TRANSFER_S = 0.6
 WAYS = ('fin', 'rst')
 LONG = {'max_tokens': 4000}
 
@@ -52,11 +55,13 @@
     # reaches the decode runner before the transfer ends; a runner that
     # forgot the cancel would take the cache in and hold it for ever.
     async def story(fleet: fleet_module.Fleet) -> None:
-        fleet.fault(fleet.decodes[0], slow_factor=1000.0)
+        fleet.fault(fleet.decodes[0], slow_factor=300.0)
         caller = await raw_caller.ask(fleet, stream=streamed)
         await _at(fleet, stage.Stage.TRANSFER)
         getattr(caller, way)()
         await _all_free(fleet)
+        await asyncio.sleep(TRANSFER_S)
+        assert fleet.kv_used_bytes() == 0
 
     fleet_module.play(
         story, transfer_timeout_s=5.0, engine={'link_bytes_per_s': 1e9}
@@ -74,9 +79,7 @@
         await _at(fleet, stage.Stage.PREFILL)
         getattr(caller, way)()
         await _all_free(fleet)
-        await fleet_module.until(
-            lambda: fleet.prefills[0].state.waiting == 0
-        )
+        await fleet_module.until(lambda: fleet.prefills[0].state.waiting == 0)
         assert fleet.kv_used_bytes() == 0
         assert fleet.count('results_expired') == 0
 
@@ -127,9 +130,7 @@
         await _all_free(fleet)
         caller.fin()
 
-    fleet_module.play(
-        story, max_buffer_bytes=4096, engine={'step_s': 0.0001}
-    )
+    fleet_module.play(story, max_buffer_bytes=4096, engine={'step_s': 0.0001})
 
 
 def test_first_cancel_fails() -> None:
@@ -181,6 +182,4 @@
             getattr(caller, WAYS[number % 2])()
         await _all_free(fleet)
 
-    fleet_module.play(
-        story, prefills=2, decodes=3, first_token_s=30.0
-    )
+    fleet_module.play(story, prefills=2, decodes=3, first_token_s=30.0)
