--- a/limpetroute/entry/attachment_writer.py
+++ b/limpetroute/entry/attachment_writer.py
@@ -11,7 +11,9 @@
 from limpetroute.peers import request_record
 from limpetroute.peers import run_end
 
-KEEP_ALIVE = b': keep-alive\n\n'
+# One line, with no empty line after it: OpenAI's client keeps the last
+# event's id, takes the empty line for an event without data, and fails.
+KEEP_ALIVE = b': keep-alive\n'
 DONE = b'data: [DONE]\n\n'
 
 
--- a/tests/entry/raw_caller.py
+++ b/tests/entry/raw_caller.py
@@ -40,9 +40,9 @@
         body: typing.Any = None,
         headers: dict[str, str] | None = None,
     ) -> None:
-        data = b'' if body is None else json.dumps(body).encode()
-        if isinstance(body, bytes):
-            data = body
+        data = body if isinstance(body, bytes) else b''
+        if body is not None and not isinstance(body, bytes):
+            data = json.dumps(body).encode()
         lines = [f'{method} {path} HTTP/1.1', 'Host: x']
         lines.append(f'Content-Length: {len(data)}')
         for name, value in (headers or {}).items():
