--- a/limpetroute/entry/base_handler.py
+++ b/limpetroute/entry/base_handler.py
@@ -11,6 +11,7 @@
 from limpetroute.entry import end_status
 from limpetroute.entry import host as host_module
 from limpetroute.peers import run_end
+from limpetroute.telemetry import trace_context
 
 DEFAULT_TEAM = 'default'
 TEAM_PATTERN = re.compile(r'[\w.:/-]{1,200}')
@@ -32,7 +33,8 @@
         self.host = host
 
     def prepare(self) -> None:
-        """Refuse headers past the limits."""
+        """Take up the caller's trace and refuse headers past the limits."""
+        trace_context.receive(self.request.headers.get(trace_context.HEADER))
         fields = list(self.request.headers.get_all())
         size = sum(len(name) + len(value) for name, value in fields)
         if len(fields) <= MAX_HEADERS and size <= MAX_HEADER_BYTES:
--- a/limpetroute/entry/host.py
+++ b/limpetroute/entry/host.py
@@ -14,6 +14,7 @@
 from limpetroute.decisions import work
 from limpetroute.entry import answer_format
 from limpetroute.entry import grants as grants_module
+from limpetroute.entry import host_exports
 from limpetroute.entry import live_record
 from limpetroute.entry import manifest_index as manifest_index_module
 from limpetroute.entry import record_finder
@@ -27,7 +28,6 @@
 from limpetroute.peers import run_end
 from limpetroute.runners import directory
 from limpetroute.runners import engine_pool
-from limpetroute.telemetry import meters as meters_module
 from limpetroute.wire import caller
 
 LOG = logging.getLogger(__name__)
@@ -48,7 +48,8 @@
 
     def __init__(self, *, settings: entry_settings.EntrySettings) -> None:
         self.settings = settings
-        self.http = caller.Caller()
+        trust = settings.credentials()
+        self.http = caller.Caller(tls=trust.client_tls, token=trust.token)
         self.runners = directory.Directory(timeout_s=settings.runner_timeout_s)
         self.engines = engine_pool.EnginePool(
             runners=self.runners, http=self.http
@@ -57,7 +58,12 @@
             policy=round_robin.RoundRobin()
         )
         self.grants: grants_module.GrantSource = grants_module.LocalGrants()
-        self.meters: meters_module.Meters = meters_module.NullMeters()
+        self.exports = host_exports.build(settings)
+        self.meters = self.exports.meters
+        self.hops = self.exports.hops
+        self.exports.observe('records', lambda: len(self.records))
+        self.exports.observe('runners', lambda: len(self.runners))
+        self.exports.observe('ready', lambda: self.ready)
         self.claims: claim_book.ClaimBook | None = None
         self.freer = run_freer.RunFreer()
         self.records = record_store.RecordStore(retain_s=settings.retain_s)
@@ -69,6 +75,7 @@
         # Whether another host holds copies of the records and goes on
         # with the runs that are left when this host's drain lapses.
         self.hands_over = False
+        self.drained_runners: set[str] = set()
         self._index = manifest_index_module.ManifestIndex(manifest=None)
         self._open: set[live_record.LiveRecord] = set()
         self._ticker: asyncio.Task[None] | None = None
@@ -141,14 +148,28 @@
         if self._ticker is not None:
             self._ticker.cancel()
         self.scheduler.close()
+        await asyncio.to_thread(self.exports.close)
 
     def announced(self, body: announcement.AnnouncementBody) -> None:
         """Take a runner's announcement."""
         now_s = time.monotonic()
+        if body.runner_id in self.drained_runners:
+            body = body.model_copy(update={'leaving': True})
         if self.runners.announce(body, now_s):
             LOG.info('runner %s announced as %s', body.runner_id, body.role)
         self.scheduler.announced(body)
 
+    def drain_runner(self, runner_id: str) -> None:
+        """Give a runner no new work, now and when it announces again."""
+        self.drained_runners.add(runner_id)
+        body = self.runners.get(runner_id)
+        if body is not None:
+            self.announced(body.model_copy(update={'cache_events': []}))
+
+    def undrain_runner(self, runner_id: str) -> None:
+        """Give it work again from its next announcement on."""
+        self.drained_runners.discard(runner_id)
+
     def submit(
         self, request: run_request.RunRequest
     ) -> live_record.LiveRecord:
--- a/limpetroute/entry/server.py
+++ b/limpetroute/entry/server.py
@@ -2,6 +2,7 @@
 
 import logging
 import socket
+import typing
 
 import tornado.httpserver
 import tornado.netutil
@@ -15,9 +16,12 @@
 from limpetroute.entry import events_handler
 from limpetroute.entry import health_handler
 from limpetroute.entry import host as host_module
+from limpetroute.entry import metrics_handler
 from limpetroute.entry import models_handler
+from limpetroute.entry import operator_routes
 from limpetroute.entry import request_handler
 from limpetroute.entry import runners_handler
+from limpetroute.wire import token_guard
 
 LOG = logging.getLogger(__name__)
 
@@ -58,6 +62,7 @@
         self.internal_port = self._listen(
             self._internal_routes(),
             self._settings.internal_listen,
+            self._settings.credentials().tokens,
             max_body_size=self._settings.max_body_bytes,
             body_timeout=self._settings.body_timeout_s,
         )
@@ -83,17 +88,19 @@
         self,
         routes: list[tornado.web.URLSpec],
         listen: listen_settings.ListenSettings,
+        tokens: typing.Sequence[str] = (),
         *,
         max_body_size: int,
         body_timeout: float | None,
     ) -> int:
         server = tornado.httpserver.HTTPServer(
-            tornado.web.Application(
+            token_guard.GuardedApplication(
                 routes,
-                log_function=_no_access_log,
+                tokens=tokens,
                 default_handler_class=base_handler.NotFoundHandler,
                 default_handler_args={'host': self.host},
             ),
+            ssl_options=listen.tls_context(),
             max_header_size=MAX_HEADER_BYTES,
             max_body_size=max_body_size,
             body_timeout=body_timeout,
@@ -135,6 +142,8 @@
         url = tornado.web.url
         return [
             url('/v1/runners', runners_handler.RunnersHandler, host),
+            url('/metrics', metrics_handler.MetricsHandler, host),
+            *operator_routes.routes(self.host),
             *self._health_routes(),
         ]
 
@@ -146,7 +155,3 @@
             url('/healthz', handler, {**host, 'readiness': False}),
             url('/readyz', handler, {**host, 'readiness': True}),
         ]
-
-
-def _no_access_log(handler: tornado.web.RequestHandler) -> None:
-    """Write no line for a request: counters do that."""
