--- a/tests/entry/test_gone_callers.py
+++ b/tests/entry/test_gone_callers.py
@@ -1,3 +1,5 @@
+import asyncio
+
 import pytest
 
 from limpetroute.decisions import stage
@@ -5,6 +7,7 @@
 from tests.entry import raw_caller
 
 LIMIT_S = 2.0
+TRANSFER_S = 0.6
 WAYS = ('fin', 'rst')
 LONG = {'max_tokens': 4000}
 
@@ -52,11 +55,13 @@
     # reaches the decode runner before the transfer ends; a runner that
     # forgot the cancel would take the cache in and hold it for ever.
     async def story(fleet: fleet_module.Fleet) -> None:
-        fleet.fault(fleet.decodes[0], slow_factor=1000.0)
+        fleet.fault(fleet.decodes[0], slow_factor=300.0)
         caller = await raw_caller.ask(fleet, stream=streamed)
         await _at(fleet, stage.Stage.TRANSFER)
         getattr(caller, way)()
         await _all_free(fleet)
+        await asyncio.sleep(TRANSFER_S)
+        assert fleet.kv_used_bytes() == 0
 
     fleet_module.play(
         story, transfer_timeout_s=5.0, engine={'link_bytes_per_s': 1e9}
