Replay recorded traces through the decisions and records

A trace is JSON lines: a story, then events with the outcome stated beside each. limpetroute replay plays them through the router, the request record, the send guard, the directory and the manifest rule on the trace's clock, and names the first line that differs; a trace that cannot be read is refused with its line and column. An entry host records its router within a byte bound and without texts.

Every stated outcome of the twelve traces is changed, one leaf at a time, and the replay must then fail at that line. This found that an empty object agreed with anything: it now states that there are no fields.

--- a/limpetroute/border/entry_settings.py
+++ b/limpetroute/border/entry_settings.py
@@ -5,6 +5,7 @@
 from limpetroute.border import addresses
 from limpetroute.border import listen_settings
 from limpetroute.border import names
+from limpetroute.border import record_settings
 from limpetroute.border import telemetry_settings
 from limpetroute.border import trust_settings
 from limpetroute.border import units
@@ -38,6 +39,7 @@
     telemetry: telemetry_settings.TelemetrySettings = (
         telemetry_settings.TelemetrySettings()
     )
+    record_trace: record_settings.RecordSettings | None = None
     believe_team_header: bool = True
 
     @pydantic.field_validator('zone')
--- a/limpetroute/cli/file_check.py
+++ b/limpetroute/cli/file_check.py
@@ -43,6 +43,16 @@
 def _parse(
     kind: file_kind.FileKind, data: bytes, path: pathlib.Path
 ) -> pydantic.BaseModel | None:
+    if kind is file_kind.FileKind.TRACE:
+        # Imported here: it brings the decisions along.
+        from limpetroute.replay import trace_error
+        from limpetroute.replay import trace_reader
+
+        try:
+            trace_reader.read(data)
+        except trace_error.TraceError as exc:
+            raise errors.InvalidInputError(lines=[str(exc)]) from exc
+        return None
     model = file_kind.model_of(kind)
     return settings_file.parse(model, data, folder=path.parent)
 
--- a/limpetroute/cli/file_kind.py
+++ b/limpetroute/cli/file_kind.py
@@ -36,6 +36,7 @@
     FileKind.CONTROL: ('control_settings', 'ControlSettings'),
     FileKind.STANDIN: ('standin_settings', 'StandinSettings'),
     FileKind.MANIFEST: ('manifest', 'ManifestBody'),
+    FileKind.EXPERIMENT: ('experiment', 'ExperimentBody'),
 }
 
 
--- a/limpetroute/cli/main.py
+++ b/limpetroute/cli/main.py
@@ -15,6 +15,7 @@
   drain      Give a runner or an entry host no new work.
   requests   List requests that entry hosts hold.
   check      Check settings, manifests and traces; start nothing.
+  replay     Play recorded traces and compare their outcomes.
 
 `limpetroute <command> --help` shows each command with an example.
 
@@ -44,6 +45,7 @@
     'drain',
     'requests',
     'check',
+    'replay',
 )
 
 
--- a/limpetroute/cli/serving.py
+++ b/limpetroute/cli/serving.py
@@ -53,7 +53,11 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGINT, signal.SIGTERM):
         loop.add_signal_handler(number, stopping.set)
-    server = make()
+    try:
+        server = make()
+    except OSError as exc:
+        print(f'cannot start: {exc}', file=sys.stderr)
+        return exit_code.USAGE
     try:
         server.start()
     except OSError as exc:
--- a/limpetroute/entry/host.py
+++ b/limpetroute/entry/host.py
@@ -12,6 +12,7 @@
 from limpetroute.decisions import prefix
 from limpetroute.decisions import round_robin
 from limpetroute.decisions import work
+from limpetroute.entry import decision_recorder
 from limpetroute.entry import grants as grants_module
 from limpetroute.entry import host_exports
 from limpetroute.entry import live_record
@@ -46,8 +47,9 @@
         self.engines = engine_pool.EnginePool(
             runners=self.runners, http=self.http
         )
+        self._recorder = decision_recorder.DecisionRecorder(settings=settings)
         self.scheduler = scheduler_module.Scheduler(
-            policy=round_robin.RoundRobin()
+            policy=self._recorder.wrap(round_robin.RoundRobin(), 'round_robin')
         )
         self.grants: grants_module.GrantSource = grants_module.LocalGrants()
         self.exports = host_exports.build(settings)
@@ -79,6 +81,7 @@
         if self._ticker is not None:
             self._ticker.cancel()
         self.scheduler.close()
+        self._recorder.close()
         await asyncio.to_thread(self.exports.close)
 
     def announced(self, body: announcement.AnnouncementBody) -> None:
--- /dev/null
+++ b/limpetroute/replay/__init__.py
@@ -0,0 +1,1 @@
+"""Plays recorded traces through the product's own decisions."""
--- /dev/null
+++ b/limpetroute/replay/guard_player.py
@@ -0,0 +1,36 @@
+"""Plays the guard that proves a request was not run."""
+
+import typing
+
+from limpetroute.entry import send_guard
+from limpetroute.replay import player
+
+
+class GuardPlayer:
+    """The sends of one request, and what its caller may be told."""
+
+    def __init__(self) -> None:
+        self._guard = send_guard.SendGuard()
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(guard={self._guard!r})'
+
+    @property
+    def verbs(self) -> typing.Mapping[str, player.Verb]:
+        """Return what can happen between a request and its runners."""
+        return {
+            'send': self._send,
+            'refused': self._refused,
+            'give_up': self._give_up,
+        }
+
+    def _send(self, *, now_s: float) -> None:
+        self._guard.mark_sending()
+
+    def _refused(self, *, now_s: float) -> None:
+        self._guard.mark_refused()
+
+    def _give_up(self, *, now_s: float) -> str:
+        if self._guard.not_run_proof() is None:
+            return 'unknown'
+        return 'not_run'
--- /dev/null
+++ b/limpetroute/replay/parts.py
@@ -0,0 +1,32 @@
+"""The parts that a trace can act on, by name."""
+
+import typing
+
+from limpetroute.replay import directory_player
+from limpetroute.replay import guard_player
+from limpetroute.replay import manifest_player
+from limpetroute.replay import player
+from limpetroute.replay import record_player
+from limpetroute.replay import router_player
+
+PARTS: dict[str, typing.Callable[[], player.Player]] = {
+    'directory': directory_player.DirectoryPlayer,
+    'guard': guard_player.GuardPlayer,
+    'manifests': manifest_player.ManifestPlayer,
+    'record': record_player.RecordPlayer,
+    'router': router_player.RouterPlayer,
+}
+
+
+def make(part: str) -> player.Player:
+    """Make a new part.
+
+    Raises
+    ------
+    PlayError
+        If there is none of that name.
+    """
+    if part not in PARTS:
+        allowed = ', '.join(PARTS)
+        raise player.PlayError(f'on: {part!r} is not one of {allowed}')
+    return PARTS[part]()
--- /dev/null
+++ b/limpetroute/wire/plain.py
@@ -0,0 +1,32 @@
+"""Turns typed values into terms of JSON, for traces."""
+
+import dataclasses
+import enum
+import typing
+
+
+def plain(value: typing.Any) -> typing.Any:
+    """Return the value in terms of JSON.
+
+    A dataclass becomes an object whose ``is`` names its type; sets are
+    sorted, so that one result has one form.
+    """
+    if isinstance(value, enum.Enum):
+        return value.value
+    if dataclasses.is_dataclass(value) and not isinstance(value, type):
+        return {'is': type(value).__name__, **fields(value)}
+    if isinstance(value, dict):
+        return {str(key): plain(item) for key, item in value.items()}
+    if isinstance(value, set | frozenset):
+        return sorted(plain(item) for item in value)
+    if isinstance(value, list | tuple):
+        return [plain(item) for item in value]
+    return value
+
+
+def fields(value: typing.Any) -> dict[str, typing.Any]:
+    """Return a dataclass's fields in terms of JSON."""
+    return {
+        field.name: plain(getattr(value, field.name))
+        for field in dataclasses.fields(value)
+    }
