Put a span around each hop of a request

entry, queue, prefill, transfer and decode hang under the caller's trace; a hop that a runner refused or failed is marked with the reason. An exporter whose collector is away logs once in ten minutes, not at each interval.

--- a/limpetroute/cli/requests.py
+++ b/limpetroute/cli/requests.py
@@ -36,7 +36,8 @@
 FIELDS = (
     'request_id',
     'team',
-    'run_id',
+    'stage',
+    'runner_id',
     'events',
     'delivered_index',
     'attached',
--- a/limpetroute/entry/host.py
+++ b/limpetroute/entry/host.py
@@ -207,6 +207,7 @@
                 grants=self.grants,
                 freer=self.freer,
                 meters=self.meters,
+                hops=self.hops,
                 settings=self.settings,
             ),
         )
--- a/limpetroute/entry/operator_requests_handler.py
+++ b/limpetroute/entry/operator_requests_handler.py
@@ -31,7 +31,8 @@
     return {
         'request_id': record.request_id,
         'team': record.team,
-        'run_id': record.run_id,
+        'stage': str(live.stage),
+        'runner_id': live.runner_id,
         'events': len(record.events),
         'delivered_index': record.delivered_index,
         'attached': live.attached,
--- a/limpetroute/entry/operator_status_handler.py
+++ b/limpetroute/entry/operator_status_handler.py
@@ -13,7 +13,6 @@
         """Answer with one object of plain values."""
         host = self.host
         manifest = host.manifest
-        in_progress = [live for live in host.records if not live.record.end]
         self.finish(
             {
                 'host_id': host.settings.host_id,
@@ -22,7 +21,7 @@
                 'ready': host.ready,
                 'draining': host.draining,
                 'manifest_number': manifest.number if manifest else None,
-                'requests_in_progress': len(in_progress),
+                'requests_in_progress': host.in_progress,
                 'records': len(host.records),
                 'runners': len(host.runners),
                 'drained_runners': sorted(host.drained_runners),
--- a/limpetroute/entry/run_task.py
+++ b/limpetroute/entry/run_task.py
@@ -20,12 +20,15 @@
 from limpetroute.runners import engine_call
 from limpetroute.runners import engine_client
 from limpetroute.runners import engine_failure
+from limpetroute.telemetry import hops
 
 LOG = logging.getLogger(__name__)
 
 MAX_RESUMES = 2
 RESUME_PAUSE_S = 0.05
 INTERNAL_RETRY_AFTER_S = 1.0
+FAILURES = (engine_failure.Failed, engine_failure.Refused)
+_Result = typing.TypeVar('_Result')
 
 
 class RunTask:
@@ -76,6 +79,18 @@
 
     async def run(self) -> None:
         """Carry the router's actions out until the request is over."""
+        with self._tools.hops.hop(
+            'entry',
+            request_id=self._item.work_id,
+            model=self._item.model,
+            prompt_tokens=self._item.prompt_tokens,
+        ) as hop:
+            await self._run()
+            end = self._live.record.end
+            if end is None or end.kind is not run_end.EndKind.COMPLETED:
+                hop.fail(end.finish_reason if end else 'no end')
+
+    async def _run(self) -> None:
         inbox = self._tools.scheduler.offer(self._item)
         try:
             await self._work(inbox)
@@ -109,6 +124,8 @@
     async def _work(self, inbox: 'asyncio.Queue[action.Action]') -> None:
         """Run one step at a time, and drop it when the router says so."""
         step: asyncio.Task[None] | None = None
+        queue = hops.RepeatedHop(hops=self._tools.hops, name='queue')
+        queue.begin()
         next_one = asyncio.ensure_future(inbox.get())
         try:
             while self._live.record.end is None:
@@ -122,7 +139,10 @@
                     assert step is not None
                     step.result()
                     step = None
+                    if self._live.record.end is None:
+                        queue.begin()
                     continue
+                queue.end()
                 todo = next_one.result()
                 next_one = asyncio.ensure_future(inbox.get())
                 if step is not None:
@@ -134,6 +154,7 @@
                 self._handed_on = False
                 step = asyncio.create_task(self._step(todo))
         finally:
+            queue.end()
             next_one.cancel()
             if step is not None:
                 await _end(step)
@@ -172,16 +193,20 @@
             if not await self._grant(todo.decode_runner_id, todo.kv_bytes):
                 return
         self._send(todo.runner_id, engine)
-        got = await engine.prefill(
-            engine_call.PrefillCall(
-                run_id=attempt.run_id,
-                model=self._request.model,
-                prompt=self._request.prompt + self._live.record.text,
-                priority=0,
-                fence=0,
-                latest_start_s=self._tools.settings.prefill_timeout_s,
+        got = await self._in_hop(
+            'prefill',
+            todo.runner_id,
+            engine.prefill(
+                engine_call.PrefillCall(
+                    run_id=attempt.run_id,
+                    model=self._request.model,
+                    prompt=self._request.prompt + self._live.record.text,
+                    priority=0,
+                    fence=0,
+                    latest_start_s=self._tools.settings.prefill_timeout_s,
+                ),
+                timeout_s=self._tools.settings.prefill_timeout_s,
             ),
-            timeout_s=self._tools.settings.prefill_timeout_s,
         )
         if not isinstance(got, engine_call.PrefillResult):
             self._note(got, todo.runner_id)
@@ -209,14 +234,18 @@
         if not await self._grant(todo.runner_id, todo.kv_bytes):
             return
         self._send(todo.runner_id, engine)
-        moved = await engine.import_kv(
-            engine_call.ImportCall(
-                run_id=attempt.run_id,
-                source_url=source.url,
-                handle=result.handle,
-                fence=attempt.fences.get(todo.runner_id, 0),
+        moved = await self._in_hop(
+            'transfer',
+            todo.runner_id,
+            engine.import_kv(
+                engine_call.ImportCall(
+                    run_id=attempt.run_id,
+                    source_url=source.url,
+                    handle=result.handle,
+                    fence=attempt.fences.get(todo.runner_id, 0),
+                ),
+                timeout_s=self._tools.settings.transfer_timeout_s,
             ),
-            timeout_s=self._tools.settings.transfer_timeout_s,
         )
         if not isinstance(moved, int):
             LOG.debug('transfer of %s failed: %s', attempt.run_id, moved)
@@ -236,7 +265,9 @@
     ) -> None:
         self._live.stage = stage.Stage.DECODE
         self._live.runner_id = runner_id
-        got = await self._read(engine, runner_id, attempt)
+        got = await self._in_hop(
+            'decode', runner_id, self._read(engine, runner_id, attempt)
+        )
         if isinstance(got, engine_call.EndEvent):
             self._complete(got.finish_reason, result.prompt_tokens)
             return
@@ -292,6 +323,19 @@
             tries = 0 if reader.last_index > before else tries + 1
         return got
 
+    async def _in_hop(
+        self,
+        name: str,
+        runner_id: str,
+        call: 'typing.Coroutine[typing.Any, typing.Any, _Result]',
+    ) -> _Result:
+        """Await a call to a runner inside a span."""
+        with self._tools.hops.hop(name, runner_id=runner_id) as hop:
+            got = await call
+            if isinstance(got, FAILURES):
+                hop.fail(got.reason)
+            return got
+
     def _append(self, text: str) -> None:
         if self._is_whole():
             return
--- a/limpetroute/telemetry/log_setup.py
+++ b/limpetroute/telemetry/log_setup.py
@@ -5,6 +5,8 @@
 
 from pythonjsonlogger import json as json_logger
 
+from limpetroute.telemetry import repeat_filter
+
 
 def set_up(level: int = logging.INFO) -> None:
     """Write each record as one JSON line to standard error."""
@@ -16,6 +18,7 @@
             rename_fields={'levelname': 'level', 'name': 'logger'},
         )
     )
+    handler.addFilter(repeat_filter.RepeatFilter(prefix='opentelemetry'))
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level)
--- a/limpetroute/telemetry/otel_hops.py
+++ b/limpetroute/telemetry/otel_hops.py
@@ -30,12 +30,12 @@
 
     def hop(
         self, name: str, **attributes: hops.Attribute
-    ) -> contextlib.AbstractContextManager[None]:
+    ) -> contextlib.AbstractContextManager[hops.OpenHop]:
         """Return a context manager that is a span while open."""
         return _Hop(self._tracer, name, attributes)
 
 
-class _Hop(contextlib.AbstractContextManager[None]):
+class _Hop(contextlib.AbstractContextManager[hops.OpenHop]):
     __slots__ = ('_attributes', '_name', '_span', '_token', '_tracer')
 
     def __init__(
@@ -50,7 +50,7 @@
         self._span: trace.Span = trace.INVALID_SPAN
         self._token: contextvars.Token[str] | None = None
 
-    def __enter__(self) -> None:
+    def __enter__(self) -> '_Hop':
         self._span = self._tracer.start_span(
             self._name,
             context=_parent(trace_context.current()),
@@ -58,6 +58,10 @@
         )
         own = _traceparent(self._span.get_span_context())
         self._token = trace_context.enter(own)
+        return self
+
+    def fail(self, reason: str) -> None:
+        self._span.set_status(trace.Status(trace.StatusCode.ERROR, reason))
 
     def __exit__(
         self,
@@ -66,9 +70,7 @@
         traceback: types.TracebackType | None,
     ) -> None:
         if kind is not None:
-            self._span.set_status(
-                trace.Status(trace.StatusCode.ERROR, kind.__name__)
-            )
+            self.fail(kind.__name__)
         self._span.end()
         if self._token is not None:
             trace_context.leave(self._token)
