--- /dev/null
+++ b/limpetroute/replay/group_player.py
@@ -0,0 +1,185 @@
+"""Plays a group of control replicas."""
+
+import random
+import typing
+
+from limpetroute import agreement
+from limpetroute.replay import player
+from limpetroute.replay import replica_host
+
+STEP_S = 0.05
+
+
+class GroupPlayer:
+    """Replicas, their disks, and a network that can be cut.
+
+    Messages take one step of `STEP_S`, and everything that is due up to
+    an event's time happens before the event.
+    """
+
+    def __init__(self) -> None:
+        self._hosts: dict[str, replica_host.ReplicaHost] = {}
+        self._rng = random.Random(0)
+        self._now_s = 0.0
+        self._flying: list[agreement.Envelope] = []
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(hosts={list(self._hosts)!r})'
+
+    @property
+    def verbs(self) -> typing.Mapping[str, player.Verb]:
+        """Return what can happen to a group."""
+        return {
+            'start': self._start,
+            'propose': self._propose,
+            'propose_many': self._propose_many,
+            'compact': self._compact,
+            'cut': self._cut,
+            'heal': self._heal,
+            'stop': self._stop,
+            'restart': self._restart,
+            'lose_disk': self._lose_disk,
+            'leader': self._leader,
+            'applied': self._applied,
+            'voters': self._voters,
+        }
+
+    def _start(self, *, now_s: float, hosts: list[str], seed: int = 1) -> None:
+        self._now_s = now_s
+        self._rng = random.Random(seed)
+        saved = agreement.found({host: f'{host}.0' for host in hosts})
+        for host_id in hosts:
+            host = replica_host.ReplicaHost(host_id=host_id, saved=saved)
+            self._hosts[host_id] = host
+            host.start(random.Random(self._rng.random()), now_s)
+
+    def _propose(self, *, now_s: float, host: str, command: str) -> str:
+        """Ask a host to commit; return what it says at once."""
+        self._advance(now_s)
+        found = self._host(host)
+        if found.replica is None:
+            return 'stopped'
+        event = agreement.Propose(commands=(command.encode(),))
+        sends, verdict = found.step(event, self._now_s)
+        self._send(found, sends)
+        return type(verdict).__name__
+
+    def _propose_many(self, *, now_s: float, host: str, count: int) -> int:
+        """Commit ``change-0`` and so on; return how many were taken."""
+        taken = 0
+        for number in range(count):
+            got = self._propose(
+                now_s=now_s, host=host, command=f'change-{number}'
+            )
+            taken += got == 'Appended'
+        return taken
+
+    def _compact(self, *, now_s: float, host: str) -> None:
+        self._advance(now_s)
+        found = self._host(host)
+        self._send(found, found.compact(self._now_s))
+
+    def _cut(self, *, now_s: float, host: str) -> None:
+        """Drop all that goes to and from a host, without a sign."""
+        self._advance(now_s)
+        self._host(host).cut = True
+
+    def _heal(self, *, now_s: float, host: str) -> None:
+        self._advance(now_s)
+        self._host(host).cut = False
+
+    def _stop(self, *, now_s: float, host: str) -> None:
+        self._advance(now_s)
+        self._host(host).stop()
+
+    def _restart(self, *, now_s: float, host: str) -> None:
+        self._advance(now_s)
+        found = self._host(host)
+        found.start(random.Random(self._rng.random()), self._now_s)
+
+    def _lose_disk(self, *, now_s: float, host: str) -> None:
+        self._advance(now_s)
+        self._host(host).lose_disk()
+
+    def _leader(self, *, now_s: float) -> str | None:
+        """Return the host that may answer for the group."""
+        self._advance(now_s)
+        for host in self._running():
+            assert host.replica is not None
+            if host.replica.can_read(self._now_s):
+                return host.host_id
+        return None
+
+    def _applied(self, *, now_s: float, host: str) -> dict[str, typing.Any]:
+        """Return how many commands a host has applied, and the last."""
+        self._advance(now_s)
+        applied = self._host(host).applied
+        last = applied[-1] if applied else None
+        return {'count': len(applied), 'last': last}
+
+    def _voters(self, *, now_s: float) -> list[str] | None:
+        """Return the identities that count for the leader's quorum."""
+        leader = self._leader(now_s=now_s)
+        if leader is None:
+            return None
+        replica = self._hosts[leader].replica
+        assert replica is not None
+        return sorted(replica.membership.voters)
+
+    def _host(self, name: str) -> replica_host.ReplicaHost:
+        if name not in self._hosts:
+            allowed = ', '.join(self._hosts)
+            raise player.PlayError(f'with.host: one of {allowed}')
+        return self._hosts[name]
+
+    def _running(self) -> list[replica_host.ReplicaHost]:
+        return [
+            host for host in self._hosts.values() if host.replica is not None
+        ]
+
+    def _advance(self, now_s: float) -> None:
+        while self._now_s + STEP_S <= now_s + STEP_S / 2:
+            self._now_s += STEP_S
+            self._deliver()
+            for host in self._running():
+                sends, _ = host.step(agreement.Tick(), self._now_s)
+                self._send(host, sends)
+            self._replace_lost()
+
+    def _send(
+        self,
+        host: replica_host.ReplicaHost,
+        sends: list[agreement.Envelope],
+    ) -> None:
+        if not host.cut:
+            self._flying.extend(sends)
+
+    def _deliver(self) -> None:
+        flying, self._flying = self._flying, []
+        for envelope in flying:
+            for host in self._running():
+                if host.cut or host.replica_id != envelope.to:
+                    continue
+                event = agreement.Received(envelope=envelope)
+                sends, _ = host.step(event, self._now_s)
+                self._send(host, sends)
+
+    def _replace_lost(self) -> None:
+        """Have the leader take in a host under its new identity."""
+        for leader in self._running():
+            assert leader.replica is not None
+            if leader.replica.role is not agreement.Role.LEADER:
+                continue
+            for host in self._running():
+                if leader.cut or host.cut:
+                    continue
+                change = agreement.next_change(
+                    leader.replica.membership,
+                    host_id=host.host_id,
+                    replica_id=host.replica_id,
+                )
+                if change is None:
+                    continue
+                sends, _ = leader.step(change, self._now_s)
+                self._send(leader, sends)
+                break
--- a/limpetroute/replay/parts.py
+++ b/limpetroute/replay/parts.py
@@ -3,7 +3,9 @@
 import typing
 
 from limpetroute.replay import directory_player
+from limpetroute.replay import group_player
 from limpetroute.replay import guard_player
+from limpetroute.replay import lease_player
 from limpetroute.replay import manifest_player
 from limpetroute.replay import player
 from limpetroute.replay import record_player
@@ -11,7 +13,9 @@
 
 PARTS: dict[str, typing.Callable[[], player.Player]] = {
     'directory': directory_player.DirectoryPlayer,
+    'group': group_player.GroupPlayer,
     'guard': guard_player.GuardPlayer,
+    'leases': lease_player.LeasePlayer,
     'manifests': manifest_player.ManifestPlayer,
     'record': record_player.RecordPlayer,
     'router': router_player.RouterPlayer,
