Write the operators' page and the page of settings

Tests hold the pages to the code: each setting has its row, each quoted log line and metric exists, each link leads somewhere.

--- a/limpetroute/entry/host.py
+++ b/limpetroute/entry/host.py
@@ -63,9 +63,7 @@
         self.exports = host_exports.build(settings)
         self.meters = self.exports.meters
         self.hops = self.exports.hops
-        self.exports.observe('records', lambda: len(self.records))
-        self.exports.observe('runners', lambda: len(self.runners))
-        self.exports.observe('ready', lambda: self.ready)
+        host_exports.observe(self.exports, self)
         self.claims: claim_book.ClaimBook | None = None
         self.freer = run_freer.RunFreer()
         self.records = record_store.RecordStore(retain_s=settings.retain_s)
@@ -164,6 +162,7 @@
     def drain_runner(self, runner_id: str) -> None:
         """Give a runner no new work, now and when it announces again."""
         self.drained_runners.add(runner_id)
+        LOG.info('runner %s drained by an operator', runner_id)
         body = self.runners.get(runner_id)
         if body is not None:
             self.announced(body.model_copy(update={'cache_events': []}))
@@ -171,6 +170,7 @@
     def undrain_runner(self, runner_id: str) -> None:
         """Give it work again from its next announcement on."""
         self.drained_runners.discard(runner_id)
+        LOG.info('runner %s given work again', runner_id)
 
     def submit(
         self, request: run_request.RunRequest
--- a/limpetroute/entry/operator_drain_handler.py
+++ b/limpetroute/entry/operator_drain_handler.py
@@ -1,7 +1,11 @@
 """``POST`` and ``DELETE`` of drains on the internal port."""
 
+import logging
+
 from limpetroute.entry import base_handler
 
+LOG = logging.getLogger(__name__)
+
 HTTP_NOT_FOUND = 404
 
 
@@ -34,10 +38,12 @@
 
     def post(self) -> None:
         """Refuse new work; what is in progress goes on to its end."""
+        LOG.info('host drained by an operator')
         self.host.draining = True
         self.finish({'draining': True})
 
     def delete(self) -> None:
         """Take new work again."""
+        LOG.info('host given work again')
         self.host.draining = False
         self.finish({'draining': False})
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -4,12 +4,17 @@
 import pathlib
 import re
 import shlex
+import typing
 
 import docopt
+import pydantic
 import pytest
 
+from limpetroute.cli import file_kind
 from limpetroute.cli import main
+from limpetroute.entry import host_exports
 from limpetroute.replay import parts
+from limpetroute.telemetry import exports
 from tests.cli import commands
 
 ROOT = commands.ROOT
@@ -93,3 +98,66 @@
     page = (ROOT / 'docs' / 'TRACES.md').read_text()
     for path in (ROOT / 'traces').glob('*.jsonl'):
         assert f'`{path.stem}`' in page
+
+
+def _fields(model):
+    """Yield the names of a model's fields, and of the models inside."""
+    for name, field in model.model_fields.items():
+        yield name
+        stack = [field.annotation]
+        while stack:
+            found = stack.pop()
+            stack.extend(typing.get_args(found))
+            if isinstance(found, type) and issubclass(
+                found, pydantic.BaseModel
+            ):
+                yield from _fields(found)
+
+
+@pytest.mark.parametrize('kind', ['entry', 'control', 'standin'])
+def test_each_setting_is_on_its_page(kind):
+    page = (ROOT / 'docs' / 'SETTINGS.md').read_text()
+    model = file_kind.model_of(file_kind.FileKind(kind))
+    missing = {name for name in _fields(model) if f'`{name}`' not in page}
+    assert not missing
+
+
+def test_log_lines_on_the_page_are_written():
+    page = (ROOT / 'docs' / 'OPERATIONS.md').read_text()
+    table = page.partition('## Log lines')[2].partition('\n## ')[0]
+    lines = re.findall(r'^\| `([^`]+)`', table, re.MULTILINE)
+    source = ''.join(
+        path.read_text() for path in (ROOT / 'limpetroute').rglob('*.py')
+    )
+    assert len(lines) >= 7
+    for line in lines:
+        pattern = '%[sd]'.join(re.escape(part) for part in line.split('…'))
+        assert re.search(f'[\'"]{pattern}', source), line
+
+
+def test_metrics_on_the_page_are_exported():
+    page = (ROOT / 'docs' / 'OPERATIONS.md').read_text()
+    names = set(re.findall(r'`(limpetroute_\w+)`', page))
+    found = exports.Exports(host_id='e1', zone='evere')
+    meters = found.meters
+    meters.first_token(1)
+    meters.token_gap(1)
+    meters.ended('completed', good=True)
+    meters.refused('saturated')
+    meters.retried('prefill')
+    meters.wasted_prefill(1)
+    meters.gone_caller_freed('decode', 1)
+    for gauge in host_exports.GAUGES:
+        found.observe(gauge, float)
+    shown = found.text().decode()
+    assert names
+    for name in names:
+        assert name in shown, name
+
+
+def test_links_between_pages_lead_somewhere():
+    for page in PAGES:
+        for target in re.findall(
+            r'\]\(([^)#]+)(?:#[^)]*)?\)', page.read_text()
+        ):
+            assert (page.parent / target).exists(), (page.name, target)
