--- a/limpetroute/entry/host.py
+++ b/limpetroute/entry/host.py
@@ -13,6 +13,7 @@
 from limpetroute.decisions import round_robin
 from limpetroute.decisions import work
 from limpetroute.entry import answer_format
+from limpetroute.entry import decision_recorder
 from limpetroute.entry import grants as grants_module
 from limpetroute.entry import host_exports
 from limpetroute.entry import live_record
@@ -54,16 +55,15 @@
         self.engines = engine_pool.EnginePool(
             runners=self.runners, http=self.http
         )
+        self._recorder = decision_recorder.DecisionRecorder(settings=settings)
         self.scheduler = scheduler_module.Scheduler(
-            policy=round_robin.RoundRobin()
+            policy=self._recorder.wrap(round_robin.RoundRobin(), 'round_robin')
         )
         self.grants: grants_module.GrantSource = grants_module.LocalGrants()
         self.exports = host_exports.build(settings)
         self.meters = self.exports.meters
         self.hops = self.exports.hops
-        self.exports.observe('records', lambda: len(self.records))
-        self.exports.observe('runners', lambda: len(self.runners))
-        self.exports.observe('ready', lambda: self.ready)
+        host_exports.observe(self.exports, self)
         self.claims: claim_book.ClaimBook | None = None
         self.freer = run_freer.RunFreer()
         self.records = record_store.RecordStore(retain_s=settings.retain_s)
@@ -148,6 +148,7 @@
         if self._ticker is not None:
             self._ticker.cancel()
         self.scheduler.close()
+        self._recorder.close()
         await asyncio.to_thread(self.exports.close)
 
     def announced(self, body: announcement.AnnouncementBody) -> None:
@@ -162,6 +163,7 @@
     def drain_runner(self, runner_id: str) -> None:
         """Give a runner no new work, now and when it announces again."""
         self.drained_runners.add(runner_id)
+        LOG.info('runner %s drained by an operator', runner_id)
         body = self.runners.get(runner_id)
         if body is not None:
             self.announced(body.model_copy(update={'cache_events': []}))
@@ -169,6 +171,7 @@
     def undrain_runner(self, runner_id: str) -> None:
         """Give it work again from its next announcement on."""
         self.drained_runners.discard(runner_id)
+        LOG.info('runner %s given work again', runner_id)
 
     def submit(
         self, request: run_request.RunRequest
@@ -205,6 +208,7 @@
                 grants=self.grants,
                 freer=self.freer,
                 meters=self.meters,
+                hops=self.hops,
                 settings=self.settings,
             ),
         )
