Copy request records to one heir and take over under a lease

An owner delivers only under the lease on its records, so a host that was frozen or cut off stops before another may take over. All records of a host are copied to one heir, whose name the voters keep: a host with an older copy learns that it is not the heir and drops it. The hypothesis machine's oracle is the events each caller was handed; caught: attachment number ignored, an owner that does not look at its lease, a takeover without the wait, a copy after the first event.

--- /dev/null
+++ b/limpetroute/peers/copy_sender.py
@@ -0,0 +1,183 @@
+"""Sends news of this host's records to the host that copies them."""
+
+import dataclasses
+import typing
+
+from limpetroute.peers import record_copy
+from limpetroute.peers import request_record
+
+__all__ = ['CopySender', 'OwnRecord']
+
+MAX_ITEMS = 64
+_Mapping = typing.Mapping[str, typing.Any]
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class OwnRecord:
+    """A record of this host and what its copy is known to have.
+
+    Parameters
+    ----------
+    record : RequestRecord
+        The record.
+    request : mapping
+        The request, as the copy needs it.
+    runner : callable
+        Returns the try in progress.
+    acked : RecordProgress or None
+        Newest progress the copy has; None while it has nothing.
+    """
+
+    record: request_record.RequestRecord
+    request: _Mapping
+    runner: typing.Callable[[], _Mapping]
+    acked: record_copy.RecordProgress | None = None
+
+
+class CopySender:
+    """Knows what the copy lacks, and who holds it.
+
+    One host holds the copies of all this host's records. Were each
+    record's copy elsewhere, a host that takes over could not tell an
+    old copy from the newest.
+
+    Parameters
+    ----------
+    owner : str
+        This host and its incarnation.
+    """
+
+    __slots__ = ('_dropped', '_owner', '_records', 'heir_id')
+
+    def __init__(self, *, owner: str) -> None:
+        self._owner = owner
+        self._records: dict[str, OwnRecord] = {}
+        self._dropped: list[str] = []
+        self.heir_id = ''
+
+    def __repr__(self) -> str:
+        return (
+            f'{type(self).__name__}(heir_id={self.heir_id!r}, '
+            f'records={len(self._records)!r})'
+        )
+
+    def __len__(self) -> int:
+        return len(self._records)
+
+    def add(self, own: OwnRecord) -> None:
+        """Send a record's news from now on."""
+        self._records[own.record.request_id] = own
+
+    def forget(self, request_id: str) -> None:
+        """Have the copy of a record dropped."""
+        if self._records.pop(request_id, None) is not None:
+            self._dropped.append(request_id)
+
+    def set_heir(self, heir_id: str) -> None:
+        """Copy everything to another host."""
+        if heir_id == self.heir_id:
+            return
+        self.heir_id = heir_id
+        self._dropped.clear()
+        for own in self._records.values():
+            own.acked = None
+
+    def is_copied(self, request_id: str) -> bool:
+        """Whether the heir has the record."""
+        own = self._records.get(request_id)
+        return own is not None and own.acked is not None
+
+    @property
+    def uncopied(self) -> int:
+        """Records that the heir has nothing of."""
+        return sum(own.acked is None for own in self._records.values())
+
+    def batch(self, only: str | None = None) -> record_copy.CopyBatch | None:
+        """Return news that the copy lacks, or None.
+
+        Parameters
+        ----------
+        only : str or None
+            A request to send alone, at once.
+        """
+        items: list[record_copy.CopyItem] = []
+        for request_id, own in self._records.items():
+            if only is not None and request_id != only:
+                continue
+            item = _news(own)
+            if item is not None:
+                items.append(item)
+            if len(items) == MAX_ITEMS:
+                break
+        dropped = tuple(self._dropped) if only is None else ()
+        if not items and not dropped:
+            return None
+        return record_copy.CopyBatch(
+            owner=self._owner, items=tuple(items), dropped=dropped
+        )
+
+    def on_reply(
+        self,
+        batch: record_copy.CopyBatch,
+        reply: record_copy.CopyReply,
+        heir_id: str,
+    ) -> None:
+        """Note what the copy has now."""
+        if heir_id != self.heir_id or not reply.taken:
+            return
+        gone = set(batch.dropped)
+        self._dropped = [name for name in self._dropped if name not in gone]
+        for item in batch.items:
+            own = self._records.get(item.progress.request_id)
+            if own is None:
+                continue
+            if item.progress.request_id in reply.missing:
+                own.acked = None
+                continue
+            if own.acked is None and item.facts is None:
+                continue
+            own.acked = item.progress
+
+
+def _news(own: OwnRecord) -> record_copy.CopyItem | None:
+    record = own.record
+    acked = own.acked
+    from_index = 0
+    if acked is not None:
+        from_index = acked.from_index + len(acked.events)
+    progress = record_copy.RecordProgress(
+        request_id=record.request_id,
+        from_index=from_index,
+        events=tuple(record.events[from_index:]),
+        end=record.end,
+        attachment_number=record.attachment_number,
+        delivered_index=record.delivered_index,
+        end_delivered=record.end_delivered,
+        closing=record.closing,
+        runner=own.runner(),
+    )
+    if acked is None:
+        return record_copy.CopyItem(progress=progress, facts=_facts(own))
+    if not progress.events and _same(progress, acked):
+        return None
+    return record_copy.CopyItem(progress=progress)
+
+
+def _same(
+    new: record_copy.RecordProgress, old: record_copy.RecordProgress
+) -> bool:
+    return dataclasses.replace(
+        new, from_index=0, events=()
+    ) == dataclasses.replace(old, from_index=0, events=())
+
+
+def _facts(own: OwnRecord) -> record_copy.RecordFacts:
+    record = own.record
+    return record_copy.RecordFacts(
+        request_id=record.request_id,
+        team=record.team,
+        key=record.key,
+        body_digest=record.body_digest,
+        run_id=record.run_id,
+        request=own.request,
+    )
--- a/limpetroute/peers/lease_holder.py
+++ b/limpetroute/peers/lease_holder.py
@@ -25,6 +25,10 @@
         Highest number that the voters had seen before this one.
     since_s, until_s : float
         When it was first held, and when its use must end.
+    previous_heir_id : str
+        Heir that the holder before named, as far as voters remember.
+    heir_id : str
+        Heir that a majority of voters has noted for this lease.
     """
 
     resource: str
@@ -32,6 +36,8 @@
     previous_fence: int
     since_s: float
     until_s: float
+    previous_heir_id: str = ''
+    heir_id: str = ''
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -39,6 +45,9 @@
     fence: int
     previous_fence: int = 0
     since_s: float | None = None
+    heir_id: str = ''
+    previous_heirs: dict[int, str] = dataclasses.field(default_factory=dict)
+    noted_heirs: dict[str, str] = dataclasses.field(default_factory=dict)
     promised_s: dict[str, float] = dataclasses.field(default_factory=dict)
     refused_by: dict[str, str] = dataclasses.field(default_factory=dict)
 
@@ -57,6 +66,7 @@
     """
 
     __slots__ = (
+        '_asked_s',
         '_asks',
         '_config',
         '_id',
@@ -82,7 +92,8 @@
         self._config = config
         self._wanted: dict[str, _Wanted] = {}
         self._releases: list[lease_message.LeaseRelease] = []
-        self._asks: dict[int, float] = {}
+        self._asks: dict[int, lease_message.LeaseAsk] = {}
+        self._asked_s: dict[int, float] = {}
         self._number = 0
         self._last_fences: dict[str, int] = {}
         self._next_ask_s = 0.0
@@ -159,8 +170,20 @@
             previous_fence=wanted.previous_fence,
             since_s=wanted.since_s,
             until_s=until_s,
+            previous_heir_id=wanted.previous_heirs.get(
+                wanted.previous_fence, ''
+            ),
+            heir_id=self._noted_heir(wanted),
         )
 
+    def name_heir(self, resource: str, heir_id: str) -> None:
+        """Have the voters note who holds copies."""
+        wanted = self._wanted.get(resource)
+        if wanted is None or wanted.heir_id == heir_id:
+            return
+        wanted.heir_id = heir_id
+        self._next_ask_s = 0.0
+
     def other_holder(self, resource: str) -> str | None:
         """Return who holds it by the voters' refusals, if any said."""
         wanted = self._wanted.get(resource)
@@ -180,10 +203,10 @@
         if not self._wanted and not self._releases:
             return []
         self._number += 1
-        self._asks[self._number] = now_s
-        self._asks.pop(self._number - KEEP_ASKS, None)
         wants = [
-            lease_message.LeaseWant(resource=name, fence=item.fence)
+            lease_message.LeaseWant(
+                resource=name, fence=item.fence, heir_id=item.heir_id
+            )
             for name, item in self._wanted.items()
         ]
         ask = lease_message.LeaseAsk(
@@ -193,16 +216,33 @@
             releases=tuple(self._releases),
         )
         self._releases = []
+        self._asks[self._number] = ask
+        self._asked_s[self._number] = now_s
+        self._asks.pop(self._number - KEEP_ASKS, None)
+        self._asked_s.pop(self._number - KEEP_ASKS, None)
         return [(voter_id, ask) for voter_id in self._voters]
 
     def on_vote(self, vote: lease_message.LeaseVote, now_s: float) -> None:
         """Take a voter's answers."""
-        asked_s = self._asks.get(vote.number)
-        if asked_s is None or vote.voter_id not in self._voters:
+        ask = self._asks.get(vote.number)
+        if ask is None or vote.voter_id not in self._voters:
             return
+        asked_s = self._asked_s[vote.number]
+        self._note_heirs(vote, ask)
         for answer in vote.answers:
             self._take(vote.voter_id, answer, asked_s, now_s)
 
+    def _note_heirs(
+        self, vote: lease_message.LeaseVote, ask: lease_message.LeaseAsk
+    ) -> None:
+        granted = {item.resource for item in vote.answers if item.granted}
+        for item in ask.wants:
+            wanted = self._wanted.get(item.resource)
+            if wanted is None or item.resource not in granted:
+                continue
+            if wanted.fence == item.fence:
+                wanted.noted_heirs[vote.voter_id] = item.heir_id
+
     def _take(
         self,
         voter_id: str,
@@ -218,10 +258,11 @@
             self._raise_fence(wanted, answer)
             return
         wanted.refused_by.pop(voter_id, None)
-        if wanted.since_s is None:
+        if wanted.since_s is None and answer.highest_fence < wanted.fence:
             wanted.previous_fence = max(
                 wanted.previous_fence, answer.highest_fence
             )
+            wanted.previous_heirs[answer.highest_fence] = answer.heir_id
         # Promises count from the asking, as the answer may be late.
         before_s = wanted.promised_s.get(voter_id, asked_s)
         wanted.promised_s[voter_id] = max(before_s, asked_s)
@@ -241,7 +282,9 @@
         wanted.previous_fence = max(
             wanted.previous_fence, answer.highest_fence
         )
+        wanted.previous_heirs[answer.highest_fence] = answer.heir_id
         wanted.promised_s.clear()
+        wanted.noted_heirs.clear()
         self._next_ask_s = 0.0
 
     def _drop_lapsed(self, now_s: float) -> None:
@@ -257,6 +300,14 @@
             wanted.fence += 1
             wanted.since_s = None
             wanted.promised_s.clear()
+            wanted.noted_heirs.clear()
+
+    def _noted_heir(self, wanted: _Wanted) -> str:
+        majority = len(self._voters) // 2 + 1
+        noted = list(wanted.noted_heirs.values())
+        if noted.count(wanted.heir_id) >= majority:
+            return wanted.heir_id
+        return ''
 
     def _until_s(self, wanted: _Wanted) -> float | None:
         majority = len(self._voters) // 2 + 1
--- a/limpetroute/peers/lease_message.py
+++ b/limpetroute/peers/lease_message.py
@@ -5,10 +5,22 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class LeaseWant:
-    """A resource and the fencing number it is wanted under."""
+    """A resource and the fencing number it is wanted under.
+
+    Parameters
+    ----------
+    resource : str
+        The resource.
+    fence : int
+        Fencing number.
+    heir_id : str
+        Host that holds copies of what the lease protects; it alone is
+        to take over. Empty if there is none.
+    """
 
     resource: str
     fence: int
+    heir_id: str = ''
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -69,6 +81,8 @@
         Highest number the voter had seen before.
     holder_id : str
         Host that the voter's promise stands for; empty if none.
+    heir_id : str
+        Heir that the last holder named, as the voter remembers it.
     """
 
     resource: str
@@ -76,6 +90,7 @@
     granted: bool
     highest_fence: int
     holder_id: str = ''
+    heir_id: str = ''
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/limpetroute/peers/lease_voter.py
+++ b/limpetroute/peers/lease_voter.py
@@ -32,7 +32,14 @@
         When the process started.
     """
 
-    __slots__ = ('_config', '_highest', '_promises', '_silent_until_s', '_id')
+    __slots__ = (
+        '_config',
+        '_heirs',
+        '_highest',
+        '_promises',
+        '_silent_until_s',
+        '_id',
+    )
 
     def __init__(
         self,
@@ -46,6 +53,7 @@
         self._silent_until_s = started_s + config.duration_s
         self._promises: dict[str, _Promise] = {}
         self._highest: dict[str, int] = {}
+        self._heirs: dict[str, str] = {}
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(voter_id={self._id!r})'
@@ -87,10 +95,12 @@
         self, holder_id: str, item: lease_message.LeaseWant, now_s: float
     ) -> lease_message.LeaseAnswer:
         highest = self._highest.get(item.resource, 0)
+        heir_id = self._heirs.get(item.resource, '')
         standing = self.holder(item.resource, now_s)
         granted = self._may_grant(holder_id, item, highest, standing, now_s)
         if granted:
             self._highest[item.resource] = item.fence
+            self._heirs[item.resource] = item.heir_id
             self._promises[item.resource] = _Promise(
                 holder_id=holder_id,
                 fence=item.fence,
@@ -103,6 +113,7 @@
             granted=granted,
             highest_fence=highest,
             holder_id=standing or '',
+            heir_id=heir_id,
         )
 
     def _may_grant(
--- a/limpetroute/peers/request_record.py
+++ b/limpetroute/peers/request_record.py
@@ -1,6 +1,7 @@
 """The record of one request: its events and who may receive them."""
 
 import dataclasses
+import typing
 
 from limpetroute.peers import run_end
 
@@ -41,11 +42,14 @@
     __slots__ = (
         'attachment_number',
         'body_digest',
+        'closing',
         'delivered_index',
+        'delivery_unsure',
         'end',
         'end_delivered',
         'events',
         'key',
+        'may_deliver',
         'request_id',
         'run_id',
         'team',
@@ -70,6 +74,13 @@
         self.attachment_number = 0
         self.delivered_index = -1
         self.end_delivered = False
+        # Set before the end is written to a caller: another host that
+        # takes over must not tell the end a second time.
+        self.closing = False
+        # Set by a host that took over and cannot know how many of the
+        # events reached the caller.
+        self.delivery_unsure = False
+        self.may_deliver: typing.Callable[[], bool] = _always
 
     def __repr__(self) -> str:
         return (
@@ -107,7 +118,11 @@
 
     def is_current(self, attachment: Attachment) -> bool:
         """Whether the attachment may still receive events."""
-        return attachment.number == self.attachment_number
+        if attachment.number != self.attachment_number:
+            return False
+        # A host that was frozen or cut off may have been replaced, and
+        # the caller reads on elsewhere; its lease tells it in time.
+        return self.may_deliver()
 
     def append(self, text: str) -> int:
         """Add an event and return its index.
@@ -139,3 +154,7 @@
         """Note that the newest attachment was told the end."""
         if self.is_current(attachment):
             self.end_delivered = True
+
+
+def _always() -> bool:
+    return True
--- /dev/null
+++ b/tests/peers/test_record_machine.py
@@ -0,0 +1,284 @@
+"""Records and attachments over hosts that die, freeze and part."""
+
+import hypothesis
+from hypothesis import stateful
+from hypothesis import strategies
+import pytest
+
+from limpetroute.peers import lease_voter
+from limpetroute.peers import request_record
+from tests.peers import record_world
+
+HOSTS = tuple(record_world.RATES)
+
+
+class Records(stateful.RuleBasedStateMachine):
+    """Oracle: for each caller, the events its connections were handed.
+
+    Once a newer connection has received anything, an older one must
+    not, on whichever hosts they are. A blind repeat is handed nothing
+    that any connection of the request was handed before.
+    """
+
+    world_class = record_world.RecordWorld
+
+    def __init__(self):
+        super().__init__()
+        self.world = self.world_class()
+
+    @stateful.rule(name=strategies.sampled_from(HOSTS))
+    def submit_and_read(self, name):
+        request_id = self.world.submit(name)
+        if request_id is not None:
+            self.world.deliver(request_id)
+
+    @stateful.rule()
+    def deliver_all(self):
+        for request_id in self.world.callers:
+            self.world.deliver(request_id)
+
+    @stateful.rule(
+        name=strategies.sampled_from(HOSTS),
+        back=strategies.sampled_from([0, 1]),
+    )
+    def resume(self, name, back):
+        """Every caller comes back to a host with its Last-Event-ID."""
+        for request_id, caller in self.world.callers.items():
+            if not caller.delivered:
+                continue
+            last = max(-1, max(caller.delivered) - back)
+            if self.world.connect(request_id, name, last):
+                self.world.deliver(request_id)
+
+    @stateful.rule(name=strategies.sampled_from(HOSTS))
+    def repeat_blindly(self, name):
+        for request_id, caller in self.world.callers.items():
+            before = set(caller.delivered)
+            if not self.world.connect(request_id, name, None):
+                continue
+            first = caller.connections[-1].attachment.next_index
+            assert first not in before
+
+    @stateful.rule(seconds=strategies.sampled_from([0.5, 2.1, 6.5]))
+    def wait(self, seconds):
+        self.world.real_s += seconds
+
+    @stateful.rule()
+    def ticks(self):
+        for _ in range(4):
+            self.world.real_s += 0.5
+            self.world.tick_all()
+
+    @stateful.rule(name=strategies.sampled_from(HOSTS))
+    def isolate(self, name):
+        for other in HOSTS:
+            if other != name:
+                self.world.cut |= {(name, other), (other, name)}
+
+    @stateful.rule(
+        one=strategies.sampled_from(HOSTS), two=strategies.sampled_from(HOSTS)
+    )
+    def cut_one_way(self, one, two):
+        if one != two:
+            self.world.cut |= {(one, two)}
+
+    @stateful.rule()
+    def heal(self):
+        self.world.cut.clear()
+
+    @stateful.rule(name=strategies.sampled_from(HOSTS))
+    def kill_and_restart(self, name):
+        self.world.restart(name)
+
+    @stateful.invariant()
+    def one_owner_at_most_may_deliver(self):
+        for request_id in self.world.callers:
+            owners = [
+                name
+                for name in self.world.has_it(request_id)
+                if self.world.may_deliver(name)
+            ]
+            assert len(owners) <= 1, owners
+
+
+MACHINE_SETTINGS = hypothesis.settings(
+    max_examples=80, stateful_step_count=40, deadline=None
+)
+MUTANT_SETTINGS = hypothesis.settings(
+    MACHINE_SETTINGS,
+    max_examples=300,
+    phases=(hypothesis.Phase.generate,),
+    print_blob=False,
+)
+
+
+def test_one_connection_at_most_receives():
+    stateful.run_state_machine_as_test(Records, settings=MACHINE_SETTINGS)
+
+
+def _is_caught(world_class):
+    class Mutant(Records):
+        pass
+
+    Mutant.world_class = world_class
+    with pytest.raises(AssertionError):
+        stateful.run_state_machine_as_test(Mutant, settings=MUTANT_SETTINGS)
+
+
+def test_ignored_attachment_number_is_caught():
+    class World(record_world.RecordWorld):
+        def is_current(self, record, attachment):
+            return record.may_deliver()
+
+    _is_caught(World)
+
+
+def test_takeover_without_the_wait_is_caught():
+    class Voter(lease_voter.LeaseVoter):
+        def holder(self, resource, now_s):
+            return None
+
+    class World(record_world.RecordWorld):
+        voter_class = Voter
+
+    _is_caught(World)
+
+
+def test_owner_that_does_not_look_at_its_lease_is_caught():
+    class World(record_world.RecordWorld):
+        def is_current(self, record, attachment):
+            return attachment.number == record.attachment_number
+
+    _is_caught(World)
+
+
+def _lose_the_owner(world):
+    """A caller reads two events, and its host is killed."""
+    request_id = world.submit('a')
+    world.deliver(request_id)
+    world.deliver(request_id)
+    (first,) = world.callers[request_id].connections
+    assert first.got == ['run1-0', 'run1-1']
+    world.restart('a')
+    for _ in range(30):
+        world.real_s += 0.5
+        world.tick_all()
+    return request_id
+
+
+def test_caller_resumes_at_the_heir_after_a_kill():
+    """A clerk reads a verdict when the entry host loses power.
+
+    The clerk's program reconnects with the last event's id. The host
+    that holds the copy goes on exactly after it, in the same run.
+    """
+    world = record_world.RecordWorld()
+    request_id = _lose_the_owner(world)
+    (heir,) = world.has_it(request_id)
+    assert heir != 'a'
+    assert world.connect(request_id, heir, 1)
+    world.deliver(request_id)
+    assert world.callers[request_id].connections[-1].got == ['run1-2']
+
+
+def test_copy_after_the_first_event_is_caught():
+    """The same, with a host that copies the record a little later.
+
+    The copy is lost with the host, and the caller's event id names a
+    run that nobody knows.
+    """
+
+    class World(record_world.RecordWorld):
+        copy_first = False
+
+    world = World()
+    request_id = _lose_the_owner(world)
+    assert world.has_it(request_id) == []
+
+
+def test_blind_repeat_after_a_kill_is_not_given_events_again():
+    world = record_world.RecordWorld()
+    request_id = _lose_the_owner(world)
+    (heir,) = world.has_it(request_id)
+    record = world.records[heir][request_id]
+    assert record.delivery_unsure
+    assert not world.connect(request_id, heir, None)
+
+
+def test_frozen_owner_that_wakes_cannot_write():
+    """A host stops for 20 s in the middle of a stream and goes on.
+
+    Meanwhile the caller has read on elsewhere. What the old host still
+    has for the old connection must not go out.
+    """
+    world = record_world.RecordWorld()
+    request_id = world.submit('a')
+    world.deliver(request_id)
+    for _ in range(40):
+        world.real_s += 0.5
+        world.cut = {('a', 'b'), ('b', 'a'), ('a', 'c'), ('c', 'a')}
+        world.tick('b')
+        world.tick('c')
+    names = world.has_it(request_id)
+    assert len(names) == 2
+    (heir,) = [name for name in names if name != 'a']
+    assert world.connect(request_id, heir, 0)
+    world.deliver(request_id)
+    old, new = world.callers[request_id].connections
+    assert (old.got, new.got) == (['run1-0'], ['run1-1'])
+    world.cut.clear()
+    world.tick('a')
+    assert world.has_it(request_id) == [heir]
+
+
+def test_second_host_may_fail_once_the_record_was_copied_again():
+    """The host with the copy dies, and then the one with the record."""
+    world = record_world.RecordWorld()
+    request_id = world.submit('a')
+    world.deliver(request_id)
+    first_heir = world.senders['a'].heir_id
+    world.restart(first_heir)
+    for _ in range(20):
+        world.real_s += 0.5
+        world.tick_all()
+    assert world.senders['a'].is_copied(request_id)
+    world.restart('a')
+    for _ in range(30):
+        world.real_s += 0.5
+        world.tick_all()
+    assert len(world.has_it(request_id)) == 1
+
+
+def test_old_copy_gives_way_to_the_newer_one():
+    """The link to the first copy holder breaks; the copy moves on.
+
+    When the owner dies later, the first holder's old copy must not
+    become a second owner.
+    """
+    world = record_world.RecordWorld()
+    request_id = world.submit('a')
+    world.deliver(request_id)
+    first = world.senders['a'].heir_id
+    world.cut = {('a', first), (first, 'a')}
+    for _ in range(8):
+        world.real_s += 0.5
+        world.tick_all()
+    second = world.senders['a'].heir_id
+    assert second != first
+    world.cut = set()
+    world.restart('a')
+    for _ in range(30):
+        world.real_s += 0.5
+        world.tick_all()
+    assert world.has_it(request_id) == [second]
+    assert len(world.copies[first]) == 0
+
+
+def test_attachment_of_a_replaced_host_is_not_current():
+    record = request_record.RequestRecord(
+        request_id='r', team='t', key='k', body_digest='d', run_id='run'
+    )
+    attachment = record.attach()
+    assert record.is_current(attachment)
+    record.may_deliver = lambda: False
+    assert not record.is_current(attachment)
