--- /dev/null
+++ b/limpetroute/border/peer_settings.py
@@ -0,0 +1,51 @@
+"""Settings of an entry host's life among its peers."""
+
+import pydantic
+
+from limpetroute.border import addresses
+from limpetroute.border import names
+from limpetroute.border import strict_model
+from limpetroute.border import units
+
+
+class ZoneCost(strict_model.StrictModel):
+    """Round-trip time between two availability zones."""
+
+    one: names.Name
+    two: names.Name
+    round_trip_ms: float = pydantic.Field(ge=0)
+
+
+class PeerSettings(strict_model.StrictModel):
+    """How entry hosts watch each other and share what they hold.
+
+    Without ``voters`` a host is alone: it grants all room itself and
+    keeps no copies. The list and all times must be the same on every
+    host.
+    """
+
+    voters: list[names.Name] = []
+    url: addresses.HostUrl | None = None
+    probe_period_s: units.Seconds = 1.0
+    probe_timeout_s: units.Seconds = 0.4
+    suspicion_s: units.Seconds = 3.0
+    lease_s: units.Seconds = 6.0
+    renew_s: units.Seconds = 2.0
+    drift: float = pydantic.Field(default=0.01, ge=0, lt=0.5)
+    grant_s: units.Seconds = 4.0
+    report_delay_s: units.Seconds = 1.0
+    call_timeout_s: units.Seconds = 0.5
+    copy_period_s: units.Seconds = 0.1
+    reap_grace_s: units.Seconds = 5.0
+    zone_costs: list[ZoneCost] = []
+
+    @property
+    def enabled(self) -> bool:
+        """Whether this host has peers."""
+        return bool(self.voters)
+
+    @pydantic.model_validator(mode='after')
+    def _lease_outlives_renewals(self) -> 'PeerSettings':
+        if self.renew_s * 2 >= self.lease_s:
+            raise ValueError('renew_s must be less than half of lease_s')
+        return self
--- /dev/null
+++ b/limpetroute/peers/zone_cost.py
@@ -0,0 +1,73 @@
+"""What it costs to hold something in another availability zone."""
+
+import typing
+
+__all__ = ['ZoneCosts', 'rank_heirs']
+
+LOCAL_MS = 0.0
+UNKNOWN_MS = 1000.0
+
+
+class ZoneCosts:
+    """Round-trip times between availability zones.
+
+    Parameters
+    ----------
+    round_trips_ms : mapping of (str, str) to float
+        Time between two zones, in either order; unknown pairs count as
+        far away.
+    """
+
+    __slots__ = ('_round_trips_ms',)
+
+    def __init__(
+        self, *, round_trips_ms: typing.Mapping[tuple[str, str], float]
+    ) -> None:
+        self._round_trips_ms = dict(round_trips_ms)
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}({self._round_trips_ms!r})'
+
+    def between(self, one: str, two: str) -> float:
+        """Return the round-trip time in milliseconds."""
+        if one == two:
+            return LOCAL_MS
+        known = self._round_trips_ms
+        found = known.get((one, two), known.get((two, one)))
+        return UNKNOWN_MS if found is None else found
+
+
+def rank_heirs(
+    *,
+    zone: str,
+    hosts: typing.Sequence[tuple[str, str]],
+    costs: ZoneCosts,
+) -> list[str]:
+    """Order hosts as holders of this host's copies.
+
+    Another zone goes first, for a zone may fail as a whole; of the
+    other zones the nearest, as each first word waits for its copy; the
+    own zone is the last resort.
+
+    Parameters
+    ----------
+    zone : str
+        This host's zone.
+    hosts : sequence of (str, str)
+        Other hosts with their zones, in order of preference where
+        their zones are equally good.
+    costs : ZoneCosts
+        Times between zones.
+    """
+    place = {host_id: number for number, (host_id, _) in enumerate(hosts)}
+    return [
+        host_id
+        for host_id, _ in sorted(
+            hosts,
+            key=lambda item: (
+                item[1] == zone,
+                costs.between(zone, item[1]),
+                place[item[0]],
+            ),
+        )
+    ]
--- /dev/null
+++ b/tests/peers/test_small_parts.py
@@ -0,0 +1,128 @@
+import pytest
+
+from limpetroute.peers import reaper
+from limpetroute.peers import request_budget
+from limpetroute.peers import zone_cost
+
+
+def _check(part, now_s, *, claimed=(), unsure=False, runs=('x',), start=1):
+    return part.check(
+        runner_id='r',
+        incarnation=start,
+        runs=runs,
+        claimed=claimed,
+        unsure=unsure,
+        now_s=now_s,
+    )
+
+
+def test_run_without_a_record_is_ended_after_the_grace():
+    """Every entry host that knew of a request is gone.
+
+    The runner goes on writing for nobody and keeps its slot.
+    """
+    part = reaper.Reaper(grace_s=5)
+    assert _check(part, 0) == []
+    assert _check(part, 4.9) == []
+    assert _check(part, 5.0) == ['x']
+
+
+def test_slow_request_that_is_claimed_now_and_then_is_left_alone():
+    part = reaper.Reaper(grace_s=5)
+    for step in range(20):
+        assert (
+            _check(part, 4.0 * step, claimed={'x'} if step % 2 else ()) == []
+        )
+
+
+def test_run_being_taken_over_is_left_alone():
+    """Its host just died and is only suspected; nobody can claim it."""
+    part = reaper.Reaper(grace_s=5)
+    _check(part, 0)
+    assert _check(part, 6, unsure=True) == []
+    assert _check(part, 7) == []
+    assert _check(part, 13) == ['x']
+
+
+def test_restarted_runner_starts_the_time_anew():
+    part = reaper.Reaper(grace_s=5)
+    _check(part, 0)
+    assert _check(part, 6, start=2) == []
+    assert _check(part, 11, start=2) == ['x']
+
+
+def test_run_that_ended_is_forgotten():
+    part = reaper.Reaper(grace_s=5)
+    _check(part, 0)
+    _check(part, 1, runs=())
+    assert _check(part, 6) == []
+
+
+def test_budget_shrinks_over_two_hosts_and_never_grows():
+    most = request_budget.RequestBudget(until_s=110.0, attempts_left=3)
+    first = most.after_try()
+    headers = first.headers(104.0)
+    got = request_budget.RequestBudget.from_headers(
+        headers,
+        now_s=900.0,
+        most=request_budget.RequestBudget(until_s=990.0, attempts_left=3),
+    )
+    assert got.attempts_left == 2
+    assert got.left_s(900.0) == 6.0
+    bold = {
+        request_budget.DEADLINE_HEADER: '999999999',
+        request_budget.ATTEMPTS_HEADER: '99',
+    }
+    got = request_budget.RequestBudget.from_headers(
+        bold, now_s=100.0, most=most
+    )
+    assert got == most
+
+
+def test_budget_without_tries_or_time_allows_none():
+    none_left = request_budget.RequestBudget(until_s=10.0, attempts_left=0)
+    assert not none_left.may_try(0.0)
+    with pytest.raises(ValueError, match='0'):
+        none_left.after_try()
+    late = request_budget.RequestBudget(until_s=10.0, attempts_left=1)
+    assert late.may_try(9.9)
+    assert not late.may_try(10.0)
+
+
+FEDERATION = zone_cost.ZoneCosts(
+    round_trips_ms={
+        ('evere', 'anderlecht'): 0.4,
+        ('evere', 'zaventem'): 0.5,
+        ('anderlecht', 'zaventem'): 0.6,
+    }
+)
+KLEINGARTEN = zone_cost.ZoneCosts(
+    round_trips_ms={
+        ('munich-1', 'munich-2'): 1.0,
+        ('munich-1', 'augsburg'): 4.0,
+        ('munich-1', 'ingolstadt'): 5.0,
+    }
+)
+
+
+def test_copy_goes_to_the_nearest_other_zone():
+    hosts = [('e2', 'evere'), ('z1', 'zaventem'), ('a1', 'anderlecht')]
+    assert zone_cost.rank_heirs(
+        zone='evere', hosts=hosts, costs=FEDERATION
+    ) == ['a1', 'z1', 'e2']
+    hosts = [
+        ('m2', 'munich-1'),
+        ('i1', 'ingolstadt'),
+        ('a1', 'augsburg'),
+        ('n1', 'munich-2'),
+    ]
+    assert zone_cost.rank_heirs(
+        zone='munich-1', hosts=hosts, costs=KLEINGARTEN
+    ) == ['n1', 'a1', 'i1', 'm2']
+
+
+def test_unknown_zone_counts_as_far():
+    hosts = [('x', 'elsewhere'), ('a1', 'anderlecht')]
+    assert zone_cost.rank_heirs(
+        zone='evere', hosts=hosts, costs=FEDERATION
+    ) == ['a1', 'x']
