--- a/limpetroute/decisions/action.py
+++ b/limpetroute/decisions/action.py
@@ -44,11 +44,25 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class StartDecode:
-    """Move the KV cache to a decode runner and write the answer there."""
+    """Move the KV cache to a decode runner and write the answer there.
+
+    Parameters
+    ----------
+    work_id : str
+        The request.
+    runner_id : str
+        The decode runner; its room is asked for now unless
+        `StartPrefill` already held it there.
+    kv_bytes : int
+        KV memory to hold there.
+    transfer_timeout_s : float or None
+        When to abandon the transfer, or None for the settings' limit.
+    """
 
     work_id: str
     runner_id: str
     kv_bytes: int
+    transfer_timeout_s: float | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/limpetroute/decisions/round_robin.py
+++ b/limpetroute/decisions/round_robin.py
@@ -11,6 +11,7 @@
 
 MAX_ATTEMPTS = 3
 RETRY_AFTER_S = 1.0
+DENIED_PAUSE_S = 0.05
 
 
 class _Entry:
@@ -33,6 +34,7 @@
 
     __slots__ = (
         '_decodes_in_use',
+        '_denied_until_s',
         '_entries',
         '_out',
         '_queue',
@@ -45,6 +47,7 @@
         self._entries: dict[str, _Entry] = {}
         self._queue: collections.deque[str] = collections.deque()
         self._decodes_in_use: collections.Counter[str] = collections.Counter()
+        self._denied_until_s: dict[str, float] = {}
         self._out: list[action.Action] = []
         self._turn = 0
 
@@ -98,11 +101,16 @@
     def on_denied(
         self, work_id: str, runner_id: str, free_slots: int, now_s: float
     ) -> None:
-        """Queue the request again at the front."""
+        """Queue the request again at the front.
+
+        The runner is left out for a moment: asked again at once it
+        would refuse again, and host and lease holder would spin.
+        """
         entry = self._entries.get(work_id)
         if entry is None:
             return
         self._release(entry)
+        self._denied_until_s[runner_id] = now_s + DENIED_PAUSE_S
         self._queue.appendleft(work_id)
 
     def on_failed(
@@ -132,6 +140,9 @@
 
     def actions(self, now_s: float) -> list[action.Action]:
         """Return what is to be done now, in order."""
+        for runner_id, until_s in list(self._denied_until_s.items()):
+            if until_s <= now_s:
+                del self._denied_until_s[runner_id]
         for _ in range(len(self._queue)):
             work_id = self._queue.popleft()
             entry = self._entries.get(work_id)
@@ -153,6 +164,8 @@
             for work_id in self._queue
             if work_id in self._entries
         ]
+        if deadlines:
+            deadlines.extend(self._denied_until_s.values())
         return min(deadlines, default=None)
 
     def _start(self, entry: _Entry) -> bool:
@@ -185,6 +198,7 @@
             and model in facts.models
             and not facts.leaving
             and facts.runner_id not in tried
+            and facts.runner_id not in self._denied_until_s
             and (
                 role is not runner_facts.Role.DECODE
                 or self._decodes_in_use[facts.runner_id] < facts.slots
@@ -192,6 +206,11 @@
         ]
         if not fit:
             return None
+        return self._choose(fit)
+
+    def _choose(
+        self, fit: list[runner_facts.RunnerFacts]
+    ) -> runner_facts.RunnerFacts:
         self._turn += 1
         return fit[self._turn % len(fit)]
 
