--- a/limpetroute/bench/arrivals.py
+++ b/limpetroute/bench/arrivals.py
@@ -123,8 +123,12 @@
 def _lengths(
     rng: random.Random, kind: experiment.WorkClassBody
 ) -> tuple[int, int]:
-    prompt = rng.lognormvariate(math.log(kind.prompt_tokens), kind.prompt_sigma)
-    answer = rng.lognormvariate(math.log(kind.answer_tokens), kind.answer_sigma)
+    prompt = rng.lognormvariate(
+        math.log(kind.prompt_tokens), kind.prompt_sigma
+    )
+    answer = rng.lognormvariate(
+        math.log(kind.answer_tokens), kind.answer_sigma
+    )
     return (
         min(kind.prompt_max_tokens, max(MIN_PROMPT_TOKENS, int(prompt))),
         min(kind.max_tokens, max(1, int(answer))),
--- a/limpetroute/bench/world.py
+++ b/limpetroute/bench/world.py
@@ -169,9 +169,7 @@
         )
 
     def _arrive_at(self, arrival: arrivals.Arrival) -> None:
-        self.clock.at(
-            arrival.item.arrived_s, lambda: self._arrive(arrival)
-        )
+        self.clock.at(arrival.item.arrived_s, lambda: self._arrive(arrival))
 
     def _arrive(self, arrival: arrivals.Arrival) -> None:
         fate = measure_module.Fate(arrival=arrival)
@@ -321,7 +319,9 @@
         if fault.kind == 'slow_link':
             self.links.rate_factor = 1 / factor
             return
-        names = list(self.prefills if fault.role == 'prefill' else self.decodes)
+        names = list(
+            self.prefills if fault.role == 'prefill' else self.decodes
+        )
         runner_id = names[fault.runner % len(names)]
         if fault.kind == 'lies':
             self._runners[runner_id].lies = on
--- a/tests/peers/test_record_machine.py
+++ b/tests/peers/test_record_machine.py
@@ -106,7 +106,7 @@
 )
 MUTANT_SETTINGS = hypothesis.settings(
     MACHINE_SETTINGS,
-    max_examples=300,
+    max_examples=3000,
     phases=(hypothesis.Phase.generate,),
     print_blob=False,
 )
