--- a/limpetroute/border/entry_settings.py
+++ b/limpetroute/border/entry_settings.py
@@ -5,6 +5,7 @@
 from limpetroute.border import addresses
 from limpetroute.border import listen_settings
 from limpetroute.border import names
+from limpetroute.border import peer_settings
 from limpetroute.border import telemetry_settings
 from limpetroute.border import trust_settings
 from limpetroute.border import units
@@ -40,6 +41,7 @@
         telemetry_settings.TelemetrySettings()
     )
     believe_team_header: bool = True
+    peers: peer_settings.PeerSettings = peer_settings.PeerSettings()
 
     @pydantic.field_validator('zone')
     @classmethod
--- a/limpetroute/border/peer_settings.py
+++ b/limpetroute/border/peer_settings.py
@@ -37,6 +37,7 @@
     call_timeout_s: units.Seconds = 0.5
     copy_period_s: units.Seconds = 0.1
     reap_grace_s: units.Seconds = 5.0
+    takeover_wait_s: units.Seconds = 10.0
     zone_costs: list[ZoneCost] = []
 
     @property
--- a/limpetroute/entry/answer_reader.py
+++ b/limpetroute/entry/answer_reader.py
@@ -24,13 +24,17 @@
     ----------
     append : callable
         Takes each event's text, in order and once.
+    first : int
+        Index, at the engine, of the first event that is not here yet.
     """
 
     __slots__ = ('_ahead', '_append', '_next', '_end')
 
-    def __init__(self, *, append: typing.Callable[[str], None]) -> None:
+    def __init__(
+        self, *, append: typing.Callable[[str], None], first: int = 0
+    ) -> None:
         self._append = append
-        self._next = 0
+        self._next = first
         self._ahead: dict[int, str] = {}
         self._end: engine_call.EndEvent | None = None
 
--- a/limpetroute/entry/base_handler.py
+++ b/limpetroute/entry/base_handler.py
@@ -10,6 +10,8 @@
 from limpetroute.entry import answer_format
 from limpetroute.entry import end_status
 from limpetroute.entry import host as host_module
+from limpetroute.entry import peer_codec
+from limpetroute.entry import peer_relay
 from limpetroute.peers import run_end
 from limpetroute.telemetry import trace_context
 
@@ -27,6 +29,7 @@
 
     host: host_module.Host
     _team: str | None = None
+    _gone = False
 
     def initialize(self, host: host_module.Host) -> None:
         """Take the process's shared state."""
@@ -54,6 +57,12 @@
 
     def authenticate(self) -> bool:
         """Find the caller's team; answer 401 if there is none."""
+        if self.request.path.startswith(peer_relay.PREFIX):
+            # Only the internal port has these paths, and a peer that
+            # has authenticated the caller calls them.
+            self._team = self.request.headers.get(peer_relay.TEAM_HEADER)
+            if self._team is not None:
+                return True
         index = self.host.manifest_index
         if not index.has_tokens:
             return self._believe()
@@ -86,6 +95,64 @@
         self._team = given
         return True
 
+    @property
+    def is_relayed(self) -> bool:
+        """Whether a peer passed the request on."""
+        return self.request.path.startswith(peer_relay.PREFIX)
+
+    async def relay(
+        self,
+        *,
+        key: str = '',
+        request_id: str = '',
+        run_id: str = '',
+        body: bytes = b'',
+    ) -> bool:
+        """Have the peer that holds a request answer.
+
+        Returns
+        -------
+        bool
+            False if no other host holds it, and this one is to answer.
+        """
+        peers = self.host.peers
+        if peers is None or self.is_relayed:
+            return False
+        timeout_s = self.host.settings.peers.takeover_wait_s
+        if key:
+            found, unsure = await peers.lookup.claim(
+                self.team, key, timeout_s=timeout_s
+            )
+        else:
+            call = peer_codec.LookupCall(
+                team=self.team, request_id=request_id, run_id=run_id
+            )
+            found, unsure = await peers.lookup.find(call, timeout_s=timeout_s)
+        if found == peers.host_id or (found is None and not unsure):
+            return False
+        url = peers.url_of(found) if found is not None else None
+        if url is not None and await peers.relay.relay(
+            self, url, team=self.team, body=body, gone=lambda: self._gone
+        ):
+            return True
+        self.fail(
+            503,
+            'the request is being taken over from a host that is gone',
+            code='being_taken_over',
+            outcome='unknown',
+            retry_after_s=1,
+        )
+        return True
+
+    def settle(self, key: str) -> None:
+        """End this host's claim on a key."""
+        if self.host.peers is not None:
+            self.host.peers.lookup.settle(self.team, key)
+
+    def on_connection_close(self) -> None:
+        """Note that the caller is gone."""
+        self._gone = True
+
     def fail(
         self,
         status: int,
--- a/limpetroute/entry/completions_handler.py
+++ b/limpetroute/entry/completions_handler.py
@@ -56,6 +56,8 @@
             self._fail_event_id(last_event_id)
             return
         run_id, index = found
+        if await self.relay(run_id=run_id, body=self.body):
+            return
         live = await self.host.finder.by_run(self.team, run_id)
         if live is None:
             self.fail(
@@ -90,7 +92,16 @@
                 param='Idempotency-Key',
             )
             return None
-        await self.host.finder.by_key(self.team, key)
+        if await self.relay(key=key, body=self.body):
+            return None
+        try:
+            return self._find_or_start_here(body, digest, key)
+        finally:
+            self.settle(key)
+
+    def _find_or_start_here(
+        self, body: Body, digest: str, key: str
+    ) -> live_record.LiveRecord | None:
         # Asked for again after the wait: another connection may have
         # started the same key meanwhile.
         live = self.host.records.by_key(self.team, key)
--- a/limpetroute/entry/events_handler.py
+++ b/limpetroute/entry/events_handler.py
@@ -11,6 +11,8 @@
         """Attach to a request."""
         if not self.body_is_whole() or not self.authenticate():
             return
+        if await self.relay(request_id=request_id):
+            return
         live = await self.host.finder.by_id(self.team, request_id)
         if live is None:
             self.fail(404, 'no such request', code='request_not_found')
--- a/limpetroute/entry/grants.py
+++ b/limpetroute/entry/grants.py
@@ -29,6 +29,13 @@
     def release(self, *, runner_id: str, work_id: str) -> None:
         """Give room back; idempotent."""
 
+    def may_start(self, *, runner_id: str, work_id: str) -> bool:
+        """Whether an order to start may still be sent under the grant.
+
+        A grant lapses when its grantor may have been replaced; an order
+        sent after that could take room that was granted again.
+        """
+
 
 class LocalGrants:
     """Grants everything: this host is alone, its router counts."""
@@ -41,3 +48,7 @@
 
     def release(self, *, runner_id: str, work_id: str) -> None:
         """Hold nothing, so give nothing back."""
+
+    def may_start(self, *, runner_id: str, work_id: str) -> bool:
+        """Allow it: what is granted here does not lapse."""
+        return True
--- a/limpetroute/entry/host.py
+++ b/limpetroute/entry/host.py
@@ -1,6 +1,7 @@
 """Everything one entry process shares between its handlers."""
 
 import asyncio
+import functools
 import logging
 import secrets
 import time
@@ -12,11 +13,13 @@
 from limpetroute.decisions import prefix
 from limpetroute.decisions import round_robin
 from limpetroute.decisions import work
+from limpetroute.entry import adopted_run
 from limpetroute.entry import answer_format
 from limpetroute.entry import grants as grants_module
 from limpetroute.entry import host_exports
 from limpetroute.entry import live_record
 from limpetroute.entry import manifest_index as manifest_index_module
+from limpetroute.entry import peer_node
 from limpetroute.entry import record_finder
 from limpetroute.entry import record_store
 from limpetroute.entry import run_freer
@@ -24,6 +27,7 @@
 from limpetroute.entry import run_task
 from limpetroute.entry import run_tools
 from limpetroute.entry import scheduler as scheduler_module
+from limpetroute.peers import copy_holder
 from limpetroute.peers import request_record
 from limpetroute.peers import run_end
 from limpetroute.runners import directory
@@ -76,6 +80,7 @@
         # with the runs that are left when this host's drain lapses.
         self.hands_over = False
         self.drained_runners: set[str] = set()
+        self.peers: peer_node.PeerNode | None = None
         self._index = manifest_index_module.ManifestIndex(manifest=None)
         self._open: set[live_record.LiveRecord] = set()
         self._ticker: asyncio.Task[None] | None = None
@@ -86,6 +91,8 @@
     @property
     def ready(self) -> bool:
         """Whether this host takes new work."""
+        if self.peers is not None and not self.peers.copies.may_serve:
+            return False
         return not self.draining
 
     @property
@@ -114,6 +121,21 @@
             return True
         return any(name in body.models for body in self.runners.all())
 
+    def join_peers(self, url: str) -> None:
+        """Become one of the entry hosts, reached at an address."""
+        self.peers = peer_node.PeerNode(
+            settings=self.settings,
+            url=self.settings.peers.url or url,
+            http=self.http,
+            engines=self.engines,
+            records=self.records,
+            adopt=self._adopt,
+            abandon=self._abandon,
+        )
+        self.grants = self.peers.grants
+        self.records.on_discard = self.peers.copies.forget
+        self.peers.start()
+
     def start(self) -> None:
         """Start the periodic work."""
         self._ticker = asyncio.create_task(self._tick())
@@ -121,10 +143,13 @@
     async def drain(self) -> None:
         """Let all that is in progress end, within the time limit."""
         self.draining = True
+        if self.peers is not None:
+            self.peers.start_leaving()
         loop = asyncio.get_running_loop()
         until_s = loop.time() + self.settings.drain_timeout_s
         while self._open and loop.time() < until_s:
             await self._wait_for_end(until_s - loop.time())
+        await self._hand_over()
         for live in list(self._open):
             live.handed_over = self.hands_over
             live.cancel('draining_resume_elsewhere')
@@ -146,6 +171,9 @@
         """Stop the periodic work."""
         if self._ticker is not None:
             self._ticker.cancel()
+        if self.peers is not None:
+            await self.peers.leave()
+            self.peers.stop()
         self.scheduler.close()
         await asyncio.to_thread(self.exports.close)
 
@@ -156,6 +184,8 @@
             body = body.model_copy(update={'leaving': True})
         if self.runners.announce(body, now_s):
             LOG.info('runner %s announced as %s', body.runner_id, body.role)
+        if self.peers is not None:
+            self.peers.announced(body)
         self.scheduler.announced(body)
 
     def drain_runner(self, runner_id: str) -> None:
@@ -194,21 +224,91 @@
         live.arrived_s = asyncio.get_running_loop().time()
         self.records.add(live)
         self._open.add(live)
-        task = run_task.RunTask(
+        if self.peers is not None:
+            self.peers.copies.own(live, request)
+        task = self._run_task(request, live, 0)
+        live.task = asyncio.create_task(task.run())
+        return live
+
+    def _run_task(
+        self,
+        request: run_request.RunRequest,
+        live: live_record.LiveRecord,
+        tries: int,
+    ) -> run_task.RunTask:
+        return run_task.RunTask(
             request=request,
             item=self._work(request, live.arrived_s),
             live=live,
-            tools=run_tools.RunTools(
-                scheduler=self.scheduler,
-                engines=self.engines,
-                grants=self.grants,
-                freer=self.freer,
-                meters=self.meters,
-                settings=self.settings,
+            tools=self._run_tools(),
+            tries=tries,
+        )
+
+    def _run_tools(self) -> run_tools.RunTools:
+        peers = self.peers
+        return run_tools.RunTools(
+            scheduler=self.scheduler,
+            engines=self.engines,
+            grants=self.grants,
+            freer=self.freer,
+            meters=self.meters,
+            settings=self.settings,
+            copy=None if peers is None else peers.copies.ensure,
+        )
+
+    def _adopt(self, copied: copy_holder.CopiedRecord) -> None:
+        """Go on with a request whose entry host is gone."""
+        assert self.peers is not None
+        record = copied.restore()
+        request = run_request.from_copy(copied.facts)
+        live = live_record.LiveRecord(
+            record=record,
+            shape=answer_format.AnswerFormat(
+                request_id=request.request_id,
+                model=request.model,
+                chat=request.chat,
             ),
+            include_usage=request.include_usage,
+            on_end=self._ended,
+        )
+        live.arrived_s = asyncio.get_running_loop().time()
+        self.records.add(live)
+        self.peers.copies.own(live, request)
+        if record.end is not None:
+            self.records.ended(live, time.monotonic())
+            return
+        self._open.add(live)
+        task = adopted_run.AdoptedRun(
+            request=request,
+            live=live,
+            tools=self._run_tools(),
+            runner=copied.progress.runner,
+            go_on=functools.partial(self._run_task, request, live),
         )
         live.task = asyncio.create_task(task.run())
-        return live
+        live.await_caller(self.settings.resume_grace_s)
+
+    def _abandon(self) -> None:
+        """Let go of all records; another host may have them by now."""
+        assert self.peers is not None
+        for live in self.records:
+            self.peers.copies.sender.let_go(live.record.request_id)
+            self.records.discard(live)
+            live.handed_over = True
+            live.cancel('taken_over')
+            live.wake()
+
+    async def _hand_over(self) -> None:
+        """Let the heir go on with what did not end in time."""
+        if self.peers is None or not self._open:
+            return
+        copies = self.peers.copies
+        await copies.flush()
+        self.hands_over = bool(copies.sender.heir_id)
+        if not self.hands_over:
+            return
+        for live in self._open:
+            copies.sender.let_go(live.record.request_id)
 
     def _work(
         self, request: run_request.RunRequest, now_s: float
@@ -273,6 +373,8 @@
             for runner_id in self.runners.expire(now_s):
                 LOG.info('runner %s went silent', runner_id)
                 self.scheduler.runner_gone(runner_id)
+                if self.peers is not None:
+                    self.peers.desk.runner_gone(runner_id)
 
 
 def new_request_id() -> str:
--- a/limpetroute/entry/live_record.py
+++ b/limpetroute/entry/live_record.py
@@ -31,6 +31,7 @@
         '_waiters',
         'arrived_s',
         'attached',
+        'attempt_base',
         'attempt_run_id',
         'cancel_reason',
         'ended_s',
@@ -63,6 +64,7 @@
         self.task: asyncio.Task[None] | None = None
         self.stage = stage_module.Stage.QUEUED
         self.attempt_run_id: str | None = None
+        self.attempt_base = 0
         self.runner_id: str | None = None
         self.cancel_reason = 'caller_gone'
         self.handed_over = False
@@ -135,6 +137,11 @@
         loop = asyncio.get_running_loop()
         self._grace = loop.call_later(grace_s, self._cancel_unless_attached)
 
+    def await_caller(self, grace_s: float) -> None:
+        """Cancel the run unless a caller attaches in time."""
+        loop = asyncio.get_running_loop()
+        self._grace = loop.call_later(grace_s, self._cancel_unless_attached)
+
     def wake(self) -> None:
         """Wake all that wait in `wait_past`."""
         waiters, self._waiters = self._waiters, []
--- /dev/null
+++ b/limpetroute/entry/peer_copies.py
@@ -0,0 +1,265 @@
+"""Records of this host, their copies, and copies held for others."""
+
+import asyncio
+import dataclasses
+import logging
+import typing
+
+from limpetroute.entry import live_record
+from limpetroute.entry import peer_calls
+from limpetroute.entry import peer_clock
+from limpetroute.entry import peer_codec
+from limpetroute.entry import run_request
+from limpetroute.peers import copy_holder
+from limpetroute.peers import copy_sender
+from limpetroute.peers import lease_holder
+from limpetroute.peers import member_view
+from limpetroute.peers import rendezvous
+from limpetroute.peers import zone_cost
+
+LOG = logging.getLogger(__name__)
+
+HOST = 'host:'
+MAX_COPY_TRIES = 3
+Adopt = typing.Callable[[copy_holder.CopiedRecord], None]
+Abandon = typing.Callable[[], None]
+
+
+class PeerCopies:
+    """Copies records to the heir, and takes over from dead owners.
+
+    Parameters
+    ----------
+    host_id, zone : str
+        This host.
+    owner : str
+        This host and its incarnation.
+    leases : LeaseHolder
+        The leases of this host.
+    calls : PeerCalls
+        Calls to other hosts.
+    url_of : callable
+        Returns the address of a host, or None.
+    costs : ZoneCosts
+        Times between zones.
+    fence_floor : int
+        Lowest fencing number of this process.
+    adopt : callable
+        Goes on with a record of a dead owner.
+    abandon : callable
+        Stops all that belongs to records another host may have by now.
+    """
+
+    def __init__(
+        self,
+        *,
+        host_id: str,
+        zone: str,
+        owner: str,
+        leases: lease_holder.LeaseHolder,
+        calls: peer_calls.PeerCalls,
+        url_of: typing.Callable[[str], str | None],
+        costs: zone_cost.ZoneCosts,
+        fence_floor: int,
+        adopt: Adopt,
+        abandon: Abandon,
+    ) -> None:
+        self._host_id = host_id
+        self._zone = zone
+        self._owner = owner
+        self._leases = leases
+        self._calls = calls
+        self._url_of = url_of
+        self._costs = costs
+        self._fence_floor = fence_floor
+        self._adopt = adopt
+        self._abandon = abandon
+        self._fence: int | None = None
+        self._until_s = 0.0
+        self._sending = asyncio.Lock()
+        self.sender = copy_sender.CopySender(owner=owner)
+        self.copies = copy_holder.CopyHolder()
+        self.copies_missed = 0
+        self.taken_over = 0
+        leases.want(HOST + owner, fence_floor=fence_floor)
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(owner={self._owner!r})'
+
+    @property
+    def may_serve(self) -> bool:
+        """Whether this host holds the lease on its own records."""
+        return self._fence is not None and peer_clock.clock_s() < self._until_s
+
+    def own(
+        self,
+        live: live_record.LiveRecord,
+        request: run_request.RunRequest,
+        *,
+        stream: bool = True,
+    ) -> None:
+        """Keep a record under this host's lease, and copy it."""
+        fence = self._fence
+        record = live.record
+        record.may_deliver = lambda: self._is_current(fence)
+        details = dataclasses.asdict(request)
+        details['stream'] = stream
+        self.sender.add(
+            copy_sender.OwnRecord(
+                record=record,
+                request=details,
+                runner=lambda: _runner_of(live),
+            )
+        )
+
+    def forget(self, request_id: str) -> None:
+        """Have the copy of a record dropped."""
+        self.sender.forget(request_id)
+
+    async def ensure(self, live: live_record.LiveRecord) -> None:
+        """Return once the record's newest state is at the heir.
+
+        With no other host alive there is nobody to copy to: the answer
+        goes out without, and is counted.
+        """
+        request_id = live.record.request_id
+        for _ in range(MAX_COPY_TRIES):
+            if not self.sender.heir_id:
+                break
+            if await self._send(only=request_id):
+                return
+        self.copies_missed += 1
+
+    async def flush(self) -> None:
+        """Send what the heir lacks."""
+        if self.sender.heir_id and not self._sending.locked():
+            await self._send()
+
+    async def _send(self, only: str | None = None) -> bool:
+        if only is None:
+            async with self._sending:
+                return await self._send_batch(None)
+        return await self._send_batch(only)
+
+    async def _send_batch(self, only: str | None) -> bool:
+        heir_id = self.sender.heir_id
+        batch = self.sender.batch(only)
+        if batch is None:
+            return True
+        url = self._url_of(heir_id)
+        if url is None:
+            return False
+        reply = await self._calls.ask(
+            url,
+            'copies',
+            peer_codec.COPY_BATCH.encode(batch),
+            peer_codec.COPY_REPLY.decode,
+        )
+        if reply is None:
+            return False
+        self.sender.on_reply(batch, reply, heir_id)
+        if not reply.taken:
+            return False
+        return only is None or self.sender.is_copied(only)
+
+    # -- leases
+
+    def check_lease(self) -> None:
+        """Note the lease on this host's records, or its loss.
+
+        When it lapsed, another host may have taken the records over:
+        what is left of them here must not reach a caller.
+        """
+        held = self._leases.held(HOST + self._owner, peer_clock.clock_s())
+        fence = held.fence if held is not None else None
+        if self._fence is not None and fence != self._fence:
+            LOG.warning('lease on own records lapsed: %s', self._owner)
+            self._fence = None
+            self._abandon()
+        if held is not None:
+            self._until_s = held.until_s
+        if fence != self._fence:
+            LOG.info('lease on own records: fence %s', fence)
+        self._fence = fence
+
+    def choose_heir(self, view: member_view.MemberView) -> None:
+        """Keep the heir while it is well, else choose another one."""
+        working = {
+            item.host_id: item.zone
+            for item in view.working
+            if item.host_id != self._host_id
+        }
+        heir_id = self.sender.heir_id
+        if heir_id not in working:
+            names = rendezvous.ranked(self._owner, working)
+            ranked = zone_cost.rank_heirs(
+                zone=self._zone,
+                hosts=[(name, working[name]) for name in names],
+                costs=self._costs,
+            )
+            heir_id = ranked[0] if ranked else ''
+            if heir_id != self.sender.heir_id:
+                LOG.info('copies go to %s', heir_id or 'nobody')
+            self.sender.set_heir(heir_id)
+        if heir_id and not self.sender.uncopied:
+            self._leases.name_heir(HOST + self._owner, heir_id)
+
+    def take_over(self, view: member_view.MemberView) -> None:
+        """Take over copies whose owner is gone, once its lease is free."""
+        for owner in self.copies.owners:
+            if is_gone(owner, view):
+                self._leases.want(HOST + owner, fence_floor=self._fence_floor)
+        for resource in self._leases.wanted:
+            owner = resource.removeprefix(HOST)
+            if owner == resource or owner == self._owner:
+                continue
+            self._take_over(resource, owner, view)
+
+    def _take_over(
+        self, resource: str, owner: str, view: member_view.MemberView
+    ) -> None:
+        if not is_gone(owner, view):
+            self._leases.unwant(resource)
+            return
+        held = self._leases.held(resource, peer_clock.clock_s())
+        if held is None or not self.may_serve:
+            return
+        if held.previous_heir_id in ('', self._host_id):
+            found = self.copies.take_over(owner)
+            LOG.info('took %d records over from %s', len(found), owner)
+            for copied in found:
+                self.taken_over += 1
+                self._adopt(copied)
+        else:
+            LOG.info('dropped old copies of %s', owner)
+            self.copies.drop(owner)
+        self._leases.unwant(resource)
+
+    def leave(self) -> None:
+        """Give the records to the heir at once."""
+        self._fence = None
+        self._leases.unwant(HOST + self._owner)
+
+    def _is_current(self, fence: int | None) -> bool:
+        return fence is not None and fence == self._fence and self.may_serve
+
+
+def is_gone(owner: str, view: member_view.MemberView) -> bool:
+    """Whether a host is dead, has left, or is not its former self."""
+    host_id, _, incarnation = owner.rpartition('@')
+    claim = view.find(host_id)
+    if claim is None:
+        return True
+    if str(claim.incarnation) != incarnation:
+        return True
+    return host_id in view.gone
+
+
+def _runner_of(live: live_record.LiveRecord) -> dict[str, typing.Any]:
+    if live.attempt_run_id is None or live.runner_id is None:
+        return {}
+    return {
+        'runner_id': live.runner_id,
+        'run_id': live.attempt_run_id,
+        'base': live.attempt_base,
+    }
--- /dev/null
+++ b/limpetroute/entry/peer_grants.py
@@ -0,0 +1,202 @@
+"""Room at runners, granted by the hosts that hold their leases."""
+
+import asyncio
+import typing
+
+from limpetroute.entry import grants
+from limpetroute.entry import peer_calls
+from limpetroute.entry import peer_clock
+from limpetroute.entry import peer_codec
+from limpetroute.peers import grant
+from limpetroute.peers import grant_config
+from limpetroute.peers import grant_desk
+from limpetroute.peers import grant_ledger
+
+MAX_HOPS = 2
+
+
+class PeerGrants:
+    """Asks the runner's lease holder, which may be this host.
+
+    Parameters
+    ----------
+    host_id : str
+        This host.
+    desk : GrantDesk
+        This host's part in granting.
+    calls : PeerCalls
+        Calls to other hosts.
+    url_of : callable
+        Returns the address of a host, or None.
+    config : GrantConfig
+        Times.
+    """
+
+    __slots__ = (
+        '_calls',
+        '_desk',
+        '_host_id',
+        '_released',
+        '_renewing',
+        '_tasks',
+        '_url_of',
+        'ledger',
+    )
+
+    def __init__(
+        self,
+        *,
+        host_id: str,
+        desk: grant_desk.GrantDesk,
+        calls: peer_calls.PeerCalls,
+        url_of: typing.Callable[[str], str | None],
+        config: grant_config.GrantConfig,
+    ) -> None:
+        self._host_id = host_id
+        self._desk = desk
+        self._calls = calls
+        self._url_of = url_of
+        self._renewing: set[tuple[str, str]] = set()
+        self._released: set[tuple[str, str]] = set()
+        self._tasks: set[asyncio.Task[typing.Any]] = set()
+        self.ledger = grant_ledger.GrantLedger(config=config)
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(ledger={self.ledger!r})'
+
+    async def acquire(
+        self, *, runner_id: str, work_id: str, kv_bytes: int
+    ) -> grants.Granted | grants.Denied:
+        """Ask for a slot and KV memory."""
+        asked = grant.Grant(
+            work_id=work_id,
+            run_id=work_id,
+            asker_id=self._host_id,
+            kv_bytes=kv_bytes,
+        )
+        got = await self._ask(runner_id, asked, again=False)
+        if isinstance(got, grant.GrantGiven):
+            return grants.Granted(fence=got.fence)
+        if isinstance(got, grant.GrantDenied):
+            return grants.Denied(free_slots=got.free_slots)
+        return grants.Denied(free_slots=0)
+
+    def release(self, *, runner_id: str, work_id: str) -> None:
+        """Give room back; idempotent."""
+        line = self.ledger.pop(runner_id, work_id)
+        if line is None:
+            return
+        if (runner_id, work_id) in self._renewing:
+            self._released.add((runner_id, work_id))
+        if line.holder_id == self._host_id:
+            self._desk.release(runner_id, work_id, peer_clock.clock_s())
+            return
+        self._spawn(self._release(line))
+
+    def may_start(self, *, runner_id: str, work_id: str) -> bool:
+        """Whether an import order may still be sent under the grant."""
+        return self.ledger.start(runner_id, work_id, peer_clock.clock_s())
+
+    def renew(self) -> None:
+        """Renew what is due, and claim it again at new holders."""
+        now_s = peer_clock.clock_s()
+        holders = {}
+        for runner_id in {line.runner_id for line in self.ledger.lines()}:
+            holder_id = self._desk.holder_of(runner_id, now_s)
+            if holder_id:
+                holders[runner_id] = holder_id
+        for line in self.ledger.due(now_s, holders):
+            again = holders.get(line.runner_id) != line.holder_id
+            self._spawn(self._renew(line, again))
+
+    async def _renew(self, line: grant_ledger.LedgerLine, again: bool) -> None:
+        work_id = line.grant.work_id
+        if (line.runner_id, work_id) in self._renewing:
+            return
+        self._renewing.add((line.runner_id, work_id))
+        try:
+            await self._ask(line.runner_id, line.grant, again=again)
+        finally:
+            self._renewing.discard((line.runner_id, work_id))
+        # Given back while the renewal was under way: once more, or the
+        # renewal would hold room that nobody uses.
+        if (line.runner_id, work_id) in self._released:
+            self._released.discard((line.runner_id, work_id))
+            self.release(runner_id=line.runner_id, work_id=work_id)
+
+    async def _ask(
+        self, runner_id: str, asked: grant.Grant, *, again: bool
+    ) -> grant.GrantAnswer:
+        asked_s = peer_clock.clock_s()
+        holder_id = self._desk.holder_of(runner_id, asked_s)
+        got: grant.GrantAnswer = grant.NotHolder()
+        for _ in range(MAX_HOPS):
+            got = await self._ask_one(holder_id, runner_id, asked, again)
+            if not isinstance(got, grant.NotHolder):
+                break
+            if not got.holder_id or got.holder_id == holder_id:
+                break
+            holder_id = got.holder_id
+        if isinstance(got, grant.GrantGiven):
+            self.ledger.add(
+                runner_id=runner_id,
+                holder_id=holder_id,
+                asked=asked,
+                given=got,
+                asked_s=asked_s,
+            )
+        return got
+
+    async def _ask_one(
+        self,
+        holder_id: str,
+        runner_id: str,
+        asked: grant.Grant,
+        again: bool,
+    ) -> grant.GrantAnswer:
+        if holder_id == self._host_id:
+            return self._desk.acquire(
+                runner_id, asked, peer_clock.clock_s(), again=again
+            )
+        url = self._url_of(holder_id)
+        if url is None:
+            return grant.NotHolder()
+        call = peer_codec.GrantCall(
+            runner_id=runner_id, asked=asked, again=again
+        )
+        reply = await self._calls.ask(
+            url,
+            'grants',
+            peer_codec.GRANT_CALL.encode(call),
+            peer_codec.GRANT_REPLY.decode,
+        )
+        if reply is None:
+            # The holder may have granted it: said to be given back, the
+            # room is not lost until the grant ends by itself.
+            self._spawn(self._give_back(url, call))
+            return grant.NotHolder()
+        return reply.given or reply.denied or reply.not_holder
+
+    async def _release(self, line: grant_ledger.LedgerLine) -> None:
+        url = self._url_of(line.holder_id)
+        if url is None:
+            return
+        call = peer_codec.GrantCall(runner_id=line.runner_id, asked=line.grant)
+        await self._give_back(url, call)
+
+    async def _give_back(self, url: str, call: peer_codec.GrantCall) -> None:
+        body = peer_codec.GRANT_CALL.encode(
+            peer_codec.GrantCall(
+                runner_id=call.runner_id, asked=call.asked, release=True
+            )
+        )
+        for _ in range(MAX_HOPS):
+            if await self._calls.post(url, 'grants', body) is not None:
+                return
+
+    def _spawn(
+        self, work: typing.Coroutine[typing.Any, typing.Any, typing.Any]
+    ) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
--- /dev/null
+++ b/limpetroute/entry/peer_lookup.py
@@ -0,0 +1,198 @@
+"""Finds the entry host that holds a request."""
+
+import asyncio
+import random
+import typing
+
+from limpetroute.entry import peer_calls
+from limpetroute.entry import peer_clock
+from limpetroute.entry import peer_codec
+from limpetroute.entry import record_store
+from limpetroute.peers import copy_holder
+
+CLAIM_S = 5.0
+CLAIM_TRIES = 20
+CLAIM_PAUSE_S = 0.05
+TAKEOVER_POLL_S = 0.25
+
+
+class PeerLookup:
+    """Asks all hosts for a request, and keeps key claims apart.
+
+    Two hosts that are given the same key at once each note it as
+    claimed before they ask the others; so at least one of them sees the
+    other's claim, and it withdraws and looks again.
+
+    Parameters
+    ----------
+    host_id : str
+        This host.
+    records : RecordStore
+        Records of this host.
+    copies : CopyHolder
+        Copies of other hosts' records.
+    calls : PeerCalls
+        Calls to other hosts.
+    urls : callable
+        Returns the addresses of the other hosts, by id.
+    """
+
+    __slots__ = (
+        '_calls',
+        '_claims',
+        '_copies',
+        '_host_id',
+        '_records',
+        '_urls',
+    )
+
+    def __init__(
+        self,
+        *,
+        host_id: str,
+        records: record_store.RecordStore,
+        copies: copy_holder.CopyHolder,
+        calls: peer_calls.PeerCalls,
+        urls: typing.Callable[[], dict[str, str]],
+    ) -> None:
+        self._host_id = host_id
+        self._records = records
+        self._copies = copies
+        self._calls = calls
+        self._urls = urls
+        self._claims: dict[tuple[str, str], float] = {}
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(host_id={self._host_id!r})'
+
+    def answer(self, call: peer_codec.LookupCall) -> peer_codec.LookupReply:
+        """Say what this host knows."""
+        if self._is_held(call):
+            return peer_codec.LookupReply(held=True)
+        claimed_by = ''
+        if call.key and self._is_claimed(call):
+            claimed_by = self._host_id
+        return peer_codec.LookupReply(
+            copied=self._is_copied(call), claimed_by=claimed_by
+        )
+
+    async def find(
+        self, call: peer_codec.LookupCall, *, timeout_s: float
+    ) -> tuple[str | None, bool]:
+        """Find the holder.
+
+        Waits while a copy is being taken over, at most ``timeout_s``.
+
+        Returns
+        -------
+        (str or None, bool)
+            The holder's id, and whether a copy was seen whose owner is
+            gone and which nobody could take over yet.
+        """
+        until_s = peer_clock.clock_s() + timeout_s
+        while True:
+            if self._is_held(call):
+                return self._host_id, False
+            replies = await self._ask_all(call)
+            for host_id, reply in replies.items():
+                if reply.held:
+                    return host_id, False
+            copied = self._is_copied(call)
+            copied = copied or any(got.copied for got in replies.values())
+            if not copied:
+                return None, False
+            if peer_clock.clock_s() >= until_s:
+                return None, True
+            await asyncio.sleep(TAKEOVER_POLL_S)
+
+    async def claim(
+        self, team: str, key: str, *, timeout_s: float
+    ) -> tuple[str | None, bool]:
+        """Find the holder of a key, or claim it for a new request.
+
+        Returns
+        -------
+        (str or None, bool)
+            As `find`; with (None, False) the key is this host's to
+            start until `settle`.
+        """
+        place = (team, key)
+        call = peer_codec.LookupCall(
+            team=team, key=key, claimant=self._host_id
+        )
+        for _ in range(CLAIM_TRIES):
+            if place in self._claims:
+                # Another connection to this host is at it.
+                await asyncio.sleep(CLAIM_PAUSE_S)
+                if self._is_held(call):
+                    return self._host_id, False
+                continue
+            if self._is_held(call):
+                return self._host_id, False
+            self._claims[place] = peer_clock.clock_s() + CLAIM_S
+            replies = await self._ask_all(call)
+            held = [name for name, got in replies.items() if got.held]
+            if held:
+                self.settle(team, key)
+                return held[0], False
+            copied = any(got.copied for got in replies.values())
+            if copied or self._is_copied(call):
+                self.settle(team, key)
+                return await self.find(call, timeout_s=timeout_s)
+            if not any(got.claimed_by for got in replies.values()):
+                return None, False
+            self.settle(team, key)
+            await asyncio.sleep(CLAIM_PAUSE_S * (0.5 + random.random()))
+        return None, True
+
+    def settle(self, team: str, key: str) -> None:
+        """End a claim: its record is there, or it is not started."""
+        self._claims.pop((team, key), None)
+
+    async def _ask_all(
+        self, call: peer_codec.LookupCall
+    ) -> dict[str, peer_codec.LookupReply]:
+        urls = self._urls()
+        body = peer_codec.LOOKUP_CALL.encode(call)
+        asks = [
+            self._calls.ask(
+                url, 'lookup', body, peer_codec.LOOKUP_REPLY.decode
+            )
+            for url in urls.values()
+        ]
+        replies = await asyncio.gather(*asks)
+        return {
+            host_id: reply
+            for host_id, reply in zip(urls, replies, strict=True)
+            if reply is not None
+        }
+
+    def _is_held(self, call: peer_codec.LookupCall) -> bool:
+        records = self._records
+        if call.request_id:
+            return records.by_id(call.team, call.request_id) is not None
+        if call.run_id:
+            return records.by_run(call.team, call.run_id) is not None
+        return records.by_key(call.team, call.key) is not None
+
+    def _is_copied(self, call: peer_codec.LookupCall) -> bool:
+        for copied in self._copies.copies():
+            facts = copied.facts
+            if facts.team != call.team:
+                continue
+            if call.request_id and facts.request_id == call.request_id:
+                return True
+            if call.run_id and facts.run_id == call.run_id:
+                return True
+            if call.key and facts.key == call.key:
+                return True
+        return False
+
+    def _is_claimed(self, call: peer_codec.LookupCall) -> bool:
+        until_s = self._claims.get((call.team, call.key))
+        if until_s is None:
+            return False
+        if until_s <= peer_clock.clock_s():
+            del self._claims[call.team, call.key]
+            return False
+        return True
--- /dev/null
+++ b/limpetroute/entry/peer_node.py
@@ -0,0 +1,465 @@
+"""One entry host among its peers."""
+
+import asyncio
+import logging
+import random
+import time
+import typing
+
+from limpetroute.border import announcement
+from limpetroute.border import entry_settings
+from limpetroute.border import peer_settings
+from limpetroute.entry import peer_calls
+from limpetroute.entry import peer_clock
+from limpetroute.entry import peer_codec
+from limpetroute.entry import peer_copies
+from limpetroute.entry import peer_grants
+from limpetroute.entry import peer_lookup
+from limpetroute.entry import peer_reaper
+from limpetroute.entry import peer_relay
+from limpetroute.entry import record_store
+from limpetroute.peers import copy_holder
+from limpetroute.peers import grant_config
+from limpetroute.peers import grant_desk
+from limpetroute.peers import hand_over
+from limpetroute.peers import lease_config
+from limpetroute.peers import lease_message
+from limpetroute.peers import member_claim
+from limpetroute.peers import member_codec
+from limpetroute.peers import member_message
+from limpetroute.peers import member_view
+from limpetroute.peers import membership
+from limpetroute.peers import membership_config
+from limpetroute.peers import runner_report
+from limpetroute.peers import zone_cost
+from limpetroute.runners import engine_pool
+from limpetroute.wire import caller
+
+LOG = logging.getLogger(__name__)
+
+TICK_S = 0.1
+RENEW_PERIOD_S = 0.5
+REAP_PERIOD_S = 1.0
+MAX_TASKS = 256
+
+
+class PeerNode:
+    """Owns membership, leases, grants, copies and the reaper.
+
+    Parameters
+    ----------
+    settings : EntrySettings
+        Checked settings.
+    url : str
+        Address of this host's internal port.
+    http : Caller
+        Makes the calls.
+    engines : EnginePool
+        Clients of the runners.
+    records : RecordStore
+        Records of this host.
+    adopt : callable
+        Goes on with a record of a dead owner.
+    abandon : callable
+        Stops all that belongs to records another host may have by now.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: entry_settings.EntrySettings,
+        url: str,
+        http: caller.Caller,
+        engines: engine_pool.EnginePool,
+        records: record_store.RecordStore,
+        adopt: typing.Callable[[copy_holder.CopiedRecord], None],
+        abandon: typing.Callable[[], None],
+    ) -> None:
+        peers = settings.peers
+        self._settings = settings
+        self._records = records
+        self._started_ms = time.time_ns() // 1_000_000
+        host_id = settings.host_id
+        self.host_id = host_id
+        self.calls = peer_calls.PeerCalls(
+            http=http, timeout_s=peers.call_timeout_s
+        )
+        self.members = membership.Membership(
+            claim=member_claim.MemberClaim(
+                host_id=host_id,
+                url=url,
+                zone=settings.zone,
+                incarnation=self._started_ms,
+            ),
+            seeds=settings.peer_urls,
+            config=_membership_config(peers),
+            rng=random.Random(f'{host_id}@{self._started_ms}'),
+        )
+        grants = _grant_config(settings)
+        self.desk = grant_desk.GrantDesk(
+            host_id=host_id,
+            zone=settings.zone,
+            voters=peers.voters,
+            leases=lease_config.LeaseConfig(
+                duration_s=peers.lease_s,
+                renew_s=peers.renew_s,
+                drift=peers.drift,
+            ),
+            grants=grants,
+            started_s=peer_clock.clock_s(),
+        )
+        self.grants = peer_grants.PeerGrants(
+            host_id=host_id,
+            desk=self.desk,
+            calls=self.calls,
+            url_of=self.url_of,
+            config=grants,
+        )
+        self.copies = peer_copies.PeerCopies(
+            host_id=host_id,
+            zone=settings.zone,
+            owner=f'{host_id}@{self._started_ms}',
+            leases=self.desk.leases,
+            calls=self.calls,
+            url_of=self.url_of,
+            costs=_zone_costs(peers),
+            fence_floor=self._started_ms,
+            adopt=adopt,
+            abandon=abandon,
+        )
+        self.lookup = peer_lookup.PeerLookup(
+            host_id=host_id,
+            records=records,
+            copies=self.copies.copies,
+            calls=self.calls,
+            urls=self.other_urls,
+        )
+        self.reaper = peer_reaper.PeerReaper(
+            desk=self.desk,
+            calls=self.calls,
+            engines=engines,
+            own_runs=self._own_runs,
+            copies=self.copies.copies,
+            grace_s=peers.reap_grace_s,
+        )
+        self.relay = peer_relay.PeerRelay(
+            http=http,
+            open_timeout_s=settings.prefill_timeout_s,
+            idle_timeout_s=3 * settings.keep_alive_s,
+        )
+        self._tasks: set[asyncio.Task[typing.Any]] = set()
+        self._loops: list[asyncio.Task[None]] = []
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(members={self.members!r})'
+
+    # -- what the rest of the process asks
+
+    def view(self) -> member_view.MemberView:
+        """Return what this host believes of all hosts."""
+        return self.members.view(peer_clock.clock_s())
+
+    def url_of(self, host_id: str) -> str | None:
+        """Return a host's address, or None if it is not known."""
+        found = self.view().find(host_id)
+        return found.url if found is not None else None
+
+    def other_urls(self) -> dict[str, str]:
+        """Return the addresses of the other hosts that may be alive."""
+        view = self.view()
+        gone = set(view.gone)
+        return {
+            item.host_id: item.url
+            for item in view.claims
+            if item.host_id != self.host_id and item.host_id not in gone
+        }
+
+    def announced(self, body: announcement.AnnouncementBody) -> None:
+        """Take a decode runner's announcement."""
+        if body.role != 'decode' or body.report is None:
+            return
+        now_s = peer_clock.clock_s()
+        delay_s = self._settings.peers.report_delay_s
+        report = runner_report.RunnerReport(
+            runner_id=body.runner_id,
+            zone=body.zone,
+            incarnation=body.incarnation,
+            sequence=body.report.sequence,
+            measured_s=now_s - body.report.age_s - delay_s,
+            slots=body.slots,
+            kv_capacity_bytes=body.kv_capacity_bytes,
+            kv_used_bytes=body.report.kv_used_bytes,
+            runs=frozenset(body.report.runs),
+            leaving=body.leaving,
+        )
+        self.desk.on_report(report, now_s)
+
+    def status(self) -> dict[str, typing.Any]:
+        """Return plain values for operators."""
+        view = self.view()
+        now_s = peer_clock.clock_s()
+        return {
+            'members': {
+                item.host_id: {
+                    'status': str(item.status),
+                    'leaving': item.leaving,
+                    'incarnation': item.incarnation,
+                    'zone': item.zone,
+                    'heard_age_s': view.heard_age_s.get(item.host_id),
+                }
+                for item in view.claims
+            },
+            'unsure': list(view.unsure),
+            'may_serve': self.copies.may_serve,
+            'heir': self.copies.sender.heir_id,
+            'uncopied': self.copies.sender.uncopied,
+            'copies_held': len(self.copies.copies),
+            'copies_missed': self.copies.copies_missed,
+            'taken_over': self.copies.taken_over,
+            'reaped': self.reaper.reaped,
+            'grants_held': len(self.grants.ledger),
+            'leases': {
+                book.runner_id: {
+                    'fence': book.fence,
+                    'settled': book.settled,
+                    'free_slots': book.free_slots,
+                    'grants': len(book.grants),
+                }
+                for book in self.desk.books
+                if self.desk.holds(book.runner_id, now_s)
+            },
+            'calls': dict(self.calls.counts),
+        }
+
+    # -- life
+
+    def start(self) -> None:
+        """Start the periodic work."""
+        peers = self._settings.peers
+        self._loops = [
+            asyncio.create_task(self._every(TICK_S, self._tick)),
+            asyncio.create_task(
+                self._every(peers.copy_period_s, self.copies.flush)
+            ),
+            asyncio.create_task(self._every(RENEW_PERIOD_S, self._renew)),
+            asyncio.create_task(self._every(REAP_PERIOD_S, self._reap)),
+        ]
+
+    def start_leaving(self) -> None:
+        """Take no new work; hand leases of runners over."""
+        self.members.start_leaving()
+        self.desk.leaving = True
+
+    async def leave(self) -> None:
+        """Give the records to the heir and say goodbye."""
+        await self.copies.flush()
+        self.copies.leave()
+        await self._tick()
+        now_s = peer_clock.clock_s()
+        for send in self.members.leave(now_s):
+            self._spawn(self._send_member(send))
+        if self._tasks:
+            await asyncio.wait(
+                set(self._tasks),
+                timeout=2 * self._settings.peers.call_timeout_s,
+            )
+
+    def stop(self) -> None:
+        """Stop the periodic work."""
+        for task in [*self._loops, *self._tasks]:
+            task.cancel()
+
+    async def _every(
+        self,
+        period_s: float,
+        work: typing.Callable[[], typing.Awaitable[None]],
+    ) -> None:
+        while True:
+            try:
+                await work()
+            except Exception:  # noqa: BLE001 - the loop must go on
+                LOG.exception('periodic work broke')
+            await asyncio.sleep(period_s)
+
+    async def _tick(self) -> None:
+        now_s = peer_clock.clock_s()
+        for send in self.members.tick(now_s):
+            self._spawn(self._send_member(send))
+        view = self.members.view(now_s)
+        self.desk.set_hosts({item.host_id: item.zone for item in view.working})
+        for item in self.desk.tick(now_s, fence_floor=self._started_ms):
+            self._send_desk(item, now_s)
+        self.copies.check_lease()
+        self.copies.choose_heir(view)
+        self.copies.take_over(view)
+
+    async def _renew(self) -> None:
+        self.grants.renew()
+
+    async def _reap(self) -> None:
+        await self.reaper.check(self.view())
+
+    # -- messages out
+
+    async def _send_member(self, send: member_message.Send) -> None:
+        got = await self.calls.post(
+            send.url,
+            'members',
+            member_codec.encode(send.message),
+            timeout_s=2 * self._settings.peers.probe_timeout_s,
+        )
+        if got:
+            self._take_member(got)
+
+    def _send_desk(self, item: grant_desk.DeskSend, now_s: float) -> None:
+        message = item.message
+        if isinstance(message, hand_over.HandOver):
+            self._spawn(self._send_hand_over(item.host_id, message))
+            return
+        if item.host_id == self.host_id:
+            vote = self.desk.voter.vote(message, now_s)
+            self.desk.on_vote(vote, now_s)
+            return
+        self._spawn(self._send_ask(item.host_id, message))
+
+    async def _send_ask(
+        self, host_id: str, message: lease_message.LeaseAsk
+    ) -> None:
+        url = self.url_of(host_id)
+        if url is None:
+            return
+        vote = await self.calls.ask(
+            url,
+            'leases',
+            peer_codec.LEASE_ASK.encode(message),
+            peer_codec.LEASE_VOTE.decode,
+        )
+        if vote is not None:
+            self.desk.on_vote(vote, peer_clock.clock_s())
+
+    async def _send_hand_over(
+        self, host_id: str, message: hand_over.HandOver
+    ) -> None:
+        url = self.url_of(host_id)
+        if url is None:
+            return
+        body = peer_codec.HAND_OVER.encode(message)
+        if await self.calls.post(url, 'hand_over', body) is not None:
+            self.desk.on_handed(message.runner_id)
+
+    def _spawn(
+        self, work: typing.Coroutine[typing.Any, typing.Any, None]
+    ) -> None:
+        if len(self._tasks) >= MAX_TASKS:
+            # Protocol messages are repeated; memory is not.
+            work.close()
+            return
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    # -- messages in
+
+    def _take_member(self, data: bytes) -> bytes:
+        message = member_codec.decode(data)
+        sends = self.members.receive(message, peer_clock.clock_s())
+        reply = b''
+        for send in sends:
+            if send.message.kind is member_message.MessageKind.ACK:
+                reply = member_codec.encode(send.message)
+                continue
+            self._spawn(self._send_member(send))
+        return reply
+
+    def receive(self, name: str, data: bytes) -> bytes:
+        """Take a peer's message and return the reply.
+
+        Raises
+        ------
+        ValueError
+            If the message is not valid.
+        KeyError
+            If there is no such message.
+        """
+        take = {
+            'members': self._take_member,
+            'leases': self._take_ask,
+            'hand_over': self._take_hand_over,
+            'grants': self._take_grant,
+            'copies': self._take_copies,
+            'lookup': self._take_lookup,
+            'claims': self._take_claims,
+        }[name]
+        return take(data)
+
+    def _take_ask(self, data: bytes) -> bytes:
+        vote = self.desk.voter.vote(
+            peer_codec.LEASE_ASK.decode(data), peer_clock.clock_s()
+        )
+        return peer_codec.LEASE_VOTE.encode(vote)
+
+    def _take_hand_over(self, data: bytes) -> bytes:
+        self.desk.on_hand_over(peer_codec.HAND_OVER.decode(data))
+        return b''
+
+    def _take_grant(self, data: bytes) -> bytes:
+        call = peer_codec.GRANT_CALL.decode(data)
+        now_s = peer_clock.clock_s()
+        if call.release:
+            self.desk.release(call.runner_id, call.asked.work_id, now_s)
+            return b''
+        got = self.desk.acquire(
+            call.runner_id, call.asked, now_s, again=call.again
+        )
+        return peer_codec.GRANT_REPLY.encode(peer_codec.grant_reply(got))
+
+    def _take_copies(self, data: bytes) -> bytes:
+        reply = self.copies.copies.take(peer_codec.COPY_BATCH.decode(data))
+        return peer_codec.COPY_REPLY.encode(reply)
+
+    def _take_lookup(self, data: bytes) -> bytes:
+        reply = self.lookup.answer(peer_codec.LOOKUP_CALL.decode(data))
+        return peer_codec.LOOKUP_REPLY.encode(reply)
+
+    def _take_claims(self, data: bytes) -> bytes:
+        call = peer_codec.CLAIMS_CALL.decode(data)
+        reply = peer_codec.ClaimsReply(claimed=self.reaper.claims(call.runs))
+        return peer_codec.CLAIMS_REPLY.encode(reply)
+
+    def _own_runs(self) -> set[str]:
+        return {
+            live.attempt_run_id
+            for live in self._records
+            if live.record.end is None and live.attempt_run_id is not None
+        }
+
+
+def _membership_config(
+    peers: peer_settings.PeerSettings,
+) -> membership_config.MembershipConfig:
+    return membership_config.MembershipConfig(
+        probe_period_s=peers.probe_period_s,
+        probe_timeout_s=peers.probe_timeout_s,
+        suspicion_s=peers.suspicion_s,
+    )
+
+
+def _grant_config(
+    settings: entry_settings.EntrySettings,
+) -> grant_config.GrantConfig:
+    peers = settings.peers
+    return grant_config.GrantConfig(
+        valid_s=max(peers.grant_s, 2 * settings.transfer_timeout_s),
+        order_flight_s=settings.transfer_timeout_s,
+        report_delay_s=peers.report_delay_s,
+        drift=peers.drift,
+    )
+
+
+def _zone_costs(peers: peer_settings.PeerSettings) -> zone_cost.ZoneCosts:
+    return zone_cost.ZoneCosts(
+        round_trips_ms={
+            (item.one, item.two): item.round_trip_ms
+            for item in peers.zone_costs
+        }
+    )
--- /dev/null
+++ b/limpetroute/entry/peer_reaper.py
@@ -0,0 +1,137 @@
+"""Ends runs that no entry host claims, at runners held by lease."""
+
+import asyncio
+import logging
+import typing
+
+from limpetroute.entry import peer_calls
+from limpetroute.entry import peer_clock
+from limpetroute.entry import peer_codec
+from limpetroute.peers import copy_holder
+from limpetroute.peers import grant_desk
+from limpetroute.peers import member_view
+from limpetroute.peers import reaper
+from limpetroute.runners import engine_pool
+
+LOG = logging.getLogger(__name__)
+
+CANCEL_TIMEOUT_S = 2.0
+
+
+class PeerReaper:
+    """Asks every host for its claims, and ends what has none.
+
+    Parameters
+    ----------
+    desk : GrantDesk
+        Knows the runners and who holds them.
+    calls : PeerCalls
+        Calls to other hosts.
+    engines : EnginePool
+        Clients of the runners.
+    own_runs : callable
+        Returns the runs that this host claims.
+    copies : CopyHolder
+        Copies of other hosts' records.
+    grace_s : float
+        Time without a claim after which a run is ended.
+    """
+
+    __slots__ = (
+        '_calls',
+        '_copies',
+        '_desk',
+        '_engines',
+        '_own_runs',
+        '_reaper',
+        'reaped',
+    )
+
+    def __init__(
+        self,
+        *,
+        desk: grant_desk.GrantDesk,
+        calls: peer_calls.PeerCalls,
+        engines: engine_pool.EnginePool,
+        own_runs: typing.Callable[[], set[str]],
+        copies: copy_holder.CopyHolder,
+        grace_s: float,
+    ) -> None:
+        self._desk = desk
+        self._calls = calls
+        self._engines = engines
+        self._own_runs = own_runs
+        self._copies = copies
+        self._reaper = reaper.Reaper(grace_s=grace_s)
+        self.reaped = 0
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(reaped={self.reaped!r})'
+
+    def claims(self, runs: typing.Iterable[str]) -> tuple[str, ...]:
+        """Return which of the runs this host claims.
+
+        A copy claims too: its owner may be gone, and the run is about
+        to be resumed here.
+        """
+        claimed = self._own_runs()
+        for copied in self._copies.copies():
+            if copied.progress.end is None:
+                claimed.add(str(copied.progress.runner.get('run_id', '')))
+        return tuple(run_id for run_id in runs if run_id in claimed)
+
+    async def check(self, view: member_view.MemberView) -> None:
+        """Look at every runner that this host holds the lease of."""
+        now_s = peer_clock.clock_s()
+        reports = [
+            report
+            for report in self._desk.reports()
+            if report.runs and self._desk.holds(report.runner_id, now_s)
+        ]
+        runs = sorted({run for report in reports for run in report.runs})
+        if not runs:
+            return
+        claimed, unsure = await self._ask_all(runs, view)
+        now_s = peer_clock.clock_s()
+        for report in reports:
+            due = self._reaper.check(
+                runner_id=report.runner_id,
+                incarnation=report.incarnation,
+                runs=report.runs,
+                claimed=claimed,
+                unsure=unsure,
+                now_s=now_s,
+            )
+            if self._desk.holds(report.runner_id, now_s):
+                await self._end(report.runner_id, due)
+
+    async def _ask_all(
+        self, runs: list[str], view: member_view.MemberView
+    ) -> tuple[set[str], bool]:
+        body = peer_codec.CLAIMS_CALL.encode(
+            peer_codec.ClaimsCall(runs=tuple(runs))
+        )
+        me = view.claims[0].host_id
+        gone = set(view.gone)
+        asks = [
+            self._calls.ask(
+                item.url, 'claims', body, peer_codec.CLAIMS_REPLY.decode
+            )
+            for item in view.claims
+            if item.host_id != me and item.host_id not in gone
+        ]
+        replies = await asyncio.gather(*asks)
+        claimed = set(self.claims(runs))
+        for reply in replies:
+            if reply is not None:
+                claimed.update(reply.claimed)
+        return claimed, any(reply is None for reply in replies)
+
+    async def _end(self, runner_id: str, runs: list[str]) -> None:
+        engine = self._engines.get(runner_id)
+        if engine is None:
+            return
+        for run_id in runs:
+            LOG.warning('ending %s at %s: nobody claims it', run_id, runner_id)
+            if await engine.cancel(run_id, timeout_s=CANCEL_TIMEOUT_S):
+                self.reaped += 1
--- a/limpetroute/entry/record_store.py
+++ b/limpetroute/entry/record_store.py
@@ -32,6 +32,7 @@
         '_max_ended_bytes',
         '_retain_s',
         'ended_bytes',
+        'on_discard',
     )
 
     def __init__(
@@ -40,6 +41,7 @@
         self._retain_s = retain_s
         self._max_ended_bytes = max_ended_bytes
         self.ended_bytes = 0
+        self.on_discard: typing.Callable[[str], None] | None = None
         self._by_id: dict[str, live_record.LiveRecord] = {}
         self._by_key: dict[tuple[str, str], live_record.LiveRecord] = {}
         self._by_run: dict[str, live_record.LiveRecord] = {}
@@ -82,7 +84,9 @@
     def discard(self, live: live_record.LiveRecord) -> None:
         """Drop a record."""
         record = live.record
-        self._by_id.pop(record.request_id, None)
+        if self._by_id.pop(record.request_id, None) is not None:
+            if self.on_discard is not None:
+                self.on_discard(record.request_id)
         self._by_run.pop(record.run_id, None)
         place = record.team, record.key
         # The key may name a newer request by now.
--- a/limpetroute/entry/request_handler.py
+++ b/limpetroute/entry/request_handler.py
@@ -26,6 +26,8 @@
     async def _find(self, request_id: str) -> live_record.LiveRecord | None:
         if not self.authenticate():
             return None
+        if await self.relay(request_id=request_id):
+            return None
         live = await self.host.finder.by_id(self.team, request_id)
         if live is None:
             self.fail(404, 'no such request', code='request_not_found')
--- a/limpetroute/entry/run_holdings.py
+++ b/limpetroute/entry/run_holdings.py
@@ -38,6 +38,7 @@
         self.free()
         self.attempt = attempt
         self._live.attempt_run_id = attempt.run_id
+        self._live.attempt_base = attempt.base
         return attempt
 
     def touch(
--- a/limpetroute/entry/run_request.py
+++ b/limpetroute/entry/run_request.py
@@ -3,6 +3,8 @@
 import dataclasses
 import typing
 
+from limpetroute.peers import record_copy
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RunRequest:
@@ -44,3 +46,18 @@
     options: typing.Mapping[str, typing.Any] = dataclasses.field(
         default_factory=dict
     )
+
+
+def from_copy(facts: record_copy.RecordFacts) -> RunRequest:
+    """Return the request that a record's copy carries.
+
+    Raises
+    ------
+    TypeError
+        If the copy lacks a field.
+    """
+    fields = {item.name for item in dataclasses.fields(RunRequest)}
+    known = {
+        name: value for name, value in facts.request.items() if name in fields
+    }
+    return RunRequest(**known)
--- a/limpetroute/entry/run_task.py
+++ b/limpetroute/entry/run_task.py
@@ -41,6 +41,8 @@
         Where the answer goes.
     tools : RunTools
         What the run works with.
+    tries : int
+        Tries that another host made before; their names are taken.
     """
 
     __slots__ = (
@@ -61,6 +63,7 @@
         item: work.Work,
         live: live_record.LiveRecord,
         tools: run_tools.RunTools,
+        tries: int = 0,
     ) -> None:
         self._request = request
         self._item = item
@@ -69,7 +72,7 @@
         self._guard = send_guard.SendGuard()
         self._holdings = run_holdings.RunHoldings(live=live, tools=tools)
         self._handed_on = False
-        self._tries = 0
+        self._tries = tries
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(work_id={self._item.work_id!r})'
@@ -208,6 +211,13 @@
         self._live.stage = stage.Stage.TRANSFER
         if not await self._grant(todo.runner_id, todo.kv_bytes):
             return
+        if not self._tools.grants.may_start(
+            runner_id=todo.runner_id, work_id=attempt.run_id
+        ):
+            self._transfer_failed(todo.runner_id)
+            return
+        self._live.runner_id = todo.runner_id
+        copying = asyncio.ensure_future(self._copy())
         self._send(todo.runner_id, engine)
         moved = await engine.import_kv(
             engine_call.ImportCall(
@@ -225,8 +235,16 @@
             self._transfer_failed(todo.runner_id)
             return
         self._tools.scheduler.transfer_done(self._item.work_id)
+        # The copy goes out beside the transfer. No event may reach the
+        # caller before it is there: with this host the answer, and the
+        # run that its ids name, would be lost.
+        await copying
         await self._answer(engine, todo.runner_id, attempt, result)
 
+    async def _copy(self) -> None:
+        if self._tools.copy is not None:
+            await self._tools.copy(self._live)
+
     async def _answer(
         self,
         engine: engine_client.EngineClient,
--- a/limpetroute/entry/run_tools.py
+++ b/limpetroute/entry/run_tools.py
@@ -1,14 +1,18 @@
 """What every run works with."""
 
 import dataclasses
+import typing
 
 from limpetroute.border import entry_settings
 from limpetroute.entry import grants as grants_module
+from limpetroute.entry import live_record
 from limpetroute.entry import run_freer
 from limpetroute.entry import scheduler as scheduler_module
 from limpetroute.runners import engine_pool
 from limpetroute.telemetry import meters as meters_module
 
+Copy = typing.Callable[[live_record.LiveRecord], typing.Awaitable[None]]
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RunTools:
@@ -28,6 +32,8 @@
         Counts.
     settings : EntrySettings
         Time limits.
+    copy : callable or None
+        Copies a record to another host; the first event waits for it.
     """
 
     scheduler: scheduler_module.Scheduler
@@ -36,3 +42,4 @@
     freer: run_freer.RunFreer
     meters: meters_module.Meters
     settings: entry_settings.EntrySettings
+    copy: Copy | None = None
--- a/limpetroute/entry/server.py
+++ b/limpetroute/entry/server.py
@@ -19,6 +19,7 @@
 from limpetroute.entry import metrics_handler
 from limpetroute.entry import models_handler
 from limpetroute.entry import operator_routes
+from limpetroute.entry import peer_routes
 from limpetroute.entry import request_handler
 from limpetroute.entry import runners_handler
 from limpetroute.wire import token_guard
@@ -67,8 +68,15 @@
             body_timeout=self._settings.body_timeout_s,
         )
         self.host.start()
+        if self._settings.peers.enabled:
+            self.host.join_peers(self._internal_url())
         LOG.info('entry %s on port %d', self._settings.host_id, self.port)
 
+    def _internal_url(self) -> str:
+        listen = self._settings.internal_listen
+        scheme = 'https' if listen.tls_context() else 'http'
+        return f'{scheme}://{listen.address}:{self.internal_port}'
+
     async def stop(self) -> None:
         """Finish what is in progress, then close both ports.
 
@@ -142,6 +150,7 @@
         url = tornado.web.url
         return [
             url('/v1/runners', runners_handler.RunnersHandler, host),
+            *peer_routes.routes(self.host),
             url('/metrics', metrics_handler.MetricsHandler, host),
             *operator_routes.routes(self.host),
             *self._health_routes(),
--- a/limpetroute/peers/copy_sender.py
+++ b/limpetroute/peers/copy_sender.py
@@ -73,6 +73,10 @@
         if self._records.pop(request_id, None) is not None:
             self._dropped.append(request_id)
 
+    def let_go(self, request_id: str) -> None:
+        """Send nothing more of a record that the heir goes on with."""
+        self._records.pop(request_id, None)
+
     def set_heir(self, heir_id: str) -> None:
         """Copy everything to another host."""
         if heir_id == self.heir_id:
--- a/limpetroute/peers/grant_desk.py
+++ b/limpetroute/peers/grant_desk.py
@@ -25,7 +25,6 @@
 __all__ = ['DeskSend', 'GrantDesk']
 
 RUNNER = 'runner:'
-HOST = 'host:'
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -106,6 +105,11 @@
             f'books={len(self._books)!r})'
         )
 
+    @property
+    def leases(self) -> lease_holder.LeaseHolder:
+        """All leases of this host; the desk uses those of runners."""
+        return self._holder
+
     @property
     def books(self) -> tuple[grant_book.GrantBook, ...]:
         """Books of the runners held, settled or not."""
@@ -136,22 +140,6 @@
         self._reports.pop(runner_id, None)
         self._drop_book(runner_id)
 
-    def host_held(self, now_s: float) -> lease_holder.LeaseHeld | None:
-        """Return this host's lease on its own request records."""
-        return self._holder.held(HOST + self._id, now_s)
-
-    def host_of(self, host_id: str, now_s: float) -> bool:
-        """Whether this host holds another host's records by lease."""
-        return self._holder.held(HOST + host_id, now_s) is not None
-
-    def want_host(self, host_id: str, *, fence_floor: int) -> None:
-        """Ask for the lease on a host's request records."""
-        self._holder.want(HOST + host_id, fence_floor=fence_floor)
-
-    def unwant_host(self, host_id: str) -> None:
-        """Give the lease on a host's request records back."""
-        self._holder.unwant(HOST + host_id)
-
     def holder_of(self, runner_id: str, now_s: float) -> str:
         """Return the host to ask for room at a runner."""
         if self._holder.held(RUNNER + runner_id, now_s) is not None:
--- a/limpetroute/peers/grant_ledger.py
+++ b/limpetroute/peers/grant_ledger.py
@@ -59,6 +59,10 @@
     def __len__(self) -> int:
         return len(self._lines)
 
+    def lines(self) -> tuple[LedgerLine, ...]:
+        """Return all grants."""
+        return tuple(self._lines.values())
+
     def add(
         self,
         *,
