--- a/limpetroute/bench/arrivals.py
+++ b/limpetroute/bench/arrivals.py
@@ -84,7 +84,7 @@
     rng = random.Random(seed)
     teams = _team_weights(pattern)
     marks = list(itertools.accumulate(teams))
-    arrivals = []
+    arrivals: list[Arrival] = []
     now_s = 0.0
     number = 0
     while True:
