--- a/limpetroute/entry/completions_handler.py
+++ b/limpetroute/entry/completions_handler.py
@@ -30,6 +30,10 @@
 
     async def post(self) -> None:
         """Answer one request."""
+        with self.host.hops.hop('entry'):
+            await self._post()
+
+    async def _post(self) -> None:
         if not self.body_is_whole() or not self.authenticate():
             return
         model: type[typing.Any] = completion_body.CompletionBody
--- a/limpetroute/entry/host.py
+++ b/limpetroute/entry/host.py
@@ -127,7 +127,7 @@
             await self._wait_for_end(until_s - loop.time())
         for live in list(self._open):
             live.handed_over = self.hands_over
-            live.cancel('draining_resume_elsewhere')
+            live.cancel(run_task.RESUME_ELSEWHERE)
         tasks = [live.task for live in self._open if live.task is not None]
         free_s = min(FREE_TIMEOUT_S, self.settings.drain_timeout_s)
         if tasks:
@@ -205,6 +205,7 @@
                 grants=self.grants,
                 freer=self.freer,
                 meters=self.meters,
+                hops=self.hops,
                 settings=self.settings,
             ),
         )
--- a/limpetroute/entry/run_task.py
+++ b/limpetroute/entry/run_task.py
@@ -26,6 +26,7 @@
 MAX_RESUMES = 2
 RESUME_PAUSE_S = 0.05
 INTERNAL_RETRY_AFTER_S = 1.0
+RESUME_ELSEWHERE = 'draining_resume_elsewhere'
 
 
 class RunTask:
@@ -80,7 +81,7 @@
         try:
             await self._work(inbox)
         except asyncio.CancelledError:
-            self._finish(outcome.Cancelled(reason=self._live.cancel_reason))
+            self._finish(self._cancelled())
         except Exception:  # noqa: BLE001 - a fault of ours must end the run
             LOG.exception('run %s broke', self._live.record.run_id)
             self._finish(
@@ -91,6 +92,14 @@
         finally:
             self._close()
 
+    def _cancelled(self) -> outcome.Outcome:
+        reason = self._live.cancel_reason
+        if reason == RESUME_ELSEWHERE:
+            return outcome.given_up(
+                self._guard, reason, INTERNAL_RETRY_AFTER_S
+            )
+        return outcome.Cancelled(reason=reason)
+
     def _close(self) -> None:
         end = self._live.record.end
         how = stage.Ending.FAILED
@@ -111,6 +120,8 @@
         step: asyncio.Task[None] | None = None
         next_one = asyncio.ensure_future(inbox.get())
         try:
+            with self._tools.hops.hop('queue'):
+                await asyncio.wait([next_one])
             while self._live.record.end is None:
                 waiting: list[asyncio.Future[typing.Any]] = [next_one]
                 if step is not None:
@@ -172,17 +183,17 @@
             if not await self._grant(todo.decode_runner_id, todo.kv_bytes):
                 return
         self._send(todo.runner_id, engine)
-        got = await engine.prefill(
-            engine_call.PrefillCall(
-                run_id=attempt.run_id,
-                model=self._request.model,
-                prompt=self._request.prompt + self._live.record.text,
-                priority=0,
-                fence=0,
-                latest_start_s=self._tools.settings.prefill_timeout_s,
-            ),
-            timeout_s=self._tools.settings.prefill_timeout_s,
+        timeout_s = self._tools.settings.prefill_timeout_s
+        call = engine_call.PrefillCall(
+            run_id=attempt.run_id,
+            model=self._request.model,
+            prompt=self._request.prompt + self._live.record.text,
+            priority=0,
+            fence=0,
+            latest_start_s=timeout_s,
         )
+        with self._tools.hops.hop('prefill', runner_id=todo.runner_id):
+            got = await engine.prefill(call, timeout_s=timeout_s)
         if not isinstance(got, engine_call.PrefillResult):
             self._note(got, todo.runner_id)
             self._holdings.free()
@@ -209,15 +220,16 @@
         if not await self._grant(todo.runner_id, todo.kv_bytes):
             return
         self._send(todo.runner_id, engine)
-        moved = await engine.import_kv(
-            engine_call.ImportCall(
-                run_id=attempt.run_id,
-                source_url=source.url,
-                handle=result.handle,
-                fence=attempt.fences.get(todo.runner_id, 0),
-            ),
-            timeout_s=self._tools.settings.transfer_timeout_s,
+        call = engine_call.ImportCall(
+            run_id=attempt.run_id,
+            source_url=source.url,
+            handle=result.handle,
+            fence=attempt.fences.get(todo.runner_id, 0),
         )
+        with self._tools.hops.hop('transfer', runner_id=todo.runner_id):
+            moved = await engine.import_kv(
+                call, timeout_s=self._tools.settings.transfer_timeout_s
+            )
         if not isinstance(moved, int):
             LOG.debug('transfer of %s failed: %s', attempt.run_id, moved)
             self._note(moved, todo.runner_id)
@@ -236,7 +248,8 @@
     ) -> None:
         self._live.stage = stage.Stage.DECODE
         self._live.runner_id = runner_id
-        got = await self._read(engine, runner_id, attempt)
+        with self._tools.hops.hop('decode', runner_id=runner_id):
+            got = await self._read(engine, runner_id, attempt)
         if isinstance(got, engine_call.EndEvent):
             self._complete(got.finish_reason, result.prompt_tokens)
             return
--- a/limpetroute/entry/run_tools.py
+++ b/limpetroute/entry/run_tools.py
@@ -7,6 +7,7 @@
 from limpetroute.entry import run_freer
 from limpetroute.entry import scheduler as scheduler_module
 from limpetroute.runners import engine_pool
+from limpetroute.telemetry import hops as hops_module
 from limpetroute.telemetry import meters as meters_module
 
 
@@ -26,6 +27,8 @@
         Ends runs at runners.
     meters : Meters
         Counts.
+    hops : Hops
+        Spans.
     settings : EntrySettings
         Time limits.
     """
@@ -35,4 +38,5 @@
     grants: grants_module.GrantSource
     freer: run_freer.RunFreer
     meters: meters_module.Meters
+    hops: hops_module.Hops
     settings: entry_settings.EntrySettings
