--- a/limpetroute/entry/run_tools.py
+++ b/limpetroute/entry/run_tools.py
@@ -28,7 +28,7 @@
     meters : Meters
         Counts.
     hops : Hops
-        Spans.
+        Makes the spans.
     settings : EntrySettings
         Time limits.
     """
