Route plain services; what must not repeat runs at most once

Cause: plain services were not routed at all.

Change: POST, GET, PUT, PATCH and DELETE below /v1/services/{service}/ go to runners that announce the service. The manifest's rules say what may be repeated, the stricter of two wins, and without a rule the HTTP method decides. Repeatable calls try other runners within a budget of a tenth of fresh calls. The others are claimed before the first byte, never sent again once a byte may have arrived, not tied to their caller, and their answer is kept. A stand-in service counts its runs.

Ruled out: refusing with not_run when the control log gives no verdict on a caller's own key. The key may have run before on another host, and a caller who trusts the refusal would release under a new key what was released. Nothing is sent, and the caller is told unknown and when to repeat.

--- a/limpetroute/cli/standin.py
+++ b/limpetroute/cli/standin.py
@@ -19,6 +19,7 @@
 from limpetroute.cli import exit_code
 from limpetroute.cli import serving
 from limpetroute.standins import engine_server
+from limpetroute.standins import service_server
 
 
 def run(argv: typing.Sequence[str]) -> int:
@@ -30,10 +31,13 @@
     )
     if settings is None:
         return exit_code.USAGE
-    return serving.serve(
-        lambda: engine_server.EngineServer(settings=settings), _print_ready
-    )
+    kind: typing.Any = engine_server.EngineServer
+    if settings.role == 'service':
+        kind = service_server.ServiceServer
+    return serving.serve(lambda: kind(settings=settings), _print_ready)
 
 
-def _print_ready(engine: engine_server.EngineServer) -> None:
-    print(f'ready: runner {engine.port}', flush=True)
+def _print_ready(
+    runner: engine_server.EngineServer | service_server.ServiceServer,
+) -> None:
+    print(f'ready: runner {runner.port}', flush=True)
--- a/limpetroute/entry/base_handler.py
+++ b/limpetroute/entry/base_handler.py
@@ -34,6 +34,7 @@
 
     def prepare(self) -> None:
         """Take up the caller's trace and refuse headers past the limits."""
+        self.host.exchanges.add(self)
         trace_context.receive(self.request.headers.get(trace_context.HEADER))
         fields = list(self.request.headers.get_all())
         size = sum(len(name) + len(value) for name, value in fields)
@@ -45,6 +46,15 @@
             code='headers_too_large',
         )
 
+    def on_finish(self) -> None:
+        """Note that the request is answered."""
+        self.host.exchanges.discard(self)
+
+    def on_connection_close(self) -> None:
+        """Note that nobody waits for the answer."""
+        self.host.exchanges.discard(self)
+        super().on_connection_close()
+
     @property
     def team(self) -> str:
         """The caller's team, once `authenticate` has found it."""
--- a/limpetroute/entry/body_handler.py
+++ b/limpetroute/entry/body_handler.py
@@ -83,6 +83,7 @@
 
     def on_finish(self) -> None:
         """End the time limit and drop the body."""
+        super().on_finish()
         self._stop_clock()
         self._parts.clear()
 
--- a/limpetroute/entry/host.py
+++ b/limpetroute/entry/host.py
@@ -4,6 +4,7 @@
 import logging
 import secrets
 import time
+import typing
 
 from limpetroute.border import announcement
 from limpetroute.border import entry_settings
@@ -25,10 +26,12 @@
 from limpetroute.entry import run_task
 from limpetroute.entry import run_tools
 from limpetroute.entry import scheduler as scheduler_module
+from limpetroute.entry import service_desk
 from limpetroute.peers import request_record
 from limpetroute.peers import run_end
 from limpetroute.runners import directory
 from limpetroute.runners import engine_pool
+from limpetroute.runners import service_pool
 from limpetroute.wire import caller
 
 LOG = logging.getLogger(__name__)
@@ -65,6 +68,17 @@
         self.hops = self.exports.hops
         host_exports.observe(self.exports, self)
         self.claims: claim_book.ClaimBook | None = None
+        self.drained_runners: set[str] = set()
+        self.services = service_desk.ServiceDesk(
+            host=self,
+            host_id=settings.host_id,
+            pool=service_pool.ServicePool(
+                runners=self.runners,
+                http=self.http,
+                drained=self.drained_runners,
+            ),
+            meters=self.meters,
+        )
         self.freer = run_freer.RunFreer()
         self.records = record_store.RecordStore(retain_s=settings.retain_s)
         self.finder: record_finder.RecordFinder = (
@@ -72,10 +86,11 @@
         )
         self.manifest: manifest_module.ManifestBody | None = None
         self.draining = False
+        # Handlers of requests that are not answered yet.
+        self.exchanges: set[object] = set()
         # Whether another host holds copies of the records and goes on
         # with the runs that are left when this host's drain lapses.
         self.hands_over = False
-        self.drained_runners: set[str] = set()
         self._index = manifest_index_module.ManifestIndex(manifest=None)
         self._open: set[live_record.LiveRecord] = set()
         self._ticker: asyncio.Task[None] | None = None
@@ -93,6 +108,11 @@
         """Requests that have not ended."""
         return len(self._open)
 
+    @property
+    def _pending(self) -> set[asyncio.Task[typing.Any]]:
+        runs = {live.task for live in self._open if live.task is not None}
+        return runs | self.services.tasks
+
     @property
     def manifest_index(self) -> manifest_index_module.ManifestIndex:
         """Look-ups in the manifest in force."""
@@ -123,8 +143,12 @@
         self.draining = True
         loop = asyncio.get_running_loop()
         until_s = loop.time() + self.settings.drain_timeout_s
-        while self._open and loop.time() < until_s:
-            await self._wait_for_end(until_s - loop.time())
+        while self._pending and loop.time() < until_s:
+            await asyncio.wait(
+                self._pending,
+                timeout=until_s - loop.time(),
+                return_when=asyncio.FIRST_COMPLETED,
+            )
         for live in list(self._open):
             live.handed_over = self.hands_over
             live.cancel(run_task.RESUME_ELSEWHERE)
@@ -135,11 +159,12 @@
         await self.freer.drain(free_s)
 
     async def callers_done(self) -> None:
-        """Wait until attached callers have been told how it ended."""
+        """Wait until callers have been told how it ended."""
         loop = asyncio.get_running_loop()
         until_s = loop.time() + self.settings.write_stall_s
         while loop.time() < until_s:
-            if not any(live.attached for live in self.records):
+            attached = any(live.attached for live in self.records)
+            if not attached and not self.exchanges:
                 return
             await asyncio.sleep(CALLERS_POLL_S)
 
@@ -262,14 +287,6 @@
         first_token_s, token_gap_s = self._targets()
         return first_s <= first_token_s and gap_s <= token_gap_s
 
-    async def _wait_for_end(self, timeout_s: float) -> None:
-        tasks = [live.task for live in self._open if live.task is not None]
-        if not tasks:
-            return
-        await asyncio.wait(
-            tasks, timeout=timeout_s, return_when=asyncio.FIRST_COMPLETED
-        )
-
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
--- /dev/null
+++ b/limpetroute/entry/repeatable_calls.py
@@ -0,0 +1,95 @@
+"""Calls of plain services that may be sent more than once."""
+
+import asyncio
+import dataclasses
+
+from limpetroute.entry import retry_budget
+from limpetroute.entry import send_guard
+from limpetroute.entry import service_outcome
+from limpetroute.runners import service_call
+from limpetroute.runners import service_pool
+from limpetroute.telemetry import meters as meters_module
+
+MAX_TRIES = 3
+UNAVAILABLE = frozenset({502, 503, 504})
+
+
+class RepeatableCalls:
+    """Tries another runner, within a budget and the time limit.
+
+    Parameters
+    ----------
+    pool : ServicePool
+        Sends calls.
+    meters : Meters
+        Counts.
+    """
+
+    __slots__ = ('_budget', '_meters', '_pool')
+
+    def __init__(
+        self,
+        *,
+        pool: service_pool.ServicePool,
+        meters: meters_module.Meters,
+    ) -> None:
+        self._pool = pool
+        self._meters = meters
+        self._budget = retry_budget.RetryBudget()
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(pool={self._pool!r})'
+
+    async def call(
+        self, call: service_call.ServiceCall
+    ) -> service_outcome.ServiceOutcome:
+        """Make a call."""
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + call.timeout_s
+        guard = send_guard.SendGuard()
+        tried: set[str] = set()
+        last: service_call.ServiceResult | None = None
+        self._budget.fresh()
+        while len(tried) < MAX_TRIES:
+            left_s = until_s - loop.time()
+            runner = self._pool.pick(call.service, tried)
+            if runner is None or left_s <= 0:
+                break
+            if tried and not self._budget.take():
+                break
+            if tried:
+                self._meters.retried('service')
+            tried.add(runner.runner_id)
+            guard.mark_sending()
+            last = await self._pool.send(
+                runner, dataclasses.replace(call, timeout_s=left_s)
+            )
+            if isinstance(last, service_call.ServiceReply):
+                if last.status not in UNAVAILABLE:
+                    break
+                continue
+            if was_not_run(last):
+                guard.mark_refused()
+        return _outcome(last, guard)
+
+
+def was_not_run(
+    result: service_call.ServiceRefused | service_call.ServiceFailed,
+) -> bool:
+    """Whether the result itself shows that nothing ran."""
+    if isinstance(result, service_call.ServiceRefused):
+        return True
+    return not result.sent
+
+
+def _outcome(
+    last: service_call.ServiceResult | None, guard: send_guard.SendGuard
+) -> service_outcome.ServiceOutcome:
+    if isinstance(last, service_call.ServiceReply):
+        return service_outcome.Answered(reply=last)
+    proof = guard.not_run_proof()
+    reason = 'no_runner' if last is None else last.reason
+    if proof is not None:
+        return service_outcome.NotRun(proof=proof, reason=reason)
+    timed_out = isinstance(last, service_call.ServiceFailed) and last.timed_out
+    return service_outcome.Unknown(reason=reason, timed_out=timed_out)
--- a/limpetroute/entry/server.py
+++ b/limpetroute/entry/server.py
@@ -21,6 +21,7 @@
 from limpetroute.entry import operator_routes
 from limpetroute.entry import request_handler
 from limpetroute.entry import runners_handler
+from limpetroute.entry import service_handler
 from limpetroute.wire import token_guard
 
 LOG = logging.getLogger(__name__)
@@ -134,6 +135,11 @@
                 host,
             ),
             url('/v1/requests/([^/]+)', request_handler.RequestHandler, host),
+            url(
+                '/v1/services/([^/]+)/(.*)',
+                service_handler.ServiceHandler,
+                host,
+            ),
             *self._health_routes(),
         ]
 
--- a/limpetroute/standins/engine_server.py
+++ b/limpetroute/standins/engine_server.py
@@ -10,6 +10,7 @@
 import tornado.web
 
 from limpetroute.border import standin_settings
+from limpetroute.standins import announcer
 from limpetroute.standins import engine_handlers
 from limpetroute.standins import engine_state
 from limpetroute.wire import caller
@@ -18,7 +19,6 @@
 LOG = logging.getLogger(__name__)
 
 EXPIRE_S = 0.05
-ANNOUNCE_TIMEOUT_S = 1.0
 
 
 class EngineServer:
@@ -39,6 +39,12 @@
         self._http = caller.Caller(
             tls=self._trust.client_tls, token=self._trust.token
         )
+        self._announcer = announcer.Announcer(
+            http=self._http,
+            urls=settings.announce_urls,
+            heartbeat_s=settings.heartbeat_s,
+            make_body=self._announcement,
+        )
         self._server: tornado.httpserver.HTTPServer | None = None
         self._tasks: list[asyncio.Task[None]] = []
         self._sequence = 0
@@ -71,7 +77,7 @@
         self._tasks = [
             asyncio.create_task(self.state.steps()),
             asyncio.create_task(self._expire()),
-            asyncio.create_task(self._heartbeats()),
+            asyncio.create_task(self._announcer.heartbeats()),
         ]
         LOG.info('engine %s on port %d', self.settings.runner_id, self.port)
 
@@ -90,17 +96,7 @@
 
     async def announce(self) -> None:
         """Announce once to every entry host."""
-        body = self._announcement()
-        calls = [
-            self._http.call(
-                method='POST',
-                url=f'{url.rstrip("/")}/v1/runners',
-                body=body,
-                timeout_s=ANNOUNCE_TIMEOUT_S,
-            )
-            for url in self.settings.announce_urls
-        ]
-        await asyncio.gather(*calls)
+        await self._announcer.announce()
 
     def _announcement(self) -> dict[str, typing.Any]:
         settings = self.settings
@@ -143,11 +139,6 @@
             'cache_events': events,
         }
 
-    async def _heartbeats(self) -> None:
-        while True:
-            await self.announce()
-            await asyncio.sleep(self.settings.heartbeat_s)
-
     async def _expire(self) -> None:
         while True:
             await asyncio.sleep(EXPIRE_S)
--- a/limpetroute/wire/caller.py
+++ b/limpetroute/wire/caller.py
@@ -76,8 +76,12 @@
         body: typing.Any = None,
         headers: typing.Mapping[str, str] | None = None,
         timeout_s: float,
+        max_reply_bytes: int = connection.MAX_BODY_BYTES,
     ) -> reply.Reply | call_failed.CallFailed:
-        """Send a request and read its whole reply."""
+        """Send a request and read its whole reply.
+
+        A reply of over ``max_reply_bytes`` counts as garbled.
+        """
         link = await self.open(
             method=method,
             url=url,
@@ -88,7 +92,9 @@
         if isinstance(link, call_failed.CallFailed):
             return link
         try:
-            return await link.read(timeout_s=timeout_s)
+            return await link.read(
+                timeout_s=timeout_s, max_bytes=max_reply_bytes
+            )
         finally:
             link.close()
 
--- a/limpetroute/wire/connection.py
+++ b/limpetroute/wire/connection.py
@@ -212,14 +212,22 @@
             yield chunk
 
     async def read(
-        self, *, timeout_s: float
+        self, *, timeout_s: float, max_bytes: int = MAX_BODY_BYTES
     ) -> reply.Reply | call_failed.CallFailed:
-        """Read the whole body."""
+        """Read the whole body, of at most ``max_bytes``."""
         parts = []
+        size = 0
         try:
             async with asyncio.timeout(timeout_s):
                 async for chunk in self.chunks(idle_timeout_s=timeout_s):
                     parts.append(chunk)
+                    size += len(chunk)
+                    if size > max_bytes:
+                        return call_failed.CallFailed(
+                            kind=call_failed.FailureKind.GARBLED,
+                            sent=True,
+                            detail=f'reply over {max_bytes} bytes',
+                        )
         except TimeoutError:
             return call_failed.CallFailed(
                 kind=call_failed.FailureKind.TIMEOUT, sent=True
--- /dev/null
+++ b/tests/entry/memory_claim_book.py
@@ -0,0 +1,59 @@
+"""A claim book in memory, whose answers can be made to fail."""
+
+import dataclasses
+
+from limpetroute.control import claim_book
+
+
+@dataclasses.dataclass(kw_only=True)
+class Claim:
+    digest: str
+    fence: int
+    status: int | None = None
+    body: str = ''
+
+
+class MemoryClaimBook:
+    def __init__(self) -> None:
+        self.claims: dict[tuple[str, str], Claim] = {}
+        self.reachable = True
+        self.fail_settles = 0
+
+    async def claim(
+        self,
+        *,
+        team: str,
+        key: str,
+        body_digest: str,
+        holder: str,
+        timeout_s: float,
+    ) -> claim_book.ClaimVerdict:
+        if not self.reachable:
+            return claim_book.ClaimNotMade(reason='no_quorum')
+        found = self.claims.get((team, key))
+        if found is None:
+            fence = len(self.claims) + 1
+            self.claims[team, key] = Claim(digest=body_digest, fence=fence)
+            return claim_book.ClaimGranted(fence=fence)
+        return claim_book.ClaimFound(
+            same_body=found.digest == body_digest,
+            status=found.status,
+            body=found.body,
+        )
+
+    async def settle(
+        self,
+        *,
+        team: str,
+        key: str,
+        status: int,
+        body: str,
+        timeout_s: float,
+    ) -> bool:
+        if self.fail_settles > 0:
+            self.fail_settles -= 1
+            return False
+        claim = self.claims[team, key]
+        claim.status = status
+        claim.body = body
+        return True
--- /dev/null
+++ b/tests/entry/test_services.py
@@ -0,0 +1,384 @@
+import asyncio
+import random
+import typing
+
+import pytest
+
+from limpetroute.border import manifest as manifest_module
+from limpetroute.border import standin_settings
+from limpetroute.entry import call_rules
+from limpetroute.standins import service_faults
+from limpetroute.standins import service_server
+from tests.entry import fleet as fleet_module
+from tests.entry import memory_claim_book
+from tests.entry import raw_caller
+
+KEY = {'Idempotency-Key': 'release-5'}
+BODY = {'guarantee': 'G-1'}
+RELEASE = '/v1/services/registry/release'
+LOOKUP = '/v1/services/registry/status/G-1'
+MANIFEST = manifest_module.ManifestBody.model_validate(
+    {
+        'number': 1,
+        'services': [
+            {
+                'name': 'registry',
+                'timeout_s': 1.0,
+                'calls': [
+                    {'method': 'POST', 'path': '/search', 'repeatable': True},
+                    {
+                        'method': 'GET',
+                        'path': '/ticket/**',
+                        'repeatable': False,
+                    },
+                ],
+            }
+        ],
+    }
+)
+Services = list[service_server.ServiceServer]
+Story = typing.Callable[
+    [fleet_module.Fleet, Services], typing.Coroutine[None, None, None]
+]
+
+
+def _play(story: Story, *, count: int = 2, **settings: typing.Any) -> None:
+    async def whole(fleet: fleet_module.Fleet) -> None:
+        fleet.host.manifest = MANIFEST
+        fleet.host.claims = memory_claim_book.MemoryClaimBook()
+        services = [
+            service_server.ServiceServer(
+                settings=standin_settings.StandinSettings.model_validate(
+                    {
+                        'runner_id': f'registry-{number}',
+                        'role': 'service',
+                        'service': 'registry',
+                        'zone': 'evere',
+                        'heartbeat_s': 0.1,
+                        'announce_urls': [
+                            f'http://127.0.0.1:{fleet.entry.internal_port}'
+                        ],
+                    }
+                )
+            )
+            for number in range(count)
+        ]
+        for service in services:
+            service.start()
+        try:
+            await fleet_module.until(lambda: len(fleet.host.runners) == count)
+            await story(fleet, services)
+        finally:
+            for service in services:
+                await service.stop()
+
+    fleet_module.play(whole, prefills=0, decodes=0, **settings)
+
+
+def _fault(services: Services, **faults: typing.Any) -> None:
+    for service in services:
+        service.state.faults = service_faults.ServiceFaults(**faults)
+
+
+def _runs(services: Services) -> int:
+    return sum(sum(service.state.runs.values()) for service in services)
+
+
+async def _release(
+    fleet: fleet_module.Fleet, **body: typing.Any
+) -> tuple[int, dict[str, str], typing.Any]:
+    return await raw_caller.fetch(
+        fleet, 'POST', RELEASE, {**BODY, **body}, KEY
+    )
+
+
+def test_lookup_is_retried_on_another_runner() -> None:
+    # A runner breaks the connection after it has run a look-up. A court
+    # still gets its answer, from another runner.
+    async def story(fleet: fleet_module.Fleet, services: Services) -> None:
+        _fault(services, drop_reply=1)
+        _fault(services[:1])
+        for _ in range(3):
+            status, headers, body = await raw_caller.fetch(
+                fleet, 'GET', LOOKUP + '?full=1'
+            )
+            assert status == 200
+            assert (body['path'], body['query']) == ('/status/G-1', 'full=1')
+            assert headers['limpetroute-outcome'] == 'completed'
+
+    _play(story)
+
+
+def test_retries_have_a_budget() -> None:
+    # Every runner of the service fails at once. The calls must not
+    # triple its load while it tries to come back.
+    async def story(fleet: fleet_module.Fleet, services: Services) -> None:
+        _fault(services, drop_reply=1000)
+        for _ in range(60):
+            await raw_caller.fetch(fleet, 'GET', LOOKUP)
+        assert 60 < _runs(services) <= 60 + 10 + 6
+
+    _play(story, count=3)
+
+
+def test_release_runs_once_and_its_answer_is_kept() -> None:
+    # A release confirmation is sent twice under one key. It runs once,
+    # and the repeat gets the answer that was kept; the same key for
+    # another guarantee is refused.
+    async def story(fleet: fleet_module.Fleet, services: Services) -> None:
+        status, headers, first = await _release(fleet)
+        assert (status, headers['limpetroute-outcome']) == (200, 'completed')
+        status, headers, again = await _release(fleet)
+        assert status == 200
+        assert headers['limpetroute-outcome'] == 'already_delivered'
+        assert again == first
+        status, _, body = await _release(fleet, guarantee='G-2')
+        assert (status, body['error']['code']) == (422, 'key_reused')
+        assert _runs(services) == 1
+
+    _play(story)
+
+
+def test_release_whose_answer_is_lost_is_never_sent_again() -> None:
+    # The runner dies after it released and before it answered. Nobody
+    # knows that it ran, so it must not run again: the caller is told
+    # `unknown`, and so is each repeat.
+    async def story(fleet: fleet_module.Fleet, services: Services) -> None:
+        _fault(services, drop_reply=1)
+        status, headers, _ = await _release(fleet)
+        assert (status, headers['limpetroute-outcome']) == (502, 'unknown')
+        status, headers, _ = await _release(fleet)
+        assert (status, headers['limpetroute-outcome']) == (409, 'unknown')
+        assert headers['x-should-retry'] == 'false'
+        assert _runs(services) == 1
+
+    _play(story)
+
+
+def test_release_that_times_out() -> None:
+    # The runner takes longer than the service's limit. It may still
+    # run, so the answer is 504 and `unknown`.
+    async def story(fleet: fleet_module.Fleet, services: Services) -> None:
+        _fault(services, delay_s=5.0)
+        status, headers, _ = await _release(fleet)
+        assert (status, headers['limpetroute-outcome']) == (504, 'unknown')
+        assert _runs(services) == 1
+
+    _play(story)
+
+
+def test_release_that_a_runner_refused_goes_to_another() -> None:
+    # One runner refuses with its own word, one is dead: provably
+    # nothing ran there, so another may be asked.
+    async def story(fleet: fleet_module.Fleet, services: Services) -> None:
+        _fault(services[:1], refuse=True)
+        await services[1].stop()
+        for number in range(4):
+            status, _, _ = await raw_caller.fetch(
+                fleet,
+                'POST',
+                RELEASE,
+                BODY,
+                {'Idempotency-Key': f'r-{number}'},
+            )
+            assert status == 200
+        assert _runs(services) == 4
+
+    _play(story, count=3, runner_timeout_s=10.0)
+
+
+def test_caller_of_a_release_goes() -> None:
+    # The caller goes while the release runs. It is not cancelled, and
+    # the answer waits for the repeat.
+    async def story(fleet: fleet_module.Fleet, services: Services) -> None:
+        _fault(services, delay_s=0.3)
+        caller = raw_caller.RawCaller(fleet.port)
+        await caller.send('POST', RELEASE, BODY, KEY)
+        await fleet_module.until(lambda: _runs(services) == 1)
+        caller.rst()
+        status, headers, body = await _release(fleet)
+        assert (status, body['run']) == (200, 1)
+        fleet.host.claims.fail_settles = 2
+        status, headers, body = await _release(fleet)
+        assert headers['limpetroute-outcome'] == 'already_delivered'
+        assert _runs(services) == 1
+
+    _play(story)
+
+
+def test_no_quorum() -> None:
+    # The control log cannot be reached. Nothing is sent. With a key of
+    # the caller's own nobody can say that it never ran before, so the
+    # caller is told to repeat it and not that nothing ran.
+    async def story(fleet: fleet_module.Fleet, services: Services) -> None:
+        await _release(fleet)
+        fleet.host.claims.reachable = False
+        status, headers, _ = await _release(fleet)
+        assert (status, headers['limpetroute-outcome']) == (503, 'unknown')
+        assert 'retry-after' in headers
+        status, headers, _ = await raw_caller.fetch(
+            fleet, 'POST', RELEASE, BODY
+        )
+        assert (status, headers['limpetroute-outcome']) == (503, 'not_run')
+        fleet.host.claims = None
+        status, headers, _ = await raw_caller.fetch(
+            fleet, 'POST', RELEASE, BODY
+        )
+        assert (status, headers['limpetroute-outcome']) == (503, 'not_run')
+        assert _runs(services) == 1
+
+    _play(story)
+
+
+def test_no_runner_for_a_release() -> None:
+    # No runner takes the release. The caller is told that it was not
+    # run, truly, and the key stands for that from now on.
+    async def story(fleet: fleet_module.Fleet, services: Services) -> None:
+        _fault(services, refuse=True)
+        for _ in range(2):
+            status, headers, body = await _release(fleet)
+            assert (status, body['error']['code']) == (503, 'key_spent')
+            assert headers['limpetroute-outcome'] == 'not_run'
+        assert _runs(services) == 0
+
+    _play(story)
+
+
+def test_rules_of_the_manifest() -> None:
+    # A search by POST may be repeated; a GET that draws a ticket may
+    # not. The manifest says so, against what HTTP says of the methods.
+    async def story(fleet: fleet_module.Fleet, services: Services) -> None:
+        _fault(services, drop_reply=1)
+        status, _, _ = await raw_caller.fetch(
+            fleet, 'POST', '/v1/services/registry/search', BODY
+        )
+        assert status == 502
+        assert _runs(services) == 2
+        _fault(services, drop_reply=1)
+        status, headers, _ = await raw_caller.fetch(
+            fleet, 'GET', '/v1/services/registry/ticket/new/today'
+        )
+        assert (status, headers['limpetroute-outcome']) == (502, 'unknown')
+        assert _runs(services) == 3
+
+    _play(story)
+
+
+def test_wrong_services_and_paths() -> None:
+    # A path that a service may read as another one is refused: another
+    # rule may be meant for that one.
+    async def story(fleet: fleet_module.Fleet, services: Services) -> None:
+        for path, status in (
+            ('/v1/services/other/x', 404),
+            ('/v1/services/registry/a//release', 400),
+            ('/v1/services/registry/a/%2e%2e/release', 400),
+            ('/v1/services/registry/', 400),
+        ):
+            got, headers, _ = await raw_caller.fetch(fleet, 'GET', path)
+            assert got == status, path
+            assert headers['limpetroute-outcome'] == 'not_run'
+        assert _runs(services) == 0
+
+    _play(story)
+
+
+def test_shutdown_waits_for_a_release() -> None:
+    # The host is stopped while a release runs. It ends, its answer is
+    # kept although the first settle fails, and a new one is refused.
+    async def story(fleet: fleet_module.Fleet, services: Services) -> None:
+        _fault(services, delay_s=0.3)
+        fleet.host.claims.fail_settles = 1
+        caller = raw_caller.RawCaller(fleet.port)
+        await caller.send('POST', RELEASE, BODY, KEY)
+        await fleet_module.until(lambda: _runs(services) == 1)
+        stopping = asyncio.create_task(fleet.entry.stop())
+        await fleet_module.until(lambda: not fleet.host.ready)
+        status, headers, _ = await raw_caller.fetch(
+            fleet, 'POST', RELEASE, BODY
+        )
+        assert (status, headers['limpetroute-outcome']) == (503, 'not_run')
+        status, headers, _ = await raw_caller.fetch(fleet, 'GET', LOOKUP)
+        assert (status, headers['limpetroute-outcome']) == (503, 'not_run')
+        assert await caller.read_head() == 200
+        await stopping
+        claim = fleet.host.claims.claims['default', 'release-5']
+        assert claim.status == 200
+        assert _runs(services) == 1
+
+    _play(story)
+
+
+@pytest.mark.parametrize('seed', [5, 23])
+def test_releases_under_random_failures(seed: int) -> None:
+    # Runners refuse, break connections and the log loses its quorum at
+    # random, and callers repeat under their keys, each on a new
+    # connection that may break. No key runs twice, and none whose
+    # caller was told `not_run` has run.
+    rng = random.Random(seed)
+
+    async def one(fleet: fleet_module.Fleet, services: Services) -> None:
+        name = f'key-{rng.randrange(40)}'
+        caller = raw_caller.RawCaller(fleet.port)
+        await caller.send(
+            'POST', RELEASE, {'for': name}, {'Idempotency-Key': name}
+        )
+        if rng.random() < 0.2:
+            await asyncio.sleep(0.005)
+            caller.rst()
+            return
+        await caller.read_head()
+        if caller.headers['limpetroute-outcome'] != 'not_run':
+            return
+        for service in services:
+            assert not service.state.runs[f'POST /release {name}']
+
+    async def story(fleet: fleet_module.Fleet, services: Services) -> None:
+        for _ in range(40):
+            for service in services:
+                _fault(
+                    [service],
+                    drop_reply=rng.randrange(2),
+                    refuse=rng.random() < 0.4,
+                    delay_s=rng.random() * 0.01,
+                )
+            fleet.host.claims.reachable = rng.random() < 0.8
+            fleet.host.claims.fail_settles = rng.randrange(2)
+            await asyncio.gather(*(one(fleet, services) for _ in range(8)))
+        total: dict[str, int] = {}
+        for service in services:
+            for name, count in service.state.runs.items():
+                total[name] = total.get(name, 0) + count
+        assert len(total) > 10
+        assert set(total.values()) == {1}
+
+    _play(story, count=3)
+
+
+@pytest.mark.parametrize(
+    ('pattern', 'path', 'fits'),
+    [
+        ('/a/*', '/a/b', True),
+        ('/a/*', '/a/b/c', False),
+        ('/a/**', '/a/b/c', True),
+        ('/a', '/a', True),
+        ('/a', '/a/', False),
+    ],
+)
+def test_patterns(pattern: str, path: str, fits: bool) -> None:
+    assert call_rules.fits(pattern, path) is fits
+
+
+def test_the_stricter_rule_wins() -> None:
+    service = manifest_module.ServiceBody.model_validate(
+        {
+            'name': 'registry',
+            'calls': [
+                {'method': 'POST', 'path': '/**', 'repeatable': True},
+                {'method': 'POST', 'path': '/release', 'repeatable': False},
+            ],
+        }
+    )
+    assert call_rules.is_repeatable(service, 'POST', '/search')
+    assert not call_rules.is_repeatable(service, 'POST', '/release')
+    assert not call_rules.is_repeatable(None, 'PATCH', '/x')
+    assert call_rules.is_repeatable(None, 'GET', '/x')
