--- a/limpetroute/entry/server.py
+++ b/limpetroute/entry/server.py
@@ -22,6 +22,7 @@
 from limpetroute.entry import peer_routes
 from limpetroute.entry import request_handler
 from limpetroute.entry import runners_handler
+from limpetroute.entry import service_handler
 from limpetroute.wire import token_guard
 
 LOG = logging.getLogger(__name__)
@@ -142,6 +143,11 @@
                 host,
             ),
             url('/v1/requests/([^/]+)', request_handler.RequestHandler, host),
+            url(
+                '/v1/services/([^/]+)/(.*)',
+                service_handler.ServiceHandler,
+                host,
+            ),
             *self._health_routes(),
         ]
 
