--- a/limpetroute/agreement/replica.py
+++ b/limpetroute/agreement/replica.py
@@ -113,6 +113,14 @@
             return False
         return self.applied_index == self.commit_index
 
+    def in_touch(self, now_s: float) -> bool:
+        """Return whether this replica leads, or hears a leader."""
+        if self.role is Role.LEADER:
+            return self.lease_valid(now_s)
+        if self.role is Role.FAILED or not self.leader_id:
+            return False
+        return now_s - self._heard_s < self.timings.election_s
+
     def match_index(self, replica_id: str) -> int | None:
         """Return how far a member has come, if this replica leads."""
         if self.role is not Role.LEADER:
@@ -585,6 +593,9 @@
         if self.log.term_at(agreed) != self.term:
             return
         self.commit_index = agreed
+        # Followers learn of it soon, not with the next full heartbeat.
+        soon_s = self._now_s + self.timings.heartbeat_s / 8
+        self._heartbeat_due_s = min(self._heartbeat_due_s, soon_s)
         self._promote_learners()
 
     def _matched(self, replica_id: str) -> int:
--- a/limpetroute/border/control_settings.py
+++ b/limpetroute/border/control_settings.py
@@ -2,15 +2,76 @@
 
 import pathlib
 
+import pydantic
+
 from limpetroute.border import listen_settings
 from limpetroute.border import strict_model
+from limpetroute.border import units
 
 
 class ControlSettings(strict_model.StrictModel):
-    """Settings of ``limpetroute control``."""
+    """Settings of ``limpetroute control``.
+
+    Parameters
+    ----------
+    peers : dict of str to str
+        Address of each other control host, by its ``host_id``. All
+        control hosts must be given the same set, each without itself.
+    advertise_url : str or None
+        Address under which the others reach this host, where it is not
+        the one it listens on.
+    may_found : bool
+        Whether this host, with an empty folder, may found a new group
+        when all others are empty too. Set to false after the first
+        start, so that a loss of all disks is not taken for a new group.
+    heartbeat_s, election_s, clock_drift : float
+        See `limpetroute.agreement.Timings`; equal on all hosts.
+    claim_groups : int
+        Groups that claims are spread over by their key; fixed for life.
+    compact_after : int
+        Entries after which a snapshot takes their place.
+    rewrite_bytes : int
+        Size from which the journal is written anew.
+    max_claim_bytes, max_outcome_bytes : int
+        Bounds of the claims' memory in each group, and of an outcome.
+    claim_retention_s, void_retention_s : float
+        How long outcomes and withdrawn tokens are kept.
+    commit_timeout_s : float
+        Longest wait for a quorum.
+    watch_timeout_s : float
+        How long a watcher's call is held while nothing changes.
+    """
 
-    host_id: str
+    host_id: str = pydantic.Field(
+        min_length=1, max_length=100, pattern=r'^[\w-]+$'
+    )
     zone: str
     listen: listen_settings.ListenSettings = listen_settings.ListenSettings()
     data_dir: pathlib.Path
-    peer_urls: list[str] = []
+    peers: dict[str, str] = {}
+    advertise_url: str | None = None
+    may_found: bool = True
+    heartbeat_s: units.Seconds = 0.25
+    election_s: units.Seconds = 1.0
+    clock_drift: float = pydantic.Field(default=0.05, ge=0, lt=0.25)
+    claim_groups: int = pydantic.Field(default=1, ge=1, le=64)
+    compact_after: int = pydantic.Field(default=10_000, ge=10)
+    rewrite_bytes: int = pydantic.Field(default=16 << 20, ge=65536)
+    max_claim_bytes: int = pydantic.Field(default=32 << 20, ge=65536)
+    max_outcome_bytes: int = pydantic.Field(default=16384, ge=0)
+    claim_retention_s: units.Seconds = 86400.0
+    void_retention_s: units.Seconds = 3600.0
+    commit_timeout_s: units.Seconds = 5.0
+    watch_timeout_s: units.Seconds = 20.0
+    max_body_bytes: int = pydantic.Field(default=64 << 20, ge=65536)
+
+    @pydantic.model_validator(mode='after')
+    def _is_consistent(self) -> 'ControlSettings':
+        if self.host_id in self.peers:
+            raise ValueError(f'peers: {self.host_id!r} is this host itself')
+        if self.election_s < 3 * self.heartbeat_s:
+            raise ValueError(
+                f'election_s: {self.election_s!r} is not at least three '
+                f'times heartbeat_s {self.heartbeat_s!r}'
+            )
+        return self
--- a/limpetroute/cli/control.py
+++ b/limpetroute/cli/control.py
@@ -11,12 +11,14 @@
   limpetroute control --settings examples/federation/control-1.json
 """
 
+import sys
 import typing
 
 import docopt
 
 from limpetroute.border import control_settings
 from limpetroute.cli import serving
+from limpetroute.control import folder_error
 from limpetroute.control import server
 
 
@@ -29,9 +31,13 @@
     )
     if settings is None:
         return serving.EXIT_SETTINGS
-    return serving.serve(
-        lambda: server.ControlServer(settings=settings), _print_ready
-    )
+    try:
+        return serving.serve(
+            lambda: server.ControlServer(settings=settings), _print_ready
+        )
+    except folder_error.FolderError as exc:
+        print(exc.message, file=sys.stderr)
+        return serving.EXIT_SETTINGS
 
 
 def _print_ready(control: server.ControlServer) -> None:
--- a/limpetroute/cli/main.py
+++ b/limpetroute/cli/main.py
@@ -10,6 +10,7 @@
   control    Run one replica of the control log.
   demo       Run the whole path as tasks of one process.
   standin    Run one stand-in runner, for trials.
+  submit     Submit a manifest and say when it is in force.
 
 `limpetroute <command> --help` shows each command with an example.
 
@@ -28,7 +29,7 @@
 
 import limpetroute
 
-COMMANDS = ('entry', 'control', 'demo', 'standin')
+COMMANDS = ('entry', 'control', 'demo', 'standin', 'submit')
 EXIT_USAGE = 2
 
 
--- /dev/null
+++ b/limpetroute/control/base_handler.py
@@ -0,0 +1,82 @@
+"""What the handlers of a control host share."""
+
+import dataclasses
+import json
+import typing
+
+import pydantic
+import tornado.web
+
+from limpetroute.border import errors
+from limpetroute.control import commands
+from limpetroute.control import group as group_module
+from limpetroute.control import node as node_module
+from limpetroute.control import results
+from limpetroute.control import verdicts
+
+NOT_LEADER = 421
+NOT_RUN = 503
+UNKNOWN = 504
+RETRY_AFTER_S = 1
+
+_Model = typing.TypeVar('_Model', bound=pydantic.BaseModel)
+
+
+class BaseHandler(tornado.web.RequestHandler):
+    """What the handlers of a control host share."""
+
+    def initialize(self, node: node_module.Node) -> None:
+        """Take the host's node."""
+        self.node = node
+
+    def parse(self, model: type[_Model]) -> _Model | None:
+        """Return the checked body, or answer 400 and return None."""
+        try:
+            return errors.parse(model, self.request.body)
+        except errors.InvalidInputError as exc:
+            self.set_status(400)
+            self.finish({'outcome': 'invalid', 'errors': list(exc.lines)})
+            return None
+
+    async def commit(
+        self,
+        group: group_module.Group,
+        command: commands.Command,
+        timeout_s: float,
+    ) -> results.Result | None:
+        """Commit a command, or answer why not and return None."""
+        limit_s = min(timeout_s, self.node.settings.commit_timeout_s)
+        verdict = await group.commit(command, limit_s)
+        if isinstance(verdict, verdicts.Committed):
+            if isinstance(verdict.result, results.Full):
+                self._not_run(verdict.result.reason)
+                return None
+            return verdict.result
+        if isinstance(verdict, verdicts.Unknown):
+            self.set_status(UNKNOWN)
+            self.finish({'outcome': 'unknown', 'reason': verdict.reason})
+            return None
+        leader_url = self.node.url_of(verdict.leader_host)
+        if leader_url and verdict.leader_host != self.node.settings.host_id:
+            self.set_status(NOT_LEADER)
+            self.finish({'outcome': 'not_leader', 'leader_url': leader_url})
+            return None
+        self._not_run(verdict.reason)
+        return None
+
+    def show(self, outcome: str, result: results.Result) -> None:
+        """Answer with a result's fields."""
+        body = {'outcome': outcome, **dataclasses.asdict(result)}
+        self.set_header('Content-Type', 'application/json')
+        self.finish(json.dumps(body, separators=(',', ':')))
+
+    def _not_run(self, reason: str) -> None:
+        self.set_status(NOT_RUN)
+        self.set_header('Retry-After', str(RETRY_AFTER_S))
+        self.finish(
+            {
+                'outcome': 'not_run',
+                'reason': reason,
+                'retry_after_s': RETRY_AFTER_S,
+            }
+        )
--- /dev/null
+++ b/limpetroute/control/claim_table.py
@@ -0,0 +1,187 @@
+"""Once-only claims, as the log's entries leave them."""
+
+import collections
+import dataclasses
+import typing
+
+from limpetroute.control import commands
+from limpetroute.control import results
+
+# What one claim takes beyond its texts, measured with tracemalloc.
+CLAIM_OVERHEAD_BYTES = 700
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Claim:
+    """One claimed call."""
+
+    token: str
+    body_digest: str
+    holder: str
+    fence: int
+    made_s: float
+    status: int = 0
+    body: str = ''
+    settled_s: float = 0.0
+
+
+Key = tuple[str, str]
+
+
+class ClaimTable:
+    """Once-only claims, as the log's entries leave them.
+
+    A claim without an outcome is never dropped: the call may have run,
+    and forgetting it would let it run again. Memory is bounded by
+    refusing new claims.
+
+    Parameters
+    ----------
+    max_bytes : int
+        Bound of what all claims take.
+    """
+
+    __slots__ = ('_claims', '_settled', '_void', 'max_bytes', 'used_bytes')
+
+    def __init__(self, *, max_bytes: int) -> None:
+        self.max_bytes = max_bytes
+        self.used_bytes = 0
+        self._claims: dict[Key, Claim] = {}
+        self._settled: collections.OrderedDict[Key, None] = (
+            collections.OrderedDict()
+        )
+        self._void: dict[str, float] = {}
+
+    def __repr__(self) -> str:
+        return (
+            f'{type(self).__name__}(claims={len(self._claims)!r}, '
+            f'used_bytes={self.used_bytes!r})'
+        )
+
+    def __len__(self) -> int:
+        return len(self._claims)
+
+    @property
+    def unsettled(self) -> int:
+        """Number of claims without an outcome."""
+        return len(self._claims) - len(self._settled)
+
+    def get(self, team: str, key: str) -> Claim | None:
+        """Return one claim."""
+        return self._claims.get((team, key))
+
+    def make(self, command: commands.MakeClaim, fence: int) -> results.Result:
+        """Grant a claim, or show the one that was made before."""
+        place = (command.team, command.key)
+        found = self._claims.get(place)
+        if found is not None:
+            return _found(found, command)
+        if command.token in self._void:
+            return results.Full(reason='the claim was withdrawn')
+        claim = Claim(
+            token=command.token,
+            body_digest=command.body_digest,
+            holder=command.holder,
+            fence=fence,
+            made_s=command.at_s,
+        )
+        size = _size(place, claim)
+        if self.used_bytes + size > self.max_bytes:
+            return results.Full(reason='no room for claims')
+        self._claims[place] = claim
+        self.used_bytes += size
+        return results.Granted(fence=fence)
+
+    def withdraw(self, command: commands.WithdrawClaim) -> results.Result:
+        """Void a token whose grant its holder never saw."""
+        place = (command.team, command.key)
+        found = self._claims.get(place)
+        if found is not None and found.token == command.token:
+            if found.status:
+                return results.Settled(known=True)
+            self._drop(place)
+        self._void[command.token] = command.at_s
+        return results.Done()
+
+    def settle(self, command: commands.SettleClaim) -> results.Result:
+        """Write an outcome; the first one stays."""
+        place = (command.team, command.key)
+        found = self._claims.get(place)
+        if found is None:
+            return results.Settled(known=False)
+        if found.status:
+            return results.Settled(known=True)
+        self.used_bytes += len(command.body)
+        found.status = command.status
+        found.body = command.body
+        found.settled_s = command.at_s
+        self._settled[place] = None
+        return results.Settled(known=True)
+
+    def forget(self, command: commands.ForgetOld) -> results.Result:
+        """Drop what is older than the times given."""
+        while self._settled:
+            place = next(iter(self._settled))
+            settled_s = self._claims[place].settled_s
+            if settled_s >= command.settled_before_s:
+                break
+            self._drop(place)
+        for token, at_s in list(self._void.items()):
+            if at_s >= command.void_before_s:
+                break
+            del self._void[token]
+        return results.Done()
+
+    def oldest_settled_s(self) -> float | None:
+        """Return when the oldest outcome was written."""
+        for place in self._settled:
+            return self._claims[place].settled_s
+        return None
+
+    def oldest_void_s(self) -> float | None:
+        """Return when the oldest token was made void."""
+        return next(iter(self._void.values()), None)
+
+    def dump(self) -> dict[str, typing.Any]:
+        """Return JSON types that `load` takes."""
+        return {
+            'claims': [
+                [*place, *dataclasses.astuple(claim)]
+                for place, claim in self._claims.items()
+            ],
+            'settled': list(self._settled),
+            'void': self._void,
+        }
+
+    def load(self, body: dict[str, typing.Any]) -> None:
+        """Take what `dump` returned."""
+        names = [field.name for field in dataclasses.fields(Claim)]
+        for team, key, *values in body['claims']:
+            claim = Claim(**dict(zip(names, values, strict=True)))
+            self._claims[team, key] = claim
+            self.used_bytes += _size((team, key), claim)
+        for team, key in body['settled']:
+            self._settled[team, key] = None
+        self._void = dict(body['void'])
+
+    def _drop(self, place: Key) -> None:
+        claim = self._claims.pop(place)
+        self._settled.pop(place, None)
+        self.used_bytes -= _size(place, claim)
+
+
+def _found(found: Claim, command: commands.MakeClaim) -> results.Result:
+    if found.token == command.token and not found.status:
+        # The holder's own try again, after a lost answer.
+        return results.Granted(fence=found.fence)
+    return results.Found(
+        same_body=found.body_digest == command.body_digest,
+        status=found.status,
+        body=found.body,
+        holder=found.holder,
+    )
+
+
+def _size(place: Key, claim: Claim) -> int:
+    texts = (*place, claim.token, claim.body_digest, claim.holder, claim.body)
+    return CLAIM_OVERHEAD_BYTES + sum(len(text) for text in texts)
--- /dev/null
+++ b/limpetroute/control/commands.py
@@ -0,0 +1,127 @@
+"""Commands in the log, and what each came to."""
+
+import dataclasses
+import json
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SubmitManifest:
+    """Put a manifest in force; ``text`` is its JSON."""
+
+    number: int
+    digest: str
+    sender: str
+    text: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class NextFence:
+    """Give the next fencing number for a name."""
+
+    name: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class MakeClaim:
+    """Claim a call that must not run twice.
+
+    ``token`` names one try of one holder: sent again, it is granted
+    again. ``at_s`` is the leader's wall clock in Unix seconds.
+    """
+
+    team: str
+    key: str
+    body_digest: str
+    holder: str
+    token: str
+    at_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class WithdrawClaim:
+    """Take back a claim whose grant its holder never saw.
+
+    The token is void from now on, also if its claim comes later.
+    """
+
+    team: str
+    key: str
+    token: str
+    at_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SettleClaim:
+    """Write the outcome of a claimed call."""
+
+    team: str
+    key: str
+    status: int
+    body: str
+    at_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ForgetOld:
+    """Drop settled claims and void tokens older than these times."""
+
+    settled_before_s: float
+    void_before_s: float
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class OrderDone:
+    """A runner has carried out an order of a manifest."""
+
+    runner_id: str
+    incarnation: int
+    digest: str
+
+
+Command = (
+    SubmitManifest
+    | NextFence
+    | MakeClaim
+    | WithdrawClaim
+    | SettleClaim
+    | ForgetOld
+    | OrderDone
+)
+
+_TYPES: dict[str, type[Command]] = {
+    one.__name__: one
+    for one in (
+        SubmitManifest,
+        NextFence,
+        MakeClaim,
+        WithdrawClaim,
+        SettleClaim,
+        ForgetOld,
+        OrderDone,
+    )
+}
+
+
+def encode(command: Command) -> bytes:
+    """Return the log entry's data."""
+    fields = [
+        getattr(command, field.name) for field in dataclasses.fields(command)
+    ]
+    row = [type(command).__name__, *fields]
+    return json.dumps(row, separators=(',', ':')).encode()
+
+
+def decode(data: bytes) -> Command:
+    """Return the command of a log entry.
+
+    Raises
+    ------
+    ValueError
+        If the data is not one that `encode` made.
+    """
+    name, *values = json.loads(data)
+    kind = _TYPES.get(name)
+    if kind is None:
+        raise ValueError(f'unknown command {name!r}')
+    names = [field.name for field in dataclasses.fields(kind)]
+    return kind(**dict(zip(names, values, strict=True)))
--- /dev/null
+++ b/limpetroute/control/control_state.py
@@ -0,0 +1,138 @@
+"""The state that the log's commands lead to."""
+
+import dataclasses
+import json
+import typing
+
+from limpetroute.control import claim_table
+from limpetroute.control import commands
+from limpetroute.control import results
+
+MAX_FENCES = 100_000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Newest:
+    """The manifest in force; ``text`` is its JSON."""
+
+    number: int
+    digest: str
+    sender: str
+    text: str
+
+
+class ControlState:
+    """The state that the log's commands lead to.
+
+    Pure: the same commands give the same state on every replica. No
+    clock is read; times come with the commands.
+
+    Parameters
+    ----------
+    max_claim_bytes : int
+        Bound of what all claims take.
+    """
+
+    __slots__ = ('claims', 'fences', 'newest', 'orders_done')
+
+    def __init__(self, *, max_claim_bytes: int) -> None:
+        self.newest: Newest | None = None
+        self.fences: dict[str, int] = {}
+        self.claims = claim_table.ClaimTable(max_bytes=max_claim_bytes)
+        self.orders_done: dict[str, tuple[int, str]] = {}
+
+    def __repr__(self) -> str:
+        number = self.newest.number if self.newest else 0
+        return (
+            f'{type(self).__name__}(manifest={number!r}, '
+            f'claims={len(self.claims)!r})'
+        )
+
+    def apply(self, command: commands.Command, index: int) -> results.Result:
+        """Apply one committed command.
+
+        Parameters
+        ----------
+        command : Command
+            The command.
+        index : int
+            Its place in the log, which is a claim's fencing number.
+        """
+        match command:
+            case commands.SubmitManifest():
+                return self._submit(command)
+            case commands.NextFence():
+                return self._next_fence(command.name)
+            case commands.MakeClaim():
+                return self.claims.make(command, index)
+            case commands.WithdrawClaim():
+                return self.claims.withdraw(command)
+            case commands.SettleClaim():
+                return self.claims.settle(command)
+            case commands.ForgetOld():
+                return self.claims.forget(command)
+            case commands.OrderDone():
+                place = (command.incarnation, command.digest)
+                self.orders_done[command.runner_id] = place
+                return results.Done()
+
+    def dump(self) -> bytes:
+        """Return the whole state."""
+        newest = self.newest
+        body = {
+            'newest': dataclasses.astuple(newest) if newest else None,
+            'fences': self.fences,
+            'claims': self.claims.dump(),
+            'orders_done': self.orders_done,
+        }
+        return json.dumps(body, separators=(',', ':')).encode()
+
+    def load(self, data: bytes) -> None:
+        """Take a state that `dump` returned, into an empty one."""
+        if not data:
+            return
+        body: dict[str, typing.Any] = json.loads(data)
+        if body['newest']:
+            number, digest, sender, text = body['newest']
+            self.newest = Newest(
+                number=number, digest=digest, sender=sender, text=text
+            )
+        self.fences = body['fences']
+        self.claims.load(body['claims'])
+        self.orders_done = {
+            name: (place[0], place[1])
+            for name, place in body['orders_done'].items()
+        }
+
+    def _submit(self, command: commands.SubmitManifest) -> results.Result:
+        newest = self.newest
+        if newest is None or command.number > newest.number:
+            self.newest = Newest(
+                number=command.number,
+                digest=command.digest,
+                sender=command.sender,
+                text=command.text,
+            )
+            return results.ManifestAccepted(
+                number=command.number, digest=command.digest, resent=False
+            )
+        if command.number < newest.number:
+            return results.ManifestStale(
+                number=command.number, newest_number=newest.number
+            )
+        if command.digest == newest.digest:
+            return results.ManifestAccepted(
+                number=command.number, digest=command.digest, resent=True
+            )
+        return results.ManifestConflict(
+            number=command.number,
+            winner_digest=newest.digest,
+            winner_sender=newest.sender,
+        )
+
+    def _next_fence(self, name: str) -> results.Result:
+        if name not in self.fences and len(self.fences) >= MAX_FENCES:
+            return results.Full(reason='no room for fencing numbers')
+        fence = self.fences.get(name, 0) + 1
+        self.fences[name] = fence
+        return results.FenceGiven(name=name, fence=fence)
--- /dev/null
+++ b/limpetroute/control/data_folder.py
@@ -0,0 +1,111 @@
+"""A control host's folder: lock, identity, journal, founding."""
+
+import pathlib
+
+from limpetroute.agreement import founding as founding_module
+from limpetroute.agreement import saved_state
+from limpetroute.agreement import snapshot as snapshot_module
+from limpetroute.control import files as files_module
+from limpetroute.control import folder_error
+from limpetroute.control import folder_lock
+from limpetroute.control import founding_file
+from limpetroute.control import identity
+from limpetroute.control import journal as journal_module
+
+
+class DataFolder:
+    """A control host's folder: lock, identity, journal, founding.
+
+    Parameters
+    ----------
+    folder : pathlib.Path
+        Made if it is not there.
+    host_id : str
+        The host that owns it.
+    files : Files
+        The file system.
+    rewrite_bytes : int
+        See `Journal`.
+
+    Raises
+    ------
+    FolderError
+        If it is in use, damaged, another host's, or not writable.
+    """
+
+    def __init__(
+        self,
+        *,
+        folder: pathlib.Path,
+        host_id: str,
+        files: files_module.Files | None = None,
+        rewrite_bytes: int = journal_module.REWRITE_BYTES,
+    ) -> None:
+        self.folder = folder
+        self._files = files or files_module.DiskFiles()
+        try:
+            folder.mkdir(parents=True, exist_ok=True)
+            self._lock = folder_lock.FolderLock(folder=folder)
+        except OSError as exc:
+            raise folder_error.FolderError(message=f'{folder}: {exc}') from exc
+        try:
+            self._open(host_id, rewrite_bytes)
+        except OSError as exc:
+            self._lock.close()
+            raise folder_error.FolderError(message=f'{folder}: {exc}') from exc
+        except folder_error.FolderError:
+            self._lock.close()
+            raise
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(folder={str(self.folder)!r})'
+
+    def _open(self, host_id: str, rewrite_bytes: int) -> None:
+        journal_path = self.folder / journal_module.JOURNAL
+        has_journal = self._files.read(journal_path) is not None
+        known = self._files.read(self.folder / identity.IDENTITY)
+        if known is not None and not has_journal:
+            raise folder_error.FolderError(
+                message=(
+                    f'{journal_path}: missing. Move the folder aside and '
+                    'start again: the host comes back as a new replica'
+                )
+            )
+        self.journal = journal_module.Journal(
+            folder=self.folder,
+            files=self._files,
+            rewrite_bytes=rewrite_bytes,
+        )
+        self.replica_id = identity.load_or_make(
+            folder=self.folder,
+            files=self._files,
+            host_id=host_id,
+            journal_blank=self.journal.blank,
+        )
+        self.founding = founding_file.load(
+            folder=self.folder, files=self._files
+        )
+
+    @property
+    def blank(self) -> bool:
+        """Whether this replica belongs to no group yet."""
+        return self.founding is None and self.journal.blank
+
+    def found(self, replicas: dict[str, str]) -> None:
+        """Keep the replicas that the groups begin with."""
+        founding_file.save(
+            folder=self.folder, files=self._files, replicas=replicas
+        )
+        self.founding = replicas
+
+    def saved(self, group: int) -> saved_state.SavedState:
+        """Return what a group's replica starts from."""
+        first = snapshot_module.Snapshot()
+        if self.founding is not None:
+            first = founding_module.found(self.founding).snapshot
+        return self.journal.saved(group, first)
+
+    def close(self) -> None:
+        """Let the folder go."""
+        self.journal.close()
+        self._lock.close()
--- /dev/null
+++ b/limpetroute/control/founding_file.py
@@ -0,0 +1,36 @@
+"""The hosts and replicas that a group of control hosts began with."""
+
+import json
+import pathlib
+
+from limpetroute.control import files as files_module
+from limpetroute.control import folder_error
+
+FOUNDING = 'founding.json'
+
+
+def load(
+    *, folder: pathlib.Path, files: files_module.Files
+) -> dict[str, str] | None:
+    """Return each founding host's replica, or None."""
+    path = folder / FOUNDING
+    data = files.read(path)
+    if data is None:
+        return None
+    try:
+        body = json.loads(data)
+        return {str(host): str(one) for host, one in body.items()}
+    except (ValueError, AttributeError) as exc:
+        raise folder_error.FolderError(
+            message=f'{path}: damaged: {data[:60]!r}'
+        ) from exc
+
+
+def save(
+    *,
+    folder: pathlib.Path,
+    files: files_module.Files,
+    replicas: dict[str, str],
+) -> None:
+    """Write each founding host's replica."""
+    files.replace(folder / FOUNDING, json.dumps(replicas).encode())
--- /dev/null
+++ b/limpetroute/control/group.py
@@ -0,0 +1,227 @@
+"""One group's replica with its state and its waiting callers."""
+
+import asyncio
+import logging
+import typing
+
+from limpetroute.agreement import effects as effects_module
+from limpetroute.agreement import entry as entry_module
+from limpetroute.agreement import events
+from limpetroute.agreement import messages
+from limpetroute.agreement import replica as replica_module
+from limpetroute.agreement import snapshot as snapshot_module
+from limpetroute.control import commands
+from limpetroute.control import control_state
+from limpetroute.control import journal as journal_module
+from limpetroute.control import verdicts
+
+LOG = logging.getLogger(__name__)
+
+MAX_WAITING = 10_000
+
+
+class _Waiting(typing.NamedTuple):
+    term: int
+    future: 'asyncio.Future[verdicts.Verdict]'
+
+
+class Group:
+    """One group's replica with its state and its waiting callers.
+
+    Parameters
+    ----------
+    number : int
+        Number of the group.
+    replica : Replica
+        The pure replica.
+    make_state : callable
+        Makes an empty state.
+    write : callable
+        Takes writes for the disk.
+    send : callable
+        Takes the group's number and an envelope for another host.
+    compact_after : int
+        Entries after which a snapshot is taken.
+    """
+
+    def __init__(
+        self,
+        *,
+        number: int,
+        replica: replica_module.Replica,
+        make_state: typing.Callable[[], control_state.ControlState],
+        write: typing.Callable[[journal_module.GroupWrites], None],
+        send: typing.Callable[[int, messages.Envelope], None],
+        compact_after: int,
+    ) -> None:
+        self.number = number
+        self.replica = replica
+        self._make_state = make_state
+        self._write = write
+        self._send = send
+        self._compact_after = compact_after
+        self._proposals: list[
+            tuple[bytes, asyncio.Future[verdicts.Verdict]]
+        ] = []
+        self._waiting: dict[int, _Waiting] = {}
+        self._role = replica.role
+        self.changed = asyncio.Event()
+        self.commits = 0
+        self.state = make_state()
+        self.state.load(replica.log.snapshot.data)
+
+    def __repr__(self) -> str:
+        return (
+            f'{type(self).__name__}(number={self.number!r}, '
+            f'replica={self.replica!r})'
+        )
+
+    @property
+    def leader_host(self) -> str:
+        """Host of the leader, as far as known."""
+        leader = self.replica.membership.get(self.replica.leader_id)
+        return leader.host_id if leader else ''
+
+    @property
+    def now_s(self) -> float:
+        """The replica's clock."""
+        return asyncio.get_running_loop().time()
+
+    async def commit(
+        self, command: commands.Command, timeout_s: float
+    ) -> verdicts.Verdict:
+        """Have a command committed and applied, or say what is known."""
+        if len(self._proposals) + len(self._waiting) >= MAX_WAITING:
+            return verdicts.NotRun(reason='too many commands wait')
+        future: asyncio.Future[verdicts.Verdict] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._proposals.append((commands.encode(command), future))
+        if len(self._proposals) == 1:
+            # All commands of one turn of the loop share one message and
+            # one write.
+            asyncio.get_running_loop().call_soon(self._propose)
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await asyncio.shield(future)
+        except TimeoutError:
+            return verdicts.Unknown(reason='no quorum answered in time')
+
+    def feed(self, event: events.Event) -> effects_module.Effects:
+        """Give the replica an event and carry out what it asks for."""
+        replica = self.replica
+        got = replica.step(event, self.now_s)
+        if got.write_id is not None:
+            self._write(
+                journal_module.GroupWrites(
+                    group=self.number,
+                    write_id=got.write_id,
+                    writes=got.writes,
+                )
+            )
+        for envelope in got.sends:
+            self._send(self.number, envelope)
+        if got.restored is not None:
+            self._restore(got.restored)
+        if got.committed:
+            self._apply(got.committed)
+        if replica.role is not self._role:
+            self._note_role()
+        return got
+
+    def _propose(self) -> None:
+        proposals, self._proposals = self._proposals, []
+        data = tuple(item[0] for item in proposals)
+        got = self.feed(events.Propose(commands=data))
+        proposal = got.proposal
+        if not isinstance(proposal, effects_module.Appended):
+            reason = proposal.reason if proposal else 'not taken'
+            verdict = verdicts.NotRun(
+                reason=reason, leader_host=self.leader_host
+            )
+            for _, future in proposals:
+                _resolve(future, verdict)
+            return
+        for place, (_, future) in enumerate(proposals):
+            self._waiting[proposal.first_index + place] = _Waiting(
+                proposal.term, future
+            )
+
+    def _apply(self, entries: tuple[entry_module.Entry, ...]) -> None:
+        for entry in entries:
+            waiting = self._waiting.pop(entry.index, None)
+            result = None
+            if entry.kind is entry_module.EntryKind.COMMAND:
+                command = commands.decode(entry.data)
+                result = self.state.apply(command, entry.index)
+                self.commits += 1
+            if waiting is None:
+                continue
+            if waiting.term != entry.term or result is None:
+                # Another leader's entry has the place: this one is gone.
+                _resolve(
+                    waiting.future,
+                    verdicts.NotRun(
+                        reason='the leader changed',
+                        leader_host=self.leader_host,
+                    ),
+                )
+                continue
+            _resolve(waiting.future, verdicts.Committed(result=result))
+        self._wake()
+        self._compact_if_due()
+
+    def _compact_if_due(self) -> None:
+        replica = self.replica
+        if replica.applied_index - replica.log.base_index < (
+            self._compact_after
+        ):
+            return
+        self.feed(
+            events.Compact(index=replica.applied_index, data=self.state.dump())
+        )
+
+    def _restore(self, snapshot: snapshot_module.Snapshot) -> None:
+        self.state = self._make_state()
+        self.state.load(snapshot.data)
+        for index in list(self._waiting):
+            if index > snapshot.last_index:
+                continue
+            _resolve(
+                self._waiting.pop(index).future,
+                verdicts.Unknown(reason='the leader changed'),
+            )
+        LOG.info(
+            'group %d: took a snapshot at %d',
+            self.number,
+            snapshot.last_index,
+        )
+        self._wake()
+
+    def _note_role(self) -> None:
+        self._role = self.replica.role
+        LOG.info(
+            'group %d: %s in term %d%s',
+            self.number,
+            self._role.value,
+            self.replica.term,
+            f': {self.replica.failure}' if self.replica.failure else '',
+        )
+        if self._role is replica_module.Role.FAILED:
+            for waiting in self._waiting.values():
+                _resolve(
+                    waiting.future,
+                    verdicts.Unknown(reason=self.replica.failure),
+                )
+            self._waiting.clear()
+
+    def _wake(self) -> None:
+        changed, self.changed = self.changed, asyncio.Event()
+        changed.set()
+
+
+def _resolve(
+    future: 'asyncio.Future[verdicts.Verdict]', verdict: verdicts.Verdict
+) -> None:
+    if not future.done():
+        future.set_result(verdict)
--- /dev/null
+++ b/limpetroute/control/host_reports.py
@@ -0,0 +1,89 @@
+"""Which revision each entry host has."""
+
+import dataclasses
+
+from limpetroute.border import peer_batch
+
+MAX_HOSTS = 5000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class HostReport:
+    """An entry host's revision and when it was heard."""
+
+    number: int
+    heard_s: float
+
+
+class HostReports:
+    """Which revision each entry host has, heard here or by a peer.
+
+    Parameters
+    ----------
+    live_s : float
+        Silence after which a host counts as away.
+    forget_s : float
+        Silence after which it is forgotten.
+    """
+
+    __slots__ = ('_forget_s', '_live_s', '_reports')
+
+    def __init__(self, *, live_s: float, forget_s: float) -> None:
+        self._live_s = live_s
+        self._forget_s = forget_s
+        self._reports: dict[str, HostReport] = {}
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(hosts={len(self._reports)!r})'
+
+    def note(self, host_id: str, number: int, heard_s: float) -> None:
+        """Take a report; an older one than known is dropped."""
+        old = self._reports.get(host_id)
+        if old is None and len(self._reports) >= MAX_HOSTS:
+            return
+        if old is not None and heard_s < old.heard_s:
+            return
+        self._reports[host_id] = HostReport(number=number, heard_s=heard_s)
+
+    def expire(self, now_s: float) -> None:
+        """Forget hosts that were silent for long."""
+        for host_id, report in list(self._reports.items()):
+            if now_s - report.heard_s > self._forget_s:
+                del self._reports[host_id]
+
+    def behind(self, number: int) -> list[str]:
+        """Return known hosts that have not reported ``number``."""
+        return sorted(
+            host_id
+            for host_id, report in self._reports.items()
+            if report.number < number
+        )
+
+    def away(self, now_s: float) -> list[str]:
+        """Return known hosts that are silent."""
+        return sorted(
+            host_id
+            for host_id, report in self._reports.items()
+            if now_s - report.heard_s > self._live_s
+        )
+
+    def all(self) -> dict[str, HostReport]:
+        """Return every report."""
+        return dict(self._reports)
+
+    def bodies(self, now_s: float) -> dict[str, peer_batch.HostReportBody]:
+        """Return what a peer is told: what was heard of late."""
+        return {
+            host_id: peer_batch.HostReportBody(
+                number=report.number, age_s=now_s - report.heard_s
+            )
+            for host_id, report in self._reports.items()
+            if now_s - report.heard_s <= self._live_s
+        }
+
+    def take(
+        self, bodies: dict[str, peer_batch.HostReportBody], now_s: float
+    ) -> None:
+        """Take what a peer has heard."""
+        for host_id, body in bodies.items():
+            self.note(host_id, body.number, now_s - body.age_s)
--- /dev/null
+++ b/limpetroute/control/identity.py
@@ -0,0 +1,70 @@
+"""Who a data folder's replica is."""
+
+import json
+import logging
+import pathlib
+import secrets
+
+from limpetroute.control import files as files_module
+from limpetroute.control import folder_error
+
+LOG = logging.getLogger(__name__)
+
+IDENTITY = 'identity.json'
+
+
+def load_or_make(
+    *,
+    folder: pathlib.Path,
+    files: files_module.Files,
+    host_id: str,
+    journal_blank: bool,
+) -> str:
+    """Return the identity of a data folder's replica.
+
+    An empty folder gets a new one. An empty disk has forgotten its
+    votes and acknowledgements; a host that answered under its former
+    identity could elect a second leader of a term, or make a quorum
+    without the entries that it once acknowledged.
+
+    Raises
+    ------
+    FolderError
+        If the folder is another host's, or lost a part.
+    """
+    path = folder / IDENTITY
+    data = files.read(path)
+    if data is not None:
+        return _load(path, data, host_id, journal_blank)
+    if not journal_blank:
+        raise folder_error.FolderError(
+            message=(
+                f'{path}: missing beside a journal. Move the folder aside '
+                'and start again: the host comes back as a new replica'
+            )
+        )
+    replica_id = f'{host_id}.{secrets.token_hex(6)}'
+    files.replace(
+        path,
+        json.dumps({'host_id': host_id, 'replica_id': replica_id}).encode(),
+    )
+    LOG.warning('%s: empty folder, new replica %s', folder, replica_id)
+    return replica_id
+
+
+def _load(
+    path: pathlib.Path, data: bytes, host_id: str, journal_blank: bool
+) -> str:
+    try:
+        body = json.loads(data)
+        owner = body['host_id']
+        replica_id = str(body['replica_id'])
+    except (ValueError, KeyError, TypeError) as exc:
+        raise folder_error.FolderError(
+            message=f'{path}: damaged: {data[:60]!r}'
+        ) from exc
+    if owner != host_id:
+        raise folder_error.FolderError(
+            message=f'{path}: belongs to host {owner!r}, not {host_id!r}'
+        )
+    return replica_id
--- /dev/null
+++ b/limpetroute/control/manifest_handler.py
@@ -0,0 +1,111 @@
+"""``POST`` and ``GET /v1/manifest``."""
+
+import asyncio
+import json
+
+from limpetroute.border import manifest as manifest_module
+from limpetroute.control import base_handler
+from limpetroute.control import commands
+from limpetroute.control import results
+
+LOOK_S = 0.05
+MAX_WAIT_S = 60.0
+
+
+class ManifestHandler(base_handler.BaseHandler):
+    """``POST`` and ``GET /v1/manifest``."""
+
+    async def post(self) -> None:
+        """Decide on a manifest, and wait until hosts have it."""
+        body = self.parse(manifest_module.ManifestBody)
+        if body is None:
+            return
+        wait_s = self._number('wait_s', 0.0)
+        command = commands.SubmitManifest(
+            number=body.number,
+            digest=body.digest,
+            sender=body.sender,
+            text=body.model_dump_json(),
+        )
+        limit_s = self.node.settings.commit_timeout_s
+        result = await self.commit(self.node.config, command, limit_s)
+        if result is None:
+            return
+        if isinstance(result, results.ManifestConflict):
+            self.set_status(409)
+            self.show('conflict', result)
+            return
+        if isinstance(result, results.ManifestStale):
+            self.set_status(409)
+            self.show('stale', result)
+            return
+        assert isinstance(result, results.ManifestAccepted)
+        behind = await self._wait_for_hosts(
+            body.number, min(wait_s, MAX_WAIT_S)
+        )
+        self.finish(
+            {
+                'outcome': 'accepted',
+                'number': result.number,
+                'digest': result.digest,
+                'resent': result.resent,
+                'in_force': not behind,
+                'hosts': len(self.node.reports.all()),
+                'waiting_for': behind,
+            }
+        )
+
+    async def get(self) -> None:
+        """Show the newest manifest, once it is above ``after``.
+
+        An entry host gives ``host`` and ``number``, its own revision:
+        the call is its report too.
+        """
+        after = int(self._number('after', -1))
+        wait_s = min(
+            self._number('wait_s', 0.0), self.node.settings.watch_timeout_s
+        )
+        host_id = self.get_query_argument('host', '')
+        if host_id:
+            self.node.reports.note(
+                host_id, int(self._number('number', 0)), self.node.now_s
+            )
+        await self._wait_for_newer(after, wait_s)
+        group = self.node.config
+        newest = group.state.newest
+        number = newest.number if newest else 0
+        in_touch = group.replica.in_touch(self.node.now_s)
+        text = newest.text if newest and number > after else 'null'
+        self.set_header('Content-Type', 'application/json')
+        self.finish(
+            f'{{"number":{number},"in_touch":{json.dumps(in_touch)},'
+            f'"manifest":{text}}}'
+        )
+
+    async def _wait_for_newer(self, after: int, wait_s: float) -> None:
+        try:
+            async with asyncio.timeout(wait_s):
+                while True:
+                    changed = self.node.config.changed
+                    newest = self.node.config.state.newest
+                    if newest is not None and newest.number > after:
+                        return
+                    await changed.wait()
+        except TimeoutError:
+            return
+
+    async def _wait_for_hosts(self, number: int, wait_s: float) -> list[str]:
+        until_s = self.node.now_s + wait_s
+        while True:
+            behind = self.node.reports.behind(number)
+            away = self.node.reports.away(self.node.now_s)
+            if not set(behind) - set(away) or self.node.now_s >= until_s:
+                return behind
+            await asyncio.sleep(LOOK_S)
+
+    def _number(self, name: str, default: float) -> float:
+        word = self.get_query_argument(name, '')
+        try:
+            return float(word) if word else default
+        except ValueError:
+            return default
--- /dev/null
+++ b/limpetroute/control/node.py
@@ -0,0 +1,370 @@
+"""One control host: its groups, its disk and its links."""
+
+import asyncio
+import dataclasses
+import logging
+import random
+import time
+
+import xxhash
+
+from limpetroute.agreement import events
+from limpetroute.agreement import messages
+from limpetroute.agreement import replacement
+from limpetroute.agreement import replica as replica_module
+from limpetroute.agreement import timings as timings_module
+from limpetroute.border import control_settings
+from limpetroute.border import peer_batch
+from limpetroute.control import commands
+from limpetroute.control import control_state
+from limpetroute.control import data_folder
+from limpetroute.control import disk_task
+from limpetroute.control import group as group_module
+from limpetroute.control import host_reports
+from limpetroute.control import peer_link
+from limpetroute.wire import caller
+
+LOG = logging.getLogger(__name__)
+
+CONFIG_GROUP = 0
+HELLO_S = 1.0
+HEARD_S = 3.0
+REPLACE_S = 600.0
+HOST_LIVE_S = 10.0
+HOST_FORGET_S = 86400.0
+FORGET_EVERY_S = 5.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Heard:
+    replica_id: str
+    blank: bool
+    heard_s: float
+
+
+class Node:
+    """One control host: its groups, its disk and its links.
+
+    Parameters
+    ----------
+    settings : ControlSettings
+        Checked settings.
+    url : str
+        Address under which the others reach this host.
+    folder : DataFolder
+        The opened data folder.
+    max_batch : int or None
+        See `DiskTask`.
+    """
+
+    def __init__(
+        self,
+        *,
+        settings: control_settings.ControlSettings,
+        url: str,
+        folder: data_folder.DataFolder,
+        max_batch: int | None = None,
+    ) -> None:
+        self.settings = settings
+        self.url = url
+        self.folder = folder
+        self.reports = host_reports.HostReports(
+            live_s=HOST_LIVE_S, forget_s=HOST_FORGET_S
+        )
+        self.failure = ''
+        self.replacements: dict[str, tuple[str, float]] = {}
+        self._rng = random.Random()
+        self._timings = timings_module.Timings(
+            heartbeat_s=settings.heartbeat_s,
+            election_s=settings.election_s,
+            drift=settings.clock_drift,
+            min_voters=(len(settings.peers) + 1) // 2 + 1,
+        )
+        self._http = caller.Caller()
+        self._heard: dict[str, _Heard] = {}
+        self._links: dict[str, peer_link.PeerLink] = {}
+        self._tasks: list[asyncio.Task[None]] = []
+        self._disk = disk_task.DiskTask(
+            journal=folder.journal,
+            on_synced=self._on_synced,
+            on_failed=self._on_failed,
+            max_batch=max_batch,
+        )
+        self.groups: list[group_module.Group] = []
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(host_id={self.settings.host_id!r})'
+
+    @property
+    def syncs(self) -> int:
+        """Number of syncs so far."""
+        return self._disk.syncs
+
+    @property
+    def links(self) -> dict[str, bool]:
+        """Whether each other control host answers."""
+        return {host: link.answers for host, link in self._links.items()}
+
+    @property
+    def now_s(self) -> float:
+        """Clock of this process."""
+        return asyncio.get_running_loop().time()
+
+    @property
+    def config(self) -> group_module.Group:
+        """The group that holds manifests and fencing numbers."""
+        return self.groups[CONFIG_GROUP]
+
+    def claim_group(self, team: str, key: str) -> group_module.Group:
+        """Return the group that holds a claim."""
+        place = xxhash.xxh64_intdigest(f'{team}\n{key}'.encode())
+        return self.groups[1 + place % self.settings.claim_groups]
+
+    def url_of(self, host_id: str) -> str:
+        """Return a control host's address, or nothing."""
+        if host_id == self.settings.host_id:
+            return self.url
+        link = self._links.get(host_id)
+        return link.url if link else ''
+
+    def start(self) -> None:
+        """Begin to take part."""
+        self._make_groups()
+        self._disk.start()
+        for host_id, url in self.settings.peers.items():
+            self._add_link(host_id, url)
+        self._tasks = [asyncio.create_task(self._tick())]
+
+    async def stop(self) -> None:
+        """End; nothing more is acknowledged."""
+        for task in self._tasks:
+            task.cancel()
+        for link in self._links.values():
+            link.stop()
+        await self._disk.stop()
+        self.folder.close()
+
+    def take(self, batch: peer_batch.PeerBatch) -> None:
+        """Take what another control host posted."""
+        now_s = self.now_s
+        self._heard[batch.host_id] = _Heard(
+            replica_id=batch.replica_id, blank=batch.blank, heard_s=now_s
+        )
+        link = self._links.get(batch.host_id)
+        if link is None and batch.host_id != self.settings.host_id:
+            self._add_link(batch.host_id, batch.url)
+        elif link is not None and link.url != batch.url and batch.url:
+            link.url = batch.url
+        self.reports.take(batch.hosts, now_s)
+        for old, new in batch.replacements.items():
+            self.replacements.setdefault(old, (new, now_s))
+        if batch.founding is not None and self._is_pristine():
+            if batch.founding.get(self.settings.host_id) == (
+                self.folder.replica_id
+            ):
+                self._found(batch.founding)
+        for body in batch.envelopes:
+            if body.group >= len(self.groups):
+                continue
+            envelope = messages.Envelope(
+                sender=body.sender, to=body.to, message=body.message
+            )
+            self.groups[body.group].feed(events.Received(envelope=envelope))
+
+    def replace(self, old_host: str, new_host: str) -> str:
+        """Have a host's replicas replaced by another host's.
+
+        Returns
+        -------
+        str
+            What stands in the way, or nothing.
+        """
+        if new_host not in self._heard:
+            return f'new_host: {new_host!r} has not been heard'
+        if self.config.replica.membership.of_host(old_host) is None:
+            return f'old_host: {old_host!r} has no replica here'
+        self.replacements[old_host] = (new_host, self.now_s)
+        return ''
+
+    def _make_groups(self) -> None:
+        settings = self.settings
+        self.groups = []
+        for number in range(1 + settings.claim_groups):
+            replica = replica_module.Replica(
+                replica_id=self.folder.replica_id,
+                timings=self._timings,
+                saved=self.folder.saved(number),
+                rng=random.Random(self._rng.random()),
+                now_s=self.now_s,
+            )
+            self.groups.append(
+                group_module.Group(
+                    number=number,
+                    replica=replica,
+                    make_state=self._make_state,
+                    write=self._disk.put,
+                    send=self._send,
+                    compact_after=settings.compact_after,
+                )
+            )
+
+    def _make_state(self) -> control_state.ControlState:
+        return control_state.ControlState(
+            max_claim_bytes=self.settings.max_claim_bytes
+        )
+
+    def _add_link(self, host_id: str, url: str) -> None:
+        link = peer_link.PeerLink(
+            host_id=host_id,
+            url=url,
+            http=self._http,
+            hello=self._hello,
+            hello_s=HELLO_S,
+            timeout_s=self.settings.election_s * 0.4,
+        )
+        self._links[host_id] = link
+        link.start()
+
+    def _hello(self) -> peer_batch.PeerBatch:
+        return peer_batch.PeerBatch(
+            host_id=self.settings.host_id,
+            replica_id=self.folder.replica_id,
+            url=self.url,
+            blank=self._is_pristine(),
+            founding=self.folder.founding,
+            replacements={
+                old: new for old, (new, _) in self.replacements.items()
+            },
+            hosts=self.reports.bodies(self.now_s),
+        )
+
+    def _send(self, group: int, envelope: messages.Envelope) -> None:
+        member = self.groups[group].replica.membership.get(envelope.to)
+        host_id = member.host_id if member else envelope.to.split('.')[0]
+        link = self._links.get(host_id)
+        if link is not None:
+            link.put(group, envelope)
+
+    def _on_synced(self, group: int, write_id: int) -> None:
+        self.groups[group].feed(events.Persisted(write_id=write_id))
+
+    def _on_failed(self, reason: str) -> None:
+        self.failure = reason
+        for group in self.groups:
+            group.feed(events.PersistFailed(reason=reason))
+
+    # Founding and replacement
+
+    def _is_pristine(self) -> bool:
+        if not self.folder.blank:
+            return False
+        for group in self.groups:
+            if group.replica.term or group.replica.log.last_index:
+                return False
+        return True
+
+    def _found_if_all_blank(self) -> None:
+        """Found the groups once every host is here with an empty disk.
+
+        Only all hosts together may do so: two that came back empty
+        would else found a new group beside the third one's state.
+        """
+        hosts = {self.settings.host_id, *self.settings.peers}
+        if not self.settings.may_found or min(hosts) != self.settings.host_id:
+            return
+        if not self._is_pristine():
+            return
+        replicas = {self.settings.host_id: self.folder.replica_id}
+        for host_id in self.settings.peers:
+            heard = self._heard.get(host_id)
+            if heard is None or not heard.blank:
+                return
+            if self.now_s - heard.heard_s > HEARD_S:
+                return
+            replicas[host_id] = heard.replica_id
+        self._found(replicas)
+
+    def _found(self, replicas: dict[str, str]) -> None:
+        try:
+            self.folder.found(replicas)
+        except OSError as exc:
+            LOG.error('cannot write the founding: %s', exc)
+            self._on_failed(f'disk: {exc}')
+            return
+        LOG.info('founded with %s', ', '.join(sorted(replicas)))
+        self._make_groups()
+
+    def _bring_replicas_in(self, group: group_module.Group) -> None:
+        replica = group.replica
+        if replica.role is not replica_module.Role.LEADER:
+            return
+        for old, (new, _) in self.replacements.items():
+            former = replica.membership.of_host(old)
+            if former is not None and old != new:
+                group.feed(events.RemoveMember(replica_id=former.replica_id))
+                return
+        wanted = len(self.settings.peers) + 1
+        for host_id, heard in self._heard.items():
+            if self.now_s - heard.heard_s > HEARD_S:
+                continue
+            if host_id in self.replacements:
+                continue
+            change = replacement.next_change(
+                replica.membership,
+                host_id=host_id,
+                replica_id=heard.replica_id,
+            )
+            if change is None:
+                continue
+            full = len(replica.membership.members) >= wanted
+            if isinstance(change, events.AddLearner) and full:
+                continue
+            group.feed(change)
+            return
+
+    # Time
+
+    async def _tick(self) -> None:
+        period_s = self.settings.heartbeat_s / 4
+        forget_due_s = self.now_s + FORGET_EVERY_S
+        while True:
+            await asyncio.sleep(period_s)
+            self._found_if_all_blank()
+            for group in self.groups:
+                group.feed(events.Tick())
+                self._bring_replicas_in(group)
+            if self.now_s >= forget_due_s:
+                forget_due_s = self.now_s + FORGET_EVERY_S
+                self._forget_old()
+
+    def _forget_old(self) -> None:
+        now_s = self.now_s
+        self.reports.expire(now_s)
+        for old, (_, since_s) in list(self.replacements.items()):
+            if now_s - since_s > REPLACE_S:
+                del self.replacements[old]
+        for group in self.groups[1:]:
+            command = self._what_to_forget(group)
+            if command is None:
+                continue
+            if group.replica.lease_valid(now_s):
+                group.feed(
+                    events.Propose(commands=(commands.encode(command),))
+                )
+
+    def _what_to_forget(
+        self, group: group_module.Group
+    ) -> commands.ForgetOld | None:
+        wall_s = time.time()
+        settled_before_s = wall_s - self.settings.claim_retention_s
+        void_before_s = wall_s - self.settings.void_retention_s
+        claims = group.state.claims
+        settled_s = claims.oldest_settled_s()
+        void_s = claims.oldest_void_s()
+        due = settled_s is not None and settled_s < settled_before_s
+        due = due or (void_s is not None and void_s < void_before_s)
+        if not due:
+            return None
+        return commands.ForgetOld(
+            settled_before_s=settled_before_s, void_before_s=void_before_s
+        )
--- /dev/null
+++ b/limpetroute/control/peer_link.py
@@ -0,0 +1,134 @@
+"""The task that sends to one other control host."""
+
+import asyncio
+import logging
+import typing
+
+from limpetroute.agreement import messages
+from limpetroute.border import peer_batch
+from limpetroute.wire import call_failed
+from limpetroute.wire import caller
+
+LOG = logging.getLogger(__name__)
+
+MAX_QUEUED = 2000
+MAX_SNAPSHOTS_QUEUED = 4
+SLOWEST_LINK_BYTES_PER_S = 500_000
+
+
+class PeerLink:
+    """The task that sends to one other control host.
+
+    Each batch goes on a connection of its own, with a deadline: a
+    connection that something between the hosts has lost track of costs
+    one deadline, and the next batch takes a new one. Snapshots go
+    beside the small messages, so heartbeats never wait behind one.
+
+    Parameters
+    ----------
+    host_id, url : str
+        The other host.
+    http : Caller
+        Makes the calls.
+    hello : callable
+        Returns a batch without envelopes.
+    hello_s : float
+        Time between batches when there is nothing else to send.
+    timeout_s : float
+        Deadline of a batch.
+    """
+
+    def __init__(
+        self,
+        *,
+        host_id: str,
+        url: str,
+        http: caller.Caller,
+        hello: typing.Callable[[], peer_batch.PeerBatch],
+        hello_s: float,
+        timeout_s: float,
+    ) -> None:
+        self.host_id = host_id
+        self.url = url
+        self.answers = False
+        self._http = http
+        self._hello = hello
+        self._hello_s = hello_s
+        self._timeout_s = timeout_s
+        self._queue: list[peer_batch.EnvelopeBody] = []
+        self._snapshots: asyncio.Queue[peer_batch.EnvelopeBody] = (
+            asyncio.Queue(MAX_SNAPSHOTS_QUEUED)
+        )
+        self._wake = asyncio.Event()
+        self._tasks: list[asyncio.Task[None]] = []
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(host_id={self.host_id!r})'
+
+    def start(self) -> None:
+        """Begin to send."""
+        self._tasks = [
+            asyncio.create_task(self._run()),
+            asyncio.create_task(self._run_snapshots()),
+        ]
+
+    def stop(self) -> None:
+        """End."""
+        for task in self._tasks:
+            task.cancel()
+
+    def put(self, group: int, envelope: messages.Envelope) -> None:
+        """Queue a message; a full queue drops it, as a network may."""
+        body = peer_batch.EnvelopeBody.model_construct(
+            group=group,
+            sender=envelope.sender,
+            to=envelope.to,
+            message=envelope.message,
+        )
+        if isinstance(envelope.message, messages.SnapshotRequest):
+            if not self._snapshots.full():
+                self._snapshots.put_nowait(body)
+            return
+        if len(self._queue) < MAX_QUEUED:
+            self._queue.append(body)
+            self._wake.set()
+
+    async def _run(self) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(self._hello_s):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+            self._wake.clear()
+            queue, self._queue = self._queue, []
+            if not await self._post(queue, self._timeout_s):
+                # What waited meanwhile is old: the replicas send again.
+                self._queue.clear()
+                await asyncio.sleep(self._timeout_s / 8)
+
+    async def _run_snapshots(self) -> None:
+        while True:
+            body = await self._snapshots.get()
+            message = body.message
+            assert isinstance(message, messages.SnapshotRequest)
+            extra_s = len(message.snapshot.data) / SLOWEST_LINK_BYTES_PER_S
+            await self._post([body], self._timeout_s + extra_s)
+
+    async def _post(
+        self, envelopes: list[peer_batch.EnvelopeBody], timeout_s: float
+    ) -> bool:
+        hello = self._hello()
+        batch = hello.model_copy(update={'envelopes': envelopes})
+        got = await self._http.call(
+            method='POST',
+            url=f'{self.url.rstrip("/")}/v1/peer',
+            body=batch.model_dump_json().encode(),
+            timeout_s=timeout_s,
+        )
+        answers = not isinstance(got, call_failed.CallFailed) and got.ok
+        if answers != self.answers:
+            self.answers = answers
+            state = 'answers' if answers else 'does not answer'
+            LOG.info('control host %s %s', self.host_id, state)
+        return answers
--- /dev/null
+++ b/limpetroute/control/results.py
@@ -0,0 +1,86 @@
+"""What commands came to, once committed."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ManifestAccepted:
+    """The manifest is in the log; ``resent`` if it already was."""
+
+    number: int
+    digest: str
+    resent: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ManifestConflict:
+    """Another manifest has won this number."""
+
+    number: int
+    winner_digest: str
+    winner_sender: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ManifestStale:
+    """A higher number is in force."""
+
+    number: int
+    newest_number: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class FenceGiven:
+    """The next fencing number of a name."""
+
+    name: str
+    fence: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Granted:
+    """The claim is this token's."""
+
+    fence: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Found:
+    """The call was claimed before; ``status`` is 0 while unsettled."""
+
+    same_body: bool
+    status: int
+    body: str
+    holder: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Settled:
+    """The outcome is written; ``known`` is false if no claim was."""
+
+    known: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Done:
+    """Nothing to say."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Full:
+    """The state's limit is reached; nothing was written."""
+
+    reason: str
+
+
+Result = (
+    ManifestAccepted
+    | ManifestConflict
+    | ManifestStale
+    | FenceGiven
+    | Granted
+    | Found
+    | Settled
+    | Done
+    | Full
+)
--- a/limpetroute/control/server.py
+++ b/limpetroute/control/server.py
@@ -1,6 +1,5 @@
 """The control process's port."""
 
-import dataclasses
 import logging
 
 import tornado.httpserver
@@ -8,42 +7,15 @@
 import tornado.web
 
 from limpetroute.border import control_settings
-from limpetroute.border import errors
-from limpetroute.border import manifest as manifest_module
-from limpetroute.control import manifest_store
+from limpetroute.control import claim_handlers
+from limpetroute.control import data_folder
+from limpetroute.control import manifest_handler
+from limpetroute.control import node as node_module
+from limpetroute.control import peer_handlers
 
 LOG = logging.getLogger(__name__)
 
 
-class ManifestHandler(tornado.web.RequestHandler):
-    """``POST`` and ``GET /v1/manifest``."""
-
-    def initialize(self, store: manifest_store.ManifestStore) -> None:
-        """Take the store."""
-        self._store = store
-
-    def post(self) -> None:
-        """Decide on a manifest."""
-        try:
-            body = errors.parse(
-                manifest_module.ManifestBody, self.request.body
-            )
-        except errors.InvalidInputError as exc:
-            self.set_status(400)
-            self.finish({'outcome': 'invalid', 'errors': list(exc.lines)})
-            return
-        verdict = self._store.submit(body)
-        if not isinstance(verdict, manifest_store.Accepted):
-            self.set_status(409)
-        name = type(verdict).__name__.lower()
-        self.finish({'outcome': name, **dataclasses.asdict(verdict)})
-
-    def get(self) -> None:
-        """Show the newest manifest."""
-        newest = self._store.newest
-        self.finish({'manifest': newest.model_dump() if newest else None})
-
-
 class ControlServer:
     """One control process.
 
@@ -51,38 +23,84 @@
     ----------
     settings : ControlSettings
         Checked settings.
+    max_batch : int or None
+        Most writes in one sync; None for all that wait.
+
+    Raises
+    ------
+    FolderError
+        If the data folder cannot be used.
     """
 
-    def __init__(self, *, settings: control_settings.ControlSettings) -> None:
+    def __init__(
+        self,
+        *,
+        settings: control_settings.ControlSettings,
+        max_batch: int | None = None,
+    ) -> None:
         self.settings = settings
-        self.store = manifest_store.ManifestStore()
         self.port = 0
+        self.node: node_module.Node | None = None
+        self._max_batch = max_batch
+        self._folder = data_folder.DataFolder(
+            folder=settings.data_dir,
+            host_id=settings.host_id,
+            rewrite_bytes=settings.rewrite_bytes,
+        )
         self._server: tornado.httpserver.HTTPServer | None = None
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(port={self.port!r})'
 
+    @property
+    def url(self) -> str:
+        """Address of this process."""
+        if self.settings.advertise_url:
+            return self.settings.advertise_url
+        return f'http://{self.settings.listen.address}:{self.port}'
+
     def start(self) -> None:
-        """Listen."""
-        routes = [
-            tornado.web.url(
-                '/v1/manifest', ManifestHandler, {'store': self.store}
-            )
-        ]
-        self._server = tornado.httpserver.HTTPServer(
-            tornado.web.Application(routes, log_function=_no_log)
-        )
+        """Listen and take part."""
         listen = self.settings.listen
         sockets = tornado.netutil.bind_sockets(listen.port, listen.address)
-        self._server.add_sockets(sockets)
         self.port = int(sockets[0].getsockname()[1])
+        node = node_module.Node(
+            settings=self.settings,
+            url=self.url,
+            folder=self._folder,
+            max_batch=self._max_batch,
+        )
+        self.node = node
+        self._server = tornado.httpserver.HTTPServer(
+            tornado.web.Application(_routes(node), log_function=_no_log),
+            max_body_size=self.settings.max_body_bytes,
+        )
+        node.start()
+        self._server.add_sockets(sockets)
         LOG.info('control %s on port %d', self.settings.host_id, self.port)
 
     async def stop(self) -> None:
-        """Close the port."""
+        """Close the port and end."""
         if self._server is not None:
             self._server.stop()
             await self._server.close_all_connections()
+        if self.node is not None:
+            await self.node.stop()
+
+
+def _routes(node: node_module.Node) -> list[tornado.web.URLSpec]:
+    url = tornado.web.url
+    args = {'node': node}
+    return [
+        url('/v1/manifest', manifest_handler.ManifestHandler, args),
+        url('/v1/claims', claim_handlers.ClaimHandler, args),
+        url('/v1/claims/withdraw', claim_handlers.WithdrawHandler, args),
+        url('/v1/claims/settle', claim_handlers.SettleHandler, args),
+        url('/v1/fences', claim_handlers.FenceHandler, args),
+        url('/v1/peer', peer_handlers.PeerHandler, args),
+        url('/v1/status', peer_handlers.StatusHandler, args),
+        url('/v1/members/replace', peer_handlers.ReplaceHandler, args),
+    ]
 
 
 def _no_log(handler: tornado.web.RequestHandler) -> None:
