--- a/limpetroute/border/control_settings.py
+++ b/limpetroute/border/control_settings.py
@@ -1,22 +1,23 @@
 """Settings of ``limpetroute control``."""
 
-import pathlib
-
 import pydantic
 
+from limpetroute.border import addresses
 from limpetroute.border import listen_settings
-from limpetroute.border import strict_model
+from limpetroute.border import names
+from limpetroute.border import paths
+from limpetroute.border import trust_settings
 from limpetroute.border import units
 
 
-class ControlSettings(strict_model.StrictModel):
+class ControlSettings(trust_settings.TrustSettings):
     """Settings of ``limpetroute control``.
 
     Parameters
     ----------
-    peers : dict of str to str
-        Address of each other control host, by its ``host_id``. All
-        control hosts must be given the same set, each without itself.
+    peer_urls : list of str
+        Address of each other control host. All control hosts must be
+        given the same set, each without itself.
     advertise_url : str or None
         Address under which the others reach this host, where it is not
         the one it listens on.
@@ -42,14 +43,12 @@
         How long a watcher's call is held while nothing changes.
     """
 
-    host_id: str = pydantic.Field(
-        min_length=1, max_length=100, pattern=r'^[\w-]+$'
-    )
-    zone: str
+    host_id: names.Name
+    zone: names.Name
     listen: listen_settings.ListenSettings = listen_settings.ListenSettings()
-    data_dir: pathlib.Path
-    peers: dict[str, str] = {}
-    advertise_url: str | None = None
+    data_dir: paths.FilePath
+    peer_urls: list[addresses.HostUrl] = []
+    advertise_url: addresses.HostUrl | None = None
     may_found: bool = True
     heartbeat_s: units.Seconds = 0.25
     election_s: units.Seconds = 1.0
@@ -67,8 +66,8 @@
 
     @pydantic.model_validator(mode='after')
     def _is_consistent(self) -> 'ControlSettings':
-        if self.host_id in self.peers:
-            raise ValueError(f'peers: {self.host_id!r} is this host itself')
+        if len(set(self.peer_urls)) < len(self.peer_urls):
+            raise ValueError('peer_urls: an address is given twice')
         if self.election_s < 3 * self.heartbeat_s:
             raise ValueError(
                 f'election_s: {self.election_s!r} is not at least three '
--- a/limpetroute/cli/control.py
+++ b/limpetroute/cli/control.py
@@ -17,6 +17,7 @@
 import docopt
 
 from limpetroute.border import control_settings
+from limpetroute.cli import exit_code
 from limpetroute.cli import serving
 from limpetroute.control import folder_error
 from limpetroute.control import server
@@ -30,14 +31,14 @@
         control_settings.ControlSettings, args['--settings']
     )
     if settings is None:
-        return serving.EXIT_SETTINGS
+        return exit_code.USAGE
     try:
         return serving.serve(
             lambda: server.ControlServer(settings=settings), _print_ready
         )
     except folder_error.FolderError as exc:
         print(exc.message, file=sys.stderr)
-        return serving.EXIT_SETTINGS
+        return exit_code.USAGE
 
 
 def _print_ready(control: server.ControlServer) -> None:
--- a/limpetroute/cli/submit.py
+++ b/limpetroute/cli/submit.py
@@ -1,16 +1,19 @@
 """Submit a manifest and say when it is in force.
 
 Usage:
-  limpetroute submit MANIFEST --control URLS [--wait S] [--timeout S] [--json]
+  limpetroute submit MANIFEST --control URLS [--wait S] [--timeout S]
+                     [--token-file FILE] [--ca-file FILE] [--json]
 
 Options:
-  --control URLS  Addresses of control hosts, separated by commas.
-  --wait S        Longest wait for the entry hosts, in seconds
-                  [default: 15].
-  --timeout S     Longest wait for control's answer, in seconds
-                  [default: 10].
-  --json          Print JSON for programs.
-  -h --help       Show this help.
+  --control URLS     Addresses of control hosts, separated by commas.
+  --wait S           Longest wait for the entry hosts, in seconds
+                     [default: 15].
+  --timeout S        Longest wait for control's answer, in seconds
+                     [default: 10].
+  --token-file FILE  Token of the control hosts.
+  --ca-file FILE     Authority of their certificates.
+  --json             Print JSON for programs.
+  -h --help          Show this help.
 
 Sending the same manifest again is safe: it is accepted again.
 
@@ -37,13 +40,10 @@
 from limpetroute.border import errors
 from limpetroute.border import manifest as manifest_module
 from limpetroute.border import settings_file
+from limpetroute.cli import exit_code
 from limpetroute.control import control_client
 from limpetroute.wire import caller
-
-EXIT_DONE = 0
-EXIT_NO = 1
-EXIT_USAGE = 2
-EXIT_UNKNOWN = 3
+from limpetroute.wire import credentials
 
 
 def run(argv: typing.Sequence[str]) -> int:
@@ -56,18 +56,32 @@
     except errors.InvalidInputError as exc:
         for line in exc.lines:
             print(f'{path}: {line}', file=sys.stderr)
-        return EXIT_USAGE
+        return exit_code.USAGE
     urls = [url for url in args['--control'].split(',') if url]
     wait_s = _seconds('--wait', args['--wait'])
     timeout_s = _seconds('--timeout', args['--timeout'])
     if not urls or wait_s is None or timeout_s is None:
         if not urls:
             print('--control: no address given', file=sys.stderr)
-        return EXIT_USAGE
-    got = asyncio.run(_submit(body, urls, wait_s, timeout_s))
+        return exit_code.USAGE
+    try:
+        trust = credentials.load(
+            token_file=_path(args['--token-file']),
+            ca_file=_path(args['--ca-file']),
+        )
+    except credentials.CredentialsError as exc:
+        print(exc, file=sys.stderr)
+        return exit_code.USAGE
+    http = caller.Caller(tls=trust.client_tls, token=trust.token)
+    client = control_client.ControlClient(urls=urls, http=http)
+    got = asyncio.run(_submit(body, client, wait_s, timeout_s))
     return _show(body, got, as_json=args['--json'])
 
 
+def _path(word: str | None) -> pathlib.Path | None:
+    return pathlib.Path(word) if word else None
+
+
 def _seconds(name: str, word: str) -> float | None:
     try:
         value = float(word)
@@ -81,13 +95,10 @@
 
 async def _submit(
     body: manifest_module.ManifestBody,
-    urls: list[str],
+    client: control_client.ControlClient,
     wait_s: float,
     timeout_s: float,
-) -> (
-    control_client.Answered | control_client.NotRun | control_client.Unknown
-):
-    client = control_client.ControlClient(urls=urls, http=caller.Caller())
+) -> control_client.Answered | control_client.NotRun | control_client.Unknown:
     return await client.ask(
         path=f'/v1/manifest?wait_s={wait_s}',
         body=body.model_dump_json().encode(),
@@ -153,9 +164,9 @@
 def _exit_code(answer: dict[str, typing.Any]) -> int:
     outcome = answer['outcome']
     if outcome == 'accepted':
-        return EXIT_DONE if answer['in_force'] else EXIT_NO
+        return exit_code.DONE if answer['in_force'] else exit_code.NO
     if outcome in ('conflict', 'stale'):
-        return EXIT_NO
+        return exit_code.NO
     if outcome == 'invalid':
-        return EXIT_USAGE
-    return EXIT_UNKNOWN
+        return exit_code.USAGE
+    return exit_code.UNKNOWN
--- a/limpetroute/control/node.py
+++ b/limpetroute/control/node.py
@@ -38,6 +38,7 @@
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class _Heard:
     replica_id: str
+    url: str
     blank: bool
     heard_s: float
 
@@ -78,9 +79,10 @@
             heartbeat_s=settings.heartbeat_s,
             election_s=settings.election_s,
             drift=settings.clock_drift,
-            min_voters=(len(settings.peers) + 1) // 2 + 1,
+            min_voters=(len(settings.peer_urls) + 1) // 2 + 1,
         )
-        self._http = caller.Caller()
+        trust = settings.credentials()
+        self._http = caller.Caller(tls=trust.client_tls, token=trust.token)
         self._heard: dict[str, _Heard] = {}
         self._links: dict[str, peer_link.PeerLink] = {}
         self._tasks: list[asyncio.Task[None]] = []
@@ -103,7 +105,7 @@
     @property
     def links(self) -> dict[str, bool]:
         """Whether each other control host answers."""
-        return {host: link.answers for host, link in self._links.items()}
+        return {url: link.answers for url, link in self._links.items()}
 
     @property
     def now_s(self) -> float:
@@ -124,15 +126,15 @@
         """Return a control host's address, or nothing."""
         if host_id == self.settings.host_id:
             return self.url
-        link = self._links.get(host_id)
-        return link.url if link else ''
+        heard = self._heard.get(host_id)
+        return heard.url if heard else ''
 
     def start(self) -> None:
         """Begin to take part."""
         self._make_groups()
         self._disk.start()
-        for host_id, url in self.settings.peers.items():
-            self._add_link(host_id, url)
+        for url in self.settings.peer_urls:
+            self._add_link(url)
         self._tasks = [asyncio.create_task(self._tick())]
 
     async def stop(self) -> None:
@@ -146,15 +148,18 @@
 
     def take(self, batch: peer_batch.PeerBatch) -> None:
         """Take what another control host posted."""
+        if batch.host_id == self.settings.host_id:
+            LOG.error('%s has this host_id too: %s', batch.url, batch.host_id)
+            return
         now_s = self.now_s
         self._heard[batch.host_id] = _Heard(
-            replica_id=batch.replica_id, blank=batch.blank, heard_s=now_s
+            replica_id=batch.replica_id,
+            url=batch.url,
+            blank=batch.blank,
+            heard_s=now_s,
         )
-        link = self._links.get(batch.host_id)
-        if link is None and batch.host_id != self.settings.host_id:
-            self._add_link(batch.host_id, batch.url)
-        elif link is not None and link.url != batch.url and batch.url:
-            link.url = batch.url
+        if batch.url not in self._links:
+            self._add_link(batch.url)
         self.reports.take(batch.hosts, now_s)
         for old, new in batch.replacements.items():
             self.replacements.setdefault(old, (new, now_s))
@@ -213,16 +218,15 @@
             max_claim_bytes=self.settings.max_claim_bytes
         )
 
-    def _add_link(self, host_id: str, url: str) -> None:
+    def _add_link(self, url: str) -> None:
         link = peer_link.PeerLink(
-            host_id=host_id,
             url=url,
             http=self._http,
             hello=self._hello,
             hello_s=HELLO_S,
             timeout_s=self.settings.election_s * 0.4,
         )
-        self._links[host_id] = link
+        self._links[url] = link
         link.start()
 
     def _hello(self) -> peer_batch.PeerBatch:
@@ -240,8 +244,8 @@
 
     def _send(self, group: int, envelope: messages.Envelope) -> None:
         member = self.groups[group].replica.membership.get(envelope.to)
-        host_id = member.host_id if member else envelope.to.split('.')[0]
-        link = self._links.get(host_id)
+        host_id = member.host_id if member else envelope.to.rpartition('.')[0]
+        link = self._links.get(self.url_of(host_id))
         if link is not None:
             link.put(group, envelope)
 
@@ -269,20 +273,17 @@
         Only all hosts together may do so: two that came back empty
         would else found a new group beside the third one's state.
         """
-        hosts = {self.settings.host_id, *self.settings.peers}
-        if not self.settings.may_found or min(hosts) != self.settings.host_id:
-            return
-        if not self._is_pristine():
+        if not self.settings.may_found or not self._is_pristine():
             return
         replicas = {self.settings.host_id: self.folder.replica_id}
-        for host_id in self.settings.peers:
-            heard = self._heard.get(host_id)
-            if heard is None or not heard.blank:
-                return
-            if self.now_s - heard.heard_s > HEARD_S:
+        for host_id, heard in self._heard.items():
+            if not heard.blank or self.now_s - heard.heard_s > HEARD_S:
                 return
             replicas[host_id] = heard.replica_id
-        self._found(replicas)
+        if len(replicas) != len(self.settings.peer_urls) + 1:
+            return
+        if min(replicas) == self.settings.host_id:
+            self._found(replicas)
 
     def _found(self, replicas: dict[str, str]) -> None:
         try:
@@ -303,7 +304,7 @@
             if former is not None and old != new:
                 group.feed(events.RemoveMember(replica_id=former.replica_id))
                 return
-        wanted = len(self.settings.peers) + 1
+        wanted = len(self.settings.peer_urls) + 1
         for host_id, heard in self._heard.items():
             if self.now_s - heard.heard_s > HEARD_S:
                 continue
--- a/limpetroute/control/peer_link.py
+++ b/limpetroute/control/peer_link.py
@@ -26,8 +26,8 @@
 
     Parameters
     ----------
-    host_id, url : str
-        The other host.
+    url : str
+        Address of the other host.
     http : Caller
         Makes the calls.
     hello : callable
@@ -41,14 +41,12 @@
     def __init__(
         self,
         *,
-        host_id: str,
         url: str,
         http: caller.Caller,
         hello: typing.Callable[[], peer_batch.PeerBatch],
         hello_s: float,
         timeout_s: float,
     ) -> None:
-        self.host_id = host_id
         self.url = url
         self.answers = False
         self._http = http
@@ -63,7 +61,7 @@
         self._tasks: list[asyncio.Task[None]] = []
 
     def __repr__(self) -> str:
-        return f'{type(self).__name__}(host_id={self.host_id!r})'
+        return f'{type(self).__name__}(url={self.url!r})'
 
     def start(self) -> None:
         """Begin to send."""
@@ -130,5 +128,5 @@
         if answers != self.answers:
             self.answers = answers
             state = 'answers' if answers else 'does not answer'
-            LOG.info('control host %s %s', self.host_id, state)
+            LOG.info('control host %s %s', self.url, state)
         return answers
--- a/limpetroute/control/server.py
+++ b/limpetroute/control/server.py
@@ -12,6 +12,7 @@
 from limpetroute.control import manifest_handler
 from limpetroute.control import node as node_module
 from limpetroute.control import peer_handlers
+from limpetroute.wire import token_guard
 
 LOG = logging.getLogger(__name__)
 
@@ -57,7 +58,12 @@
         """Address of this process."""
         if self.settings.advertise_url:
             return self.settings.advertise_url
-        return f'http://{self.settings.listen.address}:{self.port}'
+        listen = self.settings.listen
+        scheme = 'https' if listen.tls else 'http'
+        address = listen.address
+        if ':' in address:
+            address = f'[{address}]'
+        return f'{scheme}://{address}:{self.port}'
 
     def start(self) -> None:
         """Listen and take part."""
@@ -72,7 +78,10 @@
         )
         self.node = node
         self._server = tornado.httpserver.HTTPServer(
-            tornado.web.Application(_routes(node), log_function=_no_log),
+            token_guard.GuardedApplication(
+                _routes(node), tokens=self.settings.credentials().tokens
+            ),
+            ssl_options=listen.tls_context(),
             max_body_size=self.settings.max_body_bytes,
         )
         node.start()
@@ -101,7 +110,3 @@
         url('/v1/status', peer_handlers.StatusHandler, args),
         url('/v1/members/replace', peer_handlers.ReplaceHandler, args),
     ]
-
-
-def _no_log(handler: tornado.web.RequestHandler) -> None:
-    """Write no line for a request."""
