--- a/limpetroute/control/node.py
+++ b/limpetroute/control/node.py
@@ -27,7 +27,7 @@
 LOG = logging.getLogger(__name__)
 
 CONFIG_GROUP = 0
-HELLO_S = 1.0
+HELLO_HEARTBEATS = 4
 HEARD_S = 3.0
 REPLACE_S = 600.0
 HOST_LIVE_S = 10.0
@@ -223,7 +223,7 @@
             url=url,
             http=self._http,
             hello=self._hello,
-            hello_s=HELLO_S,
+            hello_s=self.settings.heartbeat_s * HELLO_HEARTBEATS,
             timeout_s=self.settings.election_s * 0.4,
         )
         self._links[url] = link
--- a/limpetroute/control/server.py
+++ b/limpetroute/control/server.py
@@ -9,6 +9,7 @@
 from limpetroute.border import control_settings
 from limpetroute.control import claim_handlers
 from limpetroute.control import data_folder
+from limpetroute.control import files as files_module
 from limpetroute.control import manifest_handler
 from limpetroute.control import node as node_module
 from limpetroute.control import peer_handlers
@@ -26,6 +27,8 @@
         Checked settings.
     max_batch : int or None
         Most writes in one sync; None for all that wait.
+    files : Files or None
+        The file system; None for the host's own.
 
     Raises
     ------
@@ -38,6 +41,7 @@
         *,
         settings: control_settings.ControlSettings,
         max_batch: int | None = None,
+        files: files_module.Files | None = None,
     ) -> None:
         self.settings = settings
         self.port = 0
@@ -46,6 +50,7 @@
         self._folder = data_folder.DataFolder(
             folder=settings.data_dir,
             host_id=settings.host_id,
+            files=files,
             rewrite_bytes=settings.rewrite_bytes,
         )
         self._server: tornado.httpserver.HTTPServer | None = None
