--- a/limpetroute/border/entry_settings.py
+++ b/limpetroute/border/entry_settings.py
@@ -1,10 +1,13 @@
 """Settings of ``limpetroute entry``."""
 
+import typing
+
 import pydantic
 
 from limpetroute.border import addresses
 from limpetroute.border import listen_settings
 from limpetroute.border import names
+from limpetroute.border import paths
 from limpetroute.border import telemetry_settings
 from limpetroute.border import trust_settings
 from limpetroute.border import units
@@ -40,6 +43,9 @@
         telemetry_settings.TelemetrySettings()
     )
     believe_team_header: bool = True
+    state_dir: paths.FilePath | None = None
+    isolation_s: units.Seconds = 10.0
+    when_isolated: typing.Literal['serve_on', 'refuse'] = 'serve_on'
 
     @pydantic.field_validator('zone')
     @classmethod
--- a/limpetroute/control/base_handler.py
+++ b/limpetroute/control/base_handler.py
@@ -56,13 +56,17 @@
             self.set_status(UNKNOWN)
             self.finish({'outcome': 'unknown', 'reason': verdict.reason})
             return None
-        leader_url = self.node.url_of(verdict.leader_host)
-        if leader_url and verdict.leader_host != self.node.settings.host_id:
+        self.refuse(verdict.leader_host, verdict.reason)
+        return None
+
+    def refuse(self, leader_host: str, reason: str) -> None:
+        """Answer that nothing was written, and where to ask."""
+        leader_url = self.node.url_of(leader_host)
+        if leader_url and leader_host != self.node.settings.host_id:
             self.set_status(NOT_LEADER)
             self.finish({'outcome': 'not_leader', 'leader_url': leader_url})
-            return None
-        self._not_run(verdict.reason)
-        return None
+            return
+        self._not_run(reason)
 
     def show(self, outcome: str, result: results.Result) -> None:
         """Answer with a result's fields."""
--- a/limpetroute/control/manifest_handler.py
+++ b/limpetroute/control/manifest_handler.py
@@ -59,7 +59,8 @@
         """Show the newest manifest, once it is above ``after``.
 
         An entry host gives ``host`` and ``number``, its own revision:
-        the call is its report too.
+        the call is its report too. With ``sure``, only the leader
+        answers.
         """
         after = int(self._number('after', -1))
         wait_s = min(
@@ -71,6 +72,8 @@
                 host_id, int(self._number('number', 0)), self.node.now_s
             )
         await self._wait_for_newer(after, wait_s)
+        if self.get_query_argument('sure', '') and not self._is_sure():
+            return
         group = self.node.config
         newest = group.state.newest
         number = newest.number if newest else 0
@@ -82,6 +85,14 @@
             f'"manifest":{text}}}'
         )
 
+    def _is_sure(self) -> bool:
+        """Return whether this host's state holds all acknowledged."""
+        group = self.node.config
+        if group.replica.can_read(self.node.now_s):
+            return True
+        self.refuse(group.leader_host, 'not the leader')
+        return False
+
     async def _wait_for_newer(self, after: int, wait_s: float) -> None:
         try:
             async with asyncio.timeout(wait_s):
--- a/limpetroute/entry/host.py
+++ b/limpetroute/entry/host.py
@@ -13,10 +13,12 @@
 from limpetroute.decisions import round_robin
 from limpetroute.decisions import work
 from limpetroute.entry import answer_format
+from limpetroute.entry import control_claims
 from limpetroute.entry import grants as grants_module
 from limpetroute.entry import host_exports
 from limpetroute.entry import live_record
 from limpetroute.entry import manifest_index as manifest_index_module
+from limpetroute.entry import manifest_watch
 from limpetroute.entry import record_finder
 from limpetroute.entry import record_store
 from limpetroute.entry import run_freer
@@ -64,7 +66,9 @@
         self.exports.observe('records', lambda: len(self.records))
         self.exports.observe('runners', lambda: len(self.runners))
         self.exports.observe('ready', lambda: self.ready)
-        self.claims: claim_book.ClaimBook | None = None
+        self.claims: claim_book.ClaimBook | None = control_claims.build(
+            settings, self.http
+        )
         self.freer = run_freer.RunFreer()
         self.records = record_store.RecordStore(retain_s=settings.retain_s)
         self.finder: record_finder.RecordFinder = (
@@ -79,6 +83,9 @@
         self._index = manifest_index_module.ManifestIndex(manifest=None)
         self._open: set[live_record.LiveRecord] = set()
         self._ticker: asyncio.Task[None] | None = None
+        self.watch = manifest_watch.ManifestWatch(
+            settings=settings, http=self.http, on_manifest=self._in_force
+        )
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(host_id={self.settings.host_id!r})'
@@ -86,7 +93,9 @@
     @property
     def ready(self) -> bool:
         """Whether this host takes new work."""
-        return not self.draining
+        if self.draining:
+            return False
+        return not self.watch.refuses_work(time.monotonic())
 
     @property
     def in_progress(self) -> int:
@@ -117,6 +126,7 @@
     def start(self) -> None:
         """Start the periodic work."""
         self._ticker = asyncio.create_task(self._tick())
+        self.watch.start()
 
     async def drain(self) -> None:
         """Let all that is in progress end, within the time limit."""
@@ -146,6 +156,7 @@
         """Stop the periodic work."""
         if self._ticker is not None:
             self._ticker.cancel()
+        self.watch.stop()
         self.scheduler.close()
         await asyncio.to_thread(self.exports.close)
 
@@ -210,6 +221,9 @@
         live.task = asyncio.create_task(task.run())
         return live
 
+    def _in_force(self, body: manifest_module.ManifestBody) -> None:
+        self.manifest = body
+
     def _work(
         self, request: run_request.RunRequest, now_s: float
     ) -> work.Work:
