Do not let askers turn each other away from the leader

Killing the leader 20 times under load, 4 waits for the next commit took 6.5 to 7.8 s with a leader in good health. Elections, links and disk were ruled out by polling status: the leader was elected within 2 s and got no proposal. Callers share what the client knows of the leader, and each that met the dead host turned the others away from it, in step. Now a caller turns only from the host it has itself tried.

The new test makes 7 calls without the guard and 5 with it.

--- a/limpetroute/control/control_client.py
+++ b/limpetroute/control/control_client.py
@@ -96,15 +96,16 @@
             left_s = until_s - loop.time()
             if left_s < MIN_TRY_S:
                 break
+            url = self._next_url
             got = await self._http.call(
                 method='POST',
-                url=self._next_url + path,
+                url=url + path,
                 body=body,
                 timeout_s=min(left_s, self._try_s + extra_wait_s),
             )
             if isinstance(got, call_failed.CallFailed):
                 sent = sent or got.sent
-                self._turn()
+                self._turn(url)
                 await asyncio.sleep(min(PAUSE_S, left_s / 10))
                 continue
             answer = _body(got.body, got.json)
@@ -117,7 +118,7 @@
             if outcome in ('not_run', 'unknown'):
                 sent = sent or outcome == 'unknown'
                 reason = str(answer.get('reason', ''))
-                self._turn()
+                self._turn(url)
                 await asyncio.sleep(min(PAUSE_S, left_s / 10))
                 continue
             return Answered(status=got.status, body=answer)
@@ -125,10 +126,15 @@
             return Unknown(reason=reason)
         return NotRun(reason=reason)
 
-    def _turn(self) -> None:
+    def _turn(self, tried: str) -> None:
+        # Many questions share what is known of the leader. Turning away
+        # from a host that another question has just found to lead, all
+        # of them would walk round the dead host in step for seconds.
+        if self._next_url != tried:
+            return
         place = 0
-        if self._next_url in self._urls:
-            place = self._urls.index(self._next_url) + 1
+        if tried in self._urls:
+            place = self._urls.index(tried) + 1
         self._next_url = self._urls[place % len(self._urls)]
 
 
