--- a/limpetroute/border/entry_settings.py
+++ b/limpetroute/border/entry_settings.py
@@ -8,6 +8,8 @@
 from limpetroute.border import listen_settings
 from limpetroute.border import names
 from limpetroute.border import paths
+from limpetroute.border import peer_settings
+from limpetroute.border import record_settings
 from limpetroute.border import telemetry_settings
 from limpetroute.border import trust_settings
 from limpetroute.border import units
@@ -42,10 +44,12 @@
     telemetry: telemetry_settings.TelemetrySettings = (
         telemetry_settings.TelemetrySettings()
     )
+    record_trace: record_settings.RecordSettings | None = None
     believe_team_header: bool = True
     state_dir: paths.FilePath | None = None
     isolation_s: units.Seconds = 10.0
     when_isolated: typing.Literal['serve_on', 'refuse'] = 'serve_on'
+    peers: peer_settings.PeerSettings = peer_settings.PeerSettings()
 
     @pydantic.field_validator('zone')
     @classmethod
--- a/limpetroute/control/control_state.py
+++ b/limpetroute/control/control_state.py
@@ -6,6 +6,7 @@
 
 from limpetroute.control import claim_table
 from limpetroute.control import commands
+from limpetroute.control import manifest_store
 from limpetroute.control import results
 
 MAX_FENCES = 100_000
@@ -106,29 +107,24 @@
 
     def _submit(self, command: commands.SubmitManifest) -> results.Result:
         newest = self.newest
-        if newest is None or command.number > newest.number:
+        in_force = None
+        if newest is not None:
+            in_force = manifest_store.InForce(
+                number=newest.number,
+                digest=newest.digest,
+                sender=newest.sender,
+            )
+        verdict = manifest_store.decide(
+            in_force, number=command.number, digest=command.digest
+        )
+        if isinstance(verdict, manifest_store.Accepted) and not verdict.resent:
             self.newest = Newest(
                 number=command.number,
                 digest=command.digest,
                 sender=command.sender,
                 text=command.text,
             )
-            return results.ManifestAccepted(
-                number=command.number, digest=command.digest, resent=False
-            )
-        if command.number < newest.number:
-            return results.ManifestStale(
-                number=command.number, newest_number=newest.number
-            )
-        if command.digest == newest.digest:
-            return results.ManifestAccepted(
-                number=command.number, digest=command.digest, resent=True
-            )
-        return results.ManifestConflict(
-            number=command.number,
-            winner_digest=newest.digest,
-            winner_sender=newest.sender,
-        )
+        return verdict
 
     def _next_fence(self, name: str) -> results.Result:
         if name not in self.fences and len(self.fences) >= MAX_FENCES:
--- a/limpetroute/control/manifest_handler.py
+++ b/limpetroute/control/manifest_handler.py
@@ -6,7 +6,7 @@
 from limpetroute.border import manifest as manifest_module
 from limpetroute.control import base_handler
 from limpetroute.control import commands
-from limpetroute.control import results
+from limpetroute.control import manifest_store
 
 LOOK_S = 0.05
 MAX_WAIT_S = 60.0
@@ -31,15 +31,15 @@
         result = await self.commit(self.node.config, command, limit_s)
         if result is None:
             return
-        if isinstance(result, results.ManifestConflict):
+        if isinstance(result, manifest_store.Conflict):
             self.set_status(409)
             self.show('conflict', result)
             return
-        if isinstance(result, results.ManifestStale):
+        if isinstance(result, manifest_store.Stale):
             self.set_status(409)
             self.show('stale', result)
             return
-        assert isinstance(result, results.ManifestAccepted)
+        assert isinstance(result, manifest_store.Accepted)
         behind = await self._wait_for_hosts(
             body.number, min(wait_s, MAX_WAIT_S)
         )
--- a/limpetroute/control/results.py
+++ b/limpetroute/control/results.py
@@ -2,31 +2,7 @@
 
 import dataclasses
 
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ManifestAccepted:
-    """The manifest is in the log; ``resent`` if it already was."""
-
-    number: int
-    digest: str
-    resent: bool
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ManifestConflict:
-    """Another manifest has won this number."""
-
-    number: int
-    winner_digest: str
-    winner_sender: str
-
-
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class ManifestStale:
-    """A higher number is in force."""
-
-    number: int
-    newest_number: int
+from limpetroute.control import manifest_store
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -74,9 +50,7 @@
 
 
 Result = (
-    ManifestAccepted
-    | ManifestConflict
-    | ManifestStale
+    manifest_store.Verdict
     | FenceGiven
     | Granted
     | Found
