--- a/limpetroute/cli/control.py
+++ b/limpetroute/cli/control.py
@@ -11,6 +11,7 @@
   limpetroute control --settings examples/federation/control-1.json
 """
 
+import sys
 import typing
 
 import docopt
@@ -18,6 +19,7 @@
 from limpetroute.border import control_settings
 from limpetroute.cli import exit_code
 from limpetroute.cli import serving
+from limpetroute.control import folder_error
 from limpetroute.control import server
 
 
@@ -30,9 +32,13 @@
     )
     if settings is None:
         return exit_code.USAGE
-    return serving.serve(
-        lambda: server.ControlServer(settings=settings), _print_ready
-    )
+    try:
+        return serving.serve(
+            lambda: server.ControlServer(settings=settings), _print_ready
+        )
+    except folder_error.FolderError as exc:
+        print(exc.message, file=sys.stderr)
+        return exit_code.USAGE
 
 
 def _print_ready(control: server.ControlServer) -> None:
--- a/limpetroute/cli/main.py
+++ b/limpetroute/cli/main.py
@@ -10,6 +10,7 @@
   control    Run one replica of the control log.
   demo       Run the whole path as tasks of one process.
   standin    Run one stand-in runner, for trials.
+  submit     Submit a manifest and say when it is in force.
   status     Show how each entry host is.
   runners    Show the runners that entry hosts know.
   drain      Give a runner or an entry host no new work.
@@ -45,6 +46,7 @@
     'drain',
     'requests',
     'check',
+    'submit',
     'replay',
 )
 
--- a/limpetroute/control/manifest_store.py
+++ b/limpetroute/control/manifest_store.py
@@ -34,6 +34,30 @@
 Verdict = Accepted | Conflict | Stale
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class InForce:
+    """What the decision needs of the manifest in force."""
+
+    number: int
+    digest: str
+    sender: str
+
+
+def decide(newest: InForce | None, *, number: int, digest: str) -> Verdict:
+    """Decide on a manifest, given the one in force."""
+    if newest is None or number > newest.number:
+        return Accepted(number=number, digest=digest, resent=False)
+    if number < newest.number:
+        return Stale(number=number, newest_number=newest.number)
+    if digest == newest.digest:
+        return Accepted(number=number, digest=digest, resent=True)
+    return Conflict(
+        number=number,
+        winner_digest=newest.digest,
+        winner_sender=newest.sender,
+    )
+
+
 class ManifestStore:
     """Keeps the newest manifest."""
 
@@ -48,19 +72,14 @@
     def submit(self, body: manifest_module.ManifestBody) -> Verdict:
         """Decide on a manifest and keep it if it wins."""
         newest = self.newest
-        if newest is None or body.number > newest.number:
-            self.newest = body
-            return Accepted(
-                number=body.number, digest=body.digest, resent=False
+        in_force = None
+        if newest is not None:
+            in_force = InForce(
+                number=newest.number,
+                digest=newest.digest,
+                sender=newest.sender,
             )
-        if body.number < newest.number:
-            return Stale(number=body.number, newest_number=newest.number)
-        if body.digest == newest.digest:
-            return Accepted(
-                number=body.number, digest=body.digest, resent=True
-            )
-        return Conflict(
-            number=body.number,
-            winner_digest=newest.digest,
-            winner_sender=newest.sender,
-        )
+        verdict = decide(in_force, number=body.number, digest=body.digest)
+        if isinstance(verdict, Accepted) and not verdict.resent:
+            self.newest = body
+        return verdict
--- /dev/null
+++ b/limpetroute/control/results.py
@@ -0,0 +1,60 @@
+"""What commands came to, once committed."""
+
+import dataclasses
+
+from limpetroute.control import manifest_store
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class FenceGiven:
+    """The next fencing number of a name."""
+
+    name: str
+    fence: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Granted:
+    """The claim is this token's."""
+
+    fence: int
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Found:
+    """The call was claimed before; ``status`` is 0 while unsettled."""
+
+    same_body: bool
+    status: int
+    body: str
+    holder: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Settled:
+    """The outcome is written; ``known`` is false if no claim was."""
+
+    known: bool
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Done:
+    """Nothing to say."""
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Full:
+    """The state's limit is reached; nothing was written."""
+
+    reason: str
+
+
+Result = (
+    manifest_store.Verdict
+    | FenceGiven
+    | Granted
+    | Found
+    | Settled
+    | Done
+    | Full
+)
--- a/limpetroute/entry/host.py
+++ b/limpetroute/entry/host.py
@@ -16,11 +16,13 @@
 from limpetroute.decisions import work
 from limpetroute.entry import adopted_run
 from limpetroute.entry import answer_format
+from limpetroute.entry import control_claims
 from limpetroute.entry import decision_recorder
 from limpetroute.entry import grants as grants_module
 from limpetroute.entry import host_exports
 from limpetroute.entry import live_record
 from limpetroute.entry import manifest_index as manifest_index_module
+from limpetroute.entry import manifest_watch
 from limpetroute.entry import peer_node
 from limpetroute.entry import record_finder
 from limpetroute.entry import record_store
@@ -71,7 +73,9 @@
         self.meters = self.exports.meters
         self.hops = self.exports.hops
         host_exports.observe(self.exports, self)
-        self.claims: claim_book.ClaimBook | None = None
+        self.claims: claim_book.ClaimBook | None = control_claims.build(
+            settings, self.http
+        )
         self.drained_runners: set[str] = set()
         self.services = service_desk.ServiceDesk(
             host=self,
@@ -99,6 +103,9 @@
         self._index = manifest_index_module.ManifestIndex(manifest=None)
         self._open: set[live_record.LiveRecord] = set()
         self._ticker: asyncio.Task[None] | None = None
+        self.watch = manifest_watch.ManifestWatch(
+            settings=settings, http=self.http, on_manifest=self._in_force
+        )
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(host_id={self.settings.host_id!r})'
@@ -108,7 +115,9 @@
         """Whether this host takes new work."""
         if self.peers is not None and not self.peers.copies.may_serve:
             return False
-        return not self.draining
+        if self.draining:
+            return False
+        return not self.watch.refuses_work(time.monotonic())
 
     @property
     def in_progress(self) -> int:
@@ -159,6 +168,7 @@
     def start(self) -> None:
         """Start the periodic work."""
         self._ticker = asyncio.create_task(self._tick())
+        self.watch.start()
 
     async def drain(self) -> None:
         """Let all that is in progress end, within the time limit."""
@@ -197,6 +207,7 @@
         """Stop the periodic work."""
         if self._ticker is not None:
             self._ticker.cancel()
+        self.watch.stop()
         if self.peers is not None:
             await self.peers.leave()
             self.peers.stop()
@@ -340,6 +351,9 @@
         for live in self._open:
             copies.sender.let_go(live.record.request_id)
 
+    def _in_force(self, body: manifest_module.ManifestBody) -> None:
+        self.manifest = body
+
     def _work(
         self, request: run_request.RunRequest, now_s: float
     ) -> work.Work:
