--- a/limpetroute/bench/arrivals.py
+++ b/limpetroute/bench/arrivals.py
@@ -158,6 +158,7 @@
         token_gap_s=kind.token_gap_s,
         prefix_blocks=_blocks(rng, kind, model, prompt),
         zone=rng.choice(shape.zones),
+        key=f'k{number}',
     )
     return Arrival(
         item=item, kind=kind.name, answer_tokens=answer, cancel_s=cancel_s
--- a/limpetroute/bench/policies.py
+++ b/limpetroute/bench/policies.py
@@ -2,7 +2,9 @@
 
 import random
 
+from limpetroute.decisions import full_policy
 from limpetroute.decisions import least_load
+from limpetroute.decisions import policy_config
 from limpetroute.decisions import round_robin
 from limpetroute.decisions import router
 from limpetroute.decisions import two_choices
@@ -24,4 +26,13 @@
         return least_load.LeastLoad()
     if name == 'two_choices':
         return two_choices.TwoChoices(random=random.Random(seed))
+    if name == 'full' or name.startswith('without_'):
+        without = set()
+        if name != 'full':
+            without.add(policy_config.Decision(name.removeprefix('without_')))
+        config = policy_config.PolicyConfig(
+            objective=policy_config.Objective(objective),
+            without=frozenset(without),
+        )
+        return full_policy.FullPolicy(config=config)
     raise ValueError(f'{name!r} is not a policy')
--- a/limpetroute/bench/world.py
+++ b/limpetroute/bench/world.py
@@ -14,6 +14,7 @@
 from limpetroute.bench import prefill_model
 from limpetroute.bench import session as session_module
 from limpetroute.border import experiment
+from limpetroute.decisions import full_policy
 from limpetroute.decisions import load_report
 from limpetroute.decisions import router as router_module
 from limpetroute.decisions import runner_facts
@@ -43,6 +44,10 @@
                 session.fate.arrival.item, now_s
             )
         )
+        if isinstance(self._router, full_policy.FullPolicy):
+            session.fate.predicted_s = self._router.predicted_s(
+                session.work_id
+            )
 
     def call(
         self,
--- /dev/null
+++ b/limpetroute/decisions/decode_placement.py
@@ -0,0 +1,55 @@
+"""Chooses where an answer is written.
+
+Load pattern: decode runners that hold about twenty requests, with KV
+memory near full, in zones of unequal distance. Without it, answers go
+to a runner whose memory is full (the prefill is thrown away) or over a
+link that is busy (the result dies on the way). Of the few with the
+most free slots, the least sum of transfer time and of the batch's
+fullness in seconds wins; `FULLNESS_S` says that a full batch is as bad
+as 50 ms of transfer, about what a full batch adds to a short answer.
+"""
+
+from limpetroute.decisions import fleet as fleet_module
+from limpetroute.decisions import runner_facts
+from limpetroute.decisions import runner_state
+from limpetroute.decisions import transfer_budget
+from limpetroute.decisions import work
+
+CANDIDATES = 6
+FULLNESS_S = 0.05
+
+
+def choose(
+    *,
+    fleet: fleet_module.Fleet,
+    transfers: transfer_budget.TransferBudget | None,
+    item: work.Work,
+    kv_bytes: int,
+    source_zone: str,
+    tried: set[tuple[str, int]],
+    now_s: float,
+) -> runner_state.RunnerState | None:
+    """Return the best runner with room, or None."""
+    best: runner_state.RunnerState | None = None
+    best_s = 0.0
+    role = runner_facts.Role.DECODE
+    for state in fleet.best(role, item.model, CANDIDATES):
+        if state.free_slots < 1:
+            break
+        if not state.fits(kv_bytes) or state.paused_until_s > now_s:
+            continue
+        if (state.runner_id, state.facts.incarnation) in tried:
+            continue
+        capacity = max(1, state.facts.kv_capacity_bytes)
+        fullness = max(
+            1 - state.free_slots / max(1, state.facts.slots),
+            1 - state.free_bytes / capacity,
+        )
+        score_s = FULLNESS_S * fullness
+        if transfers is not None:
+            route = (source_zone, state.facts.zone)
+            score_s += transfers.predict_s(route, kv_bytes)
+        if best is None or score_s < best_s:
+            best = state
+            best_s = score_s
+    return best
--- /dev/null
+++ b/limpetroute/decisions/drain_rate.py
@@ -0,0 +1,51 @@
+"""How fast the queue of one model drains.
+
+Load pattern: any; the bottleneck may be prefill time, slots or KV
+memory, and other hosts take a part of each. Rather than model them
+all, this measures what they leave: cost taken from the queue over the
+time in which work waited. A value of 1 means that this host has the
+whole fleet and no better bottleneck was overlooked.
+"""
+
+FORGET_S = 5.0
+PRIOR_S = 0.5
+MIN_RATE = 0.02
+MAX_RATE = 4.0
+
+
+class DrainRate:
+    """Cost per second, learned while work waits."""
+
+    __slots__ = ('_busy_since_s', '_cost_s', '_time_s')
+
+    def __init__(self) -> None:
+        self._cost_s = PRIOR_S
+        self._time_s = PRIOR_S
+        self._busy_since_s: float | None = None
+
+    @property
+    def value(self) -> float:
+        """Cost taken a second."""
+        rate = self._cost_s / max(1e-9, self._time_s)
+        return min(MAX_RATE, max(MIN_RATE, rate))
+
+    def took(self, cost_s: float, now_s: float, *, waiting: bool) -> None:
+        """Count work taken; ``waiting`` tells whether more waits."""
+        if self._busy_since_s is not None:
+            self._age(now_s - self._busy_since_s)
+            self._cost_s += cost_s
+        self._busy_since_s = now_s if waiting else None
+
+    def waits(self, now_s: float) -> None:
+        """Note that work has begun to wait."""
+        if self._busy_since_s is None:
+            self._busy_since_s = now_s
+
+    def empty(self) -> None:
+        """Note that no work waits, for other reasons than `took`."""
+        self._busy_since_s = None
+
+    def _age(self, elapsed_s: float) -> None:
+        keep = max(0.0, 1 - elapsed_s / FORGET_S)
+        self._cost_s *= keep
+        self._time_s = self._time_s * keep + elapsed_s
--- /dev/null
+++ b/limpetroute/decisions/ejection.py
@@ -0,0 +1,106 @@
+"""Takes slow runners out by comparison with their peers.
+
+Load pattern: one runner five times slower than the rest, or one whose
+reports say it is idle. Without ejection a decode runner that misses
+the time between tokens keeps a share of all answers; its own reports
+cannot be believed, so only what was seen here counts. A runner is out
+when its figure is over `FACTOR` times the median of its peers: at 2.5
+a batch of twenty against an idle one (a factor of 2 in step time) does
+not count as slow. At most a quarter of a pool (one of two) is out, as
+a pool that is slow as a whole is overload, not a fault. A runner comes
+back after `OUT_S`, doubled each time up to `MAX_OUT_S`, and is judged
+anew by its next `MIN_SAMPLES`.
+"""
+
+import statistics
+
+from limpetroute.decisions import fleet as fleet_module
+from limpetroute.decisions import runner_facts
+from limpetroute.decisions import runner_state
+from limpetroute.decisions import smoothed
+
+FACTOR = 2.5
+MIN_SAMPLES = 3
+OUT_S = 5.0
+MAX_OUT_S = 60.0
+MAX_SHARE = 0.25
+MAX_PEERS = 16
+
+
+class Ejection:
+    """Runners that are out, and until when."""
+
+    __slots__ = ('_out', '_times')
+
+    def __init__(self) -> None:
+        self._out: dict[str, float] = {}
+        self._times: dict[str, int] = {}
+
+    @property
+    def out(self) -> frozenset[str]:
+        """Names of the runners that are out."""
+        return frozenset(self._out)
+
+    @property
+    def wake_s(self) -> float | None:
+        """When the first of them comes back."""
+        return min(self._out.values(), default=None)
+
+    def judge(
+        self,
+        *,
+        fleet: fleet_module.Fleet,
+        state: runner_state.RunnerState,
+        figures: dict[str, smoothed.Smoothed],
+        now_s: float,
+    ) -> bool:
+        """Compare one runner with a few peers; return whether it is out."""
+        own = figures.get(state.runner_id)
+        if own is None or own.count < MIN_SAMPLES or state.ejected:
+            return False
+        peers = _peers(fleet, state)
+        allowed = max(1, int(MAX_SHARE * (len(peers) + 1)))
+        if sum(peer.ejected for peer in peers) >= allowed:
+            return False
+        values = [
+            figures[peer.runner_id].value
+            for peer in peers
+            if not peer.ejected
+            and peer.runner_id in figures
+            and figures[peer.runner_id].count >= MIN_SAMPLES
+        ]
+        if not values or own.value <= FACTOR * statistics.median(values):
+            return False
+        times = self._times.get(state.runner_id, 0)
+        self._times[state.runner_id] = times + 1
+        out_s = min(MAX_OUT_S, OUT_S * 2**times)
+        self._out[state.runner_id] = now_s + out_s
+        state.ejected = True
+        return True
+
+    def probe(self, fleet: fleet_module.Fleet, now_s: float) -> list[str]:
+        """Let back in those whose time is over, and return them."""
+        back = [name for name, until in self._out.items() if until <= now_s]
+        for runner_id in back:
+            del self._out[runner_id]
+            state = fleet.runners.get(runner_id)
+            if state is not None:
+                state.ejected = False
+        return back
+
+    def forget(self, runner_id: str) -> None:
+        """Drop a runner that is gone."""
+        self._out.pop(runner_id, None)
+        self._times.pop(runner_id, None)
+
+
+def _peers(
+    fleet: fleet_module.Fleet, state: runner_state.RunnerState
+) -> list[runner_state.RunnerState]:
+    role: runner_facts.Role = state.facts.role
+    model = min(state.facts.models, default='')
+    return [
+        peer
+        for peer in fleet.listed(role, model, MAX_PEERS)
+        if peer is not state
+    ]
--- /dev/null
+++ b/limpetroute/decisions/fair_queue.py
@@ -0,0 +1,342 @@
+"""The queue of one model: fair between teams, two lanes, by deadline.
+
+Load pattern: one team that sends fifty times its share; dossiers of
+30,000 tokens among lookups of forty. Without fair shares the heavy
+team fills the queue and all others miss their targets; without a lane
+a lookup of 5 ms waits for a dossier of 1.5 s.
+
+Each team has its own queue by deadline. Between teams, the next turn
+goes to the least virtual time, which moves on by the cost of what was
+taken over the team's share (start-time fair queueing): a team that was
+idle starts at the present virtual time and cannot save up turns. Only
+teams with work queued, or whose last turn lies ahead of the present
+virtual time, take memory; the rest of 13,000 are forgotten.
+
+Short work goes first, as it costs little, but while long work waits
+short work gets at most `SHORT_SHARE` of the cost served, so no dossier
+starves behind a stream of lookups.
+"""
+
+import collections
+import dataclasses
+import heapq
+import itertools
+import typing
+
+SHORT_SHARE = 0.5
+PRUNE_EVERY = 256
+
+
+@dataclasses.dataclass(kw_only=True, slots=True, eq=False)
+class Queued:
+    """One request that waits.
+
+    ``cost_s`` is the time of the bottleneck's fleet that it takes.
+    """
+
+    work_id: str
+    team: str
+    cost_s: float
+    due_s: float
+    long: bool = False
+    first: bool = False
+    gone: bool = False
+    arrived_s: float = 0.0
+
+
+class _Team:
+    __slots__ = ('backlog_s', 'finish', 'heap', 'live', 'order', 'share')
+
+    def __init__(self, *, share: float) -> None:
+        self.share = share
+        self.finish = 0.0
+        self.backlog_s = 0.0
+        self.live = 0
+        self.heap: list[tuple[float, int, Queued]] = []
+        self.order: collections.deque[Queued] = collections.deque()
+
+    def add(self, item: Queued, number: int) -> None:
+        due_s = -1.0 if item.first else item.due_s
+        heapq.heappush(self.heap, (due_s, number, item))
+        self.order.append(item)
+        self.backlog_s += item.cost_s
+        self.live += 1
+
+    def uncount(self, item: Queued) -> None:
+        item.gone = True
+        self.live -= 1
+        self.backlog_s = max(0.0, self.backlog_s - item.cost_s)
+        if not self.live:
+            self.backlog_s = 0.0
+        while self.order and self.order[0].gone:
+            self.order.popleft()
+        while self.order and self.order[-1].gone:
+            self.order.pop()
+
+
+class _Lane:
+    """Teams in the order of their virtual time."""
+
+    __slots__ = (
+        '_fair',
+        '_heap',
+        '_heavy',
+        '_made',
+        '_shares',
+        '_taken',
+        'busy',
+        'now',
+        'teams',
+    )
+
+    def __init__(
+        self, *, shares: typing.Mapping[str, float], fair: bool
+    ) -> None:
+        self._shares = shares
+        self._fair = fair
+        self._heap: list[tuple[float, int, str]] = []
+        self._heavy: list[tuple[float, int, str]] = []
+        self._made = itertools.count()
+        self._taken = 0
+        self.busy = 0
+        self.now = 0.0
+        self.teams: dict[str, _Team] = {}
+
+    def add(self, item: Queued) -> None:
+        name = item.team if self._fair else ''
+        team = self.teams.get(name)
+        if team is None:
+            team = _Team(share=self._shares.get(name, 1.0))
+            self.teams[name] = team
+        idle = not team.heap
+        if not team.live:
+            self.busy += 1
+        team.add(item, next(self._made))
+        self._weigh(name, team)
+        if idle:
+            team.finish = max(team.finish, self.now)
+            self._push(name, team)
+
+    def set_shares(self, shares: typing.Mapping[str, float]) -> None:
+        self._shares = shares
+        for name, team in self.teams.items():
+            team.share = shares.get(name, 1.0)
+
+    def remove(self, item: Queued) -> None:
+        team = self.teams[item.team if self._fair else '']
+        team.uncount(item)
+        if not team.live:
+            self.busy -= 1
+
+    def heaviest(self) -> Queued | None:
+        """Return the newest of the team with the most queued.
+
+        Entries of the heap lag behind as work is taken; one that does
+        not hold any more is put back with its present weight.
+        """
+        while self._heavy:
+            weight, _, name = self._heavy[0]
+            team = self.teams.get(name)
+            if team is None or not team.live:
+                heapq.heappop(self._heavy)
+                continue
+            if -weight > team.backlog_s / team.share + 1e-9:
+                heapq.heappop(self._heavy)
+                self._weigh(name, team)
+                continue
+            return team.order[-1]
+        return None
+
+    def _weigh(self, name: str, team: _Team) -> None:
+        weight = -team.backlog_s / team.share
+        heapq.heappush(self._heavy, (weight, next(self._made), name))
+        if len(self._heavy) > 4 * len(self.teams) + 64:
+            self._heavy = [
+                (-team.backlog_s / team.share, next(self._made), name)
+                for name, team in self.teams.items()
+                if team.live
+            ]
+            heapq.heapify(self._heavy)
+
+    def head(self) -> Queued | None:
+        while self._heap:
+            _, _, name = self._heap[0]
+            team = self.teams[name]
+            while team.heap and team.heap[0][2].gone:
+                heapq.heappop(team.heap)
+            if team.heap:
+                return team.heap[0][2]
+            heapq.heappop(self._heap)
+        return None
+
+    def take(self) -> Queued:
+        """Take the head, which `head` has just shown."""
+        start, _, name = heapq.heappop(self._heap)
+        team = self.teams[name]
+        _, _, item = heapq.heappop(team.heap)
+        team.uncount(item)
+        if not team.live:
+            self.busy -= 1
+        self.now = max(self.now, start)
+        team.finish = max(team.finish, start) + item.cost_s / team.share
+        if team.heap:
+            self._push(name, team)
+        self._taken += 1
+        if self._taken % PRUNE_EVERY == 0:
+            self._prune()
+        return item
+
+    def _push(self, name: str, team: _Team) -> None:
+        heapq.heappush(self._heap, (team.finish, next(self._made), name))
+
+    def _prune(self) -> None:
+        idle = [
+            name
+            for name, team in self.teams.items()
+            if not team.heap and team.finish <= self.now
+        ]
+        for name in idle:
+            del self.teams[name]
+
+
+class FairQueue:
+    """Waiting work of one model.
+
+    Parameters
+    ----------
+    shares : mapping of str to float
+        Weight of each team; 1 where none is given.
+    fair : bool
+        Whether teams have queues of their own.
+    lanes : bool
+        Whether short work has a lane of its own.
+    """
+
+    __slots__ = (
+        '_items',
+        '_lanes',
+        '_long',
+        '_short',
+        '_short_credit_s',
+        'backlog_s',
+        'long_backlog_s',
+    )
+
+    def __init__(
+        self,
+        *,
+        shares: typing.Mapping[str, float],
+        fair: bool = True,
+        lanes: bool = True,
+    ) -> None:
+        self._lanes = lanes
+        self._short = _Lane(shares=shares, fair=fair)
+        self._long = _Lane(shares=shares, fair=fair)
+        self._items: dict[str, Queued] = {}
+        self._short_credit_s = 0.0
+        self.backlog_s = 0.0
+        self.long_backlog_s = 0.0
+
+    def __len__(self) -> int:
+        return len(self._items)
+
+    def __contains__(self, work_id: str) -> bool:
+        return work_id in self._items
+
+    @property
+    def teams(self) -> int:
+        """Teams that take memory."""
+        return len(self._short.teams) + len(self._long.teams)
+
+    def add(self, item: Queued) -> None:
+        """Queue a request.
+
+        Raises
+        ------
+        ValueError
+            If it is queued already.
+        """
+        if item.work_id in self._items:
+            raise ValueError(f'{item.work_id!r} is queued already')
+        item.gone = False
+        self._items[item.work_id] = item
+        self._lane(item).add(item)
+        self.backlog_s += item.cost_s
+        if item.long:
+            self.long_backlog_s += item.cost_s
+
+    def discard(self, work_id: str) -> Queued | None:
+        """Take a request out of turn, or None."""
+        item = self._items.pop(work_id, None)
+        if item is None:
+            return None
+        self._lane(item).remove(item)
+        self._gone(item)
+        return item
+
+    def heads(self) -> list[Queued]:
+        """Return the next request of each lane, in order of their turn."""
+        short = self._short.head()
+        long = self._long.head()
+        if long is None:
+            self._short_credit_s = 0.0
+        found = [item for item in (short, long) if item is not None]
+        if short is not None and long is not None:
+            if self._short_credit_s > 0:
+                found.reverse()
+        return found
+
+    def set_shares(self, shares: typing.Mapping[str, float]) -> None:
+        """Take new weights of the teams."""
+        for lane in (self._short, self._long):
+            lane.set_shares(shares)
+
+    def take(self, item: Queued) -> None:
+        """Take one of the heads."""
+        lane = self._lane(item)
+        lane.take()
+        del self._items[item.work_id]
+        self._gone(item)
+        if item.long:
+            gain = item.cost_s * SHORT_SHARE / (1 - SHORT_SHARE)
+            self._short_credit_s -= gain
+            return
+        self._short_credit_s += item.cost_s
+        if self._long.head() is None:
+            self._short_credit_s = 0.0
+
+    def ahead_s(self, team: str, *, long: bool) -> float:
+        """Cost that would be served before a new request of a team.
+
+        With fair turns a team waits for its own backlog once for each
+        team that has work, and never for more than all there is.
+        """
+        lane = self._long if long and self._lanes else self._short
+        total = self.backlog_s
+        if not long:
+            total -= self.long_backlog_s
+        known = lane.teams.get(team)
+        own_s = known.backlog_s if known else 0.0
+        share = known.share if known else 1.0
+        lead_s = max(0.0, known.finish - lane.now) if known else 0.0
+        active = lane.busy + (not own_s)
+        mean_s = self.backlog_s / max(1, len(self._items))
+        fair_s = (own_s / share + lead_s + mean_s) * active
+        return min(total, fair_s)
+
+    def heaviest(self) -> Queued | None:
+        """Return the newest request of the team with the most queued."""
+        return self._long.heaviest() or self._short.heaviest()
+
+    def _lane(self, item: Queued) -> _Lane:
+        return self._long if item.long and self._lanes else self._short
+
+    def _gone(self, item: Queued) -> None:
+        self.backlog_s = max(0.0, self.backlog_s - item.cost_s)
+        if item.long:
+            self.long_backlog_s = max(
+                0.0, self.long_backlog_s - item.cost_s
+            )
+        if not self._items:
+            self.backlog_s = 0.0
+            self.long_backlog_s = 0.0
--- /dev/null
+++ b/limpetroute/decisions/forecast.py
@@ -0,0 +1,111 @@
+"""Predicts waits and costs of a request from all that was learned."""
+
+from limpetroute.decisions import fleet as fleet_module
+from limpetroute.decisions import model_state
+from limpetroute.decisions import predictor as predictor_module
+from limpetroute.decisions import prefill_placement
+from limpetroute.decisions import prefix_index
+from limpetroute.decisions import runner_facts
+from limpetroute.decisions import runner_state
+from limpetroute.decisions import transfer_budget
+from limpetroute.decisions import work
+
+ROOM_CANDIDATES = 6
+
+
+class Forecast:
+    """Answers "how long would it take?" for the other decisions."""
+
+    __slots__ = ('_fleet', '_index', '_predictor', '_transfers')
+
+    def __init__(
+        self,
+        *,
+        fleet: fleet_module.Fleet,
+        index: prefix_index.PrefixIndex,
+        predictor: predictor_module.Predictor,
+        transfers: transfer_budget.TransferBudget,
+    ) -> None:
+        self._fleet = fleet
+        self._index = index
+        self._predictor = predictor
+        self._transfers = transfers
+
+    def idle_s(self, item: work.Work) -> float:
+        """Time to the first token on an idle fleet."""
+        read_s = self._predictor.typical_prefill_s(item.prompt_tokens)
+        return read_s + self.after_read_s(item, item.prompt_tokens)
+
+    def read_s(self, item: work.Work, tokens: int, now_s: float) -> float:
+        """Time to read a prompt where most of it is cached."""
+        cached = 0.0
+        for runner_id in self._index.holders(item.prefix_blocks)[:1]:
+            cached = self._index.expected_tokens(
+                runner_id, item.prefix_blocks, now_s
+            )
+        return self._predictor.typical_prefill_s(max(1.0, tokens - cached))
+
+    def after_read_s(self, item: work.Work, tokens: int) -> float:
+        """Time for the transfer and the first step."""
+        state = self.decode_example(item.model)
+        if state is None:
+            return self._predictor.gap_s('')
+        size = tokens * state.facts.kv_bytes_per_token
+        route = (item.zone, state.facts.zone)
+        moved_s = self._transfers.predict_s(route, size)
+        return moved_s + self._predictor.gap_s(state.runner_id)
+
+    def foreign_wait_s(self, model: str) -> float:
+        """Wait that other hosts' work adds at a prefill runner."""
+        role = runner_facts.Role.PREFILL
+        for state in self._fleet.best(role, model, 1):
+            return self._predictor.wait_s(state.runner_id)
+        return 0.0
+
+    def choice_service_s(
+        self,
+        item: work.Work,
+        tokens: int,
+        choice: prefill_placement.PrefillChoice,
+    ) -> float:
+        """Time to the first token if started there now."""
+        return choice.done_in_s + self.after_read_s(item, tokens)
+
+    def cost_s(self, item: work.Work, read_s: float) -> float:
+        """Time of the whole fleet's bottleneck that a request takes."""
+        model = item.model
+        prefills = self._fleet.count(runner_facts.Role.PREFILL, model)
+        cost_s = read_s / max(1, prefills)
+        state = self.decode_example(model)
+        if state is None:
+            return cost_s
+        facts = state.facts
+        decodes = self._fleet.count(runner_facts.Role.DECODE, model)
+        hold_s = self._predictor.hold_s(model, item.max_tokens)
+        cost_s = max(cost_s, hold_s / max(1, decodes * facts.slots))
+        kv_bytes = kv_need(item, facts)
+        room = max(1, decodes * facts.kv_capacity_bytes)
+        return max(cost_s, hold_s * kv_bytes / room)
+
+    def decode_example(self, model: str) -> runner_state.RunnerState | None:
+        """Return the decode runner of a model with the most room."""
+        role = runner_facts.Role.DECODE
+        for state in self._fleet.best(role, model, 1):
+            return state
+        return None
+
+    def decode_room(self, model: str, kv_bytes: int) -> tuple[int, int]:
+        """Count requests that fit now, and slots in use."""
+        free = 0
+        busy = 0
+        role = runner_facts.Role.DECODE
+        for state in self._fleet.best(role, model, ROOM_CANDIDATES):
+            by_bytes = state.free_bytes // max(1, kv_bytes)
+            free += max(0, min(state.free_slots, by_bytes))
+            busy += len(state.held) + state.foreign_slots
+        return free, busy
+
+
+def kv_need(item: work.Work, facts: runner_facts.RunnerFacts) -> int:
+    """KV memory of a request at its longest."""
+    return (item.prompt_tokens + item.max_tokens) * facts.kv_bytes_per_token
--- /dev/null
+++ b/limpetroute/decisions/model_state.py
@@ -0,0 +1,59 @@
+"""What the policy keeps for one model."""
+
+import collections
+import typing
+
+from limpetroute.decisions import admission
+from limpetroute.decisions import comeback
+from limpetroute.decisions import drain_rate
+from limpetroute.decisions import fair_queue
+from limpetroute.decisions import job as job_module
+from limpetroute.decisions import short_lane
+
+
+class ModelState:
+    """Queue, drain rate and appointments of one model.
+
+    Parameters
+    ----------
+    shares : mapping of str to float
+        Weights of the teams.
+    fair : bool
+        Whether teams have queues of their own.
+    lanes : bool
+        Whether short work has a lane of its own.
+    """
+
+    __slots__ = (
+        'awaiting',
+        'bias',
+        'comeback',
+        'drain',
+        'lane',
+        'queue',
+        'unslotted',
+    )
+
+    def __init__(
+        self,
+        *,
+        shares: typing.Mapping[str, float],
+        fair: bool,
+        lanes: bool,
+    ) -> None:
+        self.queue = fair_queue.FairQueue(
+            shares=shares, fair=fair, lanes=lanes
+        )
+        self.drain = drain_rate.DrainRate()
+        self.bias = admission.WaitBias()
+        self.lane = short_lane.ShortLane()
+        self.comeback = comeback.Comeback()
+        self.awaiting: collections.OrderedDict[str, job_module.Job] = (
+            collections.OrderedDict()
+        )
+        self.unslotted = 0
+
+    @property
+    def idle(self) -> bool:
+        """Whether nothing is queued or held."""
+        return not self.queue and not self.awaiting and not self.unslotted
--- /dev/null
+++ b/limpetroute/decisions/reservation.py
@@ -0,0 +1,43 @@
+"""Starts a prefill only when a decode slot will be there at its end.
+
+Load pattern: decode slots and KV memory are the bottleneck, and a
+prefill result lives under a second. Without it prefill runs ahead of
+decode and its results die: prompt reading thrown away, and the same
+prompt read again.
+
+Three ways were weighed. At start: room is held from the first moment;
+nothing is wasted, but a slot stands empty for the reading and the
+transfer. At the predicted end: a prefill starts also when a slot is
+expected to come free by its end. Late: no reservation. The objective
+chooses: `wasted_prefill` holds at start, `goodput` counts on
+`CONFIDENCE` of the slots expected free by the end of the prefill.
+"""
+
+CONFIDENCE = 0.5
+MAX_AHEAD_S = 1.0
+
+
+def may_start_ahead(
+    *,
+    free_slots: int,
+    unslotted: int,
+    busy_slots: int,
+    hold_s: float,
+    done_in_s: float,
+) -> bool:
+    """Whether a prefill may start without holding a slot.
+
+    Parameters
+    ----------
+    free_slots : int
+        Slots free now, over all decode runners of the model looked at.
+    unslotted : int
+        Prefills under way that hold no slot yet.
+    busy_slots : int
+        Slots in use, each for ``hold_s`` on average.
+    done_in_s : float
+        Time until the prefill ends.
+    """
+    ahead_s = min(MAX_AHEAD_S, done_in_s)
+    expected = busy_slots * ahead_s / max(hold_s, 1e-3)
+    return free_slots + CONFIDENCE * expected >= unslotted + 1
--- /dev/null
+++ b/limpetroute/decisions/runner_state.py
@@ -0,0 +1,106 @@
+"""What this router counts for one runner."""
+
+from limpetroute.decisions import runner_facts
+
+
+class RunnerState:
+    """Room, work and health of one runner, by this router's count.
+
+    Nothing is granted twice: a slot and its bytes are held under the
+    name of their work, and `hold` refuses a second holding.
+
+    Parameters
+    ----------
+    facts : RunnerFacts
+        Its newest announcement.
+    """
+
+    __slots__ = (
+        'blocking',
+        'ejected',
+        'facts',
+        'foreign_bytes',
+        'foreign_slots',
+        'held',
+        'held_bytes',
+        'outstanding',
+        'outstanding_s',
+        'pace_slots',
+        'paused_until_s',
+    )
+
+    def __init__(self, *, facts: runner_facts.RunnerFacts) -> None:
+        self.facts = facts
+        self.outstanding: dict[str, float] = {}
+        self.outstanding_s = 0.0
+        self.blocking: set[str] = set()
+        self.held: dict[str, int] = {}
+        self.held_bytes = 0
+        self.foreign_slots = 0
+        self.foreign_bytes = 0
+        self.pace_slots = float(facts.slots)
+        self.paused_until_s = 0.0
+        self.ejected = False
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(facts={self.facts!r})'
+
+    @property
+    def runner_id(self) -> str:
+        """Name of the runner."""
+        return self.facts.runner_id
+
+    @property
+    def free_slots(self) -> int:
+        """Slots that nobody is known to hold."""
+        slots = min(self.facts.slots, int(self.pace_slots))
+        return slots - len(self.held) - self.foreign_slots
+
+    @property
+    def free_bytes(self) -> int:
+        """KV memory that nobody is known to hold."""
+        used = self.held_bytes + self.foreign_bytes
+        return self.facts.kv_capacity_bytes - used
+
+    @property
+    def usable(self) -> bool:
+        """Whether it may get new work."""
+        return not self.facts.leaving and not self.ejected
+
+    def start_prefill(self, work_id: str, seconds: float) -> None:
+        """Count a prompt sent there."""
+        self.outstanding[work_id] = seconds
+        self.outstanding_s += seconds
+
+    def end_prefill(self, work_id: str) -> None:
+        """Uncount a prompt; idempotent."""
+        seconds = self.outstanding.pop(work_id, None)
+        self.blocking.discard(work_id)
+        if seconds is None:
+            return
+        self.outstanding_s -= seconds
+        if not self.outstanding:
+            self.outstanding_s = 0.0
+
+    def fits(self, kv_bytes: int) -> bool:
+        """Whether one more request has room."""
+        return self.free_slots >= 1 and self.free_bytes >= kv_bytes
+
+    def hold(self, work_id: str, kv_bytes: int) -> None:
+        """Hold a slot and memory.
+
+        Raises
+        ------
+        ValueError
+            If the work holds room here already.
+        """
+        if work_id in self.held:
+            raise ValueError(f'{work_id!r} holds room at {self.runner_id!r}')
+        self.held[work_id] = kv_bytes
+        self.held_bytes += kv_bytes
+
+    def release(self, work_id: str) -> None:
+        """Give room back; idempotent."""
+        kv_bytes = self.held.pop(work_id, None)
+        if kv_bytes is not None:
+            self.held_bytes -= kv_bytes
--- /dev/null
+++ b/limpetroute/decisions/short_lane.py
@@ -0,0 +1,58 @@
+"""Keeps one prefill runner open for short work.
+
+Load pattern: dossiers of 30,000 tokens among lookups of forty. A
+runner reads one prompt at a time, so when every runner reads a dossier
+of 1.5 s, a lookup with a target of 1 s has no chance, whatever the
+queue's order. Long work that would block for over `BLOCK_SHARE` of the
+shortest target seen lately may therefore not start on the one runner
+with the least name: the same on every host, without a message. It
+costs long work that runner only while short work really comes, within
+`SEEN_S`.
+
+`LONG_FACTOR`: long is what takes over four times the mean of the last
+requests; status lookups and checks of one size have then one lane.
+"""
+
+from limpetroute.decisions import smoothed
+
+BLOCK_SHARE = 0.5
+LONG_FACTOR = 4.0
+SEEN_S = 10.0
+MEAN_WEIGHT = 0.02
+MIN_LONG_S = 0.1
+
+
+class ShortLane:
+    """Tells long work from short, by model."""
+
+    __slots__ = ('_mean', '_seen_s', '_slack_s')
+
+    def __init__(self) -> None:
+        self._mean = smoothed.Smoothed(prior=0.1, weight=MEAN_WEIGHT)
+        self._seen_s = float('-inf')
+        self._slack_s = float('inf')
+
+    def saw(self, read_s: float, slack_s: float, now_s: float) -> bool:
+        """Note a request; return whether it is long.
+
+        Parameters
+        ----------
+        read_s : float
+            Time to read its prompt.
+        slack_s : float
+            Time from its arrival to its target.
+        """
+        long = read_s > max(MIN_LONG_S, LONG_FACTOR * self._mean.value)
+        self._mean.add(min(read_s, MIN_LONG_S))
+        if not long:
+            if now_s - self._seen_s > SEEN_S:
+                self._slack_s = slack_s
+            self._slack_s = min(self._slack_s, slack_s)
+            self._seen_s = now_s
+        return long
+
+    def blocks(self, read_s: float, now_s: float) -> bool:
+        """Whether work would block a runner for too long."""
+        if now_s - self._seen_s > SEEN_S:
+            return False
+        return read_s > BLOCK_SHARE * self._slack_s
--- /dev/null
+++ b/limpetroute/decisions/smoothed.py
@@ -0,0 +1,34 @@
+"""An exponentially smoothed value and its deviation."""
+
+
+class Smoothed:
+    """Follows a value that changes slowly and comes with noise.
+
+    Parameters
+    ----------
+    prior : float
+        Value believed before the first sample.
+    weight : float
+        Share of each new sample, between 0 and 1.
+    """
+
+    __slots__ = ('_weight', 'count', 'deviation', 'value')
+
+    def __init__(self, *, prior: float, weight: float) -> None:
+        self._weight = weight
+        self.value = prior
+        self.deviation = 0.0
+        self.count = 0
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(value={self.value!r})'
+
+    def add(self, sample: float) -> None:
+        """Take a sample; the first few weigh more."""
+        self.count += 1
+        weight = max(self._weight, 1 / self.count)
+        error = sample - self.value
+        self.value += weight * error
+        self.deviation += weight * (abs(error) - self.deviation)
+        if self.count == 1:
+            self.deviation = 0.0
--- a/limpetroute/decisions/work.py
+++ b/limpetroute/decisions/work.py
@@ -29,6 +29,8 @@
         Hashes of the prompt's leading blocks, each over all before it.
     zone : str
         Availability zone of the entry host that holds the request.
+    key : str
+        Names the request when its caller comes back with it.
     """
 
     work_id: str
@@ -41,3 +43,4 @@
     token_gap_s: float
     prefix_blocks: tuple[int, ...] = ()
     zone: str = ''
+    key: str = ''
