--- a/limpetroute/bench/measure.py
+++ b/limpetroute/bench/measure.py
@@ -83,6 +83,7 @@
     decisions: int = 0
     decision_wall_s: float = 0.0
     events: int = 0
+    prefill_busy: float = 0.0
 
     def summary(self) -> dict[str, object]:
         """Return the figures of the play as plain JSON values."""
@@ -151,6 +152,7 @@
             'light_teams_good': _light_share(fresh),
             'decision_us': 1e6 * self.decision_wall_s / max(1, self.decisions),
             'events': self.events,
+            'prefill_busy': self.prefill_busy,
         }
 
 
--- a/limpetroute/bench/prefill_model.py
+++ b/limpetroute/bench/prefill_model.py
@@ -20,12 +20,13 @@
     tokens: int
     blocks: tuple[int, ...]
     on_done: typing.Callable[[int | None], None]
+    priority: int = 0
     cancelled: bool = False
     read_tokens: int = 0
 
 
 class PrefillModel:
-    """Reads prompts in order of arrival.
+    """Reads prompts by priority, then in order of arrival.
 
     Parameters
     ----------
@@ -54,6 +55,7 @@
         self.slow_factor = 1.0
         self.dead = False
         self.read_tokens = 0
+        self.busy_s = 0.0
         self.stored: list[int] = []
         self.evicted: list[int] = []
 
@@ -80,7 +82,10 @@
         if self.dead:
             self._clock.after(0.0, lambda: job.on_done(None))
             return
-        self._queue.append(job)
+        place = len(self._queue)
+        while place and self._queue[place - 1].priority < job.priority:
+            place -= 1
+        self._queue.insert(place, job)
         if self._current is None:
             self._next()
 
@@ -128,6 +133,7 @@
         self.read_tokens += job.read_tokens
         seconds = job.read_tokens / self._shape.prefill_tokens_per_s
         seconds += self._shape.prefill_overhead_s
+        self.busy_s += seconds * self.slow_factor
         self._timer = self._clock.after(
             seconds * self.slow_factor, lambda: self._done(job, cached)
         )
--- a/limpetroute/bench/session.py
+++ b/limpetroute/bench/session.py
@@ -94,6 +94,7 @@
         job = prefill_model.PrefillJob(
             tokens=item.prompt_tokens + self.fate.tokens,
             blocks=item.prefix_blocks,
+            priority=todo.priority,
             on_done=lambda cached: self._prefilled(job, cached),
         )
         self._job = job
--- a/limpetroute/bench/world.py
+++ b/limpetroute/bench/world.py
@@ -146,6 +146,9 @@
         self.measure.read_tokens = sum(
             model.read_tokens for model in self.prefills.values()
         )
+        busy_s = sum(model.busy_s for model in self.prefills.values())
+        whole_s = len(self.prefills) * self.case.pattern.duration_s
+        self.measure.prefill_busy = busy_s / whole_s
 
     def returns(self, fate: measure_module.Fate) -> None:
         """Let a refused caller come back when it was told to."""
--- a/limpetroute/decisions/action.py
+++ b/limpetroute/decisions/action.py
@@ -34,12 +34,15 @@
         on, or None when they are taken later.
     kv_bytes : int
         KV memory to hold there.
+    priority : int
+        Order in the runner's own queue; higher goes first.
     """
 
     work_id: str
     runner_id: str
     decode_runner_id: str | None
     kv_bytes: int
+    priority: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/limpetroute/decisions/admission.py
+++ b/limpetroute/decisions/admission.py
@@ -22,6 +22,7 @@
 MIN_SLACK_S = 0.01
 BIAS_WEIGHT = 0.05
 MAX_BIAS = 3.0
+OVERDUE_FACTOR = 1.5
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -86,6 +87,17 @@
         if raw_s > MIN_SLACK_S:
             self._bias.add(min(MAX_BIAS, actual_s / raw_s))
 
+    def saw_overdue(
+        self, raw_s: float, waited_s: float, spare_s: float
+    ) -> None:
+        """Learn from a request given up after it was let in.
+
+        Without it only those that made it would be learned from, and
+        under saturation they say that all waits are short.
+        """
+        self.saw_wait(raw_s, waited_s * OVERDUE_FACTOR)
+        self._error.add(max(0.0, spare_s))
+
     def saw_first_token(self, predicted_s: float, actual_s: float) -> None:
         """Learn from a first token; only lateness asks for a margin."""
         self._error.add(max(0.0, actual_s - predicted_s))
--- a/limpetroute/decisions/ejection.py
+++ b/limpetroute/decisions/ejection.py
@@ -13,11 +13,11 @@
 """
 
 import statistics
+import typing
 
 from limpetroute.decisions import fleet as fleet_module
 from limpetroute.decisions import runner_facts
 from limpetroute.decisions import runner_state
-from limpetroute.decisions import smoothed
 
 FACTOR = 2.5
 MIN_SAMPLES = 3
@@ -27,6 +27,18 @@
 MAX_PEERS = 16
 
 
+class Figure(typing.Protocol):
+    """Something learned of a runner; less is better."""
+
+    @property
+    def value(self) -> float:
+        """The figure."""
+
+    @property
+    def count(self) -> int:
+        """Samples behind it."""
+
+
 class Ejection:
     """Runners that are out, and until when."""
 
@@ -51,7 +63,7 @@
         *,
         fleet: fleet_module.Fleet,
         state: runner_state.RunnerState,
-        figures: dict[str, smoothed.Smoothed],
+        figures: typing.Mapping[str, Figure],
         now_s: float,
     ) -> bool:
         """Compare one runner with a few peers; return whether it is out."""
--- a/limpetroute/decisions/forecast.py
+++ b/limpetroute/decisions/forecast.py
@@ -95,14 +95,19 @@
         return None
 
     def decode_room(self, model: str, kv_bytes: int) -> tuple[int, int]:
-        """Count requests that fit now, and slots in use."""
+        """Count requests that fit now, and slots that we hold.
+
+        Slots of other hosts come free too, but each host counts on its
+        own: counted on by all seven, one slot was promised seven times
+        and a tenth of the reading was thrown away.
+        """
         free = 0
         busy = 0
         role = runner_facts.Role.DECODE
         for state in self._fleet.best(role, model, ROOM_CANDIDATES):
             by_bytes = state.free_bytes // max(1, kv_bytes)
             free += max(0, min(state.free_slots, by_bytes))
-            busy += len(state.held) + state.foreign_slots
+            busy += len(state.held)
         return free, busy
 
 
--- a/limpetroute/decisions/full_policy.py
+++ b/limpetroute/decisions/full_policy.py
@@ -13,6 +13,7 @@
 from limpetroute.decisions import job as job_module
 from limpetroute.decisions import load_report
 from limpetroute.decisions import model_state
+from limpetroute.decisions import pacing
 from limpetroute.decisions import policy_config
 from limpetroute.decisions import predictor as predictor_module
 from limpetroute.decisions import prefill_placement
@@ -193,6 +194,8 @@
             came_back = state.comeback.kept(item.team, item.key, now_s)
         fits = self._predict(job, state, read_s, came_back, now_s)
         if self._config.uses(Decision.ADMISSION) and not fits:
+            if not len(state.queue):
+                state.drain.doubt()
             self._refuse(job, action.Reason.SATURATED, now_s)
             return
         queued.first = came_back
@@ -404,10 +407,11 @@
         service_s += self._forecast.foreign_wait_s(item.model)
         job.raw_wait_s = wait_s
         job.service_s = service_s
-        job.predicted_s = service_s + state.bias.corrected_s(wait_s)
-        margin_s = state.bias.service_margin_s
+        bias = state.bias(long=queued.long)
+        job.predicted_s = service_s + bias.corrected_s(wait_s)
+        margin_s = bias.service_margin_s
         if wait_s > 0 and not came_back:
-            margin_s = state.bias.margin_s
+            margin_s = bias.margin_s
         return now_s + job.predicted_s + margin_s <= job.limit_s
 
     def _can_start(
@@ -508,7 +512,8 @@
                 return
             job = self._jobs[victim.work_id]
             wait_s = state.queue.backlog_s / state.drain.value
-            end_s = now_s + state.bias.corrected_s(wait_s) + job.service_s
+            bias = state.bias(long=victim.long)
+            end_s = now_s + bias.corrected_s(wait_s) + job.service_s
             if end_s <= job.limit_s or job.delivered:
                 return
             self._refuse(job, action.Reason.SATURATED, now_s)
@@ -567,7 +572,8 @@
         )
         if job.attempts == 0:
             waited_s = now_s - queued.arrived_s
-            state.bias.saw_wait(job.raw_wait_s, waited_s)
+            bias = state.bias(long=queued.long)
+            bias.saw_wait(job.raw_wait_s, waited_s)
         runner = choice.state
         job.phase = Phase.PREFILL
         job.prefill_id = runner.runner_id
@@ -590,9 +596,16 @@
                 runner_id=runner.runner_id,
                 decode_runner_id=job.decode_id,
                 kv_bytes=job.kv_bytes,
+                priority=self._priority(queued),
             )
         )
 
+    def _priority(self, queued: fair_queue.Queued) -> int:
+        """Let short work pass others' long work in a runner's queue."""
+        if queued.long or not self._config.uses(Decision.SHORT_LANE):
+            return 0
+        return 1
+
     def _place_decode(
         self, job: job_module.Job, zone: str, now_s: float
     ) -> runner_state.RunnerState | None:
@@ -683,18 +696,26 @@
     ) -> None:
         read = max(1, job.tokens - cached_tokens)
         took_s = now_s - job.sent_s
-        self._predictor.saw_prefill(runner_id, read, job.own_wait_s, took_s)
+        # Behind our own work the time is not the runner's, and what is
+        # taken off for that work is a guess that may be too much.
+        alone = job.own_wait_s == 0.0
+        if alone:
+            self._predictor.saw_prefill(runner_id, read, took_s)
         self._index.found(job.expected_cached, cached_tokens)
         self._index.stored(runner_id, job.item.prefix_blocks, now_s)
         state = self._fleet.runners.get(runner_id)
-        if state is None:
+        if state is None or not alone:
             return
         expected_s = self._predictor.prefill_s(runner_id, read)
-        if took_s > 1.5 * expected_s + job.own_wait_s:
+        pause_s = pacing.pause_s(took_s - expected_s)
+        if pause_s > 0:
+            self._pause(state, now_s + pause_s)
+        if took_s > 1.5 * expected_s:
             self._judge(state, now_s)
 
     def _saw_first_token(self, job: job_module.Job, now_s: float) -> None:
-        bias = self._model(job.item.model).bias
+        long = job.queued is not None and job.queued.long
+        bias = self._model(job.item.model).bias(long=long)
         took_s = now_s - job.item.arrived_s
         if job.attempts == 0:
             bias.saw_first_token(job.predicted_s, took_s)
@@ -719,7 +740,7 @@
     ) -> None:
         if not self._config.uses(Decision.EJECTION):
             return
-        figures = self._predictor.gaps
+        figures: typing.Mapping[str, ejection.Figure] = self._predictor.gaps
         if state.facts.role is runner_facts.Role.PREFILL:
             figures = self._predictor.reads
         self._ejection.judge(
@@ -839,6 +860,11 @@
         """Give up with an appointment."""
         state = self._model(job.item.model)
         queued = job.queued
+        if queued is not None and job.item.work_id in state.queue:
+            waited_s = now_s - queued.arrived_s
+            spare_s = job.limit_s - job.item.arrived_s - job.predicted_s
+            bias = state.bias(long=queued.long)
+            bias.saw_overdue(job.raw_wait_s, waited_s, spare_s)
         retry_after_s = FIXED_RETRY_S
         if self._config.uses(Decision.COMEBACK) and queued is not None:
             retry_after_s = state.comeback.promise(
--- a/limpetroute/decisions/model_state.py
+++ b/limpetroute/decisions/model_state.py
@@ -25,8 +25,8 @@
     """
 
     __slots__ = (
+        '_biases',
         'awaiting',
-        'bias',
         'comeback',
         'drain',
         'lane',
@@ -45,7 +45,7 @@
             shares=shares, fair=fair, lanes=lanes
         )
         self.drain = drain_rate.DrainRate()
-        self.bias = admission.WaitBias()
+        self._biases = (admission.WaitBias(), admission.WaitBias())
         self.lane = short_lane.ShortLane()
         self.comeback = comeback.Comeback()
         self.awaiting: collections.OrderedDict[str, job_module.Job] = (
@@ -53,6 +53,14 @@
         )
         self.unslotted = 0
 
+    def bias(self, *, long: bool) -> admission.WaitBias:
+        """Return what was learned of a lane.
+
+        Dossiers err by seconds; were lookups judged by that, none
+        would be let in.
+        """
+        return self._biases[1 if long else 0]
+
     @property
     def idle(self) -> bool:
         """Whether nothing is queued or held."""
--- a/limpetroute/decisions/predictor.py
+++ b/limpetroute/decisions/predictor.py
@@ -8,6 +8,7 @@
 load), a twentieth for lengths of answers, which vary by request.
 """
 
+from limpetroute.decisions import least_of
 from limpetroute.decisions import smoothed
 
 PRIOR_PREFILL_S_PER_TOKEN = 1 / 20000
@@ -17,6 +18,7 @@
 RUNNER_WEIGHT = 0.2
 ANSWER_WEIGHT = 0.05
 MIN_SAMPLE_TOKENS = 200
+WINDOW = 8
 ERROR_WEIGHT = 0.05
 
 
@@ -36,7 +38,7 @@
     def __init__(self) -> None:
         self._all_prefill = _speed(PRIOR_PREFILL_S_PER_TOKEN)
         self._all_gaps = _speed(PRIOR_GAP_S)
-        self._prefill: dict[str, smoothed.Smoothed] = {}
+        self._prefill: dict[str, least_of.LeastOf] = {}
         self._gaps: dict[str, smoothed.Smoothed] = {}
         self._waits: dict[str, smoothed.Smoothed] = {}
         self._answers: dict[str, smoothed.Smoothed] = {}
@@ -58,7 +60,7 @@
         return PRIOR_OVERHEAD_S + tokens * self._all_prefill.value
 
     @property
-    def reads(self) -> dict[str, smoothed.Smoothed]:
+    def reads(self) -> dict[str, least_of.LeastOf]:
         """Seconds for each token read, by runner."""
         return self._prefill
 
@@ -77,28 +79,23 @@
         known = self._waits.get(runner_id)
         return known.deviation if known else 0.0
 
-    def saw_prefill(
-        self, runner_id: str, tokens: int, own_wait_s: float, took_s: float
-    ) -> None:
+    def saw_prefill(self, runner_id: str, tokens: int, took_s: float) -> None:
         """Learn from a prompt read.
 
-        The time is explained by our own work before it, the reading and
-        the work of other hosts. Reading is the least time seen for its
-        tokens; the rest is put down to the others.
+        The time is explained by the reading and the work of other
+        hosts. Reading is the least of the last times
+        for each token, as a queue only ever adds; the rest is put down
+        to the others.
         """
-        took_s = max(0.0, took_s - own_wait_s)
-        known = self._prefill.setdefault(
-            runner_id, _speed(self._all_prefill.value)
-        )
         if tokens >= MIN_SAMPLE_TOKENS:
-            sample = max(0.0, took_s - PRIOR_OVERHEAD_S) / tokens
-            # A longer time may be another host's work before ours, so
-            # it moves the speed slowly; a shorter one is sure.
-            if sample <= known.value * 1.1 or known.count == 0:
-                known.add(sample)
-                self._all_prefill.add(sample)
-            else:
-                known.add(known.value + 0.1 * (sample - known.value))
+            known = self._prefill.setdefault(
+                runner_id,
+                least_of.LeastOf(
+                    prior=self._all_prefill.value, window=WINDOW
+                ),
+            )
+            known.add(max(0.0, took_s - PRIOR_OVERHEAD_S) / tokens)
+            self._all_prefill.add(known.value)
         wait = self._waits.setdefault(
             runner_id, smoothed.Smoothed(prior=0.0, weight=RUNNER_WEIGHT)
         )
