--- a/limpetroute/decisions/forecast.py
+++ b/limpetroute/decisions/forecast.py
@@ -62,6 +62,12 @@
             return self._predictor.wait_s(state.runner_id)
         return 0.0
 
+    def free_in_s(self, model: str, now_s: float) -> float:
+        """Time until some prefill runner may get more of our work."""
+        role = runner_facts.Role.PREFILL
+        states = self._fleet.best(role, model, ROOM_CANDIDATES)
+        return min((state.free_in_s(now_s) for state in states), default=0.0)
+
     def choice_service_s(
         self,
         item: work.Work,
--- a/limpetroute/decisions/full_policy.py
+++ b/limpetroute/decisions/full_policy.py
@@ -13,7 +13,6 @@
 from limpetroute.decisions import job as job_module
 from limpetroute.decisions import load_report
 from limpetroute.decisions import model_state
-from limpetroute.decisions import pacing
 from limpetroute.decisions import policy_config
 from limpetroute.decisions import predictor as predictor_module
 from limpetroute.decisions import prefill_placement
@@ -38,6 +37,7 @@
 MAX_SHED = 4
 PACE_BACK = 0.25
 RESULT_MARGIN_S = 0.05
+EXAMPLE_AHEAD_S = 0.1
 
 
 class FullPolicy:
@@ -94,7 +94,7 @@
     def idle(self) -> bool:
         """Whether nothing is queued, held, counted or under way."""
         held = any(
-            state.held or state.outstanding or state.blocking
+            state.held or state.outstanding
             for state in self._fleet.runners.values()
         )
         models = all(state.idle for state in self._models.values())
@@ -400,9 +400,11 @@
         ahead_s = state.queue.ahead_s(item.team, long=queued.long)
         if not came_back:
             ahead_s += state.comeback.expected_cost_s
-        wait_s = 0.0
-        if ahead_s > 0 or not self._can_start(job, state, now_s):
-            wait_s = (ahead_s + queued.cost_s) / state.drain.value
+        wait_s = ahead_s / state.drain.value
+        if self._choose_prefill(job, state, now_s) is None:
+            wait_s += self._forecast.free_in_s(item.model, now_s)
+        if not self._has_room(job, state, EXAMPLE_AHEAD_S):
+            wait_s += queued.cost_s / state.drain.value
         service_s = read_s + self._forecast.after_read_s(item, job.tokens)
         service_s += self._forecast.foreign_wait_s(item.model)
         job.raw_wait_s = wait_s
@@ -414,16 +416,6 @@
         margin_s = bias.margin(waits=waits).value_s(slack_s)
         return now_s + job.predicted_s + margin_s <= job.limit_s
 
-    def _can_start(
-        self,
-        job: job_module.Job,
-        state: model_state.ModelState,
-        now_s: float,
-    ) -> bool:
-        if self._choose_prefill(job, state, now_s) is None:
-            return False
-        return self._has_room(job, state, 0.1)
-
     def _choose_prefill(
         self,
         job: job_module.Job,
@@ -581,7 +573,9 @@
         job.service_s = service_s
         job.own_wait_s = runner.outstanding_s
         job.expected_cached = choice.expected_cached
-        runner.start_prefill(job.item.work_id, choice.read_s)
+        runner.start_prefill(
+            job.item.work_id, choice.read_s, now_s + choice.done_in_s
+        )
         self._fleet.moved(runner)
         job.kv_bytes = self._kv_bytes(job)
         target = self._place_decode(job, runner.facts.zone, now_s)
@@ -707,9 +701,6 @@
         if state is None or not alone:
             return
         expected_s = self._predictor.prefill_s(runner_id, read)
-        pause_s = pacing.pause_s(took_s - expected_s)
-        if pause_s > 0:
-            self._pause(state, now_s + pause_s)
         if took_s > 1.5 * expected_s:
             self._judge(state, now_s)
 
--- a/limpetroute/decisions/reservation.py
+++ b/limpetroute/decisions/reservation.py
@@ -13,7 +13,7 @@
 `CONFIDENCE` of the slots expected free by the end of the prefill.
 """
 
-CONFIDENCE = 0.5
+CONFIDENCE = 1.0
 MAX_AHEAD_S = 1.0
 
 
--- a/limpetroute/decisions/runner_state.py
+++ b/limpetroute/decisions/runner_state.py
@@ -16,11 +16,11 @@
     """
 
     __slots__ = (
-        'blocking',
         'ejected',
         'facts',
         'foreign_bytes',
         'foreign_slots',
+        'free_at_s',
         'held',
         'held_bytes',
         'outstanding',
@@ -33,13 +33,13 @@
         self.facts = facts
         self.outstanding: dict[str, float] = {}
         self.outstanding_s = 0.0
-        self.blocking: set[str] = set()
         self.held: dict[str, int] = {}
         self.held_bytes = 0
         self.foreign_slots = 0
         self.foreign_bytes = 0
         self.pace_slots = float(facts.slots)
         self.paused_until_s = 0.0
+        self.free_at_s = 0.0
         self.ejected = False
 
     def __repr__(self) -> str:
@@ -67,15 +67,32 @@
         """Whether it may get new work."""
         return not self.facts.leaving and not self.ejected
 
-    def start_prefill(self, work_id: str, seconds: float) -> None:
-        """Count a prompt sent there."""
+    def free_in_s(self, now_s: float) -> float:
+        """Time until it may get more of our work, as predicted."""
+        until_s = self.paused_until_s
+        if self.outstanding:
+            until_s = max(until_s, self.free_at_s)
+        return max(0.0, until_s - now_s)
+
+    def start_prefill(
+        self, work_id: str, seconds: float, done_at_s: float
+    ) -> None:
+        """Count a prompt sent there.
+
+        Parameters
+        ----------
+        seconds : float
+            Time of the runner that it takes.
+        done_at_s : float
+            When it is expected to be done.
+        """
+        self.free_at_s = done_at_s
         self.outstanding[work_id] = seconds
         self.outstanding_s += seconds
 
     def end_prefill(self, work_id: str) -> None:
         """Uncount a prompt; idempotent."""
         seconds = self.outstanding.pop(work_id, None)
-        self.blocking.discard(work_id)
         if seconds is None:
             return
         self.outstanding_s -= seconds
--- a/limpetroute/decisions/transfer_budget.py
+++ b/limpetroute/decisions/transfer_budget.py
@@ -7,8 +7,9 @@
 The rate of a link is learned from transfers: bytes under way at the
 start of one, its own included, over its time. A transfer is abandoned
 after `TIMEOUT_FACTOR` times its predicted time, at least
-`MIN_TIMEOUT_S` (a hundred steps of a network within a region) and at
-most `MAX_TIMEOUT_S`, so that the same result can still go elsewhere.
+`MIN_TIMEOUT_S` and at most `MAX_TIMEOUT_S`. The least is half of a
+result's life, so that the same result can still go elsewhere; 0.15 s
+was weighed and abandoned transfers that only shared their link.
 """
 
 import dataclasses
@@ -18,7 +19,7 @@
 PRIOR_BYTES_PER_S = 5e9
 RATE_WEIGHT = 0.1
 TIMEOUT_FACTOR = 4.0
-MIN_TIMEOUT_S = 0.15
+MIN_TIMEOUT_S = 0.4
 MAX_TIMEOUT_S = 2.0
 
 Route = tuple[str, str]
