--- a/limpetroute/bench/prefill_model.py
+++ b/limpetroute/bench/prefill_model.py
@@ -55,6 +55,8 @@
         self.slow_factor = 1.0
         self.dead = False
         self.read_tokens = 0
+        self._began_s = 0.0
+        self._ends_s = 0.0
         self.busy_s = 0.0
         self.stored: list[int] = []
         self.evicted: list[int] = []
@@ -94,6 +96,12 @@
         job.cancelled = True
         if job is not self._current:
             return
+        # Only what was read counts, as read and as wasted.
+        whole_s = self._ends_s - self._began_s
+        share = (self._clock.now_s - self._began_s) / max(1e-9, whole_s)
+        unread = int(job.read_tokens * (1 - share))
+        job.read_tokens -= unread
+        self.read_tokens -= unread
         if self._timer is not None:
             self._timer.cancel()
         self._current = None
@@ -133,6 +141,8 @@
         self.read_tokens += job.read_tokens
         seconds = job.read_tokens / self._shape.prefill_tokens_per_s
         seconds += self._shape.prefill_overhead_s
+        self._began_s = self._clock.now_s
+        self._ends_s = self._began_s + seconds * self.slow_factor
         self.busy_s += seconds * self.slow_factor
         self._timer = self._clock.after(
             seconds * self.slow_factor, lambda: self._done(job, cached)
--- a/limpetroute/bench/session.py
+++ b/limpetroute/bench/session.py
@@ -260,8 +260,8 @@
         self.fate.ended = ended
         self._clear_timers()
         if self._job is not None:
-            self._waste(self._job)
             self._world.prefills[self._prefill_id or ''].cancel(self._job)
+            self._waste(self._job)
         self._free_decode()
         self._host.call(
             lambda router, now_s: router.on_end(self.work_id, how, now_s)
--- a/limpetroute/decisions/ejection.py
+++ b/limpetroute/decisions/ejection.py
@@ -10,6 +10,11 @@
 a pool that is slow as a whole is overload, not a fault. A runner comes
 back after `OUT_S`, doubled each time up to `MAX_OUT_S`, and is judged
 anew by its next `MIN_SAMPLES`.
+
+A runner that fails `MAX_FAILURES` requests in a row without one that
+worked is out too, for `FAILED_OUT_S`, and here without a share: a dead
+runner is dead, and prompts read for it would be thrown away until its
+heartbeats are missed (3 s at least).
 """
 
 import statistics
@@ -25,6 +30,8 @@
 MAX_OUT_S = 60.0
 MAX_SHARE = 0.25
 MAX_PEERS = 16
+MAX_FAILURES = 3
+FAILED_OUT_S = 1.0
 
 
 class Figure(typing.Protocol):
@@ -42,9 +49,10 @@
 class Ejection:
     """Runners that are out, and until when."""
 
-    __slots__ = ('_out', '_times')
+    __slots__ = ('_failures', '_out', '_times')
 
     def __init__(self) -> None:
+        self._failures: dict[str, int] = {}
         self._out: dict[str, float] = {}
         self._times: dict[str, int] = {}
 
@@ -58,6 +66,21 @@
         """When the first of them comes back."""
         return min(self._out.values(), default=None)
 
+    def failed(
+        self, state: runner_state.RunnerState, now_s: float
+    ) -> None:
+        """Count a failure at a runner."""
+        count = self._failures.get(state.runner_id, 0) + 1
+        self._failures[state.runner_id] = count
+        if count < MAX_FAILURES or state.ejected:
+            return
+        self._out[state.runner_id] = now_s + FAILED_OUT_S
+        state.ejected = True
+
+    def worked(self, runner_id: str) -> None:
+        """Note that a runner did its part of a request."""
+        self._failures.pop(runner_id, None)
+
     def judge(
         self,
         *,
@@ -104,6 +127,7 @@
         """Drop a runner that is gone."""
         self._out.pop(runner_id, None)
         self._times.pop(runner_id, None)
+        self._failures.pop(runner_id, None)
 
 
 def _peers(
--- a/limpetroute/decisions/fair_queue.py
+++ b/limpetroute/decisions/fair_queue.py
@@ -32,6 +32,7 @@
     """One request that waits.
 
     ``cost_s`` is the time of the bottleneck's fleet that it takes.
+    ``first`` marks what was promised or begun: it goes before all else.
     """
 
     work_id: str
@@ -56,8 +57,7 @@
         self.order: collections.deque[Queued] = collections.deque()
 
     def add(self, item: Queued, number: int) -> None:
-        due_s = -1.0 if item.first else item.due_s
-        heapq.heappush(self.heap, (due_s, number, item))
+        heapq.heappush(self.heap, (item.due_s, number, item))
         self.order.append(item)
         self.backlog_s += item.cost_s
         self.live += 1
@@ -213,12 +213,14 @@
     """
 
     __slots__ = (
+        '_first',
         '_items',
         '_lanes',
         '_long',
         '_short',
         '_short_credit_s',
         'backlog_s',
+        'first_backlog_s',
         'long_backlog_s',
     )
 
@@ -230,11 +232,13 @@
         lanes: bool = True,
     ) -> None:
         self._lanes = lanes
+        self._first = _Lane(shares=shares, fair=fair)
         self._short = _Lane(shares=shares, fair=fair)
         self._long = _Lane(shares=shares, fair=fair)
         self._items: dict[str, Queued] = {}
         self._short_credit_s = 0.0
         self.backlog_s = 0.0
+        self.first_backlog_s = 0.0
         self.long_backlog_s = 0.0
 
     def __len__(self) -> int:
@@ -246,7 +250,8 @@
     @property
     def teams(self) -> int:
         """Teams that take memory."""
-        return len(self._short.teams) + len(self._long.teams)
+        lanes = (self._first, self._short, self._long)
+        return sum(len(lane.teams) for lane in lanes)
 
     def add(self, item: Queued) -> None:
         """Queue a request.
@@ -261,6 +266,9 @@
         item.gone = False
         self._items[item.work_id] = item
         self._lane(item).add(item)
+        if item.first:
+            self.first_backlog_s += item.cost_s
+            return
         self.backlog_s += item.cost_s
         if item.long:
             self.long_backlog_s += item.cost_s
@@ -276,6 +284,7 @@
 
     def heads(self) -> list[Queued]:
         """Return the next request of each lane, in order of their turn."""
+        first = self._first.head()
         short = self._short.head()
         long = self._long.head()
         if long is None:
@@ -284,11 +293,11 @@
         if short is not None and long is not None:
             if self._short_credit_s > 0:
                 found.reverse()
-        return found
+        return found if first is None else [first, *found]
 
     def set_shares(self, shares: typing.Mapping[str, float]) -> None:
         """Take new weights of the teams."""
-        for lane in (self._short, self._long):
+        for lane in (self._first, self._short, self._long):
             lane.set_shares(shares)
 
     def take(self, item: Queued) -> None:
@@ -297,6 +306,8 @@
         lane.take()
         del self._items[item.work_id]
         self._gone(item)
+        if item.first:
+            return
         if item.long:
             gain = item.cost_s * SHORT_SHARE / (1 - SHORT_SHARE)
             self._short_credit_s -= gain
@@ -305,6 +316,14 @@
         if self._long.head() is None:
             self._short_credit_s = 0.0
 
+    def is_behind(self, team: str, *, long: bool) -> bool:
+        """Whether a team has work queued or used up its turn."""
+        lane = self._long if long and self._lanes else self._short
+        known = lane.teams.get(team)
+        if known is None:
+            return False
+        return known.live > 0 or known.finish > lane.now
+
     def ahead_s(self, team: str, *, long: bool) -> float:
         """Cost that would be served before a new request of a team.
 
@@ -329,9 +348,15 @@
         return self._long.heaviest() or self._short.heaviest()
 
     def _lane(self, item: Queued) -> _Lane:
+        if item.first:
+            return self._first
         return self._long if item.long and self._lanes else self._short
 
     def _gone(self, item: Queued) -> None:
+        if item.first:
+            left_s = self.first_backlog_s - item.cost_s
+            self.first_backlog_s = max(0.0, left_s)
+            return
         self.backlog_s = max(0.0, self.backlog_s - item.cost_s)
         if item.long:
             self.long_backlog_s = max(
@@ -339,4 +364,5 @@
             )
         if not self._items:
             self.backlog_s = 0.0
+            self.first_backlog_s = 0.0
             self.long_backlog_s = 0.0
--- a/limpetroute/decisions/full_policy.py
+++ b/limpetroute/decisions/full_policy.py
@@ -212,6 +212,7 @@
             return
         runner_id = job.prefill_id or ''
         self._end_prefill(job)
+        self._ejection.worked(runner_id)
         self._learn_prefill(job, runner_id, cached_tokens, now_s)
         job.done_s = now_s
         job.phase = Phase.AWAITING
@@ -225,6 +226,7 @@
             return
         job.phase = Phase.DECODE
         self._transfers.arrived(work_id, now_s)
+        self._ejection.worked(job.decode_id or '')
 
     def on_tokens(self, work_id: str, count: int, now_s: float) -> None:
         """Learn the time between tokens."""
@@ -291,6 +293,11 @@
         if job is None or job.phase is Phase.OVER:
             return
         was_decode = runner_id == job.decode_id
+        failing = self._fleet.runners.get(runner_id)
+        if failing is not None:
+            self._pause(failing, now_s + DENIED_PAUSE_S)
+            if self._config.uses(Decision.EJECTION):
+                self._ejection.failed(failing, now_s)
         self._drop(job)
         self._avoid(job, at, runner_id)
         if not may_repeat:
@@ -397,8 +404,14 @@
         item = job.item
         queued = job.queued
         assert queued is not None
-        ahead_s = state.queue.ahead_s(item.team, long=queued.long)
+        behind = state.queue.is_behind(item.team, long=queued.long)
+        job.behind = behind
+        ahead_s = state.queue.first_backlog_s
         if not came_back:
+            ahead_s += state.queue.ahead_s(item.team, long=queued.long)
+        if behind and not came_back:
+            # A team below its share needs not make room for others'
+            # appointments.
             ahead_s += state.comeback.expected_cost_s
         wait_s = ahead_s / state.drain.value
         if self._choose_prefill(job, state, now_s) is None:
@@ -409,7 +422,7 @@
         service_s += self._forecast.foreign_wait_s(item.model)
         job.raw_wait_s = wait_s
         job.service_s = service_s
-        bias = state.bias(long=queued.long)
+        bias = state.bias(long=queued.long, behind=behind)
         job.predicted_s = service_s + bias.corrected_s(wait_s)
         waits = wait_s > 0 and not came_back
         slack_s = job.limit_s - item.arrived_s
@@ -504,7 +517,7 @@
                 return
             job = self._jobs[victim.work_id]
             wait_s = state.queue.backlog_s / state.drain.value
-            bias = state.bias(long=victim.long)
+            bias = state.bias(long=victim.long, behind=job.behind)
             end_s = now_s + bias.corrected_s(wait_s) + job.service_s
             if end_s <= job.limit_s or job.delivered:
                 return
@@ -564,7 +577,7 @@
         )
         if job.attempts == 0:
             waited_s = now_s - queued.arrived_s
-            bias = state.bias(long=queued.long)
+            bias = state.bias(long=queued.long, behind=job.behind)
             bias.saw_wait(job.raw_wait_s, waited_s)
         runner = choice.state
         job.phase = Phase.PREFILL
@@ -663,7 +676,10 @@
         size = job.tokens * target.facts.kv_bytes_per_token
         timeout_s = None
         if self._config.uses(Decision.TRANSFER_BUDGET):
-            timeout_s = self._transfers.timeout_s(route, size)
+            left_s = job.done_s + self._result_ttl_s - now_s
+            timeout_s = self._transfers.timeout_s(
+                route, size, left_s - 2 * RESULT_MARGIN_S
+            )
         self._transfers.start(job.item.work_id, route, size, now_s)
         job.phase = Phase.TRANSFER
         self._out.append(
@@ -706,7 +722,9 @@
 
     def _saw_first_token(self, job: job_module.Job, now_s: float) -> None:
         long = job.queued is not None and job.queued.long
-        bias = self._model(job.item.model).bias(long=long)
+        bias = self._model(job.item.model).bias(
+            long=long, behind=job.behind
+        )
         took_s = now_s - job.item.arrived_s
         if job.attempts == 0:
             missed = now_s > job.limit_s
@@ -853,7 +871,7 @@
         queued = job.queued
         if queued is not None and job.item.work_id in state.queue:
             waited_s = now_s - queued.arrived_s
-            bias = state.bias(long=queued.long)
+            bias = state.bias(long=queued.long, behind=job.behind)
             bias.saw_overdue(job.raw_wait_s, waited_s)
             bias.margin(waits=job.raw_wait_s > 0).saw(missed=True)
         retry_after_s = FIXED_RETRY_S
--- a/limpetroute/decisions/job.py
+++ b/limpetroute/decisions/job.py
@@ -30,6 +30,7 @@
 
     __slots__ = (
         'attempts',
+        'behind',
         'decode_id',
         'delivered',
         'done_s',
@@ -62,6 +63,7 @@
         self.decode_id: str | None = None
         self.kv_bytes = 0
         self.unslotted = False
+        self.behind = False
         self.queued: fair_queue.Queued | None = None
         self.raw_wait_s = 0.0
         self.predicted_s = 0.0
--- a/limpetroute/decisions/model_state.py
+++ b/limpetroute/decisions/model_state.py
@@ -45,7 +45,7 @@
             shares=shares, fair=fair, lanes=lanes
         )
         self.drain = drain_rate.DrainRate()
-        self._biases = (admission.WaitBias(), admission.WaitBias())
+        self._biases = tuple(admission.WaitBias() for _ in range(4))
         self.lane = short_lane.ShortLane()
         self.comeback = comeback.Comeback()
         self.awaiting: collections.OrderedDict[str, job_module.Job] = (
@@ -53,13 +53,14 @@
         )
         self.unslotted = 0
 
-    def bias(self, *, long: bool) -> admission.WaitBias:
-        """Return what was learned of a lane.
+    def bias(self, *, long: bool, behind: bool) -> admission.WaitBias:
+        """Return what was learned of like requests.
 
         Dossiers err by seconds; were lookups judged by that, none
-        would be let in.
+        would be let in. In the same way a team that sends far over its
+        share misses often, and others must not pay with its margin.
         """
-        return self._biases[1 if long else 0]
+        return self._biases[2 * long + behind]
 
     @property
     def idle(self) -> bool:
--- a/limpetroute/decisions/predictor.py
+++ b/limpetroute/decisions/predictor.py
@@ -18,7 +18,8 @@
 RUNNER_WEIGHT = 0.2
 ANSWER_WEIGHT = 0.05
 MIN_SAMPLE_TOKENS = 200
-WINDOW = 8
+WINDOW = 16
+ALL_WINDOW = 64
 ERROR_WEIGHT = 0.05
 
 
@@ -36,7 +37,9 @@
     )
 
     def __init__(self) -> None:
-        self._all_prefill = _speed(PRIOR_PREFILL_S_PER_TOKEN)
+        self._all_prefill = least_of.LeastOf(
+            prior=PRIOR_PREFILL_S_PER_TOKEN, window=ALL_WINDOW
+        )
         self._all_gaps = _speed(PRIOR_GAP_S)
         self._prefill: dict[str, least_of.LeastOf] = {}
         self._gaps: dict[str, smoothed.Smoothed] = {}
--- a/limpetroute/decisions/transfer_budget.py
+++ b/limpetroute/decisions/transfer_budget.py
@@ -19,6 +19,7 @@
 PRIOR_BYTES_PER_S = 5e9
 RATE_WEIGHT = 0.1
 TIMEOUT_FACTOR = 4.0
+LEAST_FACTOR = 1.5
 MIN_TIMEOUT_S = 0.4
 MAX_TIMEOUT_S = 2.0
 
@@ -53,9 +54,21 @@
         total = self._under_way.get(route, 0) + kv_bytes
         return total / self._rate(route)
 
-    def timeout_s(self, route: Route, kv_bytes: int) -> float:
-        """When to abandon a transfer started now."""
-        limit_s = TIMEOUT_FACTOR * self.predict_s(route, kv_bytes)
+    def timeout_s(
+        self, route: Route, kv_bytes: int, left_s: float
+    ) -> float:
+        """When to abandon a transfer started now.
+
+        Parameters
+        ----------
+        left_s : float
+            How long the result can still be sent elsewhere. A transfer
+            that ought to be over by then is abandoned in time for it.
+        """
+        predicted_s = self.predict_s(route, kv_bytes)
+        limit_s = TIMEOUT_FACTOR * predicted_s
+        if LEAST_FACTOR * predicted_s < left_s < limit_s:
+            limit_s = left_s
         return min(MAX_TIMEOUT_S, max(MIN_TIMEOUT_S, limit_s))
 
     def start(
