--- a/limpetroute/decisions/drain_rate.py
+++ b/limpetroute/decisions/drain_rate.py
@@ -11,7 +11,6 @@
 PRIOR_S = 0.5
 MIN_RATE = 0.02
 MAX_RATE = 4.0
-DOUBT = 0.95
 
 
 class DrainRate:
@@ -42,15 +41,6 @@
         if self._busy_since_s is None:
             self._busy_since_s = now_s
 
-    def doubt(self) -> None:
-        """Believe in a faster drain after refusing at an empty queue.
-
-        A rate is learned only while work waits. Once it is so low that
-        nothing is let in to wait, it would stay low for ever: two
-        runners in five then stood idle at three times capacity.
-        """
-        self._time_s *= DOUBT
-
     def empty(self) -> None:
         """Note that no work waits, for other reasons than `took`."""
         self._busy_since_s = None
--- a/limpetroute/decisions/full_policy.py
+++ b/limpetroute/decisions/full_policy.py
@@ -194,8 +194,6 @@
             came_back = state.comeback.kept(item.team, item.key, now_s)
         fits = self._predict(job, state, read_s, came_back, now_s)
         if self._config.uses(Decision.ADMISSION) and not fits:
-            if not len(state.queue):
-                state.drain.doubt()
             self._refuse(job, action.Reason.SATURATED, now_s)
             return
         queued.first = came_back
