--- a/limpetroute/bench/arrivals.py
+++ b/limpetroute/bench/arrivals.py
@@ -84,17 +84,17 @@
     rng = random.Random(seed)
     teams = _team_weights(pattern)
     marks = list(itertools.accumulate(teams))
-    arrivals = []
+    found: list[Arrival] = []
     now_s = 0.0
     number = 0
     while True:
         now_s += rng.expovariate(rate_per_s * _factor(pattern, now_s))
         if now_s >= pattern.duration_s:
-            return arrivals
+            return found
         number += 1
         team = bisect.bisect_left(marks, rng.random() * marks[-1])
         kind = _pick_class(rng, classes)
-        arrivals.append(
+        found.append(
             _arrival(rng, shape, pattern, kind, f'team-{team}', number, now_s)
         )
 
@@ -123,8 +123,12 @@
 def _lengths(
     rng: random.Random, kind: experiment.WorkClassBody
 ) -> tuple[int, int]:
-    prompt = rng.lognormvariate(math.log(kind.prompt_tokens), kind.prompt_sigma)
-    answer = rng.lognormvariate(math.log(kind.answer_tokens), kind.answer_sigma)
+    prompt = rng.lognormvariate(
+        math.log(kind.prompt_tokens), kind.prompt_sigma
+    )
+    answer = rng.lognormvariate(
+        math.log(kind.answer_tokens), kind.answer_sigma
+    )
     return (
         min(kind.prompt_max_tokens, max(MIN_PROMPT_TOKENS, int(prompt))),
         min(kind.max_tokens, max(1, int(answer))),
--- a/limpetroute/bench/bound.py
+++ b/limpetroute/bench/bound.py
@@ -55,10 +55,7 @@
         slot_steps.append(arrival.answer_tokens * full_s)
         tokens = item.prompt_tokens + arrival.answer_tokens / 2
         kv_s.append(
-            arrival.answer_tokens
-            * step_s
-            * tokens
-            * shape.kv_bytes_per_token
+            arrival.answer_tokens * step_s * tokens * shape.kv_bytes_per_token
         )
     window_s = seconds + slack_s
     most = min(
--- a/limpetroute/bench/world.py
+++ b/limpetroute/bench/world.py
@@ -167,6 +167,7 @@
         item = dataclasses.replace(
             old,
             work_id=f'{old.work_id}r',
+            returning=True,
             arrived_s=when_s,
             first_token_by_s=when_s + old.first_token_by_s - old.arrived_s,
         )
@@ -177,9 +178,7 @@
         )
 
     def _arrive_at(self, arrival: arrivals.Arrival) -> None:
-        self.clock.at(
-            arrival.item.arrived_s, lambda: self._arrive(arrival)
-        )
+        self.clock.at(arrival.item.arrived_s, lambda: self._arrive(arrival))
 
     def _arrive(self, arrival: arrivals.Arrival) -> None:
         fate = measure_module.Fate(arrival=arrival)
@@ -329,7 +328,9 @@
         if fault.kind == 'slow_link':
             self.links.rate_factor = 1 / factor
             return
-        names = list(self.prefills if fault.role == 'prefill' else self.decodes)
+        names = list(
+            self.prefills if fault.role == 'prefill' else self.decodes
+        )
         runner_id = names[fault.runner % len(names)]
         if fault.kind == 'lies':
             self._runners[runner_id].lies = on
--- a/limpetroute/decisions/admission.py
+++ b/limpetroute/decisions/admission.py
@@ -21,6 +21,7 @@
 MISS_SHARE = 0.02
 STEP_SHARE = 0.03
 MAX_MARGIN_SHARE = 0.7
+REFUSED_WEIGHT = 0.25
 STRETCH = 4.0
 MIN_SLACK_S = 0.01
 BIAS_WEIGHT = 0.05
@@ -49,6 +50,15 @@
         """Return the margin for a target that is ``slack_s`` away."""
         return MIN_SLACK_S + self._share * slack_s
 
+    def refused(self) -> None:
+        """Learn from a refusal: less than from one that made it.
+
+        Without it a margin that has grown so that nothing is let in
+        would never shrink again.
+        """
+        step = REFUSED_WEIGHT * STEP_SHARE * MISS_SHARE
+        self._share = max(0.0, self._share - step)
+
     def saw(self, *, missed: bool) -> None:
         """Learn from a request that was let in."""
         step = STEP_SHARE * MISS_SHARE / (1 - MISS_SHARE)
--- a/limpetroute/decisions/comeback.py
+++ b/limpetroute/decisions/comeback.py
@@ -7,10 +7,11 @@
 promised. Fresh work leaves room for appointments that fall due, in the
 measure in which callers really kept them.
 
-A caller is known by its key; behind a balancer it may return to
-another host, so a key not known takes an appointment of its team that
-is due: hosts are alike, and what one host promised returns spread over
-all. `FILL` promises a part of the fleet only, as lengths vary and
+A caller is known by its key. Behind a balancer it may return to
+another host; there it says itself that it returns, and takes a due
+appointment of its team: hosts are alike, and what one host promised
+returns spread over all. It cannot take more than its team was
+promised. `FILL` promises a part of the fleet only, as lengths vary and
 fresh work of light teams comes too.
 """
 
@@ -103,14 +104,19 @@
                 self._open[(team, key)] = made
         return due_s - now_s
 
-    def kept(self, team: str, key: str, now_s: float) -> bool:
+    def kept(self, team: str, key: str, returning: bool, now_s: float) -> bool:
         """Whether this request comes as told; its appointment is used."""
         self.advance(now_s)
         due = self._due_by_team.get(team)
         if not due:
             return False
-        own = self._open.pop((team, key), None) if key else None
-        number = own.number if own and own.number in due else min(due)
+        own = self._open.get((team, key)) if key else None
+        if own is not None and own.number in due:
+            number = own.number
+        elif returning:
+            number = min(due)
+        else:
+            return False
         self._use(due.pop(number))
         if not due:
             del self._due_by_team[team]
--- a/limpetroute/decisions/drain_rate.py
+++ b/limpetroute/decisions/drain_rate.py
@@ -11,6 +11,7 @@
 PRIOR_S = 0.5
 MIN_RATE = 0.02
 MAX_RATE = 4.0
+MAX_ELAPSED_S = 1.0
 
 
 class DrainRate:
@@ -46,6 +47,10 @@
         self._busy_since_s = None
 
     def _age(self, elapsed_s: float) -> None:
+        # While all runners of a model are dead nothing drains. Counted
+        # in full, ten such seconds kept the queue shut long after they
+        # were back, as a shut queue teaches nothing new.
+        elapsed_s = min(elapsed_s, MAX_ELAPSED_S)
         keep = max(0.0, 1 - elapsed_s / FORGET_S)
         self._cost_s *= keep
         self._time_s = self._time_s * keep + elapsed_s
--- a/limpetroute/decisions/ejection.py
+++ b/limpetroute/decisions/ejection.py
@@ -66,9 +66,7 @@
         """When the first of them comes back."""
         return min(self._out.values(), default=None)
 
-    def failed(
-        self, state: runner_state.RunnerState, now_s: float
-    ) -> None:
+    def failed(self, state: runner_state.RunnerState, now_s: float) -> None:
         """Count a failure at a runner."""
         count = self._failures.get(state.runner_id, 0) + 1
         self._failures[state.runner_id] = count
--- a/limpetroute/decisions/fair_queue.py
+++ b/limpetroute/decisions/fair_queue.py
@@ -25,6 +25,7 @@
 
 SHORT_SHARE = 0.5
 PRUNE_EVERY = 256
+TURNS = 3.0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True, eq=False)
@@ -317,12 +318,14 @@
             self._short_credit_s = 0.0
 
     def is_behind(self, team: str, *, long: bool) -> bool:
-        """Whether a team has work queued or used up its turn."""
+        """Whether a team is several turns over its share."""
         lane = self._long if long and self._lanes else self._short
         known = lane.teams.get(team)
-        if known is None:
+        if known is None or not self._items:
             return False
-        return known.live > 0 or known.finish > lane.now
+        lead_s = max(0.0, known.finish - lane.now)
+        mean_s = self.backlog_s / len(self._items)
+        return known.backlog_s / known.share + lead_s > TURNS * mean_s
 
     def ahead_s(self, team: str, *, long: bool) -> float:
         """Cost that would be served before a new request of a team.
@@ -359,9 +362,7 @@
             return
         self.backlog_s = max(0.0, self.backlog_s - item.cost_s)
         if item.long:
-            self.long_backlog_s = max(
-                0.0, self.long_backlog_s - item.cost_s
-            )
+            self.long_backlog_s = max(0.0, self.long_backlog_s - item.cost_s)
         if not self._items:
             self.backlog_s = 0.0
             self.first_backlog_s = 0.0
--- a/limpetroute/decisions/forecast.py
+++ b/limpetroute/decisions/forecast.py
@@ -1,7 +1,6 @@
 """Predicts waits and costs of a request from all that was learned."""
 
 from limpetroute.decisions import fleet as fleet_module
-from limpetroute.decisions import model_state
 from limpetroute.decisions import predictor as predictor_module
 from limpetroute.decisions import prefill_placement
 from limpetroute.decisions import prefix_index
--- a/limpetroute/decisions/full_policy.py
+++ b/limpetroute/decisions/full_policy.py
@@ -191,7 +191,9 @@
         job.queued = queued
         came_back = False
         if self._config.uses(Decision.COMEBACK):
-            came_back = state.comeback.kept(item.team, item.key, now_s)
+            came_back = state.comeback.kept(
+                item.team, item.key, item.returning, now_s
+            )
         fits = self._predict(job, state, read_s, came_back, now_s)
         if self._config.uses(Decision.ADMISSION) and not fits:
             self._refuse(job, action.Reason.SATURATED, now_s)
@@ -265,9 +267,7 @@
         self._release_decode(job)
         if state is not None:
             held = len(state.held)
-            state.foreign_slots = max(
-                0, state.facts.slots - held - free_slots
-            )
+            state.foreign_slots = max(0, state.facts.slots - held - free_slots)
             self._pause(state, now_s + DENIED_PAUSE_S)
             self._fleet.moved(state)
         if job.phase is Phase.PREFILL:
@@ -407,7 +407,7 @@
         ahead_s = state.queue.first_backlog_s
         if not came_back:
             ahead_s += state.queue.ahead_s(item.team, long=queued.long)
-        if behind and not came_back:
+        if behind and len(state.queue) and not came_back:
             # A team below its share needs not make room for others'
             # appointments.
             ahead_s += state.comeback.expected_cost_s
@@ -424,8 +424,12 @@
         job.predicted_s = service_s + bias.corrected_s(wait_s)
         waits = wait_s > 0 and not came_back
         slack_s = job.limit_s - item.arrived_s
-        margin_s = bias.margin(waits=waits).value_s(slack_s)
-        return now_s + job.predicted_s + margin_s <= job.limit_s
+        margin = bias.margin(waits=waits)
+        margin_s = margin.value_s(slack_s)
+        if now_s + job.predicted_s + margin_s <= job.limit_s:
+            return True
+        margin.refused()
+        return False
 
     def _choose_prefill(
         self,
@@ -479,9 +483,7 @@
             free_slots=free,
             unslotted=state.unslotted,
             busy_slots=busy,
-            hold_s=self._predictor.hold_s(
-                job.item.model, job.item.max_tokens
-            ),
+            hold_s=self._predictor.hold_s(job.item.model, job.item.max_tokens),
             done_in_s=done_in_s,
         )
 
@@ -496,9 +498,7 @@
         job.phase = Phase.QUEUED
         state.queue.add(queued)
         latest_s = job.limit_s - 0.5 * job.service_s
-        heapq.heappush(
-            self._expiry, (max(now_s, latest_s), job.item.work_id)
-        )
+        heapq.heappush(self._expiry, (max(now_s, latest_s), job.item.work_id))
         self._dirty[job.item.model] = None
 
     def _requeue(self, job: job_module.Job, now_s: float) -> None:
@@ -570,9 +570,7 @@
         queued = job.queued
         assert queued is not None
         state.queue.take(queued)
-        state.drain.took(
-            queued.cost_s, now_s, waiting=len(state.queue) > 0
-        )
+        state.drain.took(queued.cost_s, now_s, waiting=len(state.queue) > 0)
         if job.attempts == 0:
             waited_s = now_s - queued.arrived_s
             bias = state.bias(long=queued.long, behind=job.behind)
@@ -720,9 +718,7 @@
 
     def _saw_first_token(self, job: job_module.Job, now_s: float) -> None:
         long = job.queued is not None and job.queued.long
-        bias = self._model(job.item.model).bias(
-            long=long, behind=job.behind
-        )
+        bias = self._model(job.item.model).bias(long=long, behind=job.behind)
         took_s = now_s - job.item.arrived_s
         if job.attempts == 0:
             missed = now_s > job.limit_s
@@ -742,9 +738,7 @@
             return
         self._judge(state, now_s)
 
-    def _judge(
-        self, state: runner_state.RunnerState, now_s: float
-    ) -> None:
+    def _judge(self, state: runner_state.RunnerState, now_s: float) -> None:
         if not self._config.uses(Decision.EJECTION):
             return
         figures: typing.Mapping[str, ejection.Figure] = self._predictor.gaps
@@ -812,9 +806,7 @@
         self._drop(job)
         self._retry(job, now_s)
 
-    def _pause(
-        self, state: runner_state.RunnerState, until_s: float
-    ) -> None:
+    def _pause(self, state: runner_state.RunnerState, until_s: float) -> None:
         state.paused_until_s = until_s
         heapq.heappush(self._pauses, (until_s, state.runner_id))
 
@@ -867,7 +859,12 @@
         """Give up with an appointment."""
         state = self._model(job.item.model)
         queued = job.queued
-        if queued is not None and job.item.work_id in state.queue:
+        # Misses that a failed runner caused say nothing of the margin;
+        # learned from, they kept callers out long after it was back.
+        failed = job.attempts > 0 or self._ejection.out
+        waits = queued is not None and job.item.work_id in state.queue
+        if waits and not failed:
+            assert queued is not None
             waited_s = now_s - queued.arrived_s
             bias = state.bias(long=queued.long, behind=job.behind)
             bias.saw_overdue(job.raw_wait_s, waited_s)
--- a/limpetroute/decisions/predictor.py
+++ b/limpetroute/decisions/predictor.py
@@ -93,9 +93,7 @@
         if tokens >= MIN_SAMPLE_TOKENS:
             known = self._prefill.setdefault(
                 runner_id,
-                least_of.LeastOf(
-                    prior=self._all_prefill.value, window=WINDOW
-                ),
+                least_of.LeastOf(prior=self._all_prefill.value, window=WINDOW),
             )
             known.add(max(0.0, took_s - PRIOR_OVERHEAD_S) / tokens)
             self._all_prefill.add(known.value)
@@ -120,7 +118,7 @@
         self._all_gaps.add(gap_s)
 
     def answer_tokens(self, model: str, max_tokens: int) -> float:
-        """Expected length of an answer."""
+        """Return the expected length of an answer."""
         known = self._answers.get(model)
         share = known.value if known else PRIOR_ANSWER_SHARE
         return max(1.0, share * max_tokens)
--- a/limpetroute/decisions/transfer_budget.py
+++ b/limpetroute/decisions/transfer_budget.py
@@ -54,9 +54,7 @@
         total = self._under_way.get(route, 0) + kv_bytes
         return total / self._rate(route)
 
-    def timeout_s(
-        self, route: Route, kv_bytes: int, left_s: float
-    ) -> float:
+    def timeout_s(self, route: Route, kv_bytes: int, left_s: float) -> float:
         """When to abandon a transfer started now.
 
         Parameters
--- a/limpetroute/decisions/work.py
+++ b/limpetroute/decisions/work.py
@@ -31,6 +31,8 @@
         Availability zone of the entry host that holds the request.
     key : str
         Names the request when its caller comes back with it.
+    returning : bool
+        Whether the caller says that it was told to come back now.
     """
 
     work_id: str
@@ -44,3 +46,4 @@
     prefix_blocks: tuple[int, ...] = ()
     zone: str = ''
     key: str = ''
+    returning: bool = False
