Decide through the full policy in the entry process

Cause: the entry process used round robin, which collapses past capacity. The policy composes admission, reservation, fair queue with a short lane, placement, transfer and retry budgets, ejection and appointments.

--- a/limpetroute/decisions/comeback.py
+++ b/limpetroute/decisions/comeback.py
@@ -9,10 +9,10 @@
 
 A caller is known by its key. Behind a balancer it may return to
 another host; there it says itself that it returns, and takes a due
-appointment of its team: hosts are alike, and what one host promised
-returns spread over all. It cannot take more than its team was
-promised. `FILL` promises a part of the fleet only, as lengths vary and
-fresh work of light teams comes too.
+appointment of its team or, if the team is not over its share, of any:
+hosts are alike, and what one host promised returns spread over all. A
+host never lets in more than it promised. `FILL` promises a part of the
+fleet only, as lengths vary and fresh work of light teams comes too.
 """
 
 import collections
@@ -47,6 +47,7 @@
         '_due',
         '_due_by_team',
         '_later',
+        '_live',
         '_made',
         '_open',
         '_show',
@@ -58,6 +59,7 @@
         self._cursors: dict[str, float] = {}
         self._later: list[_Promise] = []
         self._due: collections.deque[_Promise] = collections.deque()
+        self._live: dict[int, _Promise] = {}
         self._due_by_team: dict[str, dict[int, _Promise]] = {}
         self._open: dict[tuple[str, str], _Promise] = {}
         self._show = smoothed.Smoothed(prior=PRIOR_SHOW, weight=SHOW_WEIGHT)
@@ -104,46 +106,69 @@
                 self._open[(team, key)] = made
         return due_s - now_s
 
-    def kept(self, team: str, key: str, returning: bool, now_s: float) -> bool:
-        """Whether this request comes as told; its appointment is used."""
+    def kept(
+        self,
+        *,
+        team: str,
+        key: str,
+        returning: bool,
+        behind: bool,
+        now_s: float,
+    ) -> bool:
+        """Use the appointment that this request comes for, if any.
+
+        Parameters
+        ----------
+        returning : bool
+            Whether the caller says that it returns.
+        behind : bool
+            Whether its team is over its share.
+        """
         self.advance(now_s)
-        due = self._due_by_team.get(team)
-        if not due:
-            return False
         own = self._open.get((team, key)) if key else None
-        if own is not None and own.number in due:
-            number = own.number
-        elif returning:
-            number = min(due)
-        else:
+        if own is not None and own.number in self._live:
+            self._keep(own)
+            return True
+        if not returning:
             return False
-        self._use(due.pop(number))
-        if not due:
-            del self._due_by_team[team]
-        self._show.add(1.0)
+        due = self._due_by_team.get(team)
+        if due:
+            self._keep(next(iter(due.values())))
+            return True
+        if behind or not self._live:
+            return False
+        self._keep(next(iter(self._live.values())))
         return True
 
+    def _keep(self, made: _Promise) -> None:
+        self._use(made)
+        self._show.add(1.0)
+
     def advance(self, now_s: float) -> None:
         """Let appointments fall due and lapse."""
         while self._later and self._later[0].due_s - EARLY_S <= now_s:
             made = heapq.heappop(self._later)
             self._due.append(made)
+            self._live[made.number] = made
             self._due_by_team.setdefault(made.team, {})[made.number] = made
             self.due_cost_s += made.cost_s
         while self._due and self._due[0].due_s + LATE_S < now_s:
             made = self._due.popleft()
-            due = self._due_by_team.get(made.team, {})
-            if due.pop(made.number, None) is None:
+            if made.number not in self._live:
                 continue
-            if not due:
-                del self._due_by_team[made.team]
             self._use(made)
             self._show.add(0.0)
         if len(self._cursors) > MAX_PROMISES or not len(self):
             self._cursors.clear()
 
     def _use(self, made: _Promise) -> None:
-        self._open.pop((made.team, made.key), None)
+        del self._live[made.number]
+        due = self._due_by_team[made.team]
+        del due[made.number]
+        if not due:
+            del self._due_by_team[made.team]
+        if self._open.get((made.team, made.key)) is made:
+            del self._open[(made.team, made.key)]
         self.due_cost_s = max(0.0, self.due_cost_s - made.cost_s)
-        if not self._due_by_team and not self._later:
+        if not self._live:
             self.due_cost_s = 0.0
--- a/limpetroute/decisions/full_policy.py
+++ b/limpetroute/decisions/full_policy.py
@@ -192,7 +192,11 @@
         came_back = False
         if self._config.uses(Decision.COMEBACK):
             came_back = state.comeback.kept(
-                item.team, item.key, item.returning, now_s
+                team=item.team,
+                key=item.key,
+                returning=item.returning,
+                behind=state.queue.is_behind(item.team, long=long),
+                now_s=now_s,
             )
         fits = self._predict(job, state, read_s, came_back, now_s)
         if self._config.uses(Decision.ADMISSION) and not fits:
--- a/limpetroute/entry/host.py
+++ b/limpetroute/entry/host.py
@@ -9,8 +9,9 @@
 from limpetroute.border import announcement
 from limpetroute.border import entry_settings
 from limpetroute.border import manifest as manifest_module
+from limpetroute.decisions import full_policy
+from limpetroute.decisions import policy_config
 from limpetroute.decisions import prefix
-from limpetroute.decisions import round_robin
 from limpetroute.decisions import work
 from limpetroute.entry import grants as grants_module
 from limpetroute.entry import live_record
@@ -46,7 +47,7 @@
             runners=self.runners, http=self.http
         )
         self.scheduler = scheduler_module.Scheduler(
-            policy=round_robin.RoundRobin()
+            policy=full_policy.FullPolicy(config=policy_config.PolicyConfig())
         )
         self.grants: grants_module.GrantSource = grants_module.LocalGrants()
         self.meters: meters_module.Meters = meters_module.NullMeters()
@@ -119,6 +120,7 @@
             token_gap_s=self.settings.token_gap_s,
             prefix_blocks=prefix.prefix_blocks(prompt),
             zone=self.settings.zone,
+            key=request.key,
         )
 
     async def _tick(self) -> None:
