--- a/limpetroute/decisions/round_robin.py
+++ b/limpetroute/decisions/round_robin.py
@@ -5,6 +5,7 @@
 
 from limpetroute.decisions import action
 from limpetroute.decisions import load_report
+from limpetroute.decisions import policy_config
 from limpetroute.decisions import runner_facts
 from limpetroute.decisions import stage
 from limpetroute.decisions import work
@@ -51,6 +52,11 @@
         self._out: list[action.Action] = []
         self._turn = 0
 
+    def configure(
+        self, config: policy_config.PolicyConfig, now_s: float
+    ) -> None:
+        """Ignore the manifest."""
+
     def on_runner(self, facts: runner_facts.RunnerFacts, now_s: float) -> None:
         """Take a runner's announcement, new or changed."""
         self._runners[facts.runner_id] = facts
--- a/limpetroute/decisions/router.py
+++ b/limpetroute/decisions/router.py
@@ -4,6 +4,7 @@
 
 from limpetroute.decisions import action
 from limpetroute.decisions import load_report
+from limpetroute.decisions import policy_config
 from limpetroute.decisions import runner_facts
 from limpetroute.decisions import stage
 from limpetroute.decisions import work
@@ -16,6 +17,11 @@
     carry out `actions`. It knows no clock: each call brings ``now_s``.
     """
 
+    def configure(
+        self, config: policy_config.PolicyConfig, now_s: float
+    ) -> None:
+        """Take what a new manifest says."""
+
     def on_runner(self, facts: runner_facts.RunnerFacts, now_s: float) -> None:
         """Take a runner's announcement, new or changed."""
 
--- a/limpetroute/entry/recording_router.py
+++ b/limpetroute/entry/recording_router.py
@@ -4,6 +4,7 @@
 
 from limpetroute.decisions import action
 from limpetroute.decisions import load_report
+from limpetroute.decisions import policy_config
 from limpetroute.decisions import router
 from limpetroute.decisions import runner_facts
 from limpetroute.decisions import stage
@@ -41,6 +42,13 @@
     def __repr__(self) -> str:
         return f'{type(self).__name__}(policy={self._policy!r})'
 
+    def configure(
+        self, config: policy_config.PolicyConfig, now_s: float
+    ) -> None:
+        """Record and pass on."""
+        self._writer.write(now_s, 'configure', config=plain.fields(config))
+        self._policy.configure(config, now_s)
+
     def on_runner(self, facts: runner_facts.RunnerFacts, now_s: float) -> None:
         """Record and pass on."""
         self._writer.write(now_s, 'runner', facts=plain.fields(facts))
--- a/limpetroute/entry/run_task.py
+++ b/limpetroute/entry/run_task.py
@@ -213,7 +213,7 @@
                     run_id=attempt.run_id,
                     model=self._request.model,
                     prompt=self._request.prompt + self._live.record.text,
-                    priority=0,
+                    priority=todo.priority,
                     fence=0,
                     latest_start_s=self._tools.settings.prefill_timeout_s,
                 ),
--- a/limpetroute/entry/scheduler.py
+++ b/limpetroute/entry/scheduler.py
@@ -4,6 +4,7 @@
 
 from limpetroute.border import announcement
 from limpetroute.decisions import action
+from limpetroute.decisions import policy_config
 from limpetroute.decisions import router
 from limpetroute.decisions import stage
 from limpetroute.decisions import work
@@ -41,6 +42,11 @@
         self._pump()
         return inbox
 
+    def configure(self, config: policy_config.PolicyConfig) -> None:
+        """Pass on what a new manifest says to the router."""
+        self._policy.configure(config, self.now_s)
+        self._pump()
+
     def announced(self, body: announcement.AnnouncementBody) -> None:
         """Pass a runner's announcement on."""
         now_s = self.now_s
--- a/limpetroute/replay/router_player.py
+++ b/limpetroute/replay/router_player.py
@@ -3,7 +3,9 @@
 import typing
 
 from limpetroute.decisions import action
+from limpetroute.decisions import full_policy
 from limpetroute.decisions import load_report
+from limpetroute.decisions import policy_config
 from limpetroute.decisions import round_robin
 from limpetroute.decisions import router
 from limpetroute.decisions import runner_facts
@@ -11,6 +13,13 @@
 from limpetroute.decisions import work
 from limpetroute.replay import player
 
+POLICIES: typing.Mapping[str, typing.Callable[[], router.Router]] = {
+    'full': lambda: full_policy.FullPolicy(
+        config=policy_config.PolicyConfig()
+    ),
+    'round_robin': round_robin.RoundRobin,
+}
+
 
 class RouterPlayer:
     """A router on the trace's clock."""
@@ -26,6 +35,7 @@
         """Return the calls of the `Router` interface."""
         return {
             'start': self._start,
+            'configure': self._configure,
             'runner': self._runner,
             'runner_gone': self._runner_gone,
             'report': self._report,
@@ -43,9 +53,17 @@
         }
 
     def _start(self, *, now_s: float, policy: str) -> None:
-        if policy != 'round_robin':
-            raise player.PlayError(f'with.policy: no {policy!r}')
-        self._policy = round_robin.RoundRobin()
+        if policy not in POLICIES:
+            allowed = ', '.join(POLICIES)
+            raise player.PlayError(
+                f'with.policy: {policy!r} is not one of {allowed}'
+            )
+        self._policy = POLICIES[policy]()
+
+    def _configure(
+        self, *, now_s: float, config: policy_config.PolicyConfig
+    ) -> None:
+        self._policy.configure(config, now_s)
 
     def _runner(
         self, *, now_s: float, facts: runner_facts.RunnerFacts
--- a/tests/replay/test_recording.py
+++ b/tests/replay/test_recording.py
@@ -45,6 +45,7 @@
             )
             started.append(runner)
             runner.wait_ready()
+        processes.wait_for_runners(internal, 2)
         body = {'model': 'review', 'prompt': SECRET, 'max_tokens': 5}
         call = urllib.request.Request(
             f'http://127.0.0.1:{port}/v1/completions',
--- a/tests/whole_path/processes.py
+++ b/tests/whole_path/processes.py
@@ -7,7 +7,9 @@
 import signal
 import subprocess
 import sys
+import time
 import typing
+import urllib.request
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 READY_S = 20
@@ -65,3 +67,14 @@
             self._popen.stdout.close()
         self._log.close()
         return code
+
+
+def wait_for_runners(port, count):
+    """Wait until an internal port knows so many runners."""
+    for _ in range(200):
+        url = f'http://127.0.0.1:{port}/v1/runners'
+        with urllib.request.urlopen(url, timeout=5) as got:
+            if len(json.loads(got.read())['runners']) == count:
+                return
+        time.sleep(0.05)
+    raise AssertionError('runners did not announce')
--- a/tests/whole_path/test_separate_processes.py
+++ b/tests/whole_path/test_separate_processes.py
@@ -1,5 +1,4 @@
 import json
-import time
 import urllib.request
 
 from limpetroute.standins import answer_text
@@ -14,16 +13,6 @@
         return got.status, dict(got.headers), got.read()
 
 
-def _wait_for_runners(port, count):
-    for _ in range(200):
-        url = f'http://127.0.0.1:{port}/v1/runners'
-        with urllib.request.urlopen(url, timeout=5) as got:
-            if len(json.loads(got.read())['runners']) == count:
-                return
-        time.sleep(0.05)
-    raise AssertionError('runners did not announce')
-
-
 def test_one_request_through_four_processes(tmp_path):
     """A clerk sends a wording and reads the verdict word by word.
 
@@ -72,7 +61,7 @@
             )
             started.append(runner)
             runner.wait_ready()
-        _wait_for_runners(internal, 2)
+        processes.wait_for_runners(internal, 2)
         prompt = 'Check this guarantee\nIt runs until June.'
         body = {'model': 'review', 'prompt': prompt, 'max_tokens': 12}
         status, headers, whole = _post(port, '/v1/completions', body)
