Never speak plain text to an https address

Without a CA file a call to https went out as plain HTTP, token and all: the TLS context was None. It is now the system's authorities. Seen failing with the guard taken out ('no answer (closed)' in the place of the certificate error), then passing. Runners must announce an address by IP number, and the operators' test passes the callers' port by TLS too.

--- a/limpetroute/border/announcement.py
+++ b/limpetroute/border/announcement.py
@@ -4,6 +4,7 @@
 
 import pydantic
 
+from limpetroute.border import addresses
 from limpetroute.border import strict_model
 from limpetroute.decisions import load_report
 from limpetroute.decisions import runner_facts
@@ -35,7 +36,7 @@
 
     runner_id: str = pydantic.Field(min_length=1, max_length=200)
     incarnation: int
-    url: str
+    url: addresses.HostUrl
     role: typing.Literal['prefill', 'decode', 'service']
     zone: str
     models: list[str] = []
--- a/limpetroute/wire/caller.py
+++ b/limpetroute/wire/caller.py
@@ -10,6 +10,8 @@
 from limpetroute.wire import connection
 from limpetroute.wire import reply
 
+DEFAULT_PORTS = {False: 80, True: 443}
+
 
 class Caller:
     """Makes calls, each on its own connection and with a deadline.
@@ -17,7 +19,8 @@
     Parameters
     ----------
     tls : ssl.SSLContext or None
-        Context for ``https`` addresses.
+        Context for ``https`` addresses, or None for the system's
+        authorities.
     token : str or None
         Bearer token put on each call.
     """
@@ -50,9 +53,11 @@
             The caller of this method closes the connection.
         """
         parts = urllib.parse.urlsplit(url)
-        tls = self._tls if parts.scheme == 'https' else None
+        secure = parts.scheme == 'https'
         link = connection.Connection(
-            host=parts.hostname or '', port=parts.port or 80, tls=tls
+            host=parts.hostname or '',
+            port=parts.port or DEFAULT_PORTS[secure],
+            tls=self._secure_context() if secure else None,
         )
         path = parts.path or '/'
         if parts.query:
@@ -92,6 +97,12 @@
         finally:
             link.close()
 
+    def _secure_context(self) -> ssl.SSLContext:
+        """Return the context for ``https``, which is never plain text."""
+        if self._tls is None:
+            self._tls = ssl.create_default_context()
+        return self._tls
+
     def _headers(
         self, extra: typing.Mapping[str, str] | None
     ) -> dict[str, str]:
--- a/tests/cli/test_operator_commands.py
+++ b/tests/cli/test_operator_commands.py
@@ -1,4 +1,5 @@
 import json
+import ssl
 import threading
 import time
 import urllib.error
@@ -33,6 +34,7 @@
                 'zone': 'evere',
                 'token_file': 'token',
                 'ca_file': str(TLS / 'ca.pem'),
+                'listen': {'tls': tls},
                 'internal_listen': {'tls': tls},
             },
         )
@@ -80,11 +82,14 @@
     def complete(self, tokens):
         body = {'model': 'review', 'prompt': 'p', 'max_tokens': tokens}
         call = urllib.request.Request(
-            f'http://127.0.0.1:{self.port}/v1/completions',
+            f'https://127.0.0.1:{self.port}/v1/completions',
             data=json.dumps(body).encode(),
         )
         try:
-            with urllib.request.urlopen(call, timeout=30) as got:
+            trusted = ssl.create_default_context(cafile=TLS / 'ca.pem')
+            with urllib.request.urlopen(
+                call, timeout=30, context=trusted
+            ) as got:
                 return got.status
         except urllib.error.HTTPError as exc:
             return exc.code
@@ -228,3 +233,10 @@
     code, out, err = commands.run('entry', '--settings', path)
     assert (code, out) == (2, '')
     assert 'cannot listen' in err
+
+
+def test_https_without_an_authority_is_not_plain_text(fleet):
+    """An operator forgets --ca-file; the token must not go out in clear."""
+    code, _, err = commands.run('status', *fleet.options)
+    assert code == 3
+    assert 'certificate verify failed' in err
