--- a/tests/cli/test_check.py
+++ b/tests/cli/test_check.py
@@ -86,6 +86,12 @@
             'cannot be read',
         ),
         ({**CONTROL, 'data_dir': 7}, 'data_dir', 'valid string'),
+        ({**CONTROL, 'election_s': 0.3}, 'election_s', 'three times'),
+        (
+            {**CONTROL, 'peer_urls': ['http://1.1.1.1:1'] * 2},
+            'peer_urls.1',
+            'twice',
+        ),
         ({**RUNNER, 'role': 'both'}, 'role', "'decode' or 'service'"),
         ({**MANIFEST, 'number': 0}, 'number', 'equal to 1'),
         (
