--- a/limpetroute/border/entry_settings.py
+++ b/limpetroute/border/entry_settings.py
@@ -8,6 +8,7 @@
 from limpetroute.border import listen_settings
 from limpetroute.border import names
 from limpetroute.border import paths
+from limpetroute.border import peer_settings
 from limpetroute.border import record_settings
 from limpetroute.border import telemetry_settings
 from limpetroute.border import trust_settings
@@ -48,6 +49,7 @@
     state_dir: paths.FilePath | None = None
     isolation_s: units.Seconds = 10.0
     when_isolated: typing.Literal['serve_on', 'refuse'] = 'serve_on'
+    peers: peer_settings.PeerSettings = peer_settings.PeerSettings()
 
     @pydantic.field_validator('zone')
     @classmethod
--- a/limpetroute/entry/run_tools.py
+++ b/limpetroute/entry/run_tools.py
@@ -1,15 +1,19 @@
 """What every run works with."""
 
 import dataclasses
+import typing
 
 from limpetroute.border import entry_settings
 from limpetroute.entry import grants as grants_module
+from limpetroute.entry import live_record
 from limpetroute.entry import run_freer
 from limpetroute.entry import scheduler as scheduler_module
 from limpetroute.runners import engine_pool
 from limpetroute.telemetry import hops as hops_module
 from limpetroute.telemetry import meters as meters_module
 
+Copy = typing.Callable[[live_record.LiveRecord], typing.Awaitable[None]]
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class RunTools:
@@ -31,6 +35,8 @@
         Makes the spans.
     settings : EntrySettings
         Time limits.
+    copy : callable or None
+        Copies a record to another host; the first event waits for it.
     """
 
     scheduler: scheduler_module.Scheduler
@@ -40,3 +46,4 @@
     meters: meters_module.Meters
     hops: hops_module.Hops
     settings: entry_settings.EntrySettings
+    copy: Copy | None = None
