--- a/limpetroute/border/control_settings.py
+++ b/limpetroute/border/control_settings.py
@@ -3,6 +3,7 @@
 import pydantic
 
 from limpetroute.border import addresses
+from limpetroute.border import field_errors
 from limpetroute.border import listen_settings
 from limpetroute.border import names
 from limpetroute.border import paths
@@ -64,13 +65,21 @@
     watch_timeout_s: units.Seconds = 20.0
     max_body_bytes: int = pydantic.Field(default=64 << 20, ge=65536)
 
-    @pydantic.model_validator(mode='after')
-    def _is_consistent(self) -> 'ControlSettings':
-        if len(set(self.peer_urls)) < len(self.peer_urls):
-            raise ValueError('peer_urls: an address is given twice')
-        if self.election_s < 3 * self.heartbeat_s:
+    @pydantic.field_validator('peer_urls')
+    @classmethod
+    def _peers_are_unique(cls, urls: list[str]) -> list[str]:
+        field_errors.check_unique(urls, lambda url: url, '')
+        return urls
+
+    @pydantic.field_validator('election_s')
+    @classmethod
+    def _election_is_long(
+        cls, election_s: float, info: pydantic.ValidationInfo
+    ) -> float:
+        heartbeat_s = info.data.get('heartbeat_s', 0.0)
+        if election_s < 3 * heartbeat_s:
             raise ValueError(
-                f'election_s: {self.election_s!r} is not at least three '
-                f'times heartbeat_s {self.heartbeat_s!r}'
+                'allowed is at least three times heartbeat_s, '
+                f'{3 * heartbeat_s}'
             )
-        return self
+        return election_s
--- a/limpetroute/border/field_errors.py
+++ b/limpetroute/border/field_errors.py
@@ -22,7 +22,10 @@
     key: typing.Callable[[typing.Any], typing.Any],
     field: str,
 ) -> None:
-    """Raise `FieldErrors` for each item whose key stood before."""
+    """Raise `FieldErrors` for each item whose key stood before.
+
+    ``field`` is the path below an item, or empty for the item itself.
+    """
     first: dict[typing.Any, int] = {}
     found = []
     for place, item in enumerate(items):
@@ -31,7 +34,7 @@
             continue
         if value in first:
             text = f'{value!r} stands twice, first at {first[value]}'
-            found.append((f'{place}.{field}', text))
+            found.append((f'{place}.{field}'.rstrip('.'), text))
             continue
         first[value] = place
     if found:
--- a/limpetroute/entry/host.py
+++ b/limpetroute/entry/host.py
@@ -118,11 +118,9 @@
     @property
     def ready(self) -> bool:
         """Whether this host takes new work."""
-        if self.peers is not None and not self.peers.copies.may_serve:
+        if self.draining or self.watch.refuses_work(time.monotonic()):
             return False
-        if self.draining:
-            return False
-        return not self.watch.refuses_work(time.monotonic())
+        return self.peers is None or self.peers.copies.may_serve
 
     @property
     def in_progress(self) -> int:
--- a/tests/cli/test_check.py
+++ b/tests/cli/test_check.py
@@ -86,6 +86,12 @@
             'cannot be read',
         ),
         ({**CONTROL, 'data_dir': 7}, 'data_dir', 'valid string'),
+        ({**CONTROL, 'election_s': 0.3}, 'election_s', 'three times'),
+        (
+            {**CONTROL, 'peer_urls': ['http://1.1.1.1:1'] * 2},
+            'peer_urls.1',
+            'twice',
+        ),
         ({**RUNNER, 'role': 'both'}, 'role', "'decode' or 'service'"),
         ({**MANIFEST, 'number': 0}, 'number', 'equal to 1'),
         (
@@ -163,6 +169,14 @@
     assert kinds.count('manifest') == 1
 
 
+@pytest.mark.parametrize(
+    'path', sorted((commands.ROOT / 'experiments').glob('*.json'))
+)
+def test_experiments_can_be_used(capsys, path):
+    assert main.main(['check', str(path)]) == 0
+    assert 'experiment, can be used' in capsys.readouterr().out
+
+
 def test_wrong_settings_start_nothing(tmp_path):
     path = tmp_path / 'entry.json'
     path.write_text(json.dumps({**ENTRY, 'zone': 'mars'}))
--- a/tests/replay/test_traces_catch_faults.py
+++ b/tests/replay/test_traces_catch_faults.py
@@ -3,7 +3,9 @@
 import pytest
 
 from limpetroute.agreement import replica
-from limpetroute.control import manifest_store
+from limpetroute.control import claim_table
+from limpetroute.control import control_state
+from limpetroute.control import results
 from limpetroute.decisions import round_robin
 from limpetroute.entry import send_guard
 from limpetroute.peers import lease_voter
@@ -29,13 +31,24 @@
     )
 
 
-def _accept_any(self, body):
-    self.newest = body
-    return manifest_store.Accepted(
-        number=body.number, digest=body.digest, resent=False
+def _accept_any(self, command):
+    return results.ManifestAccepted(
+        number=command.number, digest=command.digest, resent=False
     )
 
 
+def _grant_any(self, command, fence):
+    return results.Granted(fence=fence)
+
+
+def _void_nothing(self, command):
+    return results.Done()
+
+
+def _same_fence(self, name):
+    return results.FenceGiven(name=name, fence=1)
+
+
 def _always_current(self, attachment):
     return True
 
@@ -113,10 +126,28 @@
     ),
     (
         'manifests-with-equal-numbers',
-        manifest_store.ManifestStore,
-        'submit',
+        control_state.ControlState,
+        '_submit',
         _accept_any,
     ),
+    (
+        'release-confirmation-runs-once',
+        claim_table.ClaimTable,
+        'make',
+        _grant_any,
+    ),
+    (
+        'lost-claim-never-comes-back',
+        claim_table.ClaimTable,
+        'withdraw',
+        _void_nothing,
+    ),
+    (
+        'fencing-numbers-only-grow',
+        control_state.ControlState,
+        '_next_fence',
+        _same_fence,
+    ),
     ('late-announcement-revives-nobody', directory, '_is_older', _never_older),
     (
         'restarted-voter-promises-nothing-twice',
