--- a/limpetroute/control/claim_table.py
+++ b/limpetroute/control/claim_table.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import operator
 import typing
 
 from limpetroute.control import commands
@@ -25,6 +26,11 @@
     settled_s: float = 0.0
 
 
+_FIELDS = tuple(field.name for field in dataclasses.fields(Claim))
+# Not dataclasses.astuple, which copies deeply: a snapshot of 100,000
+# claims would hold up heartbeats for longer than an election time.
+_values = operator.attrgetter(*_FIELDS)
+
 Key = tuple[str, str]
 
 
@@ -146,7 +152,7 @@
         """Return JSON types that `load` takes."""
         return {
             'claims': [
-                [*place, *dataclasses.astuple(claim)]
+                [*place, *_values(claim)]
                 for place, claim in self._claims.items()
             ],
             'settled': list(self._settled),
@@ -155,9 +161,8 @@
 
     def load(self, body: dict[str, typing.Any]) -> None:
         """Take what `dump` returned."""
-        names = [field.name for field in dataclasses.fields(Claim)]
         for team, key, *values in body['claims']:
-            claim = Claim(**dict(zip(names, values, strict=True)))
+            claim = Claim(**dict(zip(_FIELDS, values, strict=True)))
             self._claims[team, key] = claim
             self.used_bytes += _size((team, key), claim)
         for team, key in body['settled']:
--- a/tests/control/control_fleet.py
+++ b/tests/control/control_fleet.py
@@ -44,11 +44,11 @@
             **self.extra,
         }
 
-    def start(self, host, peers=None, files=None):
+    def start(self, host, peers=None, **kwargs):
         body = self.settings(host, peers or self.hosts)
         server = server_module.ControlServer(
             settings=control_settings.ControlSettings.model_validate(body),
-            files=files,
+            **kwargs,
         )
         server.start()
         self.servers[host] = server
