--- a/limpetroute/agreement/outbox.py
+++ b/limpetroute/agreement/outbox.py
@@ -40,6 +40,8 @@
 
     def take(self) -> tuple[messages.Envelope, ...]:
         """Return and forget what is ready."""
+        if not self.ready:
+            return ()
         ready = tuple(self.ready)
         self.ready.clear()
         return ready
--- a/limpetroute/agreement/replica.py
+++ b/limpetroute/agreement/replica.py
@@ -17,6 +17,8 @@
 from limpetroute.agreement import timings as timings_module
 from limpetroute.agreement import write_queue
 
+_NOTHING = effects.Effects()
+
 
 class Role(enum.StrEnum):
     """What a replica does at the moment."""
@@ -759,15 +761,20 @@
 
     def _effects(self) -> effects.Effects:
         writes = tuple(self._writes)
-        self._writes.clear()
         if writes:
+            self._writes.clear()
             self._disk.close(self.log.last_index)
+        sends = self._outbox.take()
+        committed = self._take_committed()
+        if not (writes or sends or committed or self._restored):
+            if self._proposal is None:
+                return _NOTHING
         return effects.Effects(
             write_id=self._disk.issued if writes else None,
             writes=writes,
-            sends=self._outbox.take(),
+            sends=sends,
             restored=self._restored,
-            committed=self._take_committed(),
+            committed=committed,
             proposal=self._proposal,
         )
 
