--- a/limpetroute/agreement/log.py
+++ b/limpetroute/agreement/log.py
@@ -85,6 +85,27 @@
             return None
         return self._entries[index - self.base_index - 1].term
 
+    def before_term(self, index: int, term: int, floor: int) -> int:
+        """Return the last index below ``index`` of another term.
+
+        Not below ``floor``: a leader that goes back past a whole term
+        at a time finds a common entry in few messages.
+        """
+        while index > floor and self.term_at(index) == term:
+            index -= 1
+        return index
+
+    def first_fresh(
+        self, entries: tuple[entry_module.Entry, ...]
+    ) -> int | None:
+        """Return the place of the first entry that is not here."""
+        for place, one in enumerate(entries):
+            if one.index <= self.base_index:
+                continue
+            if self.term_at(one.index) != one.term:
+                return place
+        return None
+
     def between(
         self, first_index: int, last_index: int
     ) -> tuple[entry_module.Entry, ...]:
--- a/limpetroute/agreement/membership.py
+++ b/limpetroute/agreement/membership.py
@@ -2,9 +2,12 @@
 
 import dataclasses
 import json
+import typing
 
 from limpetroute.agreement import member
 
+_Value = typing.TypeVar('_Value', int, float)
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Membership:
@@ -31,6 +34,26 @@
         object.__setattr__(self, 'voters', voters)
         object.__setattr__(self, 'quorum', len(voters) // 2 + 1)
 
+    def held_by_quorum(
+        self, value_of: typing.Callable[[str], _Value]
+    ) -> _Value | None:
+        """Return the greatest value that a quorum of voters reaches.
+
+        Parameters
+        ----------
+        value_of : callable
+            Gives a voter's value.
+
+        Returns
+        -------
+        int or float or None
+            None if there is no voter.
+        """
+        if not self.voters:
+            return None
+        values = sorted(value_of(voter) for voter in self.voters)
+        return values[len(values) - self.quorum]
+
     def get(self, replica_id: str) -> member.Member | None:
         """Return one member."""
         for one in self.members:
--- a/limpetroute/agreement/replica.py
+++ b/limpetroute/agreement/replica.py
@@ -416,8 +416,10 @@
             if term is None:
                 return False, self.log.last_index
             if term != message.prev_term:
-                return False, self._before_term(message.prev_index, term)
-        fresh = self._first_fresh(message.entries)
+                return False, self.log.before_term(
+                    message.prev_index, term, self.commit_index
+                )
+        fresh = self.log.first_fresh(message.entries)
         if fresh is not None:
             self._replace_from(message.entries[fresh:])
         if self.role is Role.FAILED:
@@ -427,21 +429,6 @@
         )
         return True, end
 
-    def _before_term(self, index: int, term: int) -> int:
-        while index > self.commit_index and self.log.term_at(index) == term:
-            index -= 1
-        return index
-
-    def _first_fresh(
-        self, entries: tuple[entry_module.Entry, ...]
-    ) -> int | None:
-        for place, one in enumerate(entries):
-            if one.index <= self.log.base_index:
-                continue
-            if self.log.term_at(one.index) != one.term:
-                return place
-        return None
-
     def _replace_from(self, entries: tuple[entry_module.Entry, ...]) -> None:
         first = entries[0].index
         if first <= self.commit_index:
@@ -579,17 +566,15 @@
             self._send_log(sender, known)
 
     def _advance_commit(self) -> None:
-        matches = sorted(
-            (
+        agreed = self.membership.held_by_quorum(
+            lambda voter: (
                 self._disk.synced_index
                 if voter == self.replica_id
                 else self._matched(voter)
             )
-            for voter in self.membership.voters
         )
-        if not matches:
+        if agreed is None:
             return
-        agreed = matches[len(matches) - self.membership.quorum]
         if agreed <= self.commit_index:
             return
         if self.log.term_at(agreed) != self.term:
@@ -606,13 +591,12 @@
 
     def _quorum_round_s(self, now_s: float) -> float:
         """Return the newest send time that a quorum has answered."""
-        rounds = sorted(
-            now_s if voter == self.replica_id else self.answered_s(voter)
-            for voter in self.membership.voters
+        rounds = self.membership.held_by_quorum(
+            lambda voter: (
+                now_s if voter == self.replica_id else self.answered_s(voter)
+            )
         )
-        if not rounds:
-            return -math.inf
-        return rounds[len(rounds) - self.membership.quorum]
+        return -math.inf if rounds is None else rounds
 
     # Membership
 
--- a/limpetroute/control/commands.py
+++ b/limpetroute/control/commands.py
@@ -69,15 +69,6 @@
     void_before_s: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class OrderDone:
-    """A runner has carried out an order of a manifest."""
-
-    runner_id: str
-    incarnation: int
-    digest: str
-
-
 Command = (
     SubmitManifest
     | NextFence
@@ -85,7 +76,6 @@
     | WithdrawClaim
     | SettleClaim
     | ForgetOld
-    | OrderDone
 )
 
 _TYPES: dict[str, type[Command]] = {
@@ -97,7 +87,6 @@
         WithdrawClaim,
         SettleClaim,
         ForgetOld,
-        OrderDone,
     )
 }
 
--- a/limpetroute/control/control_state.py
+++ b/limpetroute/control/control_state.py
@@ -34,13 +34,12 @@
         Bound of what all claims take.
     """
 
-    __slots__ = ('claims', 'fences', 'newest', 'orders_done')
+    __slots__ = ('claims', 'fences', 'newest')
 
     def __init__(self, *, max_claim_bytes: int) -> None:
         self.newest: Newest | None = None
         self.fences: dict[str, int] = {}
         self.claims = claim_table.ClaimTable(max_bytes=max_claim_bytes)
-        self.orders_done: dict[str, tuple[int, str]] = {}
 
     def __repr__(self) -> str:
         number = self.newest.number if self.newest else 0
@@ -72,10 +71,6 @@
                 return self.claims.settle(command)
             case commands.ForgetOld():
                 return self.claims.forget(command)
-            case commands.OrderDone():
-                place = (command.incarnation, command.digest)
-                self.orders_done[command.runner_id] = place
-                return results.Done()
 
     def dump(self) -> bytes:
         """Return the whole state."""
@@ -84,7 +79,6 @@
             'newest': dataclasses.astuple(newest) if newest else None,
             'fences': self.fences,
             'claims': self.claims.dump(),
-            'orders_done': self.orders_done,
         }
         return json.dumps(body, separators=(',', ':')).encode()
 
@@ -100,10 +94,6 @@
             )
         self.fences = body['fences']
         self.claims.load(body['claims'])
-        self.orders_done = {
-            name: (place[0], place[1])
-            for name, place in body['orders_done'].items()
-        }
 
     def _submit(self, command: commands.SubmitManifest) -> results.Result:
         newest = self.newest
--- a/limpetroute/control/disk_task.py
+++ b/limpetroute/control/disk_task.py
@@ -76,7 +76,7 @@
                 await loop.run_in_executor(
                     self._thread, self._journal.write, batch
                 )
-            except OSError as exc:
+            except (OSError, ValueError) as exc:
                 LOG.error('journal: %s; this replica steps back', exc)
                 self._on_failed(f'disk: {exc}')
                 return
