--- a/limpetroute/entry/host.py
+++ b/limpetroute/entry/host.py
@@ -12,9 +12,9 @@
 from limpetroute.border import entry_settings
 from limpetroute.border import manifest as manifest_module
 from limpetroute.control import claim_book
-from limpetroute.decisions import full_policy
 from limpetroute.decisions import policy_config
 from limpetroute.decisions import prefix
+from limpetroute.decisions import round_robin
 from limpetroute.decisions import work
 from limpetroute.entry import adopted_run
 from limpetroute.entry import answer_format
@@ -69,8 +69,8 @@
         self._recorder = decision_recorder.DecisionRecorder(settings=settings)
         self.scheduler = scheduler_module.Scheduler(
             policy=self._recorder.wrap(
-                full_policy.FullPolicy(config=policy_config.PolicyConfig()),
-                'full',
+                round_robin.RoundRobin(),
+                'round_robin',
             )
         )
         self.grants: grants_module.GrantSource = grants_module.LocalGrants()
