--- a/limpetroute/border/entry_settings.py
+++ b/limpetroute/border/entry_settings.py
@@ -6,6 +6,7 @@
 from limpetroute.border import listen_settings
 from limpetroute.border import names
 from limpetroute.border import peer_settings
+from limpetroute.border import record_settings
 from limpetroute.border import telemetry_settings
 from limpetroute.border import trust_settings
 from limpetroute.border import units
@@ -40,6 +41,7 @@
     telemetry: telemetry_settings.TelemetrySettings = (
         telemetry_settings.TelemetrySettings()
     )
+    record_trace: record_settings.RecordSettings | None = None
     believe_team_header: bool = True
     peers: peer_settings.PeerSettings = peer_settings.PeerSettings()
 
--- a/limpetroute/entry/host.py
+++ b/limpetroute/entry/host.py
@@ -15,6 +15,7 @@
 from limpetroute.decisions import work
 from limpetroute.entry import adopted_run
 from limpetroute.entry import answer_format
+from limpetroute.entry import decision_recorder
 from limpetroute.entry import grants as grants_module
 from limpetroute.entry import host_exports
 from limpetroute.entry import live_record
@@ -58,16 +59,15 @@
         self.engines = engine_pool.EnginePool(
             runners=self.runners, http=self.http
         )
+        self._recorder = decision_recorder.DecisionRecorder(settings=settings)
         self.scheduler = scheduler_module.Scheduler(
-            policy=round_robin.RoundRobin()
+            policy=self._recorder.wrap(round_robin.RoundRobin(), 'round_robin')
         )
         self.grants: grants_module.GrantSource = grants_module.LocalGrants()
         self.exports = host_exports.build(settings)
         self.meters = self.exports.meters
         self.hops = self.exports.hops
-        self.exports.observe('records', lambda: len(self.records))
-        self.exports.observe('runners', lambda: len(self.runners))
-        self.exports.observe('ready', lambda: self.ready)
+        host_exports.observe(self.exports, self)
         self.claims: claim_book.ClaimBook | None = None
         self.freer = run_freer.RunFreer()
         self.records = record_store.RecordStore(retain_s=settings.retain_s)
@@ -154,9 +154,10 @@
             live.handed_over = self.hands_over
             live.cancel('draining_resume_elsewhere')
         tasks = [live.task for live in self._open if live.task is not None]
+        free_s = min(FREE_TIMEOUT_S, self.settings.drain_timeout_s)
         if tasks:
-            await asyncio.wait(tasks, timeout=FREE_TIMEOUT_S)
-        await self.freer.drain(FREE_TIMEOUT_S)
+            await asyncio.wait(tasks, timeout=free_s)
+        await self.freer.drain(free_s)
 
     async def callers_done(self) -> None:
         """Wait until attached callers have been told how it ended."""
@@ -175,6 +176,7 @@
             await self.peers.leave()
             self.peers.stop()
         self.scheduler.close()
+        self._recorder.close()
         await asyncio.to_thread(self.exports.close)
 
     def announced(self, body: announcement.AnnouncementBody) -> None:
@@ -191,6 +193,7 @@
     def drain_runner(self, runner_id: str) -> None:
         """Give a runner no new work, now and when it announces again."""
         self.drained_runners.add(runner_id)
+        LOG.info('runner %s drained by an operator', runner_id)
         body = self.runners.get(runner_id)
         if body is not None:
             self.announced(body.model_copy(update={'cache_events': []}))
@@ -198,6 +201,7 @@
     def undrain_runner(self, runner_id: str) -> None:
         """Give it work again from its next announcement on."""
         self.drained_runners.discard(runner_id)
+        LOG.info('runner %s given work again', runner_id)
 
     def submit(
         self, request: run_request.RunRequest
@@ -252,6 +256,7 @@
             grants=self.grants,
             freer=self.freer,
             meters=self.meters,
+            hops=self.hops,
             settings=self.settings,
             copy=None if peers is None else peers.copies.ensure,
         )
--- a/limpetroute/entry/run_tools.py
+++ b/limpetroute/entry/run_tools.py
@@ -9,6 +9,7 @@
 from limpetroute.entry import run_freer
 from limpetroute.entry import scheduler as scheduler_module
 from limpetroute.runners import engine_pool
+from limpetroute.telemetry import hops as hops_module
 from limpetroute.telemetry import meters as meters_module
 
 Copy = typing.Callable[[live_record.LiveRecord], typing.Awaitable[None]]
@@ -30,6 +31,8 @@
         Ends runs at runners.
     meters : Meters
         Counts.
+    hops : Hops
+        Makes the spans.
     settings : EntrySettings
         Time limits.
     copy : callable or None
@@ -41,5 +44,6 @@
     grants: grants_module.GrantSource
     freer: run_freer.RunFreer
     meters: meters_module.Meters
+    hops: hops_module.Hops
     settings: entry_settings.EntrySettings
     copy: Copy | None = None
--- a/limpetroute/standins/engine_server.py
+++ b/limpetroute/standins/engine_server.py
@@ -34,6 +34,7 @@
         self.settings = settings
         self.state = engine_state.EngineState(settings=settings)
         self.port = 0
+        self.announced_url: str | None = None
         self._trust = settings.credentials()
         self._http = caller.Caller(
             tls=self._trust.client_tls, token=self._trust.token
@@ -49,6 +50,8 @@
     @property
     def url(self) -> str:
         """Address announced to the entry hosts."""
+        if self.announced_url is not None:
+            return self.announced_url
         scheme = 'https' if self.settings.listen.tls else 'http'
         return f'{scheme}://{self.settings.listen.address}:{self.port}'
 
