Have one new owner, whichever copy it goes on from

Heirs are now ordered by fence and number, voters keep the newest, and who takes over has itself noted by a majority before it goes on. A hand-over that is not the last holder's is waited out.

--- a/limpetroute/entry/peer_codec.py
+++ b/limpetroute/entry/peer_codec.py
@@ -7,7 +7,6 @@
 
 from limpetroute.peers import grant
 from limpetroute.peers import hand_over
-from limpetroute.peers import lease_message
 from limpetroute.peers import record_copy
 
 __all__ = ['Codec']
@@ -123,8 +122,6 @@
         return self._adapter.validate_json(data)
 
 
-LEASE_ASK = Codec(lease_message.LeaseAsk)
-LEASE_VOTE = Codec(lease_message.LeaseVote)
 HAND_OVER = Codec(hand_over.HandOver)
 COPY_BATCH = Codec(record_copy.CopyBatch)
 COPY_REPLY = Codec(record_copy.CopyReply)
--- a/limpetroute/entry/peer_copies.py
+++ b/limpetroute/entry/peer_copies.py
@@ -224,7 +224,12 @@
         held = self._leases.held(resource, peer_clock.clock_s())
         if held is None or not self.may_serve:
             return
-        if held.previous_heir_id in ('', self._host_id):
+        if held.known_heir_id in ('', self._host_id):
+            # Who takes over has itself noted as the heir first: a host
+            # with another copy that comes later learns it is too late.
+            self._leases.name_heir(resource, self._host_id)
+            if held.heir_id != self._host_id:
+                return
             found = self.copies.take_over(owner)
             LOG.info('took %d records over from %s', len(found), owner)
             for copied in found:
--- a/limpetroute/entry/peer_node.py
+++ b/limpetroute/entry/peer_node.py
@@ -22,6 +22,7 @@
 from limpetroute.peers import grant_config
 from limpetroute.peers import grant_desk
 from limpetroute.peers import hand_over
+from limpetroute.peers import lease_codec
 from limpetroute.peers import lease_config
 from limpetroute.peers import lease_message
 from limpetroute.peers import member_claim
@@ -331,8 +332,8 @@
         vote = await self.calls.ask(
             url,
             'leases',
-            peer_codec.LEASE_ASK.encode(message),
-            peer_codec.LEASE_VOTE.decode,
+            lease_codec.encode_ask(message),
+            lease_codec.decode_vote,
         )
         if vote is not None:
             self.desk.on_vote(vote, peer_clock.clock_s())
@@ -394,9 +395,9 @@
 
     def _take_ask(self, data: bytes) -> bytes:
         vote = self.desk.voter.vote(
-            peer_codec.LEASE_ASK.decode(data), peer_clock.clock_s()
+            lease_codec.decode_ask(data), peer_clock.clock_s()
         )
-        return peer_codec.LEASE_VOTE.encode(vote)
+        return lease_codec.encode_vote(vote)
 
     def _take_hand_over(self, data: bytes) -> bytes:
         self.desk.on_hand_over(peer_codec.HAND_OVER.decode(data))
--- a/limpetroute/peers/grant_desk.py
+++ b/limpetroute/peers/grant_desk.py
@@ -277,15 +277,21 @@
     def _new_book(
         self, runner_id: str, lease: lease_holder.LeaseHeld, now_s: float
     ) -> grant_book.GrantBook:
+        handed = self._handed.pop(runner_id, None)
+        # Only the book of the holder just before is whole. With another
+        # one between, the lease may have come early all the same, so
+        # that holder's grants are waited out.
+        whole = handed is not None and handed.fence == lease.previous_fence
+        since_s = lease.since_s
+        if handed is not None and not whole:
+            since_s += self._grants.valid_s * (1 + 2 * self._grants.drift)
         book = grant_book.GrantBook(
             runner_id=runner_id,
             fence=lease.fence,
-            since_s=lease.since_s,
+            since_s=since_s,
             config=self._grants,
         )
-        handed = self._handed.pop(runner_id, None)
-        # Only the book of the holder just before is whole.
-        if handed is not None and handed.fence == lease.previous_fence:
+        if handed is not None and whole:
             book.adopt(handed.grants, now_s)
         report = self._reports.get(runner_id)
         if report is not None:
--- /dev/null
+++ b/limpetroute/peers/lease_codec.py
@@ -0,0 +1,108 @@
+"""Compact JSON of lease messages, which never stop flowing."""
+
+import json
+import typing
+
+from limpetroute.peers import lease_message
+
+__all__ = ['decode_ask', 'decode_vote', 'encode_ask', 'encode_vote']
+
+_T = typing.TypeVar('_T')
+
+
+def encode_ask(ask: lease_message.LeaseAsk) -> bytes:
+    """Encode an ask as lists, in the order of the fields."""
+    wants = [[item.resource, item.fence, item.heir] for item in ask.wants]
+    releases = [
+        [item.resource, item.fence, item.heir_id] for item in ask.releases
+    ]
+    return _dump([ask.number, ask.holder_id, wants, releases])
+
+
+def decode_ask(data: bytes) -> lease_message.LeaseAsk:
+    """Decode an ask.
+
+    Raises
+    ------
+    ValueError
+        If it is not one; the text quotes its start.
+    """
+    return _load(data, _ask)
+
+
+def encode_vote(vote: lease_message.LeaseVote) -> bytes:
+    """Encode a vote as lists, in the order of the fields."""
+    answers = [
+        [
+            item.resource,
+            item.fence,
+            int(item.granted),
+            item.highest_fence,
+            item.holder_id,
+            item.heir,
+        ]
+        for item in vote.answers
+    ]
+    return _dump([vote.number, vote.voter_id, answers])
+
+
+def decode_vote(data: bytes) -> lease_message.LeaseVote:
+    """Decode a vote.
+
+    Raises
+    ------
+    ValueError
+        If it is not one; the text quotes its start.
+    """
+    return _load(data, _vote)
+
+
+def _ask(body: typing.Any) -> lease_message.LeaseAsk:
+    number, holder_id, wants, releases = body
+    return lease_message.LeaseAsk(
+        number=int(number),
+        holder_id=str(holder_id),
+        wants=tuple(
+            lease_message.LeaseWant(
+                resource=str(resource), fence=int(fence), heir=str(heir)
+            )
+            for resource, fence, heir in wants
+        ),
+        releases=tuple(
+            lease_message.LeaseRelease(
+                resource=str(resource), fence=int(fence), heir_id=str(heir)
+            )
+            for resource, fence, heir in releases
+        ),
+    )
+
+
+def _vote(body: typing.Any) -> lease_message.LeaseVote:
+    number, voter_id, answers = body
+    return lease_message.LeaseVote(
+        number=int(number),
+        voter_id=str(voter_id),
+        answers=tuple(
+            lease_message.LeaseAnswer(
+                resource=str(resource),
+                fence=int(fence),
+                granted=bool(granted),
+                highest_fence=int(highest),
+                holder_id=str(holder_id),
+                heir=str(heir),
+            )
+            for resource, fence, granted, highest, holder_id, heir in answers
+        ),
+    )
+
+
+def _dump(body: typing.Any) -> bytes:
+    return json.dumps(body, separators=(',', ':')).encode()
+
+
+def _load(data: bytes, make: typing.Callable[[typing.Any], _T]) -> _T:
+    try:
+        return make(json.loads(data))
+    except (ValueError, TypeError) as exc:
+        start = data[:80]
+        raise ValueError(f'not a lease message: {start!r}') from exc
--- a/limpetroute/peers/lease_holder.py
+++ b/limpetroute/peers/lease_holder.py
@@ -25,8 +25,8 @@
         Highest number that the voters had seen before this one.
     since_s, until_s : float
         When it was first held, and when its use must end.
-    previous_heir_id : str
-        Heir that the holder before named, as far as voters remember.
+    known_heir_id : str
+        Newest heir that the voters know of.
     heir_id : str
         Heir that a majority of voters has noted for this lease.
     """
@@ -36,7 +36,7 @@
     previous_fence: int
     since_s: float
     until_s: float
-    previous_heir_id: str = ''
+    known_heir_id: str = ''
     heir_id: str = ''
 
 
@@ -45,12 +45,18 @@
     fence: int
     previous_fence: int = 0
     since_s: float | None = None
-    heir_id: str = ''
-    previous_heirs: dict[int, str] = dataclasses.field(default_factory=dict)
+    heir: str = ''
+    known_heir: str = ''
     noted_heirs: dict[str, str] = dataclasses.field(default_factory=dict)
     promised_s: dict[str, float] = dataclasses.field(default_factory=dict)
     refused_by: dict[str, str] = dataclasses.field(default_factory=dict)
 
+    def note_known(self, heir: str) -> None:
+        """Keep the newest heir that the voters know of."""
+        self.known_heir = max(
+            self.known_heir, heir, key=lease_message.heir_order
+        )
+
 
 class LeaseHolder:
     """Wants leases, renews them, and knows until when it may use them.
@@ -170,18 +176,21 @@
             previous_fence=wanted.previous_fence,
             since_s=wanted.since_s,
             until_s=until_s,
-            previous_heir_id=wanted.previous_heirs.get(
-                wanted.previous_fence, ''
-            ),
+            known_heir_id=lease_message.heir_host(wanted.known_heir),
             heir_id=self._noted_heir(wanted),
         )
 
     def name_heir(self, resource: str, heir_id: str) -> None:
         """Have the voters note who holds copies."""
         wanted = self._wanted.get(resource)
-        if wanted is None or wanted.heir_id == heir_id:
+        if wanted is None:
             return
-        wanted.heir_id = heir_id
+        if lease_message.heir_host(wanted.heir) == heir_id:
+            return
+        _, number = lease_message.heir_order(wanted.heir)
+        wanted.heir = lease_message.heir_text(
+            wanted.fence, number + 1, heir_id
+        )
         self._next_ask_s = 0.0
 
     def other_holder(self, resource: str) -> str | None:
@@ -205,7 +214,7 @@
         self._number += 1
         wants = [
             lease_message.LeaseWant(
-                resource=name, fence=item.fence, heir_id=item.heir_id
+                resource=name, fence=item.fence, heir=item.heir
             )
             for name, item in self._wanted.items()
         ]
@@ -241,7 +250,7 @@
             if wanted is None or item.resource not in granted:
                 continue
             if wanted.fence == item.fence:
-                wanted.noted_heirs[vote.voter_id] = item.heir_id
+                wanted.noted_heirs[vote.voter_id] = item.heir
 
     def _take(
         self,
@@ -251,7 +260,10 @@
         now_s: float,
     ) -> None:
         wanted = self._wanted.get(answer.resource)
-        if wanted is None or answer.fence != wanted.fence:
+        if wanted is None:
+            return
+        wanted.note_known(answer.heir)
+        if answer.fence != wanted.fence:
             return
         if not answer.granted:
             wanted.refused_by[voter_id] = answer.holder_id
@@ -262,7 +274,6 @@
             wanted.previous_fence = max(
                 wanted.previous_fence, answer.highest_fence
             )
-            wanted.previous_heirs[answer.highest_fence] = answer.heir_id
         # Promises count from the asking, as the answer may be late.
         before_s = wanted.promised_s.get(voter_id, asked_s)
         wanted.promised_s[voter_id] = max(before_s, asked_s)
@@ -282,7 +293,6 @@
         wanted.previous_fence = max(
             wanted.previous_fence, answer.highest_fence
         )
-        wanted.previous_heirs[answer.highest_fence] = answer.heir_id
         wanted.promised_s.clear()
         wanted.noted_heirs.clear()
         self._next_ask_s = 0.0
@@ -305,8 +315,8 @@
     def _noted_heir(self, wanted: _Wanted) -> str:
         majority = len(self._voters) // 2 + 1
         noted = list(wanted.noted_heirs.values())
-        if noted.count(wanted.heir_id) >= majority:
-            return wanted.heir_id
+        if noted.count(wanted.heir) >= majority:
+            return lease_message.heir_host(wanted.heir)
         return ''
 
     def _until_s(self, wanted: _Wanted) -> float | None:
--- a/limpetroute/peers/lease_message.py
+++ b/limpetroute/peers/lease_message.py
@@ -13,14 +13,14 @@
         The resource.
     fence : int
         Fencing number.
-    heir_id : str
-        Host that holds copies of what the lease protects; it alone is
-        to take over. Empty if there is none.
+    heir : str
+        Host that holds copies of what the lease protects and alone is
+        to take over, as `heir_text` writes it. Empty if not named.
     """
 
     resource: str
     fence: int
-    heir_id: str = ''
+    heir: str = ''
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -81,7 +81,7 @@
         Highest number the voter had seen before.
     holder_id : str
         Host that the voter's promise stands for; empty if none.
-    heir_id : str
+    heir : str
         Heir that the last holder named, as the voter remembers it.
     """
 
@@ -90,7 +90,7 @@
     granted: bool
     highest_fence: int
     holder_id: str = ''
-    heir_id: str = ''
+    heir: str = ''
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -100,3 +100,21 @@
     number: int
     voter_id: str
     answers: tuple[LeaseAnswer, ...] = ()
+
+
+def heir_text(fence: int, number: int, host_id: str) -> str:
+    """Write an heir; a higher fence or number stands for newer word."""
+    return f'{fence}.{number}:{host_id}'
+
+
+def heir_order(heir: str) -> tuple[int, int]:
+    """Return the place of an heir among others; the highest holds."""
+    fence, _, number = heir.partition(':')[0].partition('.')
+    if not fence.isdigit() or not number.isdigit():
+        return (-1, -1)
+    return (int(fence), int(number))
+
+
+def heir_host(heir: str) -> str:
+    """Return the host of an heir."""
+    return heir.partition(':')[2]
--- a/limpetroute/peers/lease_voter.py
+++ b/limpetroute/peers/lease_voter.py
@@ -13,6 +13,7 @@
     holder_id: str
     fence: int
     until_s: float
+    previous_fence: int
 
 
 class LeaseVoter:
@@ -95,16 +96,23 @@
         self, holder_id: str, item: lease_message.LeaseWant, now_s: float
     ) -> lease_message.LeaseAnswer:
         highest = self._highest.get(item.resource, 0)
-        heir_id = self._heirs.get(item.resource, '')
+        heir = self._heirs.get(item.resource, '')
         standing = self.holder(item.resource, now_s)
         granted = self._may_grant(holder_id, item, highest, standing, now_s)
         if granted:
+            promise = self._promises.get(item.resource)
+            if promise is not None and item.fence == highest:
+                # The first answer may be lost: a renewal says again who
+                # was there before.
+                highest = promise.previous_fence
+            heir = max(heir, item.heir, key=lease_message.heir_order)
+            self._heirs[item.resource] = heir
             self._highest[item.resource] = item.fence
-            self._heirs[item.resource] = item.heir_id
             self._promises[item.resource] = _Promise(
                 holder_id=holder_id,
                 fence=item.fence,
                 until_s=now_s + self._config.duration_s,
+                previous_fence=highest,
             )
             standing = holder_id
         return lease_message.LeaseAnswer(
@@ -113,7 +121,7 @@
             granted=granted,
             highest_fence=highest,
             holder_id=standing or '',
-            heir_id=heir_id,
+            heir=heir,
         )
 
     def _may_grant(
--- a/tests/peers/test_small_parts.py
+++ b/tests/peers/test_small_parts.py
@@ -1,5 +1,7 @@
 import pytest
 
+from limpetroute.peers import lease_codec
+from limpetroute.peers import lease_message
 from limpetroute.peers import reaper
 from limpetroute.peers import request_budget
 from limpetroute.peers import zone_cost
@@ -126,3 +128,36 @@
     assert zone_cost.rank_heirs(
         zone='evere', hosts=hosts, costs=FEDERATION
     ) == ['a1', 'x']
+
+
+def test_lease_codec_keeps_every_field():
+    ask = lease_message.LeaseAsk(
+        number=3,
+        holder_id='a',
+        wants=(lease_message.LeaseWant(resource='r', fence=4, heir='4.0:b'),),
+        releases=(
+            lease_message.LeaseRelease(resource='s', fence=5, heir_id='c'),
+        ),
+    )
+    assert lease_codec.decode_ask(lease_codec.encode_ask(ask)) == ask
+    vote = lease_message.LeaseVote(
+        number=3,
+        voter_id='v',
+        answers=(
+            lease_message.LeaseAnswer(
+                resource='r',
+                fence=4,
+                granted=True,
+                highest_fence=2,
+                holder_id='a',
+                heir='4.1:x',
+            ),
+        ),
+    )
+    assert lease_codec.decode_vote(lease_codec.encode_vote(vote)) == vote
+
+
+@pytest.mark.parametrize('data', [b'', b'{}', b'[1,2]', b'[1,"a",[1],[]]'])
+def test_lease_codec_quotes_what_it_refuses(data):
+    with pytest.raises(ValueError, match='not a lease message'):
+        lease_codec.decode_ask(data)
