--- a/tests/peers/test_grants.py
+++ b/tests/peers/test_grants.py
@@ -228,6 +228,14 @@
         self.ticks(report=True)
         self.everybody_acquires(kv_bytes=kv_bytes, start=True)
 
+    @stateful.rule(kv_bytes=strategies.sampled_from([100, 600]))
+    def holder_is_cut_off_after_everybody_started(self, kv_bytes):
+        self.everybody_acquires(kv_bytes=kv_bytes, start=True)
+        self.isolate_those_who_grant()
+        for _ in range(4):
+            self.ticks(report=False)
+        self.everybody_acquires(kv_bytes=kv_bytes, start=True)
+
     @stateful.rule(report=strategies.booleans())
     def ticks(self, report):
         for _ in range(6):
