--- a/limpetroute/cli/operator_call.py
+++ b/limpetroute/cli/operator_call.py
@@ -40,8 +40,15 @@
 def ask(
     target: operator_target.OperatorTarget, method: str, path: str
 ) -> list[HostAnswer]:
-    """Ask all hosts at once."""
-    return asyncio.run(_ask_all(target, method, path))
+    """Ask all entry hosts at once."""
+    return asyncio.run(_ask_all(target, target.urls, method, path))
+
+
+def ask_control(
+    target: operator_target.OperatorTarget, path: str
+) -> list[HostAnswer]:
+    """Ask all control hosts at once."""
+    return asyncio.run(_ask_all(target, target.control_urls, 'GET', path))
 
 
 def target_or_explain(
@@ -71,9 +78,12 @@
 
 
 async def _ask_all(
-    target: operator_target.OperatorTarget, method: str, path: str
+    target: operator_target.OperatorTarget,
+    urls: typing.Sequence[str],
+    method: str,
+    path: str,
 ) -> list[HostAnswer]:
-    calls = [_ask_one(target, url, method, path) for url in target.urls]
+    calls = [_ask_one(target, url, method, path) for url in urls]
     return list(await asyncio.gather(*calls))
 
 
--- a/limpetroute/cli/operator_target.py
+++ b/limpetroute/cli/operator_target.py
@@ -28,11 +28,14 @@
     ----------
     urls : tuple of str
         Internal ports of entry hosts.
+    control_urls : tuple of str
+        Control hosts, where the settings name them.
     http : Caller
         Carries the token and the authority.
     """
 
     urls: tuple[str, ...]
+    control_urls: tuple[str, ...]
     http: caller.Caller
 
 
@@ -62,14 +65,21 @@
 def _from_settings(path: pathlib.Path) -> OperatorTarget:
     settings = settings_file.load(entry_settings.EntrySettings, path)
     own = _url_of(settings.internal_listen)
-    return _target([own, *settings.peer_urls], settings.credentials())
+    return _target(
+        [own, *settings.peer_urls],
+        settings.credentials(),
+        settings.control_urls,
+    )
 
 
 def _target(
-    urls: typing.Sequence[str], trust: credentials.Credentials
+    urls: typing.Sequence[str],
+    trust: credentials.Credentials,
+    control_urls: typing.Sequence[str] = (),
 ) -> OperatorTarget:
     return OperatorTarget(
         urls=tuple(urls),
+        control_urls=tuple(control_urls),
         http=caller.Caller(tls=trust.client_tls, token=trust.token),
     )
 
