Name every log line of a fault on the operators' page

A test reads the log lines out of the daemons' source: each line of a fault stands on the page, and each line on the page is written somewhere.

--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -122,17 +122,34 @@
     assert not missing
 
 
-def test_log_lines_on_the_page_are_written():
+def _page_lines():
     page = (ROOT / 'docs' / 'OPERATIONS.md').read_text()
     table = page.partition('## Log lines')[2].partition('\n## ')[0]
-    lines = re.findall(r'^\| `([^`]+)`', table, re.MULTILINE)
-    source = ''.join(
-        path.read_text() for path in (ROOT / 'limpetroute').rglob('*.py')
-    )
-    assert len(lines) >= 7
-    for line in lines:
-        pattern = '%[sd]'.join(re.escape(part) for part in line.split('…'))
-        assert re.search(f'[\'"]{pattern}', source), line
+    return re.findall(r'^\| `([^`]+)`', table, re.MULTILINE)
+
+
+def _source_lines(levels):
+    """Return the log lines of the daemons, with … for each value."""
+    found = set()
+    for folder in ('entry', 'control', 'runners', 'wire'):
+        for path in (ROOT / 'limpetroute' / folder).rglob('*.py'):
+            for text in re.findall(
+                rf"LOG\.(?:{levels})\(\s*'([^']+)'", path.read_text()
+            ):
+                found.add(re.sub(r'%[sd]', '…', text))
+    return found
+
+
+def test_log_lines_on_the_page_are_written():
+    written = _source_lines('info|warning|error|exception')
+    for line in _page_lines():
+        assert any(text.startswith(line) for text in written), line
+
+
+def test_each_log_line_of_a_fault_is_on_the_page():
+    known = _page_lines()
+    for line in _source_lines('warning|error|exception'):
+        assert any(line.startswith(text) for text in known), line
 
 
 def test_metrics_on_the_page_are_exported():
