--- a/limpetroute/entry/manifest_file.py
+++ b/limpetroute/entry/manifest_file.py
@@ -38,7 +38,7 @@
         except FileNotFoundError:
             return None
         except OSError as exc:
-            LOG.warning('%s: %s', self._path, exc)
+            LOG.warning('%s: cannot be read: %s', self._path, exc)
             return None
         try:
             return errors.parse(manifest_module.ManifestBody, data)
