--- a/limpetroute/entry/live_record.py
+++ b/limpetroute/entry/live_record.py
@@ -28,6 +28,7 @@
     __slots__ = (
         '_grace',
         '_on_end',
+        '_timer',
         '_waiters',
         'arrived_s',
         'attached',
@@ -73,7 +74,8 @@
         self.size_bytes = 0
         self._on_end = on_end
         self._grace: asyncio.TimerHandle | None = None
-        self._waiters: list[asyncio.Future[bool]] = []
+        self._timer: asyncio.TimerHandle | None = None
+        self._waiters: list[tuple[float, asyncio.Future[bool]]] = []
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(record={self.record!r})'
@@ -138,7 +140,7 @@
     def wake(self) -> None:
         """Wake all that wait in `wait_past`."""
         waiters, self._waiters = self._waiters, []
-        for waiter in waiters:
+        for _, waiter in waiters:
             if not waiter.done():
                 waiter.set_result(False)
 
@@ -155,24 +157,39 @@
         bool
             False if none of them came within ``timeout_s``.
         """
-        if self._is_past(attachment, index):
-            return True
         loop = asyncio.get_running_loop()
         due_s = loop.time() + timeout_s
         while not self._is_past(attachment, index):
             waiter = loop.create_future()
-            self._waiters.append(waiter)
-            timer = loop.call_at(due_s, _expire, waiter)
+            place = due_s, waiter
+            self._waiters.append(place)
+            if self._timer is None:
+                self._timer = loop.call_at(due_s, self._expire)
             try:
                 timed_out = await waiter
-                if timed_out:
-                    return self._is_past(attachment, index)
             finally:
-                timer.cancel()
-                if waiter in self._waiters:
-                    self._waiters.remove(waiter)
+                if place in self._waiters:
+                    self._waiters.remove(place)
+            if timed_out:
+                return self._is_past(attachment, index)
         return True
 
+    def _expire(self) -> None:
+        """Wake those who have waited long enough.
+
+        One timer serves all waits of a record and is set anew only when
+        it fires: a timer for each word would cost more than the word.
+        """
+        self._timer = None
+        loop = asyncio.get_running_loop()
+        now_s = loop.time()
+        for due_s, waiter in self._waiters:
+            if due_s <= now_s and not waiter.done():
+                waiter.set_result(True)
+        later = [due_s for due_s, _ in self._waiters if due_s > now_s]
+        if later:
+            self._timer = loop.call_at(min(later), self._expire)
+
     def _is_past(
         self, attachment: request_record.Attachment, index: int
     ) -> bool:
@@ -185,8 +202,3 @@
         self._grace = None
         if not self.attached:
             self.cancel('caller_gone')
-
-
-def _expire(waiter: 'asyncio.Future[bool]') -> None:
-    if not waiter.done():
-        waiter.set_result(True)
--- a/limpetroute/wire/connection.py
+++ b/limpetroute/wire/connection.py
@@ -19,15 +19,24 @@
 
 
 class _Collector(httputil.HTTPMessageDelegate):
-    """Gathers one response and hands its chunks to a queue."""
+    """Gathers one response until its reader takes the parts.
+
+    A timer for each part would cost more than the part itself: one
+    timer runs for the whole response, and is set anew only when it
+    fires and the reader has not waited long enough.
+    """
 
     def __init__(self) -> None:
         self.status = 0
         self.headers: httputil.HTTPHeaders = httputil.HTTPHeaders()
         self.started = asyncio.Event()
-        self.chunks: asyncio.Queue[bytes | None] = asyncio.Queue()
-        self.room = asyncio.Event()
         self.whole = False
+        self.ended = False
+        self._parts: list[bytes] = []
+        self._room: asyncio.Event | None = None
+        self._waiter: asyncio.Future[None] | None = None
+        self._timer: asyncio.TimerHandle | None = None
+        self._since_s = 0.0
 
     def headers_received(
         self,
@@ -40,22 +49,71 @@
         self.started.set()
 
     def data_received(self, chunk: bytes) -> typing.Awaitable[None] | None:
-        self.chunks.put_nowait(chunk)
-        if self.chunks.qsize() < MAX_WAITING_CHUNKS:
+        self._parts.append(chunk)
+        self._wake()
+        if len(self._parts) < MAX_WAITING_CHUNKS:
             return None
-        return self._wait_for_room()
+        self._room = asyncio.Event()
+        return self._wait_for_room(self._room)
 
-    async def _wait_for_room(self) -> None:
-        self.room.clear()
-        await self.room.wait()
+    async def _wait_for_room(self, room: asyncio.Event) -> None:
+        await room.wait()
 
     def finish(self) -> None:
         self.whole = True
-        self.chunks.put_nowait(None)
+        self._end()
 
     def on_connection_close(self) -> None:
         self.started.set()
-        self.chunks.put_nowait(None)
+        self._end()
+
+    def take(self) -> bytes:
+        """Return all parts that wait."""
+        data = b''.join(self._parts)
+        self._parts.clear()
+        if self._room is not None:
+            self._room.set()
+            self._room = None
+        return data
+
+    async def wait(self, idle_timeout_s: float) -> None:
+        """Wait for a part or the end."""
+        loop = asyncio.get_running_loop()
+        self._since_s = loop.time()
+        self._waiter = loop.create_future()
+        if self._timer is None:
+            self._timer = loop.call_later(
+                idle_timeout_s, self._check, idle_timeout_s
+            )
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+
+    def close(self) -> None:
+        """End the timer."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
+    def _check(self, idle_timeout_s: float) -> None:
+        self._timer = None
+        if self._waiter is None or self._waiter.done():
+            return
+        loop = asyncio.get_running_loop()
+        left_s = self._since_s + idle_timeout_s - loop.time()
+        if left_s > 0:
+            self._timer = loop.call_later(left_s, self._check, idle_timeout_s)
+            return
+        self._waiter.set_exception(TimeoutError())
+
+    def _end(self) -> None:
+        self.ended = True
+        self._wake()
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
 
 
 class Connection:
@@ -203,13 +261,15 @@
         between, gives no error for ever; it shows as no chunk for
         ``idle_timeout_s``, and the iteration raises `TimeoutError`.
         """
+        collector = self._collector
         while True:
-            async with asyncio.timeout(idle_timeout_s):
-                chunk = await self._collector.chunks.get()
-            self._collector.room.set()
-            if chunk is None:
+            data = collector.take()
+            if data:
+                yield data
+                continue
+            if collector.ended:
                 return
-            yield chunk
+            await collector.wait(idle_timeout_s)
 
     async def read(
         self, *, timeout_s: float, max_bytes: int = MAX_BODY_BYTES
@@ -242,5 +302,6 @@
 
     def close(self) -> None:
         """End the socket; the other end sees it at once."""
+        self._collector.close()
         if self._stream is not None:
             self._stream.close()
