Connect by number without the resolver's thread; open loads over time

Change: a connect to an IP number does not go through the resolver's thread pool. The load opens its streams over a given time and tells a refused stream from a lost word.

--- a/limpetroute/bench/stream_cost.py
+++ b/limpetroute/bench/stream_cost.py
@@ -3,7 +3,7 @@
 Usage:
   stream_cost cost [--streams N] [--words N] [--rounds N]
   stream_cost first [--requests N]
-  stream_cost load --url URL [--streams N] [--words N] [--pid PID]
+  stream_cost load --url URL [--streams N] [--words N] [--over S] [--pid PID]
 
 Options:
   --streams N   Streams at a time [default: 100].
@@ -11,6 +11,7 @@
   --rounds N    Times that each side is measured, in turn [default: 3].
   --requests N  Requests whose first word is timed [default: 200].
   --url URL     Callers' address of a running entry process.
+  --over S      Seconds over which the streams are opened [default: 0].
   --pid PID     Its process id, to read its memory.
   -h --help     Show this help.
 
@@ -25,6 +26,7 @@
 """
 
 import asyncio
+import collections
 import json
 import os
 import pathlib
@@ -151,11 +153,14 @@
 
 
 async def _read_all(
-    url: str, streams: int, words: int
+    url: str, streams: int, words: int, over_s: float = 0.0
 ) -> list[stream_reader.StreamSeen]:
     calls = [
         stream_reader.read(
-            url, prompt=PROMPT.format(number=number), words=words
+            url,
+            prompt=PROMPT.format(number=number),
+            words=words,
+            wait_s=over_s * number / streams,
         )
         for number in range(streams)
     ]
@@ -240,17 +245,18 @@
 
 
 def measure_load(
-    *, url: str, streams: int, words: int, pid: int | None
+    *, url: str, streams: int, words: int, over_s: float, pid: int | None
 ) -> dict[str, typing.Any]:
     """Open streams at a running process and check every word."""
     start_s = time.monotonic()
     before_s = _cpu_s(pid) if pid is not None else 0.0
-    seen = asyncio.run(_read_all(url, streams, words))
+    seen = asyncio.run(_read_all(url, streams, words, over_s))
     took_s = time.monotonic() - start_s
     events = sum(one.events for one in seen)
     found = {
         'streams': streams,
         'ended': sum(one.ended for one in seen),
+        'told': dict(collections.Counter(one.told for one in seen)),
         'events': events,
         'lost': sum(one.lost for one in seen),
         'doubled': sum(one.doubled for one in seen),
@@ -294,7 +300,11 @@
     else:
         pid = int(args['--pid']) if args['--pid'] else None
         found = measure_load(
-            url=args['--url'], streams=streams, words=words, pid=pid
+            url=args['--url'],
+            streams=streams,
+            words=words,
+            over_s=float(args['--over']),
+            pid=pid,
         )
     print(json.dumps(found, indent=1))
     return 0
--- a/limpetroute/wire/connection.py
+++ b/limpetroute/wire/connection.py
@@ -1,6 +1,8 @@
 """One HTTP connection owned by the task that made it."""
 
 import asyncio
+import ipaddress
+import socket
 import ssl
 import typing
 
@@ -16,6 +18,7 @@
 CONNECT_TIMEOUT_S = 2.0
 MAX_BODY_BYTES = 64 << 20
 MAX_WAITING_CHUNKS = 16
+IP_VERSION_6 = 6
 
 
 class _Collector(httputil.HTTPMessageDelegate):
@@ -170,9 +173,7 @@
         try:
             async with asyncio.timeout(timeout_s):
                 async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                    self._stream = await tcpclient.TCPClient().connect(
-                        self._host, self._port, ssl_options=self._tls
-                    )
+                    self._stream = await self._connect()
                 self._stream.set_nodelay(True)
                 sent = True
                 await self._write(method, path, headers, body)
@@ -201,6 +202,27 @@
             )
         return None
 
+    async def _connect(self) -> iostream.IOStream:
+        """Connect, without the resolver's thread where there is no name.
+
+        Hosts and runners are reached by number: handing each connect to
+        the resolver's thread pool would cost more than the connect.
+        """
+        try:
+            family = _family(self._host)
+        except ValueError:
+            return await tcpclient.TCPClient().connect(
+                self._host, self._port, ssl_options=self._tls
+            )
+        stream = iostream.IOStream(socket.socket(family))
+        self._stream = stream
+        await stream.connect((self._host, self._port))
+        if self._tls is None:
+            return stream
+        return await stream.start_tls(
+            False, self._tls, server_hostname=self._host
+        )
+
     async def _write(
         self,
         method: str,
@@ -305,3 +327,9 @@
         self._collector.close()
         if self._stream is not None:
             self._stream.close()
+
+
+def _family(host: str) -> socket.AddressFamily:
+    if ipaddress.ip_address(host).version == IP_VERSION_6:
+        return socket.AF_INET6
+    return socket.AF_INET
