--- a/limpetroute/bench/peer_costs.py
+++ b/limpetroute/bench/peer_costs.py
@@ -92,9 +92,7 @@
             )
             for place, name in enumerate(self._names)
         }
-        leases = lease_config.LeaseConfig(
-            duration_s=lease_s, renew_s=renew_s
-        )
+        leases = lease_config.LeaseConfig(duration_s=lease_s, renew_s=renew_s)
         self._desks = {
             name: grant_desk.GrantDesk(
                 host_id=name,
--- a/limpetroute/entry/base_handler.py
+++ b/limpetroute/entry/base_handler.py
@@ -37,6 +37,7 @@
 
     def prepare(self) -> None:
         """Take up the caller's trace and refuse headers past the limits."""
+        self.host.exchanges.add(self)
         trace_context.receive(self.request.headers.get(trace_context.HEADER))
         fields = list(self.request.headers.get_all())
         size = sum(len(name) + len(value) for name, value in fields)
@@ -48,6 +49,16 @@
             code='headers_too_large',
         )
 
+    def on_finish(self) -> None:
+        """Note that the request is answered."""
+        self.host.exchanges.discard(self)
+
+    def on_connection_close(self) -> None:
+        """Note that nobody waits for the answer."""
+        self._gone = True
+        self.host.exchanges.discard(self)
+        super().on_connection_close()
+
     @property
     def team(self) -> str:
         """The caller's team, once `authenticate` has found it."""
@@ -149,10 +160,6 @@
         if self.host.peers is not None:
             self.host.peers.lookup.settle(self.team, key)
 
-    def on_connection_close(self) -> None:
-        """Note that the caller is gone."""
-        self._gone = True
-
     def fail(
         self,
         status: int,
--- a/limpetroute/entry/run_task.py
+++ b/limpetroute/entry/run_task.py
@@ -27,6 +27,7 @@
 MAX_RESUMES = 2
 RESUME_PAUSE_S = 0.05
 INTERNAL_RETRY_AFTER_S = 1.0
+RESUME_ELSEWHERE = 'draining_resume_elsewhere'
 FAILURES = (engine_failure.Failed, engine_failure.Refused)
 _Result = typing.TypeVar('_Result')
 
@@ -98,7 +99,7 @@
         try:
             await self._work(inbox)
         except asyncio.CancelledError:
-            self._finish(outcome.Cancelled(reason=self._live.cancel_reason))
+            self._finish(self._cancelled())
         except Exception:  # noqa: BLE001 - a fault of ours must end the run
             LOG.exception('run %s broke', self._live.record.run_id)
             self._finish(
@@ -109,6 +110,14 @@
         finally:
             self._close()
 
+    def _cancelled(self) -> outcome.Outcome:
+        reason = self._live.cancel_reason
+        if reason == RESUME_ELSEWHERE:
+            return outcome.given_up(
+                self._guard, reason, INTERNAL_RETRY_AFTER_S
+            )
+        return outcome.Cancelled(reason=reason)
+
     def _close(self) -> None:
         end = self._live.record.end
         how = stage.Ending.FAILED
--- a/tests/replay/test_traces_catch_faults.py
+++ b/tests/replay/test_traces_catch_faults.py
@@ -5,6 +5,7 @@
 from limpetroute.agreement import replica
 from limpetroute.control import claim_table
 from limpetroute.control import control_state
+from limpetroute.control import manifest_store
 from limpetroute.control import results
 from limpetroute.decisions import round_robin
 from limpetroute.entry import send_guard
@@ -32,7 +33,7 @@
 
 
 def _accept_any(self, command):
-    return results.ManifestAccepted(
+    return manifest_store.Accepted(
         number=command.number, digest=command.digest, resent=False
     )
 
