--- a/tests/peers/fleet.py
+++ b/tests/peers/fleet.py
@@ -46,7 +46,16 @@
     Ports stay the same when a host is started again.
     """
 
-    def __init__(self, folder, *, hosts=7, prefills=2, decodes=3, runner=None):
+    def __init__(
+        self,
+        folder,
+        *,
+        hosts=7,
+        prefills=2,
+        decodes=3,
+        runner=None,
+        alone=False,
+    ):
         self.folder = folder
         self.hosts = [f'e{n}' for n in range(hosts)]
         ports = free_ports(2 * hosts)
@@ -65,6 +74,7 @@
         self.runners = [f'p{n}' for n in range(prefills)]
         self.runners += [f'd{n}' for n in range(decodes)]
         self.starts = 0
+        self.alone = alone
 
     def urls(self):
         return [
@@ -93,7 +103,7 @@
                 'listen': listen,
                 'internal_listen': {'port': self.internal_ports[name]},
                 'peer_urls': self.urls(),
-                'peers': {**PEERS, 'voters': self.hosts},
+                'peers': {} if self.alone else self.peers(),
                 'first_token_s': 20,
                 'transfer_timeout_s': 1.0,
                 'resume_grace_s': 4.0,
@@ -105,6 +115,9 @@
         if wait:
             self.processes[name].wait_ready()
 
+    def peers(self):
+        return {**PEERS, 'voters': self.hosts}
+
     def start_runner(self, name):
         self.starts += 1
         role = 'prefill' if name[0] == 'p' else 'decode'
