--- a/tests/entry/test_bad_input.py
+++ b/tests/entry/test_bad_input.py
@@ -163,3 +163,25 @@
         fleet.host.records = []
 
     fleet_module.play(story)
+
+
+def test_callers_that_leave_in_the_body() -> None:
+    # Callers go in the middle of their bodies, again and again. Nothing
+    # runs, and no task of the host waits for the rest for ever.
+    async def story(fleet: fleet_module.Fleet) -> None:
+        before = len(asyncio.all_tasks())
+        for _ in range(20):
+            caller = raw_caller.RawCaller(fleet.port)
+            await caller.send_raw(
+                b'POST /v1/completions HTTP/1.1\r\nHost: x\r\n'
+                b'Content-Length: 1000\r\n\r\n{'
+            )
+            await fleet_module.until(lambda: len(fleet.host.exchanges) == 1)
+            caller.rst()
+            await fleet_module.until(lambda: not fleet.host.exchanges)
+        await fleet_module.until(
+            lambda: len(asyncio.all_tasks()) < before + 10
+        )
+        assert not fleet.starts()
+
+    fleet_module.play(story)
