--- a/limpetroute/entry/base_handler.py
+++ b/limpetroute/entry/base_handler.py
@@ -53,12 +53,6 @@
         """Note that the request is answered."""
         self.host.exchanges.discard(self)
 
-    def on_connection_close(self) -> None:
-        """Note that nobody waits for the answer."""
-        self._gone = True
-        self.host.exchanges.discard(self)
-        super().on_connection_close()
-
     @property
     def team(self) -> str:
         """The caller's team, once `authenticate` has found it."""
@@ -160,6 +154,13 @@
         if self.host.peers is not None:
             self.host.peers.lookup.settle(self.team, key)
 
+    def on_connection_close(self) -> None:
+        """Note that the caller is gone."""
+        self._gone = True
+        self.host.exchanges.discard(self)
+        # Ends the wait for the rest of a body that will never come.
+        super().on_connection_close()
+
     def fail(
         self,
         status: int,
