--- a/limpetroute/decisions/full_policy.py
+++ b/limpetroute/decisions/full_policy.py
@@ -29,6 +29,7 @@
 Phase = job_module.Phase
 
 NO_RUNNER_RETRY_S = 2.0
+EMPTY_GRACE_S = 2.0
 NEVER_RETRY_S = 3600.0
 FIXED_RETRY_S = 1.0
 DENIED_PAUSE_S = 0.02
@@ -174,7 +175,7 @@
         job = job_module.Job(item=item, limit_s=limit_s)
         self._jobs[item.work_id] = job
         self._retries.earn()
-        if not self._servable(job):
+        if not self._servable(job, now_s):
             return
         state = self._model(item.model)
         read_s = self._forecast.read_s(item, job.tokens, now_s)
@@ -380,14 +381,25 @@
         self._index.forget(runner_id)
         self._ejection.forget(runner_id)
 
-    def _servable(self, job: job_module.Job) -> bool:
-        """Refuse what no runner could ever take."""
+    def _servable(self, job: job_module.Job, now_s: float) -> bool:
+        """Refuse what no runner could take.
+
+        A model without runners is often one whose runner restarts, or
+        a host that has just started and has not heard the heartbeats
+        yet; for `EMPTY_GRACE_S` its requests wait for their target.
+        """
         model = job.item.model
         example = self._forecast.decode_example(model)
         prefills = self._fleet.count(runner_facts.Role.PREFILL, model)
+        state = self._model(model)
         if example is None or not prefills:
+            if state.empty_since_s is None:
+                state.empty_since_s = now_s
+            if now_s - state.empty_since_s <= EMPTY_GRACE_S:
+                return True
             self._give_up(job, action.Reason.NO_RUNNER, NO_RUNNER_RETRY_S)
             return False
+        state.empty_since_s = None
         need = forecast_module.kv_need(job.item, example.facts)
         if need > example.facts.kv_capacity_bytes:
             self._give_up(job, action.Reason.TOO_LONG, NEVER_RETRY_S)
--- a/limpetroute/decisions/model_state.py
+++ b/limpetroute/decisions/model_state.py
@@ -29,6 +29,7 @@
         'awaiting',
         'comeback',
         'drain',
+        'empty_since_s',
         'lane',
         'queue',
         'unslotted',
@@ -52,6 +53,7 @@
             collections.OrderedDict()
         )
         self.unslotted = 0
+        self.empty_since_s: float | None = None
 
     def bias(self, *, long: bool, behind: bool) -> admission.WaitBias:
         """Return what was learned of like requests.
--- /dev/null
+++ b/limpetroute/peers/lease_message.py
@@ -0,0 +1,102 @@
+"""Messages between those who want leases and those who vote."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LeaseWant:
+    """A resource and the fencing number it is wanted under.
+
+    Parameters
+    ----------
+    resource : str
+        The resource.
+    fence : int
+        Fencing number.
+    heir_id : str
+        Host that holds copies of what the lease protects; it alone is
+        to take over. Empty if there is none.
+    """
+
+    resource: str
+    fence: int
+    heir_id: str = ''
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LeaseRelease:
+    """A lease given back.
+
+    Parameters
+    ----------
+    resource : str
+        The resource.
+    fence : int
+        The number it was held under.
+    heir_id : str
+        Host that has the holder's books and alone may have the lease
+        before it would have lapsed; empty if anybody may.
+    """
+
+    resource: str
+    fence: int
+    heir_id: str = ''
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LeaseAsk:
+    """A batch of requests, renewals and releases of one host.
+
+    Parameters
+    ----------
+    number : int
+        Names the ask; its vote repeats it.
+    holder_id : str
+        The host that asks.
+    wants : tuple of LeaseWant
+        New leases and renewals.
+    releases : tuple of LeaseRelease
+        Leases given back.
+    """
+
+    number: int
+    holder_id: str
+    wants: tuple[LeaseWant, ...] = ()
+    releases: tuple[LeaseRelease, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LeaseAnswer:
+    """A voter's word on one resource.
+
+    Parameters
+    ----------
+    resource : str
+        The resource.
+    fence : int
+        The number it was wanted under.
+    granted : bool
+        Whether the voter promises it to the host that asked.
+    highest_fence : int
+        Highest number the voter had seen before.
+    holder_id : str
+        Host that the voter's promise stands for; empty if none.
+    heir_id : str
+        Heir that the last holder named, as the voter remembers it.
+    """
+
+    resource: str
+    fence: int
+    granted: bool
+    highest_fence: int
+    holder_id: str = ''
+    heir_id: str = ''
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class LeaseVote:
+    """A voter's answers to one ask."""
+
+    number: int
+    voter_id: str
+    answers: tuple[LeaseAnswer, ...] = ()
