Give up at once where all runners failed a request; read again what fails to move twice

Cause: the suites of the entry process showed four faults: a request whose runners had all refused it waited for its target, a large answer was shed for its own cost, a stream whose runner died waited 30 s, and a result that failed to move twice ran out of runners.

--- a/limpetroute/decisions/full_policy.py
+++ b/limpetroute/decisions/full_policy.py
@@ -33,7 +33,7 @@
 NEVER_RETRY_S = 3600.0
 FIXED_RETRY_S = 1.0
 DENIED_PAUSE_S = 0.02
-RESUME_LIMIT_S = 30.0
+RESUME_LIMIT_S = 5.0
 SAMPLE_TOKENS = 4
 MAX_SHED = 4
 PACE_BACK = 0.25
@@ -302,11 +302,15 @@
             if self._config.uses(Decision.EJECTION):
                 self._ejection.failed(failing, now_s)
         self._drop(job)
-        self._avoid(job, at, runner_id)
+        # The same result that fails on its way to a second runner is
+        # itself at fault: it is read again, and that runner may be used.
+        again = at is stage.Stage.TRANSFER and job.moves > 1
+        if not again:
+            self._avoid(job, at, runner_id)
         if not may_repeat:
             self._refuse(job, action.Reason.RETRIES, now_s)
             return
-        if at is stage.Stage.TRANSFER and was_decode:
+        if at is stage.Stage.TRANSFER and was_decode and not again:
             if now_s + RESULT_MARGIN_S < job.done_s + self._result_ttl_s:
                 self._await_again(job)
                 return
@@ -530,7 +534,8 @@
             if victim is None:
                 return
             job = self._jobs[victim.work_id]
-            wait_s = state.queue.backlog_s / state.drain.value
+            ahead_s = state.queue.backlog_s - victim.cost_s
+            wait_s = ahead_s / state.drain.value
             bias = state.bias(long=victim.long, behind=job.behind)
             end_s = now_s + bias.corrected_s(wait_s) + job.service_s
             if end_s <= job.limit_s or job.delivered:
@@ -595,6 +600,7 @@
         job.phase = Phase.PREFILL
         job.prefill_id = runner.runner_id
         job.sent_s = now_s
+        job.moves = 0
         job.service_s = service_s
         job.own_wait_s = runner.outstanding_s
         job.expected_cached = choice.expected_cached
@@ -693,6 +699,7 @@
                 route, size, left_s - 2 * RESULT_MARGIN_S
             )
         self._transfers.start(job.item.work_id, route, size, now_s)
+        job.moves += 1
         job.phase = Phase.TRANSFER
         self._out.append(
             action.StartDecode(
@@ -786,6 +793,9 @@
         if late:
             self._refuse(job, action.Reason.DEADLINE, now_s)
             return
+        if not job.delivered and self._tried_all(job):
+            self._refuse(job, action.Reason.RETRIES, now_s)
+            return
         if self._config.uses(Decision.RETRY_BUDGET):
             if not self._retries.spend(job.attempts):
                 self._refuse(job, action.Reason.RETRIES, now_s)
@@ -795,6 +805,20 @@
             return
         self._requeue(job, now_s)
 
+    def _tried_all(self, job: job_module.Job) -> bool:
+        """Whether every runner of one role has failed this request."""
+        roles = {name: 0 for name in runner_facts.Role}
+        for runner_id, incarnation in job.tried:
+            state = self._fleet.runners.get(runner_id)
+            if state is None or state.facts.incarnation != incarnation:
+                continue
+            roles[state.facts.role] += 1
+        model = job.item.model
+        return any(
+            count and count >= self._fleet.count(role, model)
+            for role, count in roles.items()
+        )
+
     def _expire(self, now_s: float) -> None:
         while self._expiry and self._expiry[0][0] <= now_s:
             _, work_id = heapq.heappop(self._expiry)
--- a/limpetroute/decisions/job.py
+++ b/limpetroute/decisions/job.py
@@ -39,6 +39,7 @@
         'kv_bytes',
         'last_token_s',
         'limit_s',
+        'moves',
         'own_wait_s',
         'phase',
         'predicted_s',
@@ -57,6 +58,7 @@
         self.limit_s = limit_s
         self.phase = Phase.QUEUED
         self.attempts = 0
+        self.moves = 0
         self.delivered = 0
         self.tried: set[tuple[str, int]] = set()
         self.prefill_id: str | None = None
