--- a/limpetroute/bench/arrivals.py
+++ b/limpetroute/bench/arrivals.py
@@ -84,17 +84,17 @@
     rng = random.Random(seed)
     teams = _team_weights(pattern)
     marks = list(itertools.accumulate(teams))
-    arrivals: list[Arrival] = []
+    found: list[Arrival] = []
     now_s = 0.0
     number = 0
     while True:
         now_s += rng.expovariate(rate_per_s * _factor(pattern, now_s))
         if now_s >= pattern.duration_s:
-            return arrivals
+            return found
         number += 1
         team = bisect.bisect_left(marks, rng.random() * marks[-1])
         kind = _pick_class(rng, classes)
-        arrivals.append(
+        found.append(
             _arrival(rng, shape, pattern, kind, f'team-{team}', number, now_s)
         )
 
@@ -162,6 +162,7 @@
         token_gap_s=kind.token_gap_s,
         prefix_blocks=_blocks(rng, kind, model, prompt),
         zone=rng.choice(shape.zones),
+        key=f'k{number}',
     )
     return Arrival(
         item=item, kind=kind.name, answer_tokens=answer, cancel_s=cancel_s
--- a/limpetroute/bench/prefill_model.py
+++ b/limpetroute/bench/prefill_model.py
@@ -20,12 +20,13 @@
     tokens: int
     blocks: tuple[int, ...]
     on_done: typing.Callable[[int | None], None]
+    priority: int = 0
     cancelled: bool = False
     read_tokens: int = 0
 
 
 class PrefillModel:
-    """Reads prompts in order of arrival.
+    """Reads prompts by priority, then in order of arrival.
 
     Parameters
     ----------
@@ -54,6 +55,9 @@
         self.slow_factor = 1.0
         self.dead = False
         self.read_tokens = 0
+        self._began_s = 0.0
+        self._ends_s = 0.0
+        self.busy_s = 0.0
         self.stored: list[int] = []
         self.evicted: list[int] = []
 
@@ -80,7 +84,10 @@
         if self.dead:
             self._clock.after(0.0, lambda: job.on_done(None))
             return
-        self._queue.append(job)
+        place = len(self._queue)
+        while place and self._queue[place - 1].priority < job.priority:
+            place -= 1
+        self._queue.insert(place, job)
         if self._current is None:
             self._next()
 
@@ -89,6 +96,12 @@
         job.cancelled = True
         if job is not self._current:
             return
+        # Only what was read counts, as read and as wasted.
+        whole_s = self._ends_s - self._began_s
+        share = (self._clock.now_s - self._began_s) / max(1e-9, whole_s)
+        unread = int(job.read_tokens * (1 - share))
+        job.read_tokens -= unread
+        self.read_tokens -= unread
         if self._timer is not None:
             self._timer.cancel()
         self._current = None
@@ -128,6 +141,9 @@
         self.read_tokens += job.read_tokens
         seconds = job.read_tokens / self._shape.prefill_tokens_per_s
         seconds += self._shape.prefill_overhead_s
+        self._began_s = self._clock.now_s
+        self._ends_s = self._began_s + seconds * self.slow_factor
+        self.busy_s += seconds * self.slow_factor
         self._timer = self._clock.after(
             seconds * self.slow_factor, lambda: self._done(job, cached)
         )
--- a/limpetroute/bench/world.py
+++ b/limpetroute/bench/world.py
@@ -14,6 +14,7 @@
 from limpetroute.bench import prefill_model
 from limpetroute.bench import session as session_module
 from limpetroute.border import experiment
+from limpetroute.decisions import full_policy
 from limpetroute.decisions import load_report
 from limpetroute.decisions import router as router_module
 from limpetroute.decisions import runner_facts
@@ -43,6 +44,10 @@
                 session.fate.arrival.item, now_s
             )
         )
+        if isinstance(self._router, full_policy.FullPolicy):
+            session.fate.predicted_s = self._router.predicted_s(
+                session.work_id
+            )
 
     def call(
         self,
@@ -141,6 +146,9 @@
         self.measure.read_tokens = sum(
             model.read_tokens for model in self.prefills.values()
         )
+        busy_s = sum(model.busy_s for model in self.prefills.values())
+        whole_s = len(self.prefills) * self.case.pattern.duration_s
+        self.measure.prefill_busy = busy_s / whole_s
 
     def returns(self, fate: measure_module.Fate) -> None:
         """Let a refused caller come back when it was told to."""
@@ -159,6 +167,7 @@
         item = dataclasses.replace(
             old,
             work_id=f'{old.work_id}r',
+            returning=True,
             arrived_s=when_s,
             first_token_by_s=when_s + old.first_token_by_s - old.arrived_s,
         )
--- a/limpetroute/entry/host.py
+++ b/limpetroute/entry/host.py
@@ -10,9 +10,11 @@
 from limpetroute.border import announcement
 from limpetroute.border import entry_settings
 from limpetroute.border import manifest as manifest_module
+from limpetroute.border import policy_settings
 from limpetroute.control import claim_book
+from limpetroute.decisions import full_policy
+from limpetroute.decisions import policy_config
 from limpetroute.decisions import prefix
-from limpetroute.decisions import round_robin
 from limpetroute.decisions import work
 from limpetroute.entry import adopted_run
 from limpetroute.entry import answer_format
@@ -66,7 +68,10 @@
         )
         self._recorder = decision_recorder.DecisionRecorder(settings=settings)
         self.scheduler = scheduler_module.Scheduler(
-            policy=self._recorder.wrap(round_robin.RoundRobin(), 'round_robin')
+            policy=self._recorder.wrap(
+                full_policy.FullPolicy(config=policy_config.PolicyConfig()),
+                'full',
+            )
         )
         self.grants: grants_module.GrantSource = grants_module.LocalGrants()
         self.exports = host_exports.build(settings)
@@ -134,6 +139,10 @@
             self._index = manifest_index_module.ManifestIndex(
                 manifest=self.manifest
             )
+            if self.manifest is not None:
+                self.scheduler.configure(
+                    policy_settings.policy_config_of(self.manifest)
+                )
         return self._index
 
     def knows_model(self, name: str) -> bool:
@@ -368,6 +377,7 @@
             token_gap_s=token_gap_s,
             prefix_blocks=prefix.prefix_blocks(prompt),
             zone=self.settings.zone,
+            key=request.key,
         )
 
     def _targets(self) -> tuple[float, float]:
--- a/limpetroute/entry/scheduler.py
+++ b/limpetroute/entry/scheduler.py
@@ -4,6 +4,7 @@
 
 from limpetroute.border import announcement
 from limpetroute.decisions import action
+from limpetroute.decisions import policy_config
 from limpetroute.decisions import router
 from limpetroute.decisions import stage
 from limpetroute.decisions import work
@@ -33,6 +34,11 @@
     def __repr__(self) -> str:
         return f'{type(self).__name__}(policy={self._policy!r})'
 
+    def configure(self, config: policy_config.PolicyConfig) -> None:
+        """Pass a new manifest's objective and shares on."""
+        self._policy.configure(config, self.now_s)
+        self._pump()
+
     def offer(self, item: work.Work) -> Inbox:
         """Take new work; its actions arrive in the inbox returned."""
         inbox: Inbox = asyncio.Queue()
--- a/limpetroute/replay/router_player.py
+++ b/limpetroute/replay/router_player.py
@@ -4,8 +4,10 @@
 
 from limpetroute.decisions import action
 from limpetroute.decisions import load_report
+from limpetroute.decisions import policy_config
 from limpetroute.decisions import round_robin
 from limpetroute.decisions import router
+from limpetroute.decisions import routers
 from limpetroute.decisions import runner_facts
 from limpetroute.decisions import stage
 from limpetroute.decisions import work
@@ -26,6 +28,7 @@
         """Return the calls of the `Router` interface."""
         return {
             'start': self._start,
+            'configure': self._configure,
             'runner': self._runner,
             'runner_gone': self._runner_gone,
             'report': self._report,
@@ -43,9 +46,15 @@
         }
 
     def _start(self, *, now_s: float, policy: str) -> None:
-        if policy != 'round_robin':
-            raise player.PlayError(f'with.policy: no {policy!r}')
-        self._policy = round_robin.RoundRobin()
+        try:
+            self._policy = routers.make(policy)
+        except ValueError as exc:
+            raise player.PlayError(f'with.policy: no {policy!r}') from exc
+
+    def _configure(
+        self, *, now_s: float, config: policy_config.PolicyConfig
+    ) -> None:
+        self._policy.configure(config, now_s)
 
     def _runner(
         self, *, now_s: float, facts: runner_facts.RunnerFacts
