Let the demo's entry host work by its control host

Manifests submitted to the demo come into force, and the registry stand-in is there for service calls; the ready lines give a status and a submit command, which a test pastes, as it does the curl command.

--- a/limpetroute/cli/demo.py
+++ b/limpetroute/cli/demo.py
@@ -42,6 +42,11 @@
         f'curl -N http://127.0.0.1:{fleet.port}/v1/completions '
         "-H 'Content-Type: application/json' "
         '-d \'{"model": "review", "prompt": "Check this guarantee", '
-        '"max_tokens": 8, "stream": true}\'',
+        '"max_tokens": 8, "stream": true}\''
+    )
+    print(f'limpetroute status --host {fleet.internal_url}')
+    print(
+        'limpetroute submit examples/federation/manifest-1.json '
+        f'--control {fleet.control_url}',
         flush=True,
     )
--- a/limpetroute/cli/demo_fleet.py
+++ b/limpetroute/cli/demo_fleet.py
@@ -1,6 +1,8 @@
 """Control, entry and stand-in runners as tasks of one process."""
 
+import pathlib
 import tempfile
+import typing
 
 from limpetroute.border import control_settings
 from limpetroute.border import entry_settings
@@ -9,9 +11,11 @@
 from limpetroute.control import server as control_server
 from limpetroute.entry import server as entry_server
 from limpetroute.standins import engine_server
+from limpetroute.standins import service_server
 
 ZONE = 'demo'
 MODEL = 'review'
+SERVICE = 'registry'
 
 
 class DemoFleet:
@@ -24,25 +28,18 @@
     """
 
     def __init__(self, *, port: int) -> None:
+        self._port = port
         self._folder = tempfile.TemporaryDirectory(prefix='limpetroute-')
         self._control = control_server.ControlServer(
-            settings=control_settings.ControlSettings.model_validate(
-                {
-                    'host_id': 'control-1',
-                    'zone': ZONE,
-                    'data_dir': self._folder.name,
-                }
-            )
-        )
-        self._entry = entry_server.EntryServer(
-            settings=entry_settings.EntrySettings(
-                host_id='entry-1',
+            settings=control_settings.ControlSettings(
+                demo=True,
+                host_id='control-1',
                 zone=ZONE,
-                zones=[ZONE],
-                listen=listen_settings.ListenSettings(port=port),
+                data_dir=pathlib.Path(self._folder.name),
             )
         )
-        self._engines: list[engine_server.EngineServer] = []
+        self._entry: entry_server.EntryServer | None = None
+        self._runners: list[_Runner] = []
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(port={self.port!r})'
@@ -50,32 +47,67 @@
     @property
     def port(self) -> int:
         """Port for callers."""
-        return self._entry.port
+        return self._entry.port if self._entry else self._port
+
+    @property
+    def internal_url(self) -> str:
+        """Where operators ask."""
+        port = self._entry.internal_port if self._entry else 0
+        return f'http://127.0.0.1:{port}'
+
+    @property
+    def control_url(self) -> str:
+        """Where manifests are submitted."""
+        return self._control.url
 
     def start(self) -> None:
         """Start every part."""
         self._control.start()
+        self._entry = entry_server.EntryServer(
+            settings=entry_settings.EntrySettings(
+                demo=True,
+                host_id='entry-1',
+                zone=ZONE,
+                zones=[ZONE],
+                listen=listen_settings.ListenSettings(port=self._port),
+                control_urls=[self._control.url],
+            )
+        )
         self._entry.start()
-        internal = f'http://127.0.0.1:{self._entry.internal_port}'
         for role in ('prefill', 'decode'):
-            engine = engine_server.EngineServer(
-                settings=standin_settings.StandinSettings.model_validate(
-                    {
-                        'runner_id': f'{role}-1',
-                        'role': role,
-                        'zone': ZONE,
-                        'announce_urls': [internal],
-                        'models': [MODEL],
-                    }
-                )
-            )
-            engine.start()
-            self._engines.append(engine)
+            settings = self._standin(role, models=[MODEL])
+            self._add(engine_server.EngineServer(settings=settings))
+        settings = self._standin('service', service=SERVICE)
+        self._add(service_server.ServiceServer(settings=settings))
 
     async def stop(self) -> None:
-        """Stop every part."""
-        await self._entry.stop()
-        for engine in self._engines:
-            await engine.stop()
+        """Stop every part that has started."""
+        if self._entry is not None:
+            await self._entry.stop()
+        for runner in self._runners:
+            await runner.stop()
         await self._control.stop()
         self._folder.cleanup()
+
+    def _standin(
+        self, role: str, **what: typing.Any
+    ) -> standin_settings.StandinSettings:
+        return standin_settings.StandinSettings.model_validate(
+            {
+                'runner_id': f'{role}-1',
+                'role': role,
+                'zone': ZONE,
+                'announce_urls': [self.internal_url],
+                **what,
+            }
+        )
+
+    def _add(self, runner: '_Runner') -> None:
+        runner.start()
+        self._runners.append(runner)
+
+
+class _Runner(typing.Protocol):
+    def start(self) -> None: ...
+
+    async def stop(self) -> None: ...
--- a/tests/cli/commands.py
+++ b/tests/cli/commands.py
@@ -63,9 +63,13 @@
         assert line.startswith('ready'), line
         return [int(word) for word in re.findall(r'[ :](\d+)', line)]
 
-    def stop(self):
+    def line(self):
+        """Return the next line of output."""
+        return self._popen.stdout.readline().strip()
+
+    def stop(self, number=signal.SIGTERM):
         if self._popen.poll() is None:
-            self._popen.send_signal(signal.SIGTERM)
+            self._popen.send_signal(number)
         code = self._popen.wait(timeout=END_S)
         self._popen.stdout.close()
         self._log.close()
