--- a/limpetroute/bench/play.py
+++ b/limpetroute/bench/play.py
@@ -4,9 +4,10 @@
 
 from limpetroute.bench import arrivals
 from limpetroute.bench import bound
-from limpetroute.bench import policies
 from limpetroute.bench import world as world_module
 from limpetroute.border import experiment
+from limpetroute.decisions import policy_config
+from limpetroute.decisions import routers
 
 
 def play(
@@ -31,8 +32,10 @@
     world = world_module.World(
         shape=shape,
         case=case,
-        make_router=lambda host_seed: policies.make(
-            name, objective, host_seed
+        make_router=lambda host_seed: routers.make(
+            name,
+            objective=policy_config.Objective(objective),
+            seed=host_seed,
         ),
         seed=seed,
     )
--- a/limpetroute/decisions/round_robin.py
+++ b/limpetroute/decisions/round_robin.py
@@ -55,7 +55,7 @@
     def configure(
         self, config: policy_config.PolicyConfig, now_s: float
     ) -> None:
-        """Ignore the manifest."""
+        """Ignore objective and shares."""
 
     def on_runner(self, facts: runner_facts.RunnerFacts, now_s: float) -> None:
         """Take a runner's announcement, new or changed."""
--- a/limpetroute/decisions/router.py
+++ b/limpetroute/decisions/router.py
@@ -20,7 +20,7 @@
     def configure(
         self, config: policy_config.PolicyConfig, now_s: float
     ) -> None:
-        """Take what a new manifest says."""
+        """Take the objective and shares of a new manifest."""
 
     def on_runner(self, facts: runner_facts.RunnerFacts, now_s: float) -> None:
         """Take a runner's announcement, new or changed."""
--- a/limpetroute/entry/host.py
+++ b/limpetroute/entry/host.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import functools
-import hashlib
 import logging
 import secrets
 import time
@@ -11,10 +10,11 @@
 from limpetroute.border import announcement
 from limpetroute.border import entry_settings
 from limpetroute.border import manifest as manifest_module
+from limpetroute.border import policy_settings
 from limpetroute.control import claim_book
+from limpetroute.decisions import full_policy
 from limpetroute.decisions import policy_config
 from limpetroute.decisions import prefix
-from limpetroute.decisions import round_robin
 from limpetroute.decisions import work
 from limpetroute.entry import adopted_run
 from limpetroute.entry import answer_format
@@ -69,8 +69,8 @@
         self._recorder = decision_recorder.DecisionRecorder(settings=settings)
         self.scheduler = scheduler_module.Scheduler(
             policy=self._recorder.wrap(
-                round_robin.RoundRobin(),
-                'round_robin',
+                full_policy.FullPolicy(config=policy_config.PolicyConfig()),
+                'full',
             )
         )
         self.grants: grants_module.GrantSource = grants_module.LocalGrants()
@@ -139,6 +139,10 @@
             self._index = manifest_index_module.ManifestIndex(
                 manifest=self.manifest
             )
+            if self.manifest is not None:
+                self.scheduler.configure(
+                    policy_settings.policy_config_of(self.manifest)
+                )
         return self._index
 
     def knows_model(self, name: str) -> bool:
@@ -356,12 +360,6 @@
 
     def _in_force(self, body: manifest_module.ManifestBody) -> None:
         self.manifest = body
-        self.scheduler.configure(
-            policy_config.PolicyConfig(
-                objective=policy_config.Objective(body.objective),
-                team_shares={team.name: team.share for team in body.teams},
-            )
-        )
 
     def _work(
         self, request: run_request.RunRequest, now_s: float
@@ -379,7 +377,7 @@
             token_gap_s=token_gap_s,
             prefix_blocks=prefix.prefix_blocks(prompt),
             zone=self.settings.zone,
-            key=_digest(f'{request.team}/{request.key}'),
+            key=request.key,
         )
 
     def _targets(self) -> tuple[float, float]:
@@ -426,8 +424,3 @@
 def new_request_id() -> str:
     """Return an id that cannot be guessed."""
     return f'req-{secrets.token_urlsafe(18)}'
-
-
-def _digest(text: str) -> str:
-    # A trace that is recorded must not show callers' own keys.
-    return hashlib.sha256(text.encode()).hexdigest()
--- a/limpetroute/entry/run_task.py
+++ b/limpetroute/entry/run_task.py
@@ -263,7 +263,7 @@
                     handle=result.handle,
                     fence=attempt.fences.get(todo.runner_id, 0),
                 ),
-                timeout_s=self._tools.settings.transfer_timeout_s,
+                timeout_s=self._transfer_timeout_s(todo),
             ),
         )
         if not isinstance(moved, int):
@@ -279,6 +279,12 @@
         await copying
         await self._answer(engine, todo.runner_id, attempt, result)
 
+    def _transfer_timeout_s(self, todo: action.StartDecode) -> float:
+        limit_s = self._tools.settings.transfer_timeout_s
+        if todo.transfer_timeout_s is None:
+            return limit_s
+        return min(limit_s, todo.transfer_timeout_s)
+
     async def _copy(self) -> None:
         if self._tools.copy is not None:
             await self._tools.copy(self._live)
--- a/limpetroute/entry/scheduler.py
+++ b/limpetroute/entry/scheduler.py
@@ -34,6 +34,11 @@
     def __repr__(self) -> str:
         return f'{type(self).__name__}(policy={self._policy!r})'
 
+    def configure(self, config: policy_config.PolicyConfig) -> None:
+        """Pass a new manifest's objective and shares on."""
+        self._policy.configure(config, self.now_s)
+        self._pump()
+
     def offer(self, item: work.Work) -> Inbox:
         """Take new work; its actions arrive in the inbox returned."""
         inbox: Inbox = asyncio.Queue()
@@ -42,11 +47,6 @@
         self._pump()
         return inbox
 
-    def configure(self, config: policy_config.PolicyConfig) -> None:
-        """Pass on what a new manifest says to the router."""
-        self._policy.configure(config, self.now_s)
-        self._pump()
-
     def announced(self, body: announcement.AnnouncementBody) -> None:
         """Pass a runner's announcement on."""
         now_s = self.now_s
--- a/limpetroute/replay/router_player.py
+++ b/limpetroute/replay/router_player.py
@@ -3,23 +3,16 @@
 import typing
 
 from limpetroute.decisions import action
-from limpetroute.decisions import full_policy
 from limpetroute.decisions import load_report
 from limpetroute.decisions import policy_config
 from limpetroute.decisions import round_robin
 from limpetroute.decisions import router
+from limpetroute.decisions import routers
 from limpetroute.decisions import runner_facts
 from limpetroute.decisions import stage
 from limpetroute.decisions import work
 from limpetroute.replay import player
 
-POLICIES: typing.Mapping[str, typing.Callable[[], router.Router]] = {
-    'full': lambda: full_policy.FullPolicy(
-        config=policy_config.PolicyConfig()
-    ),
-    'round_robin': round_robin.RoundRobin,
-}
-
 
 class RouterPlayer:
     """A router on the trace's clock."""
@@ -53,12 +46,10 @@
         }
 
     def _start(self, *, now_s: float, policy: str) -> None:
-        if policy not in POLICIES:
-            allowed = ', '.join(POLICIES)
-            raise player.PlayError(
-                f'with.policy: {policy!r} is not one of {allowed}'
-            )
-        self._policy = POLICIES[policy]()
+        try:
+            self._policy = routers.make(policy)
+        except ValueError as exc:
+            raise player.PlayError(f'with.policy: no {policy!r}') from exc
 
     def _configure(
         self, *, now_s: float, config: policy_config.PolicyConfig
