Leave old records to the heir after a lapse

A host frozen for longer than its lease woke before it was taken for dead, got its lease back and had dropped its records; the heir waited for an owner that was alive. Ruled out: a lost copy, a second heir. The host now goes on under a new epoch, told with its probes, and the old one is free for the heir.

--- a/limpetroute/entry/peer_copies.py
+++ b/limpetroute/entry/peer_copies.py
@@ -32,7 +32,7 @@
     ----------
     host_id, zone : str
         This host.
-    owner : str
+    name : str
         This host and its incarnation.
     leases : LeaseHolder
         The leases of this host.
@@ -48,6 +48,10 @@
         Goes on with a record of a dead owner.
     abandon : callable
         Stops all that belongs to records another host may have by now.
+    epoch_of : callable
+        Returns the epoch that a host said it is in.
+    new_epoch : callable
+        Tells the others which epoch this host is in.
     """
 
     def __init__(
@@ -55,7 +59,7 @@
         *,
         host_id: str,
         zone: str,
-        owner: str,
+        name: str,
         leases: lease_holder.LeaseHolder,
         calls: peer_calls.PeerCalls,
         url_of: typing.Callable[[str], str | None],
@@ -63,10 +67,16 @@
         fence_floor: int,
         adopt: Adopt,
         abandon: Abandon,
+        epoch_of: typing.Callable[[str], int],
+        new_epoch: typing.Callable[[int], None],
     ) -> None:
         self._host_id = host_id
         self._zone = zone
-        self._owner = owner
+        self._name = name
+        self._epoch = 0
+        self._owner = f'{name}.0'
+        self._epoch_of = epoch_of
+        self._new_epoch = new_epoch
         self._leases = leases
         self._calls = calls
         self._url_of = url_of
@@ -77,11 +87,11 @@
         self._fence: int | None = None
         self._until_s = 0.0
         self._sending = asyncio.Lock()
-        self.sender = copy_sender.CopySender(owner=owner)
+        self.sender = copy_sender.CopySender(owner=self._owner)
         self.copies = copy_holder.CopyHolder()
         self.copies_missed = 0
         self.taken_over = 0
-        leases.want(HOST + owner, fence_floor=fence_floor)
+        leases.want(HOST + self._owner, fence_floor=fence_floor)
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(owner={self._owner!r})'
@@ -176,12 +186,29 @@
             LOG.warning('lease on own records lapsed: %s', self._owner)
             self._fence = None
             self._abandon()
+            self._start_epoch()
+            return
         if held is not None:
             self._until_s = held.until_s
         if fence != self._fence:
             LOG.info('lease on own records: fence %s', fence)
         self._fence = fence
 
+    def _start_epoch(self) -> None:
+        """Go on under a new name, and leave the old one to the heir.
+
+        A host that was frozen may wake before anybody took it for dead.
+        Under the old name it would get its lease back; its records
+        would then be neither its own, for it dropped them, nor the
+        heir's, for their owner would be alive.
+        """
+        self._leases.forsake(HOST + self._owner)
+        self._epoch += 1
+        self._owner = f'{self._name}.{self._epoch}'
+        self.sender = copy_sender.CopySender(owner=self._owner)
+        self._leases.want(HOST + self._owner, fence_floor=self._fence_floor)
+        self._new_epoch(self._epoch)
+
     def choose_heir(self, view: member_view.MemberView) -> None:
         """Keep the heir while it is well, else choose another one."""
         working = {
@@ -207,7 +234,7 @@
     def take_over(self, view: member_view.MemberView) -> None:
         """Take over copies whose owner is gone, once its lease is free."""
         for owner in self.copies.owners:
-            if is_gone(owner, view):
+            if is_gone(owner, view, self._epoch_of):
                 self._leases.want(HOST + owner, fence_floor=self._fence_floor)
         for resource in self._leases.wanted:
             owner = resource.removeprefix(HOST)
@@ -218,7 +245,7 @@
     def _take_over(
         self, resource: str, owner: str, view: member_view.MemberView
     ) -> None:
-        if not is_gone(owner, view):
+        if not is_gone(owner, view, self._epoch_of):
             self._leases.unwant(resource)
             return
         held = self._leases.held(resource, peer_clock.clock_s())
@@ -249,14 +276,21 @@
         return fence is not None and fence == self._fence and self.may_serve
 
 
-def is_gone(owner: str, view: member_view.MemberView) -> bool:
+def is_gone(
+    owner: str,
+    view: member_view.MemberView,
+    epoch_of: typing.Callable[[str], int],
+) -> bool:
     """Whether a host is dead, has left, or is not its former self."""
-    host_id, _, incarnation = owner.rpartition('@')
+    host_id, _, life = owner.rpartition('@')
+    incarnation, _, epoch = life.partition('.')
     claim = view.find(host_id)
     if claim is None:
         return True
     if str(claim.incarnation) != incarnation:
         return True
+    if epoch_of(host_id) > int(epoch):
+        return True
     return host_id in view.gone
 
 
--- a/limpetroute/entry/peer_node.py
+++ b/limpetroute/entry/peer_node.py
@@ -42,6 +42,7 @@
 RENEW_PERIOD_S = 0.5
 REAP_PERIOD_S = 1.0
 MAX_TASKS = 256
+EPOCH = 'epoch'
 
 
 class PeerNode:
@@ -119,7 +120,7 @@
         self.copies = peer_copies.PeerCopies(
             host_id=host_id,
             zone=settings.zone,
-            owner=f'{host_id}@{self._started_ms}',
+            name=f'{host_id}@{self._started_ms}',
             leases=self.desk.leases,
             calls=self.calls,
             url_of=self.url_of,
@@ -127,6 +128,8 @@
             fence_floor=self._started_ms,
             adopt=adopt,
             abandon=abandon,
+            epoch_of=self._epoch_of,
+            new_epoch=self._new_epoch,
         )
         self.lookup = peer_lookup.PeerLookup(
             host_id=host_id,
@@ -175,6 +178,12 @@
             if item.host_id != self.host_id and item.host_id not in gone
         }
 
+    def _epoch_of(self, host_id: str) -> int:
+        return self.members.values_of(host_id).get(EPOCH, 0)
+
+    def _new_epoch(self, epoch: int) -> None:
+        self.members.own_values[EPOCH] = epoch
+
     def announced(self, body: announcement.AnnouncementBody) -> None:
         """Take a decode runner's announcement."""
         if body.role != 'decode' or body.report is None:
