Let operators' replacement orders lapse on all hosts together

Hosts told each other of an order without its age, so each took it as new after its own had lapsed, and a host could never be put back.

--- a/limpetroute/border/peer_batch.py
+++ b/limpetroute/border/peer_batch.py
@@ -26,6 +26,13 @@
     age_s: float = pydantic.Field(ge=0)
 
 
+class ReplacementBody(strict_model.StrictModel):
+    """The new host in a replaced one's place, ordered ``age_s`` ago."""
+
+    new_host: str
+    age_s: float = pydantic.Field(ge=0)
+
+
 class PeerBatch(strict_model.StrictModel):
     """Who sends, and what its replicas have to say.
 
@@ -39,6 +46,6 @@
     url: str
     blank: bool
     founding: dict[str, str] | None = None
-    replacements: dict[str, str] = {}
+    replacements: dict[str, ReplacementBody] = {}
     hosts: dict[str, HostReportBody] = {}
     envelopes: list[EnvelopeBody] = []
--- a/limpetroute/control/node.py
+++ b/limpetroute/control/node.py
@@ -22,6 +22,7 @@
 from limpetroute.control import group as group_module
 from limpetroute.control import host_reports
 from limpetroute.control import peer_link
+from limpetroute.control import replacements
 from limpetroute.wire import caller
 
 LOG = logging.getLogger(__name__)
@@ -29,7 +30,6 @@
 CONFIG_GROUP = 0
 HELLO_HEARTBEATS = 4
 HEARD_S = 3.0
-REPLACE_S = 600.0
 HOST_LIVE_S = 10.0
 HOST_FORGET_S = 86400.0
 FORGET_EVERY_S = 5.0
@@ -73,7 +73,7 @@
             live_s=HOST_LIVE_S, forget_s=HOST_FORGET_S
         )
         self.failure = ''
-        self.replacements: dict[str, tuple[str, float]] = {}
+        self.replacements = replacements.Replacements()
         self._rng = random.Random()
         self._timings = timings_module.Timings(
             heartbeat_s=settings.heartbeat_s,
@@ -161,8 +161,7 @@
         if batch.url not in self._links:
             self._add_link(batch.url)
         self.reports.take(batch.hosts, now_s)
-        for old, new in batch.replacements.items():
-            self.replacements.setdefault(old, (new, now_s))
+        self.replacements.take(batch.replacements, now_s)
         if batch.founding is not None and self._is_pristine():
             if batch.founding.get(self.settings.host_id) == (
                 self.folder.replica_id
@@ -188,7 +187,7 @@
             return f'new_host: {new_host!r} has not been heard'
         if self.config.replica.membership.of_host(old_host) is None:
             return f'old_host: {old_host!r} has no replica here'
-        self.replacements[old_host] = (new_host, self.now_s)
+        self.replacements.note(old_host, new_host, self.now_s)
         return ''
 
     def _make_groups(self) -> None:
@@ -236,9 +235,7 @@
             url=self.url,
             blank=self._is_pristine(),
             founding=self.folder.founding,
-            replacements={
-                old: new for old, (new, _) in self.replacements.items()
-            },
+            replacements=self.replacements.bodies(self.now_s),
             hosts=self.reports.bodies(self.now_s),
         )
 
@@ -299,7 +296,7 @@
         replica = group.replica
         if replica.role is not replica_module.Role.LEADER:
             return
-        for old, (new, _) in self.replacements.items():
+        for old, new in self.replacements.all().items():
             former = replica.membership.of_host(old)
             if former is not None and old != new:
                 group.feed(events.RemoveMember(replica_id=former.replica_id))
@@ -341,9 +338,7 @@
     def _forget_old(self) -> None:
         now_s = self.now_s
         self.reports.expire(now_s)
-        for old, (_, since_s) in list(self.replacements.items()):
-            if now_s - since_s > REPLACE_S:
-                del self.replacements[old]
+        self.replacements.expire(now_s)
         for group in self.groups[1:]:
             command = self._what_to_forget(group)
             if command is None:
--- /dev/null
+++ b/limpetroute/control/replacements.py
@@ -0,0 +1,76 @@
+"""The control hosts that operators replace by others."""
+
+import dataclasses
+
+from limpetroute.border import peer_batch
+
+# A host told of an order for a little while after it has lapsed must not
+# bring it back; ages go with the orders, so all of them lapse together.
+LAPSE_S = 600.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Replacement:
+    """One order: the new host's name and when it was given."""
+
+    new_host: str
+    since_s: float
+
+
+class Replacements:
+    """The control hosts that operators replace by others."""
+
+    __slots__ = ('_orders',)
+
+    def __init__(self) -> None:
+        self._orders: dict[str, Replacement] = {}
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(orders={self._orders!r})'
+
+    def __contains__(self, old_host: str) -> bool:
+        return old_host in self._orders
+
+    def all(self) -> dict[str, str]:
+        """Return each replaced host's successor."""
+        return {old: one.new_host for old, one in self._orders.items()}
+
+    def note(self, old_host: str, new_host: str, since_s: float) -> None:
+        """Take an order, unless a later one says otherwise.
+
+        An order the other way round replaces the earlier one: a host
+        may be put back.
+        """
+        known = self._orders.get(old_host)
+        if known is not None and known.since_s >= since_s:
+            return
+        back = self._orders.get(new_host)
+        if back is not None and back.since_s >= since_s:
+            return
+        self._orders.pop(new_host, None)
+        self._orders[old_host] = Replacement(
+            new_host=new_host, since_s=since_s
+        )
+
+    def expire(self, now_s: float) -> None:
+        """Drop orders that have lapsed."""
+        for old_host, one in list(self._orders.items()):
+            if now_s - one.since_s > LAPSE_S:
+                del self._orders[old_host]
+
+    def bodies(self, now_s: float) -> dict[str, peer_batch.ReplacementBody]:
+        """Return what a peer is told."""
+        return {
+            old: peer_batch.ReplacementBody(
+                new_host=one.new_host, age_s=max(0.0, now_s - one.since_s)
+            )
+            for old, one in self._orders.items()
+        }
+
+    def take(
+        self, bodies: dict[str, peer_batch.ReplacementBody], now_s: float
+    ) -> None:
+        """Take what a peer tells."""
+        for old_host, body in bodies.items():
+            if body.age_s <= LAPSE_S:
+                self.note(old_host, body.new_host, now_s - body.age_s)
--- a/limpetroute/control/status.py
+++ b/limpetroute/control/status.py
@@ -26,9 +26,7 @@
         else None,
         'groups': [_describe_group(node, group) for group in node.groups],
         'links': node.links,
-        'replacements': {
-            old: new for old, (new, _) in node.replacements.items()
-        },
+        'replacements': node.replacements.all(),
         'hosts': {
             host_id: {
                 'number': report.number,
