Never call a request not_run that another host had or gets

Two holes on the way between hosts. A host that took a request over had sent nothing itself and could prove not_run for one its predecessor had sent. A host whose drain lapsed told the caller of a queued request not_run, and the heir ran it.

Change: a try after another host's is taken as sent; what is handed over or taken over ends as unknown. Reading a decode across broken streams moves out of the run task into a class of its own.

Proof: either guard taken out, its test fails with not_run.

--- a/limpetroute/entry/adopted_run.py
+++ b/limpetroute/entry/adopted_run.py
@@ -79,7 +79,7 @@
             return
         if engine is not None:
             self._free(engine)
-        await self._go_on(self._tries).run()
+        await self._go_on(max(1, self._tries)).run()
 
     async def _resume(self, engine: engine_client.EngineClient) -> bool:
         record = self._live.record
--- a/limpetroute/entry/host.py
+++ b/limpetroute/entry/host.py
@@ -325,7 +325,7 @@
             self.peers.copies.sender.let_go(live.record.request_id)
             self.records.discard(live)
             live.handed_over = True
-            live.cancel('taken_over')
+            live.cancel(run_task.TAKEN_OVER)
             live.wake()
 
     async def _hand_over(self) -> None:
--- a/limpetroute/entry/run_task.py
+++ b/limpetroute/entry/run_task.py
@@ -8,8 +8,8 @@
 from limpetroute.decisions import action
 from limpetroute.decisions import stage
 from limpetroute.decisions import work
-from limpetroute.entry import answer_reader
 from limpetroute.entry import attempt as attempt_module
+from limpetroute.entry import decode_stream
 from limpetroute.entry import live_record
 from limpetroute.entry import outcome
 from limpetroute.entry import run_holdings
@@ -24,10 +24,10 @@
 
 LOG = logging.getLogger(__name__)
 
-MAX_RESUMES = 2
-RESUME_PAUSE_S = 0.05
 INTERNAL_RETRY_AFTER_S = 1.0
 RESUME_ELSEWHERE = 'draining_resume_elsewhere'
+TAKEN_OVER = 'taken_over'
+ELSEWHERE = frozenset({RESUME_ELSEWHERE, TAKEN_OVER})
 FAILURES = (engine_failure.Failed, engine_failure.Refused)
 _Result = typing.TypeVar('_Result')
 
@@ -77,6 +77,10 @@
         self._holdings = run_holdings.RunHoldings(live=live, tools=tools)
         self._handed_on = False
         self._tries = tries
+        if tries:
+            # Another host has sent it before: what that host's guard
+            # knew is lost, so nothing can prove that it did not run.
+            self._guard.mark_sending()
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(work_id={self._item.work_id!r})'
@@ -112,11 +116,14 @@
 
     def _cancelled(self) -> outcome.Outcome:
         reason = self._live.cancel_reason
-        if reason == RESUME_ELSEWHERE:
-            return outcome.given_up(
-                self._guard, reason, INTERNAL_RETRY_AFTER_S
+        if reason not in ELSEWHERE:
+            return outcome.Cancelled(reason=reason)
+        if self._live.handed_over:
+            # Another host goes on with it, also if it was only queued.
+            return outcome.Unknown(
+                reason=reason, retry_after_s=INTERNAL_RETRY_AFTER_S
             )
-        return outcome.Cancelled(reason=reason)
+        return outcome.given_up(self._guard, reason, INTERNAL_RETRY_AFTER_S)
 
     def _close(self) -> None:
         end = self._live.record.end
@@ -292,9 +299,23 @@
     ) -> None:
         self._live.stage = stage.Stage.DECODE
         self._live.runner_id = runner_id
-        got = await self._in_hop(
-            'decode', runner_id, self._read(engine, runner_id, attempt)
+        call = engine_call.DecodeCall(
+            run_id=attempt.run_id,
+            model=self._request.model,
+            max_tokens=self._request.max_tokens - attempt.base,
+            priority=0,
+            fence=attempt.fences.get(runner_id, 0),
+            options=self._request.options,
+        )
+        stream = decode_stream.DecodeStream(
+            call=call,
+            engine=engine,
+            live=self._live,
+            max_events=self._request.max_tokens,
+            tools=self._tools,
         )
+        self._guard.mark_sending()
+        got = await self._in_hop('decode', runner_id, stream.run())
         if isinstance(got, engine_call.EndEvent):
             self._complete(got.finish_reason, result.prompt_tokens)
             return
@@ -306,50 +327,6 @@
         self._holdings.free()
         self._failed(stage.Stage.DECODE, runner_id)
 
-    async def _read(
-        self,
-        engine: engine_client.EngineClient,
-        runner_id: str,
-        attempt: attempt_module.Attempt,
-    ) -> engine_call.EndEvent | engine_failure.EngineFailure:
-        """Read the answer, and resume the same run if its stream breaks.
-
-        A run whose stream broke goes on at the engine: asking it for
-        the rest keeps the one sampling, and costs no second prefill.
-        """
-        reader = answer_reader.AnswerReader(append=self._append)
-        timeout_s = self._tools.settings.token_timeout_s
-        call = engine_call.DecodeCall(
-            run_id=attempt.run_id,
-            model=self._request.model,
-            max_tokens=self._request.max_tokens - attempt.base,
-            priority=0,
-            fence=attempt.fences.get(runner_id, 0),
-            options=self._request.options,
-        )
-        self._guard.mark_sending()
-        got = await reader.read(engine.decode(call, token_timeout_s=timeout_s))
-        tries = 0
-        while isinstance(got, engine_failure.Failed) and got.resumable:
-            if tries == MAX_RESUMES:
-                break
-            before = reader.last_index
-            self._tools.meters.retried('resume')
-            await asyncio.sleep(RESUME_PAUSE_S)
-            if before < 0:
-                # The order itself may be lost; a second one for the
-                # same run id starts nothing twice.
-                events = engine.decode(call, token_timeout_s=timeout_s)
-            else:
-                events = engine.resume(
-                    attempt.run_id,
-                    after_index=before,
-                    token_timeout_s=timeout_s,
-                )
-            got = await reader.read(events)
-            tries = 0 if reader.last_index > before else tries + 1
-        return got
-
     async def _in_hop(
         self,
         name: str,
@@ -363,12 +340,6 @@
                 hop.fail(got.reason)
             return got
 
-    def _append(self, text: str) -> None:
-        if self._is_whole():
-            return
-        self._live.append(text, self._tools.scheduler.now_s)
-        self._tools.scheduler.tokens(self._item.work_id, 1)
-
     def _is_whole(self) -> bool:
         return len(self._live.record.events) >= self._request.max_tokens
 
--- a/tests/entry/test_answers_whole.py
+++ b/tests/entry/test_answers_whole.py
@@ -3,6 +3,9 @@
 
 import pytest
 
+from limpetroute.entry import live_record
+from limpetroute.entry import run_request
+from limpetroute.peers import request_record
 from limpetroute.standins import answer_text
 from tests.entry import fleet as fleet_module
 from tests.entry import raw_caller
@@ -279,3 +282,59 @@
         first_token_s=1.0,
         engine={'step_s': 0.001},
     )
+
+
+def test_taken_over_request_is_never_not_run() -> None:
+    # A host is lost after it has sent a request to a runner. The one
+    # that takes it over finds that all runners refuse. It has sent
+    # nothing itself, yet the request may have run.
+    async def story(fleet: fleet_module.Fleet) -> None:
+        fleet.fault(fleet.prefills[0], refuse=True)
+        caller = await raw_caller.ask(fleet, stream=False)
+        assert await caller.read_head() == 503
+        request = run_request.RunRequest(
+            request_id='req-1',
+            team='default',
+            key='key',
+            body_digest='',
+            model=fleet_module.MODEL,
+            prompt='x',
+            max_tokens=3,
+        )
+        live = fleet.host.submit(request)
+        await live.ended()
+        assert live.record.end.kind == 'not_run'
+        taken = live_record.LiveRecord(record=_record(), shape=live.shape)
+        await fleet.host._run_task(request, taken, 1).run()
+        assert taken.record.end.kind == 'unknown'
+
+    fleet_module.play(story, first_token_s=0.3)
+
+
+def test_handed_over_request_is_never_not_run() -> None:
+    # A host that stops hands a queued request to another one, which
+    # runs it. Its caller must not be told that it was not run.
+    async def story(fleet: fleet_module.Fleet) -> None:
+        fleet.host.hands_over = True
+        first = await raw_caller.ask(fleet, max_tokens=4000)
+        await first.read_events(1)
+        second = await raw_caller.ask(fleet, stream=False)
+        await fleet_module.until(lambda: fleet.host.in_progress == 2)
+        stopping = asyncio.create_task(fleet.entry.stop())
+        await second.read_head()
+        assert second.headers['limpetroute-outcome'] == 'unknown'
+        await stopping
+
+    fleet_module.play(
+        story, drain_timeout_s=0.3, first_token_s=30.0, engine={'slots': 1}
+    )
+
+
+def _record() -> request_record.RequestRecord:
+    return request_record.RequestRecord(
+        request_id='req-2',
+        team='default',
+        key='key',
+        body_digest='',
+        run_id='run-' + 32 * '0',
+    )
