--- a/limpetroute/entry/base_handler.py
+++ b/limpetroute/entry/base_handler.py
@@ -19,6 +19,7 @@
 TEAM_PATTERN = re.compile(r'[\w.:/-]{1,200}')
 BEARER = 'bearer '
 MAX_HEADERS = 100
+MAX_KEY_CHARS = 255
 MAX_HEADER_BYTES = 16384
 INTERNAL_ERROR = 500
 PENDING = 'pending'
@@ -60,6 +61,23 @@
             raise RuntimeError('the caller is not authenticated')
         return self._team
 
+    @property
+    def key(self) -> str | None:
+        """The caller's idempotency key."""
+        return self.request.headers.get('Idempotency-Key')
+
+    def has_fit_key(self) -> bool:
+        """Whether the key can be used, or is absent; answer 400 if not."""
+        if self.key is None or 1 <= len(self.key) <= MAX_KEY_CHARS:
+            return True
+        self.fail(
+            400,
+            f'Idempotency-Key: 1 to {MAX_KEY_CHARS} characters',
+            code='invalid_key',
+            param='Idempotency-Key',
+        )
+        return False
+
     def authenticate(self) -> bool:
         """Find the caller's team; answer 401 if there is none."""
         if self.request.path.startswith(peer_relay.PREFIX):
--- a/limpetroute/entry/completions_handler.py
+++ b/limpetroute/entry/completions_handler.py
@@ -14,7 +14,6 @@
 from limpetroute.entry import run_request
 from limpetroute.peers import run_end
 
-MAX_KEY_CHARS = 255
 Body = completion_body.CompletionBody | completion_body.ChatBody
 
 
@@ -58,7 +57,7 @@
         run_id, index = found
         if await self.relay(run_id=run_id, body=self.body):
             return
-        live = await self.host.finder.by_run(self.team, run_id)
+        live = self.host.records.by_run(self.team, run_id)
         if live is None:
             self.fail(
                 http.HTTPStatus.CONFLICT,
@@ -78,19 +77,13 @@
     async def _find_or_start(
         self, body: Body, digest: str
     ) -> live_record.LiveRecord | None:
-        key = self.request.headers.get('Idempotency-Key')
+        key = self.key
         if key is None:
             # A caller that goes before it was told the request's name
             # cannot come back for it.
             self._grace_s = 0.0
             return self._start(body, digest, None)
-        if not 1 <= len(key) <= MAX_KEY_CHARS:
-            self.fail(
-                400,
-                f'Idempotency-Key: 1 to {MAX_KEY_CHARS} characters',
-                code='invalid_key',
-                param='Idempotency-Key',
-            )
+        if not self.has_fit_key():
             return None
         if await self.relay(key=key, body=self.body):
             return None
--- a/limpetroute/entry/events_handler.py
+++ b/limpetroute/entry/events_handler.py
@@ -13,7 +13,7 @@
             return
         if await self.relay(request_id=request_id):
             return
-        live = await self.host.finder.by_id(self.team, request_id)
+        live = self.host.records.by_id(self.team, request_id)
         if live is None:
             self.fail(404, 'no such request', code='request_not_found')
             return
--- a/limpetroute/entry/host.py
+++ b/limpetroute/entry/host.py
@@ -19,10 +19,10 @@
 from limpetroute.entry import decision_recorder
 from limpetroute.entry import grants as grants_module
 from limpetroute.entry import host_exports
+from limpetroute.entry import latency_targets
 from limpetroute.entry import live_record
 from limpetroute.entry import manifest_index as manifest_index_module
 from limpetroute.entry import peer_node
-from limpetroute.entry import record_finder
 from limpetroute.entry import record_store
 from limpetroute.entry import run_freer
 from limpetroute.entry import run_request
@@ -85,9 +85,6 @@
         )
         self.freer = run_freer.RunFreer()
         self.records = record_store.RecordStore(retain_s=settings.retain_s)
-        self.finder: record_finder.RecordFinder = (
-            record_finder.LocalRecordFinder(records=self.records)
-        )
         self.manifest: manifest_module.ManifestBody | None = None
         self.draining = False
         # Handlers of requests that are not answered yet.
@@ -344,7 +341,7 @@
         self, request: run_request.RunRequest, now_s: float
     ) -> work.Work:
         prompt = request.prompt.encode()
-        first_token_s, token_gap_s = self._targets()
+        targets = latency_targets.in_force(self.manifest, self.settings)
         return work.Work(
             work_id=request.request_id,
             team=request.team,
@@ -352,18 +349,12 @@
             prompt_tokens=prefix.estimate_tokens(prompt),
             max_tokens=request.max_tokens,
             arrived_s=now_s,
-            first_token_by_s=now_s + first_token_s,
-            token_gap_s=token_gap_s,
+            first_token_by_s=now_s + targets.first_token_s,
+            token_gap_s=targets.token_gap_s,
             prefix_blocks=prefix.prefix_blocks(prompt),
             zone=self.settings.zone,
         )
 
-    def _targets(self) -> tuple[float, float]:
-        if self.manifest is not None:
-            targets = self.manifest.targets
-            return targets.first_token_s, targets.token_gap_s
-        return self.settings.first_token_s, self.settings.token_gap_s
-
     def _ended(self, live: live_record.LiveRecord) -> None:
         self._open.discard(live)
         self.records.ended(live, time.monotonic())
@@ -371,21 +362,9 @@
         assert end is not None
         if end.kind is run_end.EndKind.NOT_RUN:
             self.meters.refused(end.finish_reason)
-        self.meters.ended(str(end.kind), good=self._is_good(live))
-
-    def _is_good(self, live: live_record.LiveRecord) -> bool:
-        end = live.record.end
-        if end is None or end.kind is not run_end.EndKind.COMPLETED:
-            return False
-        if live.first_token_s is None or live.last_token_s is None:
-            return False
-        first_s = live.first_token_s - live.arrived_s
-        gaps = max(1, len(live.record.events) - 1)
-        gap_s = (live.last_token_s - live.first_token_s) / gaps
-        self.meters.first_token(first_s)
-        self.meters.token_gap(gap_s)
-        first_token_s, token_gap_s = self._targets()
-        return first_s <= first_token_s and gap_s <= token_gap_s
+        targets = latency_targets.in_force(self.manifest, self.settings)
+        good = targets.judge(live, self.meters)
+        self.meters.ended(str(end.kind), good=good)
 
     async def _tick(self) -> None:
         while True:
--- a/limpetroute/entry/request_handler.py
+++ b/limpetroute/entry/request_handler.py
@@ -28,7 +28,7 @@
             return None
         if await self.relay(request_id=request_id):
             return None
-        live = await self.host.finder.by_id(self.team, request_id)
+        live = self.host.records.by_id(self.team, request_id)
         if live is None:
             self.fail(404, 'no such request', code='request_not_found')
         return live
--- a/limpetroute/entry/service_handler.py
+++ b/limpetroute/entry/service_handler.py
@@ -13,7 +13,6 @@
 from limpetroute.runners import service_call
 
 DEFAULT_TIMEOUT_S = 10.0
-MAX_KEY_CHARS = 255
 
 
 class ServiceHandler(body_handler.BodyHandler):
@@ -69,24 +68,17 @@
                 code='service_not_found',
             )
             return
-        key = self.request.headers.get('Idempotency-Key')
-        if key is not None and not 1 <= len(key) <= MAX_KEY_CHARS:
-            self.fail(
-                400,
-                f'Idempotency-Key: 1 to {MAX_KEY_CHARS} characters',
-                code='invalid_key',
-                param='Idempotency-Key',
-            )
+        if not self.has_fit_key():
             return
         timeout_s = rules.timeout_s if rules else DEFAULT_TIMEOUT_S
-        call = self._call(service, path, key, timeout_s)
+        call = self._call(service, path, self.key, timeout_s)
         self.set_header('Limpetroute-Request-Id', call.key)
         method = str(self.request.method)
         if call_rules.is_repeatable(rules, method, plain):
             work = desk.repeatable(call)
         else:
             work = desk.once(
-                self.team, self._digest(call), call, made_key=key is None
+                self.team, self._digest(call), call, made_key=self.key is None
             )
         # Only the wait is this handler's: a once-only call goes on in a
         # task of its own when its caller goes.
--- a/tests/entry/test_bad_input.py
+++ b/tests/entry/test_bad_input.py
@@ -108,6 +108,22 @@
     fleet_module.play(story)
 
 
+def test_over_long_key() -> None:
+    # A key longer than the limit would fill the records' index.
+    async def story(fleet: fleet_module.Fleet) -> None:
+        for key in ('', 'k' * 300):
+            status, _, body = await raw_caller.fetch(
+                fleet,
+                'POST',
+                '/v1/completions',
+                GOOD,
+                headers={'Idempotency-Key': key},
+            )
+            assert (status, body['error']['code']) == (400, 'invalid_key')
+
+    fleet_module.play(story)
+
+
 def test_over_long_prompt() -> None:
     # The manifest limits the prompts of a model. A longer one is told
     # so before it costs a prefill.
