--- a/tests/entry/test_gone_callers.py
+++ b/tests/entry/test_gone_callers.py
@@ -183,3 +183,22 @@
         await _all_free(fleet)
 
     fleet_module.play(story, prefills=2, decodes=3, first_token_s=30.0)
+
+
+def test_nobody_can_come_back_for_it() -> None:
+    # A caller without a key goes before it was told the request's id.
+    # It cannot name the request, so there is no grace to wait out; with
+    # a key of its own it has the grace.
+    async def story(fleet: fleet_module.Fleet) -> None:
+        key = {'Idempotency-Key': 'k'}
+        nameless = await raw_caller.ask(fleet, stream=False, **LONG)
+        named = await raw_caller.ask(fleet, stream=False, headers=key, **LONG)
+        await fleet_module.until(lambda: fleet.count('words') > 3)
+        nameless.fin()
+        named.fin()
+        await fleet_module.until(lambda: fleet.host.in_progress == 1)
+        await asyncio.sleep(TRANSFER_S)
+        assert fleet.host.in_progress == 1
+        assert fleet.host.records.by_key('default', 'k').record.end is None
+
+    fleet_module.play(story, resume_grace_s=60.0)
