--- /dev/null
+++ b/limpetroute/cli/bench.py
@@ -0,0 +1,148 @@
+"""Play the decisions on a virtual clock and compare policies.
+
+Usage:
+  limpetroute bench run EXPERIMENT [--seeds N] [--cases LIST]
+                    [--policies LIST] [--json FILE] [--html FILE]
+  limpetroute bench cost [--json FILE]
+
+Options:
+  --seeds N        Play the first N seeds only.
+  --cases LIST     Names of cases, with commas between them.
+  --policies LIST  Policies to play in place of the experiment's own:
+                   round_robin, least_load, two_choices, full,
+                   without_<decision>; @goodput or @wasted_prefill
+                   after a name sets its objective.
+  --json FILE      Write the result there.
+  --html FILE      Write a report with plots there.
+  -h --help        Show this help.
+
+Example:
+  limpetroute bench run experiments/federation.json --html report.html
+"""
+
+import json
+import pathlib
+import sys
+import typing
+
+import docopt
+from rich import console as rich_console
+from rich import progress
+
+from limpetroute.border import errors
+from limpetroute.border import experiment
+from limpetroute.border import settings_file
+from limpetroute.decisions import routers
+
+EXIT_OK = 0
+EXIT_USAGE = 2
+
+
+def run(argv: typing.Sequence[str]) -> int:
+    """Run the command."""
+    assert __doc__ is not None
+    args = docopt.docopt(__doc__, list(argv))
+    if args['cost']:
+        return _cost(args)
+    try:
+        path = pathlib.Path(args['EXPERIMENT'])
+        body = settings_file.load(experiment.ExperimentBody, path)
+        body = _narrow(body, args)
+    except errors.InvalidInputError as exc:
+        for line in exc.lines:
+            print(line, file=sys.stderr)
+        return EXIT_USAGE
+    return _play(body, args)
+
+
+def _narrow(
+    body: experiment.ExperimentBody, args: dict[str, typing.Any]
+) -> experiment.ExperimentBody:
+    """Keep what the options ask for."""
+    changes: dict[str, typing.Any] = {}
+    if args['--seeds'] is not None:
+        count = args['--seeds']
+        if not count.isdigit() or not 1 <= int(count) <= len(body.seeds):
+            line = f'--seeds: {count!r} is not 1 to {len(body.seeds)}'
+            raise errors.InvalidInputError(lines=[line])
+        changes['seeds'] = body.seeds[: int(count)]
+    if args['--cases'] is not None:
+        wanted = args['--cases'].split(',')
+        known = {case.name: case for case in body.cases}
+        _check('--cases', wanted, list(known))
+        changes['cases'] = [known[name] for name in wanted]
+    policies = body.policies
+    if args['--policies'] is not None:
+        policies = args['--policies'].split(',')
+        changes['policies'] = policies
+    names = [name.partition('@')[0] for name in policies]
+    _check('policies', names, routers.names())
+    objectives = [name.partition('@')[2] for name in policies]
+    _check('policies', objectives, ['', 'goodput', 'wasted_prefill'])
+    return body.model_copy(update=changes)
+
+
+def _check(field: str, wanted: list[str], known: list[str]) -> None:
+    for name in wanted:
+        if name in known:
+            continue
+        allowed = ', '.join(word for word in known if word)
+        line = f'{field}: {name!r} is not one of: {allowed}'
+        raise errors.InvalidInputError(lines=[line])
+
+
+def _play(body: experiment.ExperimentBody, args: dict[str, typing.Any]) -> int:
+    from limpetroute.bench import experiment_run
+    from limpetroute.bench import report_html
+
+    total = len(body.cases) * len(body.policies) * len(body.seeds)
+    screen = rich_console.Console(stderr=True)
+    found = list(
+        progress.track(
+            experiment_run.plays(body, body.seeds),
+            description=body.name,
+            total=total,
+            console=screen,
+        )
+    )
+    rows = experiment_run.summarize(found)
+    for row in rows:
+        print(_line(row))
+    if args['--json'] is not None:
+        result = {'experiment': body.name, 'rows': rows, 'plays': found}
+        _write(args['--json'], json.dumps(result, indent=1))
+    if args['--html'] is not None:
+        page = report_html.render(body.name, body.note, rows)
+        _write(args['--html'], page)
+    return EXIT_OK
+
+
+def _line(row: typing.Mapping[str, typing.Any]) -> str:
+    good = row['goodput_per_s']
+    return (
+        f'{row["case"]:16} {row["policy"]:24} '
+        f'goodput/s {good["median"]:7.2f} '
+        f'({good["least"]:.2f}..{good["most"]:.2f}) '
+        f'wasted {row["wasted_prefill"]["median"]:.4f} '
+        f'wrongly admitted {row["wrongly_admitted"]["median"]:.3f}'
+    )
+
+
+def _cost(args: dict[str, typing.Any]) -> int:
+    from limpetroute.bench import decision_cost
+
+    rows = decision_cost.measure()
+    for row in rows:
+        print(
+            f'runners {row["runners"]:5} teams {row["teams"]:6} '
+            f'queued {row["queued"]:6} '
+            f'median {row["median_us"]:7.1f} us '
+            f'99th {row["p99_us"]:7.1f} us'
+        )
+    if args['--json'] is not None:
+        _write(args['--json'], json.dumps({'cost': rows}, indent=1))
+    return EXIT_OK
+
+
+def _write(name: str, text: str) -> None:
+    pathlib.Path(name).write_text(text + '\n')
--- a/limpetroute/cli/main.py
+++ b/limpetroute/cli/main.py
@@ -16,6 +16,7 @@
   requests   List requests that entry hosts hold.
   check      Check settings, manifests and traces; start nothing.
   replay     Play recorded traces and compare their outcomes.
+  bench      Compare policies on a virtual clock.
 
 `limpetroute <command> --help` shows each command with an example.
 
@@ -46,6 +47,7 @@
     'requests',
     'check',
     'replay',
+    'bench',
 )
 
 
--- a/limpetroute/decisions/decode_placement.py
+++ b/limpetroute/decisions/decode_placement.py
@@ -15,7 +15,7 @@
 from limpetroute.decisions import transfer_budget
 from limpetroute.decisions import work
 
-CANDIDATES = 6
+CANDIDATES = 4
 FULLNESS_S = 0.05
 
 
--- a/limpetroute/decisions/fair_queue.py
+++ b/limpetroute/decisions/fair_queue.py
@@ -9,8 +9,9 @@
 goes to the least virtual time, which moves on by the cost of what was
 taken over the team's share (start-time fair queueing): a team that was
 idle starts at the present virtual time and cannot save up turns. Only
-teams with work queued, or whose last turn lies ahead of the present
-virtual time, take memory; the rest of 13,000 are forgotten.
+teams with work queued, and the last `MAX_IDLE` whose turn lies ahead
+of the present virtual time, take memory; the rest of 13,000 are
+forgotten.
 
 Short work goes first, as it costs little, but while long work waits
 short work gets at most `SHORT_SHARE` of the cost served, so no dossier
@@ -25,6 +26,7 @@
 
 SHORT_SHARE = 0.5
 PRUNE_EVERY = 256
+MAX_IDLE = 512
 TURNS = 3.0
 
 
@@ -198,6 +200,20 @@
         ]
         for name in idle:
             del self.teams[name]
+        self._forget_oldest()
+
+    def _forget_oldest(self) -> None:
+        """Bound the idle teams that are remembered for their last turn.
+
+        While no work waits the virtual time stands still, so a turn
+        never lies behind it, and all 13,000 teams would be kept.
+        """
+        idle = [name for name, team in self.teams.items() if not team.heap]
+        if len(idle) <= MAX_IDLE:
+            return
+        idle.sort(key=lambda name: self.teams[name].finish)
+        for name in idle[: len(idle) - MAX_IDLE // 2]:
+            del self.teams[name]
 
 
 class FairQueue:
--- a/limpetroute/decisions/fleet.py
+++ b/limpetroute/decisions/fleet.py
@@ -41,7 +41,6 @@
             self._unlist(old)
         if old is not None and old.facts.incarnation == facts.incarnation:
             old.facts = facts
-            old.pace_slots = min(old.pace_slots, facts.slots)
             self._list(old)
             return True
         state = runner_state.RunnerState(facts=facts)
@@ -58,11 +57,16 @@
 
     def moved(self, state: runner_state.RunnerState) -> None:
         """Put a runner where its changed load belongs."""
-        old = self._places.get(state.runner_id)
-        if old is None or old == _place(state):
+        runner_id = state.facts.runner_id
+        old = self._places.get(runner_id)
+        new = _place(state)
+        if old is None or old == new:
             return
-        self._unlist(state)
-        self._list(state)
+        self._places[runner_id] = new
+        for model in state.facts.models:
+            listed = self._lists[(state.facts.role, model)]
+            listed.remove(old)
+            listed.add(new)
 
     def best(
         self, role: runner_facts.Role, model: str, count: int
@@ -77,6 +81,16 @@
             count -= 1
             yield state
 
+    def top(
+        self, role: runner_facts.Role, model: str
+    ) -> runner_state.RunnerState | None:
+        """Return the least loaded usable runner."""
+        for _, runner_id in self._lists.get((role, model), ()):
+            state = self.runners[runner_id]
+            if state.usable:
+                return state
+        return None
+
     def listed(
         self, role: runner_facts.Role, model: str, count: int
     ) -> list[runner_state.RunnerState]:
--- a/limpetroute/decisions/forecast.py
+++ b/limpetroute/decisions/forecast.py
@@ -57,9 +57,8 @@
     def foreign_wait_s(self, model: str) -> float:
         """Wait that other hosts' work adds at a prefill runner."""
         role = runner_facts.Role.PREFILL
-        for state in self._fleet.best(role, model, 1):
-            return self._predictor.wait_s(state.runner_id)
-        return 0.0
+        state = self._fleet.top(role, model)
+        return self._predictor.wait_s(state.runner_id) if state else 0.0
 
     def free_in_s(self, model: str, now_s: float) -> float:
         """Time until some prefill runner may get more of our work."""
@@ -94,17 +93,17 @@
 
     def decode_example(self, model: str) -> runner_state.RunnerState | None:
         """Return the decode runner of a model with the most room."""
-        role = runner_facts.Role.DECODE
-        for state in self._fleet.best(role, model, 1):
-            return state
-        return None
+        return self._fleet.top(runner_facts.Role.DECODE, model)
 
-    def decode_room(self, model: str, kv_bytes: int) -> tuple[int, int]:
+    def decode_room(
+        self, model: str, kv_bytes: int, enough: int
+    ) -> tuple[int, int]:
         """Count requests that fit now, and slots that we hold.
 
         Slots of other hosts come free too, but each host counts on its
         own: counted on by all seven, one slot was promised seven times
-        and a tenth of the reading was thrown away.
+        and a tenth of the reading was thrown away. Counting stops where
+        ``enough`` fit.
         """
         free = 0
         busy = 0
@@ -112,6 +111,8 @@
         for state in self._fleet.best(role, model, ROOM_CANDIDATES):
             by_bytes = state.free_bytes // max(1, kv_bytes)
             free += max(0, min(state.free_slots, by_bytes))
+            if free >= enough:
+                break
             busy += len(state.held)
         return free, busy
 
--- a/limpetroute/decisions/full_policy.py
+++ b/limpetroute/decisions/full_policy.py
@@ -36,7 +36,6 @@
 RESUME_LIMIT_S = 5.0
 SAMPLE_TOKENS = 4
 MAX_SHED = 4
-PACE_BACK = 0.25
 RESULT_MARGIN_S = 0.05
 EXAMPLE_AHEAD_S = 0.1
 
@@ -493,7 +492,7 @@
         if not self._config.uses(Decision.RESERVATION):
             return True
         free, busy = self._forecast.decode_room(
-            job.item.model, self._kv_bytes(job)
+            job.item.model, self._kv_bytes(job), state.unslotted + 1
         )
         if free > state.unslotted:
             return True
@@ -755,11 +754,8 @@
         if state is None:
             return
         self._predictor.saw_gap(state.runner_id, gap_s)
-        if gap_s <= job.item.token_gap_s:
-            pace = state.pace_slots + PACE_BACK
-            state.pace_slots = min(float(state.facts.slots), pace)
-            return
-        self._judge(state, now_s)
+        if gap_s > job.item.token_gap_s:
+            self._judge(state, now_s)
 
     def _judge(self, state: runner_state.RunnerState, now_s: float) -> None:
         if not self._config.uses(Decision.EJECTION):
--- a/limpetroute/decisions/prefix_index.py
+++ b/limpetroute/decisions/prefix_index.py
@@ -93,6 +93,8 @@
     ) -> int:
         # Each hash covers all blocks before it, so holding is monotone
         # but for gaps in the events, and halving finds its end.
+        if not blocks:
+            return 0
         low = 0
         high = len(blocks)
         while low < high:
--- a/limpetroute/decisions/runner_state.py
+++ b/limpetroute/decisions/runner_state.py
@@ -25,7 +25,6 @@
         'held_bytes',
         'outstanding',
         'outstanding_s',
-        'pace_slots',
         'paused_until_s',
     )
 
@@ -37,7 +36,6 @@
         self.held_bytes = 0
         self.foreign_slots = 0
         self.foreign_bytes = 0
-        self.pace_slots = float(facts.slots)
         self.paused_until_s = 0.0
         self.free_at_s = 0.0
         self.ejected = False
@@ -53,8 +51,7 @@
     @property
     def free_slots(self) -> int:
         """Slots that nobody is known to hold."""
-        slots = min(self.facts.slots, int(self.pace_slots))
-        return slots - len(self.held) - self.foreign_slots
+        return self.facts.slots - len(self.held) - self.foreign_slots
 
     @property
     def free_bytes(self) -> int:
--- /dev/null
+++ b/tests/decisions/test_parts.py
@@ -0,0 +1,298 @@
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from limpetroute.decisions import admission
+from limpetroute.decisions import comeback
+from limpetroute.decisions import ejection
+from limpetroute.decisions import fair_queue
+from limpetroute.decisions import fleet as fleet_module
+from limpetroute.decisions import prefix_index
+from limpetroute.decisions import retry_budget
+from limpetroute.decisions import runner_facts
+from limpetroute.decisions import smoothed
+from limpetroute.decisions import transfer_budget
+
+
+def queued(number, team='a', cost_s=1.0, long=False, due_s=10.0):
+    return fair_queue.Queued(
+        work_id=f'w{number}',
+        team=team,
+        cost_s=cost_s,
+        due_s=due_s,
+        long=long,
+    )
+
+
+def drain(queue):
+    order = []
+    while len(queue):
+        head = queue.heads()[0]
+        queue.take(head)
+        order.append(head)
+    return order
+
+
+def decode(runner_id, **kwargs):
+    return runner_facts.RunnerFacts(
+        runner_id=runner_id,
+        incarnation=1,
+        role=runner_facts.Role.DECODE,
+        zone='z',
+        models=frozenset({'m'}),
+        slots=20,
+        kv_capacity_bytes=1000,
+        kv_bytes_per_token=1,
+        **kwargs,
+    )
+
+
+@hypothesis.given(
+    st.lists(st.tuples(st.sampled_from('abc'), st.booleans()), max_size=30)
+)
+def test_equal_work_of_a_team_keeps_its_order(made):
+    queue = fair_queue.FairQueue(shares={})
+    for number, (team, long) in enumerate(made):
+        queue.add(queued(number, team=team, long=long))
+    order = drain(queue)
+    assert len(order) == len(made)
+    for key in {(item.team, item.long) for item in order}:
+        numbers = [
+            int(item.work_id[1:])
+            for item in order
+            if (item.team, item.long) == key
+        ]
+        assert numbers == sorted(numbers)
+    assert queue.backlog_s == 0
+
+
+@hypothesis.given(
+    st.lists(
+        st.tuples(st.integers(0, 9), st.sampled_from('abc'), st.booleans()),
+        max_size=60,
+    )
+)
+def test_backlog_is_what_is_queued(steps):
+    queue = fair_queue.FairQueue(shares={})
+    held = {}
+    for number, team, long in steps:
+        work_id = f'w{number}'
+        if work_id in held:
+            assert queue.discard(work_id) is held.pop(work_id)
+            continue
+        held[work_id] = queued(number, team=team, long=long)
+        queue.add(held[work_id])
+    assert len(queue) == len(held)
+    assert queue.backlog_s == pytest.approx(len(held))
+    assert {item.work_id for item in drain(queue)} == set(held)
+
+
+def test_heavy_team_waits_for_its_own():
+    # One team sends fifty requests, then another sends one. Without
+    # turns by team the second would wait for all fifty.
+    queue = fair_queue.FairQueue(shares={})
+    for number in range(50):
+        queue.add(queued(number, team='heavy'))
+    queue.add(queued(50, team='light'))
+    places = [item.team for item in drain(queue)]
+    assert places.index('light') <= 1
+
+
+def test_shares_divide_the_turns():
+    queue = fair_queue.FairQueue(shares={'a': 3.0, 'b': 1.0})
+    for number in range(80):
+        queue.add(queued(number, team='ab'[number % 2]))
+    first = [item.team for item in drain(queue)[:40]]
+    assert first.count('a') == pytest.approx(30, abs=2)
+
+
+def test_long_work_is_not_starved_by_short():
+    queue = fair_queue.FairQueue(shares={})
+    queue.add(queued(0, cost_s=5.0, long=True))
+    for number in range(1, 30):
+        queue.add(queued(number, team=f't{number}'))
+    place = [item.long for item in drain(queue)].index(True)
+    assert 1 <= place <= 10
+
+
+def test_idle_teams_take_no_memory():
+    queue = fair_queue.FairQueue(shares={})
+    for number in range(13000):
+        queue.add(queued(number, team=f't{number}'))
+        queue.take(queue.heads()[0])
+    assert queue.teams < 1000
+
+
+def test_heaviest_is_the_newest_of_the_team_with_most():
+    queue = fair_queue.FairQueue(shares={})
+    for number in range(6):
+        queue.add(queued(number, team='heavy' if number < 4 else 'light'))
+    assert queue.heaviest().work_id == 'w3'
+    for number in (0, 1, 2, 3):
+        queue.discard(f'w{number}')
+    assert queue.heaviest().team == 'light'
+
+
+@hypothesis.given(st.lists(st.booleans(), max_size=400))
+def test_retry_budget_is_a_share_of_fresh_traffic(steps):
+    budget = retry_budget.RetryBudget()
+    fresh = retries = 0
+    for is_fresh in steps:
+        if is_fresh:
+            fresh += 1
+            budget.earn()
+            continue
+        retries += budget.spend(1)
+        assert budget.tokens >= 0
+    most = retry_budget.RESERVE + retry_budget.SHARE * fresh
+    assert retries <= most
+
+
+@hypothesis.given(
+    st.lists(
+        st.tuples(st.integers(0, 4), st.integers(0, 2), st.integers(1, 99)),
+        max_size=60,
+    )
+)
+def test_transfer_bytes_are_never_negative(steps):
+    budget = transfer_budget.TransferBudget()
+    moving = {}
+    for number, (name, what, size) in enumerate(steps):
+        work_id = f'w{name}'
+        if what == 0:
+            budget.start(work_id, ('a', 'b'), size, float(number))
+            moving[work_id] = size
+        elif what == 1:
+            budget.arrived(work_id, float(number))
+            moving.pop(work_id, None)
+        else:
+            budget.abandon(work_id)
+            moving.pop(work_id, None)
+        assert budget.under_way_bytes == sum(moving.values())
+
+
+def test_stalled_transfer_ends_while_its_result_lives():
+    budget = transfer_budget.TransferBudget()
+    route = ('a', 'b')
+    predicted_s = 0.3
+    size = int(predicted_s * transfer_budget.PRIOR_BYTES_PER_S)
+    assert budget.timeout_s(route, size, 0.7) == pytest.approx(0.7)
+    # One that cannot be over by then gets its time.
+    assert budget.timeout_s(route, 4 * size, 0.7) > 4 * predicted_s
+
+
+def test_appointments_are_spaced_and_kept():
+    # Ten callers are refused at once. Told the same second they would
+    # all be refused again; each gets a time of its own instead.
+    book = comeback.Comeback()
+    waits = [
+        book.promise(
+            team='a', key=f'k{n}', cost_s=0.2, rate=1.0, least_s=0, now_s=0
+        )
+        for n in range(10)
+    ]
+    gaps = [
+        after - before for before, after in zip(waits, waits[1:], strict=False)
+    ]
+    assert min(gaps) >= 0.2
+    assert book.kept(
+        team='a', key='k3', returning=False, behind=False, now_s=waits[3]
+    )
+    assert not book.kept(
+        team='a', key='k3', returning=False, behind=False, now_s=waits[3]
+    )
+    assert not book.kept(
+        team='a', key='fresh', returning=False, behind=False, now_s=waits[3]
+    )
+    book.advance(1000.0)
+    assert len(book) == 0
+    assert book.due_cost_s == 0
+
+
+def test_margin_settles_at_the_share_of_misses():
+    margin = admission.Margin()
+    for number in range(5000):
+        margin.saw(missed=margin.value_s(1.0) < 0.3 and number % 2 == 0)
+    assert margin.value_s(1.0) == pytest.approx(0.31, abs=0.05)
+
+
+def test_hopeless_target_is_not_refused_for_ever():
+    # A dossier takes 1.5 s to read; the target is 1 s.
+    limit_s = admission.limit_s(
+        arrived_s=0.0, first_token_by_s=1.0, idle_s=1.5
+    )
+    assert limit_s > 1.5
+
+
+def ejected(values):
+    fleet = fleet_module.Fleet()
+    judge = ejection.Ejection()
+    figures = {}
+    for name, value in values.items():
+        fleet.add(decode(name))
+        figures[name] = smoothed.Smoothed(prior=0.0, weight=1.0)
+        for _ in range(ejection.MIN_SAMPLES):
+            figures[name].add(value)
+    for name in values:
+        judge.judge(
+            fleet=fleet,
+            state=fleet.runners[name],
+            figures=figures,
+            now_s=0.0,
+        )
+    return judge, fleet
+
+
+def test_slow_runner_is_out_and_comes_back():
+    judge, fleet = ejected({'a': 0.02, 'b': 0.02, 'c': 0.1, 'd': 0.02})
+    assert judge.out == {'c'}
+    assert judge.probe(fleet, ejection.OUT_S) == ['c']
+    assert fleet.runners['c'].usable
+
+
+def test_few_are_out_at_a_time():
+    values = {f'r{n}': 0.1 if n < 4 else 0.02 for n in range(9)}
+    judge, _ = ejected(values)
+    assert 1 <= len(judge.out) <= 2
+
+
+def test_slow_pool_is_not_a_fault():
+    judge, _ = ejected({'a': 0.1, 'b': 0.11, 'c': 0.12})
+    assert not judge.out
+
+
+def test_prefix_is_believed_less_with_age():
+    index = prefix_index.PrefixIndex()
+    index.stored('p', range(10), 0.0)
+    fresh = index.expected_tokens('p', tuple(range(20)), 0.0)
+    old = index.expected_tokens(
+        'p', tuple(range(20)), prefix_index.HALF_LIFE_S
+    )
+    assert fresh == 10 * prefix_index.BLOCK_TOKENS
+    assert old == pytest.approx(fresh / 2)
+    index.evicted('p', range(5, 10))
+    assert index.expected_tokens('p', tuple(range(20)), 0.0) == fresh / 2
+    index.forget('p')
+    assert index.holders(tuple(range(20))) == []
+
+
+@hypothesis.given(st.lists(st.integers(0, 25), max_size=60))
+def test_fleet_orders_by_free_slots(steps):
+    fleet = fleet_module.Fleet()
+    for name in 'abcd':
+        fleet.add(decode(name))
+    for number, pick in enumerate(steps):
+        state = fleet.runners['abcd'[pick % 4]]
+        if f'w{pick}' in state.held:
+            state.release(f'w{pick}')
+        else:
+            state.hold(f'w{pick}', number)
+            with pytest.raises(ValueError, match='holds room'):
+                state.hold(f'w{pick}', number)
+        fleet.moved(state)
+    free = [
+        state.free_slots
+        for state in fleet.best(runner_facts.Role.DECODE, 'm', 4)
+    ]
+    assert free == sorted(free, reverse=True)
+    assert len(free) == 4
