Start and hold nothing for a caller lost during the look-up

The loss of a connection was told while the other hosts were asked for the key, before there was an attachment to take away; the run started afterwards had nobody to read it. A test with a slow look-up failed with one prefill for nobody; now nothing starts.

--- a/limpetroute/entry/answer_handler.py
+++ b/limpetroute/entry/answer_handler.py
@@ -38,6 +38,10 @@
         after_index : int or None
             Last event the caller has; None starts with the first.
         """
+        if self._gone:
+            # The loss was told before there was anything to detach; an
+            # attachment made now would hold the run for nobody.
+            return
         first = -1 if after_index is None else after_index
         attachment = live.attach(after_index=first)
         self._live = live
--- a/tests/entry/test_gone_callers.py
+++ b/tests/entry/test_gone_callers.py
@@ -3,6 +3,7 @@
 import pytest
 
 from limpetroute.decisions import stage
+from limpetroute.entry import completions_handler
 from tests.entry import fleet as fleet_module
 from tests.entry import raw_caller
 
@@ -202,3 +203,37 @@
         assert fleet.host.records.by_key('default', 'k').record.end is None
 
     fleet_module.play(story, resume_grace_s=60.0)
+
+
+@pytest.mark.parametrize('known', [False, True])
+def test_caller_goes_while_its_key_is_looked_up(
+    known: bool, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    # The caller goes while the other hosts are asked for its key. The
+    # loss was told before there was a run or an attachment: a run
+    # started or attached to afterwards would have nobody to read it,
+    # and nobody to notice.
+    async def look_up(*args: object, **kwargs: object) -> bool:
+        await asyncio.sleep(0.1)
+        return False
+
+    async def story(fleet: fleet_module.Fleet) -> None:
+        key = {'Idempotency-Key': 'k'}
+        if known:
+            first = await raw_caller.ask(fleet, headers=key, **LONG)
+            await first.read_events(1)
+        monkeypatch.setattr(
+            completions_handler.CompletionsHandler, 'relay', look_up
+        )
+        again = await raw_caller.ask(fleet, headers=key, **LONG)
+        await fleet_module.until(
+            lambda: len(fleet.host.exchanges) == 1 + known
+        )
+        again.fin()
+        if known:
+            first.fin()
+        await asyncio.sleep(0.3)
+        await _all_free(fleet)
+        assert fleet.count('prefills') == int(known)
+
+    fleet_module.play(story)
