--- a/limpetroute/agreement/replica.py
+++ b/limpetroute/agreement/replica.py
@@ -105,11 +105,7 @@
         """Return whether no other leader can have been elected yet."""
         if self.role is not Role.LEADER:
             return False
-        return (
-            now_s
-            < self._replication.quorum_round_s(self.membership, now_s=now_s)
-            + self.timings.lease_s
-        )
+        return now_s < self._quorum_round_s(now_s) + self.timings.lease_s
 
     def can_read(self, now_s: float) -> bool:
         """Return whether the applied state holds all acknowledged."""
@@ -181,9 +177,7 @@
         self._start_election()
 
     def _tick_leader(self) -> None:
-        quorum_s = self._replication.quorum_round_s(
-            self.membership, now_s=self._now_s
-        )
+        quorum_s = self._quorum_round_s(self._now_s)
         heard_s = max(quorum_s, self._led_since_s)
         if self._now_s - heard_s > self.timings.election_s:
             # Check-quorum: a leader cut off from its quorum would go on
@@ -532,6 +526,9 @@
         self._heartbeat_due_s = min(self._heartbeat_due_s, soon_s)
         self._promote_learners()
 
+    def _quorum_round_s(self, now_s: float) -> float:
+        return self._replication.quorum_round_s(self.membership, now_s=now_s)
+
     # Membership
 
     def _add_learner(self, event: events.AddLearner) -> None:
