Tell the copy before the end is told; find copies by name

An owner lost right after its last write left a copy that would have told the whole answer again; the end is now noted at the copy first. Look-ups and claims no longer search all copies, and records that are over are no longer looked at in each round of copying.

--- a/limpetroute/entry/answer_handler.py
+++ b/limpetroute/entry/answer_handler.py
@@ -134,6 +134,10 @@
             record.mark_end_delivered(attachment)
             self.fail_with_end(end)
             return
+        await live.close()
+        if not record.is_current(attachment):
+            self._break_off()
+            return
         self.set_header('Limpetroute-Outcome', str(end.kind))
         self.set_header('Content-Type', 'application/json')
         body = live.shape.whole(record.text, end)
--- a/limpetroute/entry/attachment_writer.py
+++ b/limpetroute/entry/attachment_writer.py
@@ -98,6 +98,9 @@
             await self._write(batch)
             record.mark_delivered(attachment, index - 1)
         assert record.end is not None
+        await live.close()
+        if not record.is_current(attachment):
+            return False
         await self._write(self._ending(record.end))
         record.mark_end_delivered(attachment)
         return record.is_current(attachment)
--- a/limpetroute/entry/live_record.py
+++ b/limpetroute/entry/live_record.py
@@ -9,6 +9,8 @@
 from limpetroute.peers import request_record
 from limpetroute.peers import run_end
 
+BeforeEnd = typing.Callable[['LiveRecord'], typing.Awaitable[None]]
+
 
 class LiveRecord:
     """Wakes the attachments of a record when it changes.
@@ -33,6 +35,7 @@
         'attached',
         'attempt_base',
         'attempt_run_id',
+        'before_end',
         'cancel_reason',
         'ended_s',
         'first_token_s',
@@ -65,6 +68,7 @@
         self.stage = stage_module.Stage.QUEUED
         self.attempt_run_id: str | None = None
         self.attempt_base = 0
+        self.before_end: BeforeEnd | None = None
         self.runner_id: str | None = None
         self.cancel_reason = 'caller_gone'
         self.handed_over = False
@@ -142,6 +146,18 @@
         loop = asyncio.get_running_loop()
         self._grace = loop.call_later(grace_s, self._cancel_unless_attached)
 
+    async def close(self) -> None:
+        """Note, here and at the copy, that the end may be told now.
+
+        With this host lost right after the last write, the heir would
+        otherwise tell a whole answer a second time.
+        """
+        if self.record.closing:
+            return
+        self.record.closing = True
+        if self.before_end is not None:
+            await self.before_end(self)
+
     def wake(self) -> None:
         """Wake all that wait in `wait_past`."""
         waiters, self._waiters = self._waiters, []
--- a/limpetroute/entry/peer_copies.py
+++ b/limpetroute/entry/peer_copies.py
@@ -112,6 +112,7 @@
         fence = self._fence
         record = live.record
         record.may_deliver = lambda: self._is_current(fence)
+        live.before_end = self.ensure
         details = dataclasses.asdict(request)
         details['stream'] = stream
         self.sender.add(
--- a/limpetroute/entry/peer_lookup.py
+++ b/limpetroute/entry/peer_lookup.py
@@ -176,17 +176,8 @@
         return records.by_key(call.team, call.key) is not None
 
     def _is_copied(self, call: peer_codec.LookupCall) -> bool:
-        for copied in self._copies.copies():
-            facts = copied.facts
-            if facts.team != call.team:
-                continue
-            if call.request_id and facts.request_id == call.request_id:
-                return True
-            if call.run_id and facts.run_id == call.run_id:
-                return True
-            if call.key and facts.key == call.key:
-                return True
-        return False
+        name = call.request_id or call.run_id or call.key
+        return self._copies.find(call.team, name) is not None
 
     def _is_claimed(self, call: peer_codec.LookupCall) -> bool:
         until_s = self._claims.get((call.team, call.key))
--- a/limpetroute/entry/peer_reaper.py
+++ b/limpetroute/entry/peer_reaper.py
@@ -74,10 +74,7 @@
         A copy claims too: its owner may be gone, and the run is about
         to be resumed here.
         """
-        claimed = self._own_runs()
-        for copied in self._copies.copies():
-            if copied.progress.end is None:
-                claimed.add(str(copied.progress.runner.get('run_id', '')))
+        claimed = self._own_runs() | self._copies.open_runs()
         return tuple(run_id for run_id in runs if run_id in claimed)
 
     async def check(self, view: member_view.MemberView) -> None:
--- a/limpetroute/peers/copy_holder.py
+++ b/limpetroute/peers/copy_holder.py
@@ -1,7 +1,6 @@
 """Copies of other hosts' request records."""
 
 import dataclasses
-import typing
 
 from limpetroute.peers import record_copy
 from limpetroute.peers import request_record
@@ -60,17 +59,21 @@
     owner's records, which is free when its own use has ended.
     """
 
-    __slots__ = ('_by_owner', '_taken')
+    __slots__ = ('_by_name', '_by_owner', '_count', '_open', '_taken')
 
     def __init__(self) -> None:
         self._by_owner: dict[str, dict[str, CopiedRecord]] = {}
         self._taken: dict[str, None] = {}
+        # Every look-up of a key asks here, so none may search.
+        self._by_name: dict[tuple[str, str], CopiedRecord] = {}
+        self._open: dict[tuple[str, str], CopiedRecord] = {}
+        self._count = 0
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(copies={len(self)!r})'
 
     def __len__(self) -> int:
-        return sum(len(copies) for copies in self._by_owner.values())
+        return self._count
 
     @property
     def owners(self) -> tuple[str, ...]:
@@ -83,7 +86,7 @@
             return record_copy.CopyReply(taken=False)
         copies = self._by_owner.setdefault(batch.owner, {})
         for request_id in batch.dropped:
-            copies.pop(request_id, None)
+            self._remove(copies.pop(request_id, None))
         missing = [
             item.progress.request_id
             for item in batch.items
@@ -93,19 +96,29 @@
             del self._by_owner[batch.owner]
         return record_copy.CopyReply(taken=True, missing=tuple(missing))
 
-    def copies(self) -> typing.Iterator[CopiedRecord]:
-        """Return every copy."""
-        for copies in self._by_owner.values():
-            yield from copies.values()
+    def find(self, team: str, name: str) -> CopiedRecord | None:
+        """Find a team's copy by key, request id or run id."""
+        return self._by_name.get((team, name))
+
+    def open_runs(self) -> set[str]:
+        """Return the runs of copies whose request has not ended."""
+        return {
+            str(copied.progress.runner.get('run_id', ''))
+            for copied in self._open.values()
+        }
 
     def take_over(self, owner: str) -> list[CopiedRecord]:
         """Give out an owner's copies; call it under the owner's lease."""
         self._taken[owner] = None
-        return list(self._by_owner.pop(owner, {}).values())
+        found = list(self._by_owner.pop(owner, {}).values())
+        for copied in found:
+            self._remove(copied)
+        return found
 
     def drop(self, owner: str) -> None:
         """Drop copies that another host has newer ones of."""
-        self._by_owner.pop(owner, None)
+        for copied in self._by_owner.pop(owner, {}).values():
+            self._remove(copied)
 
     def _apply(
         self,
@@ -120,9 +133,11 @@
                 return False
             if len(self) >= MAX_COPIES:
                 return False
-            copies[progress.request_id] = CopiedRecord(
+            copied = CopiedRecord(
                 owner=owner, facts=item.facts, progress=progress
             )
+            copies[progress.request_id] = copied
+            self._add(copied)
             return True
         known = old.progress.events
         if progress.from_index > len(known):
@@ -136,4 +151,29 @@
         old.progress = dataclasses.replace(
             progress, from_index=0, events=events
         )
+        if progress.end is not None:
+            self._open.pop((owner, progress.request_id), None)
         return True
+
+    def _add(self, copied: CopiedRecord) -> None:
+        self._count += 1
+        for name in _names(copied):
+            self._by_name[name] = copied
+        if copied.progress.end is None:
+            self._open[copied.owner, copied.facts.request_id] = copied
+
+    def _remove(self, copied: CopiedRecord | None) -> None:
+        if copied is None:
+            return
+        self._count -= 1
+        for name in _names(copied):
+            # The key may name a newer request by now.
+            if self._by_name.get(name) is copied:
+                del self._by_name[name]
+        self._open.pop((copied.owner, copied.facts.request_id), None)
+
+
+def _names(copied: CopiedRecord) -> list[tuple[str, str]]:
+    facts = copied.facts
+    names = (facts.key, facts.request_id, facts.run_id)
+    return [(facts.team, name) for name in names]
--- a/limpetroute/peers/copy_sender.py
+++ b/limpetroute/peers/copy_sender.py
@@ -47,11 +47,14 @@
         This host and its incarnation.
     """
 
-    __slots__ = ('_dropped', '_owner', '_records', 'heir_id')
+    __slots__ = ('_dropped', '_owner', '_quiet', '_records', 'heir_id')
 
     def __init__(self, *, owner: str) -> None:
         self._owner = owner
         self._records: dict[str, OwnRecord] = {}
+        # Ended, told to the caller, and copied: looked at no more, or
+        # each round would go over all that is kept for a resume.
+        self._quiet: dict[str, OwnRecord] = {}
         self._dropped: list[str] = []
         self.heir_id = ''
 
@@ -62,7 +65,7 @@
         )
 
     def __len__(self) -> int:
-        return len(self._records)
+        return len(self._records) + len(self._quiet)
 
     def add(self, own: OwnRecord) -> None:
         """Send a record's news from now on."""
@@ -70,12 +73,15 @@
 
     def forget(self, request_id: str) -> None:
         """Have the copy of a record dropped."""
-        if self._records.pop(request_id, None) is not None:
+        known = self._records.pop(request_id, None)
+        known = known or self._quiet.pop(request_id, None)
+        if known is not None:
             self._dropped.append(request_id)
 
     def let_go(self, request_id: str) -> None:
         """Send nothing more of a record that the heir goes on with."""
         self._records.pop(request_id, None)
+        self._quiet.pop(request_id, None)
 
     def set_heir(self, heir_id: str) -> None:
         """Copy everything to another host."""
@@ -83,11 +89,15 @@
             return
         self.heir_id = heir_id
         self._dropped.clear()
+        self._records.update(self._quiet)
+        self._quiet.clear()
         for own in self._records.values():
             own.acked = None
 
     def is_copied(self, request_id: str) -> bool:
         """Whether the heir has the record."""
+        if request_id in self._quiet:
+            return True
         own = self._records.get(request_id)
         return own is not None and own.acked is not None
 
@@ -141,6 +151,16 @@
             if own.acked is None and item.facts is None:
                 continue
             own.acked = item.progress
+            if _is_over(own):
+                del self._records[item.progress.request_id]
+                self._quiet[item.progress.request_id] = own
+
+
+def _is_over(own: OwnRecord) -> bool:
+    acked = own.acked
+    if acked is None or acked.end is None:
+        return False
+    return acked.end_delivered or acked.closing
 
 
 def _news(own: OwnRecord) -> record_copy.CopyItem | None:
--- a/tests/peers/test_record_machine.py
+++ b/tests/peers/test_record_machine.py
@@ -5,8 +5,11 @@
 from hypothesis import strategies
 import pytest
 
+from limpetroute.peers import copy_holder
+from limpetroute.peers import copy_sender
 from limpetroute.peers import lease_voter
 from limpetroute.peers import request_record
+from limpetroute.peers import run_end
 from tests.peers import record_world
 
 HOSTS = tuple(record_world.RATES)
@@ -331,3 +334,55 @@
     assert record.is_current(attachment)
     record.may_deliver = lambda: False
     assert not record.is_current(attachment)
+
+
+def test_end_that_may_have_been_told_is_not_told_again():
+    """A host is lost right after it wrote the end of an answer.
+
+    The heir cannot know whether the caller read it. A blind repeat must
+    be told that it was delivered, and not be given it a second time.
+    """
+    world = record_world.RecordWorld()
+    request_id = world.submit('a')
+    world.deliver(request_id)
+    record = world.records['a'][request_id]
+    record.finish(run_end.RunEnd(kind=run_end.EndKind.COMPLETED))
+    record.closing = True
+    world.send_copies('a')
+    world.restart('a')
+    for _ in range(30):
+        world.real_s += 0.5
+        world.tick_all()
+    (heir,) = world.has_it(request_id)
+    assert world.records[heir][request_id].end_delivered
+
+
+def test_copies_are_found_by_each_name_until_they_are_dropped():
+    sender = copy_sender.CopySender(owner='a@1.0')
+    holder = copy_holder.CopyHolder()
+    record = request_record.RequestRecord(
+        request_id='req', team='t', key='k', body_digest='d', run_id='run'
+    )
+    sender.set_heir('b')
+    sender.add(
+        copy_sender.OwnRecord(
+            record=record, request={}, runner=lambda: {'run_id': 'run.1'}
+        )
+    )
+    batch = sender.batch()
+    sender.on_reply(batch, holder.take(batch), 'b')
+    for name in ('req', 'k', 'run'):
+        assert holder.find('t', name) is not None
+        assert holder.find('other', name) is None
+    assert holder.open_runs() == {'run.1'}
+    record.finish(run_end.RunEnd(kind=run_end.EndKind.COMPLETED))
+    record.closing = True
+    batch = sender.batch()
+    sender.on_reply(batch, holder.take(batch), 'b')
+    assert holder.open_runs() == set()
+    assert sender.batch() is None
+    assert sender.is_copied('req')
+    sender.forget('req')
+    holder.take(sender.batch())
+    assert holder.find('t', 'k') is None
+    assert len(holder) == 0
