--- a/limpetroute/decisions/transfer_budget.py
+++ b/limpetroute/decisions/transfer_budget.py
@@ -8,8 +8,7 @@
 start of one, its own included, over its time. A transfer is abandoned
 after `TIMEOUT_FACTOR` times its predicted time, at least
 `MIN_TIMEOUT_S` and at most `MAX_TIMEOUT_S`. The least is half of a
-result's life, so that the same result can still go elsewhere; 0.15 s
-was weighed and abandoned transfers that only shared their link.
+result's life, so that the same result can still go elsewhere.
 """
 
 import dataclasses
