Close a TLS connection whose handshake failed

Cause: connecting by number began as a plain stream and turned to TLS; that stream had given its socket away, so closing it after a failed handshake raised AttributeError instead of giving the call's outcome, and a handshake that hung kept its socket. The stream is a TLS stream from the start now, and the outcome names the certificate's fault, not 'Stream is closed'.

--- a/limpetroute/wire/connection.py
+++ b/limpetroute/wire/connection.py
@@ -189,8 +189,9 @@
             kind = call_failed.FailureKind.CLOSED
             if not sent:
                 kind = call_failed.FailureKind.CONNECT
+            cause = getattr(exc, 'real_error', None) or exc
             return call_failed.CallFailed(
-                kind=kind, sent=sent, detail=str(exc)
+                kind=kind, sent=sent, detail=str(cause)
             )
         except asyncio.CancelledError:
             self.close()
@@ -214,14 +215,16 @@
             return await tcpclient.TCPClient().connect(
                 self._host, self._port, ssl_options=self._tls
             )
-        stream = iostream.IOStream(socket.socket(family))
-        self._stream = stream
-        await stream.connect((self._host, self._port))
+        sock = socket.socket(family)
+        address = (self._host, self._port)
         if self._tls is None:
-            return stream
-        return await stream.start_tls(
-            False, self._tls, server_hostname=self._host
-        )
+            self._stream = iostream.IOStream(sock)
+            return await self._stream.connect(address)
+        # One stream from the first byte on: a plain stream that turns to
+        # TLS gives its socket away, and a handshake that fails or hangs
+        # could not be closed any more.
+        self._stream = iostream.SSLIOStream(sock, ssl_options=self._tls)
+        return await self._stream.connect(address, server_hostname=self._host)
 
     async def _write(
         self,
