--- a/limpetroute/cli/main.py
+++ b/limpetroute/cli/main.py
@@ -17,6 +17,7 @@
   requests   List requests that entry hosts hold.
   check      Check settings, manifests and traces; start nothing.
   replay     Play recorded traces and compare their outcomes.
+  bench      Compare policies on a virtual clock.
 
 `limpetroute <command> --help` shows each command with an example.
 
@@ -48,6 +49,7 @@
     'check',
     'replay',
     'submit',
+    'bench',
 )
 
 
