--- a/limpetroute/cli/main.py
+++ b/limpetroute/cli/main.py
@@ -47,8 +47,8 @@
     'drain',
     'requests',
     'check',
-    'submit',
     'replay',
+    'submit',
     'bench',
 )
 
