Leave TLS connects to the library's client

The direct connect by number broke two tests of the operators' commands: a refused certificate came out as another error. Plain connects stay direct; TLS goes through tornado's TCPClient as before.

--- a/limpetroute/wire/connection.py
+++ b/limpetroute/wire/connection.py
@@ -208,20 +208,15 @@
         Hosts and runners are reached by number: handing each connect to
         the resolver's thread pool would cost more than the connect.
         """
-        try:
-            family = _family(self._host)
-        except ValueError:
+        family = _family(self._host)
+        if family is None or self._tls is not None:
             return await tcpclient.TCPClient().connect(
                 self._host, self._port, ssl_options=self._tls
             )
         stream = iostream.IOStream(socket.socket(family))
         self._stream = stream
         await stream.connect((self._host, self._port))
-        if self._tls is None:
-            return stream
-        return await stream.start_tls(
-            False, self._tls, server_hostname=self._host
-        )
+        return stream
 
     async def _write(
         self,
@@ -329,7 +324,10 @@
             self._stream.close()
 
 
-def _family(host: str) -> socket.AddressFamily:
-    if ipaddress.ip_address(host).version == IP_VERSION_6:
-        return socket.AF_INET6
-    return socket.AF_INET
+def _family(host: str) -> socket.AddressFamily | None:
+    """Return the family of an IP number, or None for a name."""
+    try:
+        version = ipaddress.ip_address(host).version
+    except ValueError:
+        return None
+    return socket.AF_INET6 if version == IP_VERSION_6 else socket.AF_INET
