--- a/limpetroute/bench/capacity/stream_probe.py
+++ b/limpetroute/bench/capacity/stream_probe.py
@@ -3,8 +3,8 @@
 import asyncio
 import time
 
-from limpetroute.bench.capacity import figure
-from limpetroute.bench.capacity import loop_thread
+from limpetroute.bench import loop_thread
+from limpetroute.bench.capacity import figure  # noqa: H306
 from limpetroute.bench.capacity import memory
 from limpetroute.border import entry_settings
 from limpetroute.border import standin_settings
@@ -28,8 +28,8 @@
 
     def measure(self) -> list[figure.Figure]:
         """Run the fleet in two threads and read the entry's CPU."""
-        entry_thread = loop_thread.LoopThread()
-        load_thread = loop_thread.LoopThread()
+        entry_thread = loop_thread.LoopThread(name='probe')
+        load_thread = loop_thread.LoopThread(name='probe')
         entry = entry_thread.run(_start_entry())
         engines = load_thread.run(_start_engines(entry.internal_port))
         try:
@@ -38,9 +38,9 @@
             cpu_s = []
             before_bytes = memory.resident_bytes()
             for tokens in (SHORT_TOKENS, LONG_TOKENS):
-                begun_s = entry_thread.cpu_s
+                begun_s = entry_thread.cpu_s()
                 load_thread.run(_load(entry.port, tokens))
-                cpu_s.append((entry_thread.cpu_s - begun_s) / STREAMS)
+                cpu_s.append((entry_thread.cpu_s() - begun_s) / STREAMS)
             grown = memory.resident_bytes() - before_bytes
         finally:
             entry_thread.run(entry.stop())
--- a/limpetroute/bench/capacity/wire_probe.py
+++ b/limpetroute/bench/capacity/wire_probe.py
@@ -7,9 +7,9 @@
 import tornado.netutil
 import tornado.web
 
-from limpetroute.bench.capacity import counting_relay
+from limpetroute.bench import loop_thread
+from limpetroute.bench.capacity import counting_relay  # noqa: H306
 from limpetroute.bench.capacity import figure
-from limpetroute.bench.capacity import loop_thread
 from limpetroute.wire import call_failed
 from limpetroute.wire import caller
 
@@ -34,20 +34,20 @@
 
     def measure(self) -> list[figure.Figure]:
         """Make calls and read bytes and CPU of both ends."""
-        server_thread = loop_thread.LoopThread()
-        client_thread = loop_thread.LoopThread()
-        relay_thread = loop_thread.LoopThread()
+        server_thread = loop_thread.LoopThread(name='probe')
+        client_thread = loop_thread.LoopThread(name='probe')
+        relay_thread = loop_thread.LoopThread(name='probe')
         try:
             port = server_thread.run(_serve())
             relay = counting_relay.CountingRelay(port=port)
             relay_port = relay_thread.run(relay.start())
             client_thread.run(_call(relay_port, CALLS))
-            server_s = server_thread.cpu_s
-            client_s = client_thread.cpu_s
+            server_s = server_thread.cpu_s()
+            client_s = client_thread.cpu_s()
             counted = relay.total
             body_bytes = client_thread.run(_call(relay_port, CALLS))
-            server_s = server_thread.cpu_s - server_s
-            client_s = client_thread.cpu_s - client_s
+            server_s = server_thread.cpu_s() - server_s
+            client_s = client_thread.cpu_s() - client_s
             counted = relay.total - counted
         finally:
             for thread in (client_thread, relay_thread, server_thread):
--- a/limpetroute/cli/bench.py
+++ b/limpetroute/cli/bench.py
@@ -4,6 +4,7 @@
   limpetroute bench run EXPERIMENT [--seeds N] [--cases LIST]
                     [--policies LIST] [--json FILE] [--html FILE]
   limpetroute bench cost [--json FILE]
+  limpetroute bench capacity [--json FILE]
 
 Options:
   --seeds N        Play the first N seeds only.
@@ -44,6 +45,8 @@
     args = docopt.docopt(__doc__, list(argv))
     if args['cost']:
         return _cost(args)
+    if args['capacity']:
+        return _capacity(args)
     try:
         path = pathlib.Path(args['EXPERIMENT'])
         body = settings_file.load(experiment.ExperimentBody, path)
@@ -55,6 +58,19 @@
     return _play(body, args)
 
 
+def _capacity(args: dict[str, typing.Any]) -> int:
+    # Its first figures are of memory by import: nothing that this
+    # command does not need itself may be imported before.
+    from limpetroute.bench.capacity import run as capacity_run
+
+    figures, rows = capacity_run.measure()
+    capacity_run.show(figures, rows)
+    if args['--json'] is not None:
+        text = capacity_run.as_json(figures, rows)
+        pathlib.Path(args['--json']).write_text(text)
+    return EXIT_OK
+
+
 def _narrow(
     body: experiment.ExperimentBody, args: dict[str, typing.Any]
 ) -> experiment.ExperimentBody:
