Do not read a prompt again for a decode runner it may not use

Cause: room is counted over the pool. After a failure the only free slot may be at the runner that failed the request, which it may not use; the policy took that slot for room and read the prompt again, and nobody could take the result.

Ruled out: counting room without the tried runners for everyone; that count is kept for the pool and is right for a first try.

Change: a request that failed somewhere starts only with a slot it may use. The new test failed first (a prefill was started), then passed. Two traces had stated the early prefill as their outcome, as a way round the fault; they now state what their stories say: it waits, and is read again when the other runner is free.

--- a/limpetroute/decisions/full_policy.py
+++ b/limpetroute/decisions/full_policy.py
@@ -584,6 +584,8 @@
             return False
         if not self._has_room(job, state, choice.done_in_s):
             return False
+        if not self._may_place_again(job, choice.state.facts.zone, now_s):
+            return False
         service_s = self._forecast.choice_service_s(
             job.item, job.tokens, choice
         )
@@ -595,6 +597,21 @@
         self._start(job, state, choice, service_s, now_s)
         return True
 
+    def _may_place_again(
+        self, job: job_module.Job, zone: str, now_s: float
+    ) -> bool:
+        """Whether a request that failed somewhere has a decode runner now.
+
+        Room is counted over the pool, and the free slot may be at the
+        very runner that failed the request: its prompt would be read
+        again and thrown away, since nobody can take the result. So a
+        request that may not go everywhere starts only with a slot held.
+        """
+        if not job.tried or not self._config.uses(Decision.RESERVATION):
+            return True
+        job.kv_bytes = self._kv_bytes(job)
+        return self._place_decode(job, zone, now_s) is not None
+
     def _start(
         self,
         job: job_module.Job,
