Tell the router when a caller returns; keep callers' keys out of traces

Cause: the policy keeps appointments for callers who come back to another host, but nothing ever said that a caller returns, so there a promised Retry-After counted for nothing. And the key that was added to the router's work stood in recorded traces in clear.

Change: the retry count that the official client libraries send marks a return; the router gets a digest of team and key.

Proof: the client library, refused once, is served at its retry, and the router sees returning false and then true.

--- a/limpetroute/entry/completions_handler.py
+++ b/limpetroute/entry/completions_handler.py
@@ -14,6 +14,10 @@
 from limpetroute.entry import run_request
 from limpetroute.peers import run_end
 
+# Sent by the official client libraries with each try after the first.
+RETRY_COUNT_HEADER = 'x-stainless-retry-count'
+MAX_COUNT_DIGITS = 9
+
 Body = completion_body.CompletionBody | completion_body.ChatBody
 
 
@@ -130,10 +134,20 @@
                 max_tokens=body.token_limit(),
                 chat=self._chat,
                 include_usage=body.include_usage,
+                returning=self._is_returning(),
                 options=body.options,
             )
         )
 
+    def _is_returning(self) -> bool:
+        """Whether the client library says that this is another try.
+
+        A caller that was told to come back may reach another host,
+        which knows nothing of its appointment but this header.
+        """
+        count = self.request.headers.get(RETRY_COUNT_HEADER, '0')
+        return count.isdecimal() and int(count[:MAX_COUNT_DIGITS]) > 0
+
     def _is_unfit(self, model: str, text: str) -> bool:
         if not self.host.knows_model(model):
             self.host.meters.refused('unknown_model')
--- a/limpetroute/entry/host.py
+++ b/limpetroute/entry/host.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import hashlib
 import logging
 import secrets
 import time
@@ -384,7 +385,8 @@
             token_gap_s=targets.token_gap_s,
             prefix_blocks=prefix.prefix_blocks(prompt),
             zone=self.settings.zone,
-            key=request.key,
+            returning=request.returning,
+            key=_digest(f'{request.team}/{request.key}'),
         )
 
     def _ended(self, live: live_record.LiveRecord) -> None:
@@ -413,3 +415,8 @@
 def new_request_id() -> str:
     """Return an id that cannot be guessed."""
     return f'req-{secrets.token_urlsafe(18)}'
+
+
+def _digest(text: str) -> str:
+    # A recorded trace must not show a caller's own key.
+    return hashlib.sha256(text.encode()).hexdigest()
--- a/limpetroute/entry/run_request.py
+++ b/limpetroute/entry/run_request.py
@@ -30,6 +30,8 @@
         Whether the chat shape is wanted.
     include_usage : bool
         Whether a streamed answer ends with its usage.
+    returning : bool
+        Whether the caller says that it was told to come back.
     options : mapping
         Fields of the body that only the engine understands.
     """
@@ -43,6 +45,7 @@
     max_tokens: int
     chat: bool = False
     include_usage: bool = False
+    returning: bool = False
     options: typing.Mapping[str, typing.Any] = dataclasses.field(
         default_factory=dict
     )
--- a/tests/entry/fleet.py
+++ b/tests/entry/fleet.py
@@ -12,6 +12,7 @@
 from limpetroute.standins import engine_server
 
 MODEL = 'review'
+KEY = 'key-of-a-club'
 PROMPT = 'Check this guarantee\nIt runs until June.'
 SETTINGS: dict[str, typing.Any] = {
     'host_id': 'entry-1',
--- a/tests/entry/test_openai_client.py
+++ b/tests/entry/test_openai_client.py
@@ -6,6 +6,8 @@
 import openai
 import pytest
 
+from limpetroute.decisions import work
+from limpetroute.entry import scheduler as scheduler_module
 from tests.entry import fleet as fleet_module
 
 
@@ -126,3 +128,47 @@
         await asyncio.to_thread(work)
 
     fleet_module.play(story, first_token_s=0.5)
+
+
+def test_a_retry_of_the_library_counts_as_a_return(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    # Every prefill runner refuses, the library is told when to come
+    # back, and by then the runners take work. The router must know
+    # that the second try returns, also where it never saw the first.
+    offered: list[bool] = []
+
+    async def story(fleet: fleet_module.Fleet) -> None:
+        offer = scheduler_module.Scheduler.offer
+
+        def spy(
+            scheduler: scheduler_module.Scheduler, item: work.Work
+        ) -> typing.Any:
+            offered.append(item.returning)
+            assert fleet_module.KEY not in item.key
+            if item.returning:
+                for engine in fleet.prefills:
+                    fleet.fault(engine)
+            return offer(scheduler, item)
+
+        monkeypatch.setattr(scheduler_module.Scheduler, 'offer', spy)
+        for engine in fleet.prefills:
+            fleet.fault(engine, refuse=True)
+        client = openai.OpenAI(
+            base_url=f'http://127.0.0.1:{fleet.port}/v1',
+            api_key='none',
+            max_retries=3,
+        )
+        got = await asyncio.to_thread(
+            client.completions.create,
+            model='review',
+            prompt=fleet_module.PROMPT,
+            max_tokens=4,
+            extra_headers={'Idempotency-Key': fleet_module.KEY},
+        )
+        client.close()
+        assert got.choices[0].text == fleet_module.want(4)
+
+    fleet_module.play(story)
+    assert offered[0] is False
+    assert offered[-1] is True
