Hold room again where a runner restarted while the prompt was read

Cause: a decode runner that restarted between the start of a prefill and its end is in the fleet again under its old name, while the room held there went with its former self. The policy saw the name and sent the decode uncounted, and promised the same memory to a later request. The lease holder would have denied it; the prompt would have been read in vain.

Two guards taken out are caught in every run: fits always true, and a slot never given back.

Ruled out as faults, each by its trace: a denial from a runner that has gone in between (the machine lost count), and a prompt read again after its result died or its transfer failed, outside of the rule for time.

--- a/limpetroute/decisions/full_policy.py
+++ b/limpetroute/decisions/full_policy.py
@@ -710,9 +710,8 @@
         """Send finished prefills on, oldest first."""
         state = self._models[model]
         for work_id, job in list(state.awaiting.items()):
-            if job.decode_id is not None:
-                if job.decode_id not in self._fleet.runners:
-                    self._release_decode(job)
+            if job.decode_id is not None and not self._holds_room(job):
+                self._release_decode(job)
             if job.decode_id is None:
                 target = self._place_decode(job, self._zone(job), now_s)
                 if target is None:
@@ -722,6 +721,17 @@
             del state.awaiting[work_id]
             self._send(job, now_s)
 
+    def _holds_room(self, job: job_module.Job) -> bool:
+        """Whether the room taken at the start is still counted.
+
+        A runner that restarted while the prompt was read is there again
+        under its old name, and the room went with its former self: a
+        decode sent there uncounted lets later requests be promised the
+        same slot and memory.
+        """
+        state = self._fleet.runners.get(job.decode_id or '')
+        return state is not None and job.item.work_id in state.held
+
     def _wait_for_slot(self, job: job_module.Job) -> None:
         self._unslot(job)
         until_s = job.done_s + self._result_ttl_s - RESULT_MARGIN_S
--- a/tests/decisions/test_policy_machine.py
+++ b/tests/decisions/test_policy_machine.py
@@ -3,16 +3,20 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
+import pytest
 
 from limpetroute.decisions import action
 from limpetroute.decisions import full_policy
 from limpetroute.decisions import policy_config
 from limpetroute.decisions import runner_facts
+from limpetroute.decisions import runner_state
 from limpetroute.decisions import stage
 from limpetroute.decisions import work
 
 SLOTS = 3
 CAPACITY = 6000
+# Half of what a result surely lives.
+RESULT_AGE_S = 0.4
 RUNNERS = ('p0', 'p1', 'd0', 'd1')
 
 
@@ -43,6 +47,7 @@
         self.items = {}
         self.phase = {}
         self.held = {}
+        self.read_s = {}
         self.failures = set()
 
     @stateful.initialize(objective=st.sampled_from(policy_config.Objective))
@@ -62,7 +67,15 @@
                 self.forget(work_id, stage.Ending.FAILED)
                 continue
             if isinstance(todo, action.StartPrefill):
-                assert self.phase[work_id] == 'queued'
+                if self.phase[work_id] == 'prefilled':
+                    # A prompt is read again only if nobody could take
+                    # its result in time, or a transfer of it failed.
+                    age_s = self.now_s - self.read_s[work_id]
+                    dead = age_s >= RESULT_AGE_S
+                    assert dead or work_id in self.failures, 'dropped'
+                    self.failures.add(work_id)
+                else:
+                    assert self.phase[work_id] == 'queued'
                 if work_id not in self.failures:
                     due_s = self.items[work_id].first_token_by_s
                     assert self.now_s <= due_s, 'expired work started'
@@ -119,11 +132,26 @@
         self.policy.offer(item, self.now_s)
         self.pump()
 
+    @stateful.rule(count=st.integers(2, 5))
+    def big_ones_to_their_decode(self, count):
+        """Several long dossiers at once, read and sent on at once."""
+        before = set(self.phase)
+        for _ in range(count):
+            self.offer(tokens=2400, team='a', slack_s=3.0)
+        for work_id in sorted(set(self.phase) - before):
+            if self.phase.get(work_id) != 'prefill':
+                continue
+            self.phase[work_id] = 'prefilled'
+            self.read_s[work_id] = self.now_s
+            self.policy.on_prefill_done(work_id, 0, self.now_s)
+            self.pump()
+
     @stateful.rule(data=st.data())
     def prefilled(self, data):
         work_id = self.some(data, 'prefill')
         if work_id is not None:
             self.phase[work_id] = 'prefilled'
+            self.read_s[work_id] = self.now_s
             self.policy.on_prefill_done(work_id, 0, self.now_s)
             self.pump()
 
@@ -195,7 +223,8 @@
     @stateful.rule(data=st.data())
     def denied(self, data):
         work_id = self.some(data, 'transfer')
-        if work_id is not None:
+        # Only a runner that is still there can be without room.
+        if work_id is not None and work_id in self.held:
             runner_id, _ = self.held.pop(work_id)
             self.phase[work_id] = 'prefilled'
             self.policy.on_denied(work_id, runner_id, 0, self.now_s)
@@ -252,3 +281,33 @@
 TestPolicyMachine.settings = hypothesis.settings(
     max_examples=150, stateful_step_count=40
 )
+
+
+# A mutant need only be found, not shrunk.
+MUTANT_SETTINGS = hypothesis.settings(
+    max_examples=1000,
+    stateful_step_count=40,
+    phases=(hypothesis.Phase.generate,),
+    print_blob=False,
+)
+
+
+def _is_caught():
+    with pytest.raises(AssertionError):
+        stateful.run_state_machine_as_test(
+            PolicyMachine, settings=MUTANT_SETTINGS
+        )
+
+
+def test_placement_without_a_look_at_memory_is_caught(monkeypatch):
+    monkeypatch.setattr(
+        runner_state.RunnerState, 'fits', lambda self, kv_bytes: True
+    )
+    _is_caught()
+
+
+def test_slot_that_is_never_given_back_is_caught(monkeypatch):
+    monkeypatch.setattr(
+        full_policy.FullPolicy, '_release_decode', lambda self, job: None
+    )
+    _is_caught()
