--- a/limpetroute/agreement/replica.py
+++ b/limpetroute/agreement/replica.py
@@ -595,14 +595,16 @@
         if self._why_not_change():
             return
         for one in self.membership.members:
-            if one.voter or not self._caught_up(one.replica_id):
+            if one.voter or not self.has_caught_up(one.replica_id):
                 continue
+            if self._is_full():
+                return
             kept = self._proposal
             self._change(self.membership.promoted(one.replica_id))
             self._proposal = kept
             return
 
-    def _caught_up(self, replica_id: str) -> bool:
+    def has_caught_up(self, replica_id: str) -> bool:
         """Return whether a learner holds all that is committed.
 
         Counted earlier, the repair would look done while one more
@@ -613,6 +615,10 @@
             return False
         return self._replication.match_index(replica_id) >= self.commit_index
 
+    def _is_full(self) -> bool:
+        wanted = self.timings.max_voters
+        return wanted is not None and len(self.membership.voters) >= wanted
+
     # Disk
 
     def _persisted(self, write_id: int) -> None:
--- a/limpetroute/agreement/timings.py
+++ b/limpetroute/agreement/timings.py
@@ -22,6 +22,9 @@
         Time after which an unanswered snapshot is sent again.
     min_voters : int
         A removal never leaves fewer voters than this.
+    max_voters : int or None
+        Learners beyond this many voters stay learners, ready to take a
+        voter's place; None for no bound.
     """
 
     heartbeat_s: float = 0.25
@@ -30,6 +33,7 @@
     max_append_entries: int = 512
     snapshot_timeout_s: float = 5.0
     min_voters: int = 2
+    max_voters: int | None = None
 
     def __post_init__(self) -> None:
         if not 0 < self.heartbeat_s * 3 <= self.election_s:
--- a/limpetroute/border/addresses.py
+++ b/limpetroute/border/addresses.py
@@ -20,6 +20,18 @@
     return text
 
 
+def _check_host_port(text: str) -> str:
+    host, _, port = text.rpartition(':')
+    try:
+        ipaddress.ip_address(host.strip('[]'))
+        known = 0 <= int(port) <= MAX_PORT
+    except ValueError as exc:
+        raise ValueError('allowed is IP:PORT') from exc
+    if not known:
+        raise ValueError('allowed is IP:PORT')
+    return text
+
+
 def _check_url(text: str) -> str:
     allowed = 'allowed is http://IP:PORT or https://IP:PORT'
     try:
@@ -36,4 +48,5 @@
 
 
 IpAddress = typing.Annotated[str, pydantic.AfterValidator(_check_address)]
+HostPort = typing.Annotated[str, pydantic.AfterValidator(_check_host_port)]
 HostUrl = typing.Annotated[str, pydantic.AfterValidator(_check_url)]
--- a/limpetroute/border/control_settings.py
+++ b/limpetroute/border/control_settings.py
@@ -22,6 +22,21 @@
     advertise_url : str or None
         Address under which the others reach this host, where it is not
         the one it listens on.
+    public_listen : ListenSettings or None
+        Address at which operators and runners are served in the
+        platform's formats; the hosts talk to each other at ``listen``.
+    seeds : list of str
+        ``IP:PORT`` of the hosts that found the group, the same on all of
+        them; the ports are not used, as all listen on the same one. With
+        seeds, ``host_id`` is the host's IP address, ``peer_urls`` stays
+        empty and hosts come and go by themselves.
+    tolerated_losses : int or None
+        Hosts that may lose their disks at once; with seeds, the group
+        grows to two times that and one.
+    full_group_wait_s : float
+        Longest time for which a new group of seeds holds back its first
+        acknowledgement until it has grown to that size. It takes about
+        2 s when all hosts come up; operators send again meanwhile.
     may_found : bool
         Whether this host, with an empty folder, may found a new group
         when all others are empty too. Set to false after the first
@@ -46,6 +61,10 @@
 
     host_id: names.Name
     zone: names.Name
+    public_listen: listen_settings.ListenSettings | None = None
+    seeds: list[addresses.HostPort] = []
+    tolerated_losses: int | None = pydantic.Field(default=None, ge=0, le=10)
+    full_group_wait_s: units.Seconds = 8.0
     listen: listen_settings.ListenSettings = listen_settings.ListenSettings()
     data_dir: paths.FilePath
     peer_urls: list[addresses.HostUrl] = []
--- a/limpetroute/border/listen_settings.py
+++ b/limpetroute/border/listen_settings.py
@@ -2,6 +2,8 @@
 
 import ssl
 
+import pydantic
+
 from limpetroute.border import addresses
 from limpetroute.border import errors
 from limpetroute.border import strict_model
@@ -11,12 +13,25 @@
 
 
 class ListenSettings(strict_model.StrictModel):
-    """Address a process listens on; port 0 takes a free one."""
+    """Address a process listens on; port 0 takes a free one.
+
+    ``"IP:PORT"`` stands for an address without TLS.
+    """
 
     address: addresses.IpAddress = '127.0.0.1'
     port: units.Port = 0
     tls: tls_settings.TlsSettings | None = None
 
+    @pydantic.model_validator(mode='before')
+    @classmethod
+    def _take_text(cls, value: object) -> object:
+        if not isinstance(value, str):
+            return value
+        address, _, port = value.rpartition(':')
+        if not port.isdecimal():
+            raise ValueError('allowed is IP:PORT')
+        return {'address': address.strip('[]'), 'port': int(port)}
+
     def tls_context(self) -> ssl.SSLContext | None:
         """Make the context of the port, or None for plain text.
 
--- a/limpetroute/border/peer_batch.py
+++ b/limpetroute/border/peer_batch.py
@@ -38,7 +38,8 @@
 
     ``founding`` gives each founding host's replica, once founded;
     ``replacements`` gives the new host for each one an operator
-    replaces.
+    replaces; ``urls`` are control hosts that the sender has heard of
+    late, for a newcomer that knows only some of them.
     """
 
     host_id: str
@@ -48,4 +49,5 @@
     founding: dict[str, str] | None = None
     replacements: dict[str, ReplacementBody] = {}
     hosts: dict[str, HostReportBody] = {}
+    urls: list[str] = []
     envelopes: list[EnvelopeBody] = []
--- a/limpetroute/cli/control.py
+++ b/limpetroute/cli/control.py
@@ -11,6 +11,7 @@
   limpetroute control --settings examples/federation/control-1.json
 """
 
+import functools
 import sys
 import typing
 
@@ -21,6 +22,7 @@
 from limpetroute.cli import serving
 from limpetroute.control import folder_error
 from limpetroute.control import server
+from limpetroute.platform import control_port
 
 
 def run(argv: typing.Sequence[str]) -> int:
@@ -33,13 +35,22 @@
     if settings is None:
         return exit_code.USAGE
     try:
-        return serving.serve(
-            lambda: server.ControlServer(settings=settings), _print_ready
-        )
+        return serving.serve(lambda: _make(settings), _print_ready)
     except folder_error.FolderError as exc:
         print(exc.message, file=sys.stderr)
         return exit_code.USAGE
 
 
+def _make(
+    settings: control_settings.ControlSettings,
+) -> server.ControlServer:
+    make_port = None
+    if settings.public_listen is not None:
+        make_port = functools.partial(
+            control_port.ControlPort, listen=settings.public_listen
+        )
+    return server.ControlServer(settings=settings, make_public_port=make_port)
+
+
 def _print_ready(control: server.ControlServer) -> None:
     print(f'ready: control {control.port}', flush=True)
--- a/limpetroute/cli/main.py
+++ b/limpetroute/cli/main.py
@@ -8,6 +8,7 @@
 Commands:
   entry      Run the process that callers talk to.
   control    Run one replica of the control log.
+  forward    Run the process that forwards requests by route.
   demo       Run the whole path as tasks of one process.
   standin    Run one stand-in runner, for trials.
   submit     Submit a manifest and say when it is in force.
@@ -40,6 +41,7 @@
 COMMANDS = (
     'entry',
     'control',
+    'forward',
     'demo',
     'standin',
     'status',
--- a/limpetroute/cli/serving.py
+++ b/limpetroute/cli/serving.py
@@ -1,6 +1,7 @@
 """Runs a server until SIGINT or SIGTERM."""
 
 import asyncio
+import logging
 import pathlib
 import signal
 import sys
@@ -13,6 +14,8 @@
 from limpetroute.cli import exit_code
 from limpetroute.telemetry import log_setup
 
+LOG = logging.getLogger(__name__)
+
 _Model = typing.TypeVar('_Model', bound=pydantic.BaseModel)
 
 
@@ -36,12 +39,69 @@
         return None
 
 
+def ignore_hangups() -> None:
+    """Keep SIGHUP from ending the process.
+
+    It says that the settings file has changed; the file is looked at
+    again whenever its content is needed.
+    """
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
+class Rereading(typing.Generic[_Model]):
+    """The settings file as it is now, read anew when it changes.
+
+    Parameters
+    ----------
+    model : type
+        Model of the settings.
+    path : str
+        The file.
+    first : BaseModel
+        What was read at the start; kept while the file is unusable.
+    """
+
+    def __init__(
+        self, *, model: type[_Model], path: str, first: _Model
+    ) -> None:
+        self._model = model
+        self._path = pathlib.Path(path)
+        self._newest = first
+        self._data = b''
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(path={str(self._path)!r})'
+
+    def seeds(self) -> list[str]:
+        """Return the seeds in the file."""
+        self._look()
+        return list(getattr(self._newest, 'seeds', []))
+
+    def _look(self) -> None:
+        try:
+            data = settings_file.read(self._path)
+            if data == self._data:
+                return
+            self._data = data
+            self._newest = settings_file.parse(
+                self._model, data, folder=self._path.parent
+            )
+        except errors.InvalidInputError as exc:
+            LOG.error(
+                'settings cannot be read again; the last ones stay',
+                extra={'reason': str(exc)},
+            )
+            return
+        LOG.info('settings read', extra={'path': str(self._path)})
+
+
 def serve(
     make: typing.Callable[[], Server],
     on_ready: typing.Callable[[typing.Any], None],
 ) -> int:
     """Make a server, run it until a signal, and return the exit code."""
     log_setup.set_up()
+    ignore_hangups()
     return asyncio.run(_serve(make, on_ready))
 
 
--- a/limpetroute/control/commands.py
+++ b/limpetroute/control/commands.py
@@ -69,8 +69,38 @@
     void_before_s: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SubmitRoutes:
+    """Put a routing configuration in force, if none is newer."""
+
+    version: int
+    digest: str
+    text: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class NoteRunner:
+    """Take a runner's announcement; see `RunnerRow`."""
+
+    runner_id: str
+    address: str
+    text: str
+    sequence: int
+    state: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ForgetRunner:
+    """A runner has left for good."""
+
+    runner_id: str
+
+
 Command = (
     SubmitManifest
+    | SubmitRoutes
+    | NoteRunner
+    | ForgetRunner
     | NextFence
     | MakeClaim
     | WithdrawClaim
@@ -82,6 +112,9 @@
     one.__name__: one
     for one in (
         SubmitManifest,
+        SubmitRoutes,
+        NoteRunner,
+        ForgetRunner,
         NextFence,
         MakeClaim,
         WithdrawClaim,
--- a/limpetroute/control/control_state.py
+++ b/limpetroute/control/control_state.py
@@ -8,6 +8,8 @@
 from limpetroute.control import commands
 from limpetroute.control import manifest_store
 from limpetroute.control import results
+from limpetroute.control import routes_store
+from limpetroute.control import runner_table
 
 MAX_FENCES = 100_000
 
@@ -34,11 +36,21 @@
         Bound of what all claims take.
     """
 
-    __slots__ = ('claims', 'fences', 'newest')
+    __slots__ = (
+        'claims',
+        'fences',
+        'newest',
+        'routes',
+        'routes_index',
+        'runners',
+    )
 
     def __init__(self, *, max_claim_bytes: int) -> None:
         self.newest: Newest | None = None
         self.fences: dict[str, int] = {}
+        self.routes: routes_store.RoutesInForce | None = None
+        self.routes_index = 0
+        self.runners = runner_table.RunnerTable()
         self.claims = claim_table.ClaimTable(max_bytes=max_claim_bytes)
 
     def __repr__(self) -> str:
@@ -61,6 +73,14 @@
         match command:
             case commands.SubmitManifest():
                 return self._submit(command)
+            case commands.SubmitRoutes():
+                return self._submit_routes(command, index)
+            case commands.NoteRunner():
+                self.runners.note(command, index)
+                return results.Done()
+            case commands.ForgetRunner():
+                self.runners.forget(command.runner_id, index)
+                return results.Done()
             case commands.NextFence():
                 return self._next_fence(command.name)
             case commands.MakeClaim():
@@ -75,10 +95,14 @@
     def dump(self) -> bytes:
         """Return the whole state."""
         newest = self.newest
+        routes = self.routes
         body = {
             'newest': dataclasses.astuple(newest) if newest else None,
             'fences': self.fences,
             'claims': self.claims.dump(),
+            'routes': dataclasses.astuple(routes) if routes else None,
+            'routes_index': self.routes_index,
+            'runners': self.runners.dump(),
         }
         return json.dumps(body, separators=(',', ':')).encode()
 
@@ -94,6 +118,27 @@
             )
         self.fences = body['fences']
         self.claims.load(body['claims'])
+        if body.get('routes'):
+            version, digest, text = body['routes']
+            self.routes = routes_store.RoutesInForce(
+                version=version, digest=digest, text=text
+            )
+        self.routes_index = body.get('routes_index', 0)
+        self.runners.load(body.get('runners', []))
+
+    def _submit_routes(
+        self, command: commands.SubmitRoutes, index: int
+    ) -> results.Result:
+        in_force, taken = routes_store.decide(
+            self.routes,
+            version=command.version,
+            digest=command.digest,
+            text=command.text,
+        )
+        if in_force is not self.routes:
+            self.routes = in_force
+            self.routes_index = index
+        return taken
 
     def _submit(self, command: commands.SubmitManifest) -> results.Result:
         newest = self.newest
--- a/limpetroute/control/data_folder.py
+++ b/limpetroute/control/data_folder.py
@@ -26,6 +26,9 @@
         The file system.
     rewrite_bytes : int
         See `Journal`.
+    founders : dict of str to str or None
+        Each founding host's replica, if an empty folder of this host is
+        to found a group with them.
 
     Raises
     ------
@@ -40,6 +43,7 @@
         host_id: str,
         files: files_module.Files | None = None,
         rewrite_bytes: int = journal_module.REWRITE_BYTES,
+        founders: dict[str, str] | None = None,
     ) -> None:
         self.folder = folder
         self._files = files or files_module.DiskFiles()
@@ -49,7 +53,7 @@
         except OSError as exc:
             raise folder_error.FolderError(message=f'{folder}: {exc}') from exc
         try:
-            self._open(host_id, rewrite_bytes)
+            self._open(host_id, rewrite_bytes, founders or {})
         except OSError as exc:
             self._lock.close()
             raise folder_error.FolderError(message=f'{folder}: {exc}') from exc
@@ -60,7 +64,9 @@
     def __repr__(self) -> str:
         return f'{type(self).__name__}(folder={str(self.folder)!r})'
 
-    def _open(self, host_id: str, rewrite_bytes: int) -> None:
+    def _open(
+        self, host_id: str, rewrite_bytes: int, founders: dict[str, str]
+    ) -> None:
         journal_path = self.folder / journal_module.JOURNAL
         has_journal = self._files.read(journal_path) is not None
         known = self._files.read(self.folder / identity.IDENTITY)
@@ -76,14 +82,23 @@
             files=self._files,
             rewrite_bytes=rewrite_bytes,
         )
+        self.founding = founding_file.load(
+            folder=self.folder, files=self._files
+        )
+        founder_id = ''
+        if known is None and self.journal.blank and host_id in founders:
+            # The founding comes before the identity: a crash between
+            # the two leaves a folder that founds the same group again,
+            # with the seeds that it was first given.
+            if self.founding is None:
+                self.found(founders)
+            founder_id = founders[host_id]
         self.replica_id = identity.load_or_make(
             folder=self.folder,
             files=self._files,
             host_id=host_id,
             journal_blank=self.journal.blank,
-        )
-        self.founding = founding_file.load(
-            folder=self.folder, files=self._files
+            founder_id=founder_id,
         )
 
     @property
--- /dev/null
+++ b/limpetroute/control/desk.py
@@ -0,0 +1,171 @@
+"""Takes operators' and runners' calls on any control host."""
+
+import dataclasses
+import logging
+
+from limpetroute.control import commands
+from limpetroute.control import node as node_module
+from limpetroute.control import results
+from limpetroute.control import routes_store
+from limpetroute.control import runner_table
+from limpetroute.control import verdicts
+from limpetroute.wire import call_failed
+from limpetroute.wire import caller
+
+LOG = logging.getLogger(__name__)
+
+# An operator gives a call a second before it tries another host. The
+# leader answers in some milliseconds; this leaves time for one election.
+COMMIT_TIMEOUT_S = 0.9
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Unsure:
+    """Nothing can be said for certain; another try may settle it."""
+
+    reason: str
+
+
+class Desk:
+    """Takes operators' and runners' calls on any control host.
+
+    Parameters
+    ----------
+    node : Node
+        This control host.
+    http : Caller
+        Calls the leader.
+    """
+
+    def __init__(self, *, node: node_module.Node, http: caller.Caller) -> None:
+        self._node = node
+        self._http = http
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(node={self._node!r})'
+
+    async def submit_routes(
+        self, *, version: int, digest: str, text: str
+    ) -> routes_store.RoutesTaken | Unsure:
+        """Have a routing configuration committed."""
+        if not self._node.is_full():
+            return Unsure(reason='the group is not complete yet')
+        command = commands.SubmitRoutes(
+            version=version, digest=digest, text=text
+        )
+        got = await self._commit(command)
+        if isinstance(got, Unsure):
+            outcome = got.reason
+        else:
+            outcome = 'in force' if got.get('in_force') else 'not newer'
+        LOG.info(
+            'routes submitted',
+            extra={
+                'version': version,
+                'digest': digest,
+                'bytes': len(text),
+                'outcome': outcome,
+            },
+        )
+        if isinstance(got, Unsure):
+            return got
+        return routes_store.RoutesTaken(
+            version=version,
+            newest_version=int(got['newest_version']),
+            in_force=bool(got['in_force']),
+        )
+
+    async def newest_routes(
+        self,
+    ) -> routes_store.RoutesInForce | Unsure:
+        """Return the routing configuration in force, if that is sure."""
+        node = self._node
+        group = node.config
+        if group.replica.can_read(node.now_s):
+            if group.state.routes is None:
+                return Unsure(reason='no configuration yet')
+            return group.state.routes
+        leader_url = node.url_of(group.leader_host)
+        if not leader_url or group.leader_host == node.settings.host_id:
+            return Unsure(reason='no leader is known')
+        got = await self._http.call(
+            method='GET',
+            url=f'{leader_url}/v1/watch?sure=1',
+            timeout_s=COMMIT_TIMEOUT_S,
+        )
+        if isinstance(got, call_failed.CallFailed) or not got.ok:
+            return Unsure(reason='the leader cannot be asked')
+        body = got.json()['routes']
+        if body is None:
+            return Unsure(reason='no configuration yet')
+        return routes_store.RoutesInForce(**body)
+
+    async def note_runner(
+        self, command: commands.NoteRunner
+    ) -> results.Done | Unsure:
+        """Take a runner's announcement.
+
+        One that repeats what is known is only taken where this host is
+        in touch with the leader: a host that was cut off would go on
+        acknowledging to a runner what nobody else learns.
+        """
+        node = self._node
+        group = node.config
+        if not group.replica.in_touch(node.now_s):
+            return Unsure(reason='out of touch with the group')
+        if not group.state.runners.adds_something(command):
+            return results.Done()
+        got = await self._commit(command)
+        LOG.info(
+            'runner announced',
+            extra={
+                'runner': command.runner_id,
+                'address': command.address,
+                'state': command.state,
+                'sequence': command.sequence,
+                'outcome': _said(got),
+            },
+        )
+        return got if isinstance(got, Unsure) else results.Done()
+
+    async def forget_runner(self, runner_id: str) -> results.Done | Unsure:
+        """Take a runner's farewell."""
+        known = self._node.config.state.runners.get(runner_id)
+        if known is not None and known.state == runner_table.RunnerState.GONE:
+            return results.Done()
+        got = await self._commit(commands.ForgetRunner(runner_id=runner_id))
+        LOG.info(
+            'runner left',
+            extra={'runner': runner_id, 'outcome': _said(got)},
+        )
+        return got if isinstance(got, Unsure) else results.Done()
+
+    async def _commit(
+        self, command: commands.Command
+    ) -> dict[str, object] | Unsure:
+        """Commit here, or at the leader, and return the result's fields."""
+        node = self._node
+        verdict = await node.config.commit(command, COMMIT_TIMEOUT_S)
+        if isinstance(verdict, verdicts.Committed):
+            return dataclasses.asdict(verdict.result)
+        if isinstance(verdict, verdicts.Unknown):
+            return Unsure(reason=verdict.reason)
+        leader_url = node.url_of(verdict.leader_host)
+        if not leader_url or verdict.leader_host == node.settings.host_id:
+            return Unsure(reason=verdict.reason)
+        got = await self._http.call(
+            method='POST',
+            url=f'{leader_url}/v1/commands',
+            body=commands.encode(command),
+            timeout_s=COMMIT_TIMEOUT_S,
+        )
+        if isinstance(got, call_failed.CallFailed):
+            return Unsure(reason=f'the leader: {got.kind.value}')
+        if not got.ok:
+            return Unsure(reason=f'the leader refused with {got.status}')
+        body: dict[str, object] = got.json()
+        return body
+
+
+def _said(got: dict[str, object] | Unsure) -> str:
+    return got.reason if isinstance(got, Unsure) else 'committed'
--- a/limpetroute/control/group.py
+++ b/limpetroute/control/group.py
@@ -14,6 +14,7 @@
 from limpetroute.control import control_state
 from limpetroute.control import journal as journal_module
 from limpetroute.control import verdicts
+from limpetroute.telemetry import boot_clock
 
 LOG = logging.getLogger(__name__)
 
@@ -85,7 +86,7 @@
     @property
     def now_s(self) -> float:
         """The replica's clock."""
-        return asyncio.get_running_loop().time()
+        return boot_clock.now_s()
 
     async def commit(
         self, command: commands.Command, timeout_s: float
--- a/limpetroute/control/node.py
+++ b/limpetroute/control/node.py
@@ -23,6 +23,9 @@
 from limpetroute.control import host_reports
 from limpetroute.control import peer_link
 from limpetroute.control import replacements
+from limpetroute.control import seeds as seeds_module
+from limpetroute.control import turnover
+from limpetroute.telemetry import boot_clock
 from limpetroute.wire import caller
 
 LOG = logging.getLogger(__name__)
@@ -79,7 +82,8 @@
             heartbeat_s=settings.heartbeat_s,
             election_s=settings.election_s,
             drift=settings.clock_drift,
-            min_voters=(len(settings.peer_urls) + 1) // 2 + 1,
+            min_voters=_min_voters(settings),
+            max_voters=_max_voters(settings),
         )
         trust = settings.credentials()
         self._http = caller.Caller(tls=trust.client_tls, token=trust.token)
@@ -93,6 +97,8 @@
             max_batch=max_batch,
         )
         self.groups: list[group_module.Group] = []
+        self._started_s = 0.0
+        self._turnover = turnover.Turnover()
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(host_id={self.settings.host_id!r})'
@@ -110,7 +116,7 @@
     @property
     def now_s(self) -> float:
         """Clock of this process."""
-        return asyncio.get_running_loop().time()
+        return boot_clock.now_s()
 
     @property
     def config(self) -> group_module.Group:
@@ -127,14 +133,45 @@
         if host_id == self.settings.host_id:
             return self.url
         heard = self._heard.get(host_id)
-        return heard.url if heard else ''
+        if heard:
+            return heard.url
+        if self.settings.seeds and host_id:
+            return self._seed_url(host_id)
+        return ''
+
+    @property
+    def urls(self) -> list[str]:
+        """Control hosts heard of late, this one among them."""
+        now_s = self.now_s
+        heard = [
+            one.url
+            for one in self._heard.values()
+            if now_s - one.heard_s <= HEARD_S
+        ]
+        return [self.url, *heard]
+
+    def is_full(self) -> bool:
+        """Return whether the group bears all the losses it should.
+
+        Right after the founding a group of seeds is smaller. What it
+        acknowledged then would be gone with the disks of two hosts, so
+        callers wait until it has grown; hosts that never come hold that
+        up for ``full_group_wait_s`` and no longer.
+        """
+        wanted = self._wanted_voters()
+        if len(self.config.replica.membership.voters) >= wanted:
+            return True
+        waited_s = self.now_s - self._started_s
+        return waited_s > self.settings.full_group_wait_s
 
     def start(self) -> None:
         """Begin to take part."""
         self._make_groups()
         self._disk.start()
+        self._started_s = self.now_s
         for url in self.settings.peer_urls:
             self._add_link(url)
+        self._link_to_seeds()
         self._tasks = [asyncio.create_task(self._tick())]
 
     async def stop(self) -> None:
@@ -160,6 +197,9 @@
         )
         if batch.url not in self._links:
             self._add_link(batch.url)
+        for url in batch.urls:
+            if url != self.url and url not in self._links:
+                self._add_link(url)
         self.reports.take(batch.hosts, now_s)
         self.replacements.take(batch.replacements, now_s)
         if batch.founding is not None and self._is_pristine():
@@ -237,6 +277,7 @@
             founding=self.folder.founding,
             replacements=self.replacements.bodies(self.now_s),
             hosts=self.reports.bodies(self.now_s),
+            urls=self.urls if self.settings.seeds else [],
         )
 
     def _send(self, group: int, envelope: messages.Envelope) -> None:
@@ -270,6 +311,8 @@
         Only all hosts together may do so: two that came back empty
         would else found a new group beside the third one's state.
         """
+        if self.settings.seeds:
+            return
         if not self.settings.may_found or not self._is_pristine():
             return
         replicas = {self.settings.host_id: self.folder.replica_id}
@@ -301,7 +344,10 @@
             if former is not None and old != new:
                 group.feed(events.RemoveMember(replica_id=former.replica_id))
                 return
-        wanted = len(self.settings.peer_urls) + 1
+        if self.settings.seeds:
+            self._turn_over(group)
+            return
+        wanted = self._wanted_voters()
         for host_id, heard in self._heard.items():
             if self.now_s - heard.heard_s > HEARD_S:
                 continue
@@ -320,6 +366,48 @@
             group.feed(change)
             return
 
+    # A group of seeds
+
+    def _seed_url(self, host_id: str) -> str:
+        listen = self.settings.listen
+        return seeds_module.url(
+            host=host_id,
+            scheme='https' if listen.tls else 'http',
+            port=listen.port,
+        )
+
+    def _link_to_seeds(self) -> None:
+        hosts = [seeds_module.host_of(seed) for seed in self.settings.seeds]
+        if hosts:
+            members = self.config.replica.membership.members
+            hosts.extend(one.host_id for one in members)
+        for host in hosts:
+            url = self._seed_url(host)
+            if url != self.url and url not in self._links:
+                self._add_link(url)
+
+    def _wanted_voters(self) -> int:
+        tolerated = self.settings.tolerated_losses
+        if self.settings.seeds and tolerated is not None:
+            return 2 * tolerated + 1
+        return len(self.settings.peer_urls) + 1
+
+    def _turn_over(self, group: group_module.Group) -> None:
+        now_s = self.now_s
+        present = {self.settings.host_id: self.folder.replica_id}
+        for host_id, heard in self._heard.items():
+            if now_s - heard.heard_s <= HEARD_S:
+                present[host_id] = heard.replica_id
+        change = self._turnover.next_change(
+            replica=group.replica,
+            present=present,
+            wanted_voters=self._wanted_voters(),
+            now_s=now_s,
+        )
+        if change is not None:
+            LOG.info('group %d: membership change %r', group.number, change)
+            group.feed(change)
+
     # Time
 
     async def _tick(self) -> None:
@@ -364,3 +452,17 @@
         return commands.ForgetOld(
             settled_before_s=settled_before_s, void_before_s=void_before_s
         )
+
+
+def _min_voters(settings: control_settings.ControlSettings) -> int:
+    if settings.seeds:
+        # The turnover removes a voter only where all wanted ones are
+        # there; this is the last guard.
+        return 2
+    return (len(settings.peer_urls) + 1) // 2 + 1
+
+
+def _max_voters(settings: control_settings.ControlSettings) -> int | None:
+    if settings.seeds and settings.tolerated_losses is not None:
+        return 2 * settings.tolerated_losses + 1
+    return None
--- a/limpetroute/control/results.py
+++ b/limpetroute/control/results.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from limpetroute.control import manifest_store
+from limpetroute.control import routes_store
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -51,6 +52,7 @@
 
 Result = (
     manifest_store.Verdict
+    | routes_store.RoutesTaken
     | FenceGiven
     | Granted
     | Found
--- /dev/null
+++ b/limpetroute/control/runner_table.py
@@ -0,0 +1,144 @@
+"""The runners that have announced themselves."""
+
+import dataclasses
+import enum
+import typing
+
+from limpetroute.control import commands
+from limpetroute.control import runner_row
+
+# Runners that left are remembered so that a late heartbeat does not
+# bring them back; a fleet of 1,800 that is replaced once fits.
+MAX_GONE = 2000
+
+
+class RunnerState(enum.StrEnum):
+    """Whether a runner takes new requests."""
+
+    READY = 'ready'
+    DRAINING = 'draining'
+    GONE = 'gone'
+
+
+# A runner only ever moves forward through these.
+_ORDER = (RunnerState.READY, RunnerState.DRAINING, RunnerState.GONE)
+
+
+class RunnerTable:
+    """The runners that have announced themselves.
+
+    Pure: the same commands give the same table on every replica.
+    """
+
+    __slots__ = ('_gone', '_rows', 'changed_index')
+
+    def __init__(self) -> None:
+        self.changed_index = 0
+        self._rows: dict[str, runner_row.RunnerRow] = {}
+        self._gone: dict[str, runner_row.RunnerRow] = {}
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(runners={len(self._rows)!r})'
+
+    def __iter__(self) -> typing.Iterator[runner_row.RunnerRow]:
+        return iter(self._rows.values())
+
+    def get(self, runner_id: str) -> runner_row.RunnerRow | None:
+        """Return a runner, also one that has left."""
+        return self._rows.get(runner_id) or self._gone.get(runner_id)
+
+    def at_address(self, address: str) -> runner_row.RunnerRow | None:
+        """Return the runner that holds an address."""
+        for row in self._rows.values():
+            if row.address == address:
+                return row
+        return None
+
+    def changed_after(self, index: int) -> list[runner_row.RunnerRow]:
+        """Return what changed after a place in the log."""
+        rows = [*self._rows.values(), *self._gone.values()]
+        return [row for row in rows if row.changed_index > index]
+
+    def adds_something(self, command: commands.NoteRunner) -> bool:
+        """Return whether an announcement says what is not known yet.
+
+        Most heartbeats repeat the last one; only the others are worth a
+        place in the log. One that was overtaken on its way adds nothing
+        either, nor does one of a runner that has left.
+        """
+        known = self.get(command.runner_id)
+        if known is None:
+            return True
+        if known.state == RunnerState.GONE:
+            return False
+        if command.sequence <= known.sequence:
+            return False
+        if _rank(command.state) < _rank(known.state):
+            return False
+        return (known.address, known.text, known.state) != (
+            command.address,
+            command.text,
+            command.state,
+        )
+
+    def note(self, command: commands.NoteRunner, index: int) -> None:
+        """Take an announcement.
+
+        A new runner takes over its address: the one that held it has
+        crashed without a word, as two processes cannot share it.
+        """
+        if not self.adds_something(command):
+            return
+        former = self.at_address(command.address)
+        if former is not None and former.runner_id != command.runner_id:
+            self.forget(former.runner_id, index)
+        self._rows[command.runner_id] = runner_row.RunnerRow(
+            runner_id=command.runner_id,
+            address=command.address,
+            text=command.text,
+            sequence=command.sequence,
+            state=command.state,
+            changed_index=index,
+        )
+        self.changed_index = index
+
+    def forget(self, runner_id: str, index: int) -> None:
+        """Note that a runner has left, known or not."""
+        if runner_id in self._gone:
+            return
+        known = self._rows.pop(runner_id, None)
+        if known is None:
+            known = runner_row.RunnerRow(
+                runner_id=runner_id,
+                address='',
+                text='',
+                sequence=0,
+                state=RunnerState.GONE,
+                changed_index=index,
+            )
+        self._gone[runner_id] = dataclasses.replace(
+            known, state=RunnerState.GONE, changed_index=index
+        )
+        while len(self._gone) > MAX_GONE:
+            del self._gone[next(iter(self._gone))]
+        self.changed_index = index
+
+    def dump(self) -> list[list[object]]:
+        """Return the whole table for a snapshot."""
+        rows = [*self._rows.values(), *self._gone.values()]
+        return [list(dataclasses.astuple(row)) for row in rows]
+
+    def load(self, rows: list[list[typing.Any]]) -> None:
+        """Take what `dump` returned, into an empty table."""
+        names = [one.name for one in dataclasses.fields(runner_row.RunnerRow)]
+        for values in rows:
+            row = runner_row.RunnerRow(**dict(zip(names, values, strict=True)))
+            place = self._rows
+            if row.state == RunnerState.GONE:
+                place = self._gone
+            place[row.runner_id] = row
+            self.changed_index = max(self.changed_index, row.changed_index)
+
+
+def _rank(state: str) -> int:
+    return _ORDER.index(RunnerState(state))
--- a/limpetroute/control/server.py
+++ b/limpetroute/control/server.py
@@ -1,6 +1,7 @@
 """The control process's port."""
 
 import logging
+import typing
 
 import tornado.httpserver
 import tornado.netutil
@@ -8,16 +9,38 @@
 
 from limpetroute.border import control_settings
 from limpetroute.control import claim_handlers
+from limpetroute.control import command_handler
 from limpetroute.control import data_folder
+from limpetroute.control import desk as desk_module
 from limpetroute.control import files as files_module
 from limpetroute.control import manifest_handler
 from limpetroute.control import node as node_module
 from limpetroute.control import peer_handlers
+from limpetroute.control import seeds
+from limpetroute.control import watch_handler
+from limpetroute.wire import caller
 from limpetroute.wire import token_guard
 
 LOG = logging.getLogger(__name__)
 
 
+class PublicPort(typing.Protocol):
+    """A port for operators and runners."""
+
+    def start(self) -> None:
+        """Open it."""
+
+    def stop(self) -> None:
+        """Close it."""
+
+
+class MakePublicPort(typing.Protocol):
+    """Makes a port for operators and runners."""
+
+    def __call__(self, *, desk: desk_module.Desk) -> PublicPort:
+        """Make it."""
+
+
 class ControlServer:
     """One control process.
 
@@ -29,6 +52,8 @@
         Most writes in one sync; None for all that wait.
     files : Files or None
         The file system; None for the host's own.
+    make_public_port : callable or None
+        Makes the port for operators and runners, given a `Desk`.
 
     Raises
     ------
@@ -42,7 +67,10 @@
         settings: control_settings.ControlSettings,
         max_batch: int | None = None,
         files: files_module.Files | None = None,
+        make_public_port: MakePublicPort | None = None,
     ) -> None:
+        self._make_public_port = make_public_port
+        self._public_port: PublicPort | None = None
         self.settings = settings
         self.port = 0
         self.node: node_module.Node | None = None
@@ -52,6 +80,7 @@
             host_id=settings.host_id,
             files=files,
             rewrite_bytes=settings.rewrite_bytes,
+            founders=_founders(settings),
         )
         self._server: tornado.httpserver.HTTPServer | None = None
 
@@ -91,10 +120,24 @@
         )
         node.start()
         self._server.add_sockets(sockets)
+        self._open_public_port(node)
         LOG.info('control %s on port %d', self.settings.host_id, self.port)
 
+    def _open_public_port(self, node: node_module.Node) -> None:
+        if self._make_public_port is None:
+            return
+        trust = self.settings.credentials()
+        desk = desk_module.Desk(
+            node=node,
+            http=caller.Caller(tls=trust.client_tls, token=trust.token),
+        )
+        self._public_port = self._make_public_port(desk=desk)
+        self._public_port.start()
+
     async def stop(self) -> None:
         """Close the port and end."""
+        if self._public_port is not None:
+            self._public_port.stop()
         if self._server is not None:
             self._server.stop()
             await self._server.close_all_connections()
@@ -102,6 +145,14 @@
             await self.node.stop()
 
 
+def _founders(
+    settings: control_settings.ControlSettings,
+) -> dict[str, str] | None:
+    if not settings.seeds or not settings.may_found:
+        return None
+    return seeds.founders(settings.seeds)
+
+
 def _routes(node: node_module.Node) -> list[tornado.web.URLSpec]:
     url = tornado.web.url
     args = {'node': node}
@@ -112,6 +163,8 @@
         url('/v1/claims/settle', claim_handlers.SettleHandler, args),
         url('/v1/fences', claim_handlers.FenceHandler, args),
         url('/v1/peer', peer_handlers.PeerHandler, args),
+        url('/v1/watch', watch_handler.WatchHandler, args),
+        url('/v1/commands', command_handler.CommandHandler, args),
         url('/v1/status', peer_handlers.StatusHandler, args),
         url('/v1/members/replace', peer_handlers.ReplaceHandler, args),
     ]
--- /dev/null
+++ b/limpetroute/forwarding/caller_request.py
@@ -0,0 +1,67 @@
+"""A caller's request as the forwarder works with it."""
+
+import dataclasses
+
+from tornado import httputil
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Generation:
+    """What a request asks a model for.
+
+    Parameters
+    ----------
+    prompt_tokens : int
+        Tokens of the prompt.
+    max_output_tokens : int
+        Most tokens of the answer.
+    """
+
+    prompt_tokens: int
+    max_output_tokens: int
+
+    @property
+    def peak_tokens(self) -> int:
+        """Most tokens of KV memory that it takes."""
+        return self.prompt_tokens + self.max_output_tokens
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class CallerRequest:
+    """A caller's request as the forwarder works with it.
+
+    Parameters
+    ----------
+    request_id : str
+        Names this attempt of the caller; empty if it gave none.
+    method, target, host : str
+        As on the request line; ``target`` is path and query.
+    headers : HTTPHeaders
+        As they came.
+    body : bytes
+        The whole body.
+    received_s : float
+        When its headers were read, by the event loop's clock.
+    patience_s : float or None
+        How long the caller waits, counted from ``received_s``.
+    generation : Generation or None
+        None for a plain request.
+    resume_after : str
+        The last event that the caller has; empty to begin.
+    """
+
+    request_id: str
+    method: str
+    target: str
+    host: str
+    headers: httputil.HTTPHeaders
+    body: bytes
+    received_s: float
+    patience_s: float | None
+    generation: Generation | None
+    resume_after: str
+
+    @property
+    def path(self) -> str:
+        """The target without its query."""
+        return self.target.partition('?')[0]
--- /dev/null
+++ b/limpetroute/forwarding/control_watch.py
@@ -0,0 +1,130 @@
+"""The task that follows one control host at a time."""
+
+import asyncio
+import logging
+import typing
+
+from limpetroute.forwarding import fleet_view
+from limpetroute.wire import call_failed
+from limpetroute.wire import caller
+
+LOG = logging.getLogger(__name__)
+
+# A control host holds a call for WAIT_S while nothing changes. One that
+# has not answered MARGIN_S after that is silent or gone; the next is
+# asked. Together they stay well under the 2 s within which a change
+# must be in force here.
+WAIT_S = 0.5
+MARGIN_S = 0.4
+PAUSE_S = 0.05
+
+
+class ControlWatch:
+    """The task that follows one control host at a time.
+
+    Parameters
+    ----------
+    view : FleetView
+        Takes what is heard.
+    http : Caller
+        Makes the calls.
+    urls : callable
+        Returns the control hosts of the settings, which may change.
+    host_id : str
+        This host, as control hosts count it.
+    """
+
+    def __init__(
+        self,
+        *,
+        view: fleet_view.FleetView,
+        http: caller.Caller,
+        urls: typing.Callable[[], typing.Sequence[str]],
+        host_id: str,
+    ) -> None:
+        self._view = view
+        self._http = http
+        self._settings_urls = urls
+        self._host_id = host_id
+        self._heard_urls: list[str] = []
+        self._next = sum(host_id.encode())
+        self._following = ''
+        self.heard_s = 0.0
+        self.entry_hosts = 1
+        self._task: asyncio.Task[None] | None = None
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(following={self._following!r})'
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self._task = asyncio.create_task(self._run())
+
+    def stop(self) -> None:
+        """End."""
+        if self._task is not None:
+            self._task.cancel()
+
+    async def _run(self) -> None:
+        while True:
+            url = self._following or self._pick()
+            if not url:
+                await asyncio.sleep(PAUSE_S)
+                continue
+            if await self._ask(url):
+                self._note_following(url)
+                continue
+            self._note_following('')
+            await asyncio.sleep(PAUSE_S)
+
+    def _pick(self) -> str:
+        """Return the next host to try, the known ones before the seeds.
+
+        Seeds may be stale, and what control hosts say of each other may
+        be too: both lists are tried in turn until one answers.
+        """
+        urls = list(dict.fromkeys([*self._heard_urls, *self._settings_urls()]))
+        if not urls:
+            return ''
+        self._next += 1
+        return urls[self._next % len(urls)]
+
+    async def _ask(self, url: str) -> bool:
+        got = await self._http.call(
+            method='GET',
+            url=(
+                f'{url}/v1/watch?after={self._view.index}'
+                f'&wait_s={WAIT_S}&host={self._host_id}'
+            ),
+            timeout_s=WAIT_S + MARGIN_S,
+        )
+        if isinstance(got, call_failed.CallFailed) or not got.ok:
+            return False
+        try:
+            body = got.json()
+            in_touch = bool(body['in_touch'])
+            if in_touch:
+                self._view.take(body)
+                self._heard_urls = [str(one) for one in body['urls']]
+                self.entry_hosts = max(1, int(body['entry_hosts']))
+        except (ValueError, KeyError, TypeError) as exc:
+            LOG.error(
+                'control host answers with nonsense',
+                extra={'url': url, 'reason': str(exc)},
+            )
+            return False
+        if in_touch:
+            self.heard_s = asyncio.get_running_loop().time()
+        return in_touch
+
+    def _note_following(self, url: str) -> None:
+        if url == self._following:
+            return
+        LOG.info(
+            'following a control host' if url else 'lost the control host',
+            extra={
+                'url': url or self._following,
+                'index': self._view.index,
+            },
+        )
+        self._following = url
--- /dev/null
+++ b/limpetroute/forwarding/dialect.py
@@ -0,0 +1,107 @@
+"""How callers and runners are spoken to."""
+
+import dataclasses
+import typing
+
+from tornado import httputil
+
+from limpetroute.forwarding import caller_request
+from limpetroute.routing import route_plan
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class KvSource:
+    """Where a decode runner fetches a prompt's KV cache.
+
+    Parameters
+    ----------
+    address : str
+        The runner that read the prompt.
+    handle : str
+        Its name of the result.
+    """
+
+    address: str
+    handle: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SendNote:
+    """What a runner is told beside the caller's own request.
+
+    Parameters
+    ----------
+    left_s : float
+        Time left for the answer.
+    runner_id : str
+        The runner that is meant; another one at its address refuses.
+    prefill_only : bool
+        Whether only the prompt is read.
+    kv_source : KvSource or None
+        Where the prompt's KV cache is.
+    resume_after : str or None
+        Event to go on after; None for what the caller asked.
+    """
+
+    left_s: float
+    runner_id: str
+    prefill_only: bool = False
+    kv_source: KvSource | None = None
+    resume_after: str | None = None
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SmallCall:
+    """A call to a runner that carries no caller's request."""
+
+    method: str
+    path: str
+    body: bytes = b''
+    headers: typing.Mapping[str, str] = dataclasses.field(default_factory=dict)
+
+
+class Dialect(typing.Protocol):
+    """How callers and runners are spoken to: names and formats."""
+
+    def read_request(
+        self,
+        start: httputil.RequestStartLine,
+        headers: httputil.HTTPHeaders,
+        body: bytes,
+        received_s: float,
+    ) -> caller_request.CallerRequest:
+        """Decode a caller's request."""
+
+    def runner_headers(
+        self, request: caller_request.CallerRequest, note: SendNote
+    ) -> httputil.HTTPHeaders:
+        """Return the headers for a runner."""
+
+    def refused(self, status: int, headers: httputil.HTTPHeaders) -> bool:
+        """Return whether a runner proves that it did not run a request."""
+
+    def belongs(
+        self,
+        request: caller_request.CallerRequest,
+        headers: httputil.HTTPHeaders,
+    ) -> bool:
+        """Return whether a response is the one to this request."""
+
+    def caller_headers(
+        self, headers: httputil.HTTPHeaders
+    ) -> httputil.HTTPHeaders:
+        """Return what of a runner's headers the caller gets."""
+
+    def own_headers(
+        self, request: caller_request.CallerRequest
+    ) -> httputil.HTTPHeaders:
+        """Return the headers of an answer of this host's own."""
+
+    def read_handle(self, body: bytes) -> str:
+        """Return the handle of a prefill's result; `ValueError` if none."""
+
+    def free_handle(self, handle: str, runner_id: str) -> SmallCall:
+        """Return the call that frees a prefill's result."""
+
+    def read_plan(self, text: str) -> route_plan.RoutePlan:
+        """Decode a routing configuration."""
--- /dev/null
+++ b/limpetroute/forwarding/fleet_view.py
@@ -0,0 +1,106 @@
+"""What this host knows of routes, runners and control hosts."""
+
+import json
+import logging
+import typing
+
+from limpetroute.forwarding import dialect as dialect_module
+from limpetroute.routing import route_plan
+from limpetroute.routing import runner_info
+from limpetroute.routing import runner_load
+
+LOG = logging.getLogger(__name__)
+
+STATE_READY = 'ready'
+STATE_GONE = 'gone'
+
+
+class FleetView:
+    """What this host knows of routes, runners and control hosts.
+
+    It only moves forward: what an earlier place in the log says is
+    dropped, so a control host that has fallen behind cannot bring an
+    older configuration or a runner that left back.
+
+    Parameters
+    ----------
+    dialect : Dialect
+        Decodes routing configurations.
+    """
+
+    def __init__(self, *, dialect: dialect_module.Dialect) -> None:
+        self._dialect = dialect
+        self.index = 0
+        self.plan: route_plan.RoutePlan | None = None
+        self.loads: dict[str, runner_load.RunnerLoad] = {}
+        self._runners: dict[str, runner_info.RunnerInfo] = {}
+        self._by_service: dict[str, list[runner_info.RunnerInfo]] = {}
+
+    def __repr__(self) -> str:
+        version = self.plan.version if self.plan else 0
+        return (
+            f'{type(self).__name__}(index={self.index!r}, '
+            f'version={version!r}, runners={len(self._runners)!r})'
+        )
+
+    def runners(self, service: str) -> list[runner_info.RunnerInfo]:
+        """Return a service's runners."""
+        return self._by_service.get(service, [])
+
+    def load(self, runner_id: str) -> runner_load.RunnerLoad:
+        """Return what is known of a runner's load."""
+        known = self.loads.get(runner_id)
+        if known is None:
+            known = self.loads[runner_id] = runner_load.RunnerLoad()
+        return known
+
+    def take(self, body: typing.Mapping[str, typing.Any]) -> bool:
+        """Take what a control host shows; return whether it was newer."""
+        index = int(body['index'])
+        if index <= self.index:
+            return False
+        if body['routes'] is not None:
+            self._take_routes(body['routes'])
+        for row in body['runners']:
+            self._take_runner(row)
+        self.index = index
+        self._by_service = {}
+        for one in self._runners.values():
+            self._by_service.setdefault(one.service, []).append(one)
+        return True
+
+    def _take_routes(self, body: typing.Mapping[str, typing.Any]) -> None:
+        version = int(body['version'])
+        if self.plan is not None and version <= self.plan.version:
+            return
+        self.plan = self._dialect.read_plan(body['text'])
+        LOG.info(
+            'routes in force',
+            extra={
+                'version': version,
+                'routes': len(self.plan.routes),
+                'digest': body['digest'],
+            },
+        )
+
+    def _take_runner(self, row: typing.Mapping[str, typing.Any]) -> None:
+        runner_id = row['runner_id']
+        if row['state'] == STATE_GONE:
+            self._runners.pop(runner_id, None)
+            self.loads.pop(runner_id, None)
+        else:
+            self._runners[runner_id] = runner_info.from_detail(
+                runner_id=runner_id,
+                address=row['address'],
+                ready=row['state'] == STATE_READY,
+                detail=row['text'],
+            )
+        LOG.info(
+            'runner known',
+            extra={
+                'runner': runner_id,
+                'address': row['address'],
+                'state': row['state'],
+                'detail': json.loads(row['text']) if row['text'] else {},
+            },
+        )
--- /dev/null
+++ b/limpetroute/forwarding/forward_context.py
@@ -0,0 +1,142 @@
+"""What all forwarding on one host shares."""
+
+import asyncio
+import logging
+import random
+import typing
+
+from limpetroute.forwarding import caller_request
+from limpetroute.forwarding import control_watch
+from limpetroute.forwarding import dialect as dialect_module
+from limpetroute.forwarding import fleet_view
+from limpetroute.forwarding import forward_meters
+from limpetroute.routing import next_step
+from limpetroute.routing import route as route_module
+from limpetroute.routing import runner_info
+from limpetroute.routing import send_budget
+from limpetroute.routing import send_result
+
+LOG = logging.getLogger(__name__)
+
+
+class ForwardContext:
+    """What all forwarding on one host shares.
+
+    Parameters
+    ----------
+    view : FleetView
+        Routes and runners.
+    watch : ControlWatch
+        Knows how many hosts there are.
+    dialect : Dialect
+        How callers and runners are spoken to.
+    meters : ForwardMeters
+        Counts.
+    zone : str
+        The own availability zone.
+    make_budget : callable
+        Makes a service's budget of second sends.
+    rng : random.Random
+        Breaks ties and draws services.
+    """
+
+    def __init__(
+        self,
+        *,
+        view: fleet_view.FleetView,
+        watch: control_watch.ControlWatch,
+        dialect: dialect_module.Dialect,
+        meters: forward_meters.ForwardMeters,
+        zone: str,
+        make_budget: typing.Callable[[], send_budget.SendBudget],
+        rng: random.Random,
+    ) -> None:
+        self.view = view
+        self.dialect = dialect
+        self.meters = meters
+        self.zone = zone
+        self.rng = rng
+        self._watch = watch
+        self._make_budget = make_budget
+        self._aside: set[asyncio.Task[None]] = set()
+        self._budgets: dict[str, send_budget.SendBudget] = {}
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(view={self.view!r})'
+
+    def left_s(
+        self,
+        request: caller_request.CallerRequest,
+        route: route_module.Route,
+    ) -> float:
+        """Return the time left for an answer, at least 0."""
+        whole_s = route.timeout_s
+        if request.patience_s is not None:
+            whole_s = min(whole_s, request.patience_s)
+        spent_s = asyncio.get_running_loop().time() - request.received_s
+        return max(0.0, whole_s - spent_s)
+
+    def run_aside(self, work: typing.Coroutine[None, None, None]) -> None:
+        """Run something that no caller waits for."""
+        task = asyncio.create_task(work)
+        self._aside.add(task)
+        task.add_done_callback(self._aside.discard)
+
+    def note_request(self, service: str) -> None:
+        """Count a caller's request for a service."""
+        self._budget(service).note_request(_now_s())
+
+    def may_send_again(self, service: str) -> bool:
+        """Take a second send out of a service's budget."""
+        return self._budget(service).take(_now_s(), self._watch.entry_hosts)
+
+    def count(
+        self,
+        route: route_module.Route | None,
+        status: int,
+        request: caller_request.CallerRequest,
+    ) -> None:
+        """Count an answer and the time it took."""
+        kind = route.kind.value if route else 'none'
+        self.meters.answered(kind, status, _now_s() - request.received_s)
+
+    def log_send(
+        self,
+        request: caller_request.CallerRequest,
+        *,
+        runner: runner_info.RunnerInfo,
+        result: send_result.SendResult,
+        step: next_step.Step,
+        took_s: float,
+        detail: str,
+        part: str = 'run',
+    ) -> None:
+        """Write what a send to a runner came to and what follows."""
+        load = self.view.load(runner.runner_id)
+        self.meters.sent(part, result.value)
+        LOG.info(
+            'sent',
+            extra={
+                'request': request.request_id,
+                'part': part,
+                'runner': runner.runner_id,
+                'address': runner.address,
+                'result': result.value,
+                'step': step.value,
+                'detail': detail,
+                'took_ms': round(took_s * 1000),
+                'own_requests': load.requests,
+                'failures': load.failures,
+                'index': self.view.index,
+            },
+        )
+
+    def _budget(self, service: str) -> send_budget.SendBudget:
+        known = self._budgets.get(service)
+        if known is None:
+            known = self._budgets[service] = self._make_budget()
+        return known
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/limpetroute/forwarding/forward_meters.py
@@ -0,0 +1,67 @@
+"""Counters and histograms of the forwarder."""
+
+from opentelemetry import metrics
+
+# Plain calls aim at 200 to 400 ms and streams' first events at 900 ms;
+# the buckets are narrow around these.
+ANSWER_BOUNDS_S = (
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.3,
+    0.4,
+    0.6,
+    0.9,
+    1.2,
+    2.0,
+    4.0,
+    8.0,
+    14.0,
+)
+
+
+class ForwardMeters:
+    """Counters and histograms of the forwarder.
+
+    Labels have few values, so the number of series stays the same
+    however many callers and requests there are.
+
+    Parameters
+    ----------
+    meter : Meter
+        Makes the instruments.
+    """
+
+    def __init__(self, *, meter: metrics.Meter) -> None:
+        self._answers = meter.create_histogram(
+            'limpetroute_answer',
+            unit='s',
+            description='From a request to the end of its answer.',
+            explicit_bucket_boundaries_advisory=ANSWER_BOUNDS_S,
+        )
+        self._first_events = meter.create_histogram(
+            'limpetroute_first_event',
+            unit='s',
+            description="From a request to its stream's first event.",
+            explicit_bucket_boundaries_advisory=ANSWER_BOUNDS_S,
+        )
+        self._sends = meter.create_counter(
+            'limpetroute_sends',
+            description='Sends to runners, by part and result.',
+        )
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}()'
+
+    def answered(self, kind: str, status: int, seconds: float) -> None:
+        """Record an answer."""
+        self._answers.record(seconds, {'kind': kind, 'status': status})
+
+    def first_event(self, seconds: float) -> None:
+        """Record a stream's first event."""
+        self._first_events.record(seconds)
+
+    def sent(self, part: str, result: str) -> None:
+        """Count a send to a runner."""
+        self._sends.add(1, {'part': part, 'result': result})
--- /dev/null
+++ b/limpetroute/forwarding/forwarder.py
@@ -0,0 +1,126 @@
+"""Finds a request's route and has it forwarded."""
+
+import asyncio
+import logging
+
+from limpetroute.forwarding import caller_request
+from limpetroute.forwarding import forward_context
+from limpetroute.forwarding import own_answer
+from limpetroute.forwarding import plain_forward
+from limpetroute.forwarding import responder as responder_module
+from limpetroute.forwarding import stream_forward
+from limpetroute.routing import next_step
+from limpetroute.routing import route as route_module
+
+LOG = logging.getLogger(__name__)
+
+
+class Forwarder:
+    """Finds a request's route and has it forwarded.
+
+    Parameters
+    ----------
+    context : ForwardContext
+        What all forwarding shares.
+    """
+
+    def __init__(self, *, context: forward_context.ForwardContext) -> None:
+        self._context = context
+        self.active = 0
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(active={self.active!r})'
+
+    async def answer(
+        self,
+        request: caller_request.CallerRequest,
+        responder: responder_module.Responder,
+    ) -> None:
+        """Answer a request; ends early where its caller is gone."""
+        self.active += 1
+        try:
+            await self._answer(request, responder)
+        except responder_module.CallerGoneError:
+            self._note_gone(request)
+        except asyncio.CancelledError:
+            self._note_gone(request)
+            raise
+        finally:
+            self.active -= 1
+            if not responder.finished:
+                responder.abort()
+
+    async def _answer(
+        self,
+        request: caller_request.CallerRequest,
+        responder: responder_module.Responder,
+    ) -> None:
+        context = self._context
+        plan = context.view.plan
+        if plan is None:
+            await own_answer.write_status(
+                context,
+                request=request,
+                route=None,
+                responder=responder,
+                status=own_answer.HTTP_UNAVAILABLE,
+                reason='no routes are known yet',
+            )
+            return
+        route = plan.find(request.host, request.path)
+        if route is None:
+            await own_answer.write_status(
+                context,
+                request=request,
+                route=None,
+                responder=responder,
+                status=own_answer.HTTP_NOT_FOUND,
+                reason=f'no route in version {plan.version}',
+            )
+            return
+        await self._forward(request, route, responder)
+
+    async def _forward(
+        self,
+        request: caller_request.CallerRequest,
+        route: route_module.Route,
+        responder: responder_module.Responder,
+    ) -> None:
+        context = self._context
+        assert context.view.plan is not None
+        name = plain_forward.draw_service(route, context.rng)
+        service = context.view.plan.service(name)
+        context.note_request(name)
+        forward: stream_forward.StreamForward | plain_forward.PlainForward
+        if service is not None and service.engine and request.generation:
+            forward = stream_forward.StreamForward(
+                context=context,
+                request=request,
+                route=route,
+                service=service,
+                responder=responder,
+            )
+        else:
+            forward = plain_forward.PlainForward(
+                context=context,
+                request=request,
+                route=route,
+                service=name,
+                responder=responder,
+            )
+        whole_s = context.left_s(request, route)
+        try:
+            async with asyncio.timeout(whole_s):
+                await forward.run()
+        except TimeoutError:
+            await own_answer.write(
+                context,
+                request=request,
+                route=route,
+                responder=responder,
+                step=next_step.Step.EXPIRE,
+                reason='no answer in time',
+            )
+
+    def _note_gone(self, request: caller_request.CallerRequest) -> None:
+        LOG.info('caller gone', extra={'request': request.request_id})
--- /dev/null
+++ b/limpetroute/forwarding/front_server.py
@@ -0,0 +1,146 @@
+"""The port that callers talk to."""
+
+import asyncio
+import logging
+import typing
+
+from tornado import http1connection
+from tornado import httpserver
+from tornado import httputil
+from tornado import netutil
+
+from limpetroute.forwarding import dialect as dialect_module
+from limpetroute.forwarding import forwarder as forwarder_module
+from limpetroute.forwarding import responder as responder_module
+from limpetroute.routing import caller_limits
+
+LOG = logging.getLogger(__name__)
+
+
+class FrontServer(httputil.HTTPServerConnectionDelegate):
+    """The port that callers talk to.
+
+    Parameters
+    ----------
+    forwarder : Forwarder
+        Answers the requests.
+    dialect : Dialect
+        Decodes them.
+    """
+
+    def __init__(
+        self,
+        *,
+        forwarder: forwarder_module.Forwarder,
+        dialect: dialect_module.Dialect,
+    ) -> None:
+        self.forwarder = forwarder
+        self.dialect = dialect
+        self.closing = False
+        self.limits = caller_limits.CallerLimits()
+        self._server: httpserver.HTTPServer | None = None
+        self.port = 0
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(port={self.port!r})'
+
+    def listen(self, address: str, port: int) -> None:
+        """Open the port."""
+        sockets = netutil.bind_sockets(port, address, backlog=1024)
+        self.port = int(sockets[0].getsockname()[1])
+        self._server = httpserver.HTTPServer(
+            self,
+            idle_connection_timeout=self.limits.idle_timeout_s,
+            max_header_size=self.limits.max_header_bytes * 2,
+            max_body_size=self.limits.max_body_bytes,
+        )
+        self._server.add_sockets(sockets)
+
+    def stop_listening(self) -> None:
+        """Take no more connections."""
+        if self._server is not None:
+            self._server.stop()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._server is not None:
+            await self._server.close_all_connections()
+
+    def start_request(
+        self,
+        server_conn: object,
+        request_conn: httputil.HTTPConnection,
+    ) -> httputil.HTTPMessageDelegate:
+        """Return what takes the next request of a connection."""
+        assert isinstance(request_conn, http1connection.HTTP1Connection)
+        return _Exchange(server=self, connection=request_conn)
+
+    def on_close(self, server_conn: object) -> None:
+        """Take note of a closed connection; its exchange was told."""
+
+
+class _Exchange(httputil.HTTPMessageDelegate):
+    """Reads one request and has it answered."""
+
+    def __init__(
+        self,
+        *,
+        server: FrontServer,
+        connection: http1connection.HTTP1Connection,
+    ) -> None:
+        self._server = server
+        self._connection = connection
+        self._start: httputil.RequestStartLine | None = None
+        self._headers = httputil.HTTPHeaders()
+        self._parts: list[bytes] = []
+        self._received_s = 0.0
+        self._task: asyncio.Task[None] | None = None
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> typing.Awaitable[None] | None:
+        """Take the head of a request."""
+        assert isinstance(start_line, httputil.RequestStartLine)
+        self._start = start_line
+        self._headers = headers
+        self._received_s = asyncio.get_running_loop().time()
+        return None
+
+    def data_received(self, chunk: bytes) -> typing.Awaitable[None] | None:
+        """Take a part of the body."""
+        self._parts.append(chunk)
+        return None
+
+    def finish(self) -> None:
+        """Begin to answer."""
+        assert self._start is not None
+        request = self._server.dialect.read_request(
+            self._start,
+            self._headers,
+            b''.join(self._parts),
+            self._received_s,
+        )
+        responder = responder_module.Responder(
+            connection=self._connection,
+            closing=lambda: self._server.closing,
+        )
+        self._connection.set_close_callback(self.on_connection_close)
+        self._task = asyncio.create_task(
+            self._server.forwarder.answer(request, responder)
+        )
+        self._task.add_done_callback(_note_failure)
+
+    def on_connection_close(self) -> None:
+        """End the work for a caller that is gone."""
+        if self._task is not None:
+            self._task.cancel()
+
+
+def _note_failure(task: 'asyncio.Task[None]') -> None:
+    if task.cancelled():
+        return
+    exc = task.exception()
+    if exc is not None:
+        LOG.error('a request failed in the router', exc_info=exc)
--- /dev/null
+++ b/limpetroute/forwarding/own_answer.py
@@ -0,0 +1,85 @@
+"""Answers of this host's own, where no runner's is passed on."""
+
+import json
+import logging
+
+from limpetroute.forwarding import caller_request
+from limpetroute.forwarding import forward_context
+from limpetroute.forwarding import responder as responder_module
+from limpetroute.routing import next_step
+from limpetroute.routing import route as route_module
+
+LOG = logging.getLogger(__name__)
+
+HTTP_NOT_FOUND = 404
+HTTP_BAD_REQUEST = 400
+HTTP_BAD_GATEWAY = 502
+HTTP_UNAVAILABLE = 503
+HTTP_GATEWAY_TIMEOUT = 504
+
+_STATUS = {
+    next_step.Step.REFUSE: HTTP_UNAVAILABLE,
+    next_step.Step.FAIL: HTTP_BAD_GATEWAY,
+    next_step.Step.EXPIRE: HTTP_GATEWAY_TIMEOUT,
+}
+
+# A caller that is told to come back at once meets the same runners in
+# the same state. Failures and full queues here last some hundred
+# milliseconds.
+RETRY_AFTER_S = 0.3
+
+
+async def write(
+    context: forward_context.ForwardContext,
+    *,
+    request: caller_request.CallerRequest,
+    route: route_module.Route | None,
+    responder: responder_module.Responder,
+    step: next_step.Step,
+    reason: str,
+    retry_after_s: float = RETRY_AFTER_S,
+) -> None:
+    """Answer a request that no runner's response answers."""
+    await write_status(
+        context,
+        request=request,
+        route=route,
+        responder=responder,
+        status=_STATUS[step],
+        reason=reason,
+        retry_after_s=retry_after_s,
+    )
+
+
+async def write_status(
+    context: forward_context.ForwardContext,
+    *,
+    request: caller_request.CallerRequest,
+    route: route_module.Route | None,
+    responder: responder_module.Responder,
+    status: int,
+    reason: str,
+    retry_after_s: float = RETRY_AFTER_S,
+) -> None:
+    """Answer with a status of this host's own and say why."""
+    headers = context.dialect.own_headers(request)
+    headers['Content-Type'] = 'application/json'
+    if status == HTTP_UNAVAILABLE:
+        headers['Retry-After'] = f'{retry_after_s:.3f}'.rstrip('0')
+    plan = context.view.plan
+    LOG.info(
+        'answered for itself',
+        extra={
+            'request': request.request_id,
+            'route': route.name if route else '',
+            'status': status,
+            'reason': reason,
+            'version': plan.version if plan else 0,
+        },
+    )
+    context.count(route, status, request)
+    body = json.dumps({'status': status, 'reason': reason}).encode()
+    if responder.started:
+        responder.abort()
+        return
+    await responder.whole(status, headers, body)
--- /dev/null
+++ b/limpetroute/forwarding/plain_forward.py
@@ -0,0 +1,195 @@
+"""Forwards a request whose answer is passed on whole."""
+
+import asyncio
+import logging
+import random
+
+from limpetroute.forwarding import caller_request
+from limpetroute.forwarding import dialect as dialect_module
+from limpetroute.forwarding import forward_context
+from limpetroute.forwarding import own_answer
+from limpetroute.forwarding import responder as responder_module
+from limpetroute.forwarding import runner_call
+from limpetroute.routing import next_step
+from limpetroute.routing import plain_choice
+from limpetroute.routing import route as route_module
+from limpetroute.routing import runner_info
+from limpetroute.routing import send_result
+
+LOG = logging.getLogger(__name__)
+
+
+class PlainForward:
+    """Forwards a request whose answer is passed on whole.
+
+    The answer is read to its end before its first byte goes to the
+    caller: a runner that breaks off in the middle then costs an honest
+    error, or another send where the request may be repeated.
+
+    Parameters
+    ----------
+    context : ForwardContext
+        What all forwarding shares.
+    request : CallerRequest
+        The caller's request.
+    route : Route
+        Its route.
+    service : str
+        The service drawn for it.
+    responder : Responder
+        Writes the answer.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: forward_context.ForwardContext,
+        request: caller_request.CallerRequest,
+        route: route_module.Route,
+        service: str,
+        responder: responder_module.Responder,
+    ) -> None:
+        self._context = context
+        self._request = request
+        self._route = route
+        self._service = service
+        self._responder = responder
+        self._tried: set[str] = set()
+        self._sends = 0
+        self._ran_before = False
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(request={self._request.request_id!r})'
+
+    async def run(self) -> None:
+        """Answer the request."""
+        while True:
+            runner = self._choose()
+            if runner is None:
+                await self._end(next_step.Step.REFUSE, 'no runner')
+                return
+            step = await self._send(runner)
+            if step is next_step.Step.RELAY:
+                return
+            if step is not next_step.Step.AGAIN:
+                await self._end(step, 'after a send')
+                return
+
+    def _choose(self) -> runner_info.RunnerInfo | None:
+        context = self._context
+        return plain_choice.choose(
+            context.view.runners(self._service),
+            loads=context.view.loads,
+            zone=context.zone,
+            tried=self._tried,
+            now_s=_now_s(),
+            rng=context.rng,
+        )
+
+    async def _send(self, runner: runner_info.RunnerInfo) -> next_step.Step:
+        """Send once; an answer that is passed on is written here."""
+        context = self._context
+        begun_s = _now_s()
+        self._tried.add(runner.runner_id)
+        load = context.view.load(runner.runner_id)
+        call = runner_call.RunnerCall(runner=runner, dialect=context.dialect)
+        note = dialect_module.SendNote(
+            left_s=context.left_s(self._request, self._route),
+            runner_id=runner.runner_id,
+        )
+        load.requests += 1
+        try:
+            failed = await call.open(self._request, note)
+            body: bytes | runner_call.SendFailure = b''
+            if failed is None:
+                body = await call.read(
+                    context.left_s(self._request, self._route)
+                )
+        finally:
+            load.requests -= 1
+            call.close()
+        if failed is None and isinstance(body, runner_call.SendFailure):
+            failed = body
+        result = _result(call, failed)
+        took_s = _now_s() - begun_s
+        if result is send_result.SendResult.ANSWERED:
+            load.note_success(took_s)
+        elif result is not send_result.SendResult.TIMED_OUT:
+            load.note_failure(_now_s())
+        step = self._decide(result)
+        context.log_send(
+            self._request,
+            runner=runner,
+            result=result,
+            step=step,
+            took_s=took_s,
+            detail=failed.detail if failed else f'status {call.status}',
+        )
+        if step is next_step.Step.RELAY:
+            assert isinstance(body, bytes)
+            await self._responder.whole(
+                call.status,
+                context.dialect.caller_headers(call.headers),
+                body,
+            )
+            context.count(self._route, call.status, self._request)
+        return step
+
+    def _decide(self, result: send_result.SendResult) -> next_step.Step:
+        if result is not send_result.SendResult.NOT_SENT:
+            self._sends += 1
+        situation = next_step.Situation(
+            repeatable=self._route.repeatable,
+            result=result,
+            ran_before=self._ran_before,
+            sends=self._sends,
+            max_sends=self._route.max_sends,
+            left_s=self._context.left_s(self._request, self._route),
+        )
+        step = next_step.next_step(situation)
+        if not result.surely_not_run:
+            self._ran_before = True
+        if step is not next_step.Step.AGAIN:
+            return step
+        if self._choose() is None:
+            return next_step.without_another(situation)
+        if self._sends and not self._context.may_send_again(self._service):
+            return next_step.without_another(situation)
+        return step
+
+    async def _end(self, step: next_step.Step, reason: str) -> None:
+        if step is next_step.Step.REFUSE and self._ran_before:
+            step = next_step.Step.FAIL
+        await own_answer.write(
+            self._context,
+            request=self._request,
+            route=self._route,
+            responder=self._responder,
+            step=step,
+            reason=reason,
+        )
+
+
+def _result(
+    call: runner_call.RunnerCall, failed: runner_call.SendFailure | None
+) -> send_result.SendResult:
+    if failed is not None:
+        return failed.result
+    if call.status >= runner_call.HTTP_SERVER_ERROR:
+        return send_result.SendResult.FAILED
+    return send_result.SendResult.ANSWERED
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
+
+
+def draw_service(route: route_module.Route, rng: random.Random) -> str:
+    """Return one of a route's services, by weight."""
+    total = sum(share.weight for share in route.shares)
+    place = rng.random() * total
+    for share in route.shares:
+        place -= share.weight
+        if place < 0:
+            return share.service
+    return next(one.service for one in route.shares if one.weight > 0)
--- /dev/null
+++ b/limpetroute/forwarding/runner_call.py
@@ -0,0 +1,135 @@
+"""One request sent to one runner."""
+
+import asyncio
+import dataclasses
+import typing
+
+from tornado import httputil
+
+from limpetroute.forwarding import caller_request
+from limpetroute.forwarding import dialect as dialect_module
+from limpetroute.routing import runner_info
+from limpetroute.routing import send_result
+from limpetroute.wire import call_failed
+from limpetroute.wire import connection
+
+# A connect takes a few milliseconds. A runner that does not answer one
+# for this long is gone or cut off, and nothing was sent to it yet: with
+# 0.25 s, two of them can be tried within a plain call's 300 ms target
+# or soon after it, and a slowed host (by 5) is not given up on.
+CONNECT_TIMEOUT_S = 0.25
+
+HTTP_SERVER_ERROR = 500
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SendFailure:
+    """A send that brought no response that may be used."""
+
+    result: send_result.SendResult
+    detail: str
+
+
+class RunnerCall:
+    """One request sent to one runner; `close` ends it on both sides.
+
+    Parameters
+    ----------
+    runner : RunnerInfo
+        The runner.
+    dialect : Dialect
+        How runners are spoken to.
+    """
+
+    def __init__(
+        self,
+        *,
+        runner: runner_info.RunnerInfo,
+        dialect: dialect_module.Dialect,
+    ) -> None:
+        self.runner = runner
+        self._dialect = dialect
+        self._link = connection.Connection(host=runner.host, port=runner.port)
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(runner={self.runner.runner_id!r})'
+
+    @property
+    def status(self) -> int:
+        """Status of the response."""
+        return self._link.status
+
+    @property
+    def headers(self) -> httputil.HTTPHeaders:
+        """Headers of the response."""
+        return self._link.headers
+
+    @property
+    def whole(self) -> bool:
+        """Whether the response arrived to its end."""
+        return self._link.whole
+
+    async def open(
+        self,
+        request: caller_request.CallerRequest,
+        note: dialect_module.SendNote,
+    ) -> SendFailure | None:
+        """Send the request and return once usable headers are here."""
+        failed = await self._link.send(
+            method=request.method,
+            path=request.target,
+            headers=self._dialect.runner_headers(request, note),
+            body=request.body,
+            timeout_s=max(note.left_s, 0.001),
+            connect_timeout_s=CONNECT_TIMEOUT_S,
+        )
+        if failed is not None:
+            return SendFailure(result=_result(failed), detail=failed.detail)
+        if self._dialect.refused(self.status, self.headers):
+            self.close()
+            return SendFailure(
+                result=send_result.SendResult.REFUSED,
+                detail=f'status {self.status}',
+            )
+        if not self._dialect.belongs(request, self.headers):
+            # A late second answer to another request; passed on, one
+            # caller would read what is another's.
+            self.close()
+            return SendFailure(
+                result=send_result.SendResult.BROKEN,
+                detail="another request's response",
+            )
+        return None
+
+    def chunks(self, idle_timeout_s: float) -> typing.AsyncIterator[bytes]:
+        """Yield the body; see `Connection.chunks`."""
+        return self._link.chunks(idle_timeout_s=idle_timeout_s)
+
+    async def read(self, timeout_s: float) -> bytes | SendFailure:
+        """Read the whole body."""
+        parts = []
+        try:
+            async with asyncio.timeout(timeout_s):
+                async for chunk in self.chunks(timeout_s):
+                    parts.append(chunk)
+        except TimeoutError:
+            return SendFailure(
+                result=send_result.SendResult.TIMED_OUT, detail='in the body'
+            )
+        if not self.whole:
+            return SendFailure(
+                result=send_result.SendResult.BROKEN, detail='in the body'
+            )
+        return b''.join(parts)
+
+    def close(self) -> None:
+        """End the connection; the runner drops what it still does."""
+        self._link.close()
+
+
+def _result(failed: call_failed.CallFailed) -> send_result.SendResult:
+    if not failed.sent:
+        return send_result.SendResult.NOT_SENT
+    if failed.kind is call_failed.FailureKind.TIMEOUT:
+        return send_result.SendResult.TIMED_OUT
+    return send_result.SendResult.BROKEN
--- /dev/null
+++ b/limpetroute/forwarding/side_port.py
@@ -0,0 +1,72 @@
+"""Readiness for the balancer, and metrics."""
+
+import typing
+
+from tornado import httpserver
+from tornado import netutil
+from tornado import web
+
+METRICS_PATH = '/metrics'
+
+
+class _ReadyHandler(web.RequestHandler):
+    def initialize(self, is_ready: typing.Callable[[], bool]) -> None:
+        self._is_ready = is_ready
+
+    def get(self) -> None:
+        if not self._is_ready():
+            self.set_status(503)
+        self.finish()
+
+
+class _MetricsHandler(web.RequestHandler):
+    def initialize(self, text: typing.Callable[[], bytes | None]) -> None:
+        self._text = text
+
+    def get(self) -> None:
+        self.set_header('Content-Type', 'text/plain; version=0.0.4')
+        self.finish(self._text() or b'')
+
+
+class SidePort:
+    """Readiness for the balancer, and metrics.
+
+    Parameters
+    ----------
+    ready_path : str
+        Path at which the balancer asks.
+    is_ready : callable
+        Returns whether this host should be sent callers.
+    metrics : callable
+        Returns the metrics as text.
+    """
+
+    def __init__(
+        self,
+        *,
+        ready_path: str,
+        is_ready: typing.Callable[[], bool],
+        metrics: typing.Callable[[], bytes | None],
+    ) -> None:
+        self._server = httpserver.HTTPServer(
+            web.Application(
+                [
+                    (ready_path, _ReadyHandler, {'is_ready': is_ready}),
+                    (METRICS_PATH, _MetricsHandler, {'text': metrics}),
+                ],
+                log_function=lambda handler: None,
+            )
+        )
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}()'
+
+    def listen(self, address: str, port: int) -> int:
+        """Open a port and return its number."""
+        sockets = netutil.bind_sockets(port, address)
+        self._server.add_sockets(sockets)
+        return int(sockets[0].getsockname()[1])
+
+    def close(self) -> None:
+        """Close the ports."""
+        self._server.stop()
--- /dev/null
+++ b/limpetroute/forwarding/stream_forward.py
@@ -0,0 +1,266 @@
+"""Forwards a request whose answer is a stream of events."""
+
+import asyncio
+import logging
+
+from limpetroute.forwarding import caller_request
+from limpetroute.forwarding import dialect as dialect_module
+from limpetroute.forwarding import event_splitter
+from limpetroute.forwarding import forward_context
+from limpetroute.forwarding import own_answer
+from limpetroute.forwarding import prompt_reading
+from limpetroute.forwarding import responder as responder_module
+from limpetroute.forwarding import runner_call
+from limpetroute.routing import next_step
+from limpetroute.routing import route as route_module
+from limpetroute.routing import runner_info
+from limpetroute.routing import send_result
+from limpetroute.routing import service as service_module
+from limpetroute.routing import stream_placement
+
+LOG = logging.getLogger(__name__)
+
+# A runner that sends nothing for this long while a stream may go on
+# elsewhere is taken for silent. Longer than a preempted stream's pause
+# (about 0.5 s), shorter than the 2 s after which callers leave.
+SILENT_S = 1.5
+
+
+class StreamForward:
+    """Forwards a request whose answer is a stream of events.
+
+    Parameters
+    ----------
+    context : ForwardContext
+        What all forwarding shares.
+    request : CallerRequest
+        The caller's request.
+    route : Route
+        Its route.
+    service : Service
+        The service drawn for it.
+    responder : Responder
+        Writes the answer.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: forward_context.ForwardContext,
+        request: caller_request.CallerRequest,
+        route: route_module.Route,
+        service: service_module.Service,
+        responder: responder_module.Responder,
+    ) -> None:
+        self._context = context
+        self._request = request
+        self._route = route
+        self._service = service
+        self._responder = responder
+        self._events = event_splitter.EventSplitter()
+        self._tried: set[str] = set()
+        self._sends = 0
+        self._ran_before = False
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(request={self._request.request_id!r})'
+
+    async def run(self) -> None:
+        """Answer the request."""
+        while True:
+            runner = self._choose()
+            if runner is None:
+                await self._end(next_step.Step.REFUSE, 'no room')
+                return
+            step = await self._send(runner)
+            if step is next_step.Step.RELAY:
+                return
+            if step is not next_step.Step.AGAIN:
+                await self._end(step, 'after a send')
+                return
+
+    def _tokens(self) -> int:
+        generation = self._request.generation
+        return generation.peak_tokens if generation else 0
+
+    def _choose(self) -> runner_info.RunnerInfo | None:
+        engine = self._service.engine
+        assert engine is not None
+        return stream_placement.choose_decode(
+            self._context.view.runners(self._service.name),
+            engine=engine,
+            loads=self._context.view.loads,
+            tokens=self._tokens(),
+            tried=self._tried,
+            now_s=_now_s(),
+            rng=self._context.rng,
+        )
+
+    async def _send(self, runner: runner_info.RunnerInfo) -> next_step.Step:
+        load = self._context.view.load(runner.runner_id)
+        load.requests += 1
+        load.tokens += self._tokens()
+        self._tried.add(runner.runner_id)
+        try:
+            return await self._read_and_decode(runner)
+        finally:
+            load.requests -= 1
+            load.tokens -= self._tokens()
+
+    async def _read_and_decode(
+        self, runner: runner_info.RunnerInfo
+    ) -> next_step.Step:
+        reading = prompt_reading.PromptReading(
+            context=self._context,
+            request=self._request,
+            route=self._route,
+            service=self._service.name,
+        )
+        source = None
+        if not self._sends and not self._request.resume_after:
+            source = await reading.read()
+        try:
+            return await self._decode(runner, source)
+        finally:
+            reading.free_unless_taken()
+
+    async def _decode(
+        self,
+        runner: runner_info.RunnerInfo,
+        source: prompt_reading.Reading | None,
+    ) -> next_step.Step:
+        context = self._context
+        begun_s = _now_s()
+        load = context.view.load(runner.runner_id)
+        call = runner_call.RunnerCall(runner=runner, dialect=context.dialect)
+        note = dialect_module.SendNote(
+            left_s=context.left_s(self._request, self._route),
+            runner_id=runner.runner_id,
+            kv_source=source.source if source else None,
+            resume_after=self._events.last_id or None,
+        )
+        try:
+            failed = await call.open(self._request, note)
+            result = failed.result if failed else None
+            if failed is None and call.status >= runner_call.HTTP_SERVER_ERROR:
+                result = send_result.SendResult.FAILED
+            if result is None:
+                if source is not None:
+                    source.taken = True
+                result = await self._relay(call)
+            if result is send_result.SendResult.ANSWERED:
+                load.note_success(_now_s() - begun_s)
+            elif result is not send_result.SendResult.REFUSED:
+                load.note_failure(_now_s())
+            step = self._decide(result)
+            context.log_send(
+                self._request,
+                runner=runner,
+                result=result,
+                step=step,
+                took_s=_now_s() - begun_s,
+                detail=failed.detail if failed else f'status {call.status}',
+                part='decode',
+            )
+            if step is next_step.Step.RELAY and not self._responder.finished:
+                await self._relay_failure(call)
+            return step
+        finally:
+            call.close()
+
+    async def _relay(
+        self, call: runner_call.RunnerCall
+    ) -> send_result.SendResult:
+        """Pass whole events on as they come; return how it ended."""
+        responder = self._responder
+        idle_s = self._context.left_s(self._request, self._route)
+        if self._route.resumable:
+            idle_s = min(idle_s, SILENT_S)
+        try:
+            async for chunk in call.chunks(idle_s):
+                events = self._events.feed(chunk)
+                if events:
+                    await self._write(call, events)
+        except TimeoutError:
+            self._events.drop()
+            return send_result.SendResult.TIMED_OUT
+        if not call.whole:
+            self._events.drop()
+            return send_result.SendResult.BROKEN
+        rest = self._events.rest()
+        if rest or not responder.started:
+            await self._write(call, rest)
+        await responder.finish()
+        self._context.count(self._route, call.status, self._request)
+        return send_result.SendResult.ANSWERED
+
+    async def _write(
+        self, call: runner_call.RunnerCall, events: bytes
+    ) -> None:
+        responder = self._responder
+        if responder.started:
+            await responder.write(events)
+            return
+        context = self._context
+        context.meters.first_event(_now_s() - self._request.received_s)
+        headers = context.dialect.caller_headers(call.headers)
+        headers.pop('Content-Length', None)
+        await responder.start(call.status, headers, events)
+
+    async def _relay_failure(self, call: runner_call.RunnerCall) -> None:
+        """Pass a runner's own error on, or break a begun stream off."""
+        if self._responder.started:
+            self._responder.abort()
+            return
+        body = await call.read(
+            self._context.left_s(self._request, self._route)
+        )
+        if isinstance(body, runner_call.SendFailure):
+            await self._end(next_step.Step.FAIL, body.detail)
+            return
+        await self._responder.whole(
+            call.status,
+            self._context.dialect.caller_headers(call.headers),
+            body,
+        )
+        self._context.count(self._route, call.status, self._request)
+
+    def _decide(self, result: send_result.SendResult) -> next_step.Step:
+        if result is not send_result.SendResult.NOT_SENT:
+            self._sends += 1
+        situation = next_step.Situation(
+            repeatable=self._route.repeatable,
+            result=result,
+            ran_before=self._ran_before,
+            sends=self._sends,
+            max_sends=self._route.max_sends,
+            left_s=self._context.left_s(self._request, self._route),
+        )
+        step = next_step.next_step(situation)
+        if not result.surely_not_run:
+            self._ran_before = True
+        if step is not next_step.Step.AGAIN:
+            return step
+        if self._choose() is None:
+            return next_step.without_another(situation)
+        if self._sends and not self._context.may_send_again(
+            self._service.name
+        ):
+            return next_step.without_another(situation)
+        return step
+
+    async def _end(self, step: next_step.Step, reason: str) -> None:
+        if step is next_step.Step.REFUSE and self._ran_before:
+            step = next_step.Step.FAIL
+        await own_answer.write(
+            self._context,
+            request=self._request,
+            route=self._route,
+            responder=self._responder,
+            step=step,
+            reason=reason,
+        )
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/limpetroute/platform/control_port.py
@@ -0,0 +1,124 @@
+"""The port at which operators and runners reach a control host."""
+
+import hashlib
+import logging
+
+from tornado import httpserver
+from tornado import netutil
+from tornado import web
+
+from limpetroute.border import listen_settings
+from limpetroute.control import desk as desk_module
+from limpetroute.platform import heartbeat_codec
+from limpetroute.platform import routes_codec
+
+LOG = logging.getLogger(__name__)
+
+HTTP_BAD_REQUEST = 400
+HTTP_UNAVAILABLE = 503
+MAX_BODY_BYTES = 32 << 20
+
+
+class _Handler(web.RequestHandler):
+    def initialize(self, desk: desk_module.Desk) -> None:
+        self.desk = desk
+
+    def unsure(self, got: desk_module.Unsure) -> None:
+        self.set_status(HTTP_UNAVAILABLE)
+        self.finish({'reason': got.reason})
+
+    def invalid(self, reason: str) -> None:
+        self.set_status(HTTP_BAD_REQUEST)
+        self.finish({'reason': reason})
+
+
+class _RoutesHandler(_Handler):
+    async def put(self) -> None:
+        try:
+            plan = routes_codec.decode(self.request.body)
+        except routes_codec.InvalidRoutesError as exc:
+            LOG.info('routes refused', extra={'reason': str(exc)[:300]})
+            self.invalid(str(exc))
+            return
+        got = await self.desk.submit_routes(
+            version=plan.version,
+            digest=hashlib.sha256(self.request.body).hexdigest(),
+            text=self.request.body.decode(),
+        )
+        if isinstance(got, desk_module.Unsure):
+            self.unsure(got)
+            return
+        self.finish({'version': got.version})
+
+    async def get(self) -> None:
+        got = await self.desk.newest_routes()
+        if isinstance(got, desk_module.Unsure):
+            self.unsure(got)
+            return
+        self.set_header('Content-Type', 'application/json')
+        self.finish(got.text)
+
+
+class _RunnerHandler(_Handler):
+    async def put(self, runner_id: str) -> None:
+        try:
+            command = heartbeat_codec.decode(runner_id, self.request.body)
+        except ValueError as exc:
+            self.invalid(str(exc))
+            return
+        got = await self.desk.note_runner(command)
+        if isinstance(got, desk_module.Unsure):
+            self.unsure(got)
+            return
+        self.finish({})
+
+    async def delete(self, runner_id: str) -> None:
+        got = await self.desk.forget_runner(runner_id)
+        if isinstance(got, desk_module.Unsure):
+            self.unsure(got)
+            return
+        self.finish({})
+
+
+class ControlPort:
+    """The port at which operators and runners reach a control host.
+
+    Parameters
+    ----------
+    desk : Desk
+        Decides.
+    listen : ListenSettings
+        The port.
+    """
+
+    def __init__(
+        self,
+        *,
+        desk: desk_module.Desk,
+        listen: listen_settings.ListenSettings,
+    ) -> None:
+        self._listen = listen
+        args = {'desk': desk}
+        self._server = httpserver.HTTPServer(
+            web.Application(
+                [
+                    ('/api/config', _RoutesHandler, args),
+                    ('/api/instances/([^/]+)', _RunnerHandler, args),
+                ],
+                log_function=lambda handler: None,
+            ),
+            max_body_size=MAX_BODY_BYTES,
+        )
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(listen={self._listen!r})'
+
+    def start(self) -> None:
+        """Open the port."""
+        self._server.add_sockets(
+            netutil.bind_sockets(self._listen.port, self._listen.address)
+        )
+
+    def stop(self) -> None:
+        """Close the port."""
+        self._server.stop()
--- /dev/null
+++ b/limpetroute/platform/http_dialect.py
@@ -0,0 +1,145 @@
+"""The platform's HTTP headers and runner calls."""
+
+import json
+
+from tornado import httputil
+
+from limpetroute.forwarding import caller_request
+from limpetroute.forwarding import dialect
+from limpetroute.platform import header_names
+from limpetroute.platform import routes_codec
+from limpetroute.routing import route_plan
+
+MILLIS = 1000.0
+HTTP_MISDIRECTED = 421
+
+
+class HttpDialect:
+    """The platform's HTTP headers and runner calls."""
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}()'
+
+    def read_request(
+        self,
+        start: httputil.RequestStartLine,
+        headers: httputil.HTTPHeaders,
+        body: bytes,
+        received_s: float,
+    ) -> caller_request.CallerRequest:
+        """Decode a caller's request."""
+        return caller_request.CallerRequest(
+            request_id=headers.get(header_names.REQUEST_ID, ''),
+            method=start.method,
+            target=start.path,
+            host=headers.get('Host', ''),
+            headers=headers,
+            body=body,
+            received_s=received_s,
+            patience_s=_seconds(headers.get(header_names.DEADLINE_MS)),
+            generation=_generation(headers.get(header_names.TOKEN_USAGE)),
+            resume_after=headers.get(header_names.LAST_EVENT_ID, ''),
+        )
+
+    def runner_headers(
+        self, request: caller_request.CallerRequest, note: dialect.SendNote
+    ) -> httputil.HTTPHeaders:
+        """Return the headers for a runner."""
+        headers = _without(
+            request.headers,
+            (*header_names.HOP_BY_HOP, *header_names.SYSTEM_ONLY),
+        )
+        headers.pop('Content-Length', None)
+        left_ms = max(1, int(note.left_s * MILLIS))
+        headers[header_names.DEADLINE_MS] = str(left_ms)
+        headers[header_names.EXPECT_INSTANCE] = note.runner_id
+        if note.prefill_only:
+            headers[header_names.STAGE] = 'prefill'
+        if note.kv_source is not None:
+            source = note.kv_source
+            headers[header_names.KV_FROM] = f'{source.address}/{source.handle}'
+        if note.resume_after is not None:
+            headers[header_names.LAST_EVENT_ID] = note.resume_after
+        return headers
+
+    def refused(self, status: int, headers: httputil.HTTPHeaders) -> bool:
+        """Return whether a runner proves that it did not run a request."""
+        return header_names.NOT_RUN in headers or status == HTTP_MISDIRECTED
+
+    def belongs(
+        self,
+        request: caller_request.CallerRequest,
+        headers: httputil.HTTPHeaders,
+    ) -> bool:
+        """Return whether a response is the one to this request."""
+        echoed = headers.get(header_names.REQUEST_ID)
+        return echoed is None or echoed == request.request_id
+
+    def caller_headers(
+        self, headers: httputil.HTTPHeaders
+    ) -> httputil.HTTPHeaders:
+        """Return what of a runner's headers the caller gets."""
+        return _without(headers, header_names.HOP_BY_HOP)
+
+    def own_headers(
+        self, request: caller_request.CallerRequest
+    ) -> httputil.HTTPHeaders:
+        """Return the headers of an answer of this host's own."""
+        headers = httputil.HTTPHeaders()
+        if request.request_id:
+            headers[header_names.REQUEST_ID] = request.request_id
+        return headers
+
+    def read_handle(self, body: bytes) -> str:
+        """Return the handle of a prefill's result; `ValueError` if none."""
+        try:
+            handle = json.loads(body)['kv-handle']
+        except (KeyError, TypeError) as exc:
+            raise ValueError(f'no handle in {body[:80]!r}') from exc
+        if not isinstance(handle, str) or not handle:
+            raise ValueError(f'no handle in {body[:80]!r}')
+        return handle
+
+    def free_handle(self, handle: str, runner_id: str) -> dialect.SmallCall:
+        """Return the call that frees a prefill's result."""
+        return dialect.SmallCall(
+            method='DELETE',
+            path=f'/api/kv-handle/{handle}',
+            headers={header_names.EXPECT_INSTANCE: runner_id},
+        )
+
+    def read_plan(self, text: str) -> route_plan.RoutePlan:
+        """Decode a routing configuration."""
+        return routes_codec.decode(text)
+
+
+def _without(
+    headers: httputil.HTTPHeaders, names: tuple[str, ...]
+) -> httputil.HTTPHeaders:
+    """Return a copy without some headers, and those it names itself."""
+    dropped = {name.lower() for name in names}
+    for word in headers.get('Connection', '').split(','):
+        dropped.add(word.strip().lower())
+    kept = httputil.HTTPHeaders()
+    for name, value in headers.get_all():
+        if name.lower() not in dropped:
+            kept.add(name, value)
+    return kept
+
+
+def _seconds(word: str | None) -> float | None:
+    """Return milliseconds in a header as seconds, or None if unusable."""
+    try:
+        return None if word is None else float(word) / MILLIS
+    except ValueError:
+        return None
+
+
+def _generation(word: str | None) -> caller_request.Generation | None:
+    try:
+        prompt, _, output = (word or '').partition(',')
+        return caller_request.Generation(
+            prompt_tokens=int(prompt), max_output_tokens=int(output)
+        )
+    except ValueError:
+        return None
--- /dev/null
+++ b/limpetroute/platform/paths.py
@@ -0,0 +1,3 @@
+"""Paths that the platform calls."""
+
+READY = '/api/readyz'
--- /dev/null
+++ b/limpetroute/platform/routes_codec.py
@@ -0,0 +1,91 @@
+"""Decodes the operator's routing configuration."""
+
+import pydantic
+
+from limpetroute.platform import routes_body
+from limpetroute.routing import caller_limits
+from limpetroute.routing import route
+from limpetroute.routing import route_kind
+from limpetroute.routing import route_plan
+from limpetroute.routing import service
+
+MILLIS = 1000.0
+
+_KINDS = {
+    'idempotent': route_kind.RouteKind.IDEMPOTENT,
+    'non_idempotent': route_kind.RouteKind.ONCE,
+    'streaming': route_kind.RouteKind.STREAM,
+}
+
+
+class InvalidRoutesError(ValueError):
+    """A routing configuration that cannot be put in force."""
+
+
+def decode(text: str | bytes) -> route_plan.RoutePlan:
+    """Return the plan of a configuration's text.
+
+    Raises
+    ------
+    InvalidRoutesError
+        If it cannot be read in full, or is not sound.
+    """
+    try:
+        body = routes_body.RoutesBody.model_validate_json(text)
+    except pydantic.ValidationError as exc:
+        raise InvalidRoutesError(str(exc)) from exc
+    plan = route_plan.RoutePlan(
+        version=body.version,
+        routes=tuple(_route(one) for one in body.routes),
+        services=tuple(_service(one) for one in body.services),
+        limits=caller_limits.CallerLimits(
+            max_header_bytes=body.limits.max_header_bytes,
+            max_body_bytes=body.limits.max_body_bytes,
+            header_timeout_s=body.limits.header_timeout_ms / MILLIS,
+            idle_timeout_s=body.limits.idle_timeout_ms / MILLIS,
+        ),
+    )
+    problems = plan.problems()
+    if problems:
+        raise InvalidRoutesError('; '.join(problems))
+    return plan
+
+
+def _route(body: routes_body.RouteBody) -> route.Route:
+    shares = [
+        route.Share(service=one.service, weight=one.weight)
+        for one in body.split
+    ]
+    if body.service is not None:
+        shares = [route.Share(service=body.service, weight=1.0)]
+    gap_s = None if body.gap_slo_ms is None else body.gap_slo_ms / MILLIS
+    return route.Route(
+        name=body.name,
+        host=body.host,
+        path_prefix=body.path_prefix,
+        kind=_KINDS[body.kind],
+        timeout_s=body.timeout_ms / MILLIS,
+        target_s=body.slo_ms / MILLIS,
+        gap_target_s=gap_s,
+        priority=body.priority,
+        shares=tuple(shares),
+        max_sends=body.attempts,
+        resumable=body.resumable,
+    )
+
+
+def _service(body: routes_body.ServiceBody) -> service.Service:
+    engine = None
+    if body.engine is not None:
+        engine = service.Engine(
+            slots=body.engine.slots,
+            memory_tokens=body.engine.kv_capacity,
+            handle_life_s=body.engine.kv_ttl_s,
+            stage_change_s=body.engine.switch_s,
+        )
+    return service.Service(
+        name=body.name,
+        health_path=body.health_path,
+        max_connections=body.max_conns,
+        engine=engine,
+    )
--- /dev/null
+++ b/limpetroute/routing/runner_load.py
@@ -0,0 +1,52 @@
+"""What this host knows of one runner's load and health."""
+
+import dataclasses
+
+# A runner that failed is left alone for this long; after each further
+# failure for twice as long. Short, as one reset may be chance and a
+# crashed runner is back within seconds.
+FIRST_REST_S = 0.5
+LONGEST_REST_S = 8.0
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class RunnerLoad:
+    """What this host knows of one runner's load and health.
+
+    Parameters
+    ----------
+    requests : int
+        Requests of this host that it works on.
+    tokens : int
+        Tokens of KV memory that these hold or will hold.
+    failures : int
+        Failures in a row.
+    rests_until_s : float
+        Time before which it is only used if there is no other.
+    answer_s : float
+        Smoothed time of its plain answers; 0 while unknown.
+    """
+
+    requests: int = 0
+    tokens: int = 0
+    failures: int = 0
+    rests_until_s: float = 0.0
+    answer_s: float = 0.0
+
+    def note_failure(self, now_s: float) -> None:
+        """Count a failure and leave the runner alone for a while."""
+        rest_s = min(FIRST_REST_S * 2**self.failures, LONGEST_REST_S)
+        self.failures += 1
+        self.rests_until_s = now_s + rest_s
+
+    def note_success(self, answer_s: float) -> None:
+        """Count a good answer and its time."""
+        self.failures = 0
+        self.rests_until_s = 0.0
+        if not self.answer_s:
+            self.answer_s = answer_s
+        self.answer_s += (answer_s - self.answer_s) / 8
+
+    def rests(self, now_s: float) -> bool:
+        """Return whether the runner is left alone."""
+        return now_s < self.rests_until_s
--- /dev/null
+++ b/limpetroute/routing/stream_placement.py
@@ -0,0 +1,81 @@
+"""Where a stream's prompt is read and where its answer is written."""
+
+import random
+import typing
+
+from limpetroute.decisions import stage as stage_module
+from limpetroute.routing import runner_info
+from limpetroute.routing import runner_load
+from limpetroute.routing import service as service_module
+
+
+def choose_decode(
+    runners: typing.Iterable[runner_info.RunnerInfo],
+    *,
+    engine: service_module.Engine,
+    loads: typing.Mapping[str, runner_load.RunnerLoad],
+    tokens: int,
+    tried: typing.Collection[str],
+    now_s: float,
+    rng: random.Random,
+) -> runner_info.RunnerInfo | None:
+    """Return the decode runner with most free memory that has room.
+
+    Memory binds before places do: an answer that outgrows it preempts
+    the newest, which pauses for the time of a whole prefill.
+
+    Parameters
+    ----------
+    runners : iterable of RunnerInfo
+        Runners of the service.
+    engine : Engine
+        Their places and memory.
+    loads : mapping of str to RunnerLoad
+        What is known of each, by identity.
+    tokens : int
+        Most tokens that the request takes.
+    tried : collection of str
+        Runners that it was sent to.
+    now_s : float
+        A steady clock.
+    rng : random.Random
+        Breaks ties.
+    """
+    best = None
+    best_rank: tuple[bool, int, float] | None = None
+    for one in runners:
+        if not one.ready or one.stage is not stage_module.Stage.DECODE:
+            continue
+        if one.runner_id in tried:
+            continue
+        load = loads.get(one.runner_id) or runner_load.RunnerLoad()
+        if load.requests >= engine.slots:
+            continue
+        if load.tokens + tokens > engine.memory_tokens:
+            continue
+        rank = (load.rests(now_s), load.tokens, rng.random())
+        if best_rank is None or rank < best_rank:
+            best, best_rank = one, rank
+    return best
+
+
+def choose_prefill(
+    runners: typing.Iterable[runner_info.RunnerInfo],
+    *,
+    loads: typing.Mapping[str, runner_load.RunnerLoad],
+    now_s: float,
+    rng: random.Random,
+) -> runner_info.RunnerInfo | None:
+    """Return the prefill runner with fewest tokens to read, if any."""
+    best = None
+    best_rank: tuple[int, float] | None = None
+    for one in runners:
+        if not one.ready or one.stage is not stage_module.Stage.PREFILL:
+            continue
+        load = loads.get(one.runner_id) or runner_load.RunnerLoad()
+        if load.rests(now_s):
+            continue
+        rank = (load.tokens, rng.random())
+        if best_rank is None or rank < best_rank:
+            best, best_rank = one, rank
+    return best
--- a/limpetroute/telemetry/exports.py
+++ b/limpetroute/telemetry/exports.py
@@ -2,6 +2,7 @@
 
 import typing
 
+from opentelemetry import metrics
 import opentelemetry.sdk.metrics as sdk_metrics
 import opentelemetry.sdk.metrics.export as metrics_export
 import opentelemetry.sdk.resources as resources
@@ -92,6 +93,13 @@
         if self._meter_provider is not None:
             instruments.observe(self._meter, name, read)
 
+    @property
+    def meter(self) -> metrics.Meter:
+        """Makes instruments; they count nothing without an exporter."""
+        if self._meter_provider is None:
+            return metrics.NoOpMeter('limpetroute')
+        return self._meter
+
     def text(self) -> bytes | None:
         """Return the metrics in Prometheus' text form, or None."""
         if self._registry is None:
--- a/limpetroute/telemetry/log_setup.py
+++ b/limpetroute/telemetry/log_setup.py
@@ -9,8 +9,8 @@
 
 
 def set_up(level: int = logging.INFO) -> None:
-    """Write each record as one JSON line to standard error."""
-    handler = logging.StreamHandler(sys.stderr)
+    """Write each record as one JSON line to standard output."""
+    handler = logging.StreamHandler(sys.stdout)
     handler.setFormatter(
         json_logger.JsonFormatter(
             ['levelname', 'name', 'message', 'exc_info'],
--- a/limpetroute/wire/connection.py
+++ b/limpetroute/wire/connection.py
@@ -161,9 +161,13 @@
         headers: typing.Mapping[str, str],
         body: bytes,
         timeout_s: float,
+        connect_timeout_s: float = CONNECT_TIMEOUT_S,
     ) -> call_failed.CallFailed | None:
         """Connect, send the request and wait for the response headers.
 
+        ``Host`` among the headers is kept; otherwise it is this end's
+        address.
+
         Returns
         -------
         CallFailed or None
@@ -172,11 +176,11 @@
         sent = False
         try:
             async with asyncio.timeout(timeout_s):
-                async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                async with asyncio.timeout(connect_timeout_s):
                     self._stream = await self._connect()
                 self._stream.set_nodelay(True)
                 sent = True
-                await self._write(method, path, headers, body)
+                self._write(method, path, headers, body)
                 await self._collector.started.wait()
         except TimeoutError:
             self.close()
@@ -225,13 +229,19 @@
         self._stream = iostream.SSLIOStream(sock, ssl_options=self._tls)
         return await self._stream.connect(address, server_hostname=self._host)
 
-    async def _write(
+    def _write(
         self,
         method: str,
         path: str,
         headers: typing.Mapping[str, str],
         body: bytes,
     ) -> None:
+        """Begin to write, and read at the same time.
+
+        A server may answer before it has read a long body and read on
+        only then; a caller that first wrote all of it would wait for
+        the server, which waits for its answer to be read.
+        """
         assert self._stream is not None
         connection = http1connection.HTTP1Connection(
             self._stream,
@@ -242,12 +252,13 @@
                 max_body_size=MAX_BODY_BYTES,
             ),
         )
-        fields = httputil.HTTPHeaders(dict(headers))
-        fields['Host'] = f'{self._host}:{self._port}'
+        fields = httputil.HTTPHeaders(headers)
+        if 'Host' not in fields:
+            fields['Host'] = f'{self._host}:{self._port}'
         fields['Connection'] = 'close'
         if body or method in ('POST', 'PUT', 'PATCH'):
             fields['Content-Length'] = str(len(body))
-        await connection.write_headers(
+        connection.write_headers(
             httputil.RequestStartLine(method, path, 'HTTP/1.1'), fields, body
         )
         connection.finish()
@@ -267,14 +278,25 @@
         return self._collector.status
 
     @property
-    def headers(self) -> typing.Mapping[str, str]:
+    def headers(self) -> httputil.HTTPHeaders:
         """Headers of the response."""
         return self._collector.headers
 
     @property
     def whole(self) -> bool:
-        """Whether the response arrived to its end."""
-        return self._collector.whole
+        """Whether the response arrived to its end.
+
+        A body without a length ends with its connection. One that was
+        reset ends the same way for the reader, and only the socket's
+        error tells that the rest is missing.
+        """
+        if not self._collector.whole:
+            return False
+        headers = self._collector.headers
+        framed = 'Content-Length' in headers or 'Transfer-Encoding' in headers
+        if framed or self._stream is None:
+            return True
+        return self._stream.error is None
 
     async def chunks(
         self, *, idle_timeout_s: float
