Have the leading control host give streams their places and stages

Cause: seven hosts, each seeing its own streams only, filled runners beyond their places; prompts were read for streams that were refused, and two of three runners stood reading. Ruled out: a fixed split in the configuration, which runners that come and go would outdate.

--- /dev/null
+++ b/limpetroute/border/place_bodies.py
@@ -0,0 +1,61 @@
+"""What entry hosts post about streams' places."""
+
+from limpetroute.border import strict_model
+from limpetroute.routing import stream_ask
+
+
+class AskBody(strict_model.StrictModel):
+    """See `StreamAsk`."""
+
+    request_id: str
+    service: str
+    prompt_tokens: int
+    output_tokens: int
+    waited_s: float
+    target_s: float
+    patience_s: float
+    reads_prompt: bool
+    avoid: tuple[str, ...] = ()
+
+    def ask(self) -> stream_ask.StreamAsk:
+        """Return what it says."""
+        return stream_ask.StreamAsk(**self.model_dump())
+
+
+class EndBody(strict_model.StrictModel):
+    """See `StreamEnd`."""
+
+    service: str
+    request_id: str
+    output_tokens: int = 0
+    decode_s: float = 0.0
+
+    def end(self) -> stream_ask.StreamEnd:
+        """Return what it says."""
+        return stream_ask.StreamEnd(
+            request_id=self.request_id,
+            output_tokens=self.output_tokens,
+            decode_s=self.decode_s,
+        )
+
+
+class HeldPlaceBody(strict_model.StrictModel):
+    """A place that an entry host holds."""
+
+    decode_id: str
+    prefill_id: str
+    asked: AskBody
+
+    def place(self) -> stream_ask.StreamPlace:
+        """Return the place."""
+        return stream_ask.StreamPlace(
+            request_id=self.asked.request_id,
+            decode_id=self.decode_id,
+            prefill_id=self.prefill_id,
+        )
+
+
+class HeldBody(strict_model.StrictModel):
+    """All places that an entry host holds."""
+
+    held: list[HeldPlaceBody]
--- a/limpetroute/cli/control.py
+++ b/limpetroute/cli/control.py
@@ -21,8 +21,11 @@
 from limpetroute.cli import exit_code
 from limpetroute.cli import serving
 from limpetroute.control import folder_error
+from limpetroute.control import part
 from limpetroute.control import server
+from limpetroute.dispatch import part as dispatch_part
 from limpetroute.platform import control_port
+from limpetroute.platform import orders
 
 
 def run(argv: typing.Sequence[str]) -> int:
@@ -44,12 +47,17 @@
 def _make(
     settings: control_settings.ControlSettings,
 ) -> server.ControlServer:
-    make_port = None
+    parts: list[part.MakePart] = []
     if settings.public_listen is not None:
-        make_port = functools.partial(
-            control_port.ControlPort, listen=settings.public_listen
-        )
-    return server.ControlServer(settings=settings, make_public_port=make_port)
+        parts = [
+            functools.partial(
+                control_port.ControlPort, listen=settings.public_listen
+            ),
+            functools.partial(
+                dispatch_part.DispatchPart, dialect=orders.Orders()
+            ),
+        ]
+    return server.ControlServer(settings=settings, make_parts=parts)
 
 
 def _print_ready(control: server.ControlServer) -> None:
--- a/limpetroute/control/desk.py
+++ b/limpetroute/control/desk.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import logging
+import typing
 
 from limpetroute.control import commands
 from limpetroute.control import node as node_module
@@ -142,7 +143,7 @@
 
     async def _commit(
         self, command: commands.Command
-    ) -> dict[str, object] | Unsure:
+    ) -> dict[str, typing.Any] | Unsure:
         """Commit here, or at the leader, and return the result's fields."""
         node = self._node
         verdict = await node.config.commit(command, COMMIT_TIMEOUT_S)
@@ -163,9 +164,9 @@
             return Unsure(reason=f'the leader: {got.kind.value}')
         if not got.ok:
             return Unsure(reason=f'the leader refused with {got.status}')
-        body: dict[str, object] = got.json()
+        body: dict[str, typing.Any] = got.json()
         return body
 
 
-def _said(got: dict[str, object] | Unsure) -> str:
+def _said(got: dict[str, typing.Any] | Unsure) -> str:
     return got.reason if isinstance(got, Unsure) else 'committed'
--- a/limpetroute/control/server.py
+++ b/limpetroute/control/server.py
@@ -11,36 +11,18 @@
 from limpetroute.control import claim_handlers
 from limpetroute.control import command_handler
 from limpetroute.control import data_folder
-from limpetroute.control import desk as desk_module
 from limpetroute.control import files as files_module
 from limpetroute.control import manifest_handler
 from limpetroute.control import node as node_module
+from limpetroute.control import part as part_module
 from limpetroute.control import peer_handlers
 from limpetroute.control import seeds
 from limpetroute.control import watch_handler
-from limpetroute.wire import caller
 from limpetroute.wire import token_guard
 
 LOG = logging.getLogger(__name__)
 
 
-class PublicPort(typing.Protocol):
-    """A port for operators and runners."""
-
-    def start(self) -> None:
-        """Open it."""
-
-    def stop(self) -> None:
-        """Close it."""
-
-
-class MakePublicPort(typing.Protocol):
-    """Makes a port for operators and runners."""
-
-    def __call__(self, *, desk: desk_module.Desk) -> PublicPort:
-        """Make it."""
-
-
 class ControlServer:
     """One control process.
 
@@ -52,8 +34,8 @@
         Most writes in one sync; None for all that wait.
     files : Files or None
         The file system; None for the host's own.
-    make_public_port : callable or None
-        Makes the port for operators and runners, given a `Desk`.
+    make_parts : sequence of MakePart
+        Make what runs beside the node.
 
     Raises
     ------
@@ -67,10 +49,10 @@
         settings: control_settings.ControlSettings,
         max_batch: int | None = None,
         files: files_module.Files | None = None,
-        make_public_port: MakePublicPort | None = None,
+        make_parts: typing.Sequence[part_module.MakePart] = (),
     ) -> None:
-        self._make_public_port = make_public_port
-        self._public_port: PublicPort | None = None
+        self._make_parts = make_parts
+        self._parts: list[part_module.Part] = []
         self.settings = settings
         self.port = 0
         self.node: node_module.Node | None = None
@@ -111,33 +93,27 @@
             max_batch=self._max_batch,
         )
         self.node = node
+        self._parts = [make(node=node) for make in self._make_parts]
+        routes = _routes(node)
+        for part in self._parts:
+            routes.extend(part.routes())
         self._server = tornado.httpserver.HTTPServer(
             token_guard.GuardedApplication(
-                _routes(node), tokens=self.settings.credentials().tokens
+                routes, tokens=self.settings.credentials().tokens
             ),
             ssl_options=listen.tls_context(),
             max_body_size=self.settings.max_body_bytes,
         )
         node.start()
         self._server.add_sockets(sockets)
-        self._open_public_port(node)
+        for part in self._parts:
+            part.start()
         LOG.info('control %s on port %d', self.settings.host_id, self.port)
 
-    def _open_public_port(self, node: node_module.Node) -> None:
-        if self._make_public_port is None:
-            return
-        trust = self.settings.credentials()
-        desk = desk_module.Desk(
-            node=node,
-            http=caller.Caller(tls=trust.client_tls, token=trust.token),
-        )
-        self._public_port = self._make_public_port(desk=desk)
-        self._public_port.start()
-
     async def stop(self) -> None:
         """Close the port and end."""
-        if self._public_port is not None:
-            self._public_port.stop()
+        for part in self._parts:
+            part.stop()
         if self._server is not None:
             self._server.stop()
             await self._server.close_all_connections()
--- /dev/null
+++ b/limpetroute/dispatch/dispatcher.py
@@ -0,0 +1,209 @@
+"""Decides for all entry hosts while this control host leads."""
+
+import asyncio
+import dataclasses
+import logging
+import typing
+
+from limpetroute.control import node as node_module
+from limpetroute.dispatch import order_dialect
+from limpetroute.dispatch import stage_orders
+from limpetroute.routing import route_plan
+from limpetroute.routing import runner_info
+from limpetroute.routing import stream_ask
+from limpetroute.routing import stream_desk
+from limpetroute.telemetry import boot_clock
+from limpetroute.wire import caller
+
+LOG = logging.getLogger(__name__)
+
+# How often waiting streams are looked at when nothing else happens, and
+# runners' stages compared with what is wanted.
+LOOK_S = 0.05
+
+Answer = stream_ask.StreamPlace | stream_ask.StreamRefusal
+
+
+class Dispatcher:
+    """Decides for all entry hosts while this control host leads.
+
+    What it knows of places is not in the log: it is worth some seconds
+    only, and entry hosts tell a new leader what they hold.
+
+    Parameters
+    ----------
+    node : Node
+        This control host.
+    dialect : OrderDialect
+        Reads routing configurations and writes orders.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: node_module.Node,
+        dialect: order_dialect.OrderDialect,
+    ) -> None:
+        self._node = node
+        self._dialect = dialect
+        self._orders = stage_orders.StageOrders(
+            holder=node.settings.host_id,
+            dialect=dialect,
+            http=caller.Caller(),
+        )
+        self._desks: dict[str, stream_desk.StreamDesk] = {}
+        self._futures: dict[str, asyncio.Future[Answer]] = {}
+        self._plan: route_plan.RoutePlan | None = None
+        self._plan_index = 0
+        self._led_term = 0
+        self._task: asyncio.Task[None] | None = None
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(desks={self._desks!r})'
+
+    def start(self) -> None:
+        """Begin to decide whenever this host leads."""
+        self._task = asyncio.create_task(self._run())
+
+    def stop(self) -> None:
+        """End."""
+        if self._task is not None:
+            self._task.cancel()
+
+    @property
+    def leads(self) -> bool:
+        """Whether this host leads, and surely no other."""
+        return self._node.config.replica.lease_valid(boot_clock.now_s())
+
+    async def place(self, ask: stream_ask.StreamAsk) -> Answer | None:
+        """Return a stream's place, or None if this host cannot decide."""
+        desk = self._desk(ask.service)
+        if desk is None or not self.leads:
+            return None
+        future: asyncio.Future[Answer] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._futures[ask.request_id] = future
+        desk.ask(ask, boot_clock.now_s())
+        self._decide(ask.service, desk)
+        try:
+            return await future
+        except asyncio.CancelledError:
+            desk.withdraw(ask.request_id)
+            raise
+        finally:
+            self._futures.pop(ask.request_id, None)
+
+    def withdraw(self, service: str, request_id: str) -> None:
+        """Forget a stream whose caller is gone."""
+        desk = self._desk(service)
+        if desk is not None:
+            desk.withdraw(request_id)
+
+    def end(self, service: str, end: stream_ask.StreamEnd) -> None:
+        """Take a place back."""
+        desk = self._desk(service)
+        if desk is not None:
+            desk.end(end)
+            self._decide(service, desk)
+
+    def adopt(
+        self, place: stream_ask.StreamPlace, ask: stream_ask.StreamAsk
+    ) -> None:
+        """Take note of a place that an earlier leader gave."""
+        desk = self._desk(ask.service)
+        if desk is not None:
+            desk.adopt(place, ask, boot_clock.now_s())
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(LOOK_S)
+            if not self.leads:
+                self._led_term = 0
+                continue
+            self._note_term()
+            for service, desk in self._desks.items():
+                if desk.waiting:
+                    self._decide(service, desk)
+            self._keep_stages()
+
+    def _note_term(self) -> None:
+        term = self._node.config.replica.term
+        if term == self._led_term:
+            return
+        # What was known in an earlier term is old; entry hosts tell
+        # what they hold as soon as they hear of the new leader.
+        self._led_term = term
+        self._desks.clear()
+        self._orders.begin_term(term, boot_clock.now_s())
+        LOG.info('dispatching', extra={'term': term})
+
+    def _desk(self, service: str) -> stream_desk.StreamDesk | None:
+        self._read_plan()
+        known = self._desks.get(service)
+        if known is not None or self._plan is None:
+            return known
+        found = self._plan.service(service)
+        if found is None or found.engine is None:
+            return None
+        desk = stream_desk.StreamDesk(engine=found.engine)
+        self._desks[service] = desk
+        return desk
+
+    def _read_plan(self) -> None:
+        state = self._node.config.state
+        if state.routes is None or state.routes_index == self._plan_index:
+            return
+        self._plan = self._dialect.read_plan(state.routes.text)
+        self._plan_index = state.routes_index
+
+    def _runners(self, service: str) -> list[runner_info.RunnerInfo]:
+        found = []
+        for row in self._node.config.state.runners:
+            one = runner_info.from_detail(
+                runner_id=row.runner_id,
+                address=row.address,
+                ready=row.state == 'ready',
+                detail=row.text,
+            )
+            if one.service == service:
+                found.append(one)
+        return found
+
+    def _decide(self, service: str, desk: stream_desk.StreamDesk) -> None:
+        runners = self._runners(service)
+        for answer in desk.decide(runners, boot_clock.now_s()):
+            future = self._futures.get(answer.request_id)
+            LOG.info(
+                'stream decided',
+                extra={
+                    'request': answer.request_id,
+                    'outcome': type(answer).__name__,
+                    **_detail(answer),
+                    'held': desk.held,
+                    'waiting': desk.waiting,
+                    'tokens_per_s': round(desk.tokens_per_s),
+                    'term': self._led_term,
+                },
+            )
+            if future is not None and not future.done():
+                future.set_result(answer)
+
+    def _keep_stages(self) -> None:
+        self._read_plan()
+        if self._plan is None:
+            return
+        for service in self._plan.services:
+            if service.engine is None:
+                continue
+            self._orders.keep(
+                self._runners(service.name),
+                engine=service.engine,
+                now_s=boot_clock.now_s(),
+            )
+
+
+def _detail(answer: Answer) -> dict[str, typing.Any]:
+    body = dataclasses.asdict(answer)
+    del body['request_id']
+    return body
--- /dev/null
+++ b/limpetroute/dispatch/order_dialect.py
@@ -0,0 +1,24 @@
+"""How orders to runners are written."""
+
+import typing
+
+from limpetroute.decisions import stage as stage_module
+from limpetroute.routing import route_plan
+from limpetroute.wire import small_call
+
+
+class OrderDialect(typing.Protocol):
+    """How orders to runners are written, and configurations read."""
+
+    def read_plan(self, text: str) -> route_plan.RoutePlan:
+        """Decode a routing configuration."""
+
+    def stage_order(
+        self,
+        stage: stage_module.Stage,
+        *,
+        runner_id: str,
+        holder: str,
+        fence: int,
+    ) -> small_call.SmallCall:
+        """Return the call that orders a runner to a stage."""
--- /dev/null
+++ b/limpetroute/dispatch/part.py
@@ -0,0 +1,50 @@
+"""The dispatcher as a part of a control process."""
+
+from tornado import web
+
+from limpetroute.control import node as node_module
+from limpetroute.dispatch import dispatcher as dispatcher_module
+from limpetroute.dispatch import order_dialect
+from limpetroute.dispatch import place_handlers
+
+
+class DispatchPart:
+    """The dispatcher as a part of a control process.
+
+    Parameters
+    ----------
+    node : Node
+        The control host.
+    dialect : OrderDialect
+        Reads routing configurations and writes orders.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: node_module.Node,
+        dialect: order_dialect.OrderDialect,
+    ) -> None:
+        self._dispatcher = dispatcher_module.Dispatcher(
+            node=node, dialect=dialect
+        )
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(dispatcher={self._dispatcher!r})'
+
+    def routes(self) -> list[web.URLSpec]:
+        """Return what it serves on the port between hosts."""
+        args = {'dispatcher': self._dispatcher}
+        return [
+            web.url('/v1/places', place_handlers.PlaceHandler, args),
+            web.url('/v1/places/end', place_handlers.EndHandler, args),
+            web.url('/v1/places/held', place_handlers.HeldHandler, args),
+        ]
+
+    def start(self) -> None:
+        """Begin."""
+        self._dispatcher.start()
+
+    def stop(self) -> None:
+        """End."""
+        self._dispatcher.stop()
--- /dev/null
+++ b/limpetroute/dispatch/place_handlers.py
@@ -0,0 +1,88 @@
+"""``/v1/places``: entry hosts ask for places and give them back."""
+
+import asyncio
+import dataclasses
+
+import pydantic
+import tornado.web
+
+from limpetroute.border import errors
+from limpetroute.border import place_bodies
+from limpetroute.dispatch import dispatcher as dispatcher_module
+from limpetroute.routing import stream_ask
+
+HTTP_BAD_REQUEST = 400
+HTTP_MISDIRECTED = 421
+HTTP_UNAVAILABLE = 503
+
+
+class _Handler(tornado.web.RequestHandler):
+    def initialize(self, dispatcher: dispatcher_module.Dispatcher) -> None:
+        self.dispatcher = dispatcher
+
+    def parse(
+        self, model: type[pydantic.BaseModel]
+    ) -> pydantic.BaseModel | None:
+        try:
+            return errors.parse(model, self.request.body)
+        except errors.InvalidInputError as exc:
+            self.set_status(HTTP_BAD_REQUEST)
+            self.finish({'errors': list(exc.lines)})
+            return None
+
+
+class PlaceHandler(_Handler):
+    """``POST /v1/places``: held until there is a place, or none."""
+
+    _task: 'asyncio.Task[dispatcher_module.Answer | None] | None' = None
+
+    async def post(self) -> None:
+        """Answer with a place, a refusal, or that this host cannot say."""
+        body = self.parse(place_bodies.AskBody)
+        if body is None:
+            return
+        assert isinstance(body, place_bodies.AskBody)
+        self._task = asyncio.create_task(self.dispatcher.place(body.ask()))
+        try:
+            answer = await self._task
+        except asyncio.CancelledError:
+            return
+        if answer is None:
+            self.set_status(HTTP_MISDIRECTED)
+            self.finish({'reason': 'this host does not lead'})
+            return
+        if isinstance(answer, stream_ask.StreamRefusal):
+            self.set_status(HTTP_UNAVAILABLE)
+        self.finish(dataclasses.asdict(answer))
+
+    def on_connection_close(self) -> None:
+        """Withdraw the stream of a caller that is gone."""
+        if self._task is not None:
+            self._task.cancel()
+
+
+class EndHandler(_Handler):
+    """``POST /v1/places/end``."""
+
+    def post(self) -> None:
+        """Take a place back."""
+        body = self.parse(place_bodies.EndBody)
+        if body is None:
+            return
+        assert isinstance(body, place_bodies.EndBody)
+        self.dispatcher.end(body.service, body.end())
+        self.set_status(204)
+
+
+class HeldHandler(_Handler):
+    """``POST /v1/places/held``."""
+
+    def post(self) -> None:
+        """Take note of the places that an entry host holds."""
+        body = self.parse(place_bodies.HeldBody)
+        if body is None:
+            return
+        assert isinstance(body, place_bodies.HeldBody)
+        for one in body.held:
+            self.dispatcher.adopt(one.place(), one.asked.ask())
+        self.set_status(204)
--- a/limpetroute/forwarding/control_watch.py
+++ b/limpetroute/forwarding/control_watch.py
@@ -32,6 +32,8 @@
         Returns the control hosts of the settings, which may change.
     host_id : str
         This host, as control hosts count it.
+    on_leader : callable
+        Told the address of the control host that leads.
     """
 
     def __init__(
@@ -41,7 +43,9 @@
         http: caller.Caller,
         urls: typing.Callable[[], typing.Sequence[str]],
         host_id: str,
+        on_leader: typing.Callable[[str], None],
     ) -> None:
+        self._on_leader = on_leader
         self._view = view
         self._http = http
         self._settings_urls = urls
@@ -105,6 +109,7 @@
             in_touch = bool(body['in_touch'])
             if in_touch:
                 self._view.take(body)
+                self._on_leader(str(body['leader_url']))
                 self._heard_urls = [str(one) for one in body['urls']]
                 self.entry_hosts = max(1, int(body['entry_hosts']))
         except (ValueError, KeyError, TypeError) as exc:
--- a/limpetroute/forwarding/dialect.py
+++ b/limpetroute/forwarding/dialect.py
@@ -7,6 +7,7 @@
 
 from limpetroute.forwarding import caller_request
 from limpetroute.routing import route_plan
+from limpetroute.wire import small_call
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -50,16 +51,6 @@
     resume_after: str | None = None
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class SmallCall:
-    """A call to a runner that carries no caller's request."""
-
-    method: str
-    path: str
-    body: bytes = b''
-    headers: typing.Mapping[str, str] = dataclasses.field(default_factory=dict)
-
-
 class Dialect(typing.Protocol):
     """How callers and runners are spoken to: names and formats."""
 
@@ -100,7 +91,7 @@
     def read_handle(self, body: bytes) -> str:
         """Return the handle of a prefill's result; `ValueError` if none."""
 
-    def free_handle(self, handle: str, runner_id: str) -> SmallCall:
+    def free_handle(self, handle: str, runner_id: str) -> small_call.SmallCall:
         """Return the call that frees a prefill's result."""
 
     def read_plan(self, text: str) -> route_plan.RoutePlan:
--- a/limpetroute/forwarding/event_splitter.py
+++ b/limpetroute/forwarding/event_splitter.py
@@ -1,6 +1,7 @@
 """Cuts a stream into whole events."""
 
 _ID = b'id:'
+_END = b'\n\n'
 
 
 class EventSplitter:
@@ -10,11 +11,12 @@
     ones are passed on, so that what another runner adds begins cleanly.
     """
 
-    __slots__ = ('_rest', 'last_id')
+    __slots__ = ('_rest', 'count', 'last_id')
 
     def __init__(self) -> None:
         self._rest = b''
         self.last_id = ''
+        self.count = 0
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(last_id={self.last_id!r})'
@@ -26,6 +28,7 @@
         if end < 4 and not data.endswith(b'\n\n'):
             end = 0
         whole, self._rest = data[:end], data[end:]
+        self.count += whole.count(_END)
         self._note_id(whole)
         return whole
 
--- a/limpetroute/forwarding/fleet_view.py
+++ b/limpetroute/forwarding/fleet_view.py
@@ -47,6 +47,10 @@
         """Return a service's runners."""
         return self._by_service.get(service, [])
 
+    def runner(self, runner_id: str) -> runner_info.RunnerInfo | None:
+        """Return a runner that is not gone."""
+        return self._runners.get(runner_id)
+
     def load(self, runner_id: str) -> runner_load.RunnerLoad:
         """Return what is known of a runner's load."""
         known = self.loads.get(runner_id)
--- a/limpetroute/forwarding/forward_context.py
+++ b/limpetroute/forwarding/forward_context.py
@@ -10,6 +10,7 @@
 from limpetroute.forwarding import dialect as dialect_module
 from limpetroute.forwarding import fleet_view
 from limpetroute.forwarding import forward_meters
+from limpetroute.forwarding import place_client
 from limpetroute.routing import next_step
 from limpetroute.routing import route as route_module
 from limpetroute.routing import runner_info
@@ -28,6 +29,8 @@
         Routes and runners.
     watch : ControlWatch
         Knows how many hosts there are.
+    places : PlaceClient
+        Gives streams their places.
     dialect : Dialect
         How callers and runners are spoken to.
     meters : ForwardMeters
@@ -45,6 +48,7 @@
         *,
         view: fleet_view.FleetView,
         watch: control_watch.ControlWatch,
+        places: place_client.PlaceClient,
         dialect: dialect_module.Dialect,
         meters: forward_meters.ForwardMeters,
         zone: str,
@@ -52,6 +56,7 @@
         rng: random.Random,
     ) -> None:
         self.view = view
+        self.places = places
         self.dialect = dialect
         self.meters = meters
         self.zone = zone
@@ -110,6 +115,7 @@
         took_s: float,
         detail: str,
         part: str = 'run',
+        **more: object,
     ) -> None:
         """Write what a send to a runner came to and what follows."""
         load = self.view.load(runner.runner_id)
@@ -128,6 +134,7 @@
                 'own_requests': load.requests,
                 'failures': load.failures,
                 'index': self.view.index,
+                **more,
             },
         )
 
--- /dev/null
+++ b/limpetroute/forwarding/place_client.py
@@ -0,0 +1,163 @@
+"""Asks the leading control host for streams' places."""
+
+import asyncio
+import dataclasses
+import logging
+import typing
+
+from limpetroute.routing import stream_ask
+from limpetroute.wire import call_failed
+from limpetroute.wire import caller
+
+LOG = logging.getLogger(__name__)
+
+# The leader holds a call while there is no place, and refuses after
+# 2.4 s at most. Where nothing comes for this long it is gone, and this
+# host decides for itself.
+ASK_TIMEOUT_S = 2.7
+END_TIMEOUT_S = 0.5
+HTTP_UNAVAILABLE = 503
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class NobodyDecides:
+    """No leader could be asked."""
+
+    reason: str
+
+
+Answer = stream_ask.StreamPlace | stream_ask.StreamRefusal | NobodyDecides
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _HeldPlace:
+    place: stream_ask.StreamPlace
+    ask: stream_ask.StreamAsk
+    since_s: float
+
+
+class PlaceClient:
+    """Asks the leading control host for streams' places.
+
+    Parameters
+    ----------
+    http : Caller
+        Makes the calls.
+    """
+
+    def __init__(self, *, http: caller.Caller) -> None:
+        self._http = http
+        self._leader_url = ''
+        self._held: dict[str, _HeldPlace] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(leader_url={self._leader_url!r})'
+
+    def follow(self, leader_url: str) -> None:
+        """Take note of who leads, and tell a new leader what is held."""
+        if leader_url == self._leader_url:
+            return
+        LOG.info(
+            'places are given by',
+            extra={
+                'url': leader_url,
+                'before': self._leader_url,
+                'held': len(self._held),
+            },
+        )
+        self._leader_url = leader_url
+        if leader_url and self._held:
+            self._aside(self._tell_held())
+
+    async def ask(self, ask: stream_ask.StreamAsk) -> Answer:
+        """Return a stream's place, once there is one."""
+        if not self._leader_url:
+            return NobodyDecides(reason='no leader is known')
+        try:
+            got = await self._http.call(
+                method='POST',
+                url=f'{self._leader_url}/v1/places',
+                body=dataclasses.asdict(ask),
+                timeout_s=ASK_TIMEOUT_S,
+            )
+        except asyncio.CancelledError:
+            # The place may have been given just now; the answer that
+            # names it is lost with this call.
+            self.end(
+                ask.service,
+                stream_ask.StreamEnd(request_id=ask.request_id),
+                known=False,
+            )
+            raise
+        if isinstance(got, call_failed.CallFailed):
+            return NobodyDecides(reason=f'the leader: {got.kind.value}')
+        try:
+            if got.status == HTTP_UNAVAILABLE:
+                return stream_ask.StreamRefusal(**got.json())
+            if not got.ok:
+                return NobodyDecides(reason=f'status {got.status}')
+            place = stream_ask.StreamPlace(**got.json())
+        except (ValueError, TypeError) as exc:
+            return NobodyDecides(reason=str(exc))
+        self.note(place, ask)
+        return place
+
+    def note(
+        self, place: stream_ask.StreamPlace, ask: stream_ask.StreamAsk
+    ) -> None:
+        """Take note of a place that this host holds."""
+        self._held[place.request_id] = _HeldPlace(
+            place=place, ask=ask, since_s=_now_s()
+        )
+
+    def end(
+        self, service: str, end: stream_ask.StreamEnd, *, known: bool = True
+    ) -> None:
+        """Give a place back; nobody waits for that."""
+        if self._held.pop(end.request_id, None) is None and known:
+            return
+        if self._leader_url:
+            self._aside(self._tell_end(service, end))
+
+    async def _tell_end(self, service: str, end: stream_ask.StreamEnd) -> None:
+        got = await self._http.call(
+            method='POST',
+            url=f'{self._leader_url}/v1/places/end',
+            body={'service': service, **dataclasses.asdict(end)},
+            timeout_s=END_TIMEOUT_S,
+        )
+        if isinstance(got, call_failed.CallFailed) or not got.ok:
+            LOG.info(
+                'a place lapses by itself',
+                extra={'request': end.request_id},
+            )
+
+    async def _tell_held(self) -> None:
+        now_s = _now_s()
+        held = []
+        for one in self._held.values():
+            waited_s = one.ask.waited_s + now_s - one.since_s
+            asked = dataclasses.replace(one.ask, waited_s=waited_s)
+            held.append(
+                {
+                    'decode_id': one.place.decode_id,
+                    'prefill_id': one.place.prefill_id,
+                    'asked': dataclasses.asdict(asked),
+                }
+            )
+        await self._http.call(
+            method='POST',
+            url=f'{self._leader_url}/v1/places/held',
+            body={'held': held},
+            timeout_s=END_TIMEOUT_S,
+        )
+
+    def _aside(self, work: typing.Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/limpetroute/forwarding/prompt_reading.py
+++ b/limpetroute/forwarding/prompt_reading.py
@@ -12,7 +12,6 @@
 from limpetroute.routing import route as route_module
 from limpetroute.routing import runner_info
 from limpetroute.routing import send_result
-from limpetroute.routing import stream_placement
 from limpetroute.wire import call_failed
 from limpetroute.wire import caller
 
@@ -44,8 +43,6 @@
         The caller's request.
     route : Route
         Its route.
-    service : str
-        The service whose runners read it.
     """
 
     def __init__(
@@ -54,32 +51,22 @@
         context: forward_context.ForwardContext,
         request: caller_request.CallerRequest,
         route: route_module.Route,
-        service: str,
     ) -> None:
         self._context = context
         self._request = request
         self._route = route
-        self._service = service
         self._reading: Reading | None = None
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(reading={self._reading!r})'
 
-    async def read(self) -> Reading | None:
+    async def read(self, runner: runner_info.RunnerInfo) -> Reading | None:
         """Return where the KV cache is, or None if none was made.
 
         Without one, the decode runner reads the prompt itself: slower,
         and between the tokens of others, yet the request is served.
         """
         context = self._context
-        runner = stream_placement.choose_prefill(
-            context.view.runners(self._service),
-            loads=context.view.loads,
-            now_s=_now_s(),
-            rng=context.rng,
-        )
-        if runner is None:
-            return None
         generation = self._request.generation
         tokens = generation.prompt_tokens if generation else 0
         load = context.view.load(runner.runner_id)
--- a/limpetroute/forwarding/server.py
+++ b/limpetroute/forwarding/server.py
@@ -14,6 +14,7 @@
 from limpetroute.forwarding import forward_meters
 from limpetroute.forwarding import forwarder as forwarder_module
 from limpetroute.forwarding import front_server
+from limpetroute.forwarding import place_client
 from limpetroute.forwarding import side_port
 from limpetroute.routing import send_budget
 from limpetroute.telemetry import exports as exports_module
@@ -60,15 +61,19 @@
         )
         self.view = fleet_view.FleetView(dialect=dialect)
         trust = settings.credentials()
+        http = caller.Caller(tls=trust.client_tls, token=trust.token)
+        places = place_client.PlaceClient(http=http)
         self.watch = control_watch.ControlWatch(
             view=self.view,
-            http=caller.Caller(tls=trust.client_tls, token=trust.token),
+            http=http,
             urls=self._control_urls,
             host_id=settings.host_id,
+            on_leader=places.follow,
         )
         self._context = forward_context.ForwardContext(
             view=self.view,
             watch=self.watch,
+            places=places,
             dialect=dialect,
             meters=forward_meters.ForwardMeters(meter=self._exports.meter),
             zone=settings.zone,
--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -11,12 +11,13 @@
 from limpetroute.forwarding import prompt_reading
 from limpetroute.forwarding import responder as responder_module
 from limpetroute.forwarding import runner_call
+from limpetroute.forwarding import stream_places
 from limpetroute.routing import next_step
 from limpetroute.routing import route as route_module
 from limpetroute.routing import runner_info
 from limpetroute.routing import send_result
 from limpetroute.routing import service as service_module
-from limpetroute.routing import stream_placement
+from limpetroute.routing import stream_ask
 
 LOG = logging.getLogger(__name__)
 
@@ -61,6 +62,8 @@
         self._tried: set[str] = set()
         self._sends = 0
         self._ran_before = False
+        self._first_event_s = 0.0
+        self._events_s = 0.0
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(request={self._request.request_id!r})'
@@ -68,11 +71,26 @@
     async def run(self) -> None:
         """Answer the request."""
         while True:
-            runner = self._choose()
-            if runner is None:
-                await self._end(next_step.Step.REFUSE, 'no room')
-                return
-            step = await self._send(runner)
+            places = stream_places.StreamPlaces(
+                context=self._context,
+                request=self._request,
+                route=self._route,
+                service=self._service,
+            )
+            try:
+                got = await places.take(
+                    tried=self._tried, goes_on=self._goes_on()
+                )
+                if isinstance(got, stream_ask.StreamRefusal):
+                    await self._end(
+                        next_step.Step.REFUSE, got.reason, got.retry_after_s
+                    )
+                    return
+                step = await self._send(got)
+            finally:
+                places.give_back(
+                    events_s=self._events_s, tokens=self._tokens_written()
+                )
             if step is next_step.Step.RELAY:
                 return
             if step is not next_step.Step.AGAIN:
@@ -83,46 +101,33 @@
         generation = self._request.generation
         return generation.peak_tokens if generation else 0
 
-    def _choose(self) -> runner_info.RunnerInfo | None:
+    def _tokens_written(self) -> int:
         engine = self._service.engine
         assert engine is not None
-        return stream_placement.choose_decode(
-            self._context.view.runners(self._service.name),
-            engine=engine,
-            loads=self._context.view.loads,
-            tokens=self._tokens(),
-            tried=self._tried,
-            now_s=_now_s(),
-            rng=self._context.rng,
-        )
+        return self._events.count * engine.tokens_per_event
 
-    async def _send(self, runner: runner_info.RunnerInfo) -> next_step.Step:
+    def _goes_on(self) -> bool:
+        """Return whether a part of the answer is there already."""
+        return bool(self._request.resume_after or self._events.last_id)
+
+    async def _send(self, rooms: stream_places.Rooms) -> next_step.Step:
+        runner = rooms.decode
         load = self._context.view.load(runner.runner_id)
         load.requests += 1
         load.tokens += self._tokens()
         self._tried.add(runner.runner_id)
-        try:
-            return await self._read_and_decode(runner)
-        finally:
-            load.requests -= 1
-            load.tokens -= self._tokens()
-
-    async def _read_and_decode(
-        self, runner: runner_info.RunnerInfo
-    ) -> next_step.Step:
         reading = prompt_reading.PromptReading(
-            context=self._context,
-            request=self._request,
-            route=self._route,
-            service=self._service.name,
+            context=self._context, request=self._request, route=self._route
         )
-        source = None
-        if not self._sends and not self._request.resume_after:
-            source = await reading.read()
         try:
+            source = None
+            if rooms.prefill is not None:
+                source = await reading.read(rooms.prefill)
             return await self._decode(runner, source)
         finally:
             reading.free_unless_taken()
+            load.requests -= 1
+            load.tokens -= self._tokens()
 
     async def _decode(
         self,
@@ -161,6 +166,11 @@
                 took_s=_now_s() - begun_s,
                 detail=failed.detail if failed else f'status {call.status}',
                 part='decode',
+                events=self._events.count,
+                first_event_ms=round(
+                    (self._first_event_s - self._request.received_s) * 1000
+                ),
+                asked_tokens=self._tokens(),
             )
             if step is next_step.Step.RELAY and not self._responder.finished:
                 await self._relay_failure(call)
@@ -198,6 +208,9 @@
         self, call: runner_call.RunnerCall, events: bytes
     ) -> None:
         responder = self._responder
+        now_s = _now_s()
+        self._first_event_s = self._first_event_s or now_s
+        self._events_s = now_s - self._first_event_s
         if responder.started:
             await responder.write(events)
             return
@@ -241,15 +254,18 @@
             self._ran_before = True
         if step is not next_step.Step.AGAIN:
             return step
-        if self._choose() is None:
-            return next_step.without_another(situation)
         if self._sends and not self._context.may_send_again(
             self._service.name
         ):
             return next_step.without_another(situation)
         return step
 
-    async def _end(self, step: next_step.Step, reason: str) -> None:
+    async def _end(
+        self,
+        step: next_step.Step,
+        reason: str,
+        retry_after_s: float = own_answer.RETRY_AFTER_S,
+    ) -> None:
         if step is next_step.Step.REFUSE and self._ran_before:
             step = next_step.Step.FAIL
         await own_answer.write(
@@ -259,6 +275,7 @@
             responder=self._responder,
             step=step,
             reason=reason,
+            retry_after_s=retry_after_s,
         )
 
 
--- /dev/null
+++ b/limpetroute/forwarding/stream_places.py
@@ -0,0 +1,166 @@
+"""Rooms at runners for one stream, and giving them back."""
+
+import asyncio
+import dataclasses
+import logging
+import typing
+
+from limpetroute.forwarding import caller_request
+from limpetroute.forwarding import forward_context
+from limpetroute.forwarding import place_client
+from limpetroute.routing import route as route_module
+from limpetroute.routing import runner_info
+from limpetroute.routing import service as service_module
+from limpetroute.routing import stream_ask
+from limpetroute.routing import stream_placement
+
+LOG = logging.getLogger(__name__)
+
+# Callers leave a stream without events after two seconds, or four times
+# the target where that is longer.
+LEAST_PATIENCE_S = 2.0
+PATIENCE_TARGETS = 4.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Rooms:
+    """The runners of one stream."""
+
+    decode: runner_info.RunnerInfo
+    prefill: runner_info.RunnerInfo | None
+
+
+class StreamPlaces:
+    """Rooms at runners for one stream, and giving them back.
+
+    Parameters
+    ----------
+    context : ForwardContext
+        What all forwarding shares.
+    request : CallerRequest
+        The caller's request.
+    route : Route
+        Its route.
+    service : Service
+        Its service.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: forward_context.ForwardContext,
+        request: caller_request.CallerRequest,
+        route: route_module.Route,
+        service: service_module.Service,
+    ) -> None:
+        self._context = context
+        self._request = request
+        self._route = route
+        self._service = service
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(request={self._request.request_id!r})'
+
+    async def take(
+        self, *, tried: typing.Collection[str], goes_on: bool
+    ) -> Rooms | stream_ask.StreamRefusal:
+        """Return rooms, or a refusal.
+
+        The host that decides for all is asked; where it cannot be, this
+        host decides by what it has sent itself.
+        """
+        ask = self._ask(tried, goes_on)
+        answer = await self._context.places.ask(ask)
+        if isinstance(answer, stream_ask.StreamRefusal):
+            return answer
+        if isinstance(answer, stream_ask.StreamPlace):
+            rooms = self._rooms(answer)
+            if rooms is not None:
+                return rooms
+            self.give_back(events_s=0.0, tokens=0)
+        return self._decide_alone(ask, answer)
+
+    def give_back(self, *, events_s: float, tokens: int) -> None:
+        """Give back what is held, with what was measured."""
+        self._context.places.end(
+            self._service.name,
+            stream_ask.StreamEnd(
+                request_id=self._request.request_id,
+                output_tokens=tokens,
+                decode_s=events_s,
+            ),
+        )
+
+    def _ask(
+        self, tried: typing.Collection[str], goes_on: bool
+    ) -> stream_ask.StreamAsk:
+        generation = self._request.generation
+        assert generation is not None
+        target_s = self._route.target_s
+        waited_s = asyncio.get_running_loop().time() - self._request.received_s
+        return stream_ask.StreamAsk(
+            request_id=self._request.request_id,
+            service=self._service.name,
+            prompt_tokens=generation.prompt_tokens,
+            output_tokens=generation.max_output_tokens,
+            waited_s=waited_s,
+            target_s=target_s,
+            patience_s=waited_s
+            + self._context.left_s(self._request, self._route),
+            reads_prompt=not goes_on,
+            avoid=tuple(tried),
+        )
+
+    def _rooms(self, place: stream_ask.StreamPlace) -> Rooms | None:
+        view = self._context.view
+        decode = view.runner(place.decode_id)
+        if decode is None or not decode.ready:
+            return None
+        prefill = None
+        if place.prefill_id:
+            prefill = view.runner(place.prefill_id)
+        if prefill is not None and not prefill.ready:
+            prefill = None
+        return Rooms(decode=decode, prefill=prefill)
+
+    def _decide_alone(
+        self, ask: stream_ask.StreamAsk, answer: place_client.Answer
+    ) -> Rooms | stream_ask.StreamRefusal:
+        context = self._context
+        assert self._service.engine is not None
+        runners = context.view.runners(self._service.name)
+        now_s = asyncio.get_running_loop().time()
+        decode = stream_placement.choose_decode(
+            runners,
+            engine=self._service.engine,
+            loads=context.view.loads,
+            tokens=ask.prompt_tokens + ask.output_tokens,
+            tried=ask.avoid,
+            now_s=now_s,
+            rng=context.rng,
+        )
+        prefill = None
+        if ask.reads_prompt:
+            prefill = stream_placement.choose_prefill(
+                runners,
+                loads=context.view.loads,
+                now_s=now_s,
+                rng=context.rng,
+            )
+        LOG.info(
+            'decided alone',
+            extra={
+                'request': ask.request_id,
+                'why': str(answer),
+                'decode': decode.runner_id if decode else '',
+                'prefill': prefill.runner_id if prefill else '',
+                'index': context.view.index,
+            },
+        )
+        if decode is None:
+            return stream_ask.StreamRefusal(
+                request_id=ask.request_id,
+                retry_after_s=1.0,
+                reason='no room known',
+            )
+        return Rooms(decode=decode, prefill=prefill)
--- a/limpetroute/platform/control_port.py
+++ b/limpetroute/platform/control_port.py
@@ -9,8 +9,10 @@
 
 from limpetroute.border import listen_settings
 from limpetroute.control import desk as desk_module
+from limpetroute.control import node as node_module
 from limpetroute.platform import heartbeat_codec
 from limpetroute.platform import routes_codec
+from limpetroute.wire import caller
 
 LOG = logging.getLogger(__name__)
 
@@ -85,8 +87,8 @@
 
     Parameters
     ----------
-    desk : Desk
-        Decides.
+    node : Node
+        The control host.
     listen : ListenSettings
         The port.
     """
@@ -94,11 +96,13 @@
     def __init__(
         self,
         *,
-        desk: desk_module.Desk,
+        node: node_module.Node,
         listen: listen_settings.ListenSettings,
     ) -> None:
         self._listen = listen
-        args = {'desk': desk}
+        trust = node.settings.credentials()
+        http = caller.Caller(tls=trust.client_tls, token=trust.token)
+        args = {'desk': desk_module.Desk(node=node, http=http)}
         self._server = httpserver.HTTPServer(
             web.Application(
                 [
@@ -113,6 +117,10 @@
     def __repr__(self) -> str:
         return f'{type(self).__name__}(listen={self._listen!r})'
 
+    def routes(self) -> list[web.URLSpec]:
+        """Return nothing: it has a port of its own."""
+        return []
+
     def start(self) -> None:
         """Open the port."""
         self._server.add_sockets(
--- a/limpetroute/platform/http_dialect.py
+++ b/limpetroute/platform/http_dialect.py
@@ -9,6 +9,7 @@
 from limpetroute.platform import header_names
 from limpetroute.platform import routes_codec
 from limpetroute.routing import route_plan
+from limpetroute.wire import small_call
 
 MILLIS = 1000.0
 HTTP_MISDIRECTED = 421
@@ -100,9 +101,9 @@
             raise ValueError(f'no handle in {body[:80]!r}')
         return handle
 
-    def free_handle(self, handle: str, runner_id: str) -> dialect.SmallCall:
+    def free_handle(self, handle: str, runner_id: str) -> small_call.SmallCall:
         """Return the call that frees a prefill's result."""
-        return dialect.SmallCall(
+        return small_call.SmallCall(
             method='DELETE',
             path=f'/api/kv-handle/{handle}',
             headers={header_names.EXPECT_INSTANCE: runner_id},
--- /dev/null
+++ b/limpetroute/platform/orders.py
@@ -0,0 +1,42 @@
+"""Orders to runners as the platform's engines take them."""
+
+import json
+
+from limpetroute.decisions import stage as stage_module
+from limpetroute.platform import header_names
+from limpetroute.platform import routes_codec
+from limpetroute.routing import route_plan
+from limpetroute.wire import small_call
+
+
+class Orders:
+    """Orders to runners as the platform's engines take them."""
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}()'
+
+    def read_plan(self, text: str) -> route_plan.RoutePlan:
+        """Decode a routing configuration."""
+        return routes_codec.decode(text)
+
+    def stage_order(
+        self,
+        stage: stage_module.Stage,
+        *,
+        runner_id: str,
+        holder: str,
+        fence: int,
+    ) -> small_call.SmallCall:
+        """Return the call that orders a runner to a stage."""
+        body = {
+            'op': 'stage',
+            'stage': stage.value,
+            'holder': holder,
+            'fence': fence,
+        }
+        return small_call.SmallCall(
+            method='POST',
+            path='/api/order',
+            body=json.dumps(body).encode(),
+            headers={header_names.EXPECT_INSTANCE: runner_id},
+        )
--- a/limpetroute/platform/routes_body.py
+++ b/limpetroute/platform/routes_body.py
@@ -48,6 +48,8 @@
     slots: int
     # Tokens, not bytes.
     kv_capacity: int
+    # Tokens in one event of a stream.
+    stride: int = 1
     # How long a prefill's result is kept.
     kv_ttl_s: float = 0.5
     # How long a runner is away while it changes its stage.
--- a/limpetroute/platform/routes_codec.py
+++ b/limpetroute/platform/routes_codec.py
@@ -80,6 +80,7 @@
         engine = service.Engine(
             slots=body.engine.slots,
             memory_tokens=body.engine.kv_capacity,
+            tokens_per_event=max(1, body.engine.stride),
             handle_life_s=body.engine.kv_ttl_s,
             stage_change_s=body.engine.switch_s,
         )
--- a/limpetroute/routing/service.py
+++ b/limpetroute/routing/service.py
@@ -13,6 +13,8 @@
         Requests that a runner works on at once.
     memory_tokens : int
         Tokens whose KV cache fits a runner's memory.
+    tokens_per_event : int
+        Tokens that one event of a stream carries.
     handle_life_s : float
         Time for which a prefill's result is kept.
     stage_change_s : float
@@ -21,6 +23,7 @@
 
     slots: int
     memory_tokens: int
+    tokens_per_event: int
     handle_life_s: float
     stage_change_s: float
 
--- /dev/null
+++ b/limpetroute/routing/stream_ask.py
@@ -0,0 +1,95 @@
+"""A stream that asks for a place, and what it gets."""
+
+import dataclasses
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StreamAsk:
+    """A stream that asks for places at runners.
+
+    Parameters
+    ----------
+    request_id : str
+        Names the stream.
+    service : str
+        Its service.
+    prompt_tokens, output_tokens : int
+        What it takes; the output is the most that it may become.
+    waited_s : float
+        Time since the caller sent it.
+    target_s : float
+        Time from then within which its first event is good.
+    patience_s : float
+        Time from then after which the caller leaves.
+    reads_prompt : bool
+        Whether a prefill runner may read its prompt.
+    avoid : tuple of str
+        Decode runners that it must not go to.
+    """
+
+    request_id: str
+    service: str
+    prompt_tokens: int
+    output_tokens: int
+    waited_s: float
+    target_s: float
+    patience_s: float
+    reads_prompt: bool
+    avoid: tuple[str, ...] = ()
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StreamPlace:
+    """Room at a decode runner, and who reads the prompt.
+
+    Parameters
+    ----------
+    request_id : str
+        Whose place it is.
+    decode_id : str
+        The decode runner.
+    prefill_id : str
+        The prefill runner; empty if the decode runner reads itself.
+    """
+
+    request_id: str
+    decode_id: str
+    prefill_id: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StreamRefusal:
+    """There is no place in time.
+
+    Parameters
+    ----------
+    request_id : str
+        Who is refused.
+    retry_after_s : float
+        When there should be room.
+    reason : str
+        For the log.
+    """
+
+    request_id: str
+    retry_after_s: float
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StreamEnd:
+    """A stream gives its place back.
+
+    Parameters
+    ----------
+    request_id : str
+        Whose place it was.
+    output_tokens : int
+        Tokens that were written, as far as known; 0 if none.
+    decode_s : float
+        Time from the first event to the last.
+    """
+
+    request_id: str
+    output_tokens: int = 0
+    decode_s: float = 0.0
