Tell streams at once that no place comes in time; rest failed runners

Cause: in overload the order by target served each stream just too late (first events at 920 to 950 ms of 900), and a runner that had gone dark went on getting places until it was taken out of the registry.

--- a/limpetroute/border/place_bodies.py
+++ b/limpetroute/border/place_bodies.py
@@ -16,6 +16,7 @@
     target_s: float
     patience_s: float
     reads_prompt: bool
+    may_repeat: bool = True
     avoid: tuple[str, ...] = ()
 
     def ask(self) -> stream_ask.StreamAsk:
@@ -30,6 +31,7 @@
     request_id: str
     output_tokens: int = 0
     decode_s: float = 0.0
+    failed: tuple[str, ...] = ()
 
     def end(self) -> stream_ask.StreamEnd:
         """Return what it says."""
@@ -37,6 +39,7 @@
             request_id=self.request_id,
             output_tokens=self.output_tokens,
             decode_s=self.decode_s,
+            failed=self.failed,
         )
 
 
--- a/limpetroute/dispatch/dispatcher.py
+++ b/limpetroute/dispatch/dispatcher.py
@@ -104,7 +104,7 @@
         """Take a place back."""
         desk = self._desk(service)
         if desk is not None:
-            desk.end(end)
+            desk.end(end, boot_clock.now_s())
             self._decide(service, desk)
 
     def adopt(
--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -60,6 +60,7 @@
         self._responder = responder
         self._events = event_splitter.EventSplitter()
         self._tried: set[str] = set()
+        self._failed: set[str] = set()
         self._sends = 0
         self._ran_before = False
         self._first_event_s = 0.0
@@ -89,7 +90,9 @@
                 step = await self._send(got)
             finally:
                 places.give_back(
-                    events_s=self._events_s, tokens=self._tokens_written()
+                    events_s=self._events_s,
+                    tokens=self._tokens_written(),
+                    failed=self._failed,
                 )
             if step is next_step.Step.RELAY:
                 return
@@ -123,6 +126,8 @@
             source = None
             if rooms.prefill is not None:
                 source = await reading.read(rooms.prefill)
+                if source is None:
+                    self._failed.add(rooms.prefill.runner_id)
             return await self._decode(runner, source)
         finally:
             reading.free_unless_taken()
@@ -157,6 +162,7 @@
                 load.note_success(_now_s() - begun_s)
             elif result is not send_result.SendResult.REFUSED:
                 load.note_failure(_now_s())
+                self._failed.add(runner.runner_id)
             step = self._decide(result)
             context.log_send(
                 self._request,
--- a/limpetroute/forwarding/stream_places.py
+++ b/limpetroute/forwarding/stream_places.py
@@ -77,10 +77,16 @@
             rooms = self._rooms(answer)
             if rooms is not None:
                 return rooms
-            self.give_back(events_s=0.0, tokens=0)
+            self.give_back()
         return self._decide_alone(ask, answer)
 
-    def give_back(self, *, events_s: float, tokens: int) -> None:
+    def give_back(
+        self,
+        *,
+        events_s: float = 0.0,
+        tokens: int = 0,
+        failed: typing.Collection[str] = (),
+    ) -> None:
         """Give back what is held, with what was measured."""
         self._context.places.end(
             self._service.name,
@@ -88,6 +94,7 @@
                 request_id=self._request.request_id,
                 output_tokens=tokens,
                 decode_s=events_s,
+                failed=tuple(failed),
             ),
         )
 
@@ -109,6 +116,7 @@
             patience_s=waited_s
             + self._context.left_s(self._request, self._route),
             reads_prompt=not goes_on,
+            may_repeat=self._route.repeatable,
             avoid=tuple(tried),
         )
 
--- a/limpetroute/routing/stream_ask.py
+++ b/limpetroute/routing/stream_ask.py
@@ -27,6 +27,8 @@
         Time from then after which the caller leaves.
     reads_prompt : bool
         Whether a prefill runner may read its prompt.
+    may_repeat : bool
+        Whether it may go to another runner if this one fails.
     avoid : tuple of str
         Decode runners that it must not go to.
     """
@@ -40,6 +42,7 @@
     target_s: float
     patience_s: float
     reads_prompt: bool
+    may_repeat: bool = True
     avoid: tuple[str, ...] = ()
 
 
@@ -93,8 +96,11 @@
         Tokens that were written, as far as known; 0 if none.
     decode_s : float
         Time from the first event to the last.
+    failed : tuple of str
+        Runners that did not answer as they should.
     """
 
     request_id: str
     output_tokens: int = 0
     decode_s: float = 0.0
+    failed: tuple[str, ...] = ()
--- a/limpetroute/routing/stream_desk.py
+++ b/limpetroute/routing/stream_desk.py
@@ -6,29 +6,42 @@
 from limpetroute.decisions import stage as stage_module
 from limpetroute.routing import decode_room
 from limpetroute.routing import runner_info
+from limpetroute.routing import runner_load
 from limpetroute.routing import service as service_module
 from limpetroute.routing import stream_ask
 
-# Used until streams have been measured; both are corrected by the first
-# few that end. A step of 0.7 ms writes 1,400 tokens a second.
+# Used until streams have been measured; corrected by the first few that
+# end. A step of 0.7 ms writes 1,400 tokens a second.
 FIRST_TOKENS_PER_S = 1300.0
+# Ends shorter than this say little of a stream's speed.
+LEAST_MEASURED_S = 0.2
 PREFILL_TOKENS_PER_S = 50_000.0
+# A decode runner reads at half the speed, between the tokens of others.
+SELF_READ_TOKENS_PER_S = 25_000.0
+# Two prompts read by a decode runner within one event of its streams make
+# that event's pause too long: 5,000 tokens hold it up for 180 ms, an
+# event takes 50 ms without, and pauses over 300 ms are late.
+SELF_READ_PAUSE_S = 0.1
 # Part of the memory that is planned for: estimates of ends are off by
 # some tenths of a second, some hundred tokens a stream.
 MEMORY_SHARE = 0.97
 # From a grant to the first event, beside the reading: the way to the
-# entry host and two runners, the transfer, the first step.
-OVERHEAD_S = 0.04
+# entry host and two runners, the transfer, the first steps.
+OVERHEAD_S = 0.09
 # A stream waits no longer than this for a place, counted from its
 # caller's send: callers leave 3.6 s after it without a first event.
 LONGEST_WAIT_S = 2.4
 # A large stream at the head that does not fit lets smaller ones pass for
 # this long; after that, room that becomes free is kept for it.
 PASSED_OVER_S = 0.25
-# Prompts over this are read by a decode runner only if nothing else can:
-# reading 5,000 tokens there holds its other streams up for 180 ms, and
-# pauses over 300 ms make them late.
-MOST_SELF_READ_TOKENS = 5500
+# Streams that cannot make their target any more may wait for a place in
+# this part of all places; the rest are told at once when to come back.
+LATE_PART = 1 / 6
+# While streams wait that can still make it, one place in this many goes
+# to one that cannot: a late answer is worth a fifth, but not nothing.
+LATE_EVERY = 8
+MIN_RETRY_AFTER_S = 0.3
+MAX_RETRY_AFTER_S = 4.0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -58,8 +71,10 @@
     streams on a calm day), and others are preempted in mid-answer.
 
     Room at a decode runner is given before the prompt is read. Streams
-    that can still make their target go first, earliest target first;
-    those that cannot any more take what is left.
+    that can still make their target go first, earliest target first. In
+    overload that order alone would serve each one just too late; so a
+    stream whose turn cannot come in time is told so at once, and only a
+    few late ones wait for what is left.
 
     Parameters
     ----------
@@ -71,8 +86,10 @@
         self._engine = engine
         self._held: dict[str, _Held] = {}
         self._waiting: dict[str, _Waiting] = {}
-        self._prefill_free_s: dict[str, float] = {}
+        self._free_s: dict[str, float] = {}
+        self._health: dict[str, runner_load.RunnerLoad] = {}
         self._tokens_per_s = FIRST_TOKENS_PER_S
+        self._in_time_in_a_row = 0
 
     def __repr__(self) -> str:
         return (
@@ -106,12 +123,16 @@
         self._waiting.pop(request_id, None)
         self._held.pop(request_id, None)
 
-    def end(self, end: stream_ask.StreamEnd) -> None:
-        """Take a place back and learn from the stream's speed."""
-        self._held.pop(end.request_id, None)
-        if end.decode_s > 0.2 and end.output_tokens:
+    def end(self, end: stream_ask.StreamEnd, now_s: float) -> None:
+        """Take a place back and learn from how the stream went."""
+        held = self._held.pop(end.request_id, None)
+        if end.decode_s > LEAST_MEASURED_S and end.output_tokens:
             rate = end.output_tokens / end.decode_s
             self._tokens_per_s += (rate - self._tokens_per_s) / 16
+        for runner_id in end.failed:
+            self._health_of(runner_id).note_failure(now_s)
+        if held is not None and not end.failed:
+            self._health_of(held.place.decode_id).note_success(0.0)
 
     def adopt(
         self,
@@ -122,41 +143,81 @@
         """Take note of a place that another host gave before."""
         if place.request_id in self._held:
             return
-        self._hold(place, ask, now_s - ask.waited_s, now_s)
+        self._hold(place, ask, now_s - ask.waited_s, begins_s=now_s)
 
     def decide(
         self, runners: typing.Iterable[runner_info.RunnerInfo], now_s: float
     ) -> list[stream_ask.StreamPlace | stream_ask.StreamRefusal]:
         """Return what waiting streams get now."""
-        known = [one for one in runners if one.ready]
+        usable = self._usable(runners, now_s)
         decoders = [
-            one for one in known if one.stage is stage_module.Stage.DECODE
+            one for one in usable if one.stage is stage_module.Stage.DECODE
         ]
         readers = [
-            one for one in known if one.stage is stage_module.Stage.PREFILL
+            one for one in usable if one.stage is stage_module.Stage.PREFILL
         ]
         self._expire(now_s)
         answers: list[stream_ask.StreamPlace | stream_ask.StreamRefusal] = []
-        for one in list(self._waiting.values()):
-            if now_s - one.sent_s > LONGEST_WAIT_S or not decoders:
-                answers.append(self._refuse(one, now_s))
-        for one in self._in_order(now_s):
+        for one in self._in_order(now_s, bool(readers)):
             place = self._place(one, decoders, readers, now_s)
             if place is not None:
+                self._count_turn(one, now_s, bool(readers))
                 answers.append(place)
                 continue
             if now_s - one.sent_s > PASSED_OVER_S:
                 break
+        answers.extend(self._refuse_hopeless(decoders, readers, now_s))
         return answers
 
-    def _in_order(self, now_s: float) -> list[_Waiting]:
-        def rank(one: _Waiting) -> tuple[bool, float]:
-            needed_s = OVERHEAD_S + (
-                one.ask.prompt_tokens / PREFILL_TOKENS_PER_S
-            )
-            return (now_s + needed_s > one.target_s, one.target_s)
-
-        return sorted(self._waiting.values(), key=rank)
+    def _usable(
+        self, runners: typing.Iterable[runner_info.RunnerInfo], now_s: float
+    ) -> list[runner_info.RunnerInfo]:
+        """Return ready runners, without those that failed of late.
+
+        With none left of a stage, the ones that failed are better than
+        nothing: the failure may have been one connection's.
+        """
+        ready = [one for one in runners if one.ready]
+        usable = []
+        for one in ready:
+            peers = [two for two in ready if two.stage is one.stage]
+            resting = [
+                two
+                for two in peers
+                if self._health_of(two.runner_id).rests(now_s)
+            ]
+            if one in resting and len(resting) < len(peers):
+                continue
+            usable.append(one)
+        return usable
+
+    def _in_time(self, one: _Waiting, at_s: float, has_reader: bool) -> bool:
+        rate = PREFILL_TOKENS_PER_S if has_reader else SELF_READ_TOKENS_PER_S
+        needed_s = OVERHEAD_S + one.ask.prompt_tokens / rate
+        return at_s + needed_s <= one.target_s
+
+    def _in_order(self, now_s: float, has_reader: bool) -> list[_Waiting]:
+        in_time = []
+        late = []
+        for one in self._waiting.values():
+            if self._in_time(one, now_s, has_reader):
+                in_time.append(one)
+            else:
+                late.append(one)
+        # One that may be sent only once comes back to nothing: first.
+        in_time.sort(key=lambda one: (one.ask.may_repeat, one.target_s))
+        late.sort(key=lambda one: one.sent_s)
+        if late and self._in_time_in_a_row >= LATE_EVERY:
+            return [late[0], *in_time, *late[1:]]
+        return [*in_time, *late]
+
+    def _count_turn(
+        self, one: _Waiting, now_s: float, has_reader: bool
+    ) -> None:
+        if self._in_time(one, now_s, has_reader):
+            self._in_time_in_a_row += 1
+        else:
+            self._in_time_in_a_row = 0
 
     def _place(
         self,
@@ -165,28 +226,23 @@
         readers: list[runner_info.RunnerInfo],
         now_s: float,
     ) -> stream_ask.StreamPlace | None:
-        reader = None
-        if one.ask.reads_prompt:
-            reader = min(
-                readers,
-                key=lambda runner: self._prefill_free_s.get(
-                    runner.runner_id, 0.0
-                ),
-                default=None,
-            )
-        ready_s = self._ready_s(one.ask, reader, now_s)
+        reader = self._reader(one.ask, readers)
         best = None
+        best_ready_s = 0.0
         best_peak = float(self._engine.memory_tokens) * MEMORY_SHARE
         for runner in decoders:
             if runner.runner_id in one.ask.avoid:
                 continue
+            if self._reads_itself(one.ask, reader, runner, now_s):
+                continue
             streams = self._outlooks(runner.runner_id)
             if len(streams) >= self._engine.slots:
                 continue
+            ready_s = self._ready_s(one.ask, reader, now_s)
             streams.append(self._outlook(one.ask, ready_s))
             peak = decode_room.peak_tokens(streams, now_s)
             if peak <= best_peak:
-                best, best_peak = runner, peak
+                best, best_peak, best_ready_s = runner, peak, ready_s
         if best is None:
             return None
         place = stream_ask.StreamPlace(
@@ -195,22 +251,49 @@
             prefill_id=reader.runner_id if reader else '',
         )
         del self._waiting[one.ask.request_id]
-        if reader is not None:
-            self._prefill_free_s[reader.runner_id] = ready_s - OVERHEAD_S
-        self._hold(place, one.ask, one.sent_s, now_s, ready_s)
+        reading = reader or best
+        self._free_s[reading.runner_id] = best_ready_s - OVERHEAD_S
+        if reader is None:
+            self._free_s[reading.runner_id] += SELF_READ_PAUSE_S
+        self._hold(place, one.ask, one.sent_s, begins_s=best_ready_s)
         return place
 
+    def _reader(
+        self,
+        ask: stream_ask.StreamAsk,
+        readers: list[runner_info.RunnerInfo],
+    ) -> runner_info.RunnerInfo | None:
+        if not ask.reads_prompt:
+            return None
+        return min(
+            readers,
+            key=lambda runner: self._free_s.get(runner.runner_id, 0.0),
+            default=None,
+        )
+
+    def _reads_itself(
+        self,
+        ask: stream_ask.StreamAsk,
+        reader: runner_info.RunnerInfo | None,
+        runner: runner_info.RunnerInfo,
+        now_s: float,
+    ) -> bool:
+        """Return whether a decode runner is busy reading another prompt."""
+        if reader is not None or not self._outlooks(runner.runner_id):
+            return False
+        return self._free_s.get(runner.runner_id, 0.0) > now_s
+
     def _ready_s(
         self,
         ask: stream_ask.StreamAsk,
         reader: runner_info.RunnerInfo | None,
         now_s: float,
     ) -> float:
-        free_s = now_s
-        if reader is not None:
-            free_s = self._prefill_free_s.get(reader.runner_id, now_s)
-        reading_s = ask.prompt_tokens / PREFILL_TOKENS_PER_S
-        return max(free_s, now_s) + reading_s + OVERHEAD_S
+        if reader is None:
+            reading_s = ask.prompt_tokens / SELF_READ_TOKENS_PER_S
+            return now_s + reading_s + OVERHEAD_S
+        free_s = max(now_s, self._free_s.get(reader.runner_id, now_s))
+        return free_s + ask.prompt_tokens / PREFILL_TOKENS_PER_S + OVERHEAD_S
 
     def _outlooks(self, runner_id: str) -> list[decode_room.StreamOutlook]:
         return [
@@ -235,14 +318,12 @@
         place: stream_ask.StreamPlace,
         ask: stream_ask.StreamAsk,
         sent_s: float,
-        now_s: float,
-        begins_s: float | None = None,
+        *,
+        begins_s: float,
     ) -> None:
         self._held[place.request_id] = _Held(
             place=place,
-            outlook=self._outlook(
-                ask, now_s if begins_s is None else begins_s
-            ),
+            outlook=self._outlook(ask, begins_s),
             expires_s=sent_s + ask.patience_s + 1.0,
         )
 
@@ -252,15 +333,57 @@
             if now_s > held.expires_s:
                 del self._held[request_id]
 
-    def _refuse(self, one: _Waiting, now_s: float) -> stream_ask.StreamRefusal:
-        del self._waiting[one.ask.request_id]
-        ends_s = sorted(
-            held.outlook.ends_s(now_s) for held in self._held.values()
+    def _health_of(self, runner_id: str) -> runner_load.RunnerLoad:
+        return self._health.setdefault(runner_id, runner_load.RunnerLoad())
+
+    # Refusals
+
+    def _refuse_hopeless(
+        self,
+        decoders: list[runner_info.RunnerInfo],
+        readers: list[runner_info.RunnerInfo],
+        now_s: float,
+    ) -> list[stream_ask.StreamRefusal]:
+        """Refuse at once what no place will become free for."""
+        places = len(decoders) * self._engine.slots
+        late_room = max(1, round(places * LATE_PART))
+        ends_s = self._ends_s(now_s)
+        refusals = []
+        ahead = 0
+        late = 0
+        for one in self._in_order(now_s, bool(readers)):
+            turn_s = self._turn_s(ends_s, ahead, now_s)
+            if decoders and self._in_time(one, turn_s, bool(readers)):
+                ahead += 1
+                continue
+            waits_too_long = turn_s - one.sent_s > LONGEST_WAIT_S
+            overdue = now_s - one.sent_s > LONGEST_WAIT_S
+            if not decoders or late >= late_room or waits_too_long or overdue:
+                refusals.append(self._refuse(one, ends_s, now_s))
+                continue
+            late += 1
+        return refusals
+
+    def _ends_s(self, now_s: float) -> list[float]:
+        return sorted(
+            max(now_s, held.outlook.ends_s(now_s))
+            for held in self._held.values()
         )
-        place = min(len(self._waiting), len(ends_s) - 1)
-        wait_s = ends_s[place] - now_s if ends_s else 0.0
+
+    def _turn_s(self, ends_s: list[float], ahead: int, now_s: float) -> float:
+        """Return when the place after those ahead becomes free."""
+        if ahead < len(ends_s):
+            return ends_s[ahead]
+        return ends_s[-1] if ends_s else now_s
+
+    def _refuse(
+        self, one: _Waiting, ends_s: list[float], now_s: float
+    ) -> stream_ask.StreamRefusal:
+        del self._waiting[one.ask.request_id]
+        turn_s = self._turn_s(ends_s, len(self._waiting), now_s)
+        wait_s = max(MIN_RETRY_AFTER_S, turn_s - now_s)
         return stream_ask.StreamRefusal(
             request_id=one.ask.request_id,
-            retry_after_s=min(max(0.3, wait_s), 4.0),
+            retry_after_s=min(wait_s, MAX_RETRY_AFTER_S),
             reason='no place in time',
         )
