Let a new leader hear what is held; put begun streams first

Cause: after a change of leader the new one gave places at runners that were full; a stream whose runner crashed had to wait behind new ones; a host that stops closed its port while it was the only one of its zone.

--- a/limpetroute/border/place_bodies.py
+++ b/limpetroute/border/place_bodies.py
@@ -15,6 +15,7 @@
     waited_s: float
     target_s: float
     patience_s: float
+    goes_on: bool = False
     reads_prompt: bool
     may_repeat: bool = True
     avoid: tuple[str, ...] = ()
--- a/limpetroute/control/group.py
+++ b/limpetroute/control/group.py
@@ -66,6 +66,7 @@
         ] = []
         self._waiting: dict[int, _Waiting] = {}
         self._role = replica.role
+        self._leader_id = replica.leader_id
         self.changed = asyncio.Event()
         self.commits = 0
         self.state = make_state()
@@ -128,6 +129,9 @@
             self._apply(got.committed)
         if replica.role is not self._role:
             self._note_role()
+        if replica.leader_id != self._leader_id:
+            self._leader_id = replica.leader_id
+            self._wake()
         return got
 
     def _propose(self) -> None:
--- a/limpetroute/control/watch_handler.py
+++ b/limpetroute/control/watch_handler.py
@@ -14,7 +14,8 @@
     async def get(self) -> None:
         """Show what changed after ``after``, once something has.
 
-        The call is held for at most ``wait_s``. With ``sure``, only a
+        The call is held for at most ``wait_s``, and while ``leader``
+        is the address of the leader. With ``sure``, only a
         leader whose lease runs answers, and at once.
         """
         after = int(self._number('after', 0))
@@ -28,20 +29,21 @@
         else:
             limit_s = self.node.settings.watch_timeout_s
             await self._wait_beyond(
-                after, min(self._number('wait_s', 0.0), limit_s)
+                after,
+                self.get_query_argument('leader', ''),
+                min(self._number('wait_s', 0.0), limit_s),
             )
         self.set_header('Content-Type', 'application/json')
         self.finish(json.dumps(self._body(after), separators=(',', ':')))
 
     def _body(self, after: int) -> dict[str, object]:
-        group = self.node.config
-        state = group.state
+        state = self.node.config.state
         routes = None
         if state.routes is not None and state.routes_index > after:
             routes = dataclasses.asdict(state.routes)
         return {
             'index': _changed_index(state),
-            'in_touch': group.replica.in_touch(self.node.now_s),
+            'in_touch': self.node.config.replica.in_touch(self.node.now_s),
             'routes': routes,
             'runners': [
                 dataclasses.asdict(row)
@@ -49,20 +51,28 @@
             ],
             'urls': self.node.urls,
             'entry_hosts': self._entry_hosts(),
-            'leader_url': self.node.url_of(group.leader_host),
+            'leader_url': self._leader_url(),
         }
 
     def _entry_hosts(self) -> int:
         reports = self.node.reports
         return len(reports.all()) - len(reports.away(self.node.now_s))
 
-    async def _wait_beyond(self, after: int, wait_s: float) -> None:
+    def _leader_url(self) -> str:
+        return self.node.url_of(self.node.config.leader_host)
+
+    async def _wait_beyond(
+        self, after: int, known: str, wait_s: float
+    ) -> None:
+        """Wait for news, or for another leader than the one known."""
         try:
             async with asyncio.timeout(wait_s):
                 while True:
                     changed = self.node.config.changed
                     if _changed_index(self.node.config.state) > after:
                         return
+                    if known and self._leader_url() != known:
+                        return
                     await changed.wait()
         except TimeoutError:
             return
--- a/limpetroute/dispatch/dispatcher.py
+++ b/limpetroute/dispatch/dispatcher.py
@@ -20,6 +20,11 @@
 # How often waiting streams are looked at when nothing else happens, and
 # runners' stages compared with what is wanted.
 LOOK_S = 0.05
+# Entry hosts hear of a new leader within some hundred milliseconds and
+# tell it what places they hold. Until then it gives none: it would fill
+# runners that are full, and prompts would be read for nothing (15 of 240
+# on a day with one change of leader).
+ADOPT_S = 0.5
 
 Answer = stream_ask.StreamPlace | stream_ask.StreamRefusal
 
@@ -56,6 +61,7 @@
         self._plan: route_plan.RoutePlan | None = None
         self._plan_index = 0
         self._led_term = 0
+        self._adopts_until_s = 0.0
         self._task: asyncio.Task[None] | None = None
 
     def __repr__(self) -> str:
@@ -77,8 +83,11 @@
 
     async def place(self, ask: stream_ask.StreamAsk) -> Answer | None:
         """Return a stream's place, or None if this host cannot decide."""
+        if not self.leads:
+            return None
+        self._note_term()
         desk = self._desk(ask.service)
-        if desk is None or not self.leads:
+        if desk is None:
             return None
         future: asyncio.Future[Answer] = (
             asyncio.get_running_loop().create_future()
@@ -111,6 +120,9 @@
         self, place: stream_ask.StreamPlace, ask: stream_ask.StreamAsk
     ) -> None:
         """Take note of a place that an earlier leader gave."""
+        if not self.leads:
+            return
+        self._note_term()
         desk = self._desk(ask.service)
         if desk is not None:
             desk.adopt(place, ask, boot_clock.now_s())
@@ -134,6 +146,7 @@
         # What was known in an earlier term is old; entry hosts tell
         # what they hold as soon as they hear of the new leader.
         self._led_term = term
+        self._adopts_until_s = boot_clock.now_s() + ADOPT_S
         self._desks.clear()
         self._orders.begin_term(term, boot_clock.now_s())
         LOG.info('dispatching', extra={'term': term})
@@ -171,6 +184,8 @@
         return found
 
     def _decide(self, service: str, desk: stream_desk.StreamDesk) -> None:
+        if boot_clock.now_s() < self._adopts_until_s:
+            return
         runners = self._runners(service)
         for answer in desk.decide(runners, boot_clock.now_s()):
             future = self._futures.get(answer.request_id)
--- a/limpetroute/forwarding/control_watch.py
+++ b/limpetroute/forwarding/control_watch.py
@@ -53,6 +53,7 @@
         self._heard_urls: list[str] = []
         self._next = sum(host_id.encode())
         self._following = ''
+        self._leader_url = ''
         self.heard_s = 0.0
         self.entry_hosts = 1
         self._task: asyncio.Task[None] | None = None
@@ -99,6 +100,7 @@
             url=(
                 f'{url}/v1/watch?after={self._view.index}'
                 f'&wait_s={WAIT_S}&host={self._host_id}'
+                f'&leader={self._leader_url}'
             ),
             timeout_s=WAIT_S + MARGIN_S,
         )
@@ -109,7 +111,8 @@
             in_touch = bool(body['in_touch'])
             if in_touch:
                 self._view.take(body)
-                self._on_leader(str(body['leader_url']))
+                self._leader_url = str(body['leader_url'])
+                self._on_leader(self._leader_url)
                 self._heard_urls = [str(one) for one in body['urls']]
                 self.entry_hosts = max(1, int(body['entry_hosts']))
         except (ValueError, KeyError, TypeError) as exc:
--- a/limpetroute/forwarding/forward_context.py
+++ b/limpetroute/forwarding/forward_context.py
@@ -61,6 +61,7 @@
         self.meters = meters
         self.zone = zone
         self.rng = rng
+        self.takes_streams = True
         self._watch = watch
         self._make_budget = make_budget
         self._aside: set[asyncio.Task[None]] = set()
--- a/limpetroute/forwarding/forwarder.py
+++ b/limpetroute/forwarding/forwarder.py
@@ -65,6 +65,7 @@
                 responder=responder,
                 status=own_answer.HTTP_UNAVAILABLE,
                 reason='no routes are known yet',
+                retry_after_s=own_answer.STARTING_RETRY_AFTER_S,
             )
             return
         route = plan.find(request.host, request.path)
--- a/limpetroute/forwarding/own_answer.py
+++ b/limpetroute/forwarding/own_answer.py
@@ -27,6 +27,9 @@
 # the same state. Failures and full queues here last some hundred
 # milliseconds.
 RETRY_AFTER_S = 0.3
+# A host that knows no routes has just started, mostly with all control
+# hosts at once; these need one to two seconds to elect a leader.
+STARTING_RETRY_AFTER_S = 1.5
 
 
 async def write(
--- a/limpetroute/forwarding/server.py
+++ b/limpetroute/forwarding/server.py
@@ -123,9 +123,11 @@
     async def stop(self) -> None:
         """Leave the balancer's rotation, finish what is open, and end.
 
-        Callers are sent here until the balancer has noticed, so the
-        port stays open meanwhile. Each answer closes its connection: a
-        kept one would bring requests up to the end.
+        Callers are sent here until the balancer has noticed, and longer
+        where it has too few other hosts: so the port stays open to the
+        end. Each answer closes its connection: a kept one would bring
+        requests up to the end. New streams, which last for seconds, are
+        sent elsewhere once the balancer has noticed.
         """
         loop = asyncio.get_running_loop()
         begun_s = loop.time()
@@ -133,10 +135,11 @@
         self._front.closing = True
         LOG.info('stopping', extra={'active': self.forwarder.active})
         await asyncio.sleep(OUT_OF_ROTATION_S)
-        self._front.stop_listening()
+        self._context.takes_streams = False
         last_s = begun_s + self.settings.grace_s - LAST_WORD_S
         while self.forwarder.active and loop.time() < last_s:
             await asyncio.sleep(LOOK_S)
+        self._front.stop_listening()
         LOG.info('stopped', extra={'broken_off': self.forwarder.active})
         self.watch.stop()
         await self._front.close()
--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -71,6 +71,9 @@
 
     async def run(self) -> None:
         """Answer the request."""
+        if not self._context.takes_streams:
+            await self._end(next_step.Step.REFUSE, 'this host stops')
+            return
         while True:
             places = stream_places.StreamPlaces(
                 context=self._context,
@@ -80,7 +83,10 @@
             )
             try:
                 got = await places.take(
-                    tried=self._tried, goes_on=self._goes_on()
+                    tried=self._tried,
+                    goes_on=self._goes_on(),
+                    reads_prompt=not self._goes_on() and not self._sends,
+                    waited_s=self._waited_s(),
                 )
                 if isinstance(got, stream_ask.StreamRefusal):
                     await self._end(
@@ -109,6 +115,11 @@
         assert engine is not None
         return self._events.count * engine.tokens_per_event
 
+    def _waited_s(self) -> float:
+        """Return how long the caller has had nothing new."""
+        since_s = self._first_event_s + self._events_s
+        return _now_s() - (since_s or self._request.received_s)
+
     def _goes_on(self) -> bool:
         """Return whether a part of the answer is there already."""
         return bool(self._request.resume_after or self._events.last_id)
@@ -160,6 +171,10 @@
                 result = await self._relay(call)
             if result is send_result.SendResult.ANSWERED:
                 load.note_success(_now_s() - begun_s)
+            elif result is send_result.SendResult.REFUSED and source:
+                # Mostly the KV cache has lapsed before it was taken;
+                # the runner itself may have room.
+                self._tried.discard(runner.runner_id)
             elif result is not send_result.SendResult.REFUSED:
                 load.note_failure(_now_s())
                 self._failed.add(runner.runner_id)
--- a/limpetroute/forwarding/stream_places.py
+++ b/limpetroute/forwarding/stream_places.py
@@ -62,14 +62,20 @@
         return f'{type(self).__name__}(request={self._request.request_id!r})'
 
     async def take(
-        self, *, tried: typing.Collection[str], goes_on: bool
+        self,
+        *,
+        tried: typing.Collection[str],
+        goes_on: bool,
+        reads_prompt: bool,
+        waited_s: float,
     ) -> Rooms | stream_ask.StreamRefusal:
         """Return rooms, or a refusal.
 
         The host that decides for all is asked; where it cannot be, this
-        host decides by what it has sent itself.
+        host decides by what it has sent itself. See `StreamAsk` for the
+        parameters.
         """
-        ask = self._ask(tried, goes_on)
+        ask = self._ask(tried, goes_on, reads_prompt, waited_s)
         answer = await self._context.places.ask(ask)
         if isinstance(answer, stream_ask.StreamRefusal):
             return answer
@@ -99,12 +105,14 @@
         )
 
     def _ask(
-        self, tried: typing.Collection[str], goes_on: bool
+        self,
+        tried: typing.Collection[str],
+        goes_on: bool,
+        reads_prompt: bool,
+        waited_s: float,
     ) -> stream_ask.StreamAsk:
         generation = self._request.generation
         assert generation is not None
-        target_s = self._route.target_s
-        waited_s = asyncio.get_running_loop().time() - self._request.received_s
         return stream_ask.StreamAsk(
             request_id=self._request.request_id,
             service=self._service.name,
@@ -112,10 +120,11 @@
             output_tokens=generation.expected_output_tokens,
             most_output_tokens=generation.max_output_tokens,
             waited_s=waited_s,
-            target_s=target_s,
+            target_s=self._route.target_s,
             patience_s=waited_s
             + self._context.left_s(self._request, self._route),
-            reads_prompt=not goes_on,
+            goes_on=goes_on,
+            reads_prompt=reads_prompt,
             may_repeat=self._route.repeatable,
             avoid=tuple(tried),
         )
--- a/limpetroute/routing/stream_ask.py
+++ b/limpetroute/routing/stream_ask.py
@@ -20,11 +20,13 @@
     most_output_tokens : int
         Tokens that it may write.
     waited_s : float
-        Time since the caller sent it.
+        Time since the caller sent it, or got its last event.
     target_s : float
         Time from then within which its first event is good.
     patience_s : float
         Time from then after which the caller leaves.
+    goes_on : bool
+        Whether a part of its answer is with its caller already.
     reads_prompt : bool
         Whether a prefill runner may read its prompt.
     may_repeat : bool
@@ -41,7 +43,8 @@
     waited_s: float
     target_s: float
     patience_s: float
-    reads_prompt: bool
+    goes_on: bool = False
+    reads_prompt: bool = True
     may_repeat: bool = True
     avoid: tuple[str, ...] = ()
 
--- a/limpetroute/routing/stream_desk.py
+++ b/limpetroute/routing/stream_desk.py
@@ -133,6 +133,7 @@
             self._health_of(runner_id).note_failure(now_s)
         if held is not None and not end.failed:
             self._health_of(held.place.decode_id).note_success(0.0)
+            self._health_of(held.place.prefill_id).note_success(0.0)
 
     def adopt(
         self,
@@ -174,42 +175,61 @@
     ) -> list[runner_info.RunnerInfo]:
         """Return ready runners, without those that failed of late.
 
-        With none left of a stage, the ones that failed are better than
-        nothing: the failure may have been one connection's.
+        After its rest, a runner that failed gets one stream, and more
+        only once that one went well: given all it has places for, it
+        would fail them all again. With none left of a stage, the ones
+        that failed are better than nothing: the failure may have been
+        one connection's.
         """
         ready = [one for one in runners if one.ready]
         usable = []
         for one in ready:
             peers = [two for two in ready if two.stage is one.stage]
             resting = [
-                two
-                for two in peers
-                if self._health_of(two.runner_id).rests(now_s)
+                two for two in peers if self._is_avoided(two.runner_id, now_s)
             ]
             if one in resting and len(resting) < len(peers):
                 continue
             usable.append(one)
         return usable
 
+    def _is_avoided(self, runner_id: str, now_s: float) -> bool:
+        health = self._health_of(runner_id)
+        if health.rests(now_s):
+            return True
+        return health.failures > 0 and self._uses(runner_id) > 0
+
+    def _uses(self, runner_id: str) -> int:
+        return sum(
+            runner_id in (held.place.decode_id, held.place.prefill_id)
+            for held in self._held.values()
+        )
+
     def _in_time(self, one: _Waiting, at_s: float, has_reader: bool) -> bool:
         rate = PREFILL_TOKENS_PER_S if has_reader else SELF_READ_TOKENS_PER_S
         needed_s = OVERHEAD_S + one.ask.prompt_tokens / rate
         return at_s + needed_s <= one.target_s
 
     def _in_order(self, now_s: float, has_reader: bool) -> list[_Waiting]:
+        begun = []
         in_time = []
         late = []
         for one in self._waiting.values():
-            if self._in_time(one, now_s, has_reader):
+            if one.ask.goes_on:
+                begun.append(one)
+            elif self._in_time(one, now_s, has_reader):
                 in_time.append(one)
             else:
                 late.append(one)
+        # A stream that was begun is lost with all that was written for it
+        # unless it goes on soon: before all others.
+        begun.sort(key=lambda one: one.sent_s)
         # One that may be sent only once comes back to nothing: first.
         in_time.sort(key=lambda one: (one.ask.may_repeat, one.target_s))
         late.sort(key=lambda one: one.sent_s)
         if late and self._in_time_in_a_row >= LATE_EVERY:
-            return [late[0], *in_time, *late[1:]]
-        return [*in_time, *late]
+            return [*begun, late[0], *in_time, *late[1:]]
+        return [*begun, *in_time, *late]
 
     def _count_turn(
         self, one: _Waiting, now_s: float, has_reader: bool
@@ -353,10 +373,13 @@
         late = 0
         for one in self._in_order(now_s, bool(readers)):
             turn_s = self._turn_s(ends_s, ahead, now_s)
-            if decoders and self._in_time(one, turn_s, bool(readers)):
+            waits_too_long = turn_s - one.sent_s > LONGEST_WAIT_S
+            if decoders and (
+                self._in_time(one, turn_s, bool(readers))
+                or (one.ask.goes_on and not waits_too_long)
+            ):
                 ahead += 1
                 continue
-            waits_too_long = turn_s - one.sent_s > LONGEST_WAIT_S
             overdue = now_s - one.sent_s > LONGEST_WAIT_S
             if not decoders or late >= late_room or waits_too_long or overdue:
                 refusals.append(self._refuse(one, ends_s, now_s))
