Test forwarding, places and outcomes; try a connect twice

Cause: links that lose packets lose opening packets too, and each cost a quarter second and the runner's good name; hosts cut off from control decided alone as if runners were theirs, and waited up to 2 s for a leader that they could not reach.

--- a/limpetroute/border/place_bodies.py
+++ b/limpetroute/border/place_bodies.py
@@ -33,6 +33,7 @@
     output_tokens: int = 0
     decode_s: float = 0.0
     failed: tuple[str, ...] = ()
+    full: tuple[str, ...] = ()
 
     def end(self) -> stream_ask.StreamEnd:
         """Return what it says."""
@@ -41,6 +42,7 @@
             output_tokens=self.output_tokens,
             decode_s=self.decode_s,
             failed=self.failed,
+            full=self.full,
         )
 
 
--- a/limpetroute/forwarding/dialect.py
+++ b/limpetroute/forwarding/dialect.py
@@ -71,6 +71,9 @@
     def refused(self, status: int, headers: httputil.HTTPHeaders) -> bool:
         """Return whether a runner proves that it did not run a request."""
 
+    def misdirected(self, status: int) -> bool:
+        """Return whether another runner than the one meant answers."""
+
     def belongs(
         self,
         request: caller_request.CallerRequest,
--- a/limpetroute/forwarding/forward_context.py
+++ b/limpetroute/forwarding/forward_context.py
@@ -70,6 +70,11 @@
     def __repr__(self) -> str:
         return f'{type(self).__name__}(view={self.view!r})'
 
+    @property
+    def entry_hosts(self) -> int:
+        """Hosts that forward, this one among them, as far as known."""
+        return self._watch.entry_hosts
+
     def left_s(
         self,
         request: caller_request.CallerRequest,
@@ -94,7 +99,7 @@
 
     def may_send_again(self, service: str) -> bool:
         """Take a second send out of a service's budget."""
-        return self._budget(service).take(_now_s(), self._watch.entry_hosts)
+        return self._budget(service).take(_now_s(), self.entry_hosts)
 
     def count(
         self,
--- a/limpetroute/forwarding/place_client.py
+++ b/limpetroute/forwarding/place_client.py
@@ -15,6 +15,11 @@
 # 2.4 s at most. Where nothing comes for this long it is gone, and this
 # host decides for itself.
 ASK_TIMEOUT_S = 2.7
+# Control hosts are some milliseconds away. One that answers neither try
+# to connect is cut off; until it is heard to lead again, or for this
+# long, it is not tried: each try costs a stream a quarter second.
+CONNECT_TRIES_S = (0.1, 0.15)
+UNREACHABLE_S = 1.0
 END_TIMEOUT_S = 0.5
 HTTP_UNAVAILABLE = 503
 
@@ -48,6 +53,7 @@
     def __init__(self, *, http: caller.Caller) -> None:
         self._http = http
         self._leader_url = ''
+        self._unreachable_until_s = 0.0
         self._held: dict[str, _HeldPlace] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -67,6 +73,7 @@
             },
         )
         self._leader_url = leader_url
+        self._unreachable_until_s = 0.0
         if leader_url and self._held:
             self._aside(self._tell_held())
 
@@ -74,12 +81,15 @@
         """Return a stream's place, once there is one."""
         if not self._leader_url:
             return NobodyDecides(reason='no leader is known')
+        if _now_s() < self._unreachable_until_s:
+            return NobodyDecides(reason='the leader could not be reached')
         try:
             got = await self._http.call(
                 method='POST',
                 url=f'{self._leader_url}/v1/places',
                 body=dataclasses.asdict(ask),
                 timeout_s=ASK_TIMEOUT_S,
+                connect_tries_s=CONNECT_TRIES_S,
             )
         except asyncio.CancelledError:
             # The place may have been given just now; the answer that
@@ -91,6 +101,8 @@
             )
             raise
         if isinstance(got, call_failed.CallFailed):
+            if not got.sent:
+                self._unreachable_until_s = _now_s() + UNREACHABLE_S
             return NobodyDecides(reason=f'the leader: {got.kind.value}')
         try:
             if got.status == HTTP_UNAVAILABLE:
--- a/limpetroute/forwarding/runner_call.py
+++ b/limpetroute/forwarding/runner_call.py
@@ -13,11 +13,11 @@
 from limpetroute.wire import call_failed
 from limpetroute.wire import connection
 
-# A connect takes a few milliseconds. A runner that does not answer one
-# for this long is gone or cut off, and nothing was sent to it yet: with
-# 0.25 s, two of them can be tried within a plain call's 300 ms target
-# or soon after it, and a slowed host (by 5) is not given up on.
-CONNECT_TIMEOUT_S = 0.25
+# A connect takes a few milliseconds, some tens from a host that is
+# slowed. Links that lose 3 % of the packets lose one opening packet in
+# fifteen; a second try of 0.1 s finds out, and a runner that answers
+# neither is gone or cut off, with nothing sent to it yet.
+CONNECT_TRIES_S = (0.1, 0.15)
 
 HTTP_SERVER_ERROR = 500
 
@@ -81,14 +81,17 @@
             headers=self._dialect.runner_headers(request, note),
             body=request.body,
             timeout_s=max(note.left_s, 0.001),
-            connect_timeout_s=CONNECT_TIMEOUT_S,
+            connect_tries_s=CONNECT_TRIES_S,
         )
         if failed is not None:
             return SendFailure(result=_result(failed), detail=failed.detail)
         if self._dialect.refused(self.status, self.headers):
             self.close()
+            result = send_result.SendResult.REFUSED
+            if self._dialect.misdirected(self.status):
+                result = send_result.SendResult.MISDIRECTED
             return SendFailure(
-                result=send_result.SendResult.REFUSED,
+                result=result,
                 detail=f'status {self.status}',
             )
         if not self._dialect.belongs(request, self.headers):
--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -24,7 +24,7 @@
 # A runner that sends nothing for this long while a stream may go on
 # elsewhere is taken for silent. Longer than a preempted stream's pause
 # (about 0.5 s), shorter than the 2 s after which callers leave.
-SILENT_S = 1.5
+SILENT_S = 1.0
 
 
 class StreamForward:
@@ -61,6 +61,7 @@
         self._events = event_splitter.EventSplitter()
         self._tried: set[str] = set()
         self._failed: set[str] = set()
+        self._full: set[str] = set()
         self._sends = 0
         self._ran_before = False
         self._first_event_s = 0.0
@@ -99,6 +100,7 @@
                     events_s=self._events_s,
                     tokens=self._tokens_written(),
                     failed=self._failed,
+                    full=self._full,
                 )
             if step is next_step.Step.RELAY:
                 return
@@ -175,7 +177,9 @@
                 # Mostly the KV cache has lapsed before it was taken;
                 # the runner itself may have room.
                 self._tried.discard(runner.runner_id)
-            elif result is not send_result.SendResult.REFUSED:
+            elif result is send_result.SendResult.REFUSED:
+                self._full.add(runner.runner_id)
+            else:
                 load.note_failure(_now_s())
                 self._failed.add(runner.runner_id)
             step = self._decide(result)
--- a/limpetroute/forwarding/stream_places.py
+++ b/limpetroute/forwarding/stream_places.py
@@ -16,10 +16,10 @@
 
 LOG = logging.getLogger(__name__)
 
-# Callers leave a stream without events after two seconds, or four times
-# the target where that is longer.
-LEAST_PATIENCE_S = 2.0
-PATIENCE_TARGETS = 4.0
+# A host that decides alone takes this many times its even part of a
+# runner: it is mostly one of few that are cut off, and the others go on
+# filling the same runners with places that the leader gives.
+OWN_PARTS = 1.5
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -92,6 +92,7 @@
         events_s: float = 0.0,
         tokens: int = 0,
         failed: typing.Collection[str] = (),
+        full: typing.Collection[str] = (),
     ) -> None:
         """Give back what is held, with what was measured."""
         self._context.places.end(
@@ -101,6 +102,7 @@
                 output_tokens=tokens,
                 decode_s=events_s,
                 failed=tuple(failed),
+                full=tuple(full),
             ),
         )
 
@@ -153,6 +155,7 @@
             engine=self._service.engine,
             loads=context.view.loads,
             tokens=ask.prompt_tokens + ask.most_output_tokens,
+            part=OWN_PARTS / context.entry_hosts,
             tried=ask.avoid,
             now_s=now_s,
             rng=context.rng,
--- a/limpetroute/routing/next_step.py
+++ b/limpetroute/routing/next_step.py
@@ -84,7 +84,7 @@
         return now.sends < now.max_sends
     if now.sends >= now.max_sends:
         return False
-    if now.result is send_result.SendResult.REFUSED:
+    if now.result.surely_not_run:
         return True
     # Whatever else came of it, the runner may have run it.
     return now.repeatable
--- a/limpetroute/routing/send_result.py
+++ b/limpetroute/routing/send_result.py
@@ -6,13 +6,15 @@
 class SendResult(enum.StrEnum):
     """How one send to a runner ended.
 
-    ``NOT_SENT`` and ``REFUSED`` are the only two after which it is
+    After ``NOT_SENT``, ``REFUSED`` and ``MISDIRECTED`` alone it is
     certain that the request did not run and will not: no byte left this
-    host, or the runner itself says so.
+    host, or the runner itself says so. ``MISDIRECTED`` says besides
+    that the runner that was meant is gone from its address.
     """
 
     NOT_SENT = 'not_sent'
     REFUSED = 'refused'
+    MISDIRECTED = 'misdirected'
     FAILED = 'failed'
     BROKEN = 'broken'
     TIMED_OUT = 'timed_out'
@@ -21,4 +23,8 @@
     @property
     def surely_not_run(self) -> bool:
         """Whether the request did not run and will not."""
-        return self in (SendResult.NOT_SENT, SendResult.REFUSED)
+        return self in (
+            SendResult.NOT_SENT,
+            SendResult.REFUSED,
+            SendResult.MISDIRECTED,
+        )
--- a/limpetroute/routing/stream_ask.py
+++ b/limpetroute/routing/stream_ask.py
@@ -101,9 +101,12 @@
         Time from the first event to the last.
     failed : tuple of str
         Runners that did not answer as they should.
+    full : tuple of str
+        Runners that refused for want of room.
     """
 
     request_id: str
     output_tokens: int = 0
     decode_s: float = 0.0
     failed: tuple[str, ...] = ()
+    full: tuple[str, ...] = ()
--- a/limpetroute/routing/stream_desk.py
+++ b/limpetroute/routing/stream_desk.py
@@ -40,6 +40,13 @@
 # While streams wait that can still make it, one place in this many goes
 # to one that cannot: a late answer is worth a fifth, but not nothing.
 LATE_EVERY = 8
+# Places taken by hosts out of reach are counted for this long after a
+# refusal; a stream lasts about four seconds, and one that ends is not
+# seen either.
+HIDDEN_S = 1.5
+# A stream that was begun is lost once its caller leaves, after 3.6 s
+# without an event.
+LONGEST_PAUSE_S = 3.2
 MIN_RETRY_AFTER_S = 0.3
 MAX_RETRY_AFTER_S = 4.0
 
@@ -88,6 +95,7 @@
         self._waiting: dict[str, _Waiting] = {}
         self._free_s: dict[str, float] = {}
         self._health: dict[str, runner_load.RunnerLoad] = {}
+        self._hidden: dict[str, tuple[int, float]] = {}
         self._tokens_per_s = FIRST_TOKENS_PER_S
         self._in_time_in_a_row = 0
 
@@ -129,6 +137,8 @@
         if end.decode_s > LEAST_MEASURED_S and end.output_tokens:
             rate = end.output_tokens / end.decode_s
             self._tokens_per_s += (rate - self._tokens_per_s) / 16
+        for runner_id in end.full:
+            self._note_full(runner_id, now_s)
         for runner_id in end.failed:
             self._health_of(runner_id).note_failure(now_s)
         if held is not None and not end.failed:
@@ -193,6 +203,21 @@
             usable.append(one)
         return usable
 
+    def _note_full(self, runner_id: str, now_s: float) -> None:
+        """Count places that hosts out of reach must have taken.
+
+        A host that cannot reach the leader decides alone. What it sends
+        is not seen here, only that a runner refuses while it should
+        have room; prompts would be read in vain for it again and again.
+        """
+        seen = len(self._outlooks(runner_id))
+        hidden = max(1, self._engine.slots - seen)
+        self._hidden[runner_id] = (hidden, now_s + HIDDEN_S)
+
+    def _hidden_at(self, runner_id: str, now_s: float) -> int:
+        hidden, until_s = self._hidden.get(runner_id, (0, 0.0))
+        return hidden if now_s < until_s else 0
+
     def _is_avoided(self, runner_id: str, now_s: float) -> bool:
         health = self._health_of(runner_id)
         if health.rests(now_s):
@@ -256,7 +281,8 @@
             if self._reads_itself(one.ask, reader, runner, now_s):
                 continue
             streams = self._outlooks(runner.runner_id)
-            if len(streams) >= self._engine.slots:
+            hidden = self._hidden_at(runner.runner_id, now_s)
+            if len(streams) + hidden >= self._engine.slots:
                 continue
             ready_s = self._ready_s(one.ask, reader, now_s)
             streams.append(self._outlook(one.ask, ready_s))
@@ -373,14 +399,15 @@
         late = 0
         for one in self._in_order(now_s, bool(readers)):
             turn_s = self._turn_s(ends_s, ahead, now_s)
-            waits_too_long = turn_s - one.sent_s > LONGEST_WAIT_S
+            longest_s = LONGEST_PAUSE_S if one.ask.goes_on else LONGEST_WAIT_S
+            waits_too_long = turn_s - one.sent_s > longest_s
             if decoders and (
                 self._in_time(one, turn_s, bool(readers))
                 or (one.ask.goes_on and not waits_too_long)
             ):
                 ahead += 1
                 continue
-            overdue = now_s - one.sent_s > LONGEST_WAIT_S
+            overdue = now_s - one.sent_s > longest_s
             if not decoders or late >= late_room or waits_too_long or overdue:
                 refusals.append(self._refuse(one, ends_s, now_s))
                 continue
--- a/limpetroute/routing/stream_placement.py
+++ b/limpetroute/routing/stream_placement.py
@@ -15,6 +15,7 @@
     engine: service_module.Engine,
     loads: typing.Mapping[str, runner_load.RunnerLoad],
     tokens: int,
+    part: float,
     tried: typing.Collection[str],
     now_s: float,
     rng: random.Random,
@@ -34,6 +35,9 @@
         What is known of each, by identity.
     tokens : int
         Most tokens that the request takes.
+    part : float
+        Part of a runner that this host may use, as it sees only its
+        own requests; at least one request of any size.
     tried : collection of str
         Runners that it was sent to.
     now_s : float
@@ -49,9 +53,10 @@
         if one.runner_id in tried:
             continue
         load = loads.get(one.runner_id) or runner_load.RunnerLoad()
-        if load.requests >= engine.slots:
+        if load.requests and load.requests >= engine.slots * part:
             continue
-        if load.tokens + tokens > engine.memory_tokens:
+        memory_tokens = engine.memory_tokens * min(1.0, part)
+        if load.requests and load.tokens + tokens > memory_tokens:
             continue
         rank = (load.rests(now_s), load.tokens, rng.random())
         if best_rank is None or rank < best_rank:
--- a/limpetroute/wire/caller.py
+++ b/limpetroute/wire/caller.py
@@ -44,6 +44,9 @@
         body: typing.Any = None,
         headers: typing.Mapping[str, str] | None = None,
         timeout_s: float,
+        connect_tries_s: typing.Sequence[float] = (
+            connection.CONNECT_TIMEOUT_S,
+        ),
     ) -> connection.Connection | call_failed.CallFailed:
         """Send a request and return once its headers are here.
 
@@ -68,6 +71,7 @@
             headers=self._headers(headers),
             body=_encode(body),
             timeout_s=timeout_s,
+            connect_tries_s=connect_tries_s,
         )
         if failed is not None:
             return failed
@@ -81,6 +85,9 @@
         body: typing.Any = None,
         headers: typing.Mapping[str, str] | None = None,
         timeout_s: float,
+        connect_tries_s: typing.Sequence[float] = (
+            connection.CONNECT_TIMEOUT_S,
+        ),
         max_reply_bytes: int = connection.MAX_BODY_BYTES,
     ) -> reply.Reply | call_failed.CallFailed:
         """Send a request and read its whole reply.
@@ -93,6 +100,7 @@
             body=body,
             headers=headers,
             timeout_s=timeout_s,
+            connect_tries_s=connect_tries_s,
         )
         if isinstance(link, call_failed.CallFailed):
             return link
--- a/limpetroute/wire/connection.py
+++ b/limpetroute/wire/connection.py
@@ -161,12 +161,13 @@
         headers: typing.Mapping[str, str],
         body: bytes,
         timeout_s: float,
-        connect_timeout_s: float = CONNECT_TIMEOUT_S,
+        connect_tries_s: typing.Sequence[float] = (CONNECT_TIMEOUT_S,),
     ) -> call_failed.CallFailed | None:
         """Connect, send the request and wait for the response headers.
 
         ``Host`` among the headers is kept; otherwise it is this end's
-        address.
+        address. ``connect_tries_s`` has a timeout for each try to
+        connect.
 
         Returns
         -------
@@ -176,8 +177,8 @@
         sent = False
         try:
             async with asyncio.timeout(timeout_s):
-                async with asyncio.timeout(connect_timeout_s):
-                    self._stream = await self._connect()
+                await self._connect_in(connect_tries_s)
+                assert self._stream is not None
                 self._stream.set_nodelay(True)
                 sent = True
                 self._write(method, path, headers, body)
@@ -207,6 +208,23 @@
             )
         return None
 
+    async def _connect_in(self, tries_s: typing.Sequence[float]) -> None:
+        """Connect, with a new socket after each timeout but the last.
+
+        A lost opening packet is sent again by the system only after a
+        second; a new socket sends one at once.
+        """
+        for try_s in tries_s[:-1]:
+            try:
+                async with asyncio.timeout(try_s):
+                    self._stream = await self._connect()
+                return
+            except TimeoutError:
+                if self._stream is not None:
+                    self._stream.close()
+        async with asyncio.timeout(tries_s[-1]):
+            self._stream = await self._connect()
+
     async def _connect(self) -> iostream.IOStream:
         """Connect, without the resolver's thread where there is no name.
 
--- /dev/null
+++ b/tests/forwarding/harness.py
@@ -0,0 +1,109 @@
+"""A forwarder in front of scripted runners, in one process."""
+
+import asyncio
+import contextlib
+import dataclasses
+import random
+
+from opentelemetry import metrics
+
+from limpetroute.forwarding import fleet_view
+from limpetroute.forwarding import forward_context
+from limpetroute.forwarding import forward_meters
+from limpetroute.forwarding import forwarder
+from limpetroute.forwarding import front_server
+from limpetroute.forwarding import place_client
+from limpetroute.platform import http_dialect
+from limpetroute.routing import route
+from limpetroute.routing import route_kind
+from limpetroute.routing import send_budget
+from limpetroute.wire import caller
+from tests.forwarding import scripted_runner
+from tests.routing import builders
+
+STREAM_HEADERS = 'Token-Usage: 1000,500\r\n'
+
+
+class OneHost:
+    entry_hosts = 1
+
+
+class Harness:
+    def __init__(self, plan, runners):
+        self.dialect = http_dialect.HttpDialect()
+        self.view = fleet_view.FleetView(dialect=self.dialect)
+        self.view.plan = plan
+        for one in runners:
+            self.view._runners[one.runner_id] = one
+            self.view._by_service.setdefault(one.service, []).append(one)
+        self.places = place_client.PlaceClient(http=caller.Caller())
+        self.context = forward_context.ForwardContext(
+            view=self.view,
+            watch=OneHost(),
+            places=self.places,
+            dialect=self.dialect,
+            meters=forward_meters.ForwardMeters(
+                meter=metrics.NoOpMeter('test')
+            ),
+            zone='a',
+            make_budget=lambda: send_budget.SendBudget(
+                ratio=1.0, slack=20, window_s=10.0
+            ),
+            rng=random.Random(1),
+        )
+        self.forwarder = forwarder.Forwarder(context=self.context)
+        self.front = front_server.FrontServer(
+            forwarder=self.forwarder, dialect=self.dialect
+        )
+
+    async def ask(self, target='/a/x', *, method='GET', body=b'', more=''):
+        """Send one request and return the raw answer up to its end."""
+        reader, writer = await self.connect()
+        length = f'Content-Length: {len(body)}\r\n' if body else ''
+        writer.write(
+            f'{method} {target} HTTP/1.1\r\nHost: h.example\r\n'
+            f'Request-Id: q1\r\nDeadline-Ms: 3000\r\n'
+            f'Connection: close\r\n{length}{more}\r\n'.encode()
+            + body
+        )
+        await writer.drain()
+        data = await reader.read()
+        writer.close()
+        return data
+
+    async def connect(self):
+        return await asyncio.open_connection('127.0.0.1', self.front.port)
+
+
+def status(data):
+    return int(data.split(b' ', 2)[1])
+
+
+@contextlib.asynccontextmanager
+async def running(scripts, *, stages=None, dead=(), **fields):
+    """Run a forwarder whose only route has ``fields``."""
+    servers = []
+    infos = []
+    is_stream = fields.get('kind') is route_kind.RouteKind.STREAM
+    name = 'model' if is_stream else 'plain'
+    for number, script in enumerate(scripts):
+        server = await scripted_runner.ScriptedRunner(script).start()
+        servers.append(server)
+        stage = stages[number] if stages else None
+        info = builders.make_runner(f'r{number}', stage, port=server.port)
+        infos.append(dataclasses.replace(info, service=name))
+    values = {'shares': (route.Share(service=name, weight=1.0),), **fields}
+    engine = builders.ENGINE if is_stream else None
+    plan = builders.make_plan(
+        builders.make_route(**values),
+        services=(builders.make_service(name, engine),),
+    )
+    harness = Harness(plan, infos)
+    harness.front.listen('127.0.0.1', 0)
+    try:
+        yield harness, servers
+    finally:
+        harness.front.stop_listening()
+        await harness.front.close()
+        for server in servers:
+            await server.stop()
--- /dev/null
+++ b/tests/forwarding/test_plain.py
@@ -0,0 +1,323 @@
+"""Plain requests, and every way in which a runner can spoil one."""
+
+import asyncio
+
+import pytest
+
+from limpetroute.routing import route_kind
+from tests.forwarding import harness
+from tests.forwarding import scripted_runner
+
+ONCE = route_kind.RouteKind.ONCE
+GOOD = scripted_runner.answers(scripted_runner.response(b'whole answer'))
+
+
+def run(work):
+    return asyncio.run(work)
+
+
+async def _reset(seen, writer):
+    writer.transport.abort()
+
+
+async def _truncated(seen, writer):
+    writer.write(scripted_runner.response(b'whole answer')[:-4])
+    await writer.drain()
+
+
+async def _garbage(seen, writer):
+    writer.write(b'\x00\x01 nonsense\r\n\r\n')
+    await writer.drain()
+
+
+async def _unframed_reset(seen, writer):
+    """Answers without a length and resets before the end."""
+    data = scripted_runner.response(b'half of it', Content_Length=None)
+    writer.write(data)
+    await writer.drain()
+    await asyncio.sleep(0.05)
+    sock = writer.get_extra_info('socket')
+    sock.setsockopt(1, 13, b'\x01\x00\x00\x00\x00\x00\x00\x00')
+    writer.transport.abort()
+
+
+async def _another_answer(seen, writer):
+    writer.write(scripted_runner.response(b'not yours', Request_Id='other'))
+    await writer.drain()
+
+
+BROKEN = [_reset, _truncated, _garbage, _unframed_reset, _another_answer]
+
+
+@pytest.mark.parametrize('kind', list(route_kind.RouteKind)[:2])
+def test_status_body_and_headers_come_through(kind):
+    async def work():
+        answer = scripted_runner.response(b'\x00\xffbytes', 201, 'stamp.9')
+        script = scripted_runner.answers(answer)
+        async with harness.running([script], kind=kind) as (front, runners):
+            got = await front.ask(
+                '/a/x%20y?q=1&r=%2F',
+                method='POST',
+                body=b'\x01\x02',
+                more='X-Other: kept\r\n',
+            )
+            (seen,) = runners[0].seen
+        assert harness.status(got) == 201
+        assert got.endswith(b'\r\n\r\n\x00\xffbytes')
+        assert b'Runner-Stamp: stamp.9' in got
+        assert seen.target == '/a/x%20y?q=1&r=%2F'
+        assert seen.body == b'\x01\x02'
+        assert seen.header('Host') == 'h.example'
+        assert seen.header('X-Other') == 'kept'
+        assert seen.header('Request-Id') == 'q1'
+        assert seen.header('Expect-Instance') == 'r0'
+        assert 2000 < int(seen.header('Deadline-Ms')) <= 3000
+
+    run(work())
+
+
+def test_a_chunked_body_comes_through_whole():
+    async def work():
+        async with harness.running([GOOD]) as (front, runners):
+            reader, writer = await front.connect()
+            writer.write(
+                b'POST /a/x HTTP/1.1\r\nHost: h.example\r\n'
+                b'Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n'
+                b'3\r\nabc\r\n4\r\ndefg\r\n0\r\n\r\n'
+            )
+            got = await reader.read()
+            (seen,) = runners[0].seen
+        assert harness.status(got) == 200
+        assert seen.body == b'abcdefg'
+
+    run(work())
+
+
+@pytest.mark.parametrize('broken', BROKEN)
+def test_an_idempotent_request_goes_to_another_runner(broken):
+    async def work():
+        async with harness.running([broken, broken, GOOD], max_sends=3) as (
+            front,
+            _,
+        ):
+            got = await front.ask()
+        assert harness.status(got) == 200
+        assert got.endswith(b'whole answer')
+
+    run(work())
+
+
+@pytest.mark.parametrize('broken', BROKEN)
+def test_a_request_that_must_run_once_is_never_sent_again(broken):
+    """A release is confirmed twice to a beneficiary.
+
+    The runner runs it, then its answer breaks. A router that sends the
+    request to another runner has it run again. The caller must be told
+    that the outcome is unknown, and not that it did not run.
+    """
+
+    async def work():
+        async with harness.running(
+            [broken, broken], kind=ONCE, max_sends=2
+        ) as (front, runners):
+            got = await front.ask(method='POST', body=b'x')
+            sends = sum(len(one.seen) for one in runners)
+        assert sends == 1
+        assert harness.status(got) == 502
+        assert b'Runner-Stamp' not in got
+
+    run(work())
+
+
+def test_a_refusal_with_proof_is_passed_on_as_one():
+    async def work():
+        refuse = scripted_runner.answers(
+            scripted_runner.response(b'', 503, Not_Run='1')
+        )
+        async with harness.running(
+            [refuse, refuse], kind=ONCE, max_sends=2
+        ) as (front, runners):
+            got = await front.ask(method='POST', body=b'x')
+            sends = sum(len(one.seen) for one in runners)
+        assert sends == 2
+        assert harness.status(got) == 503
+        assert b'Retry-After' in got
+
+    run(work())
+
+
+def test_another_runner_at_the_address_costs_nothing():
+    async def work():
+        other = scripted_runner.answers(scripted_runner.response(b'', 421))
+        async with harness.running(
+            [other, GOOD, other], kind=ONCE, max_sends=3
+        ) as (front, _):
+            got = await front.ask(method='POST', body=b'x')
+        assert harness.status(got) == 200
+
+    run(work())
+
+
+def test_a_runners_own_error_is_its_own():
+    async def work():
+        error = scripted_runner.answers(
+            scripted_runner.response(b'my error', 500, 'stamp.3')
+        )
+        async with harness.running([error], max_sends=1) as (front, _):
+            got = await front.ask()
+        assert harness.status(got) == 500
+        assert got.endswith(b'my error')
+        assert b'stamp.3' in got
+
+    run(work())
+
+
+def test_extra_bytes_after_an_answer_reach_nobody():
+    """A runner sends a second answer; the next caller must not get it."""
+
+    async def work():
+        twice = scripted_runner.response(b'mine') + scripted_runner.response(
+            b'extra', 200, 'stamp.extra'
+        )
+        async with harness.running([scripted_runner.answers(twice)]) as (
+            front,
+            _,
+        ):
+            for _ in range(3):
+                got = await front.ask()
+                assert got.endswith(b'mine')
+                assert b'extra' not in got
+
+    run(work())
+
+
+def test_an_answer_that_ends_with_its_connection_is_whole():
+    async def work():
+        data = scripted_runner.response(b'all of it', Content_Length=None)
+        script = scripted_runner.answers(data)
+        async with harness.running([script]) as (front, _):
+            got = await front.ask()
+        assert harness.status(got) == 200
+        assert got.endswith(b'all of it')
+
+    run(work())
+
+
+def test_an_early_answer_to_a_long_body_comes_through():
+    """A runner answers before it has read a long request.
+
+    A router that first writes all of the body waits for a reader that
+    waits for its answer to be read: both stand still.
+    """
+
+    async def work():
+        early = scripted_runner.answers(
+            scripted_runner.response(b'too long', 413, 'stamp.1')
+        )
+        async with harness.running([early], kind=ONCE) as (front, runners):
+            runners[0].skips_body = True
+            body = b'x' * 3_000_000
+            async with asyncio.timeout(2.5):
+                got = await front.ask(method='POST', body=body)
+        assert harness.status(got) == 413
+
+    run(work())
+
+
+def test_the_routes_timeout_is_answered_at_once():
+    async def work():
+        async def silent(seen, writer):
+            await asyncio.sleep(5)
+
+        async with harness.running([silent], timeout_s=0.3) as (front, _):
+            loop = asyncio.get_running_loop()
+            begun_s = loop.time()
+            got = await front.ask()
+            took_s = loop.time() - begun_s
+        assert harness.status(got) == 504
+        assert 0.25 < took_s < 0.6
+
+    run(work())
+
+
+def test_a_caller_that_leaves_ends_the_work():
+    """A runner's place stays taken for somebody who is gone."""
+
+    async def work():
+        async def slow(seen, writer):
+            await asyncio.sleep(5)
+
+        async with harness.running([slow]) as (front, runners):
+            _, writer = await front.connect()
+            writer.write(
+                b'GET /a/x HTTP/1.1\r\nHost: h.example\r\n'
+                b'Request-Id: q1\r\n\r\n'
+            )
+            while not runners[0].seen:
+                await asyncio.sleep(0.01)
+            writer.close()
+            await asyncio.sleep(0.3)
+            assert runners[0].seen[0].closed
+            assert not front.forwarder.active
+
+    run(work())
+
+
+def test_a_runner_that_cannot_be_reached_is_passed_over():
+    async def work():
+        async with harness.running([GOOD, GOOD, GOOD], kind=ONCE) as (
+            front,
+            runners,
+        ):
+            await runners[0].stop()
+            await runners[1].stop()
+            for _ in range(4):
+                got = await front.ask(method='POST', body=b'x')
+                assert harness.status(got) == 200
+
+    run(work())
+
+
+def test_what_has_no_route_is_not_found():
+    async def work():
+        async with harness.running([GOOD]) as (front, _):
+            assert harness.status(await front.ask('/other/')) == 404
+
+    run(work())
+
+
+def test_without_routes_callers_are_told_to_come_back():
+    async def work():
+        async with harness.running([GOOD]) as (front, _):
+            front.view.plan = None
+            got = await front.ask()
+        assert harness.status(got) == 503
+        assert b'Retry-After: 1.5' in got
+
+    run(work())
+
+
+@pytest.mark.parametrize(
+    'raw',
+    [
+        b'GET /a/x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n',
+        b'POST /a/x HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\n'
+        b'Content-Length: 4\r\n\r\nabcd',
+        b'GARBAGE\r\n\r\n',
+        b'GET /a/x HTTP/1.1\r\nbad header line\r\n\r\n',
+    ],
+)
+def test_requests_that_could_hide_another_never_reach_a_runner(raw):
+    async def work():
+        async with harness.running([GOOD]) as (front, runners):
+            reader, writer = await front.connect()
+            writer.write(raw)
+            async with asyncio.timeout(2):
+                got = await reader.read()
+            assert not got or harness.status(got) == 400
+            assert not runners[0].seen
+            again = await front.ask()
+            assert harness.status(again) == 200
+
+    run(work())
--- /dev/null
+++ b/tests/forwarding/test_streams.py
@@ -0,0 +1,233 @@
+"""Streams: the two stages, and every way in which one can break."""
+
+import asyncio
+import json
+
+from limpetroute.routing import route_kind
+from tests.forwarding import harness
+from tests.forwarding import scripted_runner
+from tests.routing import builders
+
+event = scripted_runner.event
+chunk = scripted_runner.chunk
+STREAM = {'kind': route_kind.RouteKind.STREAM, 'timeout_s': 10.0}
+RESUMABLE = {**STREAM, 'resumable': True}
+DECODE = builders.DECODE
+PREFILL = builders.PREFILL
+USAGE = harness.STREAM_HEADERS
+
+
+async def _prefill(seen, writer):
+    if seen.head.startswith('DELETE'):
+        writer.write(scripted_runner.response(b''))
+    else:
+        body = json.dumps(
+            {'kv-handle': 'h1', 'tokens': 1000, 'version': 1}
+        ).encode()
+        writer.write(scripted_runner.response(body, stamp='p'))
+    await writer.drain()
+
+
+def _stream(*numbers, ends=True, cut=b''):
+    async def script(seen, writer):
+        writer.write(scripted_runner.STREAM_HEAD)
+        for number in numbers:
+            writer.write(chunk(event(number)))
+            await writer.drain()
+            await asyncio.sleep(0.01)
+        if cut:
+            writer.write(chunk(cut))
+            await writer.drain()
+            await asyncio.sleep(0.02)
+        if ends:
+            writer.write(scripted_runner.LAST_CHUNK)
+        await writer.drain()
+
+    return script
+
+
+def _events(data):
+    """Return the numbers of the events in a raw answer."""
+    body = data.partition(b'\r\n\r\n')[2]
+    return [
+        int(line[3:]) for line in body.split(b'\n') if line.startswith(b'id:')
+    ]
+
+
+def _complete(data):
+    return data.endswith(scripted_runner.LAST_CHUNK)
+
+
+def run(work):
+    return asyncio.run(work)
+
+
+def test_the_prompt_is_read_apart():
+    async def work():
+        async with harness.running(
+            [_prefill, _stream(1, 2, 3)], stages=[PREFILL, DECODE], **STREAM
+        ) as (front, (prefill, decode)):
+            got = await front.ask(method='POST', body=b'prompt', more=USAGE)
+            source = decode.seen[0].header('Kv-From')
+            assert source == f'127.0.0.1:{prefill.port}/h1'
+            assert prefill.seen[0].header('Stage') == 'prefill'
+            assert decode.seen[0].header('Stage') is None
+            assert prefill.seen[0].body == decode.seen[0].body == b'prompt'
+        assert _events(got) == [1, 2, 3]
+        assert _complete(got)
+        assert b'Runner-Stamp: s.1' in got
+
+    run(work())
+
+
+def test_what_is_the_systems_to_set_is_dropped_from_callers():
+    async def work():
+        async with harness.running(
+            [_stream(1)], stages=[DECODE], **STREAM
+        ) as (front, (decode,)):
+            await front.ask(
+                more=USAGE + 'Stage: prefill\r\nKv-From: 1.2.3.4:5/x\r\n'
+                'Hold: h\r\nPin-Ms: 4000\r\nKv-Backup: 1.2.3.4:5\r\n'
+            )
+            for name in ('Stage', 'Kv-From', 'Hold', 'Pin-Ms', 'Kv-Backup'):
+                assert decode.seen[0].header(name) is None
+
+    run(work())
+
+
+def test_a_lapsed_handle_has_the_writer_read_for_itself():
+    async def work():
+        async def lapsed(seen, writer):
+            if seen.header('Kv-From'):
+                writer.write(scripted_runner.response(b'', 503, Not_Run='1'))
+                await writer.drain()
+                return
+            await _stream(1, 2)(seen, writer)
+
+        async with harness.running(
+            [_prefill, lapsed], stages=[PREFILL, DECODE], **RESUMABLE
+        ) as (front, _):
+            got = await front.ask(more=USAGE)
+        assert _events(got) == [1, 2]
+
+    run(work())
+
+
+def test_a_broken_stream_goes_on_elsewhere_without_a_seam():
+    """A runner crashes in the middle of an event.
+
+    The caller has events 1 and 2 and a part of 3. Passed on, that part
+    would run into what the next runner sends. Only whole events pass,
+    and the next runner is asked for those after 2.
+    """
+
+    async def work():
+        async def first_or_rest(seen, writer):
+            after = seen.header('Last-Event-Id')
+            if after is None:
+                script = _stream(1, 2, ends=False, cut=b'id: 3\nda')
+            else:
+                assert after == '2'
+                script = _stream(3, 4)
+            await script(seen, writer)
+
+        async with harness.running(
+            [first_or_rest, first_or_rest],
+            stages=[DECODE, DECODE],
+            **RESUMABLE,
+        ) as (front, _):
+            got = await front.ask(more=USAGE)
+        assert _events(got) == [1, 2, 3, 4]
+        assert _complete(got)
+
+    run(work())
+
+
+def test_a_broken_stream_that_may_not_resume_never_looks_complete():
+    async def work():
+        async with harness.running(
+            [_stream(1, 2, ends=False)] * 2, stages=[DECODE] * 2, **STREAM
+        ) as (front, runners):
+            got = await front.ask(more=USAGE)
+            assert sum(len(one.seen) for one in runners) == 1
+        assert _events(got) == [1, 2]
+        assert not _complete(got)
+
+    run(work())
+
+
+def test_a_silent_stream_goes_on_elsewhere():
+    """A link goes silent: no end, no error, no event."""
+
+    async def work():
+        async def silent_once(seen, writer):
+            if seen.header('Last-Event-Id') == '1':
+                await _stream(2, 3)(seen, writer)
+                return
+            writer.write(scripted_runner.STREAM_HEAD + chunk(event(1)))
+            await writer.drain()
+            await asyncio.sleep(8)
+
+        async with harness.running(
+            [silent_once] * 2, stages=[DECODE] * 2, **RESUMABLE
+        ) as (front, _):
+            got = await front.ask(more=USAGE)
+        assert _events(got) == [1, 2, 3]
+        assert _complete(got)
+
+    run(work())
+
+
+def test_a_caller_that_leaves_frees_both_runners():
+    """KV memory stays held for a verdict whose caller has gone."""
+
+    async def work():
+        async def endless(seen, writer):
+            writer.write(scripted_runner.STREAM_HEAD)
+            for number in range(1000):
+                writer.write(chunk(event(number)))
+                await writer.drain()
+                await asyncio.sleep(0.02)
+
+        async with harness.running([endless], stages=[DECODE], **STREAM) as (
+            front,
+            (decode,),
+        ):
+            reader, writer = await front.connect()
+            writer.write(
+                b'POST /a/x HTTP/1.1\r\nHost: h.example\r\n'
+                b'Request-Id: q1\r\nDeadline-Ms: 9000\r\n'
+                b'Content-Length: 1\r\n' + USAGE.encode() + b'\r\nx'
+            )
+            await reader.readuntil(b'id: 3\n')
+            writer.close()
+            await asyncio.sleep(0.3)
+            assert decode.seen[0].closed
+            assert not front.forwarder.active
+            assert front.view.load('r0').tokens == 0
+
+    run(work())
+
+
+def test_a_caller_that_leaves_while_the_prompt_is_read_frees_it():
+    async def work():
+        async def slow_prefill(seen, writer):
+            if not seen.head.startswith('DELETE'):
+                await asyncio.sleep(0.2)
+            await _prefill(seen, writer)
+
+        async def refuses(seen, writer):
+            writer.write(scripted_runner.response(b'', 503, Not_Run='1'))
+            await writer.drain()
+
+        async with harness.running(
+            [slow_prefill, refuses], stages=[PREFILL, DECODE], **STREAM
+        ) as (front, (prefill, _)):
+            got = await front.ask(more=USAGE)
+            await asyncio.sleep(0.2)
+            calls = [one.head.split(' ')[0] for one in prefill.seen]
+            assert calls == ['GET', 'DELETE']
+            assert prefill.seen[1].target == '/api/kv-handle/h1'
+        assert harness.status(got) == 503
+
+    run(work())
--- /dev/null
+++ b/tests/routing/test_next_step.py
@@ -0,0 +1,89 @@
+"""What may be sent again, played against an oracle that counts runs.
+
+A user would see a release confirmed twice, or be told "not run" for one
+that ran. The runner below says what truly happened at each send; the
+table only sees the result, as a router does.
+"""
+
+import hypothesis
+from hypothesis import strategies as st
+import pytest
+
+from limpetroute.routing import next_step
+from limpetroute.routing import send_result
+
+Result = send_result.SendResult
+# What truly may have happened for each result that a router sees.
+MAY_HAVE_RUN = {
+    Result.NOT_SENT: (False,),
+    Result.REFUSED: (False,),
+    Result.MISDIRECTED: (False,),
+    Result.FAILED: (True,),
+    Result.BROKEN: (True, False),
+    Result.TIMED_OUT: (True, False),
+    Result.ANSWERED: (True,),
+}
+
+
+@hypothesis.given(
+    repeatable=st.booleans(),
+    max_sends=st.integers(1, 3),
+    sends=st.lists(
+        st.tuples(st.sampled_from(Result), st.booleans()),
+        min_size=1,
+        max_size=6,
+    ),
+    left_s=st.floats(0, 10),
+)
+def test_never_runs_twice_and_never_lies(repeatable, max_sends, sends, left_s):
+    runs = 0
+    ran_before = False
+    reached = 0
+    for result, coin in sends:
+        truths = MAY_HAVE_RUN[result]
+        runs += truths[coin % len(truths)]
+        reached += result is not Result.NOT_SENT
+        now = next_step.Situation(
+            repeatable=repeatable,
+            result=result,
+            ran_before=ran_before,
+            sends=reached,
+            max_sends=max_sends,
+            left_s=left_s,
+        )
+        step = next_step.next_step(now)
+        ran_before = ran_before or not result.surely_not_run
+        assert reached <= max_sends
+        if not repeatable:
+            assert runs <= 1
+        for ending in (step, next_step.without_another(now)):
+            if ending is next_step.Step.REFUSE:
+                assert not runs
+        if step is not next_step.Step.AGAIN:
+            return
+        if not repeatable:
+            assert not ran_before
+
+
+@pytest.mark.parametrize(
+    ('result', 'repeatable', 'step'),
+    [
+        (Result.ANSWERED, False, next_step.Step.RELAY),
+        (Result.REFUSED, False, next_step.Step.AGAIN),
+        (Result.BROKEN, False, next_step.Step.FAIL),
+        (Result.BROKEN, True, next_step.Step.AGAIN),
+        (Result.FAILED, False, next_step.Step.RELAY),
+        (Result.FAILED, True, next_step.Step.AGAIN),
+        (Result.TIMED_OUT, False, next_step.Step.EXPIRE),
+    ],
+)
+def test_the_table(result, repeatable, step):
+    now = next_step.Situation(
+        repeatable=repeatable,
+        result=result,
+        ran_before=False,
+        sends=1,
+        max_sends=2,
+        left_s=1.0,
+    )
+    assert next_step.next_step(now) is step
--- /dev/null
+++ b/tests/routing/test_stream_desk.py
@@ -0,0 +1,228 @@
+"""Who gets a place, who waits, who is told to come back."""
+
+import random
+
+from limpetroute.routing import stream_ask
+from limpetroute.routing import stream_desk
+from tests.routing import builders
+
+
+def make_desk():
+    return stream_desk.StreamDesk(engine=builders.ENGINE)
+
+
+def make_fleet(writers=2):
+    fleet = [builders.make_runner('p', builders.PREFILL)]
+    fleet += [builders.make_runner(f'd{n}') for n in range(writers)]
+    return fleet
+
+
+def places(answers):
+    return [one for one in answers if isinstance(one, stream_ask.StreamPlace)]
+
+
+def refusals(answers):
+    return [
+        one for one in answers if isinstance(one, stream_ask.StreamRefusal)
+    ]
+
+
+def test_a_stream_gets_a_reader_and_a_writer():
+    desk = make_desk()
+    desk.ask(builders.make_ask('s'), 0.0)
+    (place,) = desk.decide(make_fleet(), 0.0)
+    assert place.prefill_id == 'p'
+    assert place.decode_id in ('d0', 'd1')
+
+
+def test_streams_spread_over_the_writers():
+    desk = make_desk()
+    for n in range(10):
+        desk.ask(builders.make_ask(f's{n}'), 0.0)
+    taken = [one.decode_id for one in places(desk.decide(make_fleet(), 0.0))]
+    assert taken.count('d0') == taken.count('d1') == 5
+
+
+def test_a_burst_never_fills_a_runner_beyond_its_places():
+    """Beyond its places a runner refuses, with the prompt read in vain."""
+    desk = make_desk()
+    for n in range(60):
+        desk.ask(builders.make_ask(f's{n}', output_tokens=500), 0.0)
+    given = places(desk.decide(make_fleet(), 0.0))
+    assert len(given) == 2 * builders.ENGINE.slots
+
+
+def test_memory_binds_before_places():
+    desk = make_desk()
+    for n in range(60):
+        desk.ask(builders.make_ask(f's{n}', prompt_tokens=11_000), 0.0)
+    given = places(desk.decide(make_fleet(), 0.0))
+    room = builders.ENGINE.memory_tokens // 16_000
+    # Reading staggers them, so one more may fit each runner.
+    assert 2 * (room - 1) <= len(given) <= 2 * (room + 1)
+    assert len(given) < 2 * builders.ENGINE.slots
+
+
+def test_in_overload_most_are_told_at_once():
+    """Waiting for a place that cannot come in time helps nobody."""
+    desk = make_desk()
+    for n in range(60):
+        desk.ask(builders.make_ask(f's{n}', output_tokens=2000), 0.0)
+    answers = desk.decide(make_fleet(), 0.0)
+    told = refusals(answers)
+    late_room = round(24 * stream_desk.LATE_PART)
+    assert len(told) == 60 - 24 - late_room
+    assert all(one.retry_after_s >= 0.3 for one in told)
+
+
+def test_a_place_that_is_given_back_goes_to_who_waits():
+    desk = make_desk()
+    for n in range(25):
+        desk.ask(builders.make_ask(f's{n}', output_tokens=500), 0.0)
+    first = places(desk.decide(make_fleet(), 0.0))
+    end = stream_ask.StreamEnd(request_id=first[0].request_id)
+    desk.end(end, 0.1)
+    (place,) = places(desk.decide(make_fleet(), 0.1))
+    assert place.request_id == 's24'
+
+
+def test_a_begun_stream_goes_before_new_ones():
+    """Refused, it would be lost with all that was written for it."""
+    desk = make_desk()
+    for n in range(24):
+        desk.ask(builders.make_ask(f's{n}', output_tokens=500), 0.0)
+    given = places(desk.decide(make_fleet(), 0.0))
+    desk.ask(builders.make_ask('new', output_tokens=500), 0.1)
+    desk.ask(
+        builders.make_ask('begun', goes_on=True, reads_prompt=False), 0.15
+    )
+    desk.end(stream_ask.StreamEnd(request_id=given[0].request_id), 0.2)
+    (place,) = places(desk.decide(make_fleet(), 0.2))
+    assert place.request_id == 'begun'
+
+
+def test_late_ones_are_served_now_and_then():
+    """With new streams always first, one that is late would starve."""
+    desk = make_desk()
+    fleet = make_fleet()
+    now_s = 0.0
+    served = []
+    held = []
+    desk.ask(builders.make_ask('late', waited_s=0.89), now_s)
+    for n in range(200):
+        now_s += 0.01
+        desk.ask(builders.make_ask(f's{n}', output_tokens=300), now_s)
+        for one in places(desk.decide(fleet, now_s)):
+            served.append(one.request_id)
+            held.append(one.request_id)
+        if len(held) > 20:
+            desk.end(stream_ask.StreamEnd(request_id=held.pop(0)), now_s)
+    assert 'late' in served
+
+
+def test_a_large_stream_is_not_passed_over_for_ever():
+    """Small ones would fit first each time a little room is free."""
+    desk = make_desk()
+    fleet = make_fleet(writers=1)
+    rng = random.Random(3)
+    now_s = 0.0
+    held = []
+    for n in range(12):
+        ask = builders.make_ask(
+            f'h{n}', prompt_tokens=8000, output_tokens=2000
+        )
+        desk.ask(ask, now_s)
+    held = [one.request_id for one in places(desk.decide(fleet, now_s))]
+    desk.ask(
+        builders.make_ask('large', prompt_tokens=30_000, target_s=3.0), now_s
+    )
+    served = []
+    for n in range(100):
+        now_s += 0.02
+        small = builders.make_ask(f's{n}', prompt_tokens=900, target_s=3.0)
+        desk.ask(small, now_s)
+        if held and n % 4 == 0:
+            ended = held.pop(rng.randrange(len(held)))
+            desk.end(stream_ask.StreamEnd(request_id=ended), now_s)
+        for one in places(desk.decide(fleet, now_s)):
+            served.append(one.request_id)
+            held.append(one.request_id)
+    assert 'large' in served
+
+
+def test_a_dark_runner_gets_one_stream_at_a_time():
+    """A runner goes dark while its registration stands.
+
+    Each place given there costs a prompt read for nothing and a quarter
+    second; a runner that failed is tried with one stream only.
+    """
+    desk = make_desk()
+    fleet = make_fleet()
+    wasted = 0
+    now_s = 0.0
+    for n in range(100):
+        now_s += 0.1
+        desk.ask(builders.make_ask(f's{n}'), now_s)
+        for one in places(desk.decide(fleet, now_s)):
+            dark = one.decode_id == 'd0'
+            wasted += dark
+            failed = ('d0',) if dark else ()
+            end = stream_ask.StreamEnd(
+                request_id=one.request_id, failed=failed
+            )
+            desk.end(end, now_s)
+    assert wasted <= 6
+
+
+def test_a_runner_filled_by_others_is_left_alone_for_a_while():
+    """Hosts cut off from the leader fill a runner, unseen here."""
+    desk = make_desk()
+    fleet = make_fleet(writers=1)
+    desk.ask(builders.make_ask('one'), 0.0)
+    (place,) = desk.decide(fleet, 0.0)
+    full = (place.decode_id,)
+    desk.end(stream_ask.StreamEnd(request_id='one', full=full), 0.0)
+    desk.ask(builders.make_ask('two'), 0.1)
+    assert not places(desk.decide(fleet, 0.1))
+    desk.ask(builders.make_ask('three'), 2.0)
+    assert places(desk.decide(fleet, 2.0))
+
+
+def test_places_of_a_host_that_died_lapse():
+    desk = make_desk()
+    for n in range(24):
+        ask = builders.make_ask(f's{n}', output_tokens=500, patience_s=2.0)
+        desk.ask(ask, 0.0)
+    desk.decide(make_fleet(), 0.0)
+    desk.ask(builders.make_ask('next'), 3.5)
+    assert places(desk.decide(make_fleet(), 3.5))
+
+
+def test_places_given_by_an_earlier_leader_count():
+    desk = make_desk()
+    fleet = make_fleet(writers=1)
+    for n in range(12):
+        ask = builders.make_ask(f'old{n}', output_tokens=500)
+        place = stream_ask.StreamPlace(
+            request_id=ask.request_id, decode_id='d0', prefill_id='p'
+        )
+        desk.adopt(place, ask, 0.0)
+    desk.ask(builders.make_ask('new'), 0.1)
+    assert not places(desk.decide(fleet, 0.1))
+
+
+def test_a_lone_writer_reads_one_prompt_at_a_time():
+    """Two prompts read at once pause all its streams beyond 300 ms."""
+    desk = make_desk()
+    fleet = [builders.make_runner('d0')]
+    for n in range(4):
+        desk.ask(builders.make_ask(f's{n}', output_tokens=500), 0.0)
+    assert len(places(desk.decide(fleet, 0.0))) == 1
+    assert not places(desk.decide(fleet, 0.1))
+    assert len(places(desk.decide(fleet, 0.35))) == 1
+
+
+def test_with_no_writer_all_are_told_at_once():
+    desk = make_desk()
+    desk.ask(builders.make_ask('s'), 0.0)
+    assert refusals(desk.decide([], 0.0))
