--- /dev/null
+++ b/tests/control/seed_fleet.py
@@ -0,0 +1,94 @@
+"""Control hosts that found their group from seeds, on 127.0.0.x."""
+
+import asyncio
+import dataclasses
+import shutil
+
+from limpetroute.border import control_settings
+from limpetroute.control import desk as desk_module
+from limpetroute.control import server as server_module
+from limpetroute.wire import caller
+from tests.control import control_fleet
+
+WAIT_S = 20.0
+
+
+class SeedFleet:
+    """Hosts are IP addresses: the loopback network has many."""
+
+    def __init__(self, folder, seeds, tolerated_losses=2):
+        self.folder = folder
+        self.port = control_fleet.free_port()
+        self.seeds = seeds
+        self.tolerated_losses = tolerated_losses
+        self.servers = {}
+
+    def start(self, host, *, may_found=True, seeds=None):
+        settings = control_settings.ControlSettings.model_validate(
+            {
+                'host_id': host,
+                'zone': 'a',
+                'demo': True,
+                'data_dir': str(self.folder / host),
+                'listen': f'{host}:{self.port}',
+                'seeds': [f'{one}:1' for one in seeds or self.seeds],
+                'tolerated_losses': self.tolerated_losses,
+                'may_found': may_found,
+                'heartbeat_s': 0.1,
+                'election_s': 0.4,
+            }
+        )
+        server = server_module.ControlServer(settings=settings)
+        server.start()
+        self.servers[host] = server
+
+    async def stop(self, *hosts):
+        for host in hosts:
+            await self.servers.pop(host).stop()
+
+    async def stop_all(self):
+        await self.stop(*list(self.servers))
+
+    def lose_disk(self, host):
+        shutil.rmtree(self.folder / host)
+
+    def desk(self, host):
+        node = self.servers[host].node
+        return desk_module.Desk(node=node, http=caller.Caller())
+
+    def voters(self):
+        """Return the voters as the leader sees them, by host."""
+        for server in self.servers.values():
+            replica = server.node.config.replica
+            if replica.lease_valid(server.node.now_s):
+                return sorted(
+                    one.host_id
+                    for one in replica.membership.members
+                    if one.voter
+                )
+        return []
+
+    async def until(self, holds):
+        async with asyncio.timeout(WAIT_S):
+            while not holds():
+                await asyncio.sleep(0.02)
+
+    async def submit(self, host, version, text='{}'):
+        """Submit until it is acknowledged."""
+        async with asyncio.timeout(WAIT_S):
+            while True:
+                got = await self.desk(host).submit_routes(
+                    version=version, digest=text, text=text
+                )
+                if not isinstance(got, desk_module.Unsure):
+                    return got
+                await asyncio.sleep(0.05)
+
+    async def read(self, host):
+        """Read until the answer is sure; its version."""
+        async with asyncio.timeout(WAIT_S):
+            while True:
+                got = await self.desk(host).newest_routes()
+                if not isinstance(got, desk_module.Unsure):
+                    return dataclasses.asdict(got)['version']
+                await asyncio.sleep(0.05)
--- /dev/null
+++ b/tests/control/test_runner_table.py
@@ -0,0 +1,109 @@
+"""Announcements that come late, twice, out of order, or from the dead."""
+
+import hypothesis
+from hypothesis import strategies as st
+
+from limpetroute.control import commands
+from limpetroute.control import runner_table
+
+READY = runner_table.RunnerState.READY
+DRAINING = runner_table.RunnerState.DRAINING
+GONE = runner_table.RunnerState.GONE
+
+
+def note(runner_id, sequence, state=READY, address='10.0.0.1:80', text='{}'):
+    return commands.NoteRunner(
+        runner_id=runner_id,
+        address=address,
+        text=text,
+        sequence=sequence,
+        state=state,
+    )
+
+
+def test_a_heartbeat_that_says_nothing_new_is_not_logged():
+    table = runner_table.RunnerTable()
+    table.note(note('a', 1), 1)
+    assert not table.adds_something(note('a', 2))
+    assert table.adds_something(note('a', 2, DRAINING))
+
+
+def test_a_late_heartbeat_does_not_call_a_leaving_runner_back():
+    """A runner says that it leaves; its last "ready" comes after that.
+
+    Taken, new requests would go to a runner that is about to end.
+    """
+    table = runner_table.RunnerTable()
+    table.note(note('a', 1), 1)
+    table.note(note('a', 3, DRAINING), 2)
+    table.note(note('a', 2, READY), 3)
+    table.note(note('a', 4, READY), 4)
+    assert table.get('a').state == DRAINING
+
+
+def test_a_late_heartbeat_does_not_bring_a_gone_runner_back():
+    table = runner_table.RunnerTable()
+    table.note(note('a', 1), 1)
+    table.forget('a', 2)
+    table.note(note('a', 9), 3)
+    assert table.get('a').state == GONE
+    assert not list(table)
+
+
+def test_a_farewell_may_come_before_the_first_announcement():
+    table = runner_table.RunnerTable()
+    table.forget('a', 1)
+    table.note(note('a', 1), 2)
+    assert table.get('a').state == GONE
+
+
+def test_a_new_runner_takes_its_address_over():
+    table = runner_table.RunnerTable()
+    table.note(note('old', 7), 1)
+    table.note(note('new', 1), 2)
+    table.note(note('old', 8), 3)
+    assert [row.runner_id for row in table] == ['new']
+    assert table.get('old').state == GONE
+
+
+def test_watchers_get_what_changed_since():
+    table = runner_table.RunnerTable()
+    table.note(note('a', 1), 1)
+    table.note(note('b', 1, address='10.0.0.2:80'), 2)
+    table.forget('a', 3)
+    changed = {row.runner_id: row.state for row in table.changed_after(1)}
+    assert changed == {'a': GONE, 'b': READY}
+    assert not table.changed_after(3)
+
+
+STEP = st.tuples(
+    st.sampled_from(['a', 'b', 'c']),
+    st.integers(0, 6),
+    st.sampled_from([READY, DRAINING, GONE]),
+    st.sampled_from(['10.0.0.1:80', '10.0.0.2:80']),
+)
+
+
+@hypothesis.given(st.lists(STEP, max_size=30))
+def test_a_runner_only_moves_forward_and_addresses_are_unique(steps):
+    table = runner_table.RunnerTable()
+    ranks = {}
+    order = [READY, DRAINING, GONE]
+    for index, (name, sequence, state, address) in enumerate(steps, 1):
+        if state == GONE:
+            table.forget(name, index)
+        else:
+            table.note(note(name, sequence, state, address), index)
+        addresses = [row.address for row in table]
+        assert len(addresses) == len(set(addresses))
+        for one in 'abc':
+            row = table.get(one)
+            if row is None:
+                continue
+            rank = order.index(runner_table.RunnerState(row.state))
+            assert rank >= ranks.get(one, 0)
+            ranks[one] = rank
+    copy = runner_table.RunnerTable()
+    copy.load(table.dump())
+    assert sorted(copy.dump()) == sorted(table.dump())
+    assert copy.changed_index == table.changed_index
--- /dev/null
+++ b/tests/control/test_seeds.py
@@ -0,0 +1,153 @@
+"""A group that founds and mends itself from a few seeds."""
+
+import asyncio
+
+from limpetroute.control import desk as desk_module
+from tests.control import seed_fleet
+
+HOSTS = [f'127.0.0.{n}' for n in range(11, 16)]
+SEEDS = HOSTS[:3]
+NEW = '127.0.0.17'
+
+
+def run(tmp_path, work):
+    async def whole():
+        fleet = seed_fleet.SeedFleet(tmp_path, SEEDS)
+        try:
+            await work(fleet)
+        finally:
+            await fleet.stop_all()
+
+    asyncio.run(whole())
+
+
+async def found(fleet, hosts=HOSTS):
+    for host in hosts:
+        fleet.start(host)
+    await fleet.until(lambda: fleet.voters() == sorted(HOSTS))
+
+
+def test_seeds_found_and_the_others_join(tmp_path):
+    async def work(fleet):
+        await found(fleet, list(reversed(HOSTS)))
+        await fleet.submit(HOSTS[4], 3)
+        assert await fleet.read(HOSTS[0]) == 3
+
+    run(tmp_path, work)
+
+
+def test_nothing_is_acknowledged_before_the_group_is_whole(tmp_path):
+    """Acknowledged by three, it is gone with two of their disks."""
+
+    async def work(fleet):
+        for host in SEEDS:
+            fleet.start(host)
+        await fleet.until(fleet.voters)
+        got = await fleet.desk(SEEDS[0]).submit_routes(
+            version=1, digest='x', text='{}'
+        )
+        assert isinstance(got, desk_module.Unsure)
+        for host in HOSTS[3:]:
+            fleet.start(host)
+        await fleet.until(lambda: len(fleet.voters()) == 5)
+        await fleet.submit(SEEDS[0], 1)
+
+    run(tmp_path, work)
+
+
+def test_a_seed_that_restarts_while_founding_founds_no_second_group(tmp_path):
+    async def work(fleet):
+        for host in SEEDS:
+            fleet.start(host)
+        await asyncio.sleep(0.3)
+        await fleet.stop(SEEDS[0])
+        fleet.start(SEEDS[0])
+        for host in HOSTS[3:]:
+            fleet.start(host)
+        await fleet.until(lambda: fleet.voters() == sorted(HOSTS))
+        terms = {
+            server.node.folder.founding is not None
+            for host, server in fleet.servers.items()
+            if host in SEEDS
+        }
+        assert terms == {True}
+
+    run(tmp_path, work)
+
+
+def test_two_lost_disks_at_once_lose_nothing(tmp_path):
+    """Two hosts lose their disks right after an acknowledgement.
+
+    They come back empty at their addresses. What was acknowledged must
+    be there, and the group whole again, with new replicas in place of
+    the lost ones.
+    """
+
+    async def work(fleet):
+        await found(fleet)
+        await fleet.submit(HOSTS[0], 5)
+        lost = HOSTS[:2]
+        await fleet.stop(*lost)
+        for host in lost:
+            fleet.lose_disk(host)
+            fleet.start(host, may_found=False)
+        assert await fleet.read(HOSTS[4]) == 5
+        await fleet.until(lambda: fleet.voters() == sorted(HOSTS))
+        for host in lost:
+            replica_id = fleet.servers[host].node.folder.replica_id
+            assert not replica_id.endswith('founder')
+        assert await fleet.read(HOSTS[0]) == 5
+
+    run(tmp_path, work)
+
+
+def test_a_newcomer_takes_the_place_of_one_that_is_gone(tmp_path):
+    """A host is gone for good, an empty one comes at another address."""
+
+    async def work(fleet):
+        await found(fleet)
+        await fleet.submit(HOSTS[0], 5)
+        await fleet.stop(HOSTS[1])
+        fleet.start(NEW, may_found=False)
+        wanted = sorted([*HOSTS, NEW])
+        wanted.remove(HOSTS[1])
+        await fleet.until(lambda: fleet.voters() == wanted)
+        assert await fleet.read(NEW) == 5
+
+    run(tmp_path, work)
+
+
+def test_a_host_that_is_away_is_not_removed_without_a_successor(tmp_path):
+    async def work(fleet):
+        await found(fleet)
+        await fleet.stop(HOSTS[1])
+        await asyncio.sleep(7.0)
+        assert fleet.voters() == sorted(HOSTS)
+
+    run(tmp_path, work)
+
+
+def test_all_restart_at_once_with_other_seeds(tmp_path):
+    """The settings name seeds that are gone; the disks know the rest."""
+
+    async def work(fleet):
+        await found(fleet)
+        await fleet.submit(HOSTS[0], 9)
+        await fleet.stop_all()
+        for host in HOSTS:
+            fleet.start(host, may_found=False, seeds=['127.0.0.99'])
+        assert await fleet.read(HOSTS[3]) == 9
+
+    run(tmp_path, work)
+
+
+def test_a_cut_off_host_says_that_it_is_not_sure(tmp_path):
+    async def work(fleet):
+        await found(fleet)
+        await fleet.submit(HOSTS[0], 2)
+        await fleet.stop(*HOSTS[:3])
+        await asyncio.sleep(1.5)
+        got = await fleet.desk(HOSTS[4]).newest_routes()
+        assert isinstance(got, desk_module.Unsure)
+
+    run(tmp_path, work)
--- /dev/null
+++ b/tests/platform/test_http_dialect.py
@@ -0,0 +1,60 @@
+from tornado import httputil
+
+from limpetroute.forwarding import dialect
+from limpetroute.platform import http_dialect
+
+
+def read(**headers):
+    fields = httputil.HTTPHeaders()
+    for name, value in headers.items():
+        fields[name.replace('_', '-')] = value
+    start = httputil.RequestStartLine('POST', '/a/b?c=1', 'HTTP/1.1')
+    return http_dialect.HttpDialect().read_request(start, fields, b'x', 5.0)
+
+
+def test_a_request_is_decoded():
+    request = read(
+        Host='h.example',
+        Request_Id='q',
+        Deadline_Ms='1500',
+        Token_Usage='1460,80',
+        Length_Hint='30',
+        Last_Event_Id='4',
+    )
+    assert (request.request_id, request.patience_s) == ('q', 1.5)
+    assert request.path == '/a/b'
+    assert request.generation.prompt_tokens == 1460
+    assert request.generation.max_output_tokens == 80
+    assert request.generation.expected_output_tokens == 30
+    assert request.resume_after == '4'
+
+
+def test_what_cannot_be_read_counts_as_absent():
+    request = read(Deadline_Ms='soon', Token_Usage='many')
+    assert request.patience_s is None
+    assert request.generation is None
+
+
+def test_hop_by_hop_headers_stay_behind():
+    request = read(
+        Connection='keep-alive, X-Once',
+        X_Once='1',
+        X_Kept='2',
+        Transfer_Encoding='chunked',
+    )
+    note = dialect.SendNote(left_s=1.25, runner_id='i-1')
+    headers = http_dialect.HttpDialect().runner_headers(request, note)
+    assert headers['X-Kept'] == '2'
+    assert 'X-Once' not in headers
+    assert 'Connection' not in headers
+    assert 'Transfer-Encoding' not in headers
+    assert headers['Deadline-Ms'] == '1250'
+
+
+def test_only_a_runners_own_word_proves_that_it_did_not_run():
+    known = http_dialect.HttpDialect()
+    proof = httputil.HTTPHeaders({'Not-Run': '1'})
+    assert known.refused(503, proof)
+    assert known.refused(421, httputil.HTTPHeaders())
+    for status in (429, 500, 502, 503, 504):
+        assert not known.refused(status, httputil.HTTPHeaders())
