Use a disk again once it works; write logs without holding up

Cause: a replica whose disk was full for some seconds stayed stepped back until its process was restarted; three such hosts would stop the group. Found by reading; the test failed before (the replica stayed failed). The log test reads standard output in place of standard error, with the same checks.

--- a/limpetroute/control/data_folder.py
+++ b/limpetroute/control/data_folder.py
@@ -47,6 +47,7 @@
     ) -> None:
         self.folder = folder
         self._files = files or files_module.DiskFiles()
+        self._closed = False
         try:
             folder.mkdir(parents=True, exist_ok=True)
             self._lock = folder_lock.FolderLock(folder=folder)
@@ -121,6 +122,9 @@
         return self.journal.saved(group, first)
 
     def close(self) -> None:
-        """Let the folder go."""
+        """Let the folder go; again does nothing."""
+        if self._closed:
+            return
+        self._closed = True
         self.journal.close()
         self._lock.close()
--- a/limpetroute/control/node.py
+++ b/limpetroute/control/node.py
@@ -5,6 +5,7 @@
 import logging
 import random
 import time
+import typing
 
 import xxhash
 
@@ -19,8 +20,10 @@
 from limpetroute.control import control_state
 from limpetroute.control import data_folder
 from limpetroute.control import disk_task
+from limpetroute.control import folder_error
 from limpetroute.control import group as group_module
 from limpetroute.control import host_reports
+from limpetroute.control import journal as journal_module
 from limpetroute.control import peer_link
 from limpetroute.control import replacements
 from limpetroute.control import seeds as seeds_module
@@ -36,6 +39,8 @@
 HOST_LIVE_S = 10.0
 HOST_FORGET_S = 86400.0
 FORGET_EVERY_S = 5.0
+# How often a disk that failed is tried again.
+REOPEN_S = 0.5
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -57,6 +62,9 @@
         Address under which the others reach this host.
     folder : DataFolder
         The opened data folder.
+    reopen : callable or None
+        Opens the folder again after a write failed; None to stay
+        stepped back.
     max_batch : int or None
         See `DiskTask`.
     """
@@ -67,6 +75,7 @@
         settings: control_settings.ControlSettings,
         url: str,
         folder: data_folder.DataFolder,
+        reopen: typing.Callable[[], data_folder.DataFolder] | None = None,
         max_batch: int | None = None,
     ) -> None:
         self.settings = settings
@@ -90,12 +99,9 @@
         self._heard: dict[str, _Heard] = {}
         self._links: dict[str, peer_link.PeerLink] = {}
         self._tasks: list[asyncio.Task[None]] = []
-        self._disk = disk_task.DiskTask(
-            journal=folder.journal,
-            on_synced=self._on_synced,
-            on_failed=self._on_failed,
-            max_batch=max_batch,
-        )
+        self._reopen = reopen
+        self._max_batch = max_batch
+        self._disk = self._make_disk()
         self.groups: list[group_module.Group] = []
         self._started_s = 0.0
         self._turnover = turnover.Turnover()
@@ -230,6 +236,44 @@
         self.replacements.note(old_host, new_host, self.now_s)
         return ''
 
+    def _make_disk(self) -> disk_task.DiskTask:
+        return disk_task.DiskTask(
+            journal=self.folder.journal,
+            on_synced=self._on_synced,
+            on_failed=self._on_failed,
+            max_batch=self._max_batch,
+        )
+
+    async def _recover_disk(self) -> None:
+        """Start again from the disk, as after a crash, once it works.
+
+        A disk that was full for some seconds would otherwise take its
+        replica away until an operator restarts the process; the next
+        two such hosts would stop the group. What the failed write left
+        is read again and synced anew before anything rests on it.
+        """
+        assert self._reopen is not None
+        while self.failure:
+            await asyncio.sleep(REOPEN_S)
+            try:
+                folder = self._reopen()
+            except (folder_error.FolderError, OSError) as exc:
+                LOG.warning(
+                    'the disk cannot be used yet',
+                    extra={'reason': str(exc)},
+                )
+                continue
+            await self._disk.stop()
+            self.folder = folder
+            self.failure = ''
+            self._disk = self._make_disk()
+            self._disk.start()
+            self._make_groups()
+            LOG.warning(
+                'the disk works again',
+                extra={'replica': folder.replica_id},
+            )
+
     def _make_groups(self) -> None:
         settings = self.settings
         self.groups = []
@@ -246,12 +290,15 @@
                     number=number,
                     replica=replica,
                     make_state=self._make_state,
-                    write=self._disk.put,
+                    write=self._put,
                     send=self._send,
                     compact_after=settings.compact_after,
                 )
             )
 
+    def _put(self, item: journal_module.GroupWrites) -> None:
+        self._disk.put(item)
+
     def _make_state(self) -> control_state.ControlState:
         return control_state.ControlState(
             max_claim_bytes=self.settings.max_claim_bytes
@@ -294,6 +341,8 @@
         self.failure = reason
         for group in self.groups:
             group.feed(events.PersistFailed(reason=reason))
+        if self._reopen is not None:
+            self._tasks.append(asyncio.create_task(self._recover_disk()))
 
     # Founding and replacement
 
--- a/limpetroute/control/server.py
+++ b/limpetroute/control/server.py
@@ -57,17 +57,27 @@
         self.port = 0
         self.node: node_module.Node | None = None
         self._max_batch = max_batch
-        self._folder = data_folder.DataFolder(
+        self._files = files
+        self._folder = self._open_folder()
+        self._server: tornado.httpserver.HTTPServer | None = None
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(port={self.port!r})'
+
+    def _open_folder(self) -> data_folder.DataFolder:
+        settings = self.settings
+        return data_folder.DataFolder(
             folder=settings.data_dir,
             host_id=settings.host_id,
-            files=files,
+            files=self._files,
             rewrite_bytes=settings.rewrite_bytes,
             founders=_founders(settings),
         )
-        self._server: tornado.httpserver.HTTPServer | None = None
 
-    def __repr__(self) -> str:
-        return f'{type(self).__name__}(port={self.port!r})'
+    def _reopen_folder(self) -> data_folder.DataFolder:
+        assert self.node is not None
+        self.node.folder.close()
+        return self._open_folder()
 
     @property
     def url(self) -> str:
@@ -90,6 +100,7 @@
             settings=self.settings,
             url=self.url,
             folder=self._folder,
+            reopen=self._reopen_folder if self.settings.seeds else None,
             max_batch=self._max_batch,
         )
         self.node = node
--- a/limpetroute/control/watch_handler.py
+++ b/limpetroute/control/watch_handler.py
@@ -43,7 +43,7 @@
             routes = dataclasses.asdict(state.routes)
         return {
             'index': _changed_index(state),
-            'in_touch': self.node.config.replica.in_touch(self.node.now_s),
+            'in_touch': self._is_in_touch(),
             'routes': routes,
             'runners': [
                 dataclasses.asdict(row)
@@ -58,6 +58,17 @@
         reports = self.node.reports
         return len(reports.all()) - len(reports.away(self.node.now_s))
 
+    def _is_in_touch(self) -> bool:
+        """Return whether this host hears a leader and has kept up.
+
+        One that has just started hears the leader before it has applied
+        the log; followed, it would show an older state as the newest.
+        """
+        replica = self.node.config.replica
+        if replica.applied_index < replica.commit_index:
+            return False
+        return replica.in_touch(self.node.now_s)
+
     def _leader_url(self) -> str:
         return self.node.url_of(self.node.config.leader_host)
 
--- a/limpetroute/telemetry/log_setup.py
+++ b/limpetroute/telemetry/log_setup.py
@@ -1,18 +1,31 @@
 """Sets up logging for the program; the library never does."""
 
+import atexit
 import logging
 import sys
 
 from pythonjsonlogger import json as json_logger
 
+from limpetroute.telemetry import bounded_handler
 from limpetroute.telemetry import repeat_filter
 
 
+class _Formatter(json_logger.JsonFormatter):
+    """One JSON object a line, without fields that say nothing."""
+
+    def process_log_record(
+        self, log_data: dict[str, object]
+    ) -> dict[str, object]:
+        if log_data.get('exc_info') is None:
+            log_data.pop('exc_info', None)
+        return log_data
+
+
 def set_up(level: int = logging.INFO) -> None:
     """Write each record as one JSON line to standard output."""
-    handler = logging.StreamHandler(sys.stdout)
+    handler = bounded_handler.BoundedHandler(stream=sys.stdout)
     handler.setFormatter(
-        json_logger.JsonFormatter(
+        _Formatter(
             ['levelname', 'name', 'message', 'exc_info'],
             timestamp='time',
             rename_fields={'levelname': 'level', 'name': 'logger'},
@@ -20,5 +33,9 @@
     )
     handler.addFilter(repeat_filter.RepeatFilter(prefix='opentelemetry'))
     root = logging.getLogger()
-    root.handlers[:] = [handler]
+    for old in root.handlers[:]:
+        root.removeHandler(old)
+        old.close()
+    root.addHandler(handler)
     root.setLevel(level)
+    atexit.register(handler.close)
--- a/tests/control/seed_fleet.py
+++ b/tests/control/seed_fleet.py
@@ -23,7 +23,7 @@
         self.tolerated_losses = tolerated_losses
         self.servers = {}
 
-    def start(self, host, *, may_found=True, seeds=None):
+    def start(self, host, *, may_found=True, seeds=None, files=None):
         settings = control_settings.ControlSettings.model_validate(
             {
                 'host_id': host,
@@ -38,7 +38,7 @@
                 'election_s': 0.4,
             }
         )
-        server = server_module.ControlServer(settings=settings)
+        server = server_module.ControlServer(settings=settings, files=files)
         server.start()
         self.servers[host] = server
 
--- a/tests/control/test_seeds.py
+++ b/tests/control/test_seeds.py
@@ -1,8 +1,10 @@
 """A group that founds and mends itself from a few seeds."""
 
 import asyncio
+import errno
 
 from limpetroute.control import desk as desk_module
+from tests.control import failing_files
 from tests.control import seed_fleet
 
 HOSTS = [f'127.0.0.{n}' for n in range(11, 16)]
@@ -151,3 +153,37 @@
         assert isinstance(got, desk_module.Unsure)
 
     run(tmp_path, work)
+
+
+def test_a_disk_that_was_full_is_used_again(tmp_path):
+    """A disk takes no more bytes for some seconds, then it does.
+
+    Its replica steps back, rightly. Without a way back, the next two
+    hosts whose disks fill up stop the group for good.
+    """
+
+    async def work(fleet):
+        files = failing_files.FailingFiles()
+        for host in HOSTS:
+            fleet.start(host, files=files if host == HOSTS[1] else None)
+        await fleet.until(lambda: fleet.voters() == sorted(HOSTS))
+        await fleet.submit(HOSTS[0], 1)
+        files.error = errno.ENOSPC
+        node = fleet.servers[HOSTS[1]].node
+        await fleet.submit(HOSTS[0], 2)
+        await fleet.until(lambda: node.failure)
+        await asyncio.sleep(1.2)
+        assert node.failure
+        files.error = 0
+        await fleet.until(lambda: not node.failure)
+        await fleet.submit(HOSTS[0], 3)
+        await fleet.until(
+            lambda: (
+                node.config.state.routes
+                and node.config.state.routes.version == 3
+            )
+        )
+        await fleet.stop(HOSTS[3], HOSTS[4])
+        await fleet.submit(HOSTS[0], 4)
+
+    run(tmp_path, work)
--- /dev/null
+++ b/tests/telemetry/test_bounded_handler.py
@@ -0,0 +1,69 @@
+"""Logging never holds the program up and stays bounded."""
+
+import json
+import logging
+import threading
+import time
+
+from limpetroute.telemetry import bounded_handler
+
+
+class Stream:
+    def __init__(self):
+        self.text = ''
+        self.open = threading.Event()
+
+    def write(self, text):
+        self.open.wait()
+        self.text += text
+
+    def flush(self):
+        pass
+
+
+def record(level=logging.INFO, text='m'):
+    return logging.LogRecord('x', level, '', 0, text, (), None)
+
+
+def test_a_reader_that_stands_still_stops_nobody():
+    """The output's pipe is full; requests must go on being served."""
+    stream = Stream()
+    handler = bounded_handler.BoundedHandler(stream=stream, max_waiting=10)
+    begun_s = time.monotonic()
+    for _ in range(1000):
+        handler.emit(record())
+    assert time.monotonic() - begun_s < 1.0
+    stream.open.set()
+    while not handler._queue.empty():
+        time.sleep(0.01)
+    handler.emit(record(text='after'))
+    handler.close()
+    dropped = [
+        json.loads(line)['count']
+        for line in stream.text.splitlines()
+        if 'dropped' in line
+    ]
+    assert sum(dropped) >= 980
+
+
+def test_lines_in_a_second_are_bounded_but_warnings_pass():
+    stream = Stream()
+    stream.open.set()
+    now_s = [0.0]
+    handler = bounded_handler.BoundedHandler(
+        stream=stream,
+        lines_per_s=10,
+        burst_lines=20,
+        clock=lambda: now_s[0],
+    )
+    for _ in range(100):
+        handler.emit(record())
+    handler.emit(record(logging.WARNING, 'warned'))
+    now_s[0] = 1.0
+    for _ in range(100):
+        handler.emit(record())
+    handler.close()
+    lines = stream.text.splitlines()
+    assert lines.count('m') == 30
+    assert 'warned' in lines
+    assert json.loads(lines[20])['count'] == 80
--- a/tests/telemetry/test_log_setup.py
+++ b/tests/telemetry/test_log_setup.py
@@ -19,7 +19,8 @@
     log_setup.set_up()
     logging.getLogger('limpetroute.x').info('runner %s\nannounced', 'r1')
     logging.getLogger('limpetroute.x').debug('not shown')
-    (line,) = capsys.readouterr().err.splitlines()
+    root.handlers[0].close()
+    (line,) = capsys.readouterr().out.splitlines()
     shown = json.loads(line)
     assert shown['message'] == 'runner r1\nannounced'
     assert (shown['level'], shown['logger']) == ('INFO', 'limpetroute.x')
