--- a/limpetroute/cli/control.py
+++ b/limpetroute/cli/control.py
@@ -61,4 +61,4 @@
 
 
 def _print_ready(control: server.ControlServer) -> None:
-    print(f'ready: control {control.port}', flush=True)
+    serving.say_ready(f'ready: control {control.port}')
--- a/limpetroute/cli/entry.py
+++ b/limpetroute/cli/entry.py
@@ -36,7 +36,6 @@
 
 
 def _print_ready(entry: server.EntryServer) -> None:
-    print(
-        f'ready: callers {entry.port}, internal {entry.internal_port}',
-        flush=True,
+    serving.say_ready(
+        f'ready: callers {entry.port}, internal {entry.internal_port}'
     )
--- a/limpetroute/cli/forward.py
+++ b/limpetroute/cli/forward.py
@@ -49,4 +49,4 @@
 
 
 def _print_ready(forwarder: server.ForwarderServer) -> None:
-    print(f'ready: callers {forwarder.port}', flush=True)
+    serving.say_ready(f'ready: callers {forwarder.port}')
--- a/limpetroute/cli/serving.py
+++ b/limpetroute/cli/serving.py
@@ -95,6 +95,16 @@
         LOG.info('settings read', extra={'path': str(self._path)})
 
 
+def say_ready(text: str) -> None:
+    """Write the line that says which ports are open.
+
+    In one call with its end: log lines are written to the same output
+    by another thread and may come between two.
+    """
+    sys.stdout.write(f'{text}\n')
+    sys.stdout.flush()
+
+
 def serve(
     make: typing.Callable[[], Server],
     on_ready: typing.Callable[[typing.Any], None],
--- a/limpetroute/cli/standin.py
+++ b/limpetroute/cli/standin.py
@@ -40,4 +40,4 @@
 def _print_ready(
     runner: engine_server.EngineServer | service_server.ServiceServer,
 ) -> None:
-    print(f'ready: runner {runner.port}', flush=True)
+    serving.say_ready(f'ready: runner {runner.port}')
--- a/limpetroute/routing/stream_desk.py
+++ b/limpetroute/routing/stream_desk.py
@@ -53,7 +53,10 @@
 # without an event.
 LONGEST_PAUSE_S = 3.2
 MIN_RETRY_AFTER_S = 0.3
-MAX_RETRY_AFTER_S = 4.0
+# With more streams than places for seconds on end, whoever comes back
+# when one place ends meets as many others as before. A shortage that has
+# lasted for a while is expected to last as long again.
+MAX_RETRY_AFTER_S = 15.0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -100,6 +103,7 @@
         self._waiting: dict[str, _Waiting] = {}
         self._free_s: dict[str, float] = {}
         self._health: dict[str, runner_load.RunnerLoad] = {}
+        self._short_since_s = 0.0
         self._hidden: dict[str, tuple[int, float]] = {}
         self._tokens_per_s = FIRST_TOKENS_PER_S
         self._in_time_in_a_row = 0
@@ -182,6 +186,8 @@
                 continue
             if now_s - one.sent_s > PASSED_OVER_S:
                 break
+        if not self._waiting:
+            self._short_since_s = now_s
         answers.extend(self._refuse_hopeless(decoders, readers, now_s))
         return answers
 
@@ -444,7 +450,8 @@
     ) -> stream_ask.StreamRefusal:
         del self._waiting[one.ask.request_id]
         turn_s = self._turn_s(ends_s, len(self._waiting), now_s)
-        wait_s = max(MIN_RETRY_AFTER_S, turn_s - now_s)
+        lasted_s = now_s - self._short_since_s
+        wait_s = max(MIN_RETRY_AFTER_S, turn_s - now_s, lasted_s)
         return stream_ask.StreamRefusal(
             request_id=one.ask.request_id,
             retry_after_s=min(wait_s, MAX_RETRY_AFTER_S),
