--- a/limpetroute/cli/file_kind.py
+++ b/limpetroute/cli/file_kind.py
@@ -14,6 +14,7 @@
 
     ENTRY = 'entry'
     CONTROL = 'control'
+    FORWARD = 'forward'
     STANDIN = 'standin'
     MANIFEST = 'manifest'
     EXPERIMENT = 'experiment'
@@ -27,6 +28,7 @@
     (FileKind.CONTROL, 'data_dir'),
     (FileKind.ENTRY, 'zones'),
     (FileKind.ENTRY, 'internal_listen'),
+    (FileKind.FORWARD, 'control_port'),
     (FileKind.MANIFEST, 'number'),
     (FileKind.MANIFEST, 'teams'),
     (FileKind.EXPERIMENT, 'policies'),
@@ -34,6 +36,7 @@
 MODELS = {
     FileKind.ENTRY: ('entry_settings', 'EntrySettings'),
     FileKind.CONTROL: ('control_settings', 'ControlSettings'),
+    FileKind.FORWARD: ('forwarder_settings', 'ForwarderSettings'),
     FileKind.STANDIN: ('standin_settings', 'StandinSettings'),
     FileKind.MANIFEST: ('manifest', 'ManifestBody'),
     FileKind.EXPERIMENT: ('experiment', 'ExperimentBody'),
--- a/limpetroute/cli/main.py
+++ b/limpetroute/cli/main.py
@@ -9,6 +9,7 @@
   entry      Run the process that callers talk to.
   control    Run one replica of the control log.
   forward    Run the process that forwards requests by route.
+  explain    Say from the logs what became of a request.
   demo       Run the whole path as tasks of one process.
   standin    Run one stand-in runner, for trials.
   submit     Submit a manifest and say when it is in force.
@@ -42,6 +43,7 @@
     'entry',
     'control',
     'forward',
+    'explain',
     'demo',
     'standin',
     'status',
--- a/limpetroute/forwarding/control_watch.py
+++ b/limpetroute/forwarding/control_watch.py
@@ -128,11 +128,14 @@
     def _note_following(self, url: str) -> None:
         if url == self._following:
             return
-        LOG.info(
-            'following a control host' if url else 'lost the control host',
-            extra={
-                'url': url or self._following,
-                'index': self._view.index,
-            },
-        )
+        if url:
+            LOG.info(
+                'following a control host',
+                extra={'url': url, 'index': self._view.index},
+            )
+        else:
+            LOG.info(
+                'lost the control host',
+                extra={'url': self._following, 'index': self._view.index},
+            )
         self._following = url
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -114,7 +114,7 @@
                 yield from _fields(found)
 
 
-@pytest.mark.parametrize('kind', ['entry', 'control', 'standin'])
+@pytest.mark.parametrize('kind', ['entry', 'control', 'forward', 'standin'])
 def test_each_setting_is_on_its_page(kind):
     page = (ROOT / 'docs' / 'SETTINGS.md').read_text()
     model = file_kind.model_of(file_kind.FileKind(kind))
@@ -128,10 +128,21 @@
     return re.findall(r'^\| `([^`]+)`', table, re.MULTILINE)
 
 
+FOLDERS = (
+    'cli',
+    'control',
+    'dispatch',
+    'entry',
+    'forwarding',
+    'runners',
+    'wire',
+)
+
+
 def _source_lines(levels):
     """Return the log lines of the daemons, with … for each value."""
     found = set()
-    for folder in ('entry', 'control', 'runners', 'wire'):
+    for folder in FOLDERS:
         for path in (ROOT / 'limpetroute' / folder).rglob('*.py'):
             for text in re.findall(
                 rf"LOG\.(?:{levels})\(\s*'([^']+)'", path.read_text()
