Ask for another place where a prompt cannot be read

The test failed before: the caller had no event within 2 s. Stage orders: the split settles while the leader keeps quiet, and a group's first leader needs no quiet.

--- a/limpetroute/control/node.py
+++ b/limpetroute/control/node.py
@@ -454,7 +454,7 @@
             now_s=now_s,
         )
         if change is not None:
-            LOG.info('group %d: membership change %r', group.number, change)
+            LOG.info('group %d: membership change %s', group.number, change)
             group.feed(change)
 
     # Time
--- a/limpetroute/dispatch/stage_orders.py
+++ b/limpetroute/dispatch/stage_orders.py
@@ -14,6 +14,8 @@
 LOG = logging.getLogger(__name__)
 
 ORDER_TIMEOUT_S = 1.0
+# Nobody led, and so nobody gave orders, before a group's first term.
+FIRST_TERM = 1
 # A new leader gives no order for this long. The one before may have
 # given its last just as it lost the group; engines that do not look at
 # fencing numbers would take orders from both in turn.
@@ -23,7 +25,8 @@
 ORDER_LAPSES_S = 14.0
 # Runners announce themselves one by one at the start; deciding on the
 # first few would shift one that the rest make needless.
-SETTLE_S = 2.0
+# Heartbeats come every 1.2 s, so this is one of each.
+SETTLE_S = 1.4
 
 
 class StageOrders:
@@ -62,7 +65,9 @@
     def begin_term(self, term: int, now_s: float) -> None:
         """Begin to give orders, with the term as fencing number."""
         self._fence = term
-        self._quiet_until_s = now_s + QUIET_AFTER_ELECTION_S
+        self._quiet_until_s = now_s
+        if term > FIRST_TERM:
+            self._quiet_until_s += QUIET_AFTER_ELECTION_S
         self._ordered_s.clear()
 
     def keep(
@@ -73,9 +78,8 @@
         now_s: float,
     ) -> None:
         """Give the next order that the split of stages asks for."""
-        if now_s < self._quiet_until_s:
-            return
-        if not self._is_settled(runners, now_s):
+        settled = self._is_settled(runners, now_s)
+        if not settled or now_s < self._quiet_until_s:
             return
         lapses_s = max(ORDER_LAPSES_S, 2 * engine.stage_change_s)
         for runner_id, at_s in list(self._ordered_s.items()):
--- a/limpetroute/forwarding/prompt_reading.py
+++ b/limpetroute/forwarding/prompt_reading.py
@@ -20,6 +20,11 @@
 # A handle lapses by itself after half a second; a call that frees it and
 # takes longer has nothing left to do.
 FREE_TIMEOUT_S = 0.5
+# A prompt is read at 50 tokens a millisecond, some prompts wait for
+# others. A runner that takes longer than this has gone dark; waited for,
+# each of its callers would leave without an event.
+READING_SLACK_S = 0.6
+SLOWEST_TOKENS_PER_S = 25_000.0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -96,8 +101,10 @@
         context = self._context
         begun_s = _now_s()
         call = runner_call.RunnerCall(runner=runner, dialect=context.dialect)
+        left_s = context.left_s(self._request, self._route)
+        limit_s = READING_SLACK_S + tokens / SLOWEST_TOKENS_PER_S
         note = dialect_module.SendNote(
-            left_s=context.left_s(self._request, self._route),
+            left_s=min(left_s, limit_s),
             runner_id=runner.runner_id,
             prefill_only=True,
         )
--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -25,6 +25,9 @@
 # elsewhere is taken for silent. Longer than a preempted stream's pause
 # (about 0.5 s), shorter than the 2 s after which callers leave.
 SILENT_S = 1.0
+# Prefill runners that may fail a prompt before its caller is told to
+# come back.
+MAX_READINGS = 2
 
 
 class StreamForward:
@@ -63,6 +66,7 @@
         self._failed: set[str] = set()
         self._full: set[str] = set()
         self._sends = 0
+        self._readings = 0
         self._ran_before = False
         self._first_event_s = 0.0
         self._events_s = 0.0
@@ -132,7 +136,6 @@
         load = self._context.view.load(runner.runner_id)
         load.requests += 1
         load.tokens += self._tokens()
-        self._tried.add(runner.runner_id)
         reading = prompt_reading.PromptReading(
             context=self._context, request=self._request, route=self._route
         )
@@ -141,13 +144,30 @@
             if rooms.prefill is not None:
                 source = await reading.read(rooms.prefill)
                 if source is None:
-                    self._failed.add(rooms.prefill.runner_id)
+                    return self._after_failed_reading(rooms.prefill)
             return await self._decode(runner, source)
         finally:
             reading.free_unless_taken()
             load.requests -= 1
             load.tokens -= self._tokens()
 
+    def _after_failed_reading(
+        self, prefill: runner_info.RunnerInfo
+    ) -> next_step.Step:
+        """Return what follows a prompt that could not be read.
+
+        The decode runner could read it, but that holds all its streams
+        up: whoever gives places has to plan for it. So a place is asked
+        for anew; nothing has run yet.
+        """
+        self._failed.add(prefill.runner_id)
+        self._readings += 1
+        if self._readings > MAX_READINGS:
+            return next_step.Step.REFUSE
+        if not self._context.may_send_again(self._service.name):
+            return next_step.Step.REFUSE
+        return next_step.Step.AGAIN
+
     async def _decode(
         self,
         runner: runner_info.RunnerInfo,
@@ -155,6 +175,7 @@
     ) -> next_step.Step:
         context = self._context
         begun_s = _now_s()
+        self._tried.add(runner.runner_id)
         load = context.view.load(runner.runner_id)
         call = runner_call.RunnerCall(runner=runner, dialect=context.dialect)
         note = dialect_module.SendNote(
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -231,3 +231,32 @@
         assert harness.status(got) == 503
 
     run(work())
+
+
+def test_a_dark_reader_costs_a_moment_and_is_not_left_to_the_writer():
+    """A prefill runner takes a request and never answers.
+
+    Waited for, the caller leaves without an event. Passed by, the
+    decode runner reads the prompt itself, unplanned, and all its other
+    streams pause. Another place is asked for instead.
+    """
+
+    async def work():
+        async def dark(seen, writer):
+            await asyncio.sleep(8)
+
+        async with harness.running(
+            [dark, _prefill, _stream(1, 2)],
+            stages=[PREFILL, PREFILL, DECODE],
+            **RESUMABLE,
+        ) as (front, (_, _, decode)):
+            # The one that is dark is asked first, as it has fewest tokens.
+            front.view.load('r1').tokens = 10
+            loop = asyncio.get_running_loop()
+            begun_s = loop.time()
+            got = await front.ask(more=USAGE)
+            assert loop.time() - begun_s < 2.0
+            assert decode.seen[0].header('Kv-From').endswith('/h1')
+        assert _events(got) == [1, 2]
+
+    run(work())
