--- a/limpetroute/forwarding/fleet_view.py
+++ b/limpetroute/forwarding/fleet_view.py
@@ -33,6 +33,7 @@
         self.index = 0
         self.plan: route_plan.RoutePlan | None = None
         self.loads: dict[str, runner_load.RunnerLoad] = {}
+        self.on_plan: typing.Callable[[route_plan.RoutePlan], None] = _ignore
         self._runners: dict[str, runner_info.RunnerInfo] = {}
         self._by_service: dict[str, list[runner_info.RunnerInfo]] = {}
 
@@ -78,6 +79,7 @@
         if self.plan is not None and version <= self.plan.version:
             return
         self.plan = self._dialect.read_plan(body['text'])
+        self.on_plan(self.plan)
         LOG.info(
             'routes in force',
             extra={
@@ -108,3 +110,7 @@
                 'detail': json.loads(row['text']) if row['text'] else {},
             },
         )
+
+
+def _ignore(plan: route_plan.RoutePlan) -> None:
+    """Stand in for a listener."""
--- a/limpetroute/forwarding/front_server.py
+++ b/limpetroute/forwarding/front_server.py
@@ -16,6 +16,9 @@
 
 LOG = logging.getLogger(__name__)
 
+# The limit of a request's headers does not count its first line.
+REQUEST_LINE_BYTES = 8192
+
 
 class FrontServer(httputil.HTTPServerConnectionDelegate):
     """The port that callers talk to.
@@ -48,14 +51,27 @@
         """Open the port."""
         sockets = netutil.bind_sockets(port, address, backlog=1024)
         self.port = int(sockets[0].getsockname()[1])
-        self._server = httpserver.HTTPServer(
-            self,
-            idle_connection_timeout=self.limits.idle_timeout_s,
-            max_header_size=self.limits.max_header_bytes * 2,
-            max_body_size=self.limits.max_body_bytes,
-        )
+        self._server = httpserver.HTTPServer(self)
+        self.apply(self.limits)
         self._server.add_sockets(sockets)
 
+    def apply(self, limits: caller_limits.CallerLimits) -> None:
+        """Hold connections made from now on to these limits.
+
+        The library has one timeout for a connection that is idle and
+        for a request's head. Callers reuse connections that were idle
+        for most of the limit, so it is the longer one that counts.
+        """
+        self.limits = limits
+        if self._server is None:
+            return
+        self._server.conn_params = http1connection.HTTP1ConnectionParameters(
+            header_timeout=max(limits.idle_timeout_s, limits.header_timeout_s),
+            body_timeout=limits.idle_timeout_s,
+            max_header_size=limits.max_header_bytes + REQUEST_LINE_BYTES,
+            max_body_size=limits.max_body_bytes,
+        )
+
     def stop_listening(self) -> None:
         """Take no more connections."""
         if self._server is not None:
--- a/limpetroute/forwarding/server.py
+++ b/limpetroute/forwarding/server.py
@@ -16,6 +16,7 @@
 from limpetroute.forwarding import front_server
 from limpetroute.forwarding import place_client
 from limpetroute.forwarding import side_port
+from limpetroute.routing import route_plan
 from limpetroute.routing import send_budget
 from limpetroute.telemetry import exports as exports_module
 from limpetroute.wire import caller
@@ -84,6 +85,7 @@
         self._front = front_server.FrontServer(
             forwarder=self.forwarder, dialect=dialect
         )
+        self.view.on_plan = self._apply_limits
         self._side = side_port.SidePort(
             ready_path=ready_path,
             is_ready=self.is_ready,
@@ -145,6 +147,9 @@
         await self._front.close()
         self._side.close()
 
+    def _apply_limits(self, plan: route_plan.RoutePlan) -> None:
+        self._front.apply(plan.limits)
+
     def _control_urls(self) -> list[str]:
         hosts = [seeds_module.host_of(seed) for seed in self._read_seeds()]
         return [
--- a/tests/forwarding/test_plain.py
+++ b/tests/forwarding/test_plain.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from limpetroute.routing import caller_limits
 from limpetroute.routing import route_kind
 from tests.forwarding import harness
 from tests.forwarding import scripted_runner
@@ -321,3 +322,37 @@
             assert harness.status(again) == 200
 
     run(work())
+
+
+def test_a_body_beyond_the_limit_is_refused_and_hurts_nobody():
+    async def work():
+        async with harness.running([GOOD]) as (front, runners):
+            limits = caller_limits.CallerLimits(max_body_bytes=100)
+            front.front.apply(limits)
+            got = await front.ask(method='POST', body=b'x' * 200)
+            assert not got or harness.status(got) in (400, 413)
+            assert not runners[0].seen
+            got = await front.ask(method='POST', body=b'x' * 100)
+            assert harness.status(got) == 200
+
+    run(work())
+
+
+def test_an_idle_connection_is_kept_for_the_limit_and_no_longer():
+    async def work():
+        async with harness.running([GOOD]) as (front, _):
+            front.front.apply(
+                caller_limits.CallerLimits(
+                    idle_timeout_s=0.5, header_timeout_s=0.1
+                )
+            )
+            reader, writer = await front.connect()
+            request = b'GET /a/x HTTP/1.1\r\nHost: h.example\r\n\r\n'
+            for _ in range(2):
+                writer.write(request)
+                await reader.readuntil(b'whole answer')
+                await asyncio.sleep(0.35)
+            async with asyncio.timeout(1):
+                assert await reader.read() == b''
+
+    run(work())
