--- a/limpetroute/control/turnover.py
+++ b/limpetroute/agreement/turnover.py
@@ -20,9 +20,15 @@
     it was silent for `GONE_S` and a caught-up learner can take its
     place; or it is one too many. A removal with nobody to take the
     place would only make the group bear fewer losses.
+
+    Parameters
+    ----------
+    gone_s : float
+        Silence after which a newcomer takes a host's place.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, gone_s: float = GONE_S) -> None:
+        self._gone_s = gone_s
         self._seen_s: dict[str, float] = {}
 
     def __repr__(self) -> str:
@@ -99,7 +105,7 @@
         for one in replica.membership.members:
             if one.replica_id == replica.replica_id:
                 continue
-            if now_s - self._seen_s[one.replica_id] <= GONE_S:
+            if now_s - self._seen_s[one.replica_id] <= self._gone_s:
                 continue
             if not one.voter:
                 return one.replica_id
--- a/limpetroute/control/node.py
+++ b/limpetroute/control/node.py
@@ -14,6 +14,7 @@
 from limpetroute.agreement import replacement
 from limpetroute.agreement import replica as replica_module
 from limpetroute.agreement import timings as timings_module
+from limpetroute.agreement import turnover
 from limpetroute.border import control_settings
 from limpetroute.border import peer_batch
 from limpetroute.control import commands
@@ -27,7 +28,6 @@
 from limpetroute.control import peer_link
 from limpetroute.control import replacements
 from limpetroute.control import seeds as seeds_module
-from limpetroute.control import turnover
 from limpetroute.telemetry import boot_clock
 from limpetroute.wire import caller
 
--- /dev/null
+++ b/limpetroute/entry/callers/__init__.py
@@ -0,0 +1,1 @@
+"""Callers: HTTP handlers, answers and their connections."""
--- a/limpetroute/entry/answer_handler.py
+++ b/limpetroute/entry/callers/answer_handler.py
@@ -5,11 +5,11 @@
 
 import tornado.iostream
 
-from limpetroute.entry import answer_format
-from limpetroute.entry import attachment_writer
-from limpetroute.entry import base_handler
-from limpetroute.entry import body_handler
-from limpetroute.entry import live_record
+from limpetroute.entry.callers import answer_format
+from limpetroute.entry.callers import attachment_writer
+from limpetroute.entry.callers import base_handler
+from limpetroute.entry.callers import body_handler
+from limpetroute.entry.records import live_record
 from limpetroute.peers import request_record
 from limpetroute.peers import run_end
 
--- a/limpetroute/entry/attachment_writer.py
+++ b/limpetroute/entry/callers/attachment_writer.py
@@ -5,9 +5,9 @@
 import tornado.iostream
 import tornado.web
 
-from limpetroute.entry import answer_format
-from limpetroute.entry import end_status
-from limpetroute.entry import live_record
+from limpetroute.entry.callers import answer_format
+from limpetroute.entry.callers import end_status
+from limpetroute.entry.records import live_record
 from limpetroute.peers import request_record
 from limpetroute.peers import run_end
 
--- a/limpetroute/entry/base_handler.py
+++ b/limpetroute/entry/callers/base_handler.py
@@ -7,11 +7,11 @@
 
 import tornado.web
 
-from limpetroute.entry import answer_format
-from limpetroute.entry import end_status
-from limpetroute.entry import host as host_module
-from limpetroute.entry import peer_codec
-from limpetroute.entry import peer_relay
+from limpetroute.entry.callers import answer_format
+from limpetroute.entry.callers import end_status
+from limpetroute.entry.hosting import host as host_module
+from limpetroute.entry.peering import peer_codec
+from limpetroute.entry.peering import peer_relay
 from limpetroute.peers import run_end
 from limpetroute.telemetry import trace_context
 
--- a/limpetroute/entry/body_handler.py
+++ b/limpetroute/entry/callers/body_handler.py
@@ -5,8 +5,8 @@
 
 import tornado.web
 
-from limpetroute.entry import base_handler
-from limpetroute.entry import host as host_module
+from limpetroute.entry.callers import base_handler
+from limpetroute.entry.hosting import host as host_module
 
 DISCARD_FACTOR = 4
 
--- a/limpetroute/entry/completions_handler.py
+++ b/limpetroute/entry/callers/completions_handler.py
@@ -7,11 +7,11 @@
 from limpetroute.border import completion_body
 from limpetroute.border import errors
 from limpetroute.decisions import prefix
-from limpetroute.entry import answer_handler
-from limpetroute.entry import event_id
-from limpetroute.entry import host as host_module
-from limpetroute.entry import live_record
-from limpetroute.entry import run_request
+from limpetroute.entry.callers import answer_handler
+from limpetroute.entry.callers import event_id
+from limpetroute.entry.hosting import host as host_module
+from limpetroute.entry.records import live_record
+from limpetroute.entry.runs import run_request
 from limpetroute.peers import run_end
 
 # Sent by the official client libraries with each try after the first.
--- a/limpetroute/entry/events_handler.py
+++ b/limpetroute/entry/callers/events_handler.py
@@ -1,7 +1,7 @@
 """``GET /v1/requests/{id}/events``: the rest of an answer."""
 
-from limpetroute.entry import answer_handler
-from limpetroute.entry import event_id
+from limpetroute.entry.callers import answer_handler
+from limpetroute.entry.callers import event_id
 
 
 class EventsHandler(answer_handler.AnswerHandler):
--- a/limpetroute/entry/health_handler.py
+++ b/limpetroute/entry/callers/health_handler.py
@@ -1,7 +1,7 @@
 """``GET /healthz`` and ``GET /readyz``."""
 
-from limpetroute.entry import base_handler
-from limpetroute.entry import host as host_module
+from limpetroute.entry.callers import base_handler
+from limpetroute.entry.hosting import host as host_module
 
 
 class HealthHandler(base_handler.BaseHandler):
--- a/limpetroute/entry/metrics_handler.py
+++ b/limpetroute/entry/callers/metrics_handler.py
@@ -1,6 +1,6 @@
 """``GET /metrics`` of the internal port."""
 
-from limpetroute.entry import base_handler
+from limpetroute.entry.callers import base_handler
 
 HTTP_NOT_FOUND = 404
 
--- a/limpetroute/entry/models_handler.py
+++ b/limpetroute/entry/callers/models_handler.py
@@ -1,6 +1,6 @@
 """``GET /v1/models``."""
 
-from limpetroute.entry import base_handler
+from limpetroute.entry.callers import base_handler
 
 
 class ModelsHandler(base_handler.BaseHandler):
--- a/limpetroute/entry/request_handler.py
+++ b/limpetroute/entry/callers/request_handler.py
@@ -1,7 +1,7 @@
 """``GET`` and ``DELETE /v1/requests/{id}``: state of a request."""
 
-from limpetroute.entry import base_handler
-from limpetroute.entry import live_record
+from limpetroute.entry.callers import base_handler
+from limpetroute.entry.records import live_record
 
 
 class RequestHandler(base_handler.BaseHandler):
--- a/limpetroute/entry/runners_handler.py
+++ b/limpetroute/entry/callers/runners_handler.py
@@ -2,7 +2,7 @@
 
 from limpetroute.border import announcement
 from limpetroute.border import errors
-from limpetroute.entry import base_handler
+from limpetroute.entry.callers import base_handler
 
 
 class RunnersHandler(base_handler.BaseHandler):
--- a/limpetroute/entry/service_handler.py
+++ b/limpetroute/entry/callers/service_handler.py
@@ -6,10 +6,10 @@
 import urllib.parse
 
 from limpetroute.border import caller_body
-from limpetroute.entry import body_handler
-from limpetroute.entry import call_rules
-from limpetroute.entry import host as host_module
-from limpetroute.entry import service_outcome
+from limpetroute.entry.callers import body_handler
+from limpetroute.entry.hosting import host as host_module
+from limpetroute.entry.services import call_rules
+from limpetroute.entry.services import service_outcome
 from limpetroute.runners import service_call
 
 DEFAULT_TIMEOUT_S = 10.0
--- /dev/null
+++ b/limpetroute/entry/hosting/__init__.py
@@ -0,0 +1,1 @@
+"""One entry host as a whole, and what it exports."""
--- a/limpetroute/entry/host.py
+++ b/limpetroute/entry/hosting/host.py
@@ -17,24 +17,24 @@
 from limpetroute.decisions import policy_config
 from limpetroute.decisions import prefix
 from limpetroute.decisions import work
-from limpetroute.entry import adopted_run
-from limpetroute.entry import answer_format
-from limpetroute.entry import control_claims
-from limpetroute.entry import decision_recorder
-from limpetroute.entry import grants as grants_module
-from limpetroute.entry import host_exports
-from limpetroute.entry import latency_targets
-from limpetroute.entry import live_record
-from limpetroute.entry import manifest_index as manifest_index_module
-from limpetroute.entry import manifest_watch
-from limpetroute.entry import peer_node
-from limpetroute.entry import record_store
-from limpetroute.entry import run_freer
-from limpetroute.entry import run_request
-from limpetroute.entry import run_task
-from limpetroute.entry import run_tools
-from limpetroute.entry import scheduler as scheduler_module
-from limpetroute.entry import service_desk
+from limpetroute.entry.callers import answer_format
+from limpetroute.entry.hosting import host_exports
+from limpetroute.entry.manifests import manifest_index as manifest_index_module
+from limpetroute.entry.manifests import manifest_watch
+from limpetroute.entry.peering import grants as grants_module
+from limpetroute.entry.peering import peer_node
+from limpetroute.entry.records import adopted_run
+from limpetroute.entry.records import live_record
+from limpetroute.entry.records import record_store
+from limpetroute.entry.runs import decision_recorder
+from limpetroute.entry.runs import latency_targets
+from limpetroute.entry.runs import run_freer
+from limpetroute.entry.runs import run_request
+from limpetroute.entry.runs import run_task
+from limpetroute.entry.runs import run_tools
+from limpetroute.entry.runs import scheduler as scheduler_module
+from limpetroute.entry.services import control_claims
+from limpetroute.entry.services import service_desk
 from limpetroute.peers import copy_holder
 from limpetroute.peers import request_record
 from limpetroute.peers import run_end
--- a/limpetroute/entry/host_exports.py
+++ b/limpetroute/entry/hosting/host_exports.py
@@ -7,7 +7,7 @@
 from limpetroute.telemetry import exports
 
 if typing.TYPE_CHECKING:
-    from limpetroute.entry import host as host_module
+    from limpetroute.entry.hosting import host as host_module
 
 GAUGES: dict[str, typing.Callable[[typing.Any], float]] = {
     'ready': lambda host: host.ready,
--- /dev/null
+++ b/limpetroute/entry/manifests/__init__.py
@@ -0,0 +1,1 @@
+"""The manifest in force, on disk and from control."""
--- a/limpetroute/entry/manifest_watch.py
+++ b/limpetroute/entry/manifests/manifest_watch.py
@@ -9,7 +9,7 @@
 from limpetroute.border import entry_settings
 from limpetroute.border import errors
 from limpetroute.border import manifest as manifest_module
-from limpetroute.entry import manifest_file
+from limpetroute.entry.manifests import manifest_file
 from limpetroute.wire import call_failed
 from limpetroute.wire import caller
 
--- /dev/null
+++ b/limpetroute/entry/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Operators: status, requests, drain."""
--- a/limpetroute/entry/operator_drain_handler.py
+++ b/limpetroute/entry/operators/operator_drain_handler.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from limpetroute.entry import base_handler
+from limpetroute.entry.callers import base_handler
 
 LOG = logging.getLogger(__name__)
 
--- a/limpetroute/entry/operator_requests_handler.py
+++ b/limpetroute/entry/operators/operator_requests_handler.py
@@ -2,8 +2,8 @@
 
 import typing
 
-from limpetroute.entry import base_handler
-from limpetroute.entry import live_record
+from limpetroute.entry.callers import base_handler
+from limpetroute.entry.records import live_record
 
 MAX_SHOWN = 1000
 
--- a/limpetroute/entry/operator_routes.py
+++ b/limpetroute/entry/operators/operator_routes.py
@@ -2,10 +2,10 @@
 
 import tornado.web
 
-from limpetroute.entry import host as host_module
-from limpetroute.entry import operator_drain_handler
-from limpetroute.entry import operator_requests_handler
-from limpetroute.entry import operator_status_handler
+from limpetroute.entry.hosting import host as host_module
+from limpetroute.entry.operators import operator_drain_handler
+from limpetroute.entry.operators import operator_requests_handler
+from limpetroute.entry.operators import operator_status_handler
 
 
 def routes(host: host_module.Host) -> list[tornado.web.URLSpec]:
--- a/limpetroute/entry/operator_status_handler.py
+++ b/limpetroute/entry/operators/operator_status_handler.py
@@ -3,7 +3,7 @@
 import os
 import time
 
-from limpetroute.entry import base_handler
+from limpetroute.entry.callers import base_handler
 
 
 class OperatorStatusHandler(base_handler.BaseHandler):
--- /dev/null
+++ b/limpetroute/entry/peering/__init__.py
@@ -0,0 +1,1 @@
+"""Other entry hosts: membership, copies, grants, relays."""
--- a/limpetroute/entry/peer_copies.py
+++ b/limpetroute/entry/peering/peer_copies.py
@@ -5,11 +5,11 @@
 import logging
 import typing
 
-from limpetroute.entry import live_record
-from limpetroute.entry import peer_calls
-from limpetroute.entry import peer_clock
-from limpetroute.entry import peer_codec
-from limpetroute.entry import run_request
+from limpetroute.entry.peering import peer_calls
+from limpetroute.entry.peering import peer_clock
+from limpetroute.entry.peering import peer_codec
+from limpetroute.entry.records import live_record
+from limpetroute.entry.runs import run_request
 from limpetroute.peers import copy_holder
 from limpetroute.peers import copy_sender
 from limpetroute.peers import lease_holder
--- a/limpetroute/entry/peer_grants.py
+++ b/limpetroute/entry/peering/peer_grants.py
@@ -3,10 +3,10 @@
 import asyncio
 import typing
 
-from limpetroute.entry import grants
-from limpetroute.entry import peer_calls
-from limpetroute.entry import peer_clock
-from limpetroute.entry import peer_codec
+from limpetroute.entry.peering import grants
+from limpetroute.entry.peering import peer_calls
+from limpetroute.entry.peering import peer_clock
+from limpetroute.entry.peering import peer_codec
 from limpetroute.peers import grant
 from limpetroute.peers import grant_config
 from limpetroute.peers import grant_desk
--- a/limpetroute/entry/peer_handler.py
+++ b/limpetroute/entry/peering/peer_handler.py
@@ -1,6 +1,6 @@
 """``POST /v1/peers/{message}``: what entry hosts tell each other."""
 
-from limpetroute.entry import base_handler
+from limpetroute.entry.callers import base_handler
 
 
 class PeerHandler(base_handler.BaseHandler):
--- a/limpetroute/entry/peer_lookup.py
+++ b/limpetroute/entry/peering/peer_lookup.py
@@ -4,10 +4,10 @@
 import random
 import typing
 
-from limpetroute.entry import peer_calls
-from limpetroute.entry import peer_clock
-from limpetroute.entry import peer_codec
-from limpetroute.entry import record_store
+from limpetroute.entry.peering import peer_calls
+from limpetroute.entry.peering import peer_clock
+from limpetroute.entry.peering import peer_codec
+from limpetroute.entry.records import record_store
 from limpetroute.peers import copy_holder
 
 CLAIM_S = 5.0
--- a/limpetroute/entry/peer_manifest_handler.py
+++ b/limpetroute/entry/peering/peer_manifest_handler.py
@@ -1,6 +1,6 @@
 """``GET /v1/peers/manifest``: the newest manifest that this host has."""
 
-from limpetroute.entry import base_handler
+from limpetroute.entry.callers import base_handler
 
 
 class PeerManifestHandler(base_handler.BaseHandler):
--- a/limpetroute/entry/peer_reaper.py
+++ b/limpetroute/entry/peering/peer_reaper.py
@@ -4,9 +4,9 @@
 import logging
 import typing
 
-from limpetroute.entry import peer_calls
-from limpetroute.entry import peer_clock
-from limpetroute.entry import peer_codec
+from limpetroute.entry.peering import peer_calls
+from limpetroute.entry.peering import peer_clock
+from limpetroute.entry.peering import peer_codec
 from limpetroute.peers import copy_holder
 from limpetroute.peers import grant_desk
 from limpetroute.peers import member_view
--- a/limpetroute/entry/peer_routes.py
+++ b/limpetroute/entry/peering/peer_routes.py
@@ -2,14 +2,14 @@
 
 import tornado.web
 
-from limpetroute.entry import completions_handler
-from limpetroute.entry import events_handler
-from limpetroute.entry import host as host_module
-from limpetroute.entry import peer_handler
-from limpetroute.entry import peer_manifest_handler
-from limpetroute.entry import peer_relay
-from limpetroute.entry import peer_status_handler
-from limpetroute.entry import request_handler
+from limpetroute.entry.callers import completions_handler
+from limpetroute.entry.callers import events_handler
+from limpetroute.entry.callers import request_handler
+from limpetroute.entry.hosting import host as host_module
+from limpetroute.entry.peering import peer_handler
+from limpetroute.entry.peering import peer_manifest_handler
+from limpetroute.entry.peering import peer_relay
+from limpetroute.entry.peering import peer_status_handler
 
 
 def routes(host: host_module.Host) -> list[tornado.web.URLSpec]:
--- a/limpetroute/entry/peer_status_handler.py
+++ b/limpetroute/entry/peering/peer_status_handler.py
@@ -1,6 +1,6 @@
 """``GET /v1/peers/status``: how this host sees the others."""
 
-from limpetroute.entry import base_handler
+from limpetroute.entry.callers import base_handler
 
 
 class PeerStatusHandler(base_handler.BaseHandler):
--- /dev/null
+++ b/limpetroute/entry/records/__init__.py
@@ -0,0 +1,1 @@
+"""Records of requests and of finished answers."""
--- a/limpetroute/entry/adopted_run.py
+++ b/limpetroute/entry/records/adopted_run.py
@@ -4,11 +4,11 @@
 import logging
 import typing
 
-from limpetroute.entry import answer_reader
-from limpetroute.entry import live_record
-from limpetroute.entry import run_request
-from limpetroute.entry import run_task
-from limpetroute.entry import run_tools
+from limpetroute.entry.records import live_record
+from limpetroute.entry.runs import answer_reader
+from limpetroute.entry.runs import run_request
+from limpetroute.entry.runs import run_task
+from limpetroute.entry.runs import run_tools
 from limpetroute.peers import run_end
 from limpetroute.runners import engine_call
 from limpetroute.runners import engine_client
--- a/limpetroute/entry/live_record.py
+++ b/limpetroute/entry/records/live_record.py
@@ -5,7 +5,7 @@
 import typing
 
 from limpetroute.decisions import stage as stage_module
-from limpetroute.entry import answer_format
+from limpetroute.entry.callers import answer_format
 from limpetroute.peers import request_record
 from limpetroute.peers import run_end
 
--- a/limpetroute/entry/outcome.py
+++ b/limpetroute/entry/records/outcome.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from limpetroute.entry import send_guard
+from limpetroute.entry.runs import send_guard
 from limpetroute.peers import run_end
 
 
--- a/limpetroute/entry/record_store.py
+++ b/limpetroute/entry/records/record_store.py
@@ -3,7 +3,7 @@
 import collections
 import typing
 
-from limpetroute.entry import live_record
+from limpetroute.entry.records import live_record
 
 RECORD_BYTES = 2048
 MAX_ENDED_BYTES = 64 << 20
--- a/limpetroute/entry/stored_reply.py
+++ b/limpetroute/entry/records/stored_reply.py
@@ -3,7 +3,7 @@
 import base64
 import json
 
-from limpetroute.entry import service_outcome
+from limpetroute.entry.services import service_outcome
 from limpetroute.runners import service_call
 
 MAX_STORED_BYTES = 65536
--- /dev/null
+++ b/limpetroute/entry/runs/__init__.py
@@ -0,0 +1,1 @@
+"""Runs: from a scheduled request to its last token."""
--- a/limpetroute/entry/decision_recorder.py
+++ b/limpetroute/entry/runs/decision_recorder.py
@@ -2,8 +2,8 @@
 
 from limpetroute.border import entry_settings
 from limpetroute.decisions import router
-from limpetroute.entry import recording_router
-from limpetroute.entry import trace_writer
+from limpetroute.entry.runs import recording_router
+from limpetroute.entry.runs import trace_writer
 
 
 class DecisionRecorder:
--- a/limpetroute/entry/decode_stream.py
+++ b/limpetroute/entry/runs/decode_stream.py
@@ -2,9 +2,9 @@
 
 import asyncio
 
-from limpetroute.entry import answer_reader
-from limpetroute.entry import live_record
-from limpetroute.entry import run_tools
+from limpetroute.entry.records import live_record
+from limpetroute.entry.runs import answer_reader
+from limpetroute.entry.runs import run_tools
 from limpetroute.runners import engine_call
 from limpetroute.runners import engine_client
 from limpetroute.runners import engine_failure
--- a/limpetroute/entry/latency_targets.py
+++ b/limpetroute/entry/runs/latency_targets.py
@@ -4,7 +4,7 @@
 
 from limpetroute.border import entry_settings
 from limpetroute.border import manifest as manifest_module
-from limpetroute.entry import live_record
+from limpetroute.entry.records import live_record
 from limpetroute.peers import run_end
 from limpetroute.telemetry import meters as meters_module
 
--- a/limpetroute/entry/recording_router.py
+++ b/limpetroute/entry/runs/recording_router.py
@@ -9,7 +9,7 @@
 from limpetroute.decisions import runner_facts
 from limpetroute.decisions import stage
 from limpetroute.decisions import work
-from limpetroute.entry import trace_writer
+from limpetroute.entry.runs import trace_writer
 from limpetroute.wire import plain
 
 
--- a/limpetroute/entry/run_holdings.py
+++ b/limpetroute/entry/runs/run_holdings.py
@@ -3,10 +3,10 @@
 import functools
 import time
 
-from limpetroute.entry import attempt as attempt_module
-from limpetroute.entry import grants as grants_module
-from limpetroute.entry import live_record
-from limpetroute.entry import run_tools
+from limpetroute.entry.peering import grants as grants_module
+from limpetroute.entry.records import live_record
+from limpetroute.entry.runs import attempt as attempt_module
+from limpetroute.entry.runs import run_tools
 from limpetroute.runners import engine_client
 
 
--- a/limpetroute/entry/run_task.py
+++ b/limpetroute/entry/runs/run_task.py
@@ -8,14 +8,14 @@
 from limpetroute.decisions import action
 from limpetroute.decisions import stage
 from limpetroute.decisions import work
-from limpetroute.entry import attempt as attempt_module
-from limpetroute.entry import decode_stream
-from limpetroute.entry import live_record
-from limpetroute.entry import outcome
-from limpetroute.entry import run_holdings
-from limpetroute.entry import run_request
-from limpetroute.entry import run_tools
-from limpetroute.entry import send_guard
+from limpetroute.entry.records import live_record
+from limpetroute.entry.records import outcome
+from limpetroute.entry.runs import attempt as attempt_module
+from limpetroute.entry.runs import decode_stream
+from limpetroute.entry.runs import run_holdings
+from limpetroute.entry.runs import run_request
+from limpetroute.entry.runs import run_tools
+from limpetroute.entry.runs import send_guard
 from limpetroute.peers import run_end
 from limpetroute.runners import engine_call
 from limpetroute.runners import engine_client
--- a/limpetroute/entry/run_tools.py
+++ b/limpetroute/entry/runs/run_tools.py
@@ -4,10 +4,10 @@
 import typing
 
 from limpetroute.border import entry_settings
-from limpetroute.entry import grants as grants_module
-from limpetroute.entry import live_record
-from limpetroute.entry import run_freer
-from limpetroute.entry import scheduler as scheduler_module
+from limpetroute.entry.peering import grants as grants_module
+from limpetroute.entry.records import live_record
+from limpetroute.entry.runs import run_freer
+from limpetroute.entry.runs import scheduler as scheduler_module
 from limpetroute.runners import engine_pool
 from limpetroute.telemetry import hops as hops_module
 from limpetroute.telemetry import meters as meters_module
--- a/limpetroute/entry/server.py
+++ b/limpetroute/entry/server.py
@@ -10,19 +10,19 @@
 
 from limpetroute.border import entry_settings
 from limpetroute.border import listen_settings
-from limpetroute.entry import base_handler
-from limpetroute.entry import completions_handler
-from limpetroute.entry import connections
-from limpetroute.entry import events_handler
-from limpetroute.entry import health_handler
-from limpetroute.entry import host as host_module
-from limpetroute.entry import metrics_handler
-from limpetroute.entry import models_handler
-from limpetroute.entry import operator_routes
-from limpetroute.entry import peer_routes
-from limpetroute.entry import request_handler
-from limpetroute.entry import runners_handler
-from limpetroute.entry import service_handler
+from limpetroute.entry.callers import base_handler
+from limpetroute.entry.callers import completions_handler
+from limpetroute.entry.callers import connections
+from limpetroute.entry.callers import events_handler
+from limpetroute.entry.callers import health_handler
+from limpetroute.entry.callers import metrics_handler
+from limpetroute.entry.callers import models_handler
+from limpetroute.entry.callers import request_handler
+from limpetroute.entry.callers import runners_handler
+from limpetroute.entry.callers import service_handler
+from limpetroute.entry.hosting import host as host_module
+from limpetroute.entry.operators import operator_routes
+from limpetroute.entry.peering import peer_routes
 from limpetroute.wire import token_guard
 
 LOG = logging.getLogger(__name__)
--- /dev/null
+++ b/limpetroute/entry/services/__init__.py
@@ -0,0 +1,1 @@
+"""Calls to plain services, repeatable and once-only."""
--- a/limpetroute/entry/once_calls.py
+++ b/limpetroute/entry/services/once_calls.py
@@ -5,10 +5,10 @@
 import logging
 
 from limpetroute.control import claim_book
-from limpetroute.entry import repeatable_calls
-from limpetroute.entry import send_guard
-from limpetroute.entry import service_outcome
-from limpetroute.entry import stored_reply
+from limpetroute.entry.records import stored_reply
+from limpetroute.entry.runs import send_guard
+from limpetroute.entry.services import repeatable_calls
+from limpetroute.entry.services import service_outcome
 from limpetroute.runners import service_call
 from limpetroute.runners import service_pool
 
--- a/limpetroute/entry/repeatable_calls.py
+++ b/limpetroute/entry/services/repeatable_calls.py
@@ -3,9 +3,9 @@
 import asyncio
 import dataclasses
 
-from limpetroute.entry import retry_budget
-from limpetroute.entry import send_guard
-from limpetroute.entry import service_outcome
+from limpetroute.entry.runs import retry_budget
+from limpetroute.entry.runs import send_guard
+from limpetroute.entry.services import service_outcome
 from limpetroute.runners import service_call
 from limpetroute.runners import service_pool
 from limpetroute.telemetry import meters as meters_module
--- a/limpetroute/entry/service_desk.py
+++ b/limpetroute/entry/services/service_desk.py
@@ -4,10 +4,10 @@
 import typing
 
 from limpetroute.control import claim_book
-from limpetroute.entry import once_calls
-from limpetroute.entry import repeatable_calls
-from limpetroute.entry import send_guard
-from limpetroute.entry import service_outcome
+from limpetroute.entry.runs import send_guard
+from limpetroute.entry.services import once_calls
+from limpetroute.entry.services import repeatable_calls
+from limpetroute.entry.services import service_outcome
 from limpetroute.runners import service_call
 from limpetroute.runners import service_pool
 from limpetroute.telemetry import meters as meters_module
--- a/limpetroute/entry/service_outcome.py
+++ b/limpetroute/entry/services/service_outcome.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from limpetroute.entry import send_guard
+from limpetroute.entry.runs import send_guard
 from limpetroute.runners import service_call
 
 
--- a/limpetroute/replay/guard_player.py
+++ b/limpetroute/replay/guard_player.py
@@ -2,7 +2,7 @@
 
 import typing
 
-from limpetroute.entry import send_guard
+from limpetroute.entry.runs import send_guard
 from limpetroute.replay import player
 
 
--- a/tests/agreement/cluster.py
+++ b/tests/agreement/cluster.py
@@ -110,6 +110,8 @@
     replica_type = agreement.Replica
     syncs_before_ack = True
     lost_disk_renames = True
+    # Hosts that found the group; None for all of them.
+    founders = None
 
     def __init__(self, size, seed):
         self.size = size
@@ -133,11 +135,13 @@
         self.steps = 0
         self.commands = 0
         hosts = [f'c{place}' for place in range(size)]
-        saved = agreement.found({host: f'{host}.0' for host in hosts})
+        founding = hosts[: self.founders]
+        founded = agreement.found({host: f'{host}.0' for host in founding})
         self.nodes = {}
         drift = self.timings.drift
         for host in hosts:
             rate = 1 + self.rng.uniform(-drift, drift)
+            saved = founded if host in founding else agreement.SavedState()
             self.nodes[host] = Node(host, f'{host}.0', saved, rate)
         for host in hosts:
             self.start(host)
--- a/tests/control/test_submit.py
+++ b/tests/control/test_submit.py
@@ -7,7 +7,7 @@
 from limpetroute.border import entry_settings
 from limpetroute.border import manifest as manifest_module
 from limpetroute.cli import submit
-from limpetroute.entry import manifest_watch
+from limpetroute.entry.manifests import manifest_watch
 from limpetroute.wire import caller
 from tests.control import control_fleet
 
--- a/tests/entry/test_answer_reader.py
+++ b/tests/entry/test_answer_reader.py
@@ -4,7 +4,7 @@
 import hypothesis
 from hypothesis import strategies
 
-from limpetroute.entry import answer_reader
+from limpetroute.entry.runs import answer_reader
 from limpetroute.runners import engine_call
 from limpetroute.runners import engine_failure
 
--- a/tests/entry/test_answers_whole.py
+++ b/tests/entry/test_answers_whole.py
@@ -3,8 +3,8 @@
 
 import pytest
 
-from limpetroute.entry import live_record
-from limpetroute.entry import run_request
+from limpetroute.entry.records import live_record
+from limpetroute.entry.runs import run_request
 from limpetroute.peers import request_record
 from limpetroute.standins import answer_text
 from tests.entry import fleet as fleet_module
--- a/tests/entry/test_gone_callers.py
+++ b/tests/entry/test_gone_callers.py
@@ -3,7 +3,7 @@
 import pytest
 
 from limpetroute.decisions import stage
-from limpetroute.entry import completions_handler
+from limpetroute.entry.callers import completions_handler
 from tests.entry import fleet as fleet_module
 from tests.entry import raw_caller
 
--- a/tests/entry/test_openai_client.py
+++ b/tests/entry/test_openai_client.py
@@ -7,7 +7,7 @@
 import pytest
 
 from limpetroute.decisions import work
-from limpetroute.entry import scheduler as scheduler_module
+from limpetroute.entry.runs import scheduler as scheduler_module
 from tests.entry import fleet as fleet_module
 
 
--- a/tests/entry/test_services.py
+++ b/tests/entry/test_services.py
@@ -6,7 +6,7 @@
 
 from limpetroute.border import manifest as manifest_module
 from limpetroute.border import standin_settings
-from limpetroute.entry import call_rules
+from limpetroute.entry.services import call_rules
 from limpetroute.standins import service_faults
 from limpetroute.standins import service_server
 from tests.entry import fleet as fleet_module
--- a/tests/peers/test_owner_names.py
+++ b/tests/peers/test_owner_names.py
@@ -1,4 +1,4 @@
-from limpetroute.entry import peer_copies
+from limpetroute.entry.peering import peer_copies
 from limpetroute.peers import member_claim
 from limpetroute.peers import member_status
 from limpetroute.peers import member_view
--- a/tests/peers/test_silent_peer.py
+++ b/tests/peers/test_silent_peer.py
@@ -4,7 +4,7 @@
 import tornado.netutil
 import tornado.web
 
-from limpetroute.entry import peer_calls
+from limpetroute.entry.peering import peer_calls
 from limpetroute.wire import caller
 from tests.entry import silent_proxy
 
--- a/tests/replay/test_recording.py
+++ b/tests/replay/test_recording.py
@@ -5,7 +5,7 @@
 import pytest
 
 from limpetroute.cli import main
-from limpetroute.entry import trace_writer
+from limpetroute.entry.runs import trace_writer
 from limpetroute.replay import replayer
 from limpetroute.replay import trace_reader
 from tests.whole_path import processes
--- a/tests/replay/test_traces_catch_faults.py
+++ b/tests/replay/test_traces_catch_faults.py
@@ -9,7 +9,7 @@
 from limpetroute.control import results
 from limpetroute.decisions import full_policy
 from limpetroute.decisions import runner_state
-from limpetroute.entry import send_guard
+from limpetroute.entry.runs import send_guard
 from limpetroute.peers import lease_voter
 from limpetroute.peers import request_record
 from limpetroute.replay import replayer
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -12,7 +12,7 @@
 
 from limpetroute.cli import file_kind
 from limpetroute.cli import main
-from limpetroute.entry import host_exports
+from limpetroute.entry.hosting import host_exports
 from limpetroute.replay import parts
 from limpetroute.telemetry import exports
 from tests.cli import commands
