--- /dev/null
+++ b/tests/soak/__main__.py
@@ -0,0 +1,45 @@
+"""Soak real processes: python -m tests.soak [--seeds 1-50] [--seconds 20].
+
+Prints a line for each seed, with its folder of logs where it failed.
+"""
+
+import argparse
+import asyncio
+import pathlib
+import shutil
+import sys
+import tempfile
+
+from tests.soak import soak
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument('--seeds', default='1-5')
+    parser.add_argument('--seconds', type=float, default=20.0)
+    args = parser.parse_args()
+    first, _, last = args.seeds.partition('-')
+    failed = 0
+    for seed in range(int(first), int(last or first) + 1):
+        folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
+        run = soak.Soak(folder, seed, args.seconds)
+        try:
+            broken = asyncio.run(run.run())
+        except AssertionError as exc:
+            broken = [str(exc)]
+        answers = run.promises.answers
+        good = sum(one.status == 200 and one.whole for one in answers)
+        print(f'seed {seed}: {len(answers)} requests, {good} whole', end='')
+        if not broken:
+            print(', kept')
+            shutil.rmtree(folder)
+            continue
+        failed += 1
+        print(f', BROKEN, logs in {folder}')
+        for line in broken[:5]:
+            print(f'    {line}')
+    return min(failed, 1)
+
+
+if __name__ == '__main__':
+    sys.exit(main())
--- /dev/null
+++ b/tests/soak/runner.py
@@ -0,0 +1,125 @@
+"""A runner that notes what it ran, and a proxy before it with faults."""
+
+import asyncio
+import json
+
+EVENTS = 12
+EVENT_S = 0.04
+
+
+class Runner:
+    """Plain service and streams, by the platform's headers."""
+
+    def __init__(self, name, service, stage=None):
+        self.name = name
+        self.service = service
+        self.stage = stage
+        self.runs = []
+        self.slow_s = 0.0
+        self.draining_since = None
+        self.served_after_drain = []
+        self._doors = set()
+        self._silent = set()
+        self._writers = set()
+
+    async def start(self, host):
+        self._server = await asyncio.start_server(self._serve, host, 0)
+        self.address = f'{host}:{self._server.sockets[0].getsockname()[1]}'
+
+    def close(self):
+        self._server.close()
+
+    def heartbeat(self, sequence):
+        body = {
+            'service': self.service,
+            'address': self.address,
+            'zone': 'a',
+            'slots': 12,
+            'state': 'draining' if self.draining_since else 'ready',
+            'seq': sequence,
+        }
+        if self.stage:
+            body['stage'] = self.stage
+        return json.dumps(body).encode()
+
+    def reset(self):
+        """Reset all open connections."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    def silence(self):
+        """Let open connections go silent for good; new ones work."""
+        self._silent |= self._writers
+
+    async def _serve(self, reader, writer):
+        self._writers.add(writer)
+        try:
+            await self._answer(reader, writer)
+        except (
+            ConnectionError,
+            asyncio.IncompleteReadError,
+            asyncio.CancelledError,
+            OSError,
+        ):
+            return
+        finally:
+            self._writers.discard(writer)
+            self._silent.discard(writer)
+            writer.close()
+
+    async def _answer(self, reader, writer):
+        head = (await reader.readuntil(b'\r\n\r\n')).decode('latin1')
+        fields = {}
+        for line in head.split('\r\n')[1:]:
+            name, _, value = line.partition(':')
+            fields[name.lower()] = value.strip()
+        await reader.readexactly(int(fields.get('content-length', 0)))
+        request_id = fields.get('request-id', '')
+        if fields.get('expect-instance') != self.name:
+            await self._write(writer, _head(421, {'Content-Length': '0'}))
+            return
+        if self.slow_s:
+            await asyncio.sleep(self.slow_s)
+        if self.draining_since is not None:
+            now_s = asyncio.get_running_loop().time()
+            self.served_after_drain.append(now_s - self.draining_since)
+        self.runs.append(request_id)
+        if 'token-usage' in fields:
+            await self._stream(fields, writer)
+            return
+        body = f'{request_id} by {self.name}'.encode()
+        headers = {
+            'Runner-Stamp': self.name,
+            'Request-Id': request_id,
+            'Content-Length': str(len(body)),
+        }
+        await self._write(writer, _head(200, headers) + body)
+
+    async def _stream(self, fields, writer):
+        after = int(fields.get('last-event-id') or 0)
+        request_id = fields['request-id']
+        headers = {
+            'Runner-Stamp': self.name,
+            'Request-Id': request_id,
+            'Transfer-Encoding': 'chunked',
+        }
+        await self._write(writer, _head(200, headers))
+        for number in range(after + 1, EVENTS + 1):
+            data = f'id: {number}\ndata: {request_id}\n\n'.encode()
+            chunk = f'{len(data):x}\r\n'.encode() + data + b'\r\n'
+            await self._write(writer, chunk)
+            await asyncio.sleep(EVENT_S)
+        await self._write(writer, b'0\r\n\r\n')
+
+    async def _write(self, writer, data):
+        if writer in self._silent:
+            await asyncio.sleep(30)
+            return
+        writer.write(data)
+        await writer.drain()
+
+
+def _head(status, headers):
+    lines = [f'HTTP/1.1 {status} X']
+    lines += [f'{name}: {value}' for name, value in headers.items()]
+    return '\r\n'.join(lines).encode() + b'\r\n\r\n'
--- /dev/null
+++ b/tests/soak/soak.py
@@ -0,0 +1,206 @@
+"""One seeded run: callers and an operator go on while faults happen."""
+
+import asyncio
+import contextlib
+import itertools
+import json
+import random
+import signal
+
+from limpetroute.wire import connection
+from tests.soak import plan
+from tests.soak import promises as promises_module
+from tests.soak import world as world_module
+
+CALLERS = 6
+PREFIXES = {'once': '/once/x', 'safe': '/safe/x', 'stream': '/stream/x'}
+DRAIN_S = 2.0
+
+
+class Soak:
+    def __init__(self, folder, seed, seconds):
+        self.seed = seed
+        self.seconds = seconds
+        self.world = world_module.World(folder, 20 + seed % 200)
+        self.promises = promises_module.Promises()
+        self.version = 0
+        self._names = itertools.count()
+        self._tasks = []
+
+    async def run(self):
+        """Play the seed's plan; return what was broken."""
+        try:
+            await self.world.start()
+            await self._begin()
+            self._tasks = [
+                asyncio.create_task(self._call(number))
+                for number in range(CALLERS)
+            ]
+            self._tasks.append(asyncio.create_task(self._read()))
+            await self._play()
+            await self._recover()
+            for task in self._tasks:
+                task.cancel()
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+            self._judge_drains()
+            return self.promises.judge(self.world.runners)
+        finally:
+            for task in self._tasks:
+                task.cancel()
+            self.world.end()
+
+    async def _begin(self):
+        async def submitted():
+            return await self._submit()
+
+        await world_module.wait_until(submitted, 15, 'the first routes')
+        for one in self.world.runners:
+            self._tasks.append(asyncio.create_task(self._beat(one)))
+        await world_module.wait_until(self._serves, 15, 'a first answer')
+
+    async def _submit(self):
+        version = self.version + 1
+        got = await self.world.to_control(
+            'PUT', '/api/config', world_module.routes(version), version
+        )
+        if got is None:
+            return False
+        self.version = version
+        self.promises.acked = max(self.promises.acked, version)
+        return True
+
+    async def _beat(self, one):
+        while True:
+            with contextlib.suppress(OSError):
+                acked = await self.world.beat(one)
+                if acked and one.draining_since == 0:
+                    one.draining_since = asyncio.get_running_loop().time()
+            await asyncio.sleep(0.5)
+
+    async def _call(self, number):
+        rng = random.Random(f'{self.seed} {number}')
+        while True:
+            kind = rng.choice(list(PREFIXES))
+            answer = promises_module.Answer(
+                request_id=f'{kind}-{next(self._names)}', kind=kind
+            )
+            await self._ask(answer, number)
+            self.promises.took(answer)
+            await asyncio.sleep(rng.random() * 0.1)
+
+    async def _ask(self, answer, number):
+        host, port = self.world.entry_urls[number % world_module.FORWARDS]
+        headers = {'Host': 'h.example', 'Request-Id': answer.request_id}
+        headers['Deadline-Ms'] = '4000'
+        if answer.kind == 'stream':
+            headers['Token-Usage'] = '100,120'
+        link = connection.Connection(host=host, port=port)
+        try:
+            failed = await link.send(
+                method='POST' if answer.kind == 'once' else 'GET',
+                path=PREFIXES[answer.kind],
+                headers=headers,
+                body=b'',
+                timeout_s=5.0,
+            )
+            if failed is not None:
+                return
+            answer.status = link.status
+            async for chunk in link.chunks(idle_timeout_s=5.0):
+                answer.body += chunk
+            answer.whole = link.whole
+        except TimeoutError:
+            return
+        finally:
+            link.close()
+
+    async def _read(self):
+        for number in itertools.count():
+            acked = self.promises.acked
+            got = await self.world.to_control(
+                'GET', '/api/config', None, number
+            )
+            if got is not None:
+                version = json.loads(got.body)['version']
+                self.promises.read_routes(version, acked)
+            await asyncio.sleep(0.15)
+
+    async def _serves(self):
+        answers = []
+        for number in range(world_module.FORWARDS):
+            answer = promises_module.Answer(
+                request_id=f'safe-{next(self._names)}', kind='safe'
+            )
+            await self._ask(answer, number)
+            answers.append(answer.status == 200)
+        return all(answers)
+
+    async def _play(self):
+        loop = asyncio.get_running_loop()
+        begun_s = loop.time()
+        running = []
+        for fault in plan.make(self.seed, self.seconds):
+            await asyncio.sleep(max(0, begun_s + fault.at_s - loop.time()))
+            running.append(asyncio.create_task(self._do(fault)))
+        await asyncio.gather(*running)
+
+    async def _do(self, fault):
+        subject, _, where = fault.kind.partition('_')
+        if where == 'control':
+            await self._signal(self.world.controls, subject, fault)
+        elif where == 'forward':
+            await self._signal(self.world.forwards, subject, fault)
+        elif where == 'runner':
+            await self._spoil(subject, fault)
+        else:
+            await self._submit()
+
+    async def _signal(self, processes, subject, fault):
+        process = processes[fault.target % len(processes)]
+        if subject == 'pause':
+            process.send(signal.SIGSTOP)
+            await asyncio.sleep(fault.for_s)
+            process.send(signal.SIGCONT)
+            return
+        number = signal.SIGKILL if subject == 'kill' else signal.SIGTERM
+        process.send(number)
+        await asyncio.sleep(fault.for_s)
+        process.end() if subject == 'kill' else None
+        # Restarted as the platform does: never again to found a group.
+        if 'control' in fault.kind:
+            process.change(may_found=False)
+        process.start()
+
+    async def _spoil(self, subject, fault):
+        one = self.world.runners[fault.target]
+        if subject == 'silence':
+            one.silence()
+        elif subject == 'reset':
+            one.reset()
+        elif subject == 'slow':
+            one.slow_s = 0.3
+            await asyncio.sleep(fault.for_s)
+            one.slow_s = 0.0
+        elif subject == 'drain' and one.name in ('p3', 'd2'):
+            one.draining_since = one.draining_since or 0
+
+    async def _recover(self):
+        for process in [*self.world.controls, *self.world.forwards]:
+            process.send(signal.SIGCONT)
+        await asyncio.sleep(0.5)
+
+        async def again():
+            for process in [*self.world.controls, *self.world.forwards]:
+                process.start()
+            return await self._serves()
+
+        await world_module.wait_until(again, 15, 'service after the faults')
+
+    def _judge_drains(self):
+        for one in self.world.runners:
+            late = [s for s in one.served_after_drain if s > DRAIN_S]
+            if one.draining_since and late:
+                self.promises.broken.append(
+                    f'{one.name} got work {max(late):.1f} s after it was '
+                    'acknowledged to be leaving'
+                )
--- /dev/null
+++ b/tests/soak/world.py
@@ -0,0 +1,196 @@
+"""Real processes on loopback addresses, runners, callers, an operator."""
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import subprocess
+import sys
+
+from limpetroute.wire import call_failed
+from limpetroute.wire import caller
+from tests.control import control_fleet
+from tests.soak import runner as runner_module
+
+ROOT = pathlib.Path(__file__).resolve().parents[2]
+CONTROLS = 3
+FORWARDS = 2
+
+
+class Process:
+    """One daemon; only what was started here is ever signalled."""
+
+    def __init__(self, command, name, settings, folder):
+        self.name = name
+        self._command = command
+        self._path = folder / f'{name}.json'
+        self._log = folder / f'{name}.log'
+        self._path.write_text(json.dumps(settings))
+        self._popen = None
+
+    def start(self):
+        if self._popen is not None and self._popen.poll() is None:
+            return
+        with self._log.open('ab') as log:
+            self._popen = subprocess.Popen(
+                [
+                    sys.executable,
+                    '-m',
+                    'limpetroute',
+                    self._command,
+                    '--settings',
+                    str(self._path),
+                ],
+                cwd=ROOT,
+                stdout=log,
+                stderr=log,
+                env={**os.environ, 'PYTHONPATH': str(ROOT)},
+            )
+
+    def change(self, **fields):
+        body = {**json.loads(self._path.read_text()), **fields}
+        self._path.write_text(json.dumps(body))
+
+    def send(self, number):
+        if self._popen is not None and self._popen.poll() is None:
+            self._popen.send_signal(number)
+
+    def end(self):
+        if self._popen is not None and self._popen.poll() is None:
+            self._popen.kill()
+            self._popen.wait()
+
+    def log(self):
+        return self._log.read_text()
+
+
+class World:
+    def __init__(self, folder, base):
+        self.base = base
+        port = control_fleet.free_port()
+        public = control_fleet.free_port()
+        self.http = caller.Caller()
+        hosts = [f'127.{base}.1.{n + 1}' for n in range(CONTROLS)]
+        seeds = [f'{host}:{public}' for host in hosts]
+        self.control_urls = [f'http://{seed}' for seed in seeds]
+        self.controls = []
+        for host in hosts:
+            settings = {
+                'host_id': host,
+                'zone': 'a',
+                'demo': True,
+                'data_dir': str(folder / f'data-{host}'),
+                'listen': f'{host}:{port}',
+                'public_listen': f'{host}:{public}',
+                'seeds': seeds,
+                'tolerated_losses': 1,
+                'heartbeat_s': 0.15,
+                'election_s': 0.6,
+            }
+            process = Process('control', host, settings, folder)
+            self.controls.append(process)
+        self.forwards = []
+        self.entry_urls = []
+        for number in range(FORWARDS):
+            host = f'127.{base}.2.{number + 1}'
+            self.entry_urls.append((host, public))
+            settings = {
+                'host_id': f'entry-{number}',
+                'zone': 'a',
+                'demo': True,
+                'callers': f'{host}:{public}',
+                'ready': f'{host}:{port}',
+                'metrics': f'{host}:0',
+                'seeds': seeds,
+                'control_port': port,
+                'grace_s': 5.0,
+                'send_budget': {'ratio': 1.0, 'slack': 50},
+            }
+            process = Process('forward', f'entry-{number}', settings, folder)
+            self.forwards.append(process)
+        self.runners = [
+            runner_module.Runner('p1', 'plain'),
+            runner_module.Runner('p2', 'plain'),
+            runner_module.Runner('p3', 'plain'),
+            runner_module.Runner('d1', 'model', 'decode'),
+            runner_module.Runner('d2', 'model', 'decode'),
+        ]
+        self._beats = {}
+
+    async def start(self):
+        for number, one in enumerate(self.runners):
+            await one.start(f'127.{self.base}.3.{number + 1}')
+        for process in [*self.controls, *self.forwards]:
+            process.start()
+
+    def end(self):
+        for process in [*self.controls, *self.forwards]:
+            process.send(signal.SIGCONT)
+            process.end()
+        for one in self.runners:
+            one.close()
+
+    async def to_control(self, method, path, body=None, first=0):
+        """Call one control host after the other, as an operator does."""
+        for number in range(CONTROLS):
+            url = self.control_urls[(first + number) % CONTROLS]
+            got = await self.http.call(
+                method=method,
+                url=f'{url}{path}',
+                body=body,
+                timeout_s=1.0,
+                connect_tries_s=(0.3,),
+            )
+            if not isinstance(got, call_failed.CallFailed) and got.ok:
+                return got
+        return None
+
+    async def beat(self, one):
+        """Send a heartbeat; whether it was acknowledged."""
+        number = self._beats.get(one.name, 0) + 1
+        self._beats[one.name] = number
+        path = f'/api/instances/{one.name}'
+        got = await self.to_control('PUT', path, one.heartbeat(number), number)
+        return got is not None
+
+
+def routes(version):
+    """A configuration; each version adds a route of its own."""
+    common = {'host': 'h.example', 'timeout-ms': 4000, 'slo-ms': 900}
+    found = [
+        {**common, 'path-prefix': '/once/', 'kind': 'non_idempotent'},
+        {**common, 'path-prefix': '/safe/', 'kind': 'idempotent'},
+    ]
+    for route in found:
+        route.update({'service': 'plain', 'attempts': 2})
+    found.append(
+        {
+            **common,
+            'path-prefix': '/stream/',
+            'kind': 'streaming',
+            'service': 'model',
+            'attempts': 2,
+            'resumable': True,
+        }
+    )
+    found.append({**found[1], 'path-prefix': f'/v{version}/'})
+    engine = {'slots': 12, 'kv-capacity': 100_000, 'stride': 10}
+    body = {
+        'version': version,
+        'routes': found,
+        'services': [
+            {'name': 'plain'},
+            {'name': 'model', 'engine': engine},
+        ],
+    }
+    return json.dumps(body).encode()
+
+
+async def wait_until(holds, seconds, what):
+    try:
+        async with asyncio.timeout(seconds):
+            while not await holds():
+                await asyncio.sleep(0.1)
+    except TimeoutError:
+        raise AssertionError(f'not within {seconds} s: {what}') from None
