--- a/limpetroute/border/control_settings.py
+++ b/limpetroute/border/control_settings.py
@@ -25,6 +25,8 @@
     public_listen : ListenSettings or None
         Address at which operators and runners are served in the
         platform's formats; the hosts talk to each other at ``listen``.
+    metrics : ListenSettings or None
+        Port of the metrics, at ``/metrics``.
     seeds : list of str
         ``IP:PORT`` of the hosts that found the group, the same on all of
         them; the ports are not used, as all listen on the same one. With
@@ -63,6 +65,7 @@
     host_id: names.Name
     zone: names.Name
     public_listen: listen_settings.ListenSettings | None = None
+    metrics: listen_settings.ListenSettings | None = None
     seeds: list[addresses.HostPort] = []
     tolerated_losses: int | None = pydantic.Field(default=None, ge=0, le=10)
     full_group_wait_s: units.Seconds = 8.0
--- a/limpetroute/cli/control.py
+++ b/limpetroute/cli/control.py
@@ -21,6 +21,7 @@
 from limpetroute.cli import exit_code
 from limpetroute.cli import serving
 from limpetroute.control import folder_error
+from limpetroute.control import metrics_part
 from limpetroute.control import part
 from limpetroute.control import server
 from limpetroute.dispatch import part as dispatch_part
@@ -57,6 +58,12 @@
                 dispatch_part.DispatchPart, dialect=orders.Orders()
             ),
         ]
+    if settings.metrics is not None:
+        parts.append(
+            functools.partial(
+                metrics_part.MetricsPart, listen=settings.metrics
+            )
+        )
     return server.ControlServer(settings=settings, make_parts=parts)
 
 
--- /dev/null
+++ b/limpetroute/control/metrics_part.py
@@ -0,0 +1,97 @@
+"""A control host's metrics."""
+
+import functools
+import typing
+
+from tornado import httpserver
+from tornado import netutil
+from tornado import web
+
+from limpetroute.agreement import replica as replica_module
+from limpetroute.border import listen_settings
+from limpetroute.control import node as node_module
+from limpetroute.telemetry import exports as exports_module
+
+
+class _MetricsHandler(web.RequestHandler):
+    def initialize(self, text: typing.Callable[[], bytes | None]) -> None:
+        self._text = text
+
+    def get(self) -> None:
+        self.set_header('Content-Type', 'text/plain; version=0.0.4')
+        self.finish(self._text() or b'')
+
+
+class MetricsPart:
+    """A control host's metrics, on a port of their own.
+
+    Parameters
+    ----------
+    node : Node
+        The control host.
+    listen : ListenSettings
+        The port.
+    """
+
+    def __init__(
+        self,
+        *,
+        node: node_module.Node,
+        listen: listen_settings.ListenSettings,
+    ) -> None:
+        self._node = node
+        self._listen = listen
+        settings = node.settings
+        self._exports = exports_module.Exports(
+            host_id=settings.host_id, zone=settings.zone
+        )
+        for name, read in _gauges(node).items():
+            self._exports.observe(f'control_{name}', read)
+        args = {'text': self._exports.text}
+        self._server = httpserver.HTTPServer(
+            web.Application(
+                [('/metrics', _MetricsHandler, args)],
+                log_function=lambda handler: None,
+            )
+        )
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(listen={self._listen!r})'
+
+    def routes(self) -> list[web.URLSpec]:
+        """Return nothing: it has a port of its own."""
+        return []
+
+    def start(self) -> None:
+        """Open the port."""
+        self._server.add_sockets(
+            netutil.bind_sockets(self._listen.port, self._listen.address)
+        )
+
+    def stop(self) -> None:
+        """Close the port."""
+        self._server.stop()
+
+
+def _gauges(
+    node: node_module.Node,
+) -> dict[str, typing.Callable[[], float]]:
+    def replica() -> replica_module.Replica:
+        return node.config.replica
+
+    return {
+        'leads': lambda: float(replica().lease_valid(node.now_s)),
+        'in_touch': lambda: float(replica().in_touch(node.now_s)),
+        'term': lambda: float(replica().term),
+        'commit_index': lambda: float(replica().commit_index),
+        'voters': lambda: float(len(replica().membership.voters)),
+        'runners': lambda: float(len(list(node.config.state.runners))),
+        'routes_version': functools.partial(_routes_version, node),
+        'syncs': lambda: float(node.syncs),
+        'failed': lambda: float(bool(node.failure)),
+    }
+
+
+def _routes_version(node: node_module.Node) -> float:
+    routes = node.config.state.routes
+    return float(routes.version if routes else 0)
--- /dev/null
+++ b/tests/control/test_metrics.py
@@ -0,0 +1,39 @@
+import asyncio
+
+from limpetroute.border import listen_settings
+from limpetroute.control import metrics_part
+from limpetroute.wire import caller
+from tests.control import control_fleet
+from tests.control import seed_fleet
+
+
+def test_a_control_host_shows_what_it_knows(tmp_path):
+    async def work():
+        fleet = seed_fleet.SeedFleet(tmp_path, ['127.0.0.41'], 0)
+        fleet.start('127.0.0.41')
+        port = control_fleet.free_port()
+        part = metrics_part.MetricsPart(
+            node=fleet.servers['127.0.0.41'].node,
+            listen=listen_settings.ListenSettings(port=port),
+        )
+        part.start()
+        try:
+            await fleet.submit('127.0.0.41', 7)
+            got = await caller.Caller().call(
+                method='GET',
+                url=f'http://127.0.0.1:{port}/metrics',
+                timeout_s=2.0,
+            )
+            text = got.body.decode()
+        finally:
+            part.stop()
+            await fleet.stop_all()
+        lines = [
+            line.partition('{')[0] + ' ' + line.rpartition(' ')[2]
+            for line in text.splitlines()
+        ]
+        assert 'limpetroute_control_leads 1.0' in lines
+        assert 'limpetroute_control_routes_version 7.0' in lines
+        assert 'limpetroute_control_voters 1.0' in lines
+
+    asyncio.run(work())
