Keep one copy of what follows a send; split the desk

The decision after a send stood in plain and in stream forwarding; it is one class now, and whether a request may be said not to have run is asked there. Health of runners leaves the desk.

--- a/limpetroute/forwarding/plain_forward.py
+++ b/limpetroute/forwarding/plain_forward.py
@@ -14,6 +14,7 @@
 from limpetroute.routing import plain_choice
 from limpetroute.routing import route as route_module
 from limpetroute.routing import runner_info
+from limpetroute.routing import send_history
 from limpetroute.routing import send_result
 
 LOG = logging.getLogger(__name__)
@@ -55,8 +56,7 @@
         self._service = service
         self._responder = responder
         self._tried: set[str] = set()
-        self._sends = 0
-        self._ran_before = False
+        self._history = send_history.SendHistory(route=route)
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(request={self._request.request_id!r})'
@@ -139,36 +139,26 @@
         return step
 
     def _decide(self, result: send_result.SendResult) -> next_step.Step:
-        if result is not send_result.SendResult.NOT_SENT:
-            self._sends += 1
-        situation = next_step.Situation(
-            repeatable=self._route.repeatable,
-            result=result,
-            ran_before=self._ran_before,
-            sends=self._sends,
-            max_sends=self._route.max_sends,
+        return self._history.decide(
+            result,
             left_s=self._context.left_s(self._request, self._route),
+            may_go_on=self._may_go_on,
         )
-        step = next_step.next_step(situation)
-        if not result.surely_not_run:
-            self._ran_before = True
-        if step is not next_step.Step.AGAIN:
-            return step
+
+    def _may_go_on(self) -> bool:
         if self._choose() is None:
-            return next_step.without_another(situation)
-        if self._sends and not self._context.may_send_again(self._service):
-            return next_step.without_another(situation)
-        return step
+            return False
+        if not self._history.sends:
+            return True
+        return self._context.may_send_again(self._service)
 
     async def _end(self, step: next_step.Step, reason: str) -> None:
-        if step is next_step.Step.REFUSE and self._ran_before:
-            step = next_step.Step.FAIL
         await own_answer.write(
             self._context,
             request=self._request,
             route=self._route,
             responder=self._responder,
-            step=step,
+            step=self._history.truly(step),
             reason=reason,
         )
 
--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -15,6 +15,7 @@
 from limpetroute.routing import next_step
 from limpetroute.routing import route as route_module
 from limpetroute.routing import runner_info
+from limpetroute.routing import send_history
 from limpetroute.routing import send_result
 from limpetroute.routing import service as service_module
 from limpetroute.routing import stream_ask
@@ -65,9 +66,8 @@
         self._tried: set[str] = set()
         self._failed: set[str] = set()
         self._full: set[str] = set()
-        self._sends = 0
+        self._history = send_history.SendHistory(route=route)
         self._readings = 0
-        self._ran_before = False
         self._first_event_s = 0.0
         self._events_s = 0.0
         self._longest_gap_s = 0.0
@@ -91,7 +91,8 @@
                 got = await places.take(
                     tried=self._tried,
                     goes_on=self._goes_on(),
-                    reads_prompt=not self._goes_on() and not self._sends,
+                    reads_prompt=not self._goes_on()
+                    and not self._history.sends,
                     waited_s=self._waited_s(),
                 )
                 if isinstance(got, stream_ask.StreamRefusal):
@@ -289,26 +290,16 @@
         self._context.count(self._route, call.status, self._request)
 
     def _decide(self, result: send_result.SendResult) -> next_step.Step:
-        if result is not send_result.SendResult.NOT_SENT:
-            self._sends += 1
-        situation = next_step.Situation(
-            repeatable=self._route.repeatable,
-            result=result,
-            ran_before=self._ran_before,
-            sends=self._sends,
-            max_sends=self._route.max_sends,
+        return self._history.decide(
+            result,
             left_s=self._context.left_s(self._request, self._route),
+            may_go_on=self._may_go_on,
         )
-        step = next_step.next_step(situation)
-        if not result.surely_not_run:
-            self._ran_before = True
-        if step is not next_step.Step.AGAIN:
-            return step
-        if self._sends and not self._context.may_send_again(
-            self._service.name
-        ):
-            return next_step.without_another(situation)
-        return step
+
+    def _may_go_on(self) -> bool:
+        if not self._history.sends:
+            return True
+        return self._context.may_send_again(self._service.name)
 
     async def _end(
         self,
@@ -316,14 +307,12 @@
         reason: str,
         retry_after_s: float = own_answer.RETRY_AFTER_S,
     ) -> None:
-        if step is next_step.Step.REFUSE and self._ran_before:
-            step = next_step.Step.FAIL
         await own_answer.write(
             self._context,
             request=self._request,
             route=self._route,
             responder=self._responder,
-            step=step,
+            step=self._history.truly(step),
             reason=reason,
             retry_after_s=retry_after_s,
         )
--- /dev/null
+++ b/limpetroute/routing/send_history.py
@@ -0,0 +1,73 @@
+"""The sends of one request so far."""
+
+import typing
+
+from limpetroute.routing import next_step
+from limpetroute.routing import route as route_module
+from limpetroute.routing import send_result
+
+
+class SendHistory:
+    """The sends of one request so far, and what may follow them.
+
+    Parameters
+    ----------
+    route : Route
+        The request's route.
+    """
+
+    def __init__(self, *, route: route_module.Route) -> None:
+        self._route = route
+        self._ran_before = False
+        self.sends = 0
+
+    def __repr__(self) -> str:
+        return (
+            f'{type(self).__name__}(sends={self.sends!r}, '
+            f'ran_before={self._ran_before!r})'
+        )
+
+    def decide(
+        self,
+        result: send_result.SendResult,
+        *,
+        left_s: float,
+        may_go_on: typing.Callable[[], bool],
+    ) -> next_step.Step:
+        """Count a send and return what follows it.
+
+        Parameters
+        ----------
+        result : SendResult
+            How it ended.
+        left_s : float
+            Time left for the answer.
+        may_go_on : callable
+            Asked only where another send is allowed: whether there is a
+            runner and, after a first send, budget for one.
+        """
+        if result is not send_result.SendResult.NOT_SENT:
+            self.sends += 1
+        situation = next_step.Situation(
+            repeatable=self._route.repeatable,
+            result=result,
+            ran_before=self._ran_before,
+            sends=self.sends,
+            max_sends=self._route.max_sends,
+            left_s=left_s,
+        )
+        step = next_step.next_step(situation)
+        if step is next_step.Step.AGAIN and not may_go_on():
+            step = next_step.without_another(situation)
+        if not result.surely_not_run:
+            self._ran_before = True
+        return step
+
+    def truly(self, step: next_step.Step) -> next_step.Step:
+        """Return a final step that promises no more than is known.
+
+        A request that may have run is never said not to have.
+        """
+        if step is next_step.Step.REFUSE and self._ran_before:
+            return next_step.Step.FAIL
+        return step
--- a/limpetroute/routing/stream_desk.py
+++ b/limpetroute/routing/stream_desk.py
@@ -6,7 +6,7 @@
 from limpetroute.decisions import stage as stage_module
 from limpetroute.routing import decode_room
 from limpetroute.routing import runner_info
-from limpetroute.routing import runner_load
+from limpetroute.routing import runner_watch
 from limpetroute.routing import service as service_module
 from limpetroute.routing import stream_ask
 
@@ -49,10 +49,6 @@
 # While streams wait that can still make it, one place in this many goes
 # to one that cannot: a late answer is worth a fifth, but not nothing.
 LATE_EVERY = 8
-# Places taken by hosts out of reach are counted for this long after a
-# refusal; a stream lasts about four seconds, and one that ends is not
-# seen either.
-HIDDEN_S = 1.5
 # A stream that was begun is lost once its caller leaves, after 3.6 s
 # without an event.
 LONGEST_PAUSE_S = 3.2
@@ -106,9 +102,8 @@
         self._held: dict[str, _Held] = {}
         self._waiting: dict[str, _Waiting] = {}
         self._free_s: dict[str, float] = {}
-        self._health: dict[str, runner_load.RunnerLoad] = {}
+        self._watch = runner_watch.RunnerWatch(uses=self._uses)
         self._short_since_s = 0.0
-        self._hidden: dict[str, tuple[int, float]] = {}
         self._tokens_per_s = FIRST_TOKENS_PER_S
         self._in_time_in_a_row = 0
 
@@ -151,12 +146,13 @@
             rate = end.output_tokens / end.decode_s
             self._tokens_per_s += (rate - self._tokens_per_s) / 16
         for runner_id in end.full:
-            self._note_full(runner_id, now_s)
+            seen = len(self._outlooks(runner_id))
+            self._watch.full(runner_id, self._engine.slots - seen, now_s)
         for runner_id in end.failed:
-            self._health_of(runner_id).note_failure(now_s)
+            self._watch.failed(runner_id, now_s)
         if held is not None and not end.failed:
-            self._health_of(held.place.decode_id).note_success(0.0)
-            self._health_of(held.place.prefill_id).note_success(0.0)
+            self._watch.went_well(held.place.decode_id)
+            self._watch.went_well(held.place.prefill_id)
 
     def adopt(
         self,
@@ -173,7 +169,7 @@
         self, runners: typing.Iterable[runner_info.RunnerInfo], now_s: float
     ) -> list[stream_ask.StreamPlace | stream_ask.StreamRefusal]:
         """Return what waiting streams get now."""
-        usable = self._usable(runners, now_s)
+        usable = self._watch.usable(runners, now_s)
         decoders = [
             one for one in usable if one.stage is stage_module.Stage.DECODE
         ]
@@ -195,50 +191,6 @@
         answers.extend(self._refuse_hopeless(decoders, readers, now_s))
         return answers
 
-    def _usable(
-        self, runners: typing.Iterable[runner_info.RunnerInfo], now_s: float
-    ) -> list[runner_info.RunnerInfo]:
-        """Return ready runners, without those that failed of late.
-
-        After its rest, a runner that failed gets one stream, and more
-        only once that one went well: given all it has places for, it
-        would fail them all again. With none left of a stage, the ones
-        that failed are better than nothing: the failure may have been
-        one connection's.
-        """
-        ready = [one for one in runners if one.ready]
-        usable = []
-        for one in ready:
-            peers = [two for two in ready if two.stage is one.stage]
-            resting = [
-                two for two in peers if self._is_avoided(two.runner_id, now_s)
-            ]
-            if one in resting and len(resting) < len(peers):
-                continue
-            usable.append(one)
-        return usable
-
-    def _note_full(self, runner_id: str, now_s: float) -> None:
-        """Count places that hosts out of reach must have taken.
-
-        A host that cannot reach the leader decides alone. What it sends
-        is not seen here, only that a runner refuses while it should
-        have room; prompts would be read in vain for it again and again.
-        """
-        seen = len(self._outlooks(runner_id))
-        hidden = max(1, self._engine.slots - seen)
-        self._hidden[runner_id] = (hidden, now_s + HIDDEN_S)
-
-    def _hidden_at(self, runner_id: str, now_s: float) -> int:
-        hidden, until_s = self._hidden.get(runner_id, (0, 0.0))
-        return hidden if now_s < until_s else 0
-
-    def _is_avoided(self, runner_id: str, now_s: float) -> bool:
-        health = self._health_of(runner_id)
-        if health.rests(now_s):
-            return True
-        return health.failures > 0 and self._uses(runner_id) > 0
-
     def _uses(self, runner_id: str) -> int:
         return sum(
             runner_id in (held.place.decode_id, held.place.prefill_id)
@@ -297,7 +249,7 @@
             if self._may_not_read(one.ask, reader, runner, now_s):
                 continue
             streams = self._outlooks(runner.runner_id)
-            hidden = self._hidden_at(runner.runner_id, now_s)
+            hidden = self._watch.hidden(runner.runner_id, now_s)
             if len(streams) + hidden >= self._engine.slots:
                 continue
             ready_s = self._ready_s(one.ask, reader, now_s)
@@ -408,9 +360,6 @@
             if now_s > held.expires_s:
                 del self._held[request_id]
 
-    def _health_of(self, runner_id: str) -> runner_load.RunnerLoad:
-        return self._health.setdefault(runner_id, runner_load.RunnerLoad())
-
     # Refusals
 
     def _refuse_hopeless(
