Keep stage orders of several services apart

Found by reading: one memory of which runners are settled was shared by all services with model runners; with two of them neither would ever have settled, and no order been given. Failures of a stream's runners are told once, not again with each further place. Runners are decoded once a change, not at each decision.

--- a/limpetroute/dispatch/dispatcher.py
+++ b/limpetroute/dispatch/dispatcher.py
@@ -60,6 +60,8 @@
         self._futures: dict[str, asyncio.Future[Answer]] = {}
         self._plan: route_plan.RoutePlan | None = None
         self._plan_index = 0
+        self._by_service: dict[str, list[runner_info.RunnerInfo]] = {}
+        self._runners_index = -1
         self._led_term = 0
         self._adopts_until_s = 0.0
         self._task: asyncio.Task[None] | None = None
@@ -171,17 +173,19 @@
         self._plan_index = state.routes_index
 
     def _runners(self, service: str) -> list[runner_info.RunnerInfo]:
-        found = []
-        for row in self._node.config.state.runners:
-            one = runner_info.from_detail(
-                runner_id=row.runner_id,
-                address=row.address,
-                ready=row.state == 'ready',
-                detail=row.text,
-            )
-            if one.service == service:
-                found.append(one)
-        return found
+        table = self._node.config.state.runners
+        if table.changed_index != self._runners_index:
+            self._runners_index = table.changed_index
+            self._by_service = {}
+            for row in table:
+                one = runner_info.from_detail(
+                    runner_id=row.runner_id,
+                    address=row.address,
+                    ready=row.state == 'ready',
+                    detail=row.text,
+                )
+                self._by_service.setdefault(one.service, []).append(one)
+        return self._by_service.get(service, [])
 
     def _decide(self, service: str, desk: stream_desk.StreamDesk) -> None:
         if boot_clock.now_s() < self._adopts_until_s:
@@ -212,9 +216,9 @@
             if service.engine is None:
                 continue
             self._orders.keep(
+                service,
                 self._runners(service.name),
-                engine=service.engine,
-                now_s=boot_clock.now_s(),
+                boot_clock.now_s(),
             )
 
 
--- a/limpetroute/dispatch/stage_orders.py
+++ b/limpetroute/dispatch/stage_orders.py
@@ -55,8 +55,8 @@
         self._fence = 0
         self._quiet_until_s = 0.0
         self._ordered_s: dict[str, float] = {}
-        self._known: frozenset[str] = frozenset()
-        self._known_since_s = 0.0
+        self._known: dict[str, frozenset[str]] = {}
+        self._known_since_s: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     def __repr__(self) -> str:
@@ -72,20 +72,26 @@
 
     def keep(
         self,
+        service: service_module.Service,
         runners: typing.Sequence[runner_info.RunnerInfo],
-        *,
-        engine: service_module.Engine,
         now_s: float,
     ) -> None:
-        """Give the next order that the split of stages asks for."""
-        settled = self._is_settled(runners, now_s)
+        """Give the next order that a service's split of stages asks for."""
+        assert service.engine is not None
+        settled = self._is_settled(service.name, runners, now_s)
         if not settled or now_s < self._quiet_until_s:
             return
-        lapses_s = max(ORDER_LAPSES_S, 2 * engine.stage_change_s)
+        away_s = service.engine.stage_change_s
+        lapses_s = max(ORDER_LAPSES_S, 2 * away_s)
         for runner_id, at_s in list(self._ordered_s.items()):
             if now_s - at_s > lapses_s:
                 del self._ordered_s[runner_id]
-        change = stage_split.next_change(runners, changing=self._ordered_s)
+        changing = [
+            one.runner_id
+            for one in runners
+            if one.runner_id in self._ordered_s
+        ]
+        change = stage_split.next_change(runners, changing=changing)
         if change is None:
             return
         target = next(
@@ -98,20 +104,23 @@
 
     def _is_settled(
         self,
+        service: str,
         runners: typing.Sequence[runner_info.RunnerInfo],
         now_s: float,
     ) -> bool:
         known = frozenset(
             f'{one.runner_id} {one.ready} {one.stage}' for one in runners
         )
-        if known != self._known:
-            changed = self._known ^ known
+        before = self._known.get(service, frozenset())
+        if known != before:
+            changed = before ^ known
             for runner_id in list(self._ordered_s):
                 if any(text.startswith(runner_id) for text in changed):
                     del self._ordered_s[runner_id]
-            self._known = known
-            self._known_since_s = now_s
-        return now_s - self._known_since_s >= SETTLE_S
+            self._known[service] = known
+            self._known_since_s[service] = now_s
+        since_s = self._known_since_s.get(service, now_s)
+        return now_s - since_s >= SETTLE_S
 
     async def _order(
         self,
--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -108,6 +108,8 @@
                     failed=self._failed,
                     full=self._full,
                 )
+                self._failed.clear()
+                self._full.clear()
             if step is next_step.Step.RELAY:
                 return
             if step is not next_step.Step.AGAIN:
