Wait for a lone runner that reads while it has places

Cause: with no prefill runner, a stream that came while the decode runner read another prompt was told that the next place comes with the end of a stream, and refused, though places were free: 4 to 8 of 12 were used. Ruled out: pauses (none over 300 ms among the served), memory. The test failed before.

--- a/limpetroute/routing/stream_desk.py
+++ b/limpetroute/routing/stream_desk.py
@@ -1,6 +1,7 @@
 """Gives streams their places at runners, for all entry hosts."""
 
 import dataclasses
+import math
 import typing
 
 from limpetroute.decisions import stage as stage_module
@@ -22,6 +23,8 @@
 # that event's pause too long: 5,000 tokens hold it up for 180 ms, an
 # event takes 50 ms without, and pauses over 300 ms are late.
 SELF_READ_PAUSE_S = 0.1
+# A prompt of the mean size and the pause after it.
+SELF_READ_EACH_S = 0.3
 # Longer prompts, read by a decode runner, hold each of its streams up
 # beyond 300 ms (measured: 6,500 tokens 325 ms, 11,000 tokens 466 ms).
 # With more than a few streams there, more is lost than gained.
@@ -377,6 +380,9 @@
         late = 0
         for one in self._in_order(now_s, bool(readers)):
             turn_s = self._turn_s(ends_s, ahead, now_s)
+            if not readers:
+                read_s = self._read_turn_s(one.ask, decoders, ahead, now_s)
+                turn_s = min(turn_s, read_s)
             longest_s = LONGEST_PAUSE_S if one.ask.goes_on else LONGEST_WAIT_S
             waits_too_long = turn_s - one.sent_s > longest_s
             if decoders and (
@@ -404,6 +410,40 @@
             return ends_s[ahead]
         return ends_s[-1] if ends_s else now_s
 
+    def _read_turn_s(
+        self,
+        ask: stream_ask.StreamAsk,
+        decoders: list[runner_info.RunnerInfo],
+        ahead: int,
+        now_s: float,
+    ) -> float:
+        """Return when a decode runner with room may read a prompt.
+
+        Such a runner has places, but reads one prompt at a time: it is
+        waited for, not for the end of one of its streams.
+        """
+        soonest_s = []
+        for runner in decoders:
+            streams = self._outlooks(runner.runner_id)
+            beside = len(streams)
+            is_long = ask.prompt_tokens > LONGEST_SELF_READ_TOKENS
+            if runner.runner_id in ask.avoid:
+                continue
+            if beside >= self._engine.slots:
+                continue
+            if is_long and beside > FEW_STREAMS:
+                continue
+            streams.append(self._outlook(ask, now_s))
+            peak = decode_room.peak_tokens(streams, now_s)
+            if peak > self._engine.memory_tokens * MEMORY_SHARE:
+                continue
+            free_s = self._free_s.get(runner.runner_id, now_s)
+            soonest_s.append(max(now_s, free_s))
+        if not soonest_s:
+            return math.inf
+        each_s = SELF_READ_EACH_S / len(soonest_s)
+        return min(soonest_s) + ahead * each_s
+
     def _refuse(
         self, one: _Waiting, ends_s: list[float], now_s: float
     ) -> stream_ask.StreamRefusal:
--- a/tests/routing/test_stream_desk.py
+++ b/tests/routing/test_stream_desk.py
@@ -279,3 +279,25 @@
         desk.ask(builders.make_ask(f's{n}', zone='z0'), 0.0)
     taken = [one.decode_id for one in places(desk.decide(fleet, 0.0))]
     assert 6 <= taken.count('d1') <= 8
+
+
+def test_a_lone_writer_that_reads_is_waited_for_while_it_has_places():
+    """One runner is left, with most of its places free.
+
+    It reads one prompt at a time. Who comes meanwhile was refused, as
+    if the next place came only with the end of a stream: half of the
+    places stood empty while most callers were told to come back.
+    """
+    desk = make_desk()
+    fleet = [builders.make_runner('d0')]
+    for n in range(3):
+        ask = builders.make_ask(
+            f's{n}', prompt_tokens=3000, output_tokens=8000
+        )
+        desk.ask(ask, 0.0)
+    served = []
+    for step in range(18):
+        answers = desk.decide(fleet, step * 0.05)
+        assert not refusals(answers)
+        served += [one.request_id for one in places(answers)]
+    assert served == ['s0', 's1', 's2']
