Know callers that come back by their prompts; new streams go first

Cause: each attempt of a caller has a new id and comes to another host, so the desk took a caller that came back after a refusal for a new stream with a whole target ahead. Its target counts from its first attempt, so its answer is late whatever happens. With one model runner left of three, about half of the places went to such streams, and new ones that could have been in time were refused and came back late in turn.

Ruled out: slots left unused (held 11-12 of 12 all the while), pauses (none over 300 ms), refusals by runners.

Change: the last part of a prompt's prefix names it; the desk remembers the first time of what it refused. The log line of a decision says which prompt, how long it waited and how long its caller stays.

--- a/limpetroute/border/place_bodies.py
+++ b/limpetroute/border/place_bodies.py
@@ -19,6 +19,7 @@
     reads_prompt: bool
     may_repeat: bool = True
     zone: str = ''
+    prompt_id: str = ''
     avoid: tuple[str, ...] = ()
 
     def ask(self) -> stream_ask.StreamAsk:
--- a/limpetroute/dispatch/dispatcher.py
+++ b/limpetroute/dispatch/dispatcher.py
@@ -29,6 +29,12 @@
 Answer = stream_ask.StreamPlace | stream_ask.StreamRefusal
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Pending:
+    ask: stream_ask.StreamAsk
+    future: asyncio.Future[Answer]
+
+
 class Dispatcher:
     """Decides for all entry hosts while this control host leads.
 
@@ -57,7 +63,7 @@
             http=caller.Caller(),
         )
         self._desks: dict[str, stream_desk.StreamDesk] = {}
-        self._futures: dict[str, asyncio.Future[Answer]] = {}
+        self._pending: dict[str, _Pending] = {}
         self._plan: route_plan.RoutePlan | None = None
         self._plan_index = 0
         self._by_service: dict[str, list[runner_info.RunnerInfo]] = {}
@@ -94,7 +100,7 @@
         future: asyncio.Future[Answer] = (
             asyncio.get_running_loop().create_future()
         )
-        self._futures[ask.request_id] = future
+        self._pending[ask.request_id] = _Pending(ask=ask, future=future)
         desk.ask(ask, boot_clock.now_s())
         self._decide(ask.service, desk)
         try:
@@ -103,7 +109,7 @@
             desk.withdraw(ask.request_id)
             raise
         finally:
-            self._futures.pop(ask.request_id, None)
+            self._pending.pop(ask.request_id, None)
 
     def withdraw(self, service: str, request_id: str) -> None:
         """Forget a stream whose caller is gone."""
@@ -192,21 +198,22 @@
             return
         runners = self._runners(service)
         for answer in desk.decide(runners, boot_clock.now_s()):
-            future = self._futures.get(answer.request_id)
+            pending = self._pending.get(answer.request_id)
             LOG.info(
                 'stream decided',
                 extra={
                     'request': answer.request_id,
                     'outcome': type(answer).__name__,
                     **_detail(answer),
+                    **(_inputs(pending.ask) if pending else {}),
                     'held': desk.held,
                     'waiting': desk.waiting,
                     'tokens_per_s': round(desk.tokens_per_s),
                     'term': self._led_term,
                 },
             )
-            if future is not None and not future.done():
-                future.set_result(answer)
+            if pending is not None and not pending.future.done():
+                pending.future.set_result(answer)
 
     def _keep_stages(self) -> None:
         self._read_plan()
@@ -226,3 +233,16 @@
     body = dataclasses.asdict(answer)
     del body['request_id']
     return body
+
+
+def _inputs(ask: stream_ask.StreamAsk) -> dict[str, typing.Any]:
+    """Return what of a stream decided, for the log.
+
+    A caller that comes back has another request id, but the same prompt.
+    """
+    return {
+        'prompt': ask.prompt_id,
+        'waited_ms': round(ask.waited_s * 1000),
+        'patience_ms': round(ask.patience_s * 1000),
+        'goes_on': ask.goes_on,
+    }
--- a/limpetroute/forwarding/caller_request.py
+++ b/limpetroute/forwarding/caller_request.py
@@ -18,11 +18,15 @@
     expected_output_tokens : int
         The caller's estimate, right at the median and often far off;
         the most where it gives none.
+    prompt_id : str
+        Names the prompt; the same when its caller asks again. Empty if
+        unknown.
     """
 
     prompt_tokens: int
     max_output_tokens: int
     expected_output_tokens: int
+    prompt_id: str = ''
 
     @property
     def peak_tokens(self) -> int:
--- a/limpetroute/forwarding/stream_places.py
+++ b/limpetroute/forwarding/stream_places.py
@@ -129,6 +129,7 @@
             reads_prompt=reads_prompt,
             may_repeat=self._route.repeatable,
             zone=self._context.zone,
+            prompt_id=generation.prompt_id,
             avoid=tuple(tried),
         )
 
--- a/limpetroute/platform/header_names.py
+++ b/limpetroute/platform/header_names.py
@@ -11,6 +11,9 @@
 TOKEN_USAGE = 'Token-Usage'
 # The caller's guess of the tokens of its answer.
 LENGTH_HINT = 'Length-Hint'
+# ID:TOKENS of each part of the prompt, in order. The last part is the
+# caller's own, so its ID names the prompt; the others are shared.
+PROMPT_PREFIX = 'Prompt-Prefix'
 STAGE = 'Stage'
 # ADDRESS/HANDLE of a prefill's result.
 KV_FROM = 'Kv-From'
--- a/limpetroute/platform/http_dialect.py
+++ b/limpetroute/platform/http_dialect.py
@@ -41,6 +41,7 @@
             generation=_generation(
                 headers.get(header_names.TOKEN_USAGE),
                 headers.get(header_names.LENGTH_HINT),
+                headers.get(header_names.PROMPT_PREFIX, ''),
             ),
             resume_after=headers.get(header_names.LAST_EVENT_ID, ''),
         )
@@ -144,7 +145,7 @@
 
 
 def _generation(
-    usage: str | None, hint: str | None
+    usage: str | None, hint: str | None, parts: str
 ) -> caller_request.Generation | None:
     try:
         prompt, _, most = (usage or '').partition(',')
@@ -152,6 +153,7 @@
             prompt_tokens=int(prompt),
             max_output_tokens=int(most),
             expected_output_tokens=min(int(hint or most), int(most)),
+            prompt_id=parts.rpartition(',')[2].partition(':')[0].strip(),
         )
     except ValueError:
         return None
--- /dev/null
+++ b/limpetroute/routing/return_book.py
@@ -0,0 +1,78 @@
+"""Knows streams that come back after a refusal."""
+
+import dataclasses
+
+from limpetroute.routing import stream_ask
+
+# Callers forget nothing sooner than their patience ends; this bounds the
+# memory where thousands are refused each second (about 200 bytes each).
+MAX_KNOWN = 20_000
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Refused:
+    first_sent_s: float
+    forget_s: float
+
+
+class ReturnBook:
+    """Knows streams that come back after a refusal.
+
+    A caller that comes back has a new request id, and comes to another
+    host. What stays is its prompt. Its target still counts from the
+    first time it asked: taken for a new stream, it would get a place in
+    which its answer is late anyway, before one that could be in time.
+
+    What is known is lost with the leader; whoever comes back then counts
+    as new.
+    """
+
+    def __init__(self) -> None:
+        self._refused: dict[str, _Refused] = {}
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(known={len(self._refused)!r})'
+
+    def first_sent_s(
+        self, ask: stream_ask.StreamAsk, sent_s: float, now_s: float
+    ) -> float:
+        """Return when a stream's caller asked for the first time."""
+        known = self._refused.get(_key(ask))
+        if known is None or now_s > known.forget_s:
+            return sent_s
+        return min(sent_s, known.first_sent_s)
+
+    def note(
+        self, ask: stream_ask.StreamAsk, first_sent_s: float, now_s: float
+    ) -> None:
+        """Take note of a stream that is refused."""
+        if not ask.prompt_id:
+            return
+        self._refused.pop(_key(ask), None)
+        self._refused[_key(ask)] = _Refused(
+            first_sent_s=first_sent_s,
+            forget_s=now_s + ask.patience_s - ask.waited_s,
+        )
+        self._forget(now_s)
+
+    def served(self, ask: stream_ask.StreamAsk) -> None:
+        """Forget a stream that got a place."""
+        self._refused.pop(_key(ask), None)
+
+    def _forget(self, now_s: float) -> None:
+        """Drop the oldest ones that are over, or too many."""
+        while self._refused:
+            oldest = next(iter(self._refused))
+            is_over = now_s > self._refused[oldest].forget_s
+            if not is_over and len(self._refused) <= MAX_KNOWN:
+                return
+            del self._refused[oldest]
+
+
+def _key(ask: stream_ask.StreamAsk) -> str:
+    """Return what names a prompt, whoever asks for it again.
+
+    A session may send several prompts under one name; their sizes tell
+    them apart.
+    """
+    return f'{ask.prompt_id} {ask.prompt_tokens} {ask.most_output_tokens}'
--- a/limpetroute/routing/stream_ask.py
+++ b/limpetroute/routing/stream_ask.py
@@ -33,6 +33,9 @@
         Whether it may go to another runner if this one fails.
     zone : str
         Zone of its entry host; empty if unknown.
+    prompt_id : str
+        Names its prompt; the same when its caller asks again. Empty if
+        unknown.
     avoid : tuple of str
         Decode runners that it must not go to.
     """
@@ -49,6 +52,7 @@
     reads_prompt: bool = True
     may_repeat: bool = True
     zone: str = ''
+    prompt_id: str = ''
     avoid: tuple[str, ...] = ()
 
 
--- a/limpetroute/routing/stream_desk.py
+++ b/limpetroute/routing/stream_desk.py
@@ -6,6 +6,7 @@
 
 from limpetroute.decisions import stage as stage_module
 from limpetroute.routing import decode_room
+from limpetroute.routing import return_book
 from limpetroute.routing import runner_info
 from limpetroute.routing import runner_watch
 from limpetroute.routing import service as service_module
@@ -73,10 +74,11 @@
 class _Waiting:
     ask: stream_ask.StreamAsk
     sent_s: float
+    first_sent_s: float
 
     @property
     def target_s(self) -> float:
-        return self.sent_s + self.ask.target_s
+        return self.first_sent_s + self.ask.target_s
 
 
 class StreamDesk:
@@ -106,6 +108,7 @@
         self._waiting: dict[str, _Waiting] = {}
         self._free_s: dict[str, float] = {}
         self._watch = runner_watch.RunnerWatch(uses=self._uses)
+        self._returns = return_book.ReturnBook()
         self._short_since_s = 0.0
         self._tokens_per_s = FIRST_TOKENS_PER_S
         self._in_time_in_a_row = 0
@@ -133,8 +136,11 @@
 
     def ask(self, ask: stream_ask.StreamAsk, now_s: float) -> None:
         """Take a stream; `decide` tells what it gets."""
+        sent_s = now_s - ask.waited_s
         self._waiting[ask.request_id] = _Waiting(
-            ask=ask, sent_s=now_s - ask.waited_s
+            ask=ask,
+            sent_s=sent_s,
+            first_sent_s=self._returns.first_sent_s(ask, sent_s, now_s),
         )
 
     def withdraw(self, request_id: str) -> None:
@@ -273,6 +279,7 @@
             prefill_id=reader.runner_id if reader else '',
         )
         del self._waiting[one.ask.request_id]
+        self._returns.served(one.ask)
         reading = reader or best
         self._free_s[reading.runner_id] = best_ready_s - OVERHEAD_S
         if reader is None:
@@ -448,6 +455,7 @@
         self, one: _Waiting, ends_s: list[float], now_s: float
     ) -> stream_ask.StreamRefusal:
         del self._waiting[one.ask.request_id]
+        self._returns.note(one.ask, one.first_sent_s, now_s)
         turn_s = self._turn_s(ends_s, len(self._waiting), now_s)
         lasted_s = now_s - self._short_since_s
         wait_s = max(MIN_RETRY_AFTER_S, turn_s - now_s, lasted_s)
--- a/tests/platform/test_http_dialect.py
+++ b/tests/platform/test_http_dialect.py
@@ -20,6 +20,7 @@
         Token_Usage='1460,80',
         Length_Hint='30',
         Last_Event_Id='4',
+        Prompt_Prefix='5c1e07a2:800,91bd3f06:410,e4402b7d:250',
     )
     assert (request.request_id, request.patience_s) == ('q', 1.5)
     assert request.path == '/a/b'
@@ -27,12 +28,15 @@
     assert request.generation.max_output_tokens == 80
     assert request.generation.expected_output_tokens == 30
     assert request.resume_after == '4'
+    assert request.generation.prompt_id == 'e4402b7d'
 
 
 def test_what_cannot_be_read_counts_as_absent():
     request = read(Deadline_Ms='soon', Token_Usage='many')
     assert request.patience_s is None
     assert request.generation is None
+    request = read(Token_Usage='5,6')
+    assert request.generation.prompt_id == ''
 
 
 def test_hop_by_hop_headers_stay_behind():
--- a/tests/routing/test_stream_desk.py
+++ b/tests/routing/test_stream_desk.py
@@ -1,5 +1,6 @@
 """Who gets a place, who waits, who is told to come back."""
 
+import dataclasses
 import random
 
 from limpetroute.routing import stream_ask
@@ -301,3 +302,64 @@
         assert not refusals(answers)
         served += [one.request_id for one in places(answers)]
     assert served == ['s0', 's1', 's2']
+
+
+def test_who_comes_back_does_not_pass_for_new():
+    """A burst is refused and comes back under new ids two seconds later.
+
+    Its answers are late whatever happens. Taken for new streams, they
+    fill the places, and streams that could have been in time are told to
+    come back themselves: each of them is late in turn.
+    """
+    desk = make_desk()
+    fleet = make_fleet(writers=1)
+    for n in range(60):
+        ask = builders.make_ask(f's{n}', prompt_id=f'p{n}')
+        desk.ask(ask, 0.0)
+    answers = desk.decide(fleet, 0.0)
+    held = [one.request_id for one in places(answers)]
+    told = [one.request_id for one in refusals(answers)]
+    for name in told:
+        ask = builders.make_ask(f'again-{name}', prompt_id=f'p{name[1:]}')
+        desk.ask(ask, 2.0)
+    for n in range(6):
+        ask = builders.make_ask(f'new{n}', prompt_id=f'q{n}')
+        desk.ask(ask, 2.0)
+    for name in held[:6]:
+        desk.end(stream_ask.StreamEnd(request_id=name), 2.0)
+    given = [one.request_id for one in places(desk.decide(fleet, 2.0))]
+    # One place in eight goes to a late one.
+    assert sum(name.startswith('new') for name in given) >= 5
+
+
+def test_who_comes_back_is_let_in_when_there_is_room():
+    desk = make_desk()
+    fleet = make_fleet(writers=1)
+    for n in range(40):
+        ask = builders.make_ask(f's{n}', prompt_id=f'p{n}')
+        desk.ask(ask, 0.0)
+    answers = desk.decide(fleet, 0.0)
+    for one in places(answers):
+        desk.end(stream_ask.StreamEnd(request_id=one.request_id), 3.0)
+    back = refusals(answers)[0].request_id
+    ask = builders.make_ask('again', prompt_id=f'p{back[1:]}')
+    desk.ask(ask, 3.0)
+    given = [one.request_id for one in places(desk.decide(fleet, 3.0))]
+    assert 'again' in given
+
+
+def test_one_prompt_of_a_session_does_not_count_for_the_next():
+    """Sessions send prompts of other sizes under one name."""
+    engine = dataclasses.replace(builders.ENGINE, slots=4)
+    desk = stream_desk.StreamDesk(engine=engine)
+    fleet = make_fleet(writers=0)
+    desk.ask(builders.make_ask('a', prompt_id='p'), 0.0)
+    assert refusals(desk.decide(fleet, 0.0))
+    fleet = make_fleet(writers=1)
+    for n in range(3):
+        desk.ask(builders.make_ask(f'x{n}'), 1.0)
+    assert len(places(desk.decide(fleet, 1.0))) == 3
+    desk.ask(builders.make_ask('b', prompt_id='p', prompt_tokens=900), 1.0)
+    desk.ask(builders.make_ask('late', waited_s=0.89), 1.0)
+    (place,) = places(desk.decide(fleet, 1.0))
+    assert place.request_id == 'b'
