--- a/limpetroute/border/place_bodies.py
+++ b/limpetroute/border/place_bodies.py
@@ -36,6 +36,7 @@
     decode_s: float = 0.0
     failed: tuple[str, ...] = ()
     full: tuple[str, ...] = ()
+    whole: bool = False
 
     def end(self) -> stream_ask.StreamEnd:
         """Return what it says."""
@@ -45,6 +46,7 @@
             decode_s=self.decode_s,
             failed=self.failed,
             full=self.full,
+            whole=self.whole,
         )
 
 
--- a/limpetroute/dispatch/dispatcher.py
+++ b/limpetroute/dispatch/dispatcher.py
@@ -242,6 +242,8 @@
     """
     return {
         'prompt': ask.prompt_id,
+        'prompt_tokens': ask.prompt_tokens,
+        'expected_tokens': ask.output_tokens,
         'waited_ms': round(ask.waited_s * 1000),
         'patience_ms': round(ask.patience_s * 1000),
         'goes_on': ask.goes_on,
--- a/limpetroute/forwarding/runner_call.py
+++ b/limpetroute/forwarding/runner_call.py
@@ -69,6 +69,13 @@
         """Whether the response arrived to its end."""
         return self._link.whole
 
+    async def connect(self) -> SendFailure | None:
+        """Connect ahead of `open`, to learn whether the runner is there."""
+        failed = await self._link.connect(CONNECT_TRIES_S)
+        if failed is None:
+            return None
+        return SendFailure(result=_result(failed), detail=failed.detail)
+
     async def open(
         self,
         request: caller_request.CallerRequest,
--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -68,6 +68,7 @@
         self._full: set[str] = set()
         self._history = send_history.SendHistory(route=route)
         self._readings = 0
+        self._whole = False
         self._first_event_s = 0.0
         self._events_s = 0.0
         self._longest_gap_s = 0.0
@@ -107,6 +108,7 @@
                     tokens=self._tokens_written(),
                     failed=self._failed,
                     full=self._full,
+                    whole=self._whole,
                 )
                 self._failed.clear()
                 self._full.clear()
@@ -142,18 +144,50 @@
         reading = prompt_reading.PromptReading(
             context=self._context, request=self._request, route=self._route
         )
+        call = runner_call.RunnerCall(
+            runner=runner, dialect=self._context.dialect
+        )
         try:
             source = None
             if rooms.prefill is not None:
+                # A prompt read for a decode runner that is dark is read
+                # in vain (30 thousand tokens in 2 s while one of three
+                # is): it is connected to first.
+                failed = await call.connect()
+                if failed is not None:
+                    return self._after_failed_connect(runner, failed)
                 source = await reading.read(rooms.prefill)
                 if source is None:
                     return self._after_failed_reading(rooms.prefill)
-            return await self._decode(runner, source)
+            return await self._decode(call, source)
         finally:
+            call.close()
             reading.free_unless_taken()
             load.requests -= 1
             load.tokens -= self._tokens()
 
+    def _after_failed_connect(
+        self, runner: runner_info.RunnerInfo, failed: runner_call.SendFailure
+    ) -> next_step.Step:
+        """Return what follows a decode runner that cannot be reached."""
+        self._tried.add(runner.runner_id)
+        self._note_failure(runner)
+        step = self._decide(failed.result)
+        self._context.log_send(
+            self._request,
+            runner=runner,
+            result=failed.result,
+            step=step,
+            took_s=0.0,
+            detail=failed.detail,
+            part='connect',
+        )
+        return step
+
+    def _note_failure(self, runner: runner_info.RunnerInfo) -> None:
+        self._context.view.load(runner.runner_id).note_failure(_now_s())
+        self._failed.add(runner.runner_id)
+
     def _after_failed_reading(
         self, prefill: runner_info.RunnerInfo
     ) -> next_step.Step:
@@ -173,61 +207,71 @@
 
     async def _decode(
         self,
-        runner: runner_info.RunnerInfo,
+        call: runner_call.RunnerCall,
         source: prompt_reading.Reading | None,
     ) -> next_step.Step:
         context = self._context
         begun_s = _now_s()
+        runner = call.runner
         self._tried.add(runner.runner_id)
-        load = context.view.load(runner.runner_id)
-        call = runner_call.RunnerCall(runner=runner, dialect=context.dialect)
         note = dialect_module.SendNote(
             left_s=context.left_s(self._request, self._route),
             runner_id=runner.runner_id,
             kv_source=source.source if source else None,
             resume_after=self._events.last_id or None,
         )
-        try:
-            failed = await call.open(self._request, note)
-            result = failed.result if failed else None
-            if failed is None and call.status >= runner_call.HTTP_SERVER_ERROR:
-                result = send_result.SendResult.FAILED
-            if result is None:
-                if source is not None:
-                    source.taken = True
-                result = await self._relay(call)
-            if result is send_result.SendResult.ANSWERED:
-                load.note_success(_now_s() - begun_s)
-            elif result is send_result.SendResult.REFUSED and source:
-                # Mostly the KV cache has lapsed before it was taken;
-                # the runner itself may have room.
-                self._tried.discard(runner.runner_id)
-            elif result is send_result.SendResult.REFUSED:
-                self._full.add(runner.runner_id)
-            else:
-                load.note_failure(_now_s())
-                self._failed.add(runner.runner_id)
-            step = self._decide(result)
-            context.log_send(
-                self._request,
-                runner=runner,
-                result=result,
-                step=step,
-                took_s=_now_s() - begun_s,
-                detail=failed.detail if failed else f'status {call.status}',
-                part='decode',
-                events=self._events.count,
-                first_event_ms=round(
-                    (self._first_event_s - self._request.received_s) * 1000
-                ),
-                longest_gap_ms=round(self._longest_gap_s * 1000),
-                asked_tokens=self._tokens(),
-            )
-            if step is next_step.Step.RELAY and not self._responder.finished:
-                await self._relay_failure(call)
-            return step
-        finally:
-            call.close()
+        failed = await call.open(self._request, note)
+        result = failed.result if failed else None
+        if failed is None and call.status >= runner_call.HTTP_SERVER_ERROR:
+            result = send_result.SendResult.FAILED
+        if result is None:
+            if source is not None:
+                source.taken = True
+            result = await self._relay(call)
+        self._judge(runner, result, source, _now_s() - begun_s)
+        step = self._decide(result)
+        context.log_send(
+            self._request,
+            runner=runner,
+            result=result,
+            step=step,
+            took_s=_now_s() - begun_s,
+            detail=failed.detail if failed else f'status {call.status}',
+            part='decode',
+            events=self._events.count,
+            first_event_ms=self._first_event_ms(),
+            longest_gap_ms=round(self._longest_gap_s * 1000),
+            asked_tokens=self._tokens(),
+        )
+        if step is next_step.Step.RELAY and not self._responder.finished:
+            await self._relay_failure(call)
+        return step
+
+    def _judge(
+        self,
+        runner: runner_info.RunnerInfo,
+        result: send_result.SendResult,
+        source: prompt_reading.Reading | None,
+        took_s: float,
+    ) -> None:
+        """Take note of what a send says of its runner."""
+        if result is send_result.SendResult.ANSWERED:
+            self._whole = True
+            self._context.view.load(runner.runner_id).note_success(took_s)
+        elif result is send_result.SendResult.REFUSED and source:
+            # Mostly the KV cache has lapsed before it was taken; the
+            # runner itself may have room.
+            self._tried.discard(runner.runner_id)
+        elif result is send_result.SendResult.REFUSED:
+            self._full.add(runner.runner_id)
+        else:
+            self._note_failure(runner)
+
+    def _first_event_ms(self) -> int | None:
+        """Return the time from the request to its first event, if any."""
+        if not self._first_event_s:
+            return None
+        return round((self._first_event_s - self._request.received_s) * 1000)
 
     async def _relay(
         self, call: runner_call.RunnerCall
--- a/limpetroute/forwarding/stream_places.py
+++ b/limpetroute/forwarding/stream_places.py
@@ -13,6 +13,7 @@
 from limpetroute.routing import service as service_module
 from limpetroute.routing import stream_ask
 from limpetroute.routing import stream_placement
+from limpetroute.routing import stream_times
 
 LOG = logging.getLogger(__name__)
 
@@ -20,6 +21,9 @@
 # runner: it is mostly one of few that are cut off, and the others go on
 # filling the same runners with places that the leader gives.
 OWN_PARTS = 1.5
+# How often a host without a leader looks whether there is one again, or
+# room among its own streams.
+LOOK_AGAIN_S = 0.05
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -72,19 +76,31 @@
         """Return rooms, or a refusal.
 
         The host that decides for all is asked; where it cannot be, this
-        host decides by what it has sent itself. See `StreamAsk` for the
-        parameters.
+        host decides by what it has sent itself. Where it has no room
+        left, another leader is mostly there within a second: refused
+        at once, the caller came back late (34 of 260 streams on a day
+        with two changes of leader and three hosts cut off). See
+        `StreamAsk` for the parameters.
         """
-        ask = self._ask(tried, goes_on, reads_prompt, waited_s)
-        answer = await self._context.places.ask(ask)
-        if isinstance(answer, stream_ask.StreamRefusal):
-            return answer
-        if isinstance(answer, stream_ask.StreamPlace):
-            rooms = self._rooms(answer)
-            if rooms is not None:
-                return rooms
-            self.give_back()
-        return self._decide_alone(ask, answer)
+        begun_s = _now_s()
+        while True:
+            so_far_s = waited_s + _now_s() - begun_s
+            ask = self._ask(tried, goes_on, reads_prompt, so_far_s)
+            answer = await self._context.places.ask(ask)
+            if isinstance(answer, stream_ask.StreamRefusal):
+                return answer
+            if isinstance(answer, stream_ask.StreamPlace):
+                rooms = self._rooms(answer)
+                if rooms is not None:
+                    return rooms
+                self.give_back()
+            got = self._decide_alone(ask)
+            if isinstance(got, Rooms) or not stream_times.may_wait(
+                ask, LOOK_AGAIN_S
+            ):
+                self._log_alone(ask, answer, got)
+                return got
+            await asyncio.sleep(LOOK_AGAIN_S)
 
     def give_back(
         self,
@@ -93,6 +109,7 @@
         tokens: int = 0,
         failed: typing.Collection[str] = (),
         full: typing.Collection[str] = (),
+        whole: bool = False,
     ) -> None:
         """Give back what is held, with what was measured."""
         self._context.places.end(
@@ -103,6 +120,7 @@
                 decode_s=events_s,
                 failed=tuple(failed),
                 full=tuple(full),
+                whole=whole,
             ),
         )
 
@@ -146,12 +164,12 @@
         return Rooms(decode=decode, prefill=prefill)
 
     def _decide_alone(
-        self, ask: stream_ask.StreamAsk, answer: place_client.Answer
+        self, ask: stream_ask.StreamAsk
     ) -> Rooms | stream_ask.StreamRefusal:
         context = self._context
         assert self._service.engine is not None
         runners = context.view.runners(self._service.name)
-        now_s = asyncio.get_running_loop().time()
+        now_s = _now_s()
         decode = stream_placement.choose_decode(
             runners,
             engine=self._service.engine,
@@ -170,16 +188,6 @@
                 now_s=now_s,
                 rng=context.rng,
             )
-        LOG.info(
-            'decided alone',
-            extra={
-                'request': ask.request_id,
-                'why': str(answer),
-                'decode': decode.runner_id if decode else '',
-                'prefill': prefill.runner_id if prefill else '',
-                'index': context.view.index,
-            },
-        )
         if decode is None:
             return stream_ask.StreamRefusal(
                 request_id=ask.request_id,
@@ -187,3 +195,25 @@
                 reason='no room known',
             )
         return Rooms(decode=decode, prefill=prefill)
+
+    def _log_alone(
+        self,
+        ask: stream_ask.StreamAsk,
+        answer: place_client.Answer,
+        got: Rooms | stream_ask.StreamRefusal,
+    ) -> None:
+        decode = got.decode.runner_id if isinstance(got, Rooms) else ''
+        LOG.info(
+            'decided alone',
+            extra={
+                'request': ask.request_id,
+                'why': str(answer),
+                'decode': decode,
+                'waited_ms': round(ask.waited_s * 1000),
+                'index': self._context.view.index,
+            },
+        )
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/limpetroute/routing/stream_ask.py
+++ b/limpetroute/routing/stream_ask.py
@@ -110,6 +110,8 @@
         Runners that did not answer as they should.
     full : tuple of str
         Runners that refused for want of room.
+    whole : bool
+        Whether the answer came to its own end.
     """
 
     request_id: str
@@ -117,3 +119,4 @@
     decode_s: float = 0.0
     failed: tuple[str, ...] = ()
     full: tuple[str, ...] = ()
+    whole: bool = False
--- a/limpetroute/routing/stream_desk.py
+++ b/limpetroute/routing/stream_desk.py
@@ -6,20 +6,19 @@
 
 from limpetroute.decisions import stage as stage_module
 from limpetroute.routing import decode_room
+from limpetroute.routing import length_estimate
 from limpetroute.routing import return_book
 from limpetroute.routing import runner_info
 from limpetroute.routing import runner_watch
 from limpetroute.routing import service as service_module
 from limpetroute.routing import stream_ask
+from limpetroute.routing import stream_times
 
 # Used until streams have been measured; corrected by the first few that
 # end. A step of 0.7 ms writes 1,400 tokens a second.
 FIRST_TOKENS_PER_S = 1300.0
 # Ends shorter than this say little of a stream's speed.
 LEAST_MEASURED_S = 0.2
-PREFILL_TOKENS_PER_S = 50_000.0
-# A decode runner reads at half the speed, between the tokens of others.
-SELF_READ_TOKENS_PER_S = 25_000.0
 # Two prompts read by a decode runner within one event of its streams make
 # that event's pause too long: 5,000 tokens hold it up for 180 ms, an
 # event takes 50 ms without, and pauses over 300 ms are late.
@@ -31,16 +30,16 @@
 # With more than a few streams there, more is lost than gained.
 LONGEST_SELF_READ_TOKENS = 5500
 FEW_STREAMS = 3
-# Part of the memory that is planned for: estimates of ends are off by
-# some tenths of a second, some hundred tokens a stream.
-MEMORY_SHARE = 0.97
+# Part of the memory that is planned for: answers differ from what is
+# expected by a third, some 1,500 tokens each. Played for 160 s with
+# memory for 78,000 tokens: 0.97 gives 347 places and overflows 44 times,
+# 0.90 gives 327 and 8, 0.85 gives 316 and 3; an overflow costs a prompt
+# read again and two streams' targets.
+MEMORY_SHARE = 0.9
 # Part of the memory by which a runner of the caller's zone may be fuller
 # than another one and still be taken: an answer is 24 KB that would be
 # paid for between zones. A stream takes 4 to 8 % of a runner.
 NEAR_SHARE = 0.08
-# From a grant to the first event, beside the reading: the way to the
-# entry host and two runners, the transfer, the first steps.
-OVERHEAD_S = 0.09
 # A stream waits no longer than this for a place, counted from its
 # caller's send: callers leave 3.6 s after it without a first event.
 LONGEST_WAIT_S = 2.4
@@ -53,9 +52,6 @@
 # While streams wait that can still make it, one place in this many goes
 # to one that cannot: a late answer is worth a fifth, but not nothing.
 LATE_EVERY = 8
-# A stream that was begun is lost once its caller leaves, after 3.6 s
-# without an event.
-LONGEST_PAUSE_S = 3.2
 MIN_RETRY_AFTER_S = 0.3
 # With more streams than places for seconds on end, whoever comes back
 # when one place ends meets as many others as before. A shortage that has
@@ -66,6 +62,7 @@
 @dataclasses.dataclass(kw_only=True, slots=True)
 class _Held:
     place: stream_ask.StreamPlace
+    ask: stream_ask.StreamAsk
     outlook: decode_room.StreamOutlook
     expires_s: float
 
@@ -108,6 +105,7 @@
         self._waiting: dict[str, _Waiting] = {}
         self._free_s: dict[str, float] = {}
         self._watch = runner_watch.RunnerWatch(uses=self._uses)
+        self._lengths = length_estimate.LengthEstimate()
         self._returns = return_book.ReturnBook()
         self._short_since_s = 0.0
         self._tokens_per_s = FIRST_TOKENS_PER_S
@@ -154,6 +152,11 @@
         if end.decode_s > LEAST_MEASURED_S and end.output_tokens:
             rate = end.output_tokens / end.decode_s
             self._tokens_per_s += (rate - self._tokens_per_s) / 16
+        if end.whole and held is not None and not held.ask.goes_on:
+            self._lengths.learn(
+                said_tokens=held.ask.output_tokens,
+                came_tokens=end.output_tokens,
+            )
         for runner_id in end.full:
             seen = len(self._outlooks(runner_id))
             self._watch.full(runner_id, self._engine.slots - seen, now_s)
@@ -207,8 +210,9 @@
         )
 
     def _in_time(self, one: _Waiting, at_s: float, has_reader: bool) -> bool:
-        rate = PREFILL_TOKENS_PER_S if has_reader else SELF_READ_TOKENS_PER_S
-        needed_s = OVERHEAD_S + one.ask.prompt_tokens / rate
+        needed_s = stream_times.to_first_event_s(
+            one.ask, has_reader=has_reader
+        )
         return at_s + needed_s <= one.target_s
 
     def _in_order(self, now_s: float, has_reader: bool) -> list[_Waiting]:
@@ -281,7 +285,9 @@
         del self._waiting[one.ask.request_id]
         self._returns.served(one.ask)
         reading = reader or best
-        self._free_s[reading.runner_id] = best_ready_s - OVERHEAD_S
+        self._free_s[reading.runner_id] = (
+            best_ready_s - stream_times.OVERHEAD_S
+        )
         if reader is None:
             self._free_s[reading.runner_id] += SELF_READ_PAUSE_S
         self._hold(place, one.ask, one.sent_s, begins_s=best_ready_s)
@@ -326,11 +332,12 @@
         reader: runner_info.RunnerInfo | None,
         now_s: float,
     ) -> float:
-        if reader is None:
-            reading_s = ask.prompt_tokens / SELF_READ_TOKENS_PER_S
-            return now_s + reading_s + OVERHEAD_S
-        free_s = max(now_s, self._free_s.get(reader.runner_id, now_s))
-        return free_s + ask.prompt_tokens / PREFILL_TOKENS_PER_S + OVERHEAD_S
+        free_s = now_s
+        if reader is not None:
+            free_s = max(now_s, self._free_s.get(reader.runner_id, now_s))
+        return free_s + stream_times.to_first_event_s(
+            ask, has_reader=reader is not None
+        )
 
     def _outlooks(self, runner_id: str) -> list[decode_room.StreamOutlook]:
         return [
@@ -344,7 +351,10 @@
     ) -> decode_room.StreamOutlook:
         return decode_room.StreamOutlook(
             prompt_tokens=ask.prompt_tokens,
-            output_tokens=ask.output_tokens,
+            output_tokens=self._lengths.tokens(
+                said_tokens=ask.output_tokens,
+                most_tokens=ask.most_output_tokens,
+            ),
             most_output_tokens=ask.most_output_tokens,
             begins_s=begins_s,
             tokens_per_s=self._tokens_per_s,
@@ -360,6 +370,7 @@
     ) -> None:
         self._held[place.request_id] = _Held(
             place=place,
+            ask=ask,
             outlook=self._outlook(ask, begins_s),
             expires_s=sent_s + ask.patience_s + 1.0,
         )
@@ -390,7 +401,11 @@
             if not readers:
                 read_s = self._read_turn_s(one.ask, decoders, ahead, now_s)
                 turn_s = min(turn_s, read_s)
-            longest_s = LONGEST_PAUSE_S if one.ask.goes_on else LONGEST_WAIT_S
+            longest_s = (
+                stream_times.LONGEST_PAUSE_S
+                if one.ask.goes_on
+                else LONGEST_WAIT_S
+            )
             waits_too_long = turn_s - one.sent_s > longest_s
             if decoders and (
                 self._in_time(one, turn_s, bool(readers))
--- a/limpetroute/wire/connection.py
+++ b/limpetroute/wire/connection.py
@@ -153,6 +153,29 @@
             f'{type(self).__name__}(host={self._host!r}, port={self._port!r})'
         )
 
+    async def connect(
+        self, tries_s: typing.Sequence[float] = (CONNECT_TIMEOUT_S,)
+    ) -> call_failed.CallFailed | None:
+        """Connect ahead of `send`, with a timeout for each try."""
+        try:
+            await self._connect_in(tries_s)
+        except (TimeoutError, OSError, iostream.StreamClosedError) as exc:
+            self.close()
+            cause = getattr(exc, 'real_error', None) or exc
+            return call_failed.CallFailed(
+                kind=call_failed.FailureKind.CONNECT,
+                sent=False,
+                detail=str(cause),
+            )
+        except asyncio.CancelledError:
+            self.close()
+            raise
+        assert self._stream is not None
+        # With a callback, the stream watches for the other end's close
+        # while nothing is read from it.
+        self._stream.set_close_callback(_nothing)
+        return None
+
     async def send(
         self,
         *,
@@ -167,7 +190,9 @@
 
         ``Host`` among the headers is kept; otherwise it is this end's
         address. ``connect_tries_s`` has a timeout for each try to
-        connect.
+        connect. A connection made before by `connect` is used, unless
+        the other end has closed it: then nothing was sent on it, and
+        another one is made.
 
         Returns
         -------
@@ -177,7 +202,8 @@
         sent = False
         try:
             async with asyncio.timeout(timeout_s):
-                await self._connect_in(connect_tries_s)
+                if self._stream is None or self._stream.closed():
+                    await self._connect_in(connect_tries_s)
                 assert self._stream is not None
                 self._stream.set_nodelay(True)
                 sent = True
@@ -371,6 +397,10 @@
             self._stream.close()
 
 
+def _nothing() -> None:
+    """Stand for a callback that has nothing to do."""
+
+
 def _family(host: str) -> socket.AddressFamily | None:
     """Return the family of an IP number, or None for a name."""
     try:
--- a/tests/forwarding/scripted_runner.py
+++ b/tests/forwarding/scripted_runner.py
@@ -52,6 +52,8 @@
     def __init__(self, script):
         self.script = script
         self.seen = []
+        # Connections that are closed before a request is read.
+        self.close_first = 0
 
     async def start(self):
         self._server = await asyncio.start_server(self._serve, '127.0.0.1', 0)
@@ -62,6 +64,10 @@
         self._server.close()
 
     async def _serve(self, reader, writer):
+        if self.close_first:
+            self.close_first -= 1
+            writer.close()
+            return
         try:
             head = (await reader.readuntil(b'\r\n\r\n')).decode()
         except (asyncio.IncompleteReadError, ConnectionError):
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -260,3 +260,100 @@
         assert _events(got) == [1, 2]
 
     run(work())
+
+
+def test_no_prompt_is_read_for_a_writer_that_is_dark():
+    """A decode runner dies; its last heartbeat still says ready.
+
+    A place is given at it, the prompt is read apart, and only then does
+    the connect fail: the reading is thrown away, and the other decode
+    runner reads the prompt itself, between the tokens of its streams.
+    """
+
+    async def work():
+        async with harness.running(
+            [_prefill, _stream(1), _stream(1, 2)],
+            stages=[PREFILL, DECODE, DECODE],
+            **RESUMABLE,
+        ) as (front, (prefill, dead, decode)):
+            await dead.stop()
+            # The one that is dead is chosen first: it has fewest tokens.
+            front.view.load('r2').tokens = 10
+            got = await front.ask(more=USAGE)
+            reads = [one for one in prefill.seen if one.header('Stage')]
+            assert len(reads) == 1
+            assert decode.seen[0].header('Kv-From').endswith('/h1')
+        assert _events(got) == [1, 2]
+        assert _complete(got)
+
+    run(work())
+
+
+def test_a_writer_that_closes_while_the_prompt_is_read_is_sent_to_anew():
+    """The connection made ahead is closed before anything is sent on it.
+
+    Nothing ran. Taken for a request that may have run, a stream that
+    may not be sent twice would fail.
+    """
+
+    async def work():
+        async def slowly(seen, writer):
+            await asyncio.sleep(0.2)
+            await _prefill(seen, writer)
+
+        async with harness.running(
+            [slowly, _stream(1, 2)],
+            stages=[PREFILL, DECODE],
+            **STREAM,
+        ) as (front, (prefill, decode)):
+            decode.close_first = 1
+            got = await front.ask(more=USAGE)
+            assert decode.seen[0].header('Kv-From').endswith('/h1')
+        assert _events(got) == [1, 2]
+
+    run(work())
+
+
+def test_without_a_leader_room_is_waited_for_within_the_target():
+    """The leading control host dies; the next one leads a second later.
+
+    Meanwhile each host decides by its own streams, and one that has its
+    part of the runners in use sees no room. Its callers were told at
+    once to come back, and came back too late for their targets; room
+    came 0.2 s after they had been refused.
+    """
+
+    async def work():
+        async with harness.running(
+            [_prefill, _stream(1, 2)],
+            stages=[PREFILL, DECODE],
+            target_s=0.9,
+            **STREAM,
+        ) as (front, _):
+            load = front.view.load('r1')
+            load.requests = 100
+            asked = asyncio.create_task(front.ask(more=USAGE))
+            await asyncio.sleep(0.2)
+            load.requests = 0
+            assert _events(await asked) == [1, 2]
+
+    run(work())
+
+
+def test_without_a_leader_nobody_waits_beyond_the_target():
+    async def work():
+        async with harness.running(
+            [_prefill, _stream(1, 2)],
+            stages=[PREFILL, DECODE],
+            target_s=0.5,
+            **STREAM,
+        ) as (front, _):
+            front.view.load('r1').requests = 100
+            loop = asyncio.get_running_loop()
+            begun_s = loop.time()
+            got = await front.ask(more=USAGE)
+            assert harness.status(got) == 503
+            assert b'Retry-After' in got
+            assert 0.2 < loop.time() - begun_s < 0.7
+
+    run(work())
--- a/tests/routing/test_stream_desk.py
+++ b/tests/routing/test_stream_desk.py
@@ -1,6 +1,7 @@
 """Who gets a place, who waits, who is told to come back."""
 
 import dataclasses
+import math
 import random
 
 from limpetroute.routing import stream_ask
@@ -363,3 +364,55 @@
     desk.ask(builders.make_ask('late', waited_s=0.89), 1.0)
     (place,) = places(desk.decide(fleet, 1.0))
     assert place.request_id == 'b'
+
+
+def test_estimates_that_are_far_off_do_not_overfill_a_runner():
+    """Callers' estimates are off by half, and memory binds before places.
+
+    Planned full by what callers say, runners run out of memory when
+    answers outgrow their plan: the newest stream is pushed out in the
+    middle of its answer, and its prompt is read again between the tokens
+    of the others.
+    """
+    rng = random.Random(11)
+    engine = dataclasses.replace(builders.ENGINE, memory_tokens=78_000)
+    desk = stream_desk.StreamDesk(engine=engine)
+    fleet = make_fleet(writers=1)
+    running = {}
+    over = 0
+    given = 0
+    for step in range(4000):
+        now_s = step * 0.02
+        if step % 20 == 0:
+            came = min(9620, round(4800 * math.exp(rng.gauss(0, 0.5))))
+            said = min(9620, round(came * math.exp(rng.gauss(0, 0.5))))
+            name = f's{step}'
+            ask = builders.make_ask(name, output_tokens=said)
+            running[name] = (None, came)
+            desk.ask(ask, now_s)
+        for one in desk.decide(fleet, now_s):
+            if isinstance(one, stream_ask.StreamRefusal):
+                del running[one.request_id]
+                continue
+            running[one.request_id] = (now_s, running[one.request_id][1])
+            given += 1
+        used = 0.0
+        for name, (begun_s, came) in list(running.items()):
+            if begun_s is None:
+                continue
+            written = (now_s - begun_s) * desk.tokens_per_s
+            if written < came:
+                used += 5000 + written
+                continue
+            end = stream_ask.StreamEnd(
+                request_id=name,
+                output_tokens=came,
+                decode_s=came / 1300,
+                whole=True,
+            )
+            desk.end(end, now_s)
+            del running[name]
+        over += used > engine.memory_tokens
+    assert given > 140
+    # Of 4000 looks; planned full by what callers say it is 321.
+    assert over < 160
