Tell places apart by attempt; leave runners that change their stage alone

Ten streams with 80,117 tokens ran on a runner for which eight were counted; it refused 15 in 3 s whose prompts had been read, and preempted others. Beside it: runners that had accepted an order to change their stage were given work for six seconds while they refused all (20 refused readings); the first order came before all runners had announced themselves and was taken back by a second; places that hosts gave themselves without a leader were never told to the next one; streams that went on elsewhere were planned without what they had written.

Ruled out: handles that lapse, the speed of single runners (1,300 to 1,450 tokens a second on all), callers' estimates.

Change: each ask has a number and an end names it; an ask drops the place before it; runners with an accepted order get nothing until they announce the new stage; 2.6 s instead of 1.4 s without a change before an order; own places are told to the leader; tokens written count as tokens to read.

--- a/limpetroute/border/place_bodies.py
+++ b/limpetroute/border/place_bodies.py
@@ -16,10 +16,12 @@
     target_s: float
     patience_s: float
     goes_on: bool = False
+    written_tokens: int = 0
     reads_prompt: bool
     may_repeat: bool = True
     zone: str = ''
     prompt_id: str = ''
+    attempt: int = 0
     avoid: tuple[str, ...] = ()
 
     def ask(self) -> stream_ask.StreamAsk:
@@ -32,6 +34,7 @@
 
     service: str
     request_id: str
+    attempt: int = 0
     output_tokens: int = 0
     decode_s: float = 0.0
     failed: tuple[str, ...] = ()
@@ -42,6 +45,7 @@
         """Return what it says."""
         return stream_ask.StreamEnd(
             request_id=self.request_id,
+            attempt=self.attempt,
             output_tokens=self.output_tokens,
             decode_s=self.decode_s,
             failed=self.failed,
--- a/limpetroute/dispatch/dispatcher.py
+++ b/limpetroute/dispatch/dispatcher.py
@@ -197,7 +197,9 @@
         if boot_clock.now_s() < self._adopts_until_s:
             return
         runners = self._runners(service)
-        for answer in desk.decide(runners, boot_clock.now_s()):
+        now_s = boot_clock.now_s()
+        changing = self._orders.changing()
+        for answer in desk.decide(runners, now_s, changing=changing):
             pending = self._pending.get(answer.request_id)
             LOG.info(
                 'stream decided',
--- a/limpetroute/dispatch/stage_orders.py
+++ b/limpetroute/dispatch/stage_orders.py
@@ -24,9 +24,12 @@
 # after this long without the stage that it asked for is it given again.
 ORDER_LAPSES_S = 14.0
 # Runners announce themselves one by one at the start; deciding on the
-# first few would shift one that the rest make needless.
-# Heartbeats come every 1.2 s, so this is one of each.
-SETTLE_S = 1.4
+# first few would shift one that the rest make needless, and back again:
+# away for twelve seconds. Heartbeats come every 1.2 s, and one that
+# found nobody to take it is sent again only with the next: the last of
+# four runners was heard of 2.7 s after the first.
+SETTLE_S = 2.6
+HTTP_ACCEPTED = 202
 
 
 class StageOrders:
@@ -55,6 +58,7 @@
         self._fence = 0
         self._quiet_until_s = 0.0
         self._ordered_s: dict[str, float] = {}
+        self._accepted: set[str] = set()
         self._known: dict[str, frozenset[str]] = {}
         self._known_since_s: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
@@ -69,6 +73,16 @@
         if term > FIRST_TERM:
             self._quiet_until_s += QUIET_AFTER_ELECTION_S
         self._ordered_s.clear()
+        self._accepted.clear()
+
+    def changing(self) -> frozenset[str]:
+        """Return the runners that are changing their stage now.
+
+        They refuse what they are sent for the time of a change, and are
+        announced as they were until it is over. Of an order that got no
+        answer nothing is known; its runner is not counted.
+        """
+        return frozenset(self._accepted.intersection(self._ordered_s))
 
     def keep(
         self,
@@ -98,6 +112,7 @@
             one for one in runners if one.runner_id == change.runner_id
         )
         self._ordered_s[target.runner_id] = now_s
+        self._accepted.discard(target.runner_id)
         task = asyncio.create_task(self._order(target, change))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -143,6 +158,8 @@
         outcome = 'no answer'
         if not isinstance(got, call_failed.CallFailed):
             outcome = f'status {got.status}'
+            if got.status == HTTP_ACCEPTED:
+                self._accepted.add(target.runner_id)
         LOG.info(
             'ordered a stage',
             extra={
--- a/limpetroute/forwarding/place_client.py
+++ b/limpetroute/forwarding/place_client.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import itertools
 import logging
 import typing
 
@@ -55,6 +56,8 @@
         self._leader_url = ''
         self._unreachable_until_s = 0.0
         self._held: dict[str, _HeldPlace] = {}
+        self._attempts = itertools.count(1)
+        self._untold = False
         self._tasks: set[asyncio.Task[None]] = set()
 
     def __repr__(self) -> str:
@@ -96,7 +99,9 @@
             # names it is lost with this call.
             self.end(
                 ask.service,
-                stream_ask.StreamEnd(request_id=ask.request_id),
+                stream_ask.StreamEnd(
+                    request_id=ask.request_id, attempt=ask.attempt
+                ),
                 known=False,
             )
             raise
@@ -105,6 +110,9 @@
                 self._unreachable_until_s = _now_s() + UNREACHABLE_S
             return NobodyDecides(reason=f'the leader: {got.kind.value}')
         try:
+            if got.ok and self._untold:
+                self._untold = False
+                self._aside(self._tell_held())
             if got.status == HTTP_UNAVAILABLE:
                 return stream_ask.StreamRefusal(**got.json())
             if not got.ok:
@@ -123,6 +131,22 @@
             place=place, ask=ask, since_s=_now_s()
         )
 
+    def note_own(
+        self, place: stream_ask.StreamPlace, ask: stream_ask.StreamAsk
+    ) -> None:
+        """Take note of a place that this host gave itself.
+
+        The leader hears of it once it answers again: counting without
+        what was given in its absence, it fills runners beyond their
+        memory for as long as those streams last.
+        """
+        self._untold = True
+        self.note(place, ask)
+
+    def next_attempt(self) -> int:
+        """Return a number that tells one ask for a place from others."""
+        return next(self._attempts)
+
     def end(
         self, service: str, end: stream_ask.StreamEnd, *, known: bool = True
     ) -> None:
--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -89,13 +89,7 @@
                 service=self._service,
             )
             try:
-                got = await places.take(
-                    tried=self._tried,
-                    goes_on=self._goes_on(),
-                    reads_prompt=not self._goes_on()
-                    and not self._history.sends,
-                    waited_s=self._waited_s(),
-                )
+                got = await places.take(self._so_far())
                 if isinstance(got, stream_ask.StreamRefusal):
                     await self._end(
                         next_step.Step.REFUSE, got.reason, got.retry_after_s
@@ -118,6 +112,15 @@
                 await self._end(step, 'after a send')
                 return
 
+    def _so_far(self) -> stream_places.SoFar:
+        return stream_places.SoFar(
+            tried=frozenset(self._tried),
+            goes_on=self._goes_on(),
+            written_tokens=self._tokens_written(),
+            reads_prompt=not self._goes_on() and not self._history.sends,
+            waited_s=self._waited_s(),
+        )
+
     def _tokens(self) -> int:
         generation = self._request.generation
         return generation.peak_tokens if generation else 0
--- a/limpetroute/forwarding/stream_places.py
+++ b/limpetroute/forwarding/stream_places.py
@@ -34,6 +34,17 @@
     prefill: runner_info.RunnerInfo | None
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class SoFar:
+    """What has become of a stream; see `StreamAsk` for the fields."""
+
+    tried: frozenset[str]
+    goes_on: bool
+    written_tokens: int
+    reads_prompt: bool
+    waited_s: float
+
+
 class StreamPlaces:
     """Rooms at runners for one stream, and giving them back.
 
@@ -61,31 +72,23 @@
         self._request = request
         self._route = route
         self._service = service
+        self._attempt = 0
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(request={self._request.request_id!r})'
 
-    async def take(
-        self,
-        *,
-        tried: typing.Collection[str],
-        goes_on: bool,
-        reads_prompt: bool,
-        waited_s: float,
-    ) -> Rooms | stream_ask.StreamRefusal:
+    async def take(self, so_far: SoFar) -> Rooms | stream_ask.StreamRefusal:
         """Return rooms, or a refusal.
 
         The host that decides for all is asked; where it cannot be, this
         host decides by what it has sent itself. Where it has no room
         left, another leader is mostly there within a second: refused
         at once, the caller came back late (34 of 260 streams on a day
-        with two changes of leader and three hosts cut off). See
-        `StreamAsk` for the parameters.
+        with two changes of leader and three hosts cut off).
         """
         begun_s = _now_s()
         while True:
-            so_far_s = waited_s + _now_s() - begun_s
-            ask = self._ask(tried, goes_on, reads_prompt, so_far_s)
+            ask = self._ask(so_far, waited_here_s=_now_s() - begun_s)
             answer = await self._context.places.ask(ask)
             if isinstance(answer, stream_ask.StreamRefusal):
                 return answer
@@ -116,6 +119,7 @@
             self._service.name,
             stream_ask.StreamEnd(
                 request_id=self._request.request_id,
+                attempt=self._attempt,
                 output_tokens=tokens,
                 decode_s=events_s,
                 failed=tuple(failed),
@@ -125,14 +129,12 @@
         )
 
     def _ask(
-        self,
-        tried: typing.Collection[str],
-        goes_on: bool,
-        reads_prompt: bool,
-        waited_s: float,
+        self, so_far: SoFar, *, waited_here_s: float
     ) -> stream_ask.StreamAsk:
         generation = self._request.generation
         assert generation is not None
+        self._attempt = self._context.places.next_attempt()
+        waited_s = so_far.waited_s + waited_here_s
         return stream_ask.StreamAsk(
             request_id=self._request.request_id,
             service=self._service.name,
@@ -143,12 +145,14 @@
             target_s=self._route.target_s,
             patience_s=waited_s
             + self._context.left_s(self._request, self._route),
-            goes_on=goes_on,
-            reads_prompt=reads_prompt,
+            goes_on=so_far.goes_on,
+            written_tokens=so_far.written_tokens,
+            reads_prompt=so_far.reads_prompt,
             may_repeat=self._route.repeatable,
             zone=self._context.zone,
             prompt_id=generation.prompt_id,
-            avoid=tuple(tried),
+            attempt=self._attempt,
+            avoid=tuple(so_far.tried),
         )
 
     def _rooms(self, place: stream_ask.StreamPlace) -> Rooms | None:
@@ -194,6 +198,14 @@
                 retry_after_s=1.0,
                 reason='no room known',
             )
+        context.places.note_own(
+            stream_ask.StreamPlace(
+                request_id=ask.request_id,
+                decode_id=decode.runner_id,
+                prefill_id=prefill.runner_id if prefill else '',
+            ),
+            ask,
+        )
         return Rooms(decode=decode, prefill=prefill)
 
     def _log_alone(
--- a/limpetroute/routing/stream_ask.py
+++ b/limpetroute/routing/stream_ask.py
@@ -27,6 +27,9 @@
         Time from then after which the caller leaves.
     goes_on : bool
         Whether a part of its answer is with its caller already.
+    written_tokens : int
+        Tokens of its answer that are with its caller; a runner that goes
+        on with it reads them like a part of the prompt.
     reads_prompt : bool
         Whether a prefill runner may read its prompt.
     may_repeat : bool
@@ -36,6 +39,8 @@
     prompt_id : str
         Names its prompt; the same when its caller asks again. Empty if
         unknown.
+    attempt : int
+        Tells apart the places that are asked for under one id.
     avoid : tuple of str
         Decode runners that it must not go to.
     """
@@ -49,12 +54,19 @@
     target_s: float
     patience_s: float
     goes_on: bool = False
+    written_tokens: int = 0
     reads_prompt: bool = True
     may_repeat: bool = True
     zone: str = ''
     prompt_id: str = ''
+    attempt: int = 0
     avoid: tuple[str, ...] = ()
 
+    @property
+    def tokens_to_read(self) -> int:
+        """Tokens that a runner reads before it writes."""
+        return self.prompt_tokens + self.written_tokens
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class StreamPlace:
@@ -102,6 +114,8 @@
     ----------
     request_id : str
         Whose place it was.
+    attempt : int
+        The attempt it was given for.
     output_tokens : int
         Tokens that were written, as far as known; 0 if none.
     decode_s : float
@@ -115,6 +129,7 @@
     """
 
     request_id: str
+    attempt: int = 0
     output_tokens: int = 0
     decode_s: float = 0.0
     failed: tuple[str, ...] = ()
--- a/limpetroute/routing/stream_desk.py
+++ b/limpetroute/routing/stream_desk.py
@@ -133,7 +133,12 @@
         return self._tokens_per_s
 
     def ask(self, ask: stream_ask.StreamAsk, now_s: float) -> None:
-        """Take a stream; `decide` tells what it gets."""
+        """Take a stream; `decide` tells what it gets.
+
+        One that asks again has given its place back, and what says so
+        may come later or never.
+        """
+        self._held.pop(ask.request_id, None)
         sent_s = now_s - ask.waited_s
         self._waiting[ask.request_id] = _Waiting(
             ask=ask,
@@ -148,7 +153,12 @@
 
     def end(self, end: stream_ask.StreamEnd, now_s: float) -> None:
         """Take a place back and learn from how the stream went."""
-        held = self._held.pop(end.request_id, None)
+        held = self._held.get(end.request_id)
+        if held is not None and held.ask.attempt != end.attempt:
+            # It is about an earlier place, and was overtaken.
+            held = None
+        if held is not None:
+            del self._held[end.request_id]
         if end.decode_s > LEAST_MEASURED_S and end.output_tokens:
             rate = end.output_tokens / end.decode_s
             self._tokens_per_s += (rate - self._tokens_per_s) / 16
@@ -178,10 +188,19 @@
         self._hold(place, ask, now_s - ask.waited_s, begins_s=now_s)
 
     def decide(
-        self, runners: typing.Iterable[runner_info.RunnerInfo], now_s: float
+        self,
+        runners: typing.Iterable[runner_info.RunnerInfo],
+        now_s: float,
+        *,
+        changing: typing.Collection[str] = (),
     ) -> list[stream_ask.StreamPlace | stream_ask.StreamRefusal]:
-        """Return what waiting streams get now."""
-        usable = self._watch.usable(runners, now_s)
+        """Return what waiting streams get now.
+
+        ``changing`` are runners that were told to change their stage:
+        for some seconds they refuse all, and are announced as they were.
+        """
+        staying = [one for one in runners if one.runner_id not in changing]
+        usable = self._watch.usable(staying, now_s)
         decoders = [
             one for one in usable if one.stage is stage_module.Stage.DECODE
         ]
@@ -321,7 +340,7 @@
         beside = len(self._outlooks(runner.runner_id))
         if reader is not None or not beside:
             return False
-        is_long = ask.prompt_tokens > LONGEST_SELF_READ_TOKENS
+        is_long = ask.tokens_to_read > LONGEST_SELF_READ_TOKENS
         if is_long and beside > FEW_STREAMS:
             return True
         return self._free_s.get(runner.runner_id, 0.0) > now_s
@@ -349,13 +368,15 @@
     def _outlook(
         self, ask: stream_ask.StreamAsk, begins_s: float
     ) -> decode_room.StreamOutlook:
+        expected = self._lengths.tokens(
+            said_tokens=ask.output_tokens,
+            most_tokens=ask.most_output_tokens,
+        )
+        written = ask.written_tokens
         return decode_room.StreamOutlook(
-            prompt_tokens=ask.prompt_tokens,
-            output_tokens=self._lengths.tokens(
-                said_tokens=ask.output_tokens,
-                most_tokens=ask.most_output_tokens,
-            ),
-            most_output_tokens=ask.most_output_tokens,
+            prompt_tokens=ask.tokens_to_read,
+            output_tokens=max(0, expected - written),
+            most_output_tokens=max(0, ask.most_output_tokens - written),
             begins_s=begins_s,
             tokens_per_s=self._tokens_per_s,
         )
@@ -448,7 +469,7 @@
         for runner in decoders:
             streams = self._outlooks(runner.runner_id)
             beside = len(streams)
-            is_long = ask.prompt_tokens > LONGEST_SELF_READ_TOKENS
+            is_long = ask.tokens_to_read > LONGEST_SELF_READ_TOKENS
             if runner.runner_id in ask.avoid:
                 continue
             if beside >= self._engine.slots:
--- a/limpetroute/routing/stream_times.py
+++ b/limpetroute/routing/stream_times.py
@@ -16,7 +16,7 @@
 def to_first_event_s(ask: stream_ask.StreamAsk, *, has_reader: bool) -> float:
     """Return the time from a grant to the first event."""
     rate = PREFILL_TOKENS_PER_S if has_reader else SELF_READ_TOKENS_PER_S
-    return OVERHEAD_S + ask.prompt_tokens / rate
+    return OVERHEAD_S + ask.tokens_to_read / rate
 
 
 def may_wait(ask: stream_ask.StreamAsk, wait_s: float) -> bool:
--- a/tests/dispatch/test_stage_orders.py
+++ b/tests/dispatch/test_stage_orders.py
@@ -95,3 +95,55 @@
     given = {'one': fleet(*many), 'two': fleet(*many, prefix='s')}
     play(calls, given, seconds=5, services=('one', 'two'))
     assert len(calls.bodies) == 2
+
+
+def test_a_runner_counts_as_changing_until_it_announces_its_new_stage():
+    """For six seconds it refuses all, and its heartbeats say as before.
+
+    Given work all the while, it refused some ten prompts and streams,
+    each of which had to find another place.
+    """
+
+    async def work():
+        orders_ = make_orders(Calls())
+        orders_.begin_term(1, 0.0)
+        before = fleet(builders.PREFILL, builders.PREFILL, builders.DECODE)
+        after = fleet(builders.PREFILL, builders.DECODE, builders.DECODE)
+        seen = {}
+        for tick in range(200):
+            now_s = tick * 0.05
+            runners = before if now_s < 8.0 else after
+            orders_.keep(service(), runners, now_s)
+            await asyncio.sleep(0)
+            seen[now_s] = orders_.changing()
+        return seen
+
+    seen = asyncio.run(work())
+    assert seen[0.0] == frozenset()
+    assert seen[3.0] == frozenset({'r1'})
+    assert seen[7.95] == frozenset({'r1'})
+    assert seen[8.05] == frozenset()
+
+
+def test_runners_that_announce_themselves_late_spare_an_order():
+    """Of four runners, the two readers are heard of 2.4 s after the rest.
+
+    Decided on the first two, one of them was ordered to read and back
+    again: away for twelve seconds, five of them with callers waiting.
+    """
+
+    async def work():
+        calls = Calls()
+        orders_ = make_orders(calls)
+        orders_.begin_term(1, 0.0)
+        decode = builders.DECODE
+        early = fleet(decode, decode)
+        late = fleet(decode, decode, builders.PREFILL, builders.PREFILL)
+        for tick in range(200):
+            now_s = tick * 0.05
+            orders_.keep(service(), early if now_s < 2.4 else late, now_s)
+            await asyncio.sleep(0)
+        return calls
+
+    (order,) = asyncio.run(work()).bodies
+    assert order['stage'] == 'decode'
--- /dev/null
+++ b/tests/forwarding/test_place_client.py
@@ -0,0 +1,71 @@
+"""Asking the leading control host for places."""
+
+import asyncio
+import json
+
+from limpetroute.forwarding import place_client
+from limpetroute.routing import stream_ask
+from limpetroute.wire import reply
+from tests.routing import builders
+
+
+class Leader:
+    """Stands in for the client; gives every place that is asked for."""
+
+    def __init__(self):
+        self.calls = []
+
+    async def call(self, *, url, body, **rest):
+        self.calls.append((url.rpartition('/')[2], body))
+        if not url.endswith('/v1/places'):
+            return reply.Reply(status=204, headers={}, body=b'')
+        place = {
+            'request_id': body['request_id'],
+            'decode_id': 'd',
+            'prefill_id': 'p',
+        }
+        return reply.Reply(
+            status=200, headers={}, body=json.dumps(place).encode()
+        )
+
+
+def own_place(name):
+    return stream_ask.StreamPlace(
+        request_id=name, decode_id='d', prefill_id='p'
+    )
+
+
+def test_what_a_host_gave_itself_is_told_once_the_leader_answers_again():
+    """A host is cut off from control and decides for itself.
+
+    When it is back, its streams run on for seconds. The leader counted
+    without them and filled the same runner: 15 streams refused within
+    3 s, with their prompts read.
+    """
+
+    async def work():
+        leader = Leader()
+        client = place_client.PlaceClient(http=leader)
+        client.note_own(own_place('own'), builders.make_ask('own'))
+        client.follow('http://127.0.0.1:1')
+        await asyncio.sleep(0)
+        leader.calls.clear()
+        client.note_own(own_place('two'), builders.make_ask('two'))
+        await client.ask(builders.make_ask('asked'))
+        await asyncio.sleep(0)
+        told = [body for kind, body in leader.calls if kind == 'held']
+        await client.ask(builders.make_ask('more'))
+        await asyncio.sleep(0)
+        again = [body for kind, body in leader.calls if kind == 'held']
+        return told, again
+
+    told, again = asyncio.run(work())
+    names = [one['asked']['request_id'] for one in told[0]['held']]
+    assert sorted(names)[:2] == ['asked', 'own']
+    assert 'two' in names
+    assert len(again) == len(told) == 1
+
+
+def test_each_ask_for_a_place_has_a_number_of_its_own():
+    client = place_client.PlaceClient(http=Leader())
+    assert client.next_attempt() != client.next_attempt()
--- a/tests/routing/test_stream_desk.py
+++ b/tests/routing/test_stream_desk.py
@@ -416,3 +416,86 @@
     assert given > 140
     # Of 4000 looks; planned full by what callers say it is 321.
     assert over < 160
+
+
+def test_a_place_given_back_late_does_not_take_the_next_one():
+    """A connect fails; its place is given back and another asked for.
+
+    Both calls are on their way at once, on connections of their own.
+    Where the second overtakes the first, the place that was given anew
+    was taken back: its stream ran uncounted, the runner was filled
+    beyond its memory, and refused 15 streams whose prompts had been read
+    within 3 s.
+    """
+    desk = make_desk()
+    fleet = make_fleet()
+    desk.ask(builders.make_ask('s', attempt=1), 0.0)
+    (first,) = places(desk.decide(fleet, 0.0))
+    again = builders.make_ask('s', attempt=2, avoid=(first.decode_id,))
+    desk.ask(again, 0.3)
+    (second,) = places(desk.decide(fleet, 0.3))
+    end = stream_ask.StreamEnd(
+        request_id='s', attempt=1, failed=(first.decode_id,)
+    )
+    desk.end(end, 0.31)
+    assert desk.held == 1
+    desk.end(stream_ask.StreamEnd(request_id='s', attempt=2), 2.0)
+    assert desk.held == 0
+
+
+def test_who_asks_again_holds_nothing_meanwhile():
+    """The call that gives the first place back may be lost."""
+    desk = make_desk()
+    desk.ask(builders.make_ask('s', attempt=1), 0.0)
+    desk.decide(make_fleet(), 0.0)
+    desk.ask(builders.make_ask('s', attempt=2), 0.3)
+    assert desk.held == 0
+
+
+def test_a_runner_that_changes_its_stage_gets_nothing():
+    """It refuses all for six seconds, and is still announced as ready."""
+    desk = make_desk()
+    desk.ask(builders.make_ask('s'), 0.0)
+    answers = desk.decide(make_fleet(writers=2), 0.0, changing=('d0',))
+    assert places(answers)[0].decode_id == 'd1'
+    desk.ask(builders.make_ask('t'), 0.0)
+    answers = desk.decide(make_fleet(writers=1), 0.0, changing=('p',))
+    assert places(answers)[0].prefill_id == ''
+
+
+def test_a_stream_that_goes_on_is_planned_with_what_it_has_written():
+    """A runner crashes; its streams go on at the one that is left.
+
+    Each reads its prompt and what it had written. Planned by the prompt
+    alone, ten of them outgrow the runner's memory a second later, and
+    the newest are pushed out again.
+    """
+    engine = dataclasses.replace(builders.ENGINE, memory_tokens=78_000)
+    desk = stream_desk.StreamDesk(engine=engine)
+    for n in range(12):
+        ask = builders.make_ask(
+            f's{n}', goes_on=True, written_tokens=4000, output_tokens=5000
+        )
+        desk.ask(ask, 0.0)
+    now_s = 0.0
+    given = 0
+    while now_s < 3.0:
+        given += len(places(desk.decide(make_fleet(writers=1), now_s)))
+        now_s += 0.05
+    # 9,000 tokens each from the first event on, of 70,000 planned for.
+    assert given == 7
+
+
+def test_what_was_written_is_read_too():
+    """Beside others, a decode runner must not read for long."""
+    desk = make_desk()
+    lone = [builders.make_runner('d0')]
+    for n in range(5):
+        desk.ask(builders.make_ask(f's{n}'), n * 0.5)
+        assert places(desk.decide(lone, n * 0.5))
+    fields = {'goes_on': True, 'prompt_tokens': 3000}
+    desk.ask(builders.make_ask('a', written_tokens=4000, **fields), 3.0)
+    assert not places(desk.decide(lone, 3.0))
+    desk.ask(builders.make_ask('b', written_tokens=1000, **fields), 3.0)
+    (place,) = places(desk.decide(lone, 3.0))
+    assert place.request_id == 'b'
