Order a stage again soon after the last reader left; ask after a change of leader

The leader was killed a second later; the next one did not know that a runner was changing, ordered a second, and for 13 s two of three runners read prompts.

Change: only runners that come are waited for, 2.6 s in the first five seconds of a fleet and 1.4 s later; a new leader asks each runner once whether it carries out an order, and counts those as changing. Callers that come back to go on with a stream have their prompt read apart (the first reading of each attempt is free).

--- a/limpetroute/dispatch/order_dialect.py
+++ b/limpetroute/dispatch/order_dialect.py
@@ -22,3 +22,9 @@
         fence: int,
     ) -> small_call.SmallCall:
         """Return the call that orders a runner to a stage."""
+
+    def busy_question(self, runner_id: str) -> small_call.SmallCall:
+        """Return the call that asks whether a runner carries one out."""
+
+    def read_busy(self, body: bytes) -> bool:
+        """Return what it answers; `ValueError` if that cannot be read."""
--- a/limpetroute/dispatch/stage_orders.py
+++ b/limpetroute/dispatch/stage_orders.py
@@ -23,12 +23,17 @@
 # An order that got no answer may be carried out seconds later. Only
 # after this long without the stage that it asked for is it given again.
 ORDER_LAPSES_S = 14.0
-# Runners announce themselves one by one at the start; deciding on the
-# first few would shift one that the rest make needless, and back again:
-# away for twelve seconds. Heartbeats come every 1.2 s, and one that
-# found nobody to take it is sent again only with the next: the last of
-# four runners was heard of 2.7 s after the first.
-SETTLE_S = 2.6
+# Runners are added one by one; deciding on the first would shift one
+# that the next makes needless. Heartbeats come every 1.2 s, so this is
+# one of each. Runners that leave are not waited for: with the last
+# reader gone, decode runners read prompts between their tokens.
+SETTLE_S = 1.4
+# At the start of a fleet they come within seconds of each other, and a
+# heartbeat that found nobody to take it is sent again only with the next:
+# the last of four runners was heard of 2.7 s after the first, and a
+# runner ordered to read and back again was away for twelve seconds.
+FOUNDING_S = 5.0
+FOUNDING_SETTLE_S = 2.6
 HTTP_ACCEPTED = 202
 
 
@@ -59,8 +64,11 @@
         self._quiet_until_s = 0.0
         self._ordered_s: dict[str, float] = {}
         self._accepted: set[str] = set()
-        self._known: dict[str, frozenset[str]] = {}
-        self._known_since_s: dict[str, float] = {}
+        self._asked: set[str] = set()
+        self._asking: set[str] = set()
+        self._known: dict[str, dict[str, str]] = {}
+        self._first_s: dict[str, float] = {}
+        self._changed_s: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
     def __repr__(self) -> str:
@@ -74,6 +82,8 @@
             self._quiet_until_s += QUIET_AFTER_ELECTION_S
         self._ordered_s.clear()
         self._accepted.clear()
+        self._asked.clear()
+        self._asking.clear()
 
     def changing(self) -> frozenset[str]:
         """Return the runners that are changing their stage now.
@@ -92,9 +102,12 @@
     ) -> None:
         """Give the next order that a service's split of stages asks for."""
         assert service.engine is not None
+        self._ask_once(service.name, runners, now_s)
         settled = self._is_settled(service.name, runners, now_s)
         if not settled or now_s < self._quiet_until_s:
             return
+        if service.name in self._asking:
+            return
         away_s = service.engine.stage_change_s
         lapses_s = max(ORDER_LAPSES_S, 2 * away_s)
         for runner_id, at_s in list(self._ordered_s.items()):
@@ -113,7 +126,74 @@
         )
         self._ordered_s[target.runner_id] = now_s
         self._accepted.discard(target.runner_id)
-        task = asyncio.create_task(self._order(target, change))
+        self._run(self._order(target, change))
+
+    def _ask_once(
+        self,
+        service: str,
+        runners: typing.Sequence[runner_info.RunnerInfo],
+        now_s: float,
+    ) -> None:
+        """Ask runners, once a term, whether they change their stage.
+
+        The leader before may have ordered one: it is away for up to ten
+        seconds, as it ends its streams first. A leader that does not
+        know orders another one, and two of three runners read prompts.
+        """
+        if self._fence <= FIRST_TERM or service in self._asked:
+            return
+        self._asked.add(service)
+        self._asking.add(service)
+        ready = [one for one in runners if one.ready]
+        self._run(self._ask_all(service, ready, now_s))
+
+    async def _ask_all(
+        self,
+        service: str,
+        runners: typing.Sequence[runner_info.RunnerInfo],
+        now_s: float,
+    ) -> None:
+        try:
+            answers = await asyncio.gather(
+                *(self._is_busy(one) for one in runners)
+            )
+        finally:
+            self._asking.discard(service)
+        for one, is_busy in zip(runners, answers, strict=True):
+            if not is_busy:
+                continue
+            self._ordered_s[one.runner_id] = now_s
+            self._accepted.add(one.runner_id)
+            LOG.info(
+                'changes its stage by an earlier order',
+                extra={'runner': one.runner_id, 'fence': self._fence},
+            )
+
+    async def _is_busy(self, runner: runner_info.RunnerInfo) -> bool:
+        question = self._dialect.busy_question(runner.runner_id)
+        got = await self._http.call(
+            method=question.method,
+            url=f'http://{runner.address}{question.path}',
+            headers=question.headers,
+            timeout_s=ORDER_TIMEOUT_S,
+        )
+        if isinstance(got, call_failed.CallFailed) or not got.ok:
+            LOG.info(
+                'a runner does not say whether it changes its stage',
+                extra={'runner': runner.runner_id, 'fence': self._fence},
+            )
+            return False
+        try:
+            return self._dialect.read_busy(got.body)
+        except ValueError as exc:
+            LOG.warning(
+                'a report could not be read',
+                extra={'runner': runner.runner_id, 'cause': str(exc)},
+            )
+            return False
+
+    def _run(self, work: typing.Coroutine[None, None, None]) -> None:
+        task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
@@ -123,19 +203,22 @@
         runners: typing.Sequence[runner_info.RunnerInfo],
         now_s: float,
     ) -> bool:
-        known = frozenset(
-            f'{one.runner_id} {one.ready} {one.stage}' for one in runners
-        )
-        before = self._known.get(service, frozenset())
-        if known != before:
-            changed = before ^ known
-            for runner_id in list(self._ordered_s):
-                if any(text.startswith(runner_id) for text in changed):
-                    del self._ordered_s[runner_id]
-            self._known[service] = known
-            self._known_since_s[service] = now_s
-        since_s = self._known_since_s.get(service, now_s)
-        return now_s - since_s >= SETTLE_S
+        known = {one.runner_id: f'{one.ready} {one.stage}' for one in runners}
+        before = self._known.get(service, {})
+        for runner_id in list(self._ordered_s):
+            if before.get(runner_id) != known.get(runner_id):
+                del self._ordered_s[runner_id]
+        here = {one.runner_id for one in runners if one.ready}
+        if any(before.get(one) != known[one] for one in here):
+            self._changed_s[service] = now_s
+        if service not in self._known:
+            self._first_s[service] = now_s
+        self._known[service] = known
+        wait_s = SETTLE_S
+        changed_s = self._changed_s.get(service, now_s)
+        if changed_s - self._first_s[service] < FOUNDING_S:
+            wait_s = FOUNDING_SETTLE_S
+        return now_s - changed_s >= wait_s
 
     async def _order(
         self,
--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -117,7 +117,7 @@
             tried=frozenset(self._tried),
             goes_on=self._goes_on(),
             written_tokens=self._tokens_written(),
-            reads_prompt=not self._goes_on() and not self._history.sends,
+            reads_prompt=not self._events.last_id and not self._history.sends,
             waited_s=self._waited_s(),
         )
 
--- a/limpetroute/platform/orders.py
+++ b/limpetroute/platform/orders.py
@@ -40,3 +40,21 @@
             body=json.dumps(body).encode(),
             headers={header_names.EXPECT_INSTANCE: runner_id},
         )
+
+    def busy_question(self, runner_id: str) -> small_call.SmallCall:
+        """Return the call that asks whether a runner carries one out."""
+        return small_call.SmallCall(
+            method='GET',
+            path='/api/report',
+            headers={header_names.EXPECT_INSTANCE: runner_id},
+        )
+
+    def read_busy(self, body: bytes) -> bool:
+        """Return whether an order is being carried out.
+
+        The field is ``busy``; it says nothing of how much work there is.
+        """
+        try:
+            return bool(json.loads(body)['busy'])
+        except (KeyError, TypeError) as exc:
+            raise ValueError(f'no report: {body[:80]!r}') from exc
--- a/tests/dispatch/test_stage_orders.py
+++ b/tests/dispatch/test_stage_orders.py
@@ -15,7 +15,9 @@
     def __init__(self):
         self.bodies = []
 
-    async def call(self, *, url, body, **rest):
+    async def call(self, *, method, url, body=b'', **rest):
+        if method == 'GET':
+            return reply.Reply(status=503, headers={}, body=b'')
         self.bodies.append({'url': url, **json.loads(body)})
         return reply.Reply(status=202, headers={}, body=b'')
 
@@ -147,3 +149,82 @@
 
     (order,) = asyncio.run(work()).bodies
     assert order['stage'] == 'decode'
+
+
+class Reports(Calls):
+    """Answers questions for reports, too."""
+
+    def __init__(self, busy=()):
+        super().__init__()
+        self.busy = busy
+
+    async def call(self, *, method, url, body=b'', headers=None, **rest):
+        if method != 'GET':
+            return await super().call(method=method, url=url, body=body)
+        is_busy = headers['Expect-Instance'] in self.busy
+        return reply.Reply(
+            status=200,
+            headers={},
+            body=json.dumps({'busy': is_busy}).encode(),
+        )
+
+
+def test_a_new_leader_learns_of_a_change_that_it_did_not_order():
+    """A leader orders the second reader to write and is killed.
+
+    The runner ends its streams first and is away for ten seconds. The
+    next leader saw two readers and none that changes, ordered the other
+    one too, and for ten seconds nobody read.
+    """
+
+    async def work(calls):
+        orders_ = make_orders(calls)
+        orders_.begin_term(2, 0.0)
+        runners = fleet(builders.PREFILL, builders.PREFILL, builders.DECODE)
+        for tick in range(200):
+            orders_.keep(service(), runners, tick * 0.05)
+            await asyncio.sleep(0.001)
+        return orders_.changing()
+
+    calls = Reports(busy=('r1',))
+    assert asyncio.run(work(calls)) == frozenset({'r1'})
+    assert not calls.bodies
+    calls = Reports()
+    assert asyncio.run(work(calls)) == frozenset({'r1'})
+    assert len(calls.bodies) == 1
+
+
+def test_the_last_reader_that_leaves_is_replaced_soon():
+    """A release replaces all runners, and the new ones write.
+
+    Each old one that was gone for good started the wait anew, and the
+    order came 6.2 s after the last reader had left: 30 streams of others
+    paused meanwhile as decode runners read prompts.
+    """
+
+    async def work():
+        calls = Calls()
+        orders_ = make_orders(calls)
+        orders_.begin_term(1, 0.0)
+        decode = builders.DECODE
+        reader = builders.make_runner('p', builders.PREFILL)
+        left = builders.make_runner('p', builders.PREFILL, ready=False)
+        others = fleet(decode, decode, decode)
+        old = fleet(decode, decode, prefix='old')
+        for tick in range(400):
+            now_s = tick * 0.05
+            runners = [*others, reader if now_s < 10.0 else left]
+            # One of the old ones is forgotten every second.
+            runners += [
+                builders.make_runner(one.runner_id, decode, ready=False)
+                for n, one in enumerate(old)
+                if now_s < 11.0 + n
+            ]
+            orders_.keep(service(), runners, now_s)
+            await asyncio.sleep(0)
+            if calls.bodies:
+                return now_s, calls.bodies
+
+    now_s, (order,) = asyncio.run(work())
+    assert order['stage'] == 'prefill'
+    assert 10.0 <= now_s < 10.2
