--- a/tests/routing/test_stream_desk.py
+++ b/tests/routing/test_stream_desk.py
@@ -39,6 +39,19 @@
         self.longest_s = max(self.longest_s, self.free_s - now_s)
         self.queue.append((self.free_s, place.request_id))
 
+    def play(self, fleet):
+        """Play a second; return how many got a place or were refused."""
+        given = refused = 0
+        for tick in range(20):
+            now_s = tick * 0.05
+            self.read(now_s)
+            answers = self.desk.decide(fleet, now_s)
+            refused += len(refusals(answers))
+            for one in places(answers):
+                given += 1
+                self.take(one, now_s)
+        return given, refused
+
     def read(self, now_s):
         while self.queue and self.queue[0][0] <= now_s:
             self.desk.read(self.queue.pop(0)[1], 0, now_s)
@@ -541,15 +554,7 @@
     for n in range(30):
         desk.ask(builders.make_ask(f's{n}'), 0.0)
     reader = Reader(desk)
-    given = refused = 0
-    for tick in range(20):
-        now_s = tick * 0.05
-        reader.read(now_s)
-        answers = desk.decide(fleet, now_s)
-        refused += len(refusals(answers))
-        for one in places(answers):
-            given += 1
-            reader.take(one, now_s)
+    given, refused = reader.play(fleet)
     assert reader.longest_s < 0.5
     # Ten a second are read; the rest cannot be in time and comes back.
     assert 8 <= given <= 14
@@ -564,15 +569,7 @@
     for n in range(6):
         desk.ask(builders.make_ask(f's{n}'), 0.0)
     reader = Reader(desk)
-    given = refused = 0
-    for tick in range(20):
-        now_s = tick * 0.05
-        reader.read(now_s)
-        answers = desk.decide(fleet, now_s)
-        refused += len(refusals(answers))
-        for one in places(answers):
-            given += 1
-            reader.take(one, now_s)
+    given, refused = reader.play(fleet)
     assert (given, refused) == (6, 0)
 
 
