--- a/limpetroute/forwarding/prompt_reading.py
+++ b/limpetroute/forwarding/prompt_reading.py
@@ -68,8 +68,8 @@
     async def read(self, runner: runner_info.RunnerInfo) -> Reading | None:
         """Return where the KV cache is, or None if none was made.
 
-        Without one, the decode runner reads the prompt itself: slower,
-        and between the tokens of others, yet the request is served.
+        Without one, another place has to be asked for: whoever gives
+        places has to plan for a decode runner that reads by itself.
         """
         context = self._context
         generation = self._request.generation
