Keep no places free for prompts that a busy lone writer cannot read

The stream at the head had a prompt over 5,500 tokens, which a runner with more than three streams does not read; after 0.25 s it counted as one for which room is kept.

Ruled out: refusals by the runner (none), its rests after broken answers (a lone runner is used in spite of them), memory (places were given at once when the head was refused).

Change: who waits for a quiet writer is passed over, and told at once where that takes too long; a host that decides alone has no long prompt read by a writer. Each test failed first.

A third of the prompts is too long to be read between the tokens of others.

--- a/limpetroute/forwarding/stream_places.py
+++ b/limpetroute/forwarding/stream_places.py
@@ -198,7 +198,10 @@
                 now_s=now_s,
                 rng=context.rng,
             )
-        if decode is None:
+        may_read = prefill or stream_placement.may_self_read_alone(
+            ask, entry_hosts=context.entry_hosts
+        )
+        if decode is None or not may_read:
             return stream_ask.StreamRefusal(
                 request_id=ask.request_id,
                 retry_after_s=1.0,
--- a/limpetroute/routing/reading_turns.py
+++ b/limpetroute/routing/reading_turns.py
@@ -165,6 +165,20 @@
             return False
         return self.self_read_s(decoder, now_s) <= now_s
 
+    def can_be_read(
+        self,
+        ask: stream_ask.StreamAsk,
+        decoders: list[runner_info.RunnerInfo],
+        readers: list[runner_info.RunnerInfo],
+    ) -> bool:
+        """Return whether some runner may read a prompt once it is free."""
+        if ask.reads_prompt and readers:
+            return True
+        return not all(
+            self.is_too_long(ask, len(self._held.outlooks(one.runner_id)))
+            for one in decoders
+        )
+
     def is_too_long(self, ask: stream_ask.StreamAsk, beside: int) -> bool:
         """Return whether reading it would hold too many streams up."""
         is_long = ask.tokens_to_read > LONGEST_SELF_READ_TOKENS
--- a/limpetroute/routing/stream_desk.py
+++ b/limpetroute/routing/stream_desk.py
@@ -192,6 +192,10 @@
                 self._count_turn(one, now_s, has_reader)
                 places.append(place)
                 continue
+            if not self._reading.can_be_read(one.ask, decoders, readers):
+                # It waits for streams to end, not for room: kept free
+                # for it, four of twelve places stood empty for 2.7 s.
+                continue
             if now_s - one.sent_s > PASSED_OVER_S:
                 break
         return places
--- a/limpetroute/routing/stream_placement.py
+++ b/limpetroute/routing/stream_placement.py
@@ -4,9 +4,28 @@
 import typing
 
 from limpetroute.decisions import stage as stage_module
+from limpetroute.routing import reading_turns
 from limpetroute.routing import runner_info
 from limpetroute.routing import runner_load
 from limpetroute.routing import service as service_module
+from limpetroute.routing import stream_ask
+
+
+def may_self_read_alone(
+    ask: stream_ask.StreamAsk, *, entry_hosts: int
+) -> bool:
+    """Return whether a host may have a decode runner read this prompt.
+
+    Pattern: a leader and the last prefill runner are lost together. A
+    host that decides alone does not see the other hosts' streams at the
+    decode runner. One prompt of 8,400 tokens, sent there in the second
+    without a leader, held all eleven streams up for 352 ms: nine answers
+    in time were lost for one. A leader is there within about a second,
+    and knows whether the runner has little to do.
+    """
+    if entry_hosts <= 1:
+        return True
+    return ask.tokens_to_read <= reading_turns.LONGEST_SELF_READ_TOKENS
 
 
 def choose_decode(
--- a/limpetroute/routing/stream_turns.py
+++ b/limpetroute/routing/stream_turns.py
@@ -53,6 +53,8 @@
 
     def turn_s(self, ask: stream_ask.StreamAsk, ahead: int) -> float:
         """Return when a stream gets its place, after those ahead."""
+        if not self._reading.can_be_read(ask, self._decoders, self._readers):
+            return self._quiet_s()
         if not self._readers or not ask.reads_prompt:
             return min(self.place_s(ahead), self._read_s(ask, ahead))
         queue_s = self._reading.queue_turn_s(self._readers, ahead, self._now_s)
@@ -85,6 +87,21 @@
         each_s = SELF_READ_EACH_S / len(soonest_s)
         return min(soonest_s) + ahead * each_s
 
+    def _quiet_s(self) -> float:
+        """Return when a decode runner has few streams left.
+
+        That is if it gets no new ones; where others wait, it comes
+        later or never.
+        """
+        quiet_s = []
+        for runner in self._decoders:
+            ends_s = sorted(
+                one.ends_s(self._now_s)
+                for one in self._held.outlooks(runner.runner_id)
+            )
+            quiet_s.append(ends_s[-reading_turns.FEW_STREAMS - 1])
+        return max(self._now_s, min(quiet_s, default=math.inf))
+
     def _has_room(
         self, ask: stream_ask.StreamAsk, runner: runner_info.RunnerInfo
     ) -> bool:
--- a/tests/routing/test_stream_desk.py
+++ b/tests/routing/test_stream_desk.py
@@ -288,6 +288,46 @@
     assert places(desk.decide(fleet, now_s))
 
 
+def busy_lone_writer():
+    """Return a desk, a fleet of one writer with six streams, and a time."""
+    desk = make_desk()
+    fleet = [builders.make_runner('d0')]
+    now_s = 0.0
+    for n in range(6):
+        desk.ask(builders.make_ask(f's{n}', prompt_tokens=2000), now_s)
+        assert places(desk.decide(fleet, now_s))
+        now_s += 0.4
+    return desk, fleet, now_s
+
+
+def test_who_waits_for_a_quiet_writer_keeps_no_place_from_others():
+    """A long prompt waits, and short ones come while there are places.
+
+    After a quarter of a second it counted as one for which room is kept:
+    twelve callers got nothing for 2.7 s, with four places free.
+    """
+    desk, fleet, now_s = busy_lone_writer()
+    for n in range(2):
+        long = builders.make_ask(
+            f'long{n}', prompt_tokens=11_000, target_s=20.0
+        )
+        desk.ask(long, now_s)
+    desk.decide(fleet, now_s)
+    now_s += 0.4
+    short = builders.make_ask('short', prompt_tokens=2000, target_s=30.0)
+    desk.ask(short, now_s)
+    assert places(desk.decide(fleet, now_s))
+
+
+def test_a_long_prompt_that_no_writer_can_read_is_told_at_once():
+    """It could be read once all but three streams have ended, in 3 s."""
+    desk, fleet, now_s = busy_lone_writer()
+    desk.ask(builders.make_ask('long', prompt_tokens=11_000), now_s)
+    assert [one.request_id for one in refusals(desk.decide(fleet, now_s))] == [
+        'long'
+    ]
+
+
 def test_a_long_prompt_is_read_by_a_writer_that_has_little_to_do():
     desk = make_desk()
     fleet = [builders.make_runner('d0')]
--- /dev/null
+++ b/tests/routing/test_stream_placement.py
@@ -0,0 +1,28 @@
+from limpetroute.routing import stream_placement
+from tests.routing import builders
+
+
+def test_a_host_alone_has_no_long_prompt_read_by_a_writer():
+    """The leader and the last reader are gone in the same second.
+
+    Each of seven entry hosts sees its own streams only. One of them sends
+    8,400 tokens to the writer that is left, and the eleven streams there
+    stand still for 352 ms: a stranger's prompt costs nine good answers.
+    """
+    long = builders.make_ask('long', prompt_tokens=8400)
+    short = builders.make_ask('short', prompt_tokens=2000)
+    may = stream_placement.may_self_read_alone
+    assert not may(long, entry_hosts=7)
+    assert may(short, entry_hosts=7)
+
+
+def test_the_only_host_knows_what_its_writer_has_to_do():
+    long = builders.make_ask('long', prompt_tokens=8400)
+    assert stream_placement.may_self_read_alone(long, entry_hosts=1)
+
+
+def test_what_was_written_before_is_read_too():
+    begun = builders.make_ask(
+        'begun', prompt_tokens=3000, written_tokens=4000, goes_on=True
+    )
+    assert not stream_placement.may_self_read_alone(begun, entry_hosts=7)
