Name the runner of a send that a timeout or a leaving caller cuts

Cause: the route's timeout and a caller that leaves cancel the task that waits for a runner, and the line "sent" was written after the wait only.

Change: such a send has a line "sent" with result "cut", and counts as one in the metrics; explain names its runner.

--- a/limpetroute/cli/request_story.py
+++ b/limpetroute/cli/request_story.py
@@ -8,6 +8,7 @@
 OWN_ANSWER = 'answered for itself'
 GONE = 'caller gone'
 ANSWERED = 'answered'
+EXPIRED = 'no answer in time'
 # Fields that stand in every line, or name the request again.
 _COMMON = ('level', 'logger', 'message', 'time', 'request', 'taskName')
 
@@ -25,10 +26,6 @@
     'no routes are known yet': (
         'The host had just started and had not heard a control host.'
     ),
-    'no answer in time': (
-        "The route's timeout or the caller's deadline passed. Look at "
-        'what the last send was waiting for.'
-    ),
     'this host stops': 'The host was shutting down and takes no streams.',
 }
 
@@ -117,6 +114,11 @@
             status = line.fields['status']
             reason = line.fields['reason']
             hint = _CAUSES.get(reason, _last(sends))
+            if reason == EXPIRED:
+                hint = (
+                    "The route's timeout or the caller's deadline passed. "
+                    f'{hint}'
+                )
             return f'It was answered {status}: {reason}. {hint}'
         return f'No line tells of its end. {_last(sends)}'
 
--- a/limpetroute/forwarding/forward_context.py
+++ b/limpetroute/forwarding/forward_context.py
@@ -1,6 +1,7 @@
 """What all forwarding on one host shares."""
 
 import asyncio
+import contextlib
 import logging
 import random
 import typing
@@ -11,6 +12,7 @@
 from limpetroute.forwarding import fleet_view
 from limpetroute.forwarding import forward_meters
 from limpetroute.forwarding import place_client
+from limpetroute.forwarding import responder as responder_module
 from limpetroute.routing import next_step
 from limpetroute.routing import route as route_module
 from limpetroute.routing import runner_info
@@ -19,6 +21,9 @@
 
 LOG = logging.getLogger(__name__)
 
+# Result of a send that this host ended itself, in logs and counters.
+CUT = 'cut'
+
 
 class ForwardContext:
     """What all forwarding on one host shares.
@@ -125,23 +130,68 @@
         **more: object,
     ) -> None:
         """Write what a send to a runner came to and what follows."""
-        load = self.view.load(runner.runner_id)
         self.meters.sent(part, result.value)
+        self._write_sent(
+            request,
+            runner,
+            part=part,
+            result=result.value,
+            step=step.value,
+            took_s=took_s,
+            detail=detail,
+            **more,
+        )
+
+    @contextlib.contextmanager
+    def sending(
+        self,
+        request: caller_request.CallerRequest,
+        runner: runner_info.RunnerInfo,
+        *,
+        part: str = 'run',
+    ) -> typing.Iterator[None]:
+        """Write a line where a send is cut short from this side.
+
+        The route's timeout and a caller that leaves end the task that
+        waits for a runner. Without a line of its own the log would not
+        name the runner that a request waited for.
+        """
+        begun_s = _now_s()
+        try:
+            yield
+        except (asyncio.CancelledError, responder_module.CallerGoneError):
+            self.meters.sent(part, CUT)
+            self._write_sent(
+                request,
+                runner,
+                part=part,
+                result=CUT,
+                step='end',
+                took_s=_now_s() - begun_s,
+                detail='the time is over or the caller is gone',
+            )
+            raise
+
+    def _write_sent(
+        self,
+        request: caller_request.CallerRequest,
+        runner: runner_info.RunnerInfo,
+        *,
+        took_s: float,
+        **fields: object,
+    ) -> None:
+        load = self.view.load(runner.runner_id)
         LOG.info(
             'sent',
             extra={
                 'request': request.request_id,
-                'part': part,
                 'runner': runner.runner_id,
                 'address': runner.address,
-                'result': result.value,
-                'step': step.value,
-                'detail': detail,
                 'took_ms': round(took_s * 1000),
                 'own_requests': load.requests,
                 'failures': load.failures,
                 'index': self.view.index,
-                **more,
+                **fields,
             },
         )
 
--- a/limpetroute/forwarding/plain_forward.py
+++ b/limpetroute/forwarding/plain_forward.py
@@ -102,12 +102,13 @@
         )
         load.requests += 1
         try:
-            failed = await call.open(self._request, note)
-            body: bytes | runner_call.SendFailure = b''
-            if failed is None:
-                body = await call.read(
-                    context.left_s(self._request, self._route)
-                )
+            with context.sending(self._request, runner):
+                failed = await call.open(self._request, note)
+                body: bytes | runner_call.SendFailure = b''
+                if failed is None:
+                    body = await call.read(
+                        context.left_s(self._request, self._route)
+                    )
         finally:
             load.requests -= 1
             call.close()
--- a/limpetroute/forwarding/prompt_reading.py
+++ b/limpetroute/forwarding/prompt_reading.py
@@ -110,9 +110,10 @@
         )
         handle = ''
         try:
-            failed = await call.open(self._request, note)
-            if failed is None:
-                handle, failed = await self._read_handle(call)
+            with context.sending(self._request, runner, part='prefill'):
+                failed = await call.open(self._request, note)
+                if failed is None:
+                    handle, failed = await self._read_handle(call)
         finally:
             call.close()
         load = context.view.load(runner.runner_id)
--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -5,13 +5,13 @@
 
 from limpetroute.forwarding import caller_request
 from limpetroute.forwarding import dialect as dialect_module
-from limpetroute.forwarding import event_splitter
 from limpetroute.forwarding import forward_context
 from limpetroute.forwarding import own_answer
 from limpetroute.forwarding import prompt_reading
 from limpetroute.forwarding import responder as responder_module
 from limpetroute.forwarding import runner_call
 from limpetroute.forwarding import stream_places
+from limpetroute.forwarding import stream_relay
 from limpetroute.routing import next_step
 from limpetroute.routing import route as route_module
 from limpetroute.routing import runner_info
@@ -22,10 +22,6 @@
 
 LOG = logging.getLogger(__name__)
 
-# A runner that sends nothing for this long while a stream may go on
-# elsewhere is taken for silent. Longer than a preempted stream's pause
-# (about 0.5 s), shorter than the 2 s after which callers leave.
-SILENT_S = 1.0
 # Prefill runners that may fail a prompt before its caller is told to
 # come back.
 MAX_READINGS = 2
@@ -62,7 +58,12 @@
         self._route = route
         self._service = service
         self._responder = responder
-        self._events = event_splitter.EventSplitter()
+        self._relay = stream_relay.StreamRelay(
+            context=context,
+            request=request,
+            route=route,
+            responder=responder,
+        )
         self._tried: set[str] = set()
         self._failed: set[str] = set()
         self._full: set[str] = set()
@@ -71,9 +72,6 @@
         self._failed_readings = 0
         self._sends_to_gone = 0
         self._whole = False
-        self._first_event_s = 0.0
-        self._events_s = 0.0
-        self._longest_gap_s = 0.0
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(request={self._request.request_id!r})'
@@ -100,7 +98,7 @@
                 step = await self._send(got, places)
             finally:
                 places.give_back(
-                    events_s=self._events_s,
+                    events_s=self._relay.events_s,
                     tokens=self._tokens_written(),
                     failed=self._failed,
                     full=self._full,
@@ -120,7 +118,7 @@
             goes_on=self._goes_on(),
             written_tokens=self._tokens_written(),
             reads_prompt=self._may_read_apart(),
-            waited_s=self._waited_s(),
+            waited_s=self._relay.waited_s,
         )
 
     def _may_read_apart(self) -> bool:
@@ -143,16 +141,11 @@
     def _tokens_written(self) -> int:
         engine = self._service.engine
         assert engine is not None
-        return self._events.count * engine.tokens_per_event
-
-    def _waited_s(self) -> float:
-        """Return how long the caller has had nothing new."""
-        since_s = self._first_event_s + self._events_s
-        return _now_s() - (since_s or self._request.received_s)
+        return self._relay.count * engine.tokens_per_event
 
     def _goes_on(self) -> bool:
         """Return whether a part of the answer is there already."""
-        return bool(self._request.resume_after or self._events.last_id)
+        return bool(self._request.resume_after or self._relay.last_id)
 
     async def _send(
         self,
@@ -242,16 +235,17 @@
             left_s=context.left_s(self._request, self._route),
             runner_id=runner.runner_id,
             kv_source=source.source if source else None,
-            resume_after=self._events.last_id or None,
+            resume_after=self._relay.last_id or None,
         )
-        failed = await call.open(self._request, note)
-        result = failed.result if failed else None
-        if failed is None and call.status >= runner_call.HTTP_SERVER_ERROR:
-            result = send_result.SendResult.FAILED
-        if result is None:
-            if source is not None:
-                source.taken = True
-            result = await self._relay(call)
+        with context.sending(self._request, runner, part='decode'):
+            failed = await call.open(self._request, note)
+            result = failed.result if failed else None
+            if failed is None and call.status >= runner_call.HTTP_SERVER_ERROR:
+                result = send_result.SendResult.FAILED
+            if result is None:
+                if source is not None:
+                    source.taken = True
+                result = await self._relay.run(call)
         self._judge(runner, result, source, _now_s() - begun_s)
         step = self._decide(result)
         context.log_send(
@@ -262,9 +256,9 @@
             took_s=_now_s() - begun_s,
             detail=failed.detail if failed else f'status {call.status}',
             part='decode',
-            events=self._events.count,
-            first_event_ms=self._first_event_ms(),
-            longest_gap_ms=round(self._longest_gap_s * 1000),
+            events=self._relay.count,
+            first_event_ms=self._relay.first_event_ms,
+            longest_gap_ms=self._relay.longest_gap_ms,
             asked_tokens=self._tokens(),
         )
         if step is next_step.Step.RELAY and not self._responder.finished:
@@ -309,56 +303,6 @@
         else:
             self._note_failure(runner)
 
-    def _first_event_ms(self) -> int | None:
-        """Return the time from the request to its first event, if any."""
-        if not self._first_event_s:
-            return None
-        return round((self._first_event_s - self._request.received_s) * 1000)
-
-    async def _relay(
-        self, call: runner_call.RunnerCall
-    ) -> send_result.SendResult:
-        """Pass whole events on as they come; return how it ended."""
-        responder = self._responder
-        idle_s = self._context.left_s(self._request, self._route)
-        if self._route.resumable:
-            idle_s = min(idle_s, SILENT_S)
-        try:
-            async for chunk in call.chunks(idle_s):
-                events = self._events.feed(chunk)
-                if events:
-                    await self._write(call, events)
-        except TimeoutError:
-            self._events.drop()
-            return send_result.SendResult.TIMED_OUT
-        if not call.whole:
-            self._events.drop()
-            return send_result.SendResult.BROKEN
-        rest = self._events.rest()
-        if rest or not responder.started:
-            await self._write(call, rest)
-        await responder.finish()
-        self._context.count(self._route, call.status, self._request)
-        return send_result.SendResult.ANSWERED
-
-    async def _write(
-        self, call: runner_call.RunnerCall, events: bytes
-    ) -> None:
-        responder = self._responder
-        now_s = _now_s()
-        self._first_event_s = self._first_event_s or now_s
-        before_s = self._first_event_s + self._events_s
-        self._longest_gap_s = max(self._longest_gap_s, now_s - before_s)
-        self._events_s = now_s - self._first_event_s
-        if responder.started:
-            await responder.write(events)
-            return
-        context = self._context
-        context.meters.first_event(_now_s() - self._request.received_s)
-        headers = context.dialect.caller_headers(call.headers)
-        headers.pop('Content-Length', None)
-        await responder.start(call.status, headers, events)
-
     async def _relay_failure(self, call: runner_call.RunnerCall) -> None:
         """Pass a runner's own error on, or break a begun stream off."""
         if self._responder.started:
--- /dev/null
+++ b/limpetroute/forwarding/stream_relay.py
@@ -0,0 +1,136 @@
+"""Passes a stream's events on to its caller, whole and once."""
+
+import asyncio
+
+from limpetroute.forwarding import caller_request
+from limpetroute.forwarding import event_splitter
+from limpetroute.forwarding import forward_context
+from limpetroute.forwarding import responder as responder_module
+from limpetroute.forwarding import runner_call
+from limpetroute.routing import route as route_module
+from limpetroute.routing import send_result
+
+# A runner that sends nothing for this long while a stream may go on
+# elsewhere is taken for silent. Longer than a preempted stream's pause
+# (about 0.5 s), shorter than the 2 s after which callers leave.
+SILENT_S = 1.0
+
+
+class StreamRelay:
+    """Passes a stream's events on to its caller, whole and once.
+
+    One relay lasts as long as its request: where a runner breaks off,
+    the next one goes on after the last whole event.
+
+    Parameters
+    ----------
+    context : ForwardContext
+        What all forwarding shares.
+    request : CallerRequest
+        The caller's request.
+    route : Route
+        Its route.
+    responder : Responder
+        Writes the answer.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: forward_context.ForwardContext,
+        request: caller_request.CallerRequest,
+        route: route_module.Route,
+        responder: responder_module.Responder,
+    ) -> None:
+        self._context = context
+        self._request = request
+        self._route = route
+        self._responder = responder
+        self._events = event_splitter.EventSplitter()
+        self._first_event_s = 0.0
+        self._events_s = 0.0
+        self._longest_gap_s = 0.0
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(request={self._request.request_id!r})'
+
+    @property
+    def count(self) -> int:
+        """Number of events that were passed on."""
+        return self._events.count
+
+    @property
+    def last_id(self) -> str:
+        """Identity of the last event that was passed on, or empty."""
+        return self._events.last_id
+
+    @property
+    def events_s(self) -> float:
+        """Time from the first event to the last one, in seconds."""
+        return self._events_s
+
+    @property
+    def longest_gap_ms(self) -> int:
+        """Longest time between two events, in milliseconds."""
+        return round(self._longest_gap_s * 1000)
+
+    @property
+    def first_event_ms(self) -> int | None:
+        """Time from the request to its first event, if there is one."""
+        if not self._first_event_s:
+            return None
+        return round((self._first_event_s - self._request.received_s) * 1000)
+
+    @property
+    def waited_s(self) -> float:
+        """How long the caller has had nothing new."""
+        since_s = self._first_event_s + self._events_s
+        return _now_s() - (since_s or self._request.received_s)
+
+    async def run(
+        self, call: runner_call.RunnerCall
+    ) -> send_result.SendResult:
+        """Pass whole events on as they come; return how it ended."""
+        responder = self._responder
+        idle_s = self._context.left_s(self._request, self._route)
+        if self._route.resumable:
+            idle_s = min(idle_s, SILENT_S)
+        try:
+            async for chunk in call.chunks(idle_s):
+                events = self._events.feed(chunk)
+                if events:
+                    await self._write(call, events)
+        except TimeoutError:
+            self._events.drop()
+            return send_result.SendResult.TIMED_OUT
+        if not call.whole:
+            self._events.drop()
+            return send_result.SendResult.BROKEN
+        rest = self._events.rest()
+        if rest or not responder.started:
+            await self._write(call, rest)
+        await responder.finish()
+        self._context.count(self._route, call.status, self._request)
+        return send_result.SendResult.ANSWERED
+
+    async def _write(
+        self, call: runner_call.RunnerCall, events: bytes
+    ) -> None:
+        responder = self._responder
+        now_s = _now_s()
+        self._first_event_s = self._first_event_s or now_s
+        before_s = self._first_event_s + self._events_s
+        self._longest_gap_s = max(self._longest_gap_s, now_s - before_s)
+        self._events_s = now_s - self._first_event_s
+        if responder.started:
+            await responder.write(events)
+            return
+        context = self._context
+        context.meters.first_event(now_s - self._request.received_s)
+        headers = context.dialect.caller_headers(call.headers)
+        headers.pop('Content-Length', None)
+        await responder.start(call.status, headers, events)
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -65,3 +65,18 @@
     log.write_text(line('1', 'sent', **SENT))
     assert main.main(['explain', 'q2', str(log)]) == 3
     assert main.main(['explain', 'q1', str(tmp_path / 'none')]) == 2
+
+
+def test_a_call_that_took_too_long_names_its_runner(tmp_path, capsys):
+    cut = {**SENT, 'part': 'run', 'result': 'cut', 'took_ms': 1500}
+    code, out = explain(
+        tmp_path,
+        capsys,
+        line('1', 'sent', **cut),
+        line(
+            '2', 'answered for itself', status=504, reason='no answer in time'
+        ),
+    )
+    assert code == 1
+    assert "The route's timeout" in out
+    assert 'went to i-1 at 10.0.0.1:80 and ended cut after 1500 ms' in out
--- a/tests/forwarding/test_plain.py
+++ b/tests/forwarding/test_plain.py
@@ -241,6 +241,27 @@
     run(work())
 
 
+def test_the_log_names_the_runner_that_a_request_waited_for(caplog):
+    """A call takes too long, and on-call engineers have its id alone.
+
+    The route's timeout ended the send before it came to anything, and
+    with it the line that says where the request was sent.
+    """
+
+    async def work():
+        async def silent(seen, writer):
+            await asyncio.sleep(5)
+
+        async with harness.running([silent], timeout_s=0.3) as (front, _):
+            with caplog.at_level('INFO'):
+                assert harness.status(await front.ask()) == 504
+
+    run(work())
+    (sent,) = [one for one in caplog.records if one.message == 'sent']
+    assert (sent.request, sent.runner, sent.result) == ('q1', 'r0', 'cut')
+    assert 250 < sent.took_ms < 600
+
+
 def test_a_caller_that_leaves_ends_the_work():
     """A runner's place stays taken for somebody who is gone."""
 
