Let a leader whose own disk hangs acknowledge what others have synced

Cause: a replica applied a committed entry only once its own disk had it.

Weighed: handing the group over after a second of stall. Streams would be placed by nobody for a second, though their places need no disk, and a stall of most disks would leave no leader at all.

Stalled disks are a rule of the fuzz machine now, which passed with them, and every guard taken out is still caught.

--- a/limpetroute/agreement/replica.py
+++ b/limpetroute/agreement/replica.py
@@ -101,6 +101,11 @@
         """The newest membership this replica knows."""
         return self.log.membership
 
+    @property
+    def synced_index(self) -> int:
+        """The last entry that is on this replica's own disk."""
+        return self._disk.synced_index
+
     def lease_valid(self, now_s: float) -> bool:
         """Return whether no other leader can have been elected yet."""
         if self.role is not Role.LEADER:
@@ -643,6 +648,11 @@
     def _compact(self, event: events.Compact) -> None:
         if not self.log.base_index < event.index <= self.applied_index:
             return
+        # The state may be ahead of a disk that hangs. A snapshot of it
+        # would be ahead of the log below it, and a restart would find a
+        # hole between the two.
+        if event.index > self._disk.synced_index:
+            return
         term = self.log.term_at(event.index)
         assert term is not None
         snapshot = snapshot_module.Snapshot(
@@ -700,9 +710,9 @@
         )
 
     def _take_committed(self) -> tuple[entry_module.Entry, ...]:
-        # Only what is on this disk too: a snapshot of the state may then
-        # never be ahead of the log below it.
-        end = min(self.commit_index, self._disk.synced_index)
+        # What a majority has on its disks is kept, whether or not this
+        # disk has it: a leader whose own disk hangs goes on answering.
+        end = self.commit_index
         if end <= self.applied_index:
             return ()
         entries = self.log.between(self.applied_index + 1, end)
--- a/limpetroute/control/group.py
+++ b/limpetroute/control/group.py
@@ -182,6 +182,9 @@
             self._compact_after
         ):
             return
+        if replica.applied_index > replica.synced_index:
+            # It would not be taken while the own disk hangs.
+            return
         self.feed(
             events.Compact(index=replica.applied_index, data=self.state.dump())
         )
--- a/tests/agreement/cluster.py
+++ b/tests/agreement/cluster.py
@@ -120,6 +120,8 @@
         self.timings = dataclasses.replace(TIMINGS, min_voters=size // 2 + 1)
         self.flying = []
         self.blocked = set()
+        # Hosts whose disks answer nothing for now.
+        self.stalled = set()
         self.loss = 0.0
         self.duplicates = 0.0
         self.jitter = 0
@@ -281,6 +283,7 @@
     def calm(self):
         """End all faults, as operators do, and leave it some time."""
         self.blocked.clear()
+        self.stalled.clear()
         self.loss = self.duplicates = self.strays = 0.0
         self.jitter = 0
         for node in self.nodes.values():
@@ -349,6 +352,8 @@
             count = self.rng.randint(0, count)
         if not count or node.replica is None:
             return
+        if node.host_id in self.stalled:
+            return
         if node.replica.role is agreement.Role.FAILED:
             return
         if not self.syncs_before_ack:
--- a/tests/agreement/test_fuzz.py
+++ b/tests/agreement/test_fuzz.py
@@ -137,6 +137,10 @@
     def fail_disk(self, number):
         self.cluster.fail_disk(self.host(number))
 
+    @stateful.rule(number=HOSTS)
+    def stall_disk_or_end_it(self, number):
+        self.cluster.stalled.symmetric_difference_update({self.host(number)})
+
     @stateful.rule(number=HOSTS, count=st.integers(100, 200))
     def miss_hundreds(self, number, count):
         """A replica is away for hundreds of changes and comes back."""
