Take no writer away while another may be lost; see runners that are gone

Also seen: registrations stand when runners are gone for good, so a reader that is gone was given every prompt, and a lone reader waited for a writer that is gone.

Ruled out: a change of leader (quiet times added 3.5 s of 14), disks.

Change: with two writers and no reader, one is ordered to read after the split has been wanted for 4 s, and never while the other seems gone (two failures in a row). A reader that seems gone is given nothing but a probe while writers can read. A runner that has failed everything for 6 s does not count in the split. Five tests failed first.

--- a/limpetroute/dispatch/dispatcher.py
+++ b/limpetroute/dispatch/dispatcher.py
@@ -231,11 +231,11 @@
         for service in self._plan.services:
             if service.engine is None:
                 continue
-            self._orders.keep(
-                service,
-                self._runners(service.name),
-                boot_clock.now_s(),
-            )
+            runners = self._runners(service.name)
+            now_s = boot_clock.now_s()
+            desk = self._desks.get(service.name)
+            gone_s = desk.gone_s(runners, now_s) if desk else {}
+            self._orders.keep(service, runners, now_s, gone_s=gone_s)
 
 
 def _detail(answer: Answer) -> dict[str, typing.Any]:
--- a/limpetroute/dispatch/stage_orders.py
+++ b/limpetroute/dispatch/stage_orders.py
@@ -68,6 +68,8 @@
         self._asking: set[str] = set()
         self._known: dict[str, dict[str, str]] = {}
         self._first_s: dict[str, float] = {}
+        # Since when a change has been wanted, by service.
+        self._wanted_s: dict[str, float] = {}
         self._changed_s: dict[str, float] = {}
         self._tasks: set[asyncio.Task[None]] = set()
 
@@ -84,6 +86,7 @@
         self._accepted.clear()
         self._asked.clear()
         self._asking.clear()
+        self._wanted_s.clear()
 
     def changing(self) -> frozenset[str]:
         """Return the runners that are changing their stage now.
@@ -99,8 +102,13 @@
         service: service_module.Service,
         runners: typing.Sequence[runner_info.RunnerInfo],
         now_s: float,
+        *,
+        gone_s: typing.Mapping[str, float] | None = None,
     ) -> None:
-        """Give the next order that a service's split of stages asks for."""
+        """Give the next order that a service's split of stages asks for.
+
+        ``gone_s`` tells for how long runners have seemed gone.
+        """
         assert service.engine is not None
         self._ask_once(service.name, runners, now_s)
         settled = self._is_settled(service.name, runners, now_s)
@@ -118,12 +126,21 @@
             for one in runners
             if one.runner_id in self._ordered_s
         ]
-        change = stage_split.next_change(runners, changing=changing)
+        gone_s = gone_s or {}
+        change = stage_split.next_change(
+            runners, changing=changing, gone_s=gone_s
+        )
         if change is None:
+            self._wanted_s.pop(service.name, None)
+            return
+        wanted_s = self._wanted_s.setdefault(service.name, now_s)
+        writers = stage_split.writers_after(change, runners, gone_s=gone_s)
+        if now_s - wanted_s < stage_split.wait_s(change, writers):
             return
         target = next(
             one for one in runners if one.runner_id == change.runner_id
         )
+        self._wanted_s.pop(service.name, None)
         self._ordered_s[target.runner_id] = now_s
         self._accepted.discard(target.runner_id)
         self._run(self._order(target, change))
--- a/limpetroute/routing/runner_load.py
+++ b/limpetroute/routing/runner_load.py
@@ -7,6 +7,9 @@
 # crashed runner is back within seconds.
 FIRST_REST_S = 0.5
 LONGEST_REST_S = 8.0
+# One reset may be chance; this many failures in a row, without an
+# answer between them, are taken for a runner that is gone.
+GONE_AFTER = 2
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -25,6 +28,8 @@
         Time before which it is only used if there is no other.
     answer_s : float
         Smoothed time of its plain answers; 0 while unknown.
+    failing_since_s : float
+        Time of the first of the failures in a row.
     """
 
     requests: int = 0
@@ -32,9 +37,12 @@
     failures: int = 0
     rests_until_s: float = 0.0
     answer_s: float = 0.0
+    failing_since_s: float = 0.0
 
     def note_failure(self, now_s: float) -> None:
         """Count a failure and leave the runner alone for a while."""
+        if not self.failures:
+            self.failing_since_s = now_s
         rest_s = min(FIRST_REST_S * 2**self.failures, LONGEST_REST_S)
         self.failures += 1
         self.rests_until_s = now_s + rest_s
@@ -47,6 +55,12 @@
             self.answer_s = answer_s
         self.answer_s += (answer_s - self.answer_s) / 8
 
+    def gone_s(self, now_s: float) -> float:
+        """Return for how long the runner has seemed gone; 0 if it has not."""
+        if self.failures < GONE_AFTER:
+            return 0.0
+        return now_s - self.failing_since_s
+
     def rests(self, now_s: float) -> bool:
         """Return whether the runner is left alone."""
         return now_s < self.rests_until_s
--- a/limpetroute/routing/runner_watch.py
+++ b/limpetroute/routing/runner_watch.py
@@ -74,6 +74,33 @@
             usable.append(one)
         return usable
 
+    def without_gone_readers(
+        self, readers: list[runner_info.RunnerInfo], now_s: float
+    ) -> list[runner_info.RunnerInfo]:
+        """Return the prefill runners that are worth waiting for.
+
+        Writers can read prompts too. A reader that is gone and still
+        registered would be given every prompt for want of another: each
+        caller was refused after two readings that came to nothing.
+        """
+        return [
+            one
+            for one in readers
+            if not self._is_avoided(one, now_s)
+            or not self._health_of(one.runner_id).gone_s(now_s)
+        ]
+
+    def gone_s(
+        self, runners: typing.Iterable[runner_info.RunnerInfo], now_s: float
+    ) -> dict[str, float]:
+        """Return for how long runners have seemed gone, by identity."""
+        found = {}
+        for one in runners:
+            gone_s = self._health_of(one.runner_id).gone_s(now_s)
+            if gone_s:
+                found[one.runner_id] = gone_s
+        return found
+
     def _is_avoided(
         self, runner: runner_info.RunnerInfo, now_s: float
     ) -> bool:
--- a/limpetroute/routing/stage_split.py
+++ b/limpetroute/routing/stage_split.py
@@ -1,6 +1,7 @@
 """How many of a service's runners read prompts."""
 
 import dataclasses
+import math
 import typing
 
 from limpetroute.decisions import stage as stage_module
@@ -11,6 +12,13 @@
 # reader keeps 12 * 4 / 0.09 = 44 places, four runners, busy. Where
 # memory binds, at 8 streams a runner, it is six. Five lies between.
 DECODE_PER_PREFILL = 5
+# A runner that has failed all it was sent for this long is taken to be
+# gone for good: one that crashes is mostly back within five seconds.
+LOST_AFTER_S = 6.0
+# With two writers left and no reader, neither is taken away at once: for
+# ten seconds the other would be alone. Runners are lost in pairs, and
+# most crashed ones are back by then.
+LONE_WRITER_WAIT_S = 4.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -38,6 +46,7 @@
     runners: typing.Iterable[runner_info.RunnerInfo],
     *,
     changing: typing.Collection[str],
+    gone_s: typing.Mapping[str, float] | None = None,
 ) -> StageChange | None:
     """Return the next change towards the wanted split, if one is due.
 
@@ -51,8 +60,17 @@
         Runners of one service.
     changing : collection of str
         Runners that were ordered to change and have not done so.
+    gone_s : mapping of str to float, optional
+        For how long runners have seemed gone, by identity.
     """
-    ready = [one for one in runners if one.ready and one.stage is not None]
+    lost = {
+        name for name, for_s in (gone_s or {}).items() if for_s >= LOST_AFTER_S
+    }
+    ready = [
+        one
+        for one in runners
+        if one.ready and one.stage is not None and one.runner_id not in lost
+    ]
     if changing or not ready:
         return None
     readers = [one for one in ready if one.stage is stage_module.Stage.PREFILL]
@@ -70,3 +88,34 @@
             runner_id=chosen.runner_id, stage=stage_module.Stage.PREFILL
         )
     return None
+
+
+def writers_after(
+    change: StageChange,
+    runners: typing.Iterable[runner_info.RunnerInfo],
+    *,
+    gone_s: typing.Mapping[str, float],
+) -> int:
+    """Return how many writers that answer are left during a change."""
+    return sum(
+        one.ready
+        and one.stage is stage_module.Stage.DECODE
+        and one.runner_id != change.runner_id
+        and one.runner_id not in gone_s
+        for one in runners
+    )
+
+
+def wait_s(change: StageChange, writers: int) -> float:
+    """Return how long a change has to be wanted before it is ordered.
+
+    Pattern: the last reader leaves while one of the two writers has just
+    crashed, or is about to leave. The order took the other one away for
+    eleven seconds; with the next loss nobody was left, and 94 streams of
+    a day were refused while a runner stood idle between two stages.
+    """
+    if change.stage is stage_module.Stage.DECODE:
+        return 0.0
+    if not writers:
+        return math.inf
+    return LONE_WRITER_WAIT_S if writers == 1 else 0.0
--- a/limpetroute/routing/stream_desk.py
+++ b/limpetroute/routing/stream_desk.py
@@ -83,6 +83,12 @@
         """How fast one stream writes, as measured."""
         return self._held.tokens_per_s
 
+    def gone_s(
+        self, runners: typing.Iterable[runner_info.RunnerInfo], now_s: float
+    ) -> dict[str, float]:
+        """Return for how long runners have seemed gone, by identity."""
+        return self._watch.gone_s(runners, now_s)
+
     def ask(self, ask: stream_ask.StreamAsk, now_s: float) -> None:
         """Take a stream; `decide` tells what it gets.
 
@@ -155,6 +161,8 @@
         readers = [
             one for one in usable if one.stage is stage_module.Stage.PREFILL
         ]
+        if decoders:
+            readers = self._watch.without_gone_readers(readers, now_s)
         self._held.expire(now_s)
         answers: list[Answer] = []
         answers.extend(self._give_places(decoders, readers, now_s))
--- a/tests/dispatch/test_stage_orders.py
+++ b/tests/dispatch/test_stage_orders.py
@@ -228,3 +228,65 @@
     now_s, (order,) = asyncio.run(work())
     assert order['stage'] == 'prefill'
     assert 10.0 <= now_s < 10.2
+
+
+def first_order(runners_at, *, gone_at=None, seconds=20.0):
+    """Return the first order and its time, or None."""
+
+    async def work():
+        calls = Calls()
+        orders_ = make_orders(calls)
+        orders_.begin_term(1, 0.0)
+        now_s = 0.0
+        while now_s < seconds:
+            gone_s = gone_at(now_s) if gone_at else {}
+            orders_.keep(service(), runners_at(now_s), now_s, gone_s=gone_s)
+            await asyncio.sleep(0)
+            if calls.bodies:
+                return now_s, calls.bodies[0]['stage']
+            now_s += 0.05
+        return None
+
+    return asyncio.run(work())
+
+
+def two_writers_and_a_reader_that_leaves(now_s):
+    writers = fleet(builders.DECODE, builders.DECODE)
+    ready = now_s < 10.0
+    return [
+        *writers,
+        builders.make_runner('p', builders.PREFILL, ready=ready),
+    ]
+
+
+def test_of_two_writers_none_is_taken_away_at_once():
+    """The reader leaves, and half a second later a writer crashes.
+
+    The order of the moment between took the other writer away for
+    eleven seconds, and nobody wrote until a runner had changed back.
+    """
+    at_s, stage = first_order(two_writers_and_a_reader_that_leaves)
+    assert stage == 'prefill'
+    assert 13.9 < at_s < 14.3
+
+
+def test_the_last_writer_that_answers_is_not_taken_away():
+    """The other one is dark, and its registration stands."""
+    assert not first_order(
+        two_writers_and_a_reader_that_leaves,
+        gone_at=lambda now_s: {'r1': 1.0} if now_s > 10.5 else {},
+    )
+
+
+def test_a_reader_writes_where_no_writer_comes_back():
+    """The only writer is gone for good, and its registration stands.
+
+    The reader that was left has nobody to read for: without an order it
+    stood idle while every caller was refused.
+    """
+    at_s, stage = first_order(
+        lambda now_s: fleet(builders.PREFILL, builders.DECODE),
+        gone_at=lambda now_s: {'r1': now_s - 10.0} if now_s > 10.0 else {},
+    )
+    assert stage == 'decode'
+    assert 15.9 < at_s < 16.3
--- a/tests/routing/test_stream_desk.py
+++ b/tests/routing/test_stream_desk.py
@@ -214,6 +214,39 @@
     assert wasted <= 6
 
 
+def fail_a_place(desk, fleet, name, now_s):
+    """Have a stream fail at its reader; return its place."""
+    desk.ask(builders.make_ask(name, prompt_tokens=2000), now_s)
+    (place,) = places(desk.decide(fleet, now_s))
+    failed = (place.prefill_id,) if place.prefill_id else ()
+    desk.end(stream_ask.StreamEnd(request_id=name, failed=failed), now_s)
+    return place
+
+
+def test_without_its_reader_a_fleet_lets_writers_read():
+    """The only reader is gone for good, and its registration stands.
+
+    For want of another reader every prompt went there: each caller was
+    refused after two readings that came to nothing.
+    """
+    desk = make_desk()
+    fleet = make_fleet(writers=2, readers=1)
+    for n in range(2):
+        assert fail_a_place(desk, fleet, f's{n}', 10.0).prefill_id
+    assert not fail_a_place(desk, fleet, 's2', 10.5).prefill_id
+
+
+def test_a_reader_that_failed_once_goes_on_reading():
+    """One reset is chance; writers that read pause their streams."""
+    desk = make_desk()
+    fleet = make_fleet(writers=2, readers=1)
+    for n in range(2):
+        desk.ask(builders.make_ask(f's{n}'), 10.0)
+        desk.decide(fleet, 10.0)
+    desk.end(stream_ask.StreamEnd(request_id='s0', failed=('p',)), 10.0)
+    assert fail_a_place(desk, fleet, 's3', 10.1).prefill_id
+
+
 def test_a_runner_filled_by_others_is_left_alone_for_a_while():
     """Hosts cut off from the leader fill a runner, unseen here."""
     desk = make_desk()
