Take a reader's last reading, not its streams' ends, for a sign of life

Each stream that ended well counted for its reader too, whose part was over four seconds before: while such streams ended, a reader that is gone never seemed so.

Change: what counts is that a prompt was read.

--- a/limpetroute/routing/reading_turns.py
+++ b/limpetroute/routing/reading_turns.py
@@ -132,16 +132,23 @@
             since_s=now_s,
         )
 
-    def done(self, request_id: str, attempt: int, now_s: float) -> None:
-        """Take note of a prompt that was read, and how long it took."""
+    def done(self, request_id: str, attempt: int, now_s: float) -> str | None:
+        """Take note of a prompt that was read, and how long it took.
+
+        Returns
+        -------
+        str or None
+            Identity of the prefill runner that read it, if it is known.
+        """
         reading = self._readings.pop((request_id, attempt), None)
         if reading is None:
-            return
+            return None
         took_s = max(0.001, now_s - reading.since_s - WAY_S)
         speed = self._speed(reading.reader_id)
         measured = min(reading.queued_tokens / took_s, 2 * speed)
         speed += (measured - speed) * SPEED_WEIGHT
         self._speeds[reading.reader_id] = speed
+        return reading.reader_id
 
     def drop(self, request_id: str, attempt: int) -> None:
         """Forget a reading that failed or is not waited for any more."""
--- a/limpetroute/routing/stream_desk.py
+++ b/limpetroute/routing/stream_desk.py
@@ -113,7 +113,9 @@
 
     def read(self, request_id: str, attempt: int, now_s: float) -> None:
         """Take note that a prompt was read apart."""
-        self._reading.done(request_id, attempt, now_s)
+        reader_id = self._reading.done(request_id, attempt, now_s)
+        if reader_id is not None:
+            self._watch.went_well(reader_id)
 
     def end(self, end: stream_ask.StreamEnd, now_s: float) -> None:
         """Take a place back and learn from how the stream went."""
@@ -127,8 +129,9 @@
         for runner_id in end.failed:
             self._watch.failed(runner_id, now_s)
         if place is not None and not end.failed:
+            # Of the reader it says nothing new: its part was over
+            # seconds ago, and it may be gone since.
             self._watch.went_well(place.decode_id)
-            self._watch.went_well(place.prefill_id)
 
     def adopt(
         self,
--- a/tests/routing/test_stream_desk.py
+++ b/tests/routing/test_stream_desk.py
@@ -236,6 +236,37 @@
     assert not fail_a_place(desk, fleet, 's2', 10.5).prefill_id
 
 
+def test_a_stream_that_ends_says_nothing_of_its_reader():
+    """The reader dies; streams that it read before go on for seconds.
+
+    Each one that ended well stood for a sign of its reader, so that it
+    was given prompts all the while: callers were refused after two
+    readings that came to nothing.
+    """
+    desk = make_desk()
+    fleet = make_fleet(writers=2, readers=1)
+    desk.ask(builders.make_ask('old'), 8.0)
+    assert places(desk.decide(fleet, 8.0))
+    desk.read('old', 0, 8.1)
+    fail_a_place(desk, fleet, 's0', 10.0)
+    desk.end(stream_ask.StreamEnd(request_id='old', whole=True), 10.0)
+    fail_a_place(desk, fleet, 's1', 10.0)
+    assert not fail_a_place(desk, fleet, 's2', 10.5).prefill_id
+
+
+def test_a_reader_that_reads_again_is_given_prompts():
+    desk = make_desk()
+    fleet = make_fleet(writers=2, readers=1)
+    for n in range(2):
+        fail_a_place(desk, fleet, f's{n}', 10.0)
+    desk.ask(builders.make_ask('probe', prompt_tokens=2000), 11.5)
+    (probe,) = places(desk.decide(fleet, 11.5))
+    assert probe.prefill_id
+    desk.read('probe', 0, 11.6)
+    for n in range(2, 4):
+        assert fail_a_place(desk, fleet, f's{n}', 11.7).prefill_id
+
+
 def test_a_reader_that_failed_once_goes_on_reading():
     """One reset is chance; writers that read pause their streams."""
     desk = make_desk()
