Tell a runner's lives apart; take no announcement that is not a runner's

Cause: a runner may start again under its identity and count its announcements from 1. The table compared numbers only, so the first heartbeats of the new life passed for late ones of the old: a runner that had said that it leaves stayed so, one that had left stayed gone, and streams, rests, learned speeds and orders of the earlier life were kept. Announcements were read leniently: missing fields had defaults, "12" was a number, and one for a service that does not exist drove out the runner whose address it named.

Ruled out: a new row for each life (the identity names the runner on the wire, and orders and sends name it by that alone).

Change: the time of a runner's start goes through the log and the table; a later start replaces an earlier one, and what was known of the earlier one is dropped by the desk, the stage orders and the entry hosts. Fields are asked for and typed; a service that the configuration in force does not name is refused.

--- a/limpetroute/control/commands.py
+++ b/limpetroute/control/commands.py
@@ -87,13 +87,15 @@
     text: str
     sequence: int
     state: str
+    started_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class ForgetRunner:
-    """A runner has left for good."""
+    """A runner has left for good; 0 stands for any start of it."""
 
     runner_id: str
+    started_ms: int = 0
 
 
 Command = (
@@ -146,4 +148,8 @@
     if kind is None:
         raise ValueError(f'unknown command {name!r}')
     names = [field.name for field in dataclasses.fields(kind)]
-    return kind(**dict(zip(names, values, strict=True)))
+    if len(values) > len(names):
+        raise ValueError(f'{name} has {len(values)} values')
+    # Entries of an earlier version lack the fields that were added at the
+    # end since, which have defaults.
+    return kind(**dict(zip(names, values, strict=False)))
--- a/limpetroute/control/control_state.py
+++ b/limpetroute/control/control_state.py
@@ -79,7 +79,9 @@
                 self.runners.note(command, index)
                 return results.Done()
             case commands.ForgetRunner():
-                self.runners.forget(command.runner_id, index)
+                self.runners.forget(
+                    command.runner_id, index, started_ms=command.started_ms
+                )
                 return results.Done()
             case commands.NextFence():
                 return self._next_fence(command.name)
--- a/limpetroute/control/desk.py
+++ b/limpetroute/control/desk.py
@@ -8,7 +8,6 @@
 from limpetroute.control import node as node_module
 from limpetroute.control import results
 from limpetroute.control import routes_store
-from limpetroute.control import runner_table
 from limpetroute.control import verdicts
 from limpetroute.wire import call_failed
 from limpetroute.wire import caller
@@ -27,6 +26,13 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class UnknownService:
+    """An announcement for a service that no configuration names."""
+
+    service: str
+
+
 class Desk:
     """Takes operators' and runners' calls on any control host.
 
@@ -36,11 +42,22 @@
         This control host.
     http : Caller
         Calls the leader.
+    read_services : callable
+        Returns the services that a routing configuration names.
     """
 
-    def __init__(self, *, node: node_module.Node, http: caller.Caller) -> None:
+    def __init__(
+        self,
+        *,
+        node: node_module.Node,
+        http: caller.Caller,
+        read_services: typing.Callable[[str], frozenset[str]],
+    ) -> None:
         self._node = node
         self._http = http
+        self._read_services = read_services
+        self._services: frozenset[str] = frozenset()
+        self._services_index = 0
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(node={self._node!r})'
@@ -102,10 +119,15 @@
         return routes_store.RoutesInForce(**body)
 
     async def note_runner(
-        self, command: commands.NoteRunner
-    ) -> results.Done | Unsure:
+        self, command: commands.NoteRunner, service: str
+    ) -> results.Done | Unsure | UnknownService:
         """Take a runner's announcement.
 
+        One for a service that the configuration in force does not name
+        is no runner's: taken, it would drive out the runner at the
+        address that it gives. Before the first configuration nothing is
+        known of services, and runners must not wait for it.
+
         One that repeats what is known is only taken where this host is
         in touch with the leader: a host that was cut off would go on
         acknowledging to a runner what nobody else learns.
@@ -114,6 +136,13 @@
         group = node.config
         if not group.replica.in_touch(node.now_s):
             return Unsure(reason='out of touch with the group')
+        named = self._named_services()
+        if named and service not in named:
+            LOG.warning(
+                'an announcement names an unknown service',
+                extra={'runner': command.runner_id, 'service': service},
+            )
+            return UnknownService(service=service)
         if not group.state.runners.adds_something(command):
             return results.Done()
         got = await self._commit(command)
@@ -124,23 +153,40 @@
                 'address': command.address,
                 'state': command.state,
                 'sequence': command.sequence,
+                'started_ms': command.started_ms,
                 'outcome': _said(got),
             },
         )
         return got if isinstance(got, Unsure) else results.Done()
 
-    async def forget_runner(self, runner_id: str) -> results.Done | Unsure:
+    async def forget_runner(
+        self, command: commands.ForgetRunner
+    ) -> results.Done | Unsure:
         """Take a runner's farewell."""
-        known = self._node.config.state.runners.get(runner_id)
-        if known is not None and known.state == runner_table.RunnerState.GONE:
+        runners = self._node.config.state.runners
+        if not runners.may_leave(command.runner_id, command.started_ms):
             return results.Done()
-        got = await self._commit(commands.ForgetRunner(runner_id=runner_id))
+        got = await self._commit(command)
         LOG.info(
             'runner left',
-            extra={'runner': runner_id, 'outcome': _said(got)},
+            extra={
+                'runner': command.runner_id,
+                'started_ms': command.started_ms,
+                'outcome': _said(got),
+            },
         )
         return got if isinstance(got, Unsure) else results.Done()
 
+    def _named_services(self) -> frozenset[str]:
+        """Return the services of the configuration in force."""
+        state = self._node.config.state
+        if state.routes is None:
+            return frozenset()
+        if state.routes_index != self._services_index:
+            self._services = self._read_services(state.routes.text)
+            self._services_index = state.routes_index
+        return self._services
+
     async def _commit(
         self, command: commands.Command
     ) -> dict[str, typing.Any] | Unsure:
--- a/limpetroute/control/runner_row.py
+++ b/limpetroute/control/runner_row.py
@@ -10,17 +10,19 @@
     Parameters
     ----------
     runner_id : str
-        Identity of one start of a runner process.
+        Identity of a runner; it may start again under the same.
     address : str
         ``IP:PORT`` at which it takes requests.
     text : str
         The rest of its announcement, as JSON.
     sequence : int
-        Number of the announcement within the runner's life.
+        Number of the announcement since the runner's start.
     state : str
         See `RunnerState`.
     changed_index : int
         Place in the log of its last change.
+    started_ms : int
+        Unix time of the runner's start in milliseconds; 0 if not told.
     """
 
     runner_id: str
@@ -29,3 +31,4 @@
     sequence: int
     state: str
     changed_index: int
+    started_ms: int = 0
--- a/limpetroute/control/runner_table.py
+++ b/limpetroute/control/runner_table.py
@@ -20,7 +20,7 @@
     GONE = 'gone'
 
 
-# A runner only ever moves forward through these.
+# From one start to the next, a runner only moves forward through these.
 _ORDER = (RunnerState.READY, RunnerState.DRAINING, RunnerState.GONE)
 
 
@@ -65,10 +65,17 @@
         Most heartbeats repeat the last one; only the others are worth a
         place in the log. One that was overtaken on its way adds nothing
         either, nor does one of a runner that has left.
+
+        A runner may crash and start again under its identity, counting
+        its announcements from the beginning. Told apart by their numbers
+        alone, those of its new life would pass for late ones of the old,
+        and the runner would stay as it was, or gone, for good.
         """
         known = self.get(command.runner_id)
         if known is None:
             return True
+        if command.started_ms != known.started_ms:
+            return command.started_ms > known.started_ms
         if known.state == RunnerState.GONE:
             return False
         if command.sequence <= known.sequence:
@@ -92,6 +99,7 @@
         former = self.at_address(command.address)
         if former is not None and former.runner_id != command.runner_id:
             self.forget(former.runner_id, index)
+        self._gone.pop(command.runner_id, None)
         self._rows[command.runner_id] = runner_row.RunnerRow(
             runner_id=command.runner_id,
             address=command.address,
@@ -99,14 +107,35 @@
             sequence=command.sequence,
             state=command.state,
             changed_index=index,
+            started_ms=command.started_ms,
         )
         self.changed_index = index
 
-    def forget(self, runner_id: str, index: int) -> None:
-        """Note that a runner has left, known or not."""
-        if runner_id in self._gone:
+    def may_leave(self, runner_id: str, started_ms: int = 0) -> bool:
+        """Return whether a farewell says what is not known yet.
+
+        One of an earlier start that comes late adds nothing: the runner
+        is back.
+        """
+        known = self.get(runner_id)
+        if known is None:
+            return True
+        if known.state == RunnerState.GONE:
+            return started_ms > known.started_ms
+        return not started_ms or started_ms >= known.started_ms
+
+    def forget(
+        self, runner_id: str, index: int, *, started_ms: int = 0
+    ) -> None:
+        """Note that a runner has left, known or not.
+
+        ``started_ms`` tells which start of it said so; 0 if not told.
+        """
+        if not self.may_leave(runner_id, started_ms):
             return
-        known = self._rows.pop(runner_id, None)
+        known = self._rows.pop(runner_id, None) or self._gone.pop(
+            runner_id, None
+        )
         if known is None:
             known = runner_row.RunnerRow(
                 runner_id=runner_id,
@@ -117,7 +146,10 @@
                 changed_index=index,
             )
         self._gone[runner_id] = dataclasses.replace(
-            known, state=RunnerState.GONE, changed_index=index
+            known,
+            state=RunnerState.GONE,
+            changed_index=index,
+            started_ms=max(known.started_ms, started_ms),
         )
         while len(self._gone) > MAX_GONE:
             del self._gone[next(iter(self._gone))]
@@ -132,7 +164,10 @@
         """Take what `dump` returned, into an empty table."""
         names = [one.name for one in dataclasses.fields(runner_row.RunnerRow)]
         for values in rows:
-            row = runner_row.RunnerRow(**dict(zip(names, values, strict=True)))
+            # Snapshots of an earlier version lack the last field.
+            row = runner_row.RunnerRow(
+                **dict(zip(names, values, strict=False))
+            )
             place = self._rows
             if row.state == RunnerState.GONE:
                 place = self._gone
--- a/limpetroute/dispatch/dispatcher.py
+++ b/limpetroute/dispatch/dispatcher.py
@@ -68,6 +68,7 @@
         self._plan_index = 0
         self._by_service: dict[str, list[runner_info.RunnerInfo]] = {}
         self._runners_index = -1
+        self._started_ms: dict[str, int] = {}
         self._led_term = 0
         self._adopts_until_s = 0.0
         self._task: asyncio.Task[None] | None = None
@@ -190,6 +191,9 @@
         if table.changed_index != self._runners_index:
             self._runners_index = table.changed_index
             self._by_service = {}
+            started_ms = {row.runner_id: row.started_ms for row in table}
+            self._forget_earlier_lives(started_ms)
+            self._started_ms = started_ms
             for row in table:
                 one = runner_info.from_detail(
                     runner_id=row.runner_id,
@@ -200,6 +204,20 @@
                 self._by_service.setdefault(one.service, []).append(one)
         return self._by_service.get(service, [])
 
+    def _forget_earlier_lives(
+        self, started_ms: typing.Mapping[str, int]
+    ) -> None:
+        """Forget what was known of runners that have started again."""
+        for runner_id, at_ms in started_ms.items():
+            if self._started_ms.get(runner_id, at_ms) == at_ms:
+                continue
+            LOG.info(
+                'a runner has started again',
+                extra={'runner': runner_id, 'started_ms': at_ms},
+            )
+            for desk in self._desks.values():
+                desk.forget_runner(runner_id)
+
     def _decide(self, service: str, desk: stream_desk.StreamDesk) -> None:
         if boot_clock.now_s() < self._adopts_until_s:
             return
--- a/limpetroute/dispatch/stage_orders.py
+++ b/limpetroute/dispatch/stage_orders.py
@@ -223,7 +223,11 @@
         runners: typing.Sequence[runner_info.RunnerInfo],
         now_s: float,
     ) -> bool:
-        known = {one.runner_id: f'{one.ready} {one.stage}' for one in runners}
+        # An order that a runner's earlier life accepted died with it.
+        known = {
+            one.runner_id: f'{one.ready} {one.stage} {one.started_ms}'
+            for one in runners
+        }
         before = self._known.get(service, {})
         for runner_id in list(self._ordered_s):
             if before.get(runner_id) != known.get(runner_id):
--- a/limpetroute/forwarding/fleet_view.py
+++ b/limpetroute/forwarding/fleet_view.py
@@ -95,12 +95,17 @@
             self._runners.pop(runner_id, None)
             self.loads.pop(runner_id, None)
         else:
-            self._runners[runner_id] = runner_info.from_detail(
+            before = self._runners.get(runner_id)
+            known = runner_info.from_detail(
                 runner_id=runner_id,
                 address=row['address'],
                 ready=row['state'] == STATE_READY,
                 detail=row['text'],
             )
+            if before is not None and before.started_ms != known.started_ms:
+                # What was learned of its life before says nothing now.
+                self.loads.pop(runner_id, None)
+            self._runners[runner_id] = known
         LOG.info(
             'runner known',
             extra={
--- a/limpetroute/platform/control_port.py
+++ b/limpetroute/platform/control_port.py
@@ -64,18 +64,36 @@
 class _RunnerHandler(_Handler):
     async def put(self, runner_id: str) -> None:
         try:
-            command = heartbeat_codec.decode(runner_id, self.request.body)
+            announced = heartbeat_codec.decode(runner_id, self.request.body)
         except ValueError as exc:
+            LOG.warning(
+                'an announcement cannot be read',
+                extra={'runner': runner_id, 'reason': str(exc)[:300]},
+            )
             self.invalid(str(exc))
             return
-        got = await self.desk.note_runner(command)
+        got = await self.desk.note_runner(announced.command, announced.service)
+        if isinstance(got, desk_module.UnknownService):
+            self.invalid(f'unknown service {got.service!r}')
+            return
         if isinstance(got, desk_module.Unsure):
             self.unsure(got)
             return
         self.finish({})
 
     async def delete(self, runner_id: str) -> None:
-        got = await self.desk.forget_runner(runner_id)
+        try:
+            command = heartbeat_codec.decode_farewell(
+                runner_id, self.request.body
+            )
+        except ValueError as exc:
+            LOG.warning(
+                'a farewell cannot be read',
+                extra={'runner': runner_id, 'reason': str(exc)[:300]},
+            )
+            self.invalid(str(exc))
+            return
+        got = await self.desk.forget_runner(command)
         if isinstance(got, desk_module.Unsure):
             self.unsure(got)
             return
@@ -102,7 +120,8 @@
         self._listen = listen
         trust = node.settings.credentials()
         http = caller.Caller(tls=trust.client_tls, token=trust.token)
-        args = {'desk': desk_module.Desk(node=node, http=http)}
+        desk = desk_module.Desk(node=node, http=http, read_services=_services)
+        args = {'desk': desk}
         self._server = httpserver.HTTPServer(
             web.Application(
                 [
@@ -130,3 +149,8 @@
     def stop(self) -> None:
         """Close the port."""
         self._server.stop()
+
+
+def _services(text: str) -> frozenset[str]:
+    """Return the services that a configuration names."""
+    return frozenset(one.name for one in routes_codec.decode(text).services)
--- a/limpetroute/platform/orders.py
+++ b/limpetroute/platform/orders.py
@@ -55,6 +55,9 @@
         The field is ``busy``; it says nothing of how much work there is.
         """
         try:
-            return bool(json.loads(body)['busy'])
+            busy = json.loads(body)['busy']
         except (KeyError, TypeError) as exc:
             raise ValueError(f'no report: {body[:80]!r}') from exc
+        if not isinstance(busy, bool):
+            raise ValueError(f'no report: {body[:80]!r}')
+        return busy
--- a/limpetroute/routing/held_places.py
+++ b/limpetroute/routing/held_places.py
@@ -112,6 +112,16 @@
             if now_s > held.expires_s:
                 del self._held[request_id]
 
+    def forget_runner(self, runner_id: str) -> None:
+        """Drop the places at a runner that has started again.
+
+        Its streams are over. Their ends come from their hosts, some of
+        them after the first new streams are placed there.
+        """
+        for request_id, held in list(self._held.items()):
+            if held.place.decode_id == runner_id:
+                del self._held[request_id]
+
     def uses(self, runner_id: str) -> int:
         """Return how many streams read or write at a runner."""
         return sum(
--- a/limpetroute/routing/reading_turns.py
+++ b/limpetroute/routing/reading_turns.py
@@ -154,6 +154,14 @@
         """Forget a reading that failed or is not waited for any more."""
         self._readings.pop((request_id, attempt), None)
 
+    def forget_runner(self, runner_id: str) -> None:
+        """Forget what a runner reads and how fast; it has started again."""
+        for key, reading in list(self._readings.items()):
+            if reading.reader_id == runner_id:
+                del self._readings[key]
+        self._speeds.pop(runner_id, None)
+        self._self_read_s.pop(runner_id, None)
+
     def may_read(
         self,
         ask: stream_ask.StreamAsk,
--- a/limpetroute/routing/runner_info.py
+++ b/limpetroute/routing/runner_info.py
@@ -13,7 +13,7 @@
     Parameters
     ----------
     runner_id : str
-        Identity of one start of the runner.
+        Identity of the runner; it may start again under the same.
     service : str
         The service it belongs to.
     address : str
@@ -26,6 +26,9 @@
         Whether it takes new requests.
     stage : Stage or None
         Its part, where it runs a model.
+    started_ms : int
+        Unix time of its start in milliseconds; 0 if not told. With
+        another one it holds and knows nothing of before.
     """
 
     runner_id: str
@@ -35,6 +38,7 @@
     slots: int
     ready: bool
     stage: stage_module.Stage | None
+    started_ms: int = 0
 
     @property
     def host(self) -> str:
@@ -53,6 +57,7 @@
             'zone': self.zone,
             'slots': self.slots,
             'stage': self.stage.value if self.stage else None,
+            'started_ms': self.started_ms,
         }
         return json.dumps(body, separators=(',', ':'))
 
@@ -71,4 +76,5 @@
         zone=body['zone'],
         slots=body['slots'],
         stage=stage_module.Stage(stage) if stage else None,
+        started_ms=body.get('started_ms', 0),
     )
--- a/limpetroute/routing/runner_watch.py
+++ b/limpetroute/routing/runner_watch.py
@@ -39,6 +39,11 @@
         """Note that a stream went well."""
         self._health_of(runner_id).note_success(0.0)
 
+    def forget(self, runner_id: str) -> None:
+        """Forget what is known of a runner; it has started again."""
+        self._health.pop(runner_id, None)
+        self._hidden.pop(runner_id, None)
+
     def full(self, runner_id: str, hidden: int, now_s: float) -> None:
         """Count places that hosts out of reach must have taken.
 
--- a/limpetroute/routing/stream_desk.py
+++ b/limpetroute/routing/stream_desk.py
@@ -89,6 +89,17 @@
         """Return for how long runners have seemed gone, by identity."""
         return self._watch.gone_s(runners, now_s)
 
+    def forget_runner(self, runner_id: str) -> None:
+        """Forget a runner's earlier life; it has started again.
+
+        It holds and knows nothing of before. Counted on, its former
+        streams would keep new ones out until they expire, and failures
+        of a process that is gone would keep it at rest.
+        """
+        self._held.forget_runner(runner_id)
+        self._reading.forget_runner(runner_id)
+        self._watch.forget(runner_id)
+
     def ask(self, ask: stream_ask.StreamAsk, now_s: float) -> None:
         """Take a stream; `decide` tells what it gets.
 
--- /dev/null
+++ b/tests/control/test_desk.py
@@ -0,0 +1,100 @@
+"""Announcements and farewells at a control host."""
+
+import asyncio
+import dataclasses
+
+from limpetroute.control import commands
+from limpetroute.control import control_state
+from limpetroute.control import desk as desk_module
+from limpetroute.control import routes_store
+from limpetroute.control import verdicts
+
+READY = 'ready'
+
+
+class Group:
+    """A group of one that commits at once."""
+
+    def __init__(self):
+        self.state = control_state.ControlState(max_claim_bytes=1000)
+        self.replica = self
+        self.index = 0
+
+    def in_touch(self, now_s):
+        return True
+
+    async def commit(self, command, timeout_s):
+        self.index += 1
+        result = self.state.apply(command, self.index)
+        return verdicts.Committed(result=result)
+
+
+@dataclasses.dataclass(kw_only=True)
+class Host:
+    """A control host, as far as a desk looks at it."""
+
+    config: Group
+    now_s: float = 0.0
+
+
+def make_desk():
+    group = Group()
+    desk = desk_module.Desk(
+        node=Host(config=group),
+        http=None,
+        read_services=lambda text: frozenset(text.split()),
+    )
+    return desk, group.state
+
+
+def note(runner_id, address, sequence=1):
+    return commands.NoteRunner(
+        runner_id=runner_id,
+        address=address,
+        text='{}',
+        sequence=sequence,
+        state=READY,
+    )
+
+
+def test_an_unknown_service_drives_no_runner_out():
+    """A message names a service that there is not, and a real address.
+
+    Whoever sent it is no runner. Taken, it drives out the runner that
+    holds the address: a new one takes its address over.
+    """
+
+    async def work():
+        desk, state = make_desk()
+        state.routes = routes_store.RoutesInForce(
+            version=1, digest='d', text='model plain'
+        )
+        state.routes_index = 1
+        await desk.note_runner(note('i-1', '10.0.0.1:80'), 'model')
+        got = await desk.note_runner(note('i-2', '10.0.0.1:80'), 'nothing')
+        assert got == desk_module.UnknownService(service='nothing')
+        assert [row.runner_id for row in state.runners] == ['i-1']
+
+    asyncio.run(work())
+
+
+def test_runners_do_not_wait_for_the_first_configuration():
+    async def work():
+        desk, state = make_desk()
+        await desk.note_runner(note('i-1', '10.0.0.1:80'), 'model')
+        assert [row.runner_id for row in state.runners] == ['i-1']
+
+    asyncio.run(work())
+
+
+def test_a_late_farewell_of_an_earlier_life_takes_no_place_in_the_log():
+    async def work():
+        desk, state = make_desk()
+        again = dataclasses.replace(note('i-1', '10.0.0.1:80'), started_ms=9)
+        await desk.note_runner(again, 'model')
+        await desk.forget_runner(
+            commands.ForgetRunner(runner_id='i-1', started_ms=5)
+        )
+        assert [row.runner_id for row in state.runners] == ['i-1']
+
+    asyncio.run(work())
--- a/tests/control/test_runner_table.py
+++ b/tests/control/test_runner_table.py
@@ -11,13 +11,21 @@
 GONE = runner_table.RunnerState.GONE
 
 
-def note(runner_id, sequence, state=READY, address='10.0.0.1:80', text='{}'):
+def note(
+    runner_id,
+    sequence,
+    state=READY,
+    address='10.0.0.1:80',
+    text='{}',
+    started_ms=0,
+):
     return commands.NoteRunner(
         runner_id=runner_id,
         address=address,
         text=text,
         sequence=sequence,
         state=state,
+        started_ms=started_ms,
     )
 
 
@@ -66,6 +74,57 @@
     assert table.get('old').state == GONE
 
 
+def test_a_runner_that_starts_again_under_its_identity_is_taken():
+    """A runner crashes after 40 heartbeats and starts again as itself.
+
+    Its first heartbeat bears the number 1. Taken for one that comes
+    late, the runner stayed as it was; one that had said that it leaves
+    stayed so for good, and no request went there again.
+    """
+    table = runner_table.RunnerTable()
+    table.note(note('a', 40, DRAINING, started_ms=1000), 1)
+    table.note(note('a', 1, READY, started_ms=2000), 2)
+    assert table.get('a').state == READY
+    table.note(note('a', 41, DRAINING, started_ms=1000), 3)
+    assert table.get('a').state == READY
+
+
+def test_a_runner_that_left_may_start_again():
+    table = runner_table.RunnerTable()
+    table.note(note('a', 40, started_ms=1000), 1)
+    table.forget('a', 2)
+    table.note(note('a', 41, started_ms=1000), 3)
+    assert table.get('a').state == GONE
+    table.note(note('a', 1, started_ms=2000), 4)
+    assert table.get('a').state == READY
+    assert [row.runner_id for row in table] == ['a']
+    assert len(table.dump()) == 1
+
+
+def test_a_farewell_of_an_earlier_life_takes_no_runner_away():
+    """A farewell is held up by a cut, and its runner is back by then."""
+    table = runner_table.RunnerTable()
+    table.note(note('a', 1, started_ms=2000), 1)
+    table.forget('a', 2, started_ms=1000)
+    assert table.get('a').state == READY
+    table.forget('a', 3, started_ms=2000)
+    assert table.get('a').state == GONE
+
+
+def test_logs_and_snapshots_of_an_earlier_version_can_be_read():
+    """After an upgrade, a host starts from what the old one wrote.
+
+    Its entries know nothing of a runner's start.
+    """
+    old = b'["NoteRunner","a","10.0.0.1:80","{}",3,"ready"]'
+    command = commands.decode(old)
+    assert (command.sequence, command.started_ms) == (3, 0)
+    table = runner_table.RunnerTable()
+    table.load([['a', '10.0.0.1:80', '{}', 3, 'ready', 7]])
+    assert table.get('a').started_ms == 0
+    assert table.changed_index == 7
+
+
 def test_watchers_get_what_changed_since():
     table = runner_table.RunnerTable()
     table.note(note('a', 1), 1)
@@ -81,19 +140,22 @@
     st.integers(0, 6),
     st.sampled_from([READY, DRAINING, GONE]),
     st.sampled_from(['10.0.0.1:80', '10.0.0.2:80']),
+    st.integers(0, 2),
 )
 
 
 @hypothesis.given(st.lists(STEP, max_size=30))
-def test_a_runner_only_moves_forward_and_addresses_are_unique(steps):
+def test_in_each_life_a_runner_only_moves_forward(steps):
+    """Each life of a runner moves forward, and lives do too."""
     table = runner_table.RunnerTable()
     ranks = {}
     order = [READY, DRAINING, GONE]
-    for index, (name, sequence, state, address) in enumerate(steps, 1):
+    for index, (name, sequence, state, address, life) in enumerate(steps, 1):
         if state == GONE:
-            table.forget(name, index)
+            table.forget(name, index, started_ms=life)
         else:
-            table.note(note(name, sequence, state, address), index)
+            said = note(name, sequence, state, address, started_ms=life)
+            table.note(said, index)
         addresses = [row.address for row in table]
         assert len(addresses) == len(set(addresses))
         for one in 'abc':
@@ -101,8 +163,8 @@
             if row is None:
                 continue
             rank = order.index(runner_table.RunnerState(row.state))
-            assert rank >= ranks.get(one, 0)
-            ranks[one] = rank
+            assert (row.started_ms, rank) >= ranks.get(one, (0, 0))
+            ranks[one] = (row.started_ms, rank)
     copy = runner_table.RunnerTable()
     copy.load(table.dump())
     assert sorted(copy.dump()) == sorted(table.dump())
--- /dev/null
+++ b/tests/dispatch/test_started_again.py
@@ -0,0 +1,89 @@
+"""Runners that start again under the identity that they had."""
+
+import asyncio
+
+from limpetroute.dispatch import stage_orders
+from limpetroute.platform import orders
+from limpetroute.routing import stream_ask
+from limpetroute.routing import stream_desk
+from limpetroute.wire import reply
+from tests.routing import builders
+
+
+def make_end(name, failed):
+    return stream_ask.StreamEnd(request_id=name, failed=(failed,))
+
+
+def test_a_started_runner_has_all_its_places_again():
+    """A runner crashes with all its places taken and is back at once.
+
+    Its streams' hosts tell of their ends one by one. Counted until
+    then, the streams of its earlier life keep new ones out of a runner
+    that has nothing to do.
+    """
+    desk = stream_desk.StreamDesk(engine=builders.ENGINE)
+    runner = builders.make_runner('d1')
+    for n in range(builders.ENGINE.slots):
+        desk.ask(builders.make_ask(f's{n}', prompt_tokens=10), 0.0)
+        desk.decide([runner], float(n))
+    assert desk.held == builders.ENGINE.slots
+    desk.forget_runner('d1')
+    assert desk.held == 0
+
+
+def test_failures_of_an_earlier_life_keep_no_runner_at_rest():
+    desk = stream_desk.StreamDesk(engine=builders.ENGINE)
+    runners = [builders.make_runner('d1')]
+    for n in range(4):
+        desk.ask(builders.make_ask(f's{n}'), 0.0)
+        desk.decide(runners, 0.0)
+        desk.end(make_end(f's{n}', 'd1'), 0.0)
+    assert desk.gone_s(runners, 1.0)
+    desk.forget_runner('d1')
+    assert not desk.gone_s(runners, 1.0)
+
+
+class Accepting:
+    """Takes every order and never carries one out."""
+
+    def __init__(self):
+        self.given = 0
+
+    async def call(self, **rest):
+        self.given += 1
+        return reply.Reply(status=202, headers={}, body=b'')
+
+
+def test_an_order_of_an_earlier_life_is_given_again():
+    """A runner accepts an order, crashes, and starts again as before.
+
+    The order died with it. Waited for, the runner would be taken to be
+    changing its stage for fourteen seconds and get no work.
+    """
+
+    async def work():
+        http = Accepting()
+        keeper = stage_orders.StageOrders(
+            holder='c1', dialect=orders.Orders(), http=http
+        )
+        keeper.begin_term(1, 0.0)
+        service = builders.make_service('model', builders.ENGINE)
+        runners = [builders.make_runner(f'r{n}', port=n) for n in range(1, 5)]
+        now_s = 0.0
+        while not http.given:
+            keeper.keep(service, runners, now_s)
+            await asyncio.sleep(0)
+            now_s += 0.05
+        (ordered,) = keeper.changing()
+        again = [
+            builders.make_runner(
+                one.runner_id,
+                port=one.port,
+                started_ms=1000 if one.runner_id == ordered else 0,
+            )
+            for one in runners
+        ]
+        keeper.keep(service, again, now_s)
+        assert not keeper.changing()
+
+    asyncio.run(work())
--- a/tests/platform/test_heartbeat_codec.py
+++ b/tests/platform/test_heartbeat_codec.py
@@ -1,5 +1,7 @@
 import json
 
+import hypothesis
+from hypothesis import strategies as st
 import pytest
 
 from limpetroute.decisions import stage
@@ -22,7 +24,9 @@
 
 
 def test_a_heartbeat_becomes_an_announcement():
-    command = heartbeat_codec.decode('i-1', json.dumps(BEAT).encode())
+    announced = heartbeat_codec.decode('i-1', json.dumps(BEAT).encode())
+    command = announced.command
+    assert announced.service == 'model'
     info = runner_info.from_detail(
         runner_id='i-1',
         address=command.address,
@@ -40,10 +44,100 @@
     one = heartbeat_codec.decode('i-1', json.dumps(BEAT).encode())
     later = {**BEAT, 'cold-left-ms': 100, 'seq': 5}
     two = heartbeat_codec.decode('i-1', json.dumps(later).encode())
-    assert one.text == two.text
+    assert one.command.text == two.command.text
 
 
 @pytest.mark.parametrize('data', [b'', b'{}', b'[]', b'{"service": 1}'])
 def test_what_cannot_be_read_is_refused(data):
     with pytest.raises(ValueError):
         heartbeat_codec.decode('i-1', data)
+
+
+def test_another_start_of_a_runner_is_another_announcement():
+    """A runner crashes and starts again under its identity.
+
+    Its counts begin anew; only the time of its start tells its lives
+    apart.
+    """
+    one = heartbeat_codec.decode('i-1', json.dumps(BEAT).encode())
+    again = {**BEAT, 'seq': 1, 'born': 1_770_000_000_123}
+    two = heartbeat_codec.decode('i-1', json.dumps(again).encode())
+    assert two.command.started_ms == 1_770_000_000_123
+    assert one.command.text != two.command.text
+
+
+REQUIRED = [
+    'service',
+    'address',
+    'zone',
+    'version',
+    'slots',
+    'state',
+    'cold-left-ms',
+    'seq',
+]
+JUNK = st.one_of(
+    st.none(),
+    st.booleans(),
+    st.lists(st.integers(), max_size=2),
+    st.dictionaries(st.text(max_size=3), st.integers(), max_size=2),
+)
+
+
+@hypothesis.given(
+    name=st.sampled_from([*REQUIRED, 'stage', 'born']), junk=JUNK
+)
+def test_a_field_of_another_type_makes_a_heartbeat_unreadable(name, junk):
+    """Another writer sends something that is nearly a heartbeat.
+
+    Taken with what could be made of it, it puts requests where no
+    runner is, or drives out the runner whose address it names.
+    """
+    hypothesis.assume(not (name == 'stage' and junk is None))
+    with pytest.raises(ValueError):
+        heartbeat_codec.decode(
+            'i-1', json.dumps({**BEAT, name: junk}).encode()
+        )
+
+
+@pytest.mark.parametrize('name', REQUIRED)
+def test_a_field_that_is_missing_makes_a_heartbeat_unreadable(name):
+    body = {key: value for key, value in BEAT.items() if key != name}
+    with pytest.raises(ValueError):
+        heartbeat_codec.decode('i-1', json.dumps(body).encode())
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [
+        {'state': 'asleep'},
+        {'stage': 'train'},
+        {'address': 'nowhere'},
+        {'address': '10.0.0.9:99999'},
+        {'slots': '12'},
+        {'slots': 12.5},
+        {'seq': '4'},
+        {'born': '1770000000123'},
+        {'born': 1.5},
+        {'born': -1},
+        {'service': ''},
+    ],
+)
+def test_values_that_no_runner_sends_are_refused(fields):
+    with pytest.raises(ValueError):
+        heartbeat_codec.decode('i-1', json.dumps({**BEAT, **fields}).encode())
+
+
+@hypothesis.given(st.binary(max_size=40))
+def test_bytes_that_are_no_heartbeat_are_refused(data):
+    with pytest.raises(ValueError):
+        heartbeat_codec.decode('i-1', data)
+
+
+def test_a_farewell_may_tell_which_life_it_ends():
+    plain = heartbeat_codec.decode_farewell('i-1', b'')
+    assert plain.started_ms == 0
+    told = heartbeat_codec.decode_farewell('i-1', b'{"born": 7}')
+    assert told.started_ms == 7
+    with pytest.raises(ValueError):
+        heartbeat_codec.decode_farewell('i-1', b'{"born": "7"}')
--- a/tests/routing/builders.py
+++ b/tests/routing/builders.py
@@ -18,7 +18,9 @@
 PREFILL = stage_module.Stage.PREFILL
 
 
-def make_runner(name, stage=DECODE, *, ready=True, zone='a', port=1):
+def make_runner(
+    name, stage=DECODE, *, ready=True, zone='a', port=1, started_ms=0
+):
     return runner_info.RunnerInfo(
         runner_id=name,
         service='model',
@@ -27,6 +29,7 @@
         slots=12,
         ready=ready,
         stage=stage,
+        started_ms=started_ms,
     )
 
 
