Split the stages by what is measured, not by a constant

Cause: one reader to five writers came from answers of 5,000 tokens.

Change: the split that lets in most streams, by measured lengths and speeds and by what binds of places and memory; a change has to let in a fifth more; of many runners one in ten changes at a time. The first guess of speeds goes by the tokens of an event. Each order logs the rates it was decided by.

--- a/limpetroute/dispatch/dispatcher.py
+++ b/limpetroute/dispatch/dispatcher.py
@@ -253,7 +253,10 @@
             now_s = boot_clock.now_s()
             desk = self._desks.get(service.name)
             gone_s = desk.gone_s(runners, now_s) if desk else {}
-            self._orders.keep(service, runners, now_s, gone_s=gone_s)
+            rates = desk.rates if desk else None
+            self._orders.keep(
+                service, runners, now_s, gone_s=gone_s, rates=rates
+            )
 
 
 def _detail(answer: Answer) -> dict[str, typing.Any]:
--- a/limpetroute/dispatch/stage_orders.py
+++ b/limpetroute/dispatch/stage_orders.py
@@ -1,12 +1,14 @@
 """Orders runners to their stages, one at a time."""
 
 import asyncio
+import dataclasses
 import logging
 import typing
 
 from limpetroute.dispatch import order_dialect
 from limpetroute.routing import runner_info
 from limpetroute.routing import service as service_module
+from limpetroute.routing import stage_rates
 from limpetroute.routing import stage_split
 from limpetroute.wire import call_failed
 from limpetroute.wire import caller
@@ -104,10 +106,12 @@
         now_s: float,
         *,
         gone_s: typing.Mapping[str, float] | None = None,
+        rates: stage_rates.StageRates | None = None,
     ) -> None:
         """Give the next order that a service's split of stages asks for.
 
-        ``gone_s`` tells for how long runners have seemed gone.
+        ``gone_s`` tells for how long runners have seemed gone, ``rates``
+        what was measured of its streams.
         """
         assert service.engine is not None
         self._ask_once(service.name, runners, now_s)
@@ -131,6 +135,7 @@
             runners,
             engine=service.engine,
             changing=changing,
+            rates=rates,
             gone_s=gone_s,
         )
         if change is None:
@@ -146,7 +151,7 @@
         self._wanted_s.pop(service.name, None)
         self._ordered_s[target.runner_id] = now_s
         self._accepted.discard(target.runner_id)
-        self._run(self._order(target, change))
+        self._run(self._order(target, change, rates))
 
     def _ask_once(
         self,
@@ -248,6 +253,7 @@
         self,
         target: runner_info.RunnerInfo,
         change: stage_split.StageChange,
+        rates: stage_rates.StageRates | None,
     ) -> None:
         order = self._dialect.stage_order(
             change.stage,
@@ -275,5 +281,15 @@
                 'to': change.stage,
                 'fence': self._fence,
                 'outcome': outcome,
+                'rates': _rounded(rates),
             },
         )
+
+
+def _rounded(rates: stage_rates.StageRates | None) -> dict[str, int]:
+    """Return what a split was decided by, for the log."""
+    if rates is None:
+        return {}
+    return {
+        name: round(value) for name, value in dataclasses.asdict(rates).items()
+    }
--- a/limpetroute/routing/held_places.py
+++ b/limpetroute/routing/held_places.py
@@ -5,11 +5,10 @@
 from limpetroute.routing import decode_room
 from limpetroute.routing import length_estimate
 from limpetroute.routing import service as service_module
+from limpetroute.routing import stage_rates
 from limpetroute.routing import stream_ask
+from limpetroute.routing import usual_size
 
-# Used until streams have been measured; corrected by the first few that
-# end. A step of 0.7 ms writes 1,400 tokens a second.
-FIRST_TOKENS_PER_S = 1300.0
 # Ends shorter than this say little of a stream's speed.
 LEAST_MEASURED_S = 0.2
 # Part of the memory that is planned for: answers differ from what is
@@ -41,7 +40,9 @@
         self._engine = engine
         self._held: dict[str, _Held] = {}
         self._lengths = length_estimate.LengthEstimate()
-        self._tokens_per_s = FIRST_TOKENS_PER_S
+        self._speed = usual_size.UsualSize(
+            stage_rates.first_write_tokens_per_s(engine)
+        )
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(held={len(self._held)!r})'
@@ -55,7 +56,7 @@
     @property
     def tokens_per_s(self) -> float:
         """How fast one stream writes, as measured."""
-        return self._tokens_per_s
+        return self._speed.mean
 
     @property
     def room_tokens(self) -> float:
@@ -93,8 +94,7 @@
             overtaken by the next ask under the same id.
         """
         if end.decode_s > LEAST_MEASURED_S and end.output_tokens:
-            rate = end.output_tokens / end.decode_s
-            self._tokens_per_s += (rate - self._tokens_per_s) / 16
+            self._speed.note(end.output_tokens / end.decode_s)
         held = self._held.get(end.request_id)
         if held is None or held.ask.attempt != end.attempt:
             return None
@@ -144,21 +144,25 @@
             for held in self._held.values()
         )
 
+    def expected_tokens(self, ask: stream_ask.StreamAsk) -> int:
+        """Return how long a stream's whole answer should become."""
+        return self._lengths.tokens(
+            said_tokens=ask.output_tokens,
+            most_tokens=ask.most_output_tokens,
+        )
+
     def outlook(
         self, ask: stream_ask.StreamAsk, begins_s: float
     ) -> decode_room.StreamOutlook:
         """Return how a stream's memory grows if it begins then."""
-        expected = self._lengths.tokens(
-            said_tokens=ask.output_tokens,
-            most_tokens=ask.most_output_tokens,
-        )
+        expected = self.expected_tokens(ask)
         written = ask.written_tokens
         return decode_room.StreamOutlook(
             prompt_tokens=ask.tokens_to_read,
             output_tokens=max(0, expected - written),
             most_output_tokens=max(0, ask.most_output_tokens - written),
             begins_s=begins_s,
-            tokens_per_s=self._tokens_per_s,
+            tokens_per_s=self._speed.mean,
         )
 
     def peak_with(
--- a/limpetroute/routing/reading_turns.py
+++ b/limpetroute/routing/reading_turns.py
@@ -4,6 +4,7 @@
 
 from limpetroute.routing import held_places
 from limpetroute.routing import runner_info
+from limpetroute.routing import stage_rates
 from limpetroute.routing import stream_ask
 from limpetroute.routing import stream_times
 
@@ -83,6 +84,13 @@
             default=None,
         )
 
+    @property
+    def tokens_per_s(self) -> float:
+        """How fast prefill runners read, as measured."""
+        if not self._speeds:
+            return stage_rates.FIRST_READ_TOKENS_PER_S
+        return sum(self._speeds.values()) / len(self._speeds)
+
     def may_queue(self, reader: runner_info.RunnerInfo, now_s: float) -> bool:
         """Return whether a prefill runner may be given another prompt."""
         return self._queue_s(reader.runner_id, now_s) <= LONGEST_QUEUE_S
--- /dev/null
+++ b/limpetroute/routing/stage_rates.py
@@ -0,0 +1,67 @@
+"""What a service's streams ask of its runners, and how fast these are."""
+
+import dataclasses
+
+from limpetroute.routing import service as service_module
+
+# What is taken for true until streams have been seen, for some seconds.
+# Engines group tokens into events so that about twenty come a second,
+# whatever the speed of a single token is.
+FIRST_EVENT_S = 0.05
+# An answer of 3.5 s, to a prompt that is read in a tenth of a second.
+FIRST_EVENTS = 70
+FIRST_PROMPT_TOKENS = 5_000.0
+FIRST_READ_TOKENS_PER_S = 50_000.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class StageRates:
+    """What a service's streams ask of its runners, and how fast these are.
+
+    Parameters
+    ----------
+    prompt_tokens : float
+        Mean length of a prompt.
+    output_tokens : float
+        Mean length of an answer.
+    read_tokens_per_s : float
+        How fast a prefill runner reads, with what it takes for each
+        prompt beside the tokens.
+    write_tokens_per_s : float
+        How fast a decode runner writes each of its streams.
+    """
+
+    prompt_tokens: float
+    output_tokens: float
+    read_tokens_per_s: float
+    write_tokens_per_s: float
+
+    @property
+    def read_s(self) -> float:
+        """Time that a prefill runner takes for a prompt."""
+        return self.prompt_tokens / self.read_tokens_per_s
+
+    @property
+    def write_s(self) -> float:
+        """Time that an answer takes from its first token to its last."""
+        return self.output_tokens / self.write_tokens_per_s
+
+    @property
+    def memory_tokens(self) -> float:
+        """Memory of a stream half way through its answer."""
+        return self.prompt_tokens + self.output_tokens / 2
+
+
+def first_write_tokens_per_s(engine: service_module.Engine) -> float:
+    """Return the speed of a stream that is expected before any was seen."""
+    return engine.tokens_per_event / FIRST_EVENT_S
+
+
+def first_guess(engine: service_module.Engine) -> StageRates:
+    """Return what is expected before any stream was seen."""
+    return StageRates(
+        prompt_tokens=FIRST_PROMPT_TOKENS,
+        output_tokens=float(FIRST_EVENTS * engine.tokens_per_event),
+        read_tokens_per_s=FIRST_READ_TOKENS_PER_S,
+        write_tokens_per_s=first_write_tokens_per_s(engine),
+    )
--- a/limpetroute/routing/stage_split.py
+++ b/limpetroute/routing/stage_split.py
@@ -5,17 +5,24 @@
 import typing
 
 from limpetroute.decisions import stage as stage_module
+from limpetroute.routing import held_places
 from limpetroute.routing import runner_info
 from limpetroute.routing import service as service_module
-
-# Runners that decode for each one that reads prompts. A prompt of 5,000
-# tokens is read in 90 ms and answered in 4 s in one of 12 places: one
-# reader keeps 12 * 4 / 0.09 = 44 places, four runners, busy. Where
-# memory binds, at 8 streams a runner, it is six. Five lies between.
-DECODE_PER_PREFILL = 5
-# Memory of a stream of the mean size, half way through its answer: a
-# prompt of 5,000 tokens and 2,600 of 5,200.
-TOKENS_PER_STREAM = 7_600
+from limpetroute.routing import stage_rates
+
+# Part of its time for which a prefill runner can be kept busy: prompts
+# come in clumps, and one that waits for more than a few others is late.
+READ_USE = 0.85
+# From a place to the first token, beside the reading: the stream's memory
+# is taken meanwhile.
+BEGIN_S = 0.09
+# A change takes a runner away for the time of its streams and of the
+# change, six to ten seconds, and another one back takes as long. It has
+# to let in this many times the streams: measured rates move by a tenth
+# from one half minute to the next.
+WORTH_A_CHANGE = 1.2
+# One runner of this many may be changing at a time; of fewer, one.
+RUNNERS_PER_CHANGE = 10
 # A runner that has failed all it was sent for this long is taken to be
 # gone for good: one that crashes is mostly back within five seconds.
 LOST_AFTER_S = 6.0
@@ -33,28 +40,70 @@
     stage: stage_module.Stage
 
 
-def wanted_prefill(runners: int, engine: service_module.Engine) -> int:
+def streams_per_s(
+    readers: int,
+    writers: int,
+    *,
+    engine: service_module.Engine,
+    rates: stage_rates.StageRates,
+) -> float:
+    """Return how many streams a second a split lets in."""
+    reading = readers * READ_USE / rates.read_s
+    held_s = rates.read_s + BEGIN_S + rates.write_s
+    writing = writers * _at_once(engine, rates) / held_s
+    return min(reading, writing)
+
+
+def wanted_prefill(
+    runners: int,
+    engine: service_module.Engine,
+    rates: stage_rates.StageRates,
+) -> int:
     """Return how many of a service's runners should read prompts.
 
-    With none, decode runners read prompts between the tokens of others,
-    which pauses every stream they have. With one too many, streams are
-    refused for want of places while it stands idle: of three runners,
-    two readers refused 47 of 165 streams on a calm day.
+    Pattern: what prompts and answers ask of the two stages differs from
+    service to service by a factor of ten. Prompts of 5,000 tokens with
+    answers of 5,000 want one reader to five writers; with answers of 550,
+    one to two. One reader too few, and prompts wait for it while places
+    stand empty (refusals at 25 of 40 places, half of all streams late in
+    a burst); one too many, and it stands idle while there are no places.
+
+    So the split is taken that lets in the most streams by what is
+    measured: the lengths that are asked for, the speeds of reading and
+    writing, and what binds of places and memory.
     """
     if runners < 2:
         return 0
-    if runners == 2 and _memory_binds(engine):
+    if runners == 2 and _memory_binds(engine, rates):
         # A reader's memory holds no streams. Of two runners with memory
         # for nine, one that read left half of all callers out: worth of
         # three such days 0.20 with a reader, 0.41 with two writers.
         # Where places bind, the reader is worth more (0.18 and 0.17).
         return 0
-    return max(1, round(runners / (DECODE_PER_PREFILL + 1)))
+    best = 1
+    best_per_s = 0.0
+    for readers in range(1, runners):
+        per_s = streams_per_s(
+            readers, runners - readers, engine=engine, rates=rates
+        )
+        if per_s > best_per_s:
+            best, best_per_s = readers, per_s
+    return best
+
+
+def _at_once(
+    engine: service_module.Engine, rates: stage_rates.StageRates
+) -> float:
+    """Return how many streams a writer has at once."""
+    memory_tokens = engine.memory_tokens * held_places.MEMORY_SHARE
+    return min(float(engine.slots), memory_tokens / rates.memory_tokens)
 
 
-def _memory_binds(engine: service_module.Engine) -> bool:
+def _memory_binds(
+    engine: service_module.Engine, rates: stage_rates.StageRates
+) -> bool:
     """Return whether a writer's memory is full before its places are."""
-    return engine.memory_tokens < engine.slots * TOKENS_PER_STREAM
+    return engine.memory_tokens < engine.slots * rates.memory_tokens
 
 
 def next_change(
@@ -62,13 +111,13 @@
     *,
     engine: service_module.Engine,
     changing: typing.Collection[str],
+    rates: stage_rates.StageRates | None = None,
     gone_s: typing.Mapping[str, float] | None = None,
 ) -> StageChange | None:
     """Return the next change towards the wanted split, if one is due.
 
-    One runner changes at a time: it is away for seconds, and until it
-    announces its new stage, another change would be decided on a split
-    that is about to be different.
+    Few runners change at a time: each is away for seconds, and until it
+    announces its new stage it is counted there already.
 
     Parameters
     ----------
@@ -78,6 +127,8 @@
         Places and memory of each.
     changing : collection of str
         Runners that were ordered to change and have not done so.
+    rates : StageRates, optional
+        What was measured; a first guess if it is left out.
     gone_s : mapping of str to float, optional
         For how long runners have seemed gone, by identity.
     """
@@ -89,25 +140,65 @@
         for one in runners
         if one.ready and one.stage is not None and one.runner_id not in lost
     ]
-    if changing or not ready:
+    under_way = [one for one in ready if one.runner_id in changing]
+    if not ready or len(under_way) >= _changes_at_once(len(ready)):
         return None
-    readers = [one for one in ready if one.stage is stage_module.Stage.PREFILL]
-    wanted = wanted_prefill(len(ready), engine)
-    if len(readers) > wanted:
+    if len(changing) > len(under_way):
+        # One that was ordered is gone or leaves: what it was ordered for
+        # is decided anew once that is settled.
+        return None
+    rates = rates or stage_rates.first_guess(engine)
+    settled = [one for one in ready if one.runner_id not in changing]
+    readers = [
+        one for one in settled if one.stage is stage_module.Stage.PREFILL
+    ]
+    writers = [one for one in settled if one not in readers]
+    will_read = len(readers) + sum(
+        one.stage is stage_module.Stage.DECODE for one in under_way
+    )
+    wanted = wanted_prefill(len(ready), engine, rates)
+    if will_read == wanted or not _is_worth_it(
+        will_read, wanted, len(ready), engine, rates
+    ):
+        return None
+    if will_read > wanted and readers:
         # The last by name: every host that decides picks the same one.
         chosen = max(readers, key=lambda one: one.runner_id)
         return StageChange(
             runner_id=chosen.runner_id, stage=stage_module.Stage.DECODE
         )
-    if len(readers) < wanted:
-        others = [one for one in ready if one not in readers]
-        chosen = min(others, key=lambda one: one.runner_id)
+    if will_read < wanted and writers:
+        chosen = min(writers, key=lambda one: one.runner_id)
         return StageChange(
             runner_id=chosen.runner_id, stage=stage_module.Stage.PREFILL
         )
     return None
 
 
+def _changes_at_once(runners: int) -> int:
+    """Return how many runners may be away for a change."""
+    return max(1, runners // RUNNERS_PER_CHANGE)
+
+
+def _is_worth_it(
+    readers: int,
+    wanted: int,
+    runners: int,
+    engine: service_module.Engine,
+    rates: stage_rates.StageRates,
+) -> bool:
+    """Return whether the wanted split lets in enough more streams."""
+    if not wanted or not 0 < readers < runners:
+        return True
+    now_per_s = streams_per_s(
+        readers, runners - readers, engine=engine, rates=rates
+    )
+    then_per_s = streams_per_s(
+        wanted, runners - wanted, engine=engine, rates=rates
+    )
+    return then_per_s >= now_per_s * WORTH_A_CHANGE
+
+
 def writers_after(
     change: StageChange,
     runners: typing.Iterable[runner_info.RunnerInfo],
--- a/limpetroute/routing/stream_desk.py
+++ b/limpetroute/routing/stream_desk.py
@@ -10,8 +10,10 @@
 from limpetroute.routing import runner_info
 from limpetroute.routing import runner_watch
 from limpetroute.routing import service as service_module
+from limpetroute.routing import stage_rates
 from limpetroute.routing import stream_ask
 from limpetroute.routing import stream_turns
+from limpetroute.routing import usual_size
 from limpetroute.routing import waiting_stream
 
 # Part of the memory by which a runner of the caller's zone may be fuller
@@ -61,6 +63,9 @@
         self._waiting: dict[str, waiting_stream.WaitingStream] = {}
         self._comeback = comeback_time.ComebackTime()
         self._in_time_in_a_row = 0
+        guess = stage_rates.first_guess(engine)
+        self._prompt_size = usual_size.UsualSize(guess.prompt_tokens)
+        self._output_size = usual_size.UsualSize(guess.output_tokens)
 
     def __repr__(self) -> str:
         return (
@@ -83,6 +88,16 @@
         """How fast one stream writes, as measured."""
         return self._held.tokens_per_s
 
+    @property
+    def rates(self) -> stage_rates.StageRates:
+        """What streams ask of runners and how fast these are."""
+        return stage_rates.StageRates(
+            prompt_tokens=self._prompt_size.mean,
+            output_tokens=self._output_size.mean,
+            read_tokens_per_s=self._reading.tokens_per_s,
+            write_tokens_per_s=self._held.tokens_per_s,
+        )
+
     def gone_s(
         self, runners: typing.Iterable[runner_info.RunnerInfo], now_s: float
     ) -> dict[str, float]:
@@ -111,6 +126,8 @@
         first_sent_s = self._returns.first_sent_s(ask, sent_s, now_s)
         if first_sent_s == sent_s and not ask.goes_on:
             self._comeback.note_new(now_s)
+            self._prompt_size.note(ask.prompt_tokens)
+            self._output_size.note(self._held.expected_tokens(ask))
         self._waiting[ask.request_id] = waiting_stream.WaitingStream(
             ask=ask,
             sent_s=sent_s,
--- /dev/null
+++ b/limpetroute/routing/usual_size.py
@@ -0,0 +1,37 @@
+"""The mean of what came of late."""
+
+# Of the mean, this part is from the newest one; some sixty streams, a few
+# seconds of them, make up most of it.
+LEAST_WEIGHT = 1 / 32
+
+
+class UsualSize:
+    """The mean of what came of late.
+
+    Each of the first ones counts as much as the others, so that a first
+    guess is forgotten after a few; later the newest ones push earlier
+    ones out.
+
+    Parameters
+    ----------
+    first : float
+        Returned until something came.
+    """
+
+    def __init__(self, first: float) -> None:
+        self._mean = first
+        self._count = 0
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(mean={self._mean!r})'
+
+    @property
+    def mean(self) -> float:
+        """The mean."""
+        return self._mean
+
+    def note(self, value: float) -> None:
+        """Take note of what came."""
+        self._count += 1
+        weight = max(LEAST_WEIGHT, 1 / self._count)
+        self._mean += (value - self._mean) * weight
