Plan with measured times of reading

Cause: reading speeds, the time between two prompts of a queue and the time to the first event were constants of 50,000 and 25,000 tokens a second and 0.1 s; readers of the new site read 31,500, a prompt takes 0.16 s.

Change: they follow what readers were seen to do. A writer reads any prompt that leaves its streams' events within their target.

--- a/limpetroute/border/place_bodies.py
+++ b/limpetroute/border/place_bodies.py
@@ -23,6 +23,7 @@
     prompt_id: str = ''
     attempt: int = 0
     avoid: tuple[str, ...] = ()
+    pause_target_s: float | None = None
 
     def ask(self) -> stream_ask.StreamAsk:
         """Return what it says."""
@@ -37,6 +38,8 @@
     attempt: int = 0
     output_tokens: int = 0
     decode_s: float = 0.0
+    first_event_s: float = 0.0
+    longest_pause_s: float = 0.0
     failed: tuple[str, ...] = ()
     full: tuple[str, ...] = ()
     whole: bool = False
@@ -48,6 +51,8 @@
             attempt=self.attempt,
             output_tokens=self.output_tokens,
             decode_s=self.decode_s,
+            first_event_s=self.first_event_s,
+            longest_pause_s=self.longest_pause_s,
             failed=self.failed,
             full=self.full,
             whole=self.whole,
--- a/limpetroute/forwarding/stream_places.py
+++ b/limpetroute/forwarding/stream_places.py
@@ -115,6 +115,8 @@
         self,
         *,
         events_s: float = 0.0,
+        first_event_s: float = 0.0,
+        longest_pause_s: float = 0.0,
         tokens: int = 0,
         failed: typing.Collection[str] = (),
         full: typing.Collection[str] = (),
@@ -128,6 +130,8 @@
                 attempt=self._attempt,
                 output_tokens=tokens,
                 decode_s=events_s,
+                first_event_s=first_event_s,
+                longest_pause_s=longest_pause_s,
                 failed=tuple(failed),
                 full=tuple(full),
                 whole=whole,
@@ -159,6 +163,7 @@
             prompt_id=generation.prompt_id,
             attempt=self._attempt,
             avoid=tuple(so_far.tried),
+            pause_target_s=self._route.gap_target_s,
         )
 
     def _rooms(self, place: stream_ask.StreamPlace) -> Rooms | None:
--- a/limpetroute/routing/held_places.py
+++ b/limpetroute/routing/held_places.py
@@ -20,7 +20,21 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class _Held:
+class Held:
+    """A place that is given.
+
+    Parameters
+    ----------
+    place : StreamPlace
+        The place.
+    ask : StreamAsk
+        What it was given for.
+    outlook : StreamOutlook
+        How its stream's memory grows.
+    expires_s : float
+        When its caller is surely gone.
+    """
+
     place: stream_ask.StreamPlace
     ask: stream_ask.StreamAsk
     outlook: decode_room.StreamOutlook
@@ -38,7 +52,7 @@
 
     def __init__(self, *, engine: service_module.Engine) -> None:
         self._engine = engine
-        self._held: dict[str, _Held] = {}
+        self._held: dict[str, Held] = {}
         self._lengths = length_estimate.LengthEstimate()
         self._speed = usual_size.UsualSize(
             stage_rates.first_write_tokens_per_s(engine)
@@ -72,7 +86,7 @@
         begins_s: float,
     ) -> None:
         """Take note of a place that is given."""
-        self._held[place.request_id] = _Held(
+        self._held[place.request_id] = Held(
             place=place,
             ask=ask,
             outlook=self.outlook(ask, begins_s),
@@ -84,12 +98,12 @@
         held = self._held.pop(request_id, None)
         return held.ask.attempt if held is not None else None
 
-    def end(self, end: stream_ask.StreamEnd) -> stream_ask.StreamPlace | None:
+    def end(self, end: stream_ask.StreamEnd) -> Held | None:
         """Take a place back, learn from its stream, and return it.
 
         Returns
         -------
-        StreamPlace or None
+        Held or None
             None where the place was taken back before; what says so was
             overtaken by the next ask under the same id.
         """
@@ -104,7 +118,7 @@
                 said_tokens=held.ask.output_tokens,
                 came_tokens=end.output_tokens,
             )
-        return held.place
+        return held
 
     def expire(self, now_s: float) -> None:
         """Drop places whose entry host died without giving them back."""
--- a/limpetroute/routing/reading_turns.py
+++ b/limpetroute/routing/reading_turns.py
@@ -3,35 +3,39 @@
 import dataclasses
 
 from limpetroute.routing import held_places
+from limpetroute.routing import reading_pause
 from limpetroute.routing import runner_info
 from limpetroute.routing import stage_rates
 from limpetroute.routing import stream_ask
 from limpetroute.routing import stream_times
+from limpetroute.routing import usual_size
 
 # Two prompts read by a decode runner within one event of its streams make
 # that event's pause too long: 5,000 tokens hold it up for 180 ms, an
 # event takes 50 ms without, and pauses over 300 ms are late.
 SELF_READ_PAUSE_S = 0.1
-# Longer prompts, read by a decode runner, hold each of its streams up
-# beyond 300 ms (measured: 6,500 tokens 325 ms, 11,000 tokens 466 ms).
-# With more than a few streams there, more is lost than gained.
-LONGEST_SELF_READ_TOKENS = 5500
+# A prompt that holds a runner's streams up for too long is still read
+# where it has no more streams than this: less is lost than gained.
 FEW_STREAMS = 3
+# Until it has been measured: a decode runner reads at half the speed,
+# between the tokens of others.
+FIRST_SELF_READ_TOKENS_PER_S = stage_rates.FIRST_READ_TOKENS_PER_S / 2
+# Longest pause between events where a route names none.
+USUAL_PAUSE_S = 0.3
 # Readings that are queued at a prefill runner. Who waits there cannot be
 # put behind one that is due sooner, and after 0.6 s its host takes the
 # runner for dark; with less than two prompts queued, the runner would
 # stand still between two.
 LONGEST_QUEUE_S = 0.25
-# A prompt of the mean size.
-READ_EACH_S = 0.1
-
-
 # A reading that nothing was heard of for this long is over: its host
 # takes the runner for dark after 0.6 s and 0.04 s for 1,000 tokens.
 FORGET_S = 1.5
 # Beside the reading itself: the way to the entry host, to the runner and
 # back, and to who counts.
 WAY_S = 0.02
+# Of the prompts that a decode runner read, these are remembered: more than
+# it reads while one of its streams lasts.
+SELF_READINGS_KEPT = 32
 # Weight of one reading in a runner's measured speed: runners differ by
 # a third, and ten readings last a second.
 SPEED_WEIGHT = 1 / 8
@@ -45,6 +49,14 @@
     since_s: float
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _SelfReading:
+    request_id: str
+    tokens: int
+    since_s: float
+    until_s: float
+
+
 class ReadingTurns:
     """When runners are free to read the next prompt.
 
@@ -58,13 +70,24 @@
     ----------
     held : HeldPlaces
         The places that are given.
+    prompt_size : UsualSize
+        Lengths of the prompts that come.
     """
 
-    def __init__(self, *, held: held_places.HeldPlaces) -> None:
+    def __init__(
+        self,
+        *,
+        held: held_places.HeldPlaces,
+        prompt_size: usual_size.UsualSize,
+    ) -> None:
         self._held = held
         self._readings: dict[tuple[str, int], _Reading] = {}
         self._speeds: dict[str, float] = {}
-        self._self_read_s: dict[str, float] = {}
+        self._self_readings: dict[str, list[_SelfReading]] = {}
+        self._self_speed = usual_size.UsualSize(FIRST_SELF_READ_TOKENS_PER_S)
+        self._overhead = usual_size.UsualSize(stream_times.FIRST_OVERHEAD_S)
+        self._prompt_size = prompt_size
+        self._pause = reading_pause.ReadingPause()
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(readings={len(self._readings)!r})'
@@ -100,7 +123,7 @@
     ) -> float:
         """Return when a prefill runner takes a prompt, after others."""
         queue_s = min(self._queue_s(one.runner_id, now_s) for one in readers)
-        each_s = READ_EACH_S / len(readers)
+        each_s = self._prompt_size.mean / self.tokens_per_s / len(readers)
         wait_s = queue_s - LONGEST_QUEUE_S + ahead * each_s
         return now_s + max(0.0, wait_s)
 
@@ -114,11 +137,21 @@
         queue_s = 0.0
         if reader is not None:
             queue_s = self._queue_s(reader.runner_id, now_s)
-        return (
-            now_s
-            + queue_s
-            + stream_times.to_first_event_s(ask, has_reader=reader is not None)
-        )
+        has_reader = reader is not None
+        return now_s + queue_s + self.to_first_event_s(ask, has_reader)
+
+    def to_first_event_s(
+        self, ask: stream_ask.StreamAsk, has_reader: bool
+    ) -> float:
+        """Return the time from a place to the first event, as measured."""
+        speed = self.tokens_per_s if has_reader else self._self_speed.mean
+        return self._overhead.mean + ask.tokens_to_read / speed
+
+    @property
+    def self_read_each_s(self) -> float:
+        """Time after which a decode runner may read the next prompt."""
+        read_s = self._prompt_size.mean / self._self_speed.mean
+        return read_s + SELF_READ_PAUSE_S
 
     def take(
         self,
@@ -129,8 +162,17 @@
     ) -> None:
         """Take note of who reads a prompt from now on."""
         if reader is None:
-            until_s = self.ready_s(ask, None, now_s) - stream_times.OVERHEAD_S
-            self._self_read_s[decoder.runner_id] = until_s + SELF_READ_PAUSE_S
+            read_s = ask.tokens_to_read / self._self_speed.mean
+            known = self._self_readings.setdefault(decoder.runner_id, [])
+            known.append(
+                _SelfReading(
+                    request_id=ask.request_id,
+                    tokens=ask.tokens_to_read,
+                    since_s=now_s,
+                    until_s=now_s + read_s,
+                )
+            )
+            del known[:-SELF_READINGS_KEPT]
             return
         ahead = self._queued_tokens(reader.runner_id, now_s)
         self._readings[(ask.request_id, ask.attempt)] = _Reading(
@@ -162,13 +204,33 @@
         """Forget a reading that failed or is not waited for any more."""
         self._readings.pop((request_id, attempt), None)
 
+    def note_end(
+        self,
+        end: stream_ask.StreamEnd,
+        held: held_places.Held,
+        now_s: float,
+    ) -> None:
+        """Learn from how a stream went, beside whose prompts."""
+        place = held.place
+        if end.first_event_s and not place.prefill_id:
+            read_s = max(0.001, end.first_event_s - self._overhead.mean)
+            self._self_speed.note(held.ask.tokens_to_read / read_s)
+        beside = [
+            one.tokens
+            for one in self._self_readings.get(place.decode_id, ())
+            if one.request_id != end.request_id
+            and one.until_s > held.outlook.begins_s
+        ]
+        if end.whole and end.longest_pause_s:
+            self._pause.note(end.longest_pause_s, max(beside, default=0))
+
     def forget_runner(self, runner_id: str) -> None:
         """Forget what a runner reads and how fast; it has started again."""
         for key, reading in list(self._readings.items()):
             if reading.reader_id == runner_id:
                 del self._readings[key]
         self._speeds.pop(runner_id, None)
-        self._self_read_s.pop(runner_id, None)
+        self._self_readings.pop(runner_id, None)
 
     def may_read(
         self,
@@ -204,14 +266,19 @@
 
     def is_too_long(self, ask: stream_ask.StreamAsk, beside: int) -> bool:
         """Return whether reading it would hold too many streams up."""
-        is_long = ask.tokens_to_read > LONGEST_SELF_READ_TOKENS
-        return is_long and beside > FEW_STREAMS
+        if beside <= FEW_STREAMS:
+            return False
+        limit_s = ask.pause_target_s or USUAL_PAUSE_S
+        return ask.tokens_to_read > self._pause.longest_prompt(limit_s)
 
     def self_read_s(
         self, decoder: runner_info.RunnerInfo, now_s: float
     ) -> float:
         """Return when a decode runner has read what it was given."""
-        return max(now_s, self._self_read_s.get(decoder.runner_id, now_s))
+        readings = self._self_readings.get(decoder.runner_id)
+        if not readings:
+            return now_s
+        return max(now_s, readings[-1].until_s + SELF_READ_PAUSE_S)
 
     def _queue_s(self, reader_id: str, now_s: float) -> float:
         tokens = self._queued_tokens(reader_id, now_s)
@@ -229,4 +296,4 @@
         )
 
     def _speed(self, reader_id: str) -> float:
-        return self._speeds.get(reader_id, stream_times.PREFILL_TOKENS_PER_S)
+        return self._speeds.get(reader_id, self.tokens_per_s)
--- a/limpetroute/routing/stream_ask.py
+++ b/limpetroute/routing/stream_ask.py
@@ -43,6 +43,8 @@
         Tells apart the places that are asked for under one id.
     avoid : tuple of str
         Decode runners that it must not go to.
+    pause_target_s : float or None
+        Longest time between two events that is good, if its route says.
     """
 
     request_id: str
@@ -61,6 +63,7 @@
     prompt_id: str = ''
     attempt: int = 0
     avoid: tuple[str, ...] = ()
+    pause_target_s: float | None = None
 
     @property
     def tokens_to_read(self) -> int:
@@ -120,6 +123,11 @@
         Tokens that were written, as far as known; 0 if none.
     decode_s : float
         Time from the first event to the last.
+    first_event_s : float
+        Time from its place to its first event; 0 if that says nothing,
+        as none came or a part of the answer was there before.
+    longest_pause_s : float
+        Longest time between two of its events.
     failed : tuple of str
         Runners that did not answer as they should.
     full : tuple of str
@@ -132,6 +140,8 @@
     attempt: int = 0
     output_tokens: int = 0
     decode_s: float = 0.0
+    first_event_s: float = 0.0
+    longest_pause_s: float = 0.0
     failed: tuple[str, ...] = ()
     full: tuple[str, ...] = ()
     whole: bool = False
--- a/limpetroute/routing/stream_desk.py
+++ b/limpetroute/routing/stream_desk.py
@@ -57,15 +57,17 @@
     def __init__(self, *, engine: service_module.Engine) -> None:
         self._engine = engine
         self._held = held_places.HeldPlaces(engine=engine)
-        self._reading = reading_turns.ReadingTurns(held=self._held)
+        guess = stage_rates.first_guess(engine)
+        self._prompt_size = usual_size.UsualSize(guess.prompt_tokens)
+        self._output_size = usual_size.UsualSize(guess.output_tokens)
+        self._reading = reading_turns.ReadingTurns(
+            held=self._held, prompt_size=self._prompt_size
+        )
         self._watch = runner_watch.RunnerWatch(uses=self._held.uses)
         self._returns = return_book.ReturnBook()
         self._waiting: dict[str, waiting_stream.WaitingStream] = {}
         self._comeback = comeback_time.ComebackTime()
         self._in_time_in_a_row = 0
-        guess = stage_rates.first_guess(engine)
-        self._prompt_size = usual_size.UsualSize(guess.prompt_tokens)
-        self._output_size = usual_size.UsualSize(guess.output_tokens)
 
     def __repr__(self) -> str:
         return (
@@ -147,19 +149,20 @@
 
     def end(self, end: stream_ask.StreamEnd, now_s: float) -> None:
         """Take a place back and learn from how the stream went."""
-        place = self._held.end(end)
+        held = self._held.end(end)
         self._reading.drop(end.request_id, end.attempt)
-        if place is not None:
+        if held is not None:
             self._comeback.note_end(now_s)
+            self._reading.note_end(end, held, now_s)
         for runner_id in end.full:
             seen = len(self._held.outlooks(runner_id))
             self._watch.full(runner_id, self._engine.slots - seen, now_s)
         for runner_id in end.failed:
             self._watch.failed(runner_id, now_s)
-        if place is not None and not end.failed:
+        if held is not None and not end.failed:
             # Of the reader it says nothing new: its part was over
             # seconds ago, and it may be gone since.
-            self._watch.went_well(place.decode_id)
+            self._watch.went_well(held.place.decode_id)
 
     def adopt(
         self,
@@ -248,7 +251,7 @@
         for one in self._waiting.values():
             if one.ask.goes_on:
                 begun.append(one)
-            elif one.in_time(now_s, has_reader=has_reader):
+            elif self._in_time(one, now_s, has_reader):
                 in_time.append(one)
             else:
                 late.append(one)
@@ -262,13 +265,23 @@
             return [*begun, late[0], *in_time, *late[1:]]
         return [*begun, *in_time, *late]
 
+    def _in_time(
+        self,
+        one: waiting_stream.WaitingStream,
+        at_s: float,
+        has_reader: bool,
+    ) -> bool:
+        """Return whether a place given then makes the stream's target."""
+        needed_s = self._reading.to_first_event_s(one.ask, has_reader)
+        return one.in_time(at_s, needed_s)
+
     def _count_turn(
         self,
         one: waiting_stream.WaitingStream,
         now_s: float,
         has_reader: bool,
     ) -> None:
-        if one.in_time(now_s, has_reader=has_reader):
+        if self._in_time(one, now_s, has_reader):
             self._in_time_in_a_row += 1
         else:
             self._in_time_in_a_row = 0
@@ -353,7 +366,7 @@
             turn_s = turns.turn_s(one.ask, ahead)
             waits_too_long = turn_s - one.sent_s > one.longest_s
             if decoders and (
-                one.in_time(turn_s, has_reader=has_reader)
+                self._in_time(one, turn_s, has_reader)
                 or (one.ask.goes_on and not waits_too_long)
             ):
                 ahead += 1
--- a/limpetroute/routing/stream_placement.py
+++ b/limpetroute/routing/stream_placement.py
@@ -4,12 +4,15 @@
 import typing
 
 from limpetroute.decisions import stage as stage_module
-from limpetroute.routing import reading_turns
 from limpetroute.routing import runner_info
 from limpetroute.routing import runner_load
 from limpetroute.routing import service as service_module
 from limpetroute.routing import stream_ask
 
+# A host that decides alone knows no measured pauses: up to this length,
+# a prompt holds streams of the longest events up for less than 300 ms.
+LONGEST_SELF_READ_TOKENS = 5500
+
 
 def may_self_read_alone(
     ask: stream_ask.StreamAsk, *, entry_hosts: int
@@ -25,7 +28,7 @@
     """
     if entry_hosts <= 1:
         return True
-    return ask.tokens_to_read <= reading_turns.LONGEST_SELF_READ_TOKENS
+    return ask.tokens_to_read <= LONGEST_SELF_READ_TOKENS
 
 
 def choose_decode(
--- a/limpetroute/routing/stream_turns.py
+++ b/limpetroute/routing/stream_turns.py
@@ -8,10 +8,6 @@
 from limpetroute.routing import service as service_module
 from limpetroute.routing import stream_ask
 
-# A prompt of the mean size, read by a decode runner, and the pause after
-# it.
-SELF_READ_EACH_S = 0.3
-
 
 class StreamTurns:
     """When a waiting stream's turn comes, at one moment.
@@ -84,7 +80,7 @@
             soonest_s.append(self._reading.self_read_s(runner, self._now_s))
         if not soonest_s:
             return math.inf
-        each_s = SELF_READ_EACH_S / len(soonest_s)
+        each_s = self._reading.self_read_each_s / len(soonest_s)
         return min(soonest_s) + ahead * each_s
 
     def _quiet_s(self) -> float:
--- a/limpetroute/routing/waiting_stream.py
+++ b/limpetroute/routing/waiting_stream.py
@@ -40,9 +40,9 @@
             return stream_times.LONGEST_PAUSE_S
         return LONGEST_WAIT_S
 
-    def in_time(self, at_s: float, *, has_reader: bool) -> bool:
-        """Return whether a place given then makes its target."""
-        needed_s = stream_times.to_first_event_s(
-            self.ask, has_reader=has_reader
-        )
+    def in_time(self, at_s: float, needed_s: float) -> bool:
+        """Return whether a place given then makes its target.
+
+        ``needed_s`` is the time from a place to the first event.
+        """
         return at_s + needed_s <= self.target_s
