Let writers with room read prompts that wait for the readers

Cause: with one of several readers lost, or in a burst, prompts waited for the readers' queue while writers had room.

Change: where the queue is full and a writer is sooner done, it reads the prompt itself; one at a time, and not where its streams would stand still.

--- a/limpetroute/routing/stream_desk.py
+++ b/limpetroute/routing/stream_desk.py
@@ -294,21 +294,17 @@
         now_s: float,
     ) -> stream_ask.StreamPlace | None:
         reader = self._reading.reader(one.ask, readers, now_s)
-        if reader is not None and not self._reading.may_queue(reader, now_s):
-            return None
         ready_s = self._reading.ready_s(one.ask, reader, now_s)
-        best = None
-        best_rank = 0.0
-        for runner in decoders:
-            if reader is None and not self._reading.may_read(
-                one.ask, runner, now_s
-            ):
-                continue
-            rank = self._rank(one.ask, runner, ready_s, now_s)
-            if rank is None:
-                continue
-            if best is None or rank > best_rank:
-                best, best_rank = runner, rank
+        if reader is not None and not self._reading.may_queue(reader, now_s):
+            # Writers have room, and the prompt waits for the readers: a
+            # burst, or one of the readers is lost. A writer that reads it
+            # by itself is slower, but sooner done.
+            reader = None
+            by_writer_s = self._reading.ready_s(one.ask, None, now_s)
+            if by_writer_s >= ready_s:
+                return None
+            ready_s = by_writer_s
+        best = self._best_writer(one.ask, decoders, reader, ready_s, now_s)
         if best is None:
             return None
         place = stream_ask.StreamPlace(
@@ -322,6 +318,32 @@
         self._held.add(place, one.ask, sent_s=one.sent_s, begins_s=ready_s)
         return place
 
+    def _best_writer(
+        self,
+        ask: stream_ask.StreamAsk,
+        decoders: list[runner_info.RunnerInfo],
+        reader: runner_info.RunnerInfo | None,
+        ready_s: float,
+        now_s: float,
+    ) -> runner_info.RunnerInfo | None:
+        """Return the decode runner with most memory left, if one has room.
+
+        Without a reader, it is one that may read the prompt itself.
+        """
+        best = None
+        best_rank = 0.0
+        for runner in decoders:
+            if reader is None and not self._reading.may_read(
+                ask, runner, now_s
+            ):
+                continue
+            rank = self._rank(ask, runner, ready_s, now_s)
+            if rank is None:
+                continue
+            if best is None or rank > best_rank:
+                best, best_rank = runner, rank
+        return best
+
     def _rank(
         self,
         ask: stream_ask.StreamAsk,
