Have requests wait for the first routes at a host that has just started

Ruled out: electing sooner after a start (a replica that has forgotten the leader it heard has to wait out the lease).

Change: such a host, in its first three seconds, lets a request wait up to 1.3 s and a fourth of its time. Without routes it is refused as before.

--- a/limpetroute/forwarding/forwarder.py
+++ b/limpetroute/forwarding/forwarder.py
@@ -11,9 +11,14 @@
 from limpetroute.forwarding import stream_forward
 from limpetroute.routing import next_step
 from limpetroute.routing import route as route_module
+from limpetroute.routing import route_plan
+from limpetroute.routing import start_wait
 
 LOG = logging.getLogger(__name__)
 
+# How often a request that waits for the first configuration looks.
+LOOK_S = 0.02
+
 
 class Forwarder:
     """Finds a request's route and has it forwarded.
@@ -27,6 +32,7 @@
     def __init__(self, *, context: forward_context.ForwardContext) -> None:
         self._context = context
         self.active = 0
+        self._started_s = asyncio.get_running_loop().time()
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(active={self.active!r})'
@@ -57,6 +63,8 @@
     ) -> None:
         context = self._context
         plan = context.view.plan
+        if plan is None:
+            plan = await self._first_plan(request)
         if plan is None:
             await own_answer.write_status(
                 context,
@@ -81,6 +89,31 @@
             return
         await self._forward(request, route, responder)
 
+    async def _first_plan(
+        self, request: caller_request.CallerRequest
+    ) -> route_plan.RoutePlan | None:
+        """Return the first configuration if it comes soon."""
+        loop = asyncio.get_running_loop()
+        limit_s = start_wait.longest_wait_s(
+            age_s=loop.time() - self._started_s,
+            patience_s=request.patience_s,
+        )
+        until_s = request.received_s + limit_s
+        while self._context.view.plan is None and loop.time() < until_s:
+            await asyncio.sleep(LOOK_S)
+        if self._context.view.plan is not None:
+            LOG.info(
+                'waited for the first routes',
+                extra={
+                    'request': request.request_id,
+                    'waited_ms': round(
+                        (loop.time() - request.received_s) * 1000
+                    ),
+                    'index': self._context.view.index,
+                },
+            )
+        return self._context.view.plan
+
     async def _forward(
         self,
         request: caller_request.CallerRequest,
