Keep as much memory free as answers are off; count what writers read

Cause: a tenth of the memory was kept for answers that outgrow their plan. Where they are a tenth of the prompts, a fiftieth does, and every thirteenth stream found no place.

Change: two deviations of the answers' sum are kept, as measured, 3 to 20 %; the split counts prompts that writers read, at the pace of their streams.

--- a/limpetroute/routing/held_places.py
+++ b/limpetroute/routing/held_places.py
@@ -1,9 +1,11 @@
 """The places that are given, and how long their streams last."""
 
 import dataclasses
+import math
 
 from limpetroute.routing import decode_room
 from limpetroute.routing import length_estimate
+from limpetroute.routing import memory_headroom
 from limpetroute.routing import service as service_module
 from limpetroute.routing import stage_rates
 from limpetroute.routing import stream_ask
@@ -11,12 +13,6 @@
 
 # Ends shorter than this say little of a stream's speed.
 LEAST_MEASURED_S = 0.2
-# Part of the memory that is planned for: answers differ from what is
-# expected by a third, some 1,500 tokens each. Played for 160 s with
-# memory for 78,000 tokens: 0.97 gives 347 places and overflows 44 times,
-# 0.90 gives 327 and 8, 0.85 gives 316 and 3; an overflow costs a prompt
-# read again and two streams' targets.
-MEMORY_SHARE = 0.9
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -54,6 +50,8 @@
         self._engine = engine
         self._held: dict[str, Held] = {}
         self._lengths = length_estimate.LengthEstimate()
+        first_error = stage_rates.first_guess(engine).deviation_tokens
+        self._square_error = usual_size.UsualSize(first_error * first_error)
         self._speed = usual_size.UsualSize(
             stage_rates.first_write_tokens_per_s(engine)
         )
@@ -73,9 +71,15 @@
         return self._speed.mean
 
     @property
-    def room_tokens(self) -> float:
-        """Memory of one runner that is planned for."""
-        return self._engine.memory_tokens * MEMORY_SHARE
+    def deviation_tokens(self) -> float:
+        """How far answers are from what was expected of them."""
+        return math.sqrt(self._square_error.mean)
+
+    def room_tokens(self, streams: int) -> float:
+        """Return the memory of a runner with so many streams to plan for."""
+        return memory_headroom.room_tokens(
+            self._engine.memory_tokens, streams, self.deviation_tokens
+        )
 
     def add(
         self,
@@ -114,6 +118,8 @@
             return None
         del self._held[end.request_id]
         if end.whole and not held.ask.goes_on:
+            error = end.output_tokens - held.outlook.output_tokens
+            self._square_error.note(error * error)
             self._lengths.learn(
                 said_tokens=held.ask.output_tokens,
                 came_tokens=end.output_tokens,
--- /dev/null
+++ b/limpetroute/routing/memory_headroom.py
@@ -0,0 +1,39 @@
+"""How much of a writer's memory is kept for answers that grow longer."""
+
+import math
+
+# Deviations of the sum of a writer's answers that are kept free. Played
+# for 160 s with memory for 78,000 tokens, and answers that differ from
+# what is expected by 1,500: a tenth (two deviations) gives 327 places and
+# overflows 8 times; 3 % gives 347 and 44, 15 % gives 316 and 3. An
+# overflow costs a prompt read again and two streams' targets.
+DEVIATIONS = 2.0
+# Blocks of memory that are not full, and what is read beside.
+LEAST_PART = 0.03
+MOST_PART = 0.2
+
+
+def room_tokens(
+    memory_tokens: int, streams: int, deviation_tokens: float
+) -> float:
+    """Return the memory that may be planned for.
+
+    Pattern: answers grow beyond what was expected of them. By how much
+    together depends on their number and on how far estimates are off,
+    which differs from service to service: of 135,000 tokens a tenth,
+    where answers are as long as prompts; of 52,000 a fiftieth, where they
+    are a tenth of them. A fixed tenth left room for every thirteenth
+    stream unused there.
+
+    Parameters
+    ----------
+    memory_tokens : int
+        All memory of a writer.
+    streams : int
+        Streams that it has.
+    deviation_tokens : float
+        Mean deviation of one answer from what was expected.
+    """
+    kept = DEVIATIONS * math.sqrt(streams) * deviation_tokens
+    part = min(MOST_PART, max(LEAST_PART, kept / memory_tokens))
+    return memory_tokens * (1 - part)
--- a/limpetroute/routing/reading_pause.py
+++ b/limpetroute/routing/reading_pause.py
@@ -50,6 +50,18 @@
         """Return the tokens that are read within a pause."""
         return max(0.0, limit_s - self._base_s) / self._per_token_s
 
+    def pace(self, prompt_tokens: float, read_s: float) -> float:
+        """Return how fast streams go on beside a reading.
+
+        As a part of their usual speed: 0 where they stand still until
+        the prompt is read.
+        """
+        pause_s = self._base_s + prompt_tokens * self._per_token_s
+        if read_s > pause_s:
+            # Several events come while it is read, each takes this long.
+            return self._base_s / pause_s
+        return max(0.0, 1 - (pause_s - self._base_s) / read_s)
+
     @property
     def _base_s(self) -> float:
         return self._base_sum_s / self._base_weight
--- a/limpetroute/routing/reading_turns.py
+++ b/limpetroute/routing/reading_turns.py
@@ -17,9 +17,6 @@
 # A prompt that holds a runner's streams up for too long is still read
 # where it has no more streams than this: less is lost than gained.
 FEW_STREAMS = 3
-# Until it has been measured: a decode runner reads at half the speed,
-# between the tokens of others.
-FIRST_SELF_READ_TOKENS_PER_S = stage_rates.FIRST_READ_TOKENS_PER_S / 2
 # Longest pause between events where a route names none.
 USUAL_PAUSE_S = 0.3
 # Readings that are queued at a prefill runner. Who waits there cannot be
@@ -84,7 +81,9 @@
         self._readings: dict[tuple[str, int], _Reading] = {}
         self._speeds: dict[str, float] = {}
         self._self_readings: dict[str, list[_SelfReading]] = {}
-        self._self_speed = usual_size.UsualSize(FIRST_SELF_READ_TOKENS_PER_S)
+        self._self_speed = usual_size.UsualSize(
+            stage_rates.FIRST_SELF_READ_TOKENS_PER_S
+        )
         self._overhead = usual_size.UsualSize(stream_times.FIRST_OVERHEAD_S)
         self._prompt_size = prompt_size
         self._pause = reading_pause.ReadingPause()
@@ -147,6 +146,19 @@
         speed = self.tokens_per_s if has_reader else self._self_speed.mean
         return self._overhead.mean + ask.tokens_to_read / speed
 
+    @property
+    def self_read_tokens_per_s(self) -> float:
+        """How fast decode runners read prompts themselves, as measured."""
+        return self._self_speed.mean
+
+    @property
+    def pace_beside_reading(self) -> float:
+        """Part of their speed at which streams go on beside a reading."""
+        prompt_tokens = self._prompt_size.mean
+        return self._pause.pace(
+            prompt_tokens, prompt_tokens / self._self_speed.mean
+        )
+
     @property
     def self_read_each_s(self) -> float:
         """Time after which a decode runner may read the next prompt."""
--- a/limpetroute/routing/stage_rates.py
+++ b/limpetroute/routing/stage_rates.py
@@ -12,6 +12,10 @@
 FIRST_EVENTS = 70
 FIRST_PROMPT_TOKENS = 5_000.0
 FIRST_READ_TOKENS_PER_S = 50_000.0
+# A decode runner reads at half the speed, between the tokens of others.
+FIRST_SELF_READ_TOKENS_PER_S = FIRST_READ_TOKENS_PER_S / 2
+# Answers differ from what is expected by about a third.
+FIRST_DEVIATION_PART = 0.3
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -29,18 +33,32 @@
         prompt beside the tokens.
     write_tokens_per_s : float
         How fast a decode runner writes each of its streams.
+    deviation_tokens : float
+        How far answers are from what was expected of them.
+    self_read_tokens_per_s : float
+        How fast a decode runner reads a prompt itself.
+    pace_beside_reading : float
+        How fast its streams go on meanwhile, as a part of their speed.
     """
 
     prompt_tokens: float
     output_tokens: float
     read_tokens_per_s: float
     write_tokens_per_s: float
+    deviation_tokens: float
+    self_read_tokens_per_s: float
+    pace_beside_reading: float
 
     @property
     def read_s(self) -> float:
         """Time that a prefill runner takes for a prompt."""
         return self.prompt_tokens / self.read_tokens_per_s
 
+    @property
+    def self_read_s(self) -> float:
+        """Time that a decode runner takes for a prompt."""
+        return self.prompt_tokens / self.self_read_tokens_per_s
+
     @property
     def write_s(self) -> float:
         """Time that an answer takes from its first token to its last."""
@@ -59,9 +77,13 @@
 
 def first_guess(engine: service_module.Engine) -> StageRates:
     """Return what is expected before any stream was seen."""
+    output_tokens = float(FIRST_EVENTS * engine.tokens_per_event)
     return StageRates(
         prompt_tokens=FIRST_PROMPT_TOKENS,
-        output_tokens=float(FIRST_EVENTS * engine.tokens_per_event),
+        output_tokens=output_tokens,
         read_tokens_per_s=FIRST_READ_TOKENS_PER_S,
         write_tokens_per_s=first_write_tokens_per_s(engine),
+        deviation_tokens=output_tokens * FIRST_DEVIATION_PART,
+        self_read_tokens_per_s=FIRST_SELF_READ_TOKENS_PER_S,
+        pace_beside_reading=0.0,
     )
--- a/limpetroute/routing/stage_split.py
+++ b/limpetroute/routing/stage_split.py
@@ -5,7 +5,7 @@
 import typing
 
 from limpetroute.decisions import stage as stage_module
-from limpetroute.routing import held_places
+from limpetroute.routing import memory_headroom
 from limpetroute.routing import runner_info
 from limpetroute.routing import service as service_module
 from limpetroute.routing import stage_rates
@@ -16,6 +16,12 @@
 # From a place to the first token, beside the reading: the stream's memory
 # is taken meanwhile.
 BEGIN_S = 0.09
+# Streams that go on at less than this part of their speed beside a
+# reading pause for longer than their events may.
+LEAST_PACE = 0.2
+# Halvings of the interval in which a split's rate is looked for: to a
+# thousandth of it.
+HALVINGS = 10
 # A change takes a runner away for the time of its streams and of the
 # change, six to ten seconds, and another one back takes as long. It has
 # to let in this many times the streams: measured rates move by a tenth
@@ -47,11 +53,36 @@
     engine: service_module.Engine,
     rates: stage_rates.StageRates,
 ) -> float:
-    """Return how many streams a second a split lets in."""
-    reading = readers * READ_USE / rates.read_s
-    held_s = rates.read_s + BEGIN_S + rates.write_s
-    writing = writers * _at_once(engine, rates) / held_s
-    return min(reading, writing)
+    """Return how many streams a second a split lets in.
+
+    Readers take what they can; the rest is read by the writers, whose
+    streams go on at a slower pace meanwhile and hold their memory for
+    longer. How much longer depends on how many are let in: the answer
+    lies where places and the time for which they are held agree. Where
+    streams all but stand still meanwhile, what writers read is not
+    counted: each such prompt makes the events of all others late.
+    """
+    by_readers = readers * READ_USE / rates.read_s
+    use = READ_USE if rates.pace_beside_reading >= LEAST_PACE else 0.0
+    places = writers * _at_once(engine, rates)
+    begin_s = rates.read_s + BEGIN_S
+    least = 0.0
+    most = places / (begin_s + rates.write_s)
+    for _ in range(HALVINGS):
+        tried = (least + most) / 2
+        by_each_writer = max(0.0, tried - by_readers) / writers
+        busy = by_each_writer * rates.self_read_s
+        pace = 1 - busy * (1 - rates.pace_beside_reading)
+        fits = (
+            busy <= use
+            and pace > 0
+            and tried * (begin_s + rates.write_s / pace) <= places
+        )
+        if fits:
+            least = tried
+        else:
+            most = tried
+    return least
 
 
 def wanted_prefill(
@@ -82,7 +113,7 @@
         return 0
     best = 1
     best_per_s = 0.0
-    for readers in range(1, runners):
+    for readers in range(runners):
         per_s = streams_per_s(
             readers, runners - readers, engine=engine, rates=rates
         )
@@ -95,8 +126,14 @@
     engine: service_module.Engine, rates: stage_rates.StageRates
 ) -> float:
     """Return how many streams a writer has at once."""
-    memory_tokens = engine.memory_tokens * held_places.MEMORY_SHARE
-    return min(float(engine.slots), memory_tokens / rates.memory_tokens)
+    room_tokens = memory_headroom.room_tokens(
+        engine.memory_tokens,
+        min(
+            engine.slots, math.ceil(engine.memory_tokens / rates.memory_tokens)
+        ),
+        rates.deviation_tokens,
+    )
+    return min(float(engine.slots), room_tokens / rates.memory_tokens)
 
 
 def _memory_binds(
@@ -188,7 +225,7 @@
     rates: stage_rates.StageRates,
 ) -> bool:
     """Return whether the wanted split lets in enough more streams."""
-    if not wanted or not 0 < readers < runners:
+    if readers >= runners or runners <= 2:
         return True
     now_per_s = streams_per_s(
         readers, runners - readers, engine=engine, rates=rates
--- a/limpetroute/routing/stream_desk.py
+++ b/limpetroute/routing/stream_desk.py
@@ -98,6 +98,9 @@
             output_tokens=self._output_size.mean,
             read_tokens_per_s=self._reading.tokens_per_s,
             write_tokens_per_s=self._held.tokens_per_s,
+            deviation_tokens=self._held.deviation_tokens,
+            self_read_tokens_per_s=self._reading.self_read_tokens_per_s,
+            pace_beside_reading=self._reading.pace_beside_reading,
         )
 
     def gone_s(
@@ -358,7 +361,7 @@
         hidden = self._watch.hidden(runner.runner_id, now_s)
         if taken + hidden >= self._engine.slots:
             return None
-        room = self._held.room_tokens
+        room = self._held.room_tokens(taken + 1)
         peak = self._held.peak_with(
             runner.runner_id, ask, begins_s=ready_s, now_s=now_s
         )
--- a/limpetroute/routing/stream_turns.py
+++ b/limpetroute/routing/stream_turns.py
@@ -112,4 +112,4 @@
         peak = self._held.peak_with(
             runner.runner_id, ask, begins_s=self._now_s, now_s=self._now_s
         )
-        return peak <= self._held.room_tokens
+        return peak <= self._held.room_tokens(beside + 1)
