Have hosts that stop take streams that fit; read beside only where it is good

Change: a stream that should end before its host does is taken. Writers read beside a reader only where their streams go on.

--- a/limpetroute/forwarding/forward_context.py
+++ b/limpetroute/forwarding/forward_context.py
@@ -13,11 +13,15 @@
 from limpetroute.forwarding import forward_meters
 from limpetroute.forwarding import place_client
 from limpetroute.forwarding import responder as responder_module
+from limpetroute.routing import last_streams
 from limpetroute.routing import next_step
 from limpetroute.routing import route as route_module
 from limpetroute.routing import runner_info
 from limpetroute.routing import send_budget
 from limpetroute.routing import send_result
+from limpetroute.routing import service as service_module
+from limpetroute.routing import stage_rates
+from limpetroute.routing import usual_size
 
 LOG = logging.getLogger(__name__)
 
@@ -66,7 +70,9 @@
         self.meters = meters
         self.zone = zone
         self.rng = rng
-        self.takes_streams = True
+        # When a host that stops breaks off what is still open.
+        self.ends_s: float | None = None
+        self._speeds: dict[str, usual_size.UsualSize] = {}
         self.takes_calls = True
         self._watch = watch
         self._make_budget = make_budget
@@ -81,6 +87,26 @@
         """Hosts that forward, this one among them, as far as known."""
         return self._watch.entry_hosts
 
+    def takes_stream(
+        self,
+        service: service_module.Service,
+        generation: caller_request.Generation,
+    ) -> bool:
+        """Return whether a stream should end before this host does."""
+        if self.ends_s is None:
+            return True
+        return last_streams.may_take(
+            expected_tokens=generation.expected_output_tokens,
+            tokens_per_s=self._speed(service).mean,
+            left_s=self.ends_s - _now_s(),
+        )
+
+    def note_speed(
+        self, service: service_module.Service, tokens_per_s: float
+    ) -> None:
+        """Take note of how fast a stream was written."""
+        self._speed(service).note(tokens_per_s)
+
     def left_s(
         self,
         request: caller_request.CallerRequest,
@@ -195,6 +221,15 @@
             },
         )
 
+    def _speed(self, service: service_module.Service) -> usual_size.UsualSize:
+        known = self._speeds.get(service.name)
+        if known is None:
+            assert service.engine is not None
+            known = self._speeds[service.name] = usual_size.UsualSize(
+                stage_rates.first_write_tokens_per_s(service.engine)
+            )
+        return known
+
     def _budget(self, service: str) -> send_budget.SendBudget:
         known = self._budgets.get(service)
         if known is None:
--- a/limpetroute/forwarding/server.py
+++ b/limpetroute/forwarding/server.py
@@ -132,8 +132,8 @@
         Callers are sent here until the balancer has noticed, and longer
         where it has too few other hosts: so the port stays open to the
         end. Each answer closes its connection: a kept one would bring
-        requests up to the end. New streams, which last for seconds, are
-        sent elsewhere once the balancer has noticed, and plain calls
+        requests up to the end. Once the balancer has noticed, new streams
+        that would outlast this host are sent elsewhere, and plain calls
         shortly before the end, while a stream is still open.
         """
         loop = asyncio.get_running_loop()
@@ -142,8 +142,8 @@
         self._front.closing = True
         LOG.info('stopping', extra={'active': self.forwarder.active})
         await asyncio.sleep(OUT_OF_ROTATION_S)
-        self._context.takes_streams = False
         last_s = begun_s + self.settings.grace_s - LAST_WORD_S
+        self._context.ends_s = last_s
         while self.forwarder.active and loop.time() < last_s:
             if loop.time() > last_s - LAST_CALLS_S:
                 self._context.takes_calls = False
--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -25,6 +25,8 @@
 # Prefill runners that may fail a prompt before its caller is told to
 # come back.
 MAX_READINGS = 2
+# Streams that took less say little of how fast they are written.
+LEAST_MEASURED_S = 0.2
 
 
 class StreamForward:
@@ -78,7 +80,7 @@
 
     async def run(self) -> None:
         """Answer the request."""
-        if not self._context.takes_streams:
+        if not self._is_taken():
             await self._end(next_step.Step.REFUSE, 'this host stops')
             return
         while True:
@@ -113,6 +115,7 @@
                     full=self._full,
                     whole=self._whole,
                 )
+                self._note_speed()
                 self._failed.clear()
                 self._full.clear()
             if step is next_step.Step.RELAY:
@@ -121,6 +124,18 @@
                 await self._end(step, 'after a send')
                 return
 
+    def _is_taken(self) -> bool:
+        generation = self._request.generation
+        assert generation is not None
+        return self._context.takes_stream(self._service, generation)
+
+    def _note_speed(self) -> None:
+        events_s = self._relay.events_s
+        if self._whole and events_s > LEAST_MEASURED_S:
+            self._context.note_speed(
+                self._service, self._tokens_written() / events_s
+            )
+
     def _so_far(self) -> stream_places.SoFar:
         return stream_places.SoFar(
             tried=frozenset(self._tried),
--- /dev/null
+++ b/limpetroute/routing/last_streams.py
@@ -0,0 +1,32 @@
+"""Which streams a host that stops still takes."""
+
+# Callers' estimates of length are right at the median and often off by
+# half.
+LENGTH_MARGIN = 1.5
+# From its arrival to its first event, where nothing has to be waited for.
+BEGIN_S = 0.6
+
+
+def may_take(
+    *, expected_tokens: int, tokens_per_s: float, left_s: float
+) -> bool:
+    """Return whether a stream should end before this host does.
+
+    Pattern: hosts are stopped one after the other, faster than each of
+    them ends; a zone then has one host in three that does not stop, and
+    the balancer sends callers to all of them again. Refused there, a
+    caller has one try left, and in a burst it is refused for good (26
+    refusals of 480 streams in eight seconds). A stream that fits into
+    the time that is left is served.
+
+    Parameters
+    ----------
+    expected_tokens : int
+        Tokens of its answer.
+    tokens_per_s : float
+        How fast streams are written, as measured.
+    left_s : float
+        Time until this host breaks off what is still open.
+    """
+    needed_s = BEGIN_S + LENGTH_MARGIN * expected_tokens / tokens_per_s
+    return needed_s <= left_s
--- a/limpetroute/routing/reading_pause.py
+++ b/limpetroute/routing/reading_pause.py
@@ -1,72 +1,71 @@
 """How long a decode runner's streams pause while it reads a prompt."""
 
-# Taken for true until it has been measured. Between two steps of its
-# streams a decode runner reads a quarter of the usual piece, and an event
-# needs as many steps as it has tokens: where one has seventy, a whole
-# prompt is read within one event (6,500 tokens: 325 ms, 11,000 tokens:
-# 466 ms); where it has eight, a part (5,000 tokens: about 60 ms more).
-FIRST_BASE_S = 0.06
-FIRST_S_PER_TOKEN = 44e-6
-# Pauses have other causes, and one that is measured says little. At first
-# the guess counts for as much as this many.
-FIRST_WEIGHT = 4.0
-# Half of the weight is from the last thirty pauses.
-FORGET = 0.98
+import math
+
+from limpetroute.routing import usual_size
+
+# Between two events of a stream, until it has been measured.
+FIRST_EVENT_S = 0.06
+# Measured paces say little one by one: pauses have other causes. At
+# first, the guess counts for as much as this many of them.
+FIRST_WEIGHT = 8
+LEAST_PACE = 0.01
+# Part of the longest good pause that is planned for: pauses differ by a
+# tenth from one prompt to the next (6,500 tokens: 325 ms, 11,000: 466).
+PLANNED_PART = 0.9
 
 
 class ReadingPause:
     """How long a decode runner's streams pause while it reads a prompt.
 
+    Between two pieces of a prompt, a runner makes one token for each of
+    its streams: they go on at a slower pace. An event that has seventy
+    tokens waits until the whole prompt is read; one that has eight comes
+    after eight pieces of it.
+
     Learned from the longest pause of each stream, and from the longest
     prompt that its runner read beside it.
+
+    Parameters
+    ----------
+    first_pace : float
+        Expected pace beside a reading, as a part of the usual one.
     """
 
-    def __init__(self) -> None:
-        self._base_weight = FIRST_WEIGHT
-        self._base_sum_s = FIRST_WEIGHT * FIRST_BASE_S
-        # Sums over prompts of 5,000 tokens, as good as any unit.
-        self._tokens = FIRST_WEIGHT * 5_000.0
-        self._pauses_s = self._tokens * FIRST_S_PER_TOKEN
+    def __init__(self, *, first_pace: float) -> None:
+        self._pace = usual_size.UsualSize(first_pace)
+        for _ in range(FIRST_WEIGHT):
+            self._pace.note(first_pace)
+        self._event = usual_size.UsualSize(FIRST_EVENT_S)
 
     def __repr__(self) -> str:
-        return f'{type(self).__name__}(per_token_s={self._per_token_s!r})'
+        return f'{type(self).__name__}(pace={self.pace!r})'
 
-    def note(self, pause_s: float, read_tokens: int) -> None:
+    @property
+    def pace(self) -> float:
+        """How fast streams go on beside a reading; 1 if as usual."""
+        return self._pace.mean
+
+    def note(self, pause_s: float, read_s: float) -> None:
         """Take note of a stream's longest pause.
 
-        ``read_tokens`` is the longest prompt that its runner read
-        beside it; 0 for none.
+        ``read_s`` is the time of the longest reading beside it; 0 for
+        none.
         """
-        if not read_tokens:
-            self._base_weight = self._base_weight * FORGET + 1
-            self._base_sum_s = self._base_sum_s * FORGET + pause_s
+        if not read_s:
+            self._event.note(pause_s)
             return
-        self._tokens = self._tokens * FORGET + read_tokens
-        self._pauses_s = self._pauses_s * FORGET + max(
-            0.0, pause_s - self._base_s
-        )
-
-    def longest_prompt(self, limit_s: float) -> float:
-        """Return the tokens that are read within a pause."""
-        return max(0.0, limit_s - self._base_s) / self._per_token_s
+        event_s = self._event.mean
+        if pause_s <= read_s:
+            pace = event_s / pause_s
+        else:
+            pace = 1 - (pause_s - event_s) / read_s
+        self._pace.note(min(1.0, max(LEAST_PACE, pace)))
 
-    def pace(self, prompt_tokens: float, read_s: float) -> float:
-        """Return how fast streams go on beside a reading.
-
-        As a part of their usual speed: 0 where they stand still until
-        the prompt is read.
-        """
-        pause_s = self._base_s + prompt_tokens * self._per_token_s
-        if read_s > pause_s:
-            # Several events come while it is read, each takes this long.
-            return self._base_s / pause_s
-        return max(0.0, 1 - (pause_s - self._base_s) / read_s)
-
-    @property
-    def _base_s(self) -> float:
-        return self._base_sum_s / self._base_weight
-
-    @property
-    def _per_token_s(self) -> float:
-        # A runner that shows no pause at all must not make it 0.
-        return max(1e-6, self._pauses_s / self._tokens)
+    def longest_reading_s(self, limit_s: float) -> float:
+        """Return how long a reading may take for pauses to stay good."""
+        event_s = self._event.mean
+        limit_s *= PLANNED_PART
+        if event_s / self.pace <= limit_s:
+            return math.inf
+        return max(0.0, limit_s - event_s) / (1 - self.pace)
--- a/limpetroute/routing/reading_turns.py
+++ b/limpetroute/routing/reading_turns.py
@@ -17,6 +17,9 @@
 # A prompt that holds a runner's streams up for too long is still read
 # where it has no more streams than this: less is lost than gained.
 FEW_STREAMS = 3
+# Streams that go on at less than this part of their speed beside a
+# reading pause for longer than their events may.
+LEAST_PACE = 0.2
 # Longest pause between events where a route names none.
 USUAL_PAUSE_S = 0.3
 # Readings that are queued at a prefill runner. Who waits there cannot be
@@ -69,6 +72,8 @@
         The places that are given.
     prompt_size : UsualSize
         Lengths of the prompts that come.
+    first_pace : float
+        Expected pace of streams beside a reading; see `ReadingPause`.
     """
 
     def __init__(
@@ -76,6 +81,7 @@
         *,
         held: held_places.HeldPlaces,
         prompt_size: usual_size.UsualSize,
+        first_pace: float,
     ) -> None:
         self._held = held
         self._readings: dict[tuple[str, int], _Reading] = {}
@@ -86,7 +92,7 @@
         )
         self._overhead = usual_size.UsualSize(stream_times.FIRST_OVERHEAD_S)
         self._prompt_size = prompt_size
-        self._pause = reading_pause.ReadingPause()
+        self._pause = reading_pause.ReadingPause(first_pace=first_pace)
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(readings={len(self._readings)!r})'
@@ -154,10 +160,16 @@
     @property
     def pace_beside_reading(self) -> float:
         """Part of their speed at which streams go on beside a reading."""
-        prompt_tokens = self._prompt_size.mean
-        return self._pause.pace(
-            prompt_tokens, prompt_tokens / self._self_speed.mean
-        )
+        return self._pause.pace
+
+    @property
+    def writers_read_well(self) -> bool:
+        """Whether streams go on while their runner reads a prompt.
+
+        Where they all but stand still, each prompt that a writer reads
+        makes an event of all its streams late.
+        """
+        return self.pace_beside_reading >= LEAST_PACE
 
     @property
     def self_read_each_s(self) -> float:
@@ -234,7 +246,8 @@
             and one.until_s > held.outlook.begins_s
         ]
         if end.whole and end.longest_pause_s:
-            self._pause.note(end.longest_pause_s, max(beside, default=0))
+            read_s = max(beside, default=0) / self._self_speed.mean
+            self._pause.note(end.longest_pause_s, read_s)
 
     def forget_runner(self, runner_id: str) -> None:
         """Forget what a runner reads and how fast; it has started again."""
@@ -281,7 +294,8 @@
         if beside <= FEW_STREAMS:
             return False
         limit_s = ask.pause_target_s or USUAL_PAUSE_S
-        return ask.tokens_to_read > self._pause.longest_prompt(limit_s)
+        read_s = ask.tokens_to_read / self._self_speed.mean
+        return read_s > self._pause.longest_reading_s(limit_s)
 
     def self_read_s(
         self, decoder: runner_info.RunnerInfo, now_s: float
--- a/limpetroute/routing/stage_rates.py
+++ b/limpetroute/routing/stage_rates.py
@@ -14,6 +14,8 @@
 FIRST_READ_TOKENS_PER_S = 50_000.0
 # A decode runner reads at half the speed, between the tokens of others.
 FIRST_SELF_READ_TOKENS_PER_S = FIRST_READ_TOKENS_PER_S / 2
+# Between two steps of its streams, it reads a piece for this long.
+FIRST_PIECE_S = 0.01
 # Answers differ from what is expected by about a third.
 FIRST_DEVIATION_PART = 0.3
 
@@ -75,6 +77,12 @@
     return engine.tokens_per_event / FIRST_EVENT_S
 
 
+def first_pace(engine: service_module.Engine) -> float:
+    """Return the pace of streams beside a reading that is expected."""
+    step_s = FIRST_EVENT_S / engine.tokens_per_event
+    return step_s / (step_s + FIRST_PIECE_S)
+
+
 def first_guess(engine: service_module.Engine) -> StageRates:
     """Return what is expected before any stream was seen."""
     output_tokens = float(FIRST_EVENTS * engine.tokens_per_event)
@@ -85,5 +93,5 @@
         write_tokens_per_s=first_write_tokens_per_s(engine),
         deviation_tokens=output_tokens * FIRST_DEVIATION_PART,
         self_read_tokens_per_s=FIRST_SELF_READ_TOKENS_PER_S,
-        pace_beside_reading=0.0,
+        pace_beside_reading=first_pace(engine),
     )
--- a/limpetroute/routing/stage_split.py
+++ b/limpetroute/routing/stage_split.py
@@ -6,6 +6,7 @@
 
 from limpetroute.decisions import stage as stage_module
 from limpetroute.routing import memory_headroom
+from limpetroute.routing import reading_turns
 from limpetroute.routing import runner_info
 from limpetroute.routing import service as service_module
 from limpetroute.routing import stage_rates
@@ -16,9 +17,6 @@
 # From a place to the first token, beside the reading: the stream's memory
 # is taken meanwhile.
 BEGIN_S = 0.09
-# Streams that go on at less than this part of their speed beside a
-# reading pause for longer than their events may.
-LEAST_PACE = 0.2
 # Halvings of the interval in which a split's rate is looked for: to a
 # thousandth of it.
 HALVINGS = 10
@@ -63,7 +61,11 @@
     counted: each such prompt makes the events of all others late.
     """
     by_readers = readers * READ_USE / rates.read_s
-    use = READ_USE if rates.pace_beside_reading >= LEAST_PACE else 0.0
+    use = (
+        READ_USE
+        if rates.pace_beside_reading >= reading_turns.LEAST_PACE
+        else 0.0
+    )
     places = writers * _at_once(engine, rates)
     begin_s = rates.read_s + BEGIN_S
     least = 0.0
--- a/limpetroute/routing/stream_desk.py
+++ b/limpetroute/routing/stream_desk.py
@@ -61,7 +61,9 @@
         self._prompt_size = usual_size.UsualSize(guess.prompt_tokens)
         self._output_size = usual_size.UsualSize(guess.output_tokens)
         self._reading = reading_turns.ReadingTurns(
-            held=self._held, prompt_size=self._prompt_size
+            held=self._held,
+            prompt_size=self._prompt_size,
+            first_pace=guess.pace_beside_reading,
         )
         self._watch = runner_watch.RunnerWatch(uses=self._held.uses)
         self._returns = return_book.ReturnBook()
@@ -302,10 +304,10 @@
             # Writers have room, and the prompt waits for the readers: a
             # burst, or one of the readers is lost. A writer that reads it
             # by itself is slower, but sooner done.
-            reader = None
             by_writer_s = self._reading.ready_s(one.ask, None, now_s)
-            if by_writer_s >= ready_s:
+            if by_writer_s >= ready_s or not self._reading.writers_read_well:
                 return None
+            reader = None
             ready_s = by_writer_s
         best = self._best_writer(one.ask, decoders, reader, ready_s, now_s)
         if best is None:
--- a/limpetroute/routing/stream_turns.py
+++ b/limpetroute/routing/stream_turns.py
@@ -53,10 +53,9 @@
             return self._quiet_s()
         if not self._readers or not ask.reads_prompt:
             return min(self.place_s(ahead), self._read_s(ask, ahead))
-        queue_s = min(
-            self._reading.queue_turn_s(self._readers, ahead, self._now_s),
-            self._read_s(ask, ahead),
-        )
+        queue_s = self._reading.queue_turn_s(self._readers, ahead, self._now_s)
+        if self._reading.writers_read_well:
+            queue_s = min(queue_s, self._read_s(ask, ahead))
         if any(self._has_room(ask, one) for one in self._decoders):
             return queue_s
         return max(queue_s, self.place_s(ahead))
