Take a writer's reading speed from the readers'

Cause: it was taken from the time to a stream's first event, which has the waits of a busy runner in it.

--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -90,11 +90,8 @@
                 route=self._route,
                 service=self._service,
             )
-            was_begun = self._goes_on()
-            placed_s = 0.0
             try:
                 got = await places.take(self._so_far())
-                placed_s = _now_s()
                 if isinstance(got, stream_ask.StreamRefusal):
                     await self._end(
                         next_step.Step.REFUSE, got.reason, got.retry_after_s
@@ -104,11 +101,6 @@
             finally:
                 places.give_back(
                     events_s=self._relay.events_s,
-                    first_event_s=(
-                        0.0
-                        if was_begun
-                        else self._relay.first_event_after_s(placed_s)
-                    ),
                     longest_pause_s=self._relay.longest_gap_ms / 1000,
                     tokens=self._tokens_written(),
                     failed=self._failed,
--- a/limpetroute/forwarding/stream_relay.py
+++ b/limpetroute/forwarding/stream_relay.py
@@ -81,10 +81,6 @@
             return None
         return round((self._first_event_s - self._request.received_s) * 1000)
 
-    def first_event_after_s(self, at_s: float) -> float:
-        """Return how long after a time the first event came; 0 if none."""
-        return max(0.0, self._first_event_s - at_s)
-
     @property
     def waited_s(self) -> float:
         """How long the caller has had nothing new."""
--- a/limpetroute/routing/reading_turns.py
+++ b/limpetroute/routing/reading_turns.py
@@ -87,10 +87,6 @@
         self._readings: dict[tuple[str, int], _Reading] = {}
         self._speeds: dict[str, float] = {}
         self._self_readings: dict[str, list[_SelfReading]] = {}
-        self._self_speed = usual_size.UsualSize(
-            stage_rates.FIRST_SELF_READ_TOKENS_PER_S
-        )
-        self._overhead = usual_size.UsualSize(stream_times.FIRST_OVERHEAD_S)
         self._prompt_size = prompt_size
         self._pause = reading_pause.ReadingPause(first_pace=first_pace)
 
@@ -149,13 +145,20 @@
         self, ask: stream_ask.StreamAsk, has_reader: bool
     ) -> float:
         """Return the time from a place to the first event, as measured."""
-        speed = self.tokens_per_s if has_reader else self._self_speed.mean
-        return self._overhead.mean + ask.tokens_to_read / speed
+        speed = (
+            self.tokens_per_s if has_reader else self.self_read_tokens_per_s
+        )
+        return stream_times.OVERHEAD_S + ask.tokens_to_read / speed
 
     @property
     def self_read_tokens_per_s(self) -> float:
-        """How fast decode runners read prompts themselves, as measured."""
-        return self._self_speed.mean
+        """How fast decode runners read prompts themselves.
+
+        Not measured: what shows is the time to a stream's first event,
+        which has waits of the runner's own in it. Taken for reading, they
+        made a lone runner seem ever slower, and leave it ever less.
+        """
+        return self.tokens_per_s * stage_rates.SELF_READ_PART
 
     @property
     def pace_beside_reading(self) -> float:
@@ -174,7 +177,7 @@
     @property
     def self_read_each_s(self) -> float:
         """Time after which a decode runner may read the next prompt."""
-        read_s = self._prompt_size.mean / self._self_speed.mean
+        read_s = self._prompt_size.mean / self.self_read_tokens_per_s
         return read_s + SELF_READ_PAUSE_S
 
     def take(
@@ -186,7 +189,7 @@
     ) -> None:
         """Take note of who reads a prompt from now on."""
         if reader is None:
-            read_s = ask.tokens_to_read / self._self_speed.mean
+            read_s = ask.tokens_to_read / self.self_read_tokens_per_s
             known = self._self_readings.setdefault(decoder.runner_id, [])
             known.append(
                 _SelfReading(
@@ -236,9 +239,6 @@
     ) -> None:
         """Learn from how a stream went, beside whose prompts."""
         place = held.place
-        if end.first_event_s and not place.prefill_id:
-            read_s = max(0.001, end.first_event_s - self._overhead.mean)
-            self._self_speed.note(held.ask.tokens_to_read / read_s)
         beside = [
             one.tokens
             for one in self._self_readings.get(place.decode_id, ())
@@ -246,7 +246,7 @@
             and one.until_s > held.outlook.begins_s
         ]
         if end.whole and end.longest_pause_s:
-            read_s = max(beside, default=0) / self._self_speed.mean
+            read_s = max(beside, default=0) / self.self_read_tokens_per_s
             self._pause.note(end.longest_pause_s, read_s)
 
     def forget_runner(self, runner_id: str) -> None:
@@ -294,7 +294,7 @@
         if beside <= FEW_STREAMS:
             return False
         limit_s = ask.pause_target_s or USUAL_PAUSE_S
-        read_s = ask.tokens_to_read / self._self_speed.mean
+        read_s = ask.tokens_to_read / self.self_read_tokens_per_s
         return read_s > self._pause.longest_reading_s(limit_s)
 
     def self_read_s(
--- a/limpetroute/routing/stage_rates.py
+++ b/limpetroute/routing/stage_rates.py
@@ -12,8 +12,8 @@
 FIRST_EVENTS = 70
 FIRST_PROMPT_TOKENS = 5_000.0
 FIRST_READ_TOKENS_PER_S = 50_000.0
-# A decode runner reads at half the speed, between the tokens of others.
-FIRST_SELF_READ_TOKENS_PER_S = FIRST_READ_TOKENS_PER_S / 2
+# A decode runner reads at half the speed of a prefill runner.
+SELF_READ_PART = 0.5
 # Between two steps of its streams, it reads a piece for this long.
 FIRST_PIECE_S = 0.01
 # Answers differ from what is expected by about a third.
@@ -92,6 +92,6 @@
         read_tokens_per_s=FIRST_READ_TOKENS_PER_S,
         write_tokens_per_s=first_write_tokens_per_s(engine),
         deviation_tokens=output_tokens * FIRST_DEVIATION_PART,
-        self_read_tokens_per_s=FIRST_SELF_READ_TOKENS_PER_S,
+        self_read_tokens_per_s=FIRST_READ_TOKENS_PER_S * SELF_READ_PART,
         pace_beside_reading=first_pace(engine),
     )
--- a/limpetroute/routing/stream_ask.py
+++ b/limpetroute/routing/stream_ask.py
@@ -123,9 +123,6 @@
         Tokens that were written, as far as known; 0 if none.
     decode_s : float
         Time from the first event to the last.
-    first_event_s : float
-        Time from its place to its first event; 0 if that says nothing,
-        as none came or a part of the answer was there before.
     longest_pause_s : float
         Longest time between two of its events.
     failed : tuple of str
@@ -140,7 +137,6 @@
     attempt: int = 0
     output_tokens: int = 0
     decode_s: float = 0.0
-    first_event_s: float = 0.0
     longest_pause_s: float = 0.0
     failed: tuple[str, ...] = ()
     full: tuple[str, ...] = ()
--- a/limpetroute/routing/stream_times.py
+++ b/limpetroute/routing/stream_times.py
@@ -3,10 +3,9 @@
 from limpetroute.routing import stage_rates
 from limpetroute.routing import stream_ask
 
-# From a grant to the first event, beside the reading, until it has been
-# measured: the way to the entry host and two runners, the transfer, the
-# first steps.
-FIRST_OVERHEAD_S = 0.09
+# From a grant to the first event, beside the reading: the way to the
+# entry host and two runners, the transfer, the first steps.
+OVERHEAD_S = 0.09
 # A stream that was begun is lost once its caller leaves, after 3.6 s
 # without an event.
 LONGEST_PAUSE_S = 3.2
@@ -23,4 +22,4 @@
     if ask.goes_on:
         return waited_s < LONGEST_PAUSE_S
     read_s = ask.tokens_to_read / stage_rates.FIRST_READ_TOKENS_PER_S
-    return waited_s + FIRST_OVERHEAD_S + read_s < ask.target_s
+    return waited_s + OVERHEAD_S + read_s < ask.target_s
