Work the pace beside a reading out from the speed of writing

Cause: pauses were learned from streams, but most long ones come from dark runners and slow links.

Change: nothing is learned from pauses; a token's time and the time of a piece give the pace. Less code, and no message carries pauses.

--- a/limpetroute/border/place_bodies.py
+++ b/limpetroute/border/place_bodies.py
@@ -38,7 +38,6 @@
     attempt: int = 0
     output_tokens: int = 0
     decode_s: float = 0.0
-    longest_pause_s: float = 0.0
     failed: tuple[str, ...] = ()
     full: tuple[str, ...] = ()
     whole: bool = False
@@ -50,7 +49,6 @@
             attempt=self.attempt,
             output_tokens=self.output_tokens,
             decode_s=self.decode_s,
-            longest_pause_s=self.longest_pause_s,
             failed=self.failed,
             full=self.full,
             whole=self.whole,
--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -101,7 +101,6 @@
             finally:
                 places.give_back(
                     events_s=self._relay.events_s,
-                    longest_pause_s=self._relay.longest_gap_ms / 1000,
                     tokens=self._tokens_written(),
                     failed=self._failed,
                     full=self._full,
--- a/limpetroute/routing/held_places.py
+++ b/limpetroute/routing/held_places.py
@@ -70,6 +70,11 @@
         """How fast one stream writes, as measured."""
         return self._speed.mean
 
+    @property
+    def event_s(self) -> float:
+        """Usual time between two events of a stream."""
+        return self._engine.tokens_per_event / self._speed.mean
+
     @property
     def deviation_tokens(self) -> float:
         """How far answers are from what was expected of them."""
--- a/limpetroute/routing/reading_pause.py
+++ b/limpetroute/routing/reading_pause.py
@@ -2,70 +2,51 @@
 
 import math
 
-from limpetroute.routing import usual_size
-
-# Between two events of a stream, until it has been measured.
-FIRST_EVENT_S = 0.06
-# Measured paces say little one by one: pauses have other causes. At
-# first, the guess counts for as much as this many of them.
-FIRST_WEIGHT = 8
-LEAST_PACE = 0.01
+# Between two steps of its streams, a decode runner reads a piece of the
+# prompt for this long (a quarter of the usual piece, at half the speed).
+PIECE_S = 0.01
 # Part of the longest good pause that is planned for: pauses differ by a
-# tenth from one prompt to the next (6,500 tokens: 325 ms, 11,000: 466).
-PLANNED_PART = 0.9
-
+# twentieth from one prompt to the next.
+PLANNED_PART = 0.95
 
-class ReadingPause:
-    """How long a decode runner's streams pause while it reads a prompt.
 
-    Between two pieces of a prompt, a runner makes one token for each of
-    its streams: they go on at a slower pace. An event that has seventy
-    tokens waits until the whole prompt is read; one that has eight comes
-    after eight pieces of it.
+def pace(tokens_per_s: float) -> float:
+    """Return how fast streams go on beside a reading.
 
-    Learned from the longest pause of each stream, and from the longest
-    prompt that its runner read beside it.
+    Between two pieces of the prompt, the runner makes one token for each
+    of its streams. Where a token takes six milliseconds, they go on at a
+    third of their speed; where it takes less than one, they all but stand
+    still. Not learned from pauses: most long ones have other causes, and
+    after a fault they kept all prompts away from a lone runner.
 
     Parameters
     ----------
-    first_pace : float
-        Expected pace beside a reading, as a part of the usual one.
+    tokens_per_s : float
+        How fast a stream is written, as measured.
     """
+    step_s = 1 / tokens_per_s
+    return step_s / (step_s + PIECE_S)
 
-    def __init__(self, *, first_pace: float) -> None:
-        self._pace = usual_size.UsualSize(first_pace)
-        for _ in range(FIRST_WEIGHT):
-            self._pace.note(first_pace)
-        self._event = usual_size.UsualSize(FIRST_EVENT_S)
-
-    def __repr__(self) -> str:
-        return f'{type(self).__name__}(pace={self.pace!r})'
-
-    @property
-    def pace(self) -> float:
-        """How fast streams go on beside a reading; 1 if as usual."""
-        return self._pace.mean
 
-    def note(self, pause_s: float, read_s: float) -> None:
-        """Take note of a stream's longest pause.
+def longest_reading_s(
+    limit_s: float, *, event_s: float, pace_beside: float
+) -> float:
+    """Return how long a reading may take for pauses to stay good.
 
-        ``read_s`` is the time of the longest reading beside it; 0 for
-        none.
-        """
-        if not read_s:
-            self._event.note(pause_s)
-            return
-        event_s = self._event.mean
-        if pause_s <= read_s:
-            pace = event_s / pause_s
-        else:
-            pace = 1 - (pause_s - event_s) / read_s
-        self._pace.note(min(1.0, max(LEAST_PACE, pace)))
+    An event that has seventy tokens waits until the whole prompt is read
+    (6,500 tokens: 325 ms, 11,000 tokens: 466 ms); one that has eight
+    comes after eight pieces of it.
 
-    def longest_reading_s(self, limit_s: float) -> float:
-        """Return how long a reading may take for pauses to stay good."""
-        event_s = self._event.mean
-        limit_s *= PLANNED_PART
-        if event_s / self.pace <= limit_s:
-            return math.inf
-        return max(0.0, limit_s - event_s) / (1 - self.pace)
+    Parameters
+    ----------
+    limit_s : float
+        Longest good time between two events.
+    event_s : float
+        The usual time between two events.
+    pace_beside : float
+        How fast streams go on, as a part of their usual speed.
+    """
+    planned_s = limit_s * PLANNED_PART
+    if event_s / pace_beside <= planned_s:
+        return math.inf
+    return max(0.0, planned_s - event_s) / (1 - pace_beside)
--- a/limpetroute/routing/reading_turns.py
+++ b/limpetroute/routing/reading_turns.py
@@ -33,9 +33,6 @@
 # Beside the reading itself: the way to the entry host, to the runner and
 # back, and to who counts.
 WAY_S = 0.02
-# Of the prompts that a decode runner read, these are remembered: more than
-# it reads while one of its streams lasts.
-SELF_READINGS_KEPT = 32
 # Weight of one reading in a runner's measured speed: runners differ by
 # a third, and ten readings last a second.
 SPEED_WEIGHT = 1 / 8
@@ -49,14 +46,6 @@
     since_s: float
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class _SelfReading:
-    request_id: str
-    tokens: int
-    since_s: float
-    until_s: float
-
-
 class ReadingTurns:
     """When runners are free to read the next prompt.
 
@@ -72,8 +61,6 @@
         The places that are given.
     prompt_size : UsualSize
         Lengths of the prompts that come.
-    first_pace : float
-        Expected pace of streams beside a reading; see `ReadingPause`.
     """
 
     def __init__(
@@ -81,14 +68,12 @@
         *,
         held: held_places.HeldPlaces,
         prompt_size: usual_size.UsualSize,
-        first_pace: float,
     ) -> None:
         self._held = held
         self._readings: dict[tuple[str, int], _Reading] = {}
         self._speeds: dict[str, float] = {}
-        self._self_readings: dict[str, list[_SelfReading]] = {}
+        self._self_read_s: dict[str, float] = {}
         self._prompt_size = prompt_size
-        self._pause = reading_pause.ReadingPause(first_pace=first_pace)
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(readings={len(self._readings)!r})'
@@ -163,7 +148,7 @@
     @property
     def pace_beside_reading(self) -> float:
         """Part of their speed at which streams go on beside a reading."""
-        return self._pause.pace
+        return reading_pause.pace(self._held.tokens_per_s)
 
     @property
     def writers_read_well(self) -> bool:
@@ -190,16 +175,9 @@
         """Take note of who reads a prompt from now on."""
         if reader is None:
             read_s = ask.tokens_to_read / self.self_read_tokens_per_s
-            known = self._self_readings.setdefault(decoder.runner_id, [])
-            known.append(
-                _SelfReading(
-                    request_id=ask.request_id,
-                    tokens=ask.tokens_to_read,
-                    since_s=now_s,
-                    until_s=now_s + read_s,
-                )
+            self._self_read_s[decoder.runner_id] = (
+                now_s + read_s + SELF_READ_PAUSE_S
             )
-            del known[:-SELF_READINGS_KEPT]
             return
         ahead = self._queued_tokens(reader.runner_id, now_s)
         self._readings[(ask.request_id, ask.attempt)] = _Reading(
@@ -231,31 +209,13 @@
         """Forget a reading that failed or is not waited for any more."""
         self._readings.pop((request_id, attempt), None)
 
-    def note_end(
-        self,
-        end: stream_ask.StreamEnd,
-        held: held_places.Held,
-        now_s: float,
-    ) -> None:
-        """Learn from how a stream went, beside whose prompts."""
-        place = held.place
-        beside = [
-            one.tokens
-            for one in self._self_readings.get(place.decode_id, ())
-            if one.request_id != end.request_id
-            and one.until_s > held.outlook.begins_s
-        ]
-        if end.whole and end.longest_pause_s:
-            read_s = max(beside, default=0) / self.self_read_tokens_per_s
-            self._pause.note(end.longest_pause_s, read_s)
-
     def forget_runner(self, runner_id: str) -> None:
         """Forget what a runner reads and how fast; it has started again."""
         for key, reading in list(self._readings.items()):
             if reading.reader_id == runner_id:
                 del self._readings[key]
         self._speeds.pop(runner_id, None)
-        self._self_readings.pop(runner_id, None)
+        self._self_read_s.pop(runner_id, None)
 
     def may_read(
         self,
@@ -295,16 +255,17 @@
             return False
         limit_s = ask.pause_target_s or USUAL_PAUSE_S
         read_s = ask.tokens_to_read / self.self_read_tokens_per_s
-        return read_s > self._pause.longest_reading_s(limit_s)
+        return read_s > reading_pause.longest_reading_s(
+            limit_s,
+            event_s=self._held.event_s,
+            pace_beside=self.pace_beside_reading,
+        )
 
     def self_read_s(
         self, decoder: runner_info.RunnerInfo, now_s: float
     ) -> float:
         """Return when a decode runner has read what it was given."""
-        readings = self._self_readings.get(decoder.runner_id)
-        if not readings:
-            return now_s
-        return max(now_s, readings[-1].until_s + SELF_READ_PAUSE_S)
+        return max(now_s, self._self_read_s.get(decoder.runner_id, now_s))
 
     def _queue_s(self, reader_id: str, now_s: float) -> float:
         tokens = self._queued_tokens(reader_id, now_s)
--- a/limpetroute/routing/stage_rates.py
+++ b/limpetroute/routing/stage_rates.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 
+from limpetroute.routing import reading_pause
 from limpetroute.routing import service as service_module
 
 # What is taken for true until streams have been seen, for some seconds.
@@ -14,8 +15,6 @@
 FIRST_READ_TOKENS_PER_S = 50_000.0
 # A decode runner reads at half the speed of a prefill runner.
 SELF_READ_PART = 0.5
-# Between two steps of its streams, it reads a piece for this long.
-FIRST_PIECE_S = 0.01
 # Answers differ from what is expected by about a third.
 FIRST_DEVIATION_PART = 0.3
 
@@ -77,12 +76,6 @@
     return engine.tokens_per_event / FIRST_EVENT_S
 
 
-def first_pace(engine: service_module.Engine) -> float:
-    """Return the pace of streams beside a reading that is expected."""
-    step_s = FIRST_EVENT_S / engine.tokens_per_event
-    return step_s / (step_s + FIRST_PIECE_S)
-
-
 def first_guess(engine: service_module.Engine) -> StageRates:
     """Return what is expected before any stream was seen."""
     output_tokens = float(FIRST_EVENTS * engine.tokens_per_event)
@@ -93,5 +86,7 @@
         write_tokens_per_s=first_write_tokens_per_s(engine),
         deviation_tokens=output_tokens * FIRST_DEVIATION_PART,
         self_read_tokens_per_s=FIRST_READ_TOKENS_PER_S * SELF_READ_PART,
-        pace_beside_reading=first_pace(engine),
+        pace_beside_reading=reading_pause.pace(
+            first_write_tokens_per_s(engine)
+        ),
     )
--- a/limpetroute/routing/stream_ask.py
+++ b/limpetroute/routing/stream_ask.py
@@ -123,8 +123,6 @@
         Tokens that were written, as far as known; 0 if none.
     decode_s : float
         Time from the first event to the last.
-    longest_pause_s : float
-        Longest time between two of its events.
     failed : tuple of str
         Runners that did not answer as they should.
     full : tuple of str
@@ -137,7 +135,6 @@
     attempt: int = 0
     output_tokens: int = 0
     decode_s: float = 0.0
-    longest_pause_s: float = 0.0
     failed: tuple[str, ...] = ()
     full: tuple[str, ...] = ()
     whole: bool = False
--- a/limpetroute/routing/stream_desk.py
+++ b/limpetroute/routing/stream_desk.py
@@ -63,7 +63,6 @@
         self._reading = reading_turns.ReadingTurns(
             held=self._held,
             prompt_size=self._prompt_size,
-            first_pace=guess.pace_beside_reading,
         )
         self._watch = runner_watch.RunnerWatch(uses=self._held.uses)
         self._returns = return_book.ReturnBook()
@@ -158,7 +157,6 @@
         self._reading.drop(end.request_id, end.attempt)
         if held is not None:
             self._comeback.note_end(now_s)
-            self._reading.note_end(end, held, now_s)
         for runner_id in end.full:
             seen = len(self._held.outlooks(runner_id))
             self._watch.full(runner_id, self._engine.slots - seen, now_s)
--- a/tests/routing/test_stream_desk.py
+++ b/tests/routing/test_stream_desk.py
@@ -750,7 +750,6 @@
             request_id=place.request_id,
             output_tokens=100,
             decode_s=0.3,
-            longest_pause_s=0.25,
             whole=True,
         )
         desk.end(end, now_s + 0.7)
