--- a/tests/control/test_runner_table.py
+++ b/tests/control/test_runner_table.py
@@ -145,7 +145,7 @@
 
 
 @hypothesis.given(st.lists(STEP, max_size=30))
-def test_in_each_life_a_runner_only_moves_forward(steps):
+def test_a_runner_only_moves_forward_and_addresses_are_unique(steps):
     """Each life of a runner moves forward, and lives do too."""
     table = runner_table.RunnerTable()
     ranks = {}
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -134,6 +134,7 @@
     'dispatch',
     'entry',
     'forwarding',
+    'platform',
     'runners',
     'wire',
 )
