Take streams at a stopping host only where their longest answer fits

Estimates of length are off by half for one stream in five, so taking streams by them loses some.

Change: the most tokens that an answer may have count.

--- a/limpetroute/forwarding/forward_context.py
+++ b/limpetroute/forwarding/forward_context.py
@@ -92,11 +92,11 @@
         service: service_module.Service,
         generation: caller_request.Generation,
     ) -> bool:
-        """Return whether a stream should end before this host does."""
+        """Return whether a stream surely ends before this host does."""
         if self.ends_s is None:
             return True
         return last_streams.may_take(
-            expected_tokens=generation.expected_output_tokens,
+            most_tokens=generation.max_output_tokens,
             tokens_per_s=self._speed(service).mean,
             left_s=self.ends_s - _now_s(),
         )
--- a/limpetroute/routing/last_streams.py
+++ b/limpetroute/routing/last_streams.py
@@ -1,32 +1,32 @@
 """Which streams a host that stops still takes."""
 
-# Callers' estimates of length are right at the median and often off by
-# half.
-LENGTH_MARGIN = 1.5
+# Streams are slower than usual while runners are full or preempt them.
+SPEED_MARGIN = 1.5
 # From its arrival to its first event, where nothing has to be waited for.
 BEGIN_S = 0.6
 
 
-def may_take(
-    *, expected_tokens: int, tokens_per_s: float, left_s: float
-) -> bool:
+def may_take(*, most_tokens: int, tokens_per_s: float, left_s: float) -> bool:
     """Return whether a stream should end before this host does.
 
     Pattern: hosts are stopped one after the other, faster than each of
     them ends; a zone then has one host in three that does not stop, and
     the balancer sends callers to all of them again. Refused there, a
     caller has one try left, and in a burst it is refused for good (26
-    refusals of 480 streams in eight seconds). A stream that fits into
-    the time that is left is served.
+    refusals of 480 streams in eight seconds). A stream that surely ends
+    in the time that is left is served. Its longest answer counts, not
+    the expected one: estimates are off by half for one stream in five,
+    and one that was taken now and is cut at the end is lost by a planned
+    stop.
 
     Parameters
     ----------
-    expected_tokens : int
-        Tokens of its answer.
+    most_tokens : int
+        Tokens that its answer may have.
     tokens_per_s : float
         How fast streams are written, as measured.
     left_s : float
         Time until this host breaks off what is still open.
     """
-    needed_s = BEGIN_S + LENGTH_MARGIN * expected_tokens / tokens_per_s
+    needed_s = BEGIN_S + SPEED_MARGIN * most_tokens / tokens_per_s
     return needed_s <= left_s
--- a/tests/routing/test_last_streams.py
+++ b/tests/routing/test_last_streams.py
@@ -6,15 +6,16 @@
 
 
 @pytest.mark.parametrize(
-    ('expected_tokens', 'left_s', 'taken'),
+    ('most_tokens', 'left_s', 'taken'),
     [(300, 5.0, True), (300, 2.0, False), (800, 5.0, False), (50, 1.2, True)],
 )
-def test_a_stream_that_fits_is_taken(expected_tokens, left_s, taken):
+def test_a_stream_that_surely_ends_is_taken(most_tokens, left_s, taken):
     """Two of a zone's three hosts stop, and callers reach all three.
 
-    Refused, each caller has one try left in the middle of a burst.
+    Refused, each caller has one try left in the middle of a burst. Taken
+    by an estimate, one in five was cut when its host ended.
     """
     got = last_streams.may_take(
-        expected_tokens=expected_tokens, tokens_per_s=170.0, left_s=left_s
+        most_tokens=most_tokens, tokens_per_s=170.0, left_s=left_s
     )
     assert got is taken
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import time
 
 EVENTS = 12
 EVENT_S = 0.04
@@ -17,6 +18,7 @@
         self.runs = []
         self.slow_s = 0.0
         self.leaving = False
+        self.started_ms = round(time.time() * 1000)
         # When a heartbeat that says so was acknowledged.
         self.draining_since = None
         self.served_s = []
@@ -36,9 +38,12 @@
             'service': self.service,
             'address': self.address,
             'zone': 'a',
+            'version': 'v1',
             'slots': 12,
             'state': 'draining' if self.leaving else 'ready',
+            'cold-left-ms': 0,
             'seq': sequence,
+            'born': self.started_ms,
         }
         if self.stage:
             body['stage'] = self.stage
