--- a/tests/control/seed_fleet.py
+++ b/tests/control/seed_fleet.py
@@ -54,7 +54,11 @@
 
     def desk(self, host):
         node = self.servers[host].node
-        return desk_module.Desk(node=node, http=caller.Caller())
+        return desk_module.Desk(
+            node=node,
+            http=caller.Caller(),
+            read_services=lambda text: frozenset(),
+        )
 
     def voters(self):
         """Return the voters as the leader sees them, by host."""
