Let a few first callers not outweigh the first guess

All prompts were then read by writers.

Change: the first guess counts for as much as sixteen streams.

--- a/limpetroute/routing/usual_size.py
+++ b/limpetroute/routing/usual_size.py
@@ -3,24 +3,28 @@
 # Of the mean, this part is from the newest one; some sixty streams, a few
 # seconds of them, make up most of it.
 LEAST_WEIGHT = 1 / 32
+# The first guess counts for as much as this many, two seconds of a calm
+# service: the first three estimates of a day were a third of the usual
+# answer, and by their mean a writer was ordered to read, for the twelve
+# seconds that an order and the one back take.
+GUESS_WEIGHT = 16
 
 
 class UsualSize:
     """The mean of what came of late.
 
-    Each of the first ones counts as much as the others, so that a first
-    guess is forgotten after a few; later the newest ones push earlier
-    ones out.
+    Each of the first ones counts as much as the others; later the newest
+    ones push earlier ones, and the first guess, out.
 
     Parameters
     ----------
     first : float
-        Returned until something came.
+        The first guess.
     """
 
     def __init__(self, first: float) -> None:
         self._mean = first
-        self._count = 0
+        self._count = GUESS_WEIGHT
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(mean={self._mean!r})'
--- a/tests/routing/test_stage_split.py
+++ b/tests/routing/test_stage_split.py
@@ -14,6 +14,7 @@
 from limpetroute.routing import reading_turns
 from limpetroute.routing import stage_rates
 from limpetroute.routing import stage_split
+from limpetroute.routing import stream_desk
 from tests.routing import builders
 
 # Memory for nine streams of the mean size, and twelve places.
@@ -179,6 +180,24 @@
     raise AssertionError('never comes to rest')
 
 
+def test_the_first_callers_of_a_day_move_no_runner():
+    """Four runners, one of which reads, and three callers.
+
+    All three expected a third of the usual answer. By their mean two
+    readers would be best: a writer was away for six seconds, and two
+    runners left soon after.
+    """
+    desk = stream_desk.StreamDesk(engine=SMALL)
+    runners = [builders.make_runner('a', builders.PREFILL)]
+    runners += [builders.make_runner(name) for name in 'bcd']
+    for n in range(3):
+        desk.ask(builders.make_ask(f's{n}', output_tokens=1500), 0.0)
+        change = stage_split.next_change(
+            runners, engine=SMALL, changing=(), rates=desk.rates
+        )
+        assert change is None
+
+
 def test_of_many_runners_a_few_change_at_a_time():
     """Forty-five runners start with a third too few readers.
 
