Leave no silent runner where the route allows no other send

A full runner preempts and is silent for seconds; after one second it was left as if another send might follow.

Ruled out: nothing else was looked at.

Change: silence ends a send only where another one may follow. The test fails without it. Still open: a silent runner is left before a place elsewhere is sure.

--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -260,7 +260,9 @@
             if result is None:
                 if source is not None:
                     source.taken = True
-                result = await self._relay.run(call)
+                result = await self._relay.run(
+                    call, may_leave=self._history.another_may_follow
+                )
         self._judge(runner, result, source, _now_s() - begun_s)
         step = self._decide(result)
         context.log_send(
--- a/limpetroute/forwarding/stream_relay.py
+++ b/limpetroute/forwarding/stream_relay.py
@@ -88,12 +88,18 @@
         return _now_s() - (since_s or self._request.received_s)
 
     async def run(
-        self, call: runner_call.RunnerCall
+        self, call: runner_call.RunnerCall, *, may_leave: bool
     ) -> send_result.SendResult:
-        """Pass whole events on as they come; return how it ended."""
+        """Pass whole events on as they come; return how it ended.
+
+        A silent runner is only left where ``may_leave`` says that the
+        stream may go on elsewhere. A full runner that preempts is silent
+        for seconds and goes on: left with no other send allowed, its
+        caller had the answer cut in the middle for nothing.
+        """
         responder = self._responder
         idle_s = self._context.left_s(self._request, self._route)
-        if self._route.resumable:
+        if self._route.resumable and may_leave:
             idle_s = min(idle_s, SILENT_S)
         try:
             async for chunk in call.chunks(idle_s):
--- a/limpetroute/routing/send_history.py
+++ b/limpetroute/routing/send_history.py
@@ -27,6 +27,11 @@
             f'ran_before={self._ran_before!r})'
         )
 
+    @property
+    def another_may_follow(self) -> bool:
+        """Whether the route allows a send after one that runs now."""
+        return self.sends + 1 < self._route.max_sends
+
     def decide(
         self,
         result: send_result.SendResult,
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -439,3 +439,39 @@
         assert _events(got) == [3, 4]
 
     run(work())
+
+
+def test_a_silent_runner_is_not_left_where_no_other_send_is_allowed():
+    """A runner is full, and the next one is silent for a while.
+
+    It preempts a stream and goes on with it after 1.3 s. Two sends are
+    all that the route allows; the second was ended as if a third might
+    follow, and the caller's answer was cut in the middle.
+    """
+
+    async def work():
+        sends = []
+
+        async def full_then_silent(seen, writer):
+            sends.append(seen)
+            if len(sends) == 1:
+                refusal = scripted_runner.response(
+                    b'', status=503, **{'Not-Run': '1'}
+                )
+                writer.write(refusal)
+                await writer.drain()
+                return
+            writer.write(scripted_runner.STREAM_HEAD + chunk(event(1)))
+            await writer.drain()
+            await asyncio.sleep(1.3)
+            writer.write(chunk(event(2)) + scripted_runner.LAST_CHUNK)
+            await writer.drain()
+
+        async with harness.running(
+            [full_then_silent] * 2, stages=[DECODE] * 2, **RESUMABLE
+        ) as (front, _):
+            got = await front.ask(more=USAGE)
+        assert _events(got) == [1, 2]
+        assert _complete(got)
+
+    run(work())
