--- a/limpetroute/dispatch/stage_orders.py
+++ b/limpetroute/dispatch/stage_orders.py
@@ -1,4 +1,4 @@
-"""Orders runners to their stages, one at a time."""
+"""Orders runners to their stages, a few at a time."""
 
 import asyncio
 import dataclasses
@@ -40,7 +40,7 @@
 
 
 class StageOrders:
-    """Orders runners to their stages, one at a time.
+    """Orders runners to their stages, a few at a time.
 
     Parameters
     ----------
--- a/limpetroute/routing/held_places.py
+++ b/limpetroute/routing/held_places.py
@@ -16,21 +16,7 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Held:
-    """A place that is given.
-
-    Parameters
-    ----------
-    place : StreamPlace
-        The place.
-    ask : StreamAsk
-        What it was given for.
-    outlook : StreamOutlook
-        How its stream's memory grows.
-    expires_s : float
-        When its caller is surely gone.
-    """
-
+class _Held:
     place: stream_ask.StreamPlace
     ask: stream_ask.StreamAsk
     outlook: decode_room.StreamOutlook
@@ -48,7 +34,7 @@
 
     def __init__(self, *, engine: service_module.Engine) -> None:
         self._engine = engine
-        self._held: dict[str, Held] = {}
+        self._held: dict[str, _Held] = {}
         self._lengths = length_estimate.LengthEstimate()
         first_error = stage_rates.first_guess(engine).deviation_tokens
         self._square_error = usual_size.UsualSize(first_error * first_error)
@@ -95,7 +81,7 @@
         begins_s: float,
     ) -> None:
         """Take note of a place that is given."""
-        self._held[place.request_id] = Held(
+        self._held[place.request_id] = _Held(
             place=place,
             ask=ask,
             outlook=self.outlook(ask, begins_s),
@@ -107,12 +93,12 @@
         held = self._held.pop(request_id, None)
         return held.ask.attempt if held is not None else None
 
-    def end(self, end: stream_ask.StreamEnd) -> Held | None:
+    def end(self, end: stream_ask.StreamEnd) -> stream_ask.StreamPlace | None:
         """Take a place back, learn from its stream, and return it.
 
         Returns
         -------
-        Held or None
+        StreamPlace or None
             None where the place was taken back before; what says so was
             overtaken by the next ask under the same id.
         """
@@ -129,7 +115,7 @@
                 said_tokens=held.ask.output_tokens,
                 came_tokens=end.output_tokens,
             )
-        return held
+        return held.place
 
     def expire(self, now_s: float) -> None:
         """Drop places whose entry host died without giving them back."""
--- a/limpetroute/routing/last_streams.py
+++ b/limpetroute/routing/last_streams.py
@@ -7,7 +7,7 @@
 
 
 def may_take(*, most_tokens: int, tokens_per_s: float, left_s: float) -> bool:
-    """Return whether a stream should end before this host does.
+    """Return whether a stream surely ends before this host does.
 
     Pattern: hosts are stopped one after the other, faster than each of
     them ends; a zone then has one host in three that does not stop, and
--- a/limpetroute/routing/reading_pause.py
+++ b/limpetroute/routing/reading_pause.py
@@ -5,6 +5,10 @@
 # Between two steps of its streams, a decode runner reads a piece of the
 # prompt for this long (a quarter of the usual piece, at half the speed).
 PIECE_S = 0.01
+# Streams that go on at less than this part of their speed beside a reading
+# pause for longer than their events may: an event of 50 ms then takes a
+# quarter of a second, and some do without a reading.
+LEAST_PACE = 0.2
 # Part of the longest good pause that is planned for: pauses differ by a
 # twentieth from one prompt to the next.
 PLANNED_PART = 0.95
@@ -28,6 +32,11 @@
     return step_s / (step_s + PIECE_S)
 
 
+def is_good_beside(pace_beside: float) -> bool:
+    """Return whether streams go on while their runner reads a prompt."""
+    return pace_beside >= LEAST_PACE
+
+
 def longest_reading_s(
     limit_s: float, *, event_s: float, pace_beside: float
 ) -> float:
--- a/limpetroute/routing/reading_turns.py
+++ b/limpetroute/routing/reading_turns.py
@@ -17,9 +17,6 @@
 # A prompt that holds a runner's streams up for too long is still read
 # where it has no more streams than this: less is lost than gained.
 FEW_STREAMS = 3
-# Streams that go on at less than this part of their speed beside a
-# reading pause for longer than their events may.
-LEAST_PACE = 0.2
 # Longest pause between events where a route names none.
 USUAL_PAUSE_S = 0.3
 # Readings that are queued at a prefill runner. Who waits there cannot be
@@ -157,7 +154,7 @@
         Where they all but stand still, each prompt that a writer reads
         makes an event of all its streams late.
         """
-        return self.pace_beside_reading >= LEAST_PACE
+        return reading_pause.is_good_beside(self.pace_beside_reading)
 
     @property
     def self_read_each_s(self) -> float:
--- a/limpetroute/routing/stage_rates.py
+++ b/limpetroute/routing/stage_rates.py
@@ -36,10 +36,6 @@
         How fast a decode runner writes each of its streams.
     deviation_tokens : float
         How far answers are from what was expected of them.
-    self_read_tokens_per_s : float
-        How fast a decode runner reads a prompt itself.
-    pace_beside_reading : float
-        How fast its streams go on meanwhile, as a part of their speed.
     """
 
     prompt_tokens: float
@@ -47,8 +43,6 @@
     read_tokens_per_s: float
     write_tokens_per_s: float
     deviation_tokens: float
-    self_read_tokens_per_s: float
-    pace_beside_reading: float
 
     @property
     def read_s(self) -> float:
@@ -58,7 +52,12 @@
     @property
     def self_read_s(self) -> float:
         """Time that a decode runner takes for a prompt."""
-        return self.prompt_tokens / self.self_read_tokens_per_s
+        return self.read_s / SELF_READ_PART
+
+    @property
+    def pace_beside_reading(self) -> float:
+        """Part of their speed at which its streams go on meanwhile."""
+        return reading_pause.pace(self.write_tokens_per_s)
 
     @property
     def write_s(self) -> float:
@@ -85,8 +84,4 @@
         read_tokens_per_s=FIRST_READ_TOKENS_PER_S,
         write_tokens_per_s=first_write_tokens_per_s(engine),
         deviation_tokens=output_tokens * FIRST_DEVIATION_PART,
-        self_read_tokens_per_s=FIRST_READ_TOKENS_PER_S * SELF_READ_PART,
-        pace_beside_reading=reading_pause.pace(
-            first_write_tokens_per_s(engine)
-        ),
     )
--- a/limpetroute/routing/stage_split.py
+++ b/limpetroute/routing/stage_split.py
@@ -6,17 +6,15 @@
 
 from limpetroute.decisions import stage as stage_module
 from limpetroute.routing import memory_headroom
-from limpetroute.routing import reading_turns
+from limpetroute.routing import reading_pause
 from limpetroute.routing import runner_info
 from limpetroute.routing import service as service_module
 from limpetroute.routing import stage_rates
+from limpetroute.routing import stream_times
 
 # Part of its time for which a prefill runner can be kept busy: prompts
 # come in clumps, and one that waits for more than a few others is late.
 READ_USE = 0.85
-# From a place to the first token, beside the reading: the stream's memory
-# is taken meanwhile.
-BEGIN_S = 0.09
 # Halvings of the interval in which a split's rate is looked for: to a
 # thousandth of it.
 HALVINGS = 10
@@ -61,13 +59,11 @@
     counted: each such prompt makes the events of all others late.
     """
     by_readers = readers * READ_USE / rates.read_s
-    use = (
-        READ_USE
-        if rates.pace_beside_reading >= reading_turns.LEAST_PACE
-        else 0.0
-    )
+    use = 0.0
+    if reading_pause.is_good_beside(rates.pace_beside_reading):
+        use = READ_USE
     places = writers * _at_once(engine, rates)
-    begin_s = rates.read_s + BEGIN_S
+    begin_s = rates.read_s + stream_times.OVERHEAD_S
     least = 0.0
     most = places / (begin_s + rates.write_s)
     for _ in range(HALVINGS):
--- a/limpetroute/routing/stream_desk.py
+++ b/limpetroute/routing/stream_desk.py
@@ -15,11 +15,8 @@
 from limpetroute.routing import stream_turns
 from limpetroute.routing import usual_size
 from limpetroute.routing import waiting_stream
+from limpetroute.routing import writer_choice
 
-# Part of the memory by which a runner of the caller's zone may be fuller
-# than another one and still be taken: an answer is 24 KB that would be
-# paid for between zones. A stream takes 4 to 8 % of a runner.
-NEAR_SHARE = 0.08
 # A large stream at the head that does not fit lets smaller ones pass for
 # this long; after that, room that becomes free is kept for it.
 PASSED_OVER_S = 0.25
@@ -65,6 +62,12 @@
             prompt_size=self._prompt_size,
         )
         self._watch = runner_watch.RunnerWatch(uses=self._held.uses)
+        self._writers = writer_choice.WriterChoice(
+            engine=engine,
+            held=self._held,
+            reading=self._reading,
+            watch=self._watch,
+        )
         self._returns = return_book.ReturnBook()
         self._waiting: dict[str, waiting_stream.WaitingStream] = {}
         self._comeback = comeback_time.ComebackTime()
@@ -100,8 +103,6 @@
             read_tokens_per_s=self._reading.tokens_per_s,
             write_tokens_per_s=self._held.tokens_per_s,
             deviation_tokens=self._held.deviation_tokens,
-            self_read_tokens_per_s=self._reading.self_read_tokens_per_s,
-            pace_beside_reading=self._reading.pace_beside_reading,
         )
 
     def gone_s(
@@ -153,19 +154,19 @@
 
     def end(self, end: stream_ask.StreamEnd, now_s: float) -> None:
         """Take a place back and learn from how the stream went."""
-        held = self._held.end(end)
+        place = self._held.end(end)
         self._reading.drop(end.request_id, end.attempt)
-        if held is not None:
+        if place is not None:
             self._comeback.note_end(now_s)
         for runner_id in end.full:
             seen = len(self._held.outlooks(runner_id))
             self._watch.full(runner_id, self._engine.slots - seen, now_s)
         for runner_id in end.failed:
             self._watch.failed(runner_id, now_s)
-        if held is not None and not end.failed:
+        if place is not None and not end.failed:
             # Of the reader it says nothing new: its part was over
             # seconds ago, and it may be gone since.
-            self._watch.went_well(held.place.decode_id)
+            self._watch.went_well(place.decode_id)
 
     def adopt(
         self,
@@ -307,7 +308,7 @@
                 return None
             reader = None
             ready_s = by_writer_s
-        best = self._best_writer(one.ask, decoders, reader, ready_s, now_s)
+        best = self._writers.best(one.ask, decoders, reader, ready_s, now_s)
         if best is None:
             return None
         place = stream_ask.StreamPlace(
@@ -321,57 +322,6 @@
         self._held.add(place, one.ask, sent_s=one.sent_s, begins_s=ready_s)
         return place
 
-    def _best_writer(
-        self,
-        ask: stream_ask.StreamAsk,
-        decoders: list[runner_info.RunnerInfo],
-        reader: runner_info.RunnerInfo | None,
-        ready_s: float,
-        now_s: float,
-    ) -> runner_info.RunnerInfo | None:
-        """Return the decode runner with most memory left, if one has room.
-
-        Without a reader, it is one that may read the prompt itself.
-        """
-        best = None
-        best_rank = 0.0
-        for runner in decoders:
-            if reader is None and not self._reading.may_read(
-                ask, runner, now_s
-            ):
-                continue
-            rank = self._rank(ask, runner, ready_s, now_s)
-            if rank is None:
-                continue
-            if best is None or rank > best_rank:
-                best, best_rank = runner, rank
-        return best
-
-    def _rank(
-        self,
-        ask: stream_ask.StreamAsk,
-        runner: runner_info.RunnerInfo,
-        ready_s: float,
-        now_s: float,
-    ) -> float | None:
-        """Return the memory left at a runner, or None without room."""
-        if runner.runner_id in ask.avoid:
-            return None
-        taken = len(self._held.outlooks(runner.runner_id))
-        hidden = self._watch.hidden(runner.runner_id, now_s)
-        if taken + hidden >= self._engine.slots:
-            return None
-        room = self._held.room_tokens(taken + 1)
-        peak = self._held.peak_with(
-            runner.runner_id, ask, begins_s=ready_s, now_s=now_s
-        )
-        if peak > room:
-            return None
-        rank = room - peak
-        if runner.zone == ask.zone:
-            rank += room * NEAR_SHARE
-        return rank
-
     # Refusals
 
     def _refuse_hopeless(
