Work out from the route how long callers of a stream wait

Cause: places were given up to 2.4 s, and begun streams carried on up to 3.2 s, after a stream's last event, as callers leave after 3.6 s. On a service with another target, streams would be refused that callers wait for, or read for callers that have left.

Change: the adapter decodes the time; it goes with the ask for a place. On the three sites nothing changes. The shortest stream that is measured stands once.

Figures: none; the tests fail without it (targets of 0.2 and 2 s).

--- a/limpetroute/border/place_bodies.py
+++ b/limpetroute/border/place_bodies.py
@@ -24,6 +24,7 @@
     attempt: int = 0
     avoid: tuple[str, ...] = ()
     pause_target_s: float | None = None
+    silence_s: float = stream_ask.USUAL_SILENCE_S
 
     def ask(self) -> stream_ask.StreamAsk:
         """Return what it says."""
--- a/limpetroute/forwarding/place_client.py
+++ b/limpetroute/forwarding/place_client.py
@@ -7,15 +7,16 @@
 import typing
 
 from limpetroute.routing import stream_ask
+from limpetroute.routing import stream_times
 from limpetroute.wire import call_failed
 from limpetroute.wire import caller
 
 LOG = logging.getLogger(__name__)
 
-# The leader holds a call while there is no place, and refuses after
-# 2.4 s at most. Where nothing comes for this long it is gone, and this
-# host decides for itself.
-ASK_TIMEOUT_S = 2.7
+# The leader holds a call while there is no place, for as long as one is
+# worth giving. Where nothing comes for this much longer it is gone, and
+# this host decides for itself.
+ASK_MARGIN_S = 0.3
 # Control hosts are some milliseconds away. One that answers neither try
 # to connect is cut off; until it is heard to lead again, or for this
 # long, it is not tried: each try costs a stream a quarter second.
@@ -91,7 +92,7 @@
                 method='POST',
                 url=f'{self._leader_url}/v1/places',
                 body=dataclasses.asdict(ask),
-                timeout_s=ASK_TIMEOUT_S,
+                timeout_s=_answer_due_s(ask) + ASK_MARGIN_S,
                 connect_tries_s=CONNECT_TRIES_S,
             )
         except asyncio.CancelledError:
@@ -221,3 +222,8 @@
 
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
+
+
+def _answer_due_s(ask: stream_ask.StreamAsk) -> float:
+    """Return how long the leader may hold this call."""
+    return max(0.0, stream_times.longest_wait_s(ask) - ask.waited_s)
--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -12,6 +12,7 @@
 from limpetroute.forwarding import runner_call
 from limpetroute.forwarding import stream_places
 from limpetroute.forwarding import stream_relay
+from limpetroute.routing import held_places
 from limpetroute.routing import next_step
 from limpetroute.routing import route as route_module
 from limpetroute.routing import runner_info
@@ -25,8 +26,6 @@
 # Prefill runners that may fail a prompt before its caller is told to
 # come back.
 MAX_READINGS = 2
-# Streams that took less say little of how fast they are written.
-LEAST_MEASURED_S = 0.2
 
 
 class StreamForward:
@@ -122,7 +121,7 @@
 
     def _note_speed(self) -> None:
         events_s = self._relay.events_s
-        if self._whole and events_s > LEAST_MEASURED_S:
+        if self._whole and events_s > held_places.LEAST_MEASURED_S:
             self._context.note_speed(
                 self._service, self._tokens_written() / events_s
             )
--- a/limpetroute/forwarding/stream_places.py
+++ b/limpetroute/forwarding/stream_places.py
@@ -160,6 +160,7 @@
             attempt=self._attempt,
             avoid=tuple(so_far.tried),
             pause_target_s=self._route.gap_target_s,
+            silence_s=self._route.silence_s,
         )
 
     def _rooms(self, place: stream_ask.StreamPlace) -> Rooms | None:
--- a/limpetroute/platform/routes_codec.py
+++ b/limpetroute/platform/routes_codec.py
@@ -10,6 +10,11 @@
 from limpetroute.routing import service
 
 MILLIS = 1000.0
+# Callers leave a stream after the longest of these without an event: a
+# time, so many times the route's target, so many times its longest pause.
+LEAST_SILENCE_S = 2.0
+TARGETS_OF_SILENCE = 4.0
+PAUSES_OF_SILENCE = 8.0
 
 _KINDS = {
     'idempotent': route_kind.RouteKind.IDEMPOTENT,
@@ -71,6 +76,11 @@
         shares=tuple(shares),
         max_sends=body.attempts,
         resumable=body.resumable,
+        silence_s=max(
+            LEAST_SILENCE_S,
+            TARGETS_OF_SILENCE * body.slo_ms / MILLIS,
+            PAUSES_OF_SILENCE * (gap_s or 0.0),
+        ),
     )
 
 
--- a/limpetroute/routing/route.py
+++ b/limpetroute/routing/route.py
@@ -41,6 +41,8 @@
         Runners that one attempt of a caller may be sent to.
     resumable : bool
         Whether a stream may go on at another runner.
+    silence_s : float
+        Time without an event after which a stream's caller leaves.
     """
 
     name: str
@@ -54,6 +56,7 @@
     shares: tuple[Share, ...]
     max_sends: int
     resumable: bool
+    silence_s: float
 
     @property
     def repeatable(self) -> bool:
--- a/limpetroute/routing/stream_ask.py
+++ b/limpetroute/routing/stream_ask.py
@@ -2,6 +2,9 @@
 
 import dataclasses
 
+# Of a stream whose first event is due within 0.9 s.
+USUAL_SILENCE_S = 3.6
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class StreamAsk:
@@ -45,6 +48,8 @@
         Decode runners that it must not go to.
     pause_target_s : float or None
         Longest time between two events that is good, if its route says.
+    silence_s : float
+        Time without an event after which its caller leaves.
     """
 
     request_id: str
@@ -64,6 +69,7 @@
     attempt: int = 0
     avoid: tuple[str, ...] = ()
     pause_target_s: float | None = None
+    silence_s: float = USUAL_SILENCE_S
 
     @property
     def tokens_to_read(self) -> int:
--- a/limpetroute/routing/stream_times.py
+++ b/limpetroute/routing/stream_times.py
@@ -6,9 +6,20 @@
 # From a grant to the first event, beside the reading: the way to the
 # entry host and two runners, the transfer, the first steps.
 OVERHEAD_S = 0.09
-# A stream that was begun is lost once its caller leaves, after 3.6 s
-# without an event.
-LONGEST_PAUSE_S = 3.2
+# A stream that was begun is lost once its caller leaves without an event.
+# A place that is given later than this before that comes too late for one:
+# a third of a second, and the next step.
+LAST_CHANCE_S = 0.4
+# The same for a stream that has to be read first and begins anew: a long
+# prompt takes half a second, and a reader is waited for.
+LAST_CHANCE_TO_BEGIN_S = 1.2
+
+
+def longest_wait_s(ask: stream_ask.StreamAsk) -> float:
+    """Return how long after its last event a place is still worth giving."""
+    if ask.goes_on:
+        return ask.silence_s - LAST_CHANCE_S
+    return ask.silence_s - LAST_CHANCE_TO_BEGIN_S
 
 
 def may_wait(ask: stream_ask.StreamAsk, wait_s: float) -> bool:
@@ -20,6 +31,6 @@
     """
     waited_s = ask.waited_s + wait_s
     if ask.goes_on:
-        return waited_s < LONGEST_PAUSE_S
+        return waited_s < longest_wait_s(ask)
     read_s = ask.tokens_to_read / stage_rates.FIRST_READ_TOKENS_PER_S
     return waited_s + OVERHEAD_S + read_s < ask.target_s
--- a/limpetroute/routing/waiting_stream.py
+++ b/limpetroute/routing/waiting_stream.py
@@ -5,10 +5,6 @@
 from limpetroute.routing import stream_ask
 from limpetroute.routing import stream_times
 
-# A stream waits no longer than this for a place, counted from its
-# caller's send: callers leave 3.6 s after it without a first event.
-LONGEST_WAIT_S = 2.4
-
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class WaitingStream:
@@ -36,9 +32,7 @@
     @property
     def longest_s(self) -> float:
         """How long after `sent_s` a place is still worth giving."""
-        if self.ask.goes_on:
-            return stream_times.LONGEST_PAUSE_S
-        return LONGEST_WAIT_S
+        return stream_times.longest_wait_s(self.ask)
 
     def in_time(self, at_s: float, needed_s: float) -> bool:
         """Return whether a place given then makes its target.
--- a/tests/platform/test_routes_codec.py
+++ b/tests/platform/test_routes_codec.py
@@ -94,3 +94,20 @@
     for end in range(0, len(text), 7):
         with pytest.raises(routes_codec.InvalidRoutesError):
             routes_codec.decode(text[:end])
+
+
+@pytest.mark.parametrize(
+    ('target_ms', 'pause_ms', 'silence_s'),
+    [(900, 300, 3.6), (200, 100, 2.0), (2000, 300, 8.0), (300, 600, 4.8)],
+)
+def test_how_long_callers_wait_follows_from_the_route(
+    target_ms, pause_ms, silence_s
+):
+    """With a fixed time, places are refused that callers wait for.
+
+    Or given to callers that have left, where targets are short.
+    """
+    body = make_body()
+    body['routes'][0].update({'slo-ms': target_ms, 'gap-slo-ms': pause_ms})
+    plan = routes_codec.decode(json.dumps(body))
+    assert plan.routes[0].silence_s == pytest.approx(silence_s)
--- a/tests/routing/builders.py
+++ b/tests/routing/builders.py
@@ -61,6 +61,7 @@
         'shares': (route.Share(service='plain', weight=1.0),),
         'max_sends': 2,
         'resumable': False,
+        'silence_s': 3.6,
         **fields,
     }
     return route.Route(**values)
