--- a/limpetroute/border/place_bodies.py
+++ b/limpetroute/border/place_bodies.py
@@ -1,11 +1,11 @@
 """What entry hosts post about streams' places."""
 
 from limpetroute.border import strict_model
-from limpetroute.routing import stream_ask
+from limpetroute.routing import placement
 
 
 class AskBody(strict_model.StrictModel):
-    """See `StreamAsk`."""
+    """See `PlacementRequest`."""
 
     request_id: str
     service: str
@@ -24,15 +24,15 @@
     attempt: int = 0
     avoid: tuple[str, ...] = ()
     pause_target_s: float | None = None
-    silence_s: float = stream_ask.USUAL_SILENCE_S
+    silence_s: float = placement.USUAL_SILENCE_S
 
-    def ask(self) -> stream_ask.StreamAsk:
+    def ask(self) -> placement.PlacementRequest:
         """Return what it says."""
-        return stream_ask.StreamAsk(**self.model_dump())
+        return placement.PlacementRequest(**self.model_dump())
 
 
 class EndBody(strict_model.StrictModel):
-    """See `StreamEnd`."""
+    """See `Release`."""
 
     service: str
     request_id: str
@@ -43,9 +43,9 @@
     full: tuple[str, ...] = ()
     whole: bool = False
 
-    def end(self) -> stream_ask.StreamEnd:
+    def end(self) -> placement.Release:
         """Return what it says."""
-        return stream_ask.StreamEnd(
+        return placement.Release(
             request_id=self.request_id,
             attempt=self.attempt,
             output_tokens=self.output_tokens,
@@ -71,9 +71,9 @@
     prefill_id: str
     asked: AskBody
 
-    def place(self) -> stream_ask.StreamPlace:
+    def place(self) -> placement.Placement:
         """Return the place."""
-        return stream_ask.StreamPlace(
+        return placement.Placement(
             request_id=self.asked.request_id,
             decode_id=self.decode_id,
             prefill_id=self.prefill_id,
--- a/limpetroute/dispatch/dispatcher.py
+++ b/limpetroute/dispatch/dispatcher.py
@@ -8,10 +8,10 @@
 from limpetroute.control import node as node_module
 from limpetroute.dispatch import order_dialect
 from limpetroute.dispatch import stage_orders
+from limpetroute.routing import placement
 from limpetroute.routing import runner_info
 from limpetroute.routing import service as service_module
-from limpetroute.routing import stream_ask
-from limpetroute.routing import stream_desk
+from limpetroute.routing import stream_scheduler
 from limpetroute.telemetry import boot_clock
 from limpetroute.wire import caller
 
@@ -25,12 +25,12 @@
 # runners that are full, and prompts would be read for nothing.
 ADOPT_S = 0.5
 
-Answer = stream_ask.StreamPlace | stream_ask.StreamRefusal
+Answer = placement.Placement | placement.Rejection
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class _Pending:
-    ask: stream_ask.StreamAsk
+    ask: placement.PlacementRequest
     future: asyncio.Future[Answer]
 
 
@@ -61,7 +61,7 @@
             dialect=dialect,
             http=caller.Caller(),
         )
-        self._desks: dict[str, stream_desk.StreamDesk] = {}
+        self._desks: dict[str, stream_scheduler.StreamScheduler] = {}
         self._pending: dict[str, _Pending] = {}
         self._services: dict[str, service_module.Service] = {}
         self._routes_index = 0
@@ -89,7 +89,7 @@
         """Whether this host leads, and surely no other."""
         return self._node.config.replica.lease_valid(boot_clock.now_s())
 
-    async def place(self, ask: stream_ask.StreamAsk) -> Answer | None:
+    async def place(self, ask: placement.PlacementRequest) -> Answer | None:
         """Return a stream's place, or None if this host cannot decide."""
         if not self.leads:
             return None
@@ -124,7 +124,7 @@
             desk.read(request_id, attempt, boot_clock.now_s())
             self._decide(service, desk)
 
-    def end(self, service: str, end: stream_ask.StreamEnd) -> None:
+    def end(self, service: str, end: placement.Release) -> None:
         """Take a place back."""
         desk = self._desk(service)
         if desk is not None:
@@ -132,7 +132,7 @@
             self._decide(service, desk)
 
     def adopt(
-        self, place: stream_ask.StreamPlace, ask: stream_ask.StreamAsk
+        self, place: placement.Placement, ask: placement.PlacementRequest
     ) -> None:
         """Take note of a place that an earlier leader gave."""
         if not self.leads:
@@ -167,7 +167,7 @@
         self._orders.begin_term(term, boot_clock.now_s())
         LOG.info('dispatching', extra={'term': term})
 
-    def _desk(self, service: str) -> stream_desk.StreamDesk | None:
+    def _desk(self, service: str) -> stream_scheduler.StreamScheduler | None:
         self._read_services()
         known = self._desks.get(service)
         if known is not None:
@@ -175,7 +175,7 @@
         found = self._services.get(service)
         if found is None or found.engine is None:
             return None
-        desk = stream_desk.StreamDesk(engine=found.engine)
+        desk = stream_scheduler.StreamScheduler(engine=found.engine)
         self._desks[service] = desk
         return desk
 
@@ -229,7 +229,9 @@
             for desk in self._desks.values():
                 desk.forget_runner(runner_id)
 
-    def _decide(self, service: str, desk: stream_desk.StreamDesk) -> None:
+    def _decide(
+        self, service: str, desk: stream_scheduler.StreamScheduler
+    ) -> None:
         if boot_clock.now_s() < self._adopts_until_s:
             return
         runners = self._runners(service)
@@ -274,7 +276,7 @@
     return body
 
 
-def _inputs(ask: stream_ask.StreamAsk) -> dict[str, typing.Any]:
+def _inputs(ask: placement.PlacementRequest) -> dict[str, typing.Any]:
     """Return what of a stream decided, for the log.
 
     A caller that comes back has another request id, but the same prompt.
--- a/limpetroute/dispatch/place_handlers.py
+++ b/limpetroute/dispatch/place_handlers.py
@@ -9,7 +9,7 @@
 from limpetroute.border import errors
 from limpetroute.border import place_bodies
 from limpetroute.dispatch import dispatcher as dispatcher_module
-from limpetroute.routing import stream_ask
+from limpetroute.routing import placement
 
 HTTP_BAD_REQUEST = 400
 HTTP_MISDIRECTED = 421
@@ -51,7 +51,7 @@
             self.set_status(HTTP_MISDIRECTED)
             self.finish({'reason': 'this host does not lead'})
             return
-        if isinstance(answer, stream_ask.StreamRefusal):
+        if isinstance(answer, placement.Rejection):
             self.set_status(HTTP_UNAVAILABLE)
         self.finish(dataclasses.asdict(answer))
 
--- a/limpetroute/forwarding/forward_context.py
+++ b/limpetroute/forwarding/forward_context.py
@@ -11,8 +11,8 @@
 from limpetroute.forwarding import dialect as dialect_module
 from limpetroute.forwarding import fleet_view
 from limpetroute.forwarding import forward_meters
-from limpetroute.forwarding import place_client
 from limpetroute.forwarding import responder as responder_module
+from limpetroute.forwarding import scheduler_client
 from limpetroute.routing import last_streams
 from limpetroute.routing import next_step
 from limpetroute.routing import route as route_module
@@ -38,7 +38,7 @@
         Routes and runners.
     watch : ControlWatch
         Knows how many hosts there are.
-    places : PlaceClient
+    places : SchedulerClient
         Gives streams their places.
     dialect : Dialect
         How callers and runners are spoken to.
@@ -57,7 +57,7 @@
         *,
         view: fleet_view.FleetView,
         watch: control_watch.ControlWatch,
-        places: place_client.PlaceClient,
+        places: scheduler_client.SchedulerClient,
         dialect: dialect_module.Dialect,
         meters: forward_meters.ForwardMeters,
         zone: str,
--- a/limpetroute/forwarding/stream_places.py
+++ b/limpetroute/forwarding/placement_session.py
@@ -1,4 +1,4 @@
-"""Rooms at runners for one stream, and giving them back."""
+"""AssignedRunners at runners for one stream, and giving them back."""
 
 import asyncio
 import dataclasses
@@ -7,12 +7,12 @@
 
 from limpetroute.forwarding import caller_request
 from limpetroute.forwarding import forward_context
-from limpetroute.forwarding import place_client
+from limpetroute.forwarding import scheduler_client
+from limpetroute.routing import local_placement
+from limpetroute.routing import placement
 from limpetroute.routing import route as route_module
 from limpetroute.routing import runner_info
 from limpetroute.routing import service as service_module
-from limpetroute.routing import stream_ask
-from limpetroute.routing import stream_placement
 from limpetroute.routing import stream_times
 
 LOG = logging.getLogger(__name__)
@@ -20,14 +20,14 @@
 # A host that decides alone takes this many times its even part of a
 # runner: it is mostly one of few that are cut off, and the others go on
 # filling the same runners with places that the leader gives.
-OWN_PARTS = 1.5
+LOCAL_SHARE_FACTOR = 1.5
 # How often a host without a leader looks whether there is one again, or
 # room among its own streams.
 LOOK_AGAIN_S = 0.05
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Rooms:
+class AssignedRunners:
     """The runners of one stream."""
 
     decode: runner_info.RunnerInfo
@@ -35,8 +35,8 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class SoFar:
-    """What has become of a stream; see `StreamAsk` for the fields."""
+class StreamProgress:
+    """What has become of a stream; see `PlacementRequest` for the fields."""
 
     tried: frozenset[str]
     goes_on: bool
@@ -45,8 +45,8 @@
     waited_s: float
 
 
-class StreamPlaces:
-    """Rooms at runners for one stream, and giving them back.
+class PlacementSession:
+    """AssignedRunners at runners for one stream, and giving them back.
 
     Parameters
     ----------
@@ -77,7 +77,9 @@
     def __repr__(self) -> str:
         return f'{type(self).__name__}(request={self._request.request_id!r})'
 
-    async def take(self, so_far: SoFar) -> Rooms | stream_ask.StreamRefusal:
+    async def take(
+        self, so_far: StreamProgress
+    ) -> AssignedRunners | placement.Rejection:
         """Return rooms, or a refusal.
 
         The host that decides for all is asked; where it cannot be, this
@@ -90,15 +92,15 @@
         while True:
             ask = self._ask(so_far, waited_here_s=_now_s() - begun_s)
             answer = await self._context.places.ask(ask)
-            if isinstance(answer, stream_ask.StreamRefusal):
+            if isinstance(answer, placement.Rejection):
                 return answer
-            if isinstance(answer, stream_ask.StreamPlace):
+            if isinstance(answer, placement.Placement):
                 rooms = self._rooms(answer)
                 if rooms is not None:
                     return rooms
                 self.give_back()
             got = self._decide_alone(ask)
-            if isinstance(got, Rooms) or not stream_times.may_wait(
+            if isinstance(got, AssignedRunners) or not stream_times.may_wait(
                 ask, LOOK_AGAIN_S
             ):
                 self._log_alone(ask, answer, got)
@@ -123,7 +125,7 @@
         """Give back what is held, with what was measured."""
         self._context.places.end(
             self._service.name,
-            stream_ask.StreamEnd(
+            placement.Release(
                 request_id=self._request.request_id,
                 attempt=self._attempt,
                 output_tokens=tokens,
@@ -135,13 +137,13 @@
         )
 
     def _ask(
-        self, so_far: SoFar, *, waited_here_s: float
-    ) -> stream_ask.StreamAsk:
+        self, so_far: StreamProgress, *, waited_here_s: float
+    ) -> placement.PlacementRequest:
         generation = self._request.generation
         assert generation is not None
         self._attempt = self._context.places.next_attempt()
         waited_s = so_far.waited_s + waited_here_s
-        return stream_ask.StreamAsk(
+        return placement.PlacementRequest(
             request_id=self._request.request_id,
             service=self._service.name,
             prompt_tokens=generation.prompt_tokens,
@@ -163,7 +165,7 @@
             silence_s=self._route.silence_s,
         )
 
-    def _rooms(self, place: stream_ask.StreamPlace) -> Rooms | None:
+    def _rooms(self, place: placement.Placement) -> AssignedRunners | None:
         view = self._context.view
         decode = view.runner(place.decode_id)
         if decode is None or not decode.ready:
@@ -173,59 +175,61 @@
             prefill = view.runner(place.prefill_id)
         if prefill is not None and not prefill.ready:
             prefill = None
-        return Rooms(decode=decode, prefill=prefill)
+        return AssignedRunners(decode=decode, prefill=prefill)
 
     def _decide_alone(
-        self, ask: stream_ask.StreamAsk
-    ) -> Rooms | stream_ask.StreamRefusal:
+        self, ask: placement.PlacementRequest
+    ) -> AssignedRunners | placement.Rejection:
         context = self._context
         assert self._service.engine is not None
         runners = context.view.runners(self._service.name)
         now_s = _now_s()
-        decode = stream_placement.choose_decode(
+        decode = local_placement.choose_decode(
             runners,
             engine=self._service.engine,
             loads=context.view.loads,
             tokens=ask.prompt_tokens + ask.most_output_tokens,
-            part=OWN_PARTS / context.entry_hosts,
+            part=LOCAL_SHARE_FACTOR / context.entry_hosts,
             tried=ask.avoid,
             now_s=now_s,
             rng=context.rng,
         )
         prefill = None
         if ask.reads_prompt:
-            prefill = stream_placement.choose_prefill(
+            prefill = local_placement.choose_prefill(
                 runners,
                 loads=context.view.loads,
                 now_s=now_s,
                 rng=context.rng,
             )
-        may_read = prefill or stream_placement.may_self_read_alone(
+        may_read = prefill or local_placement.may_self_read_alone(
             ask, entry_hosts=context.entry_hosts
         )
         if decode is None or not may_read:
-            return stream_ask.StreamRefusal(
+            return placement.Rejection(
                 request_id=ask.request_id,
                 retry_after_s=1.0,
                 reason='no room known',
             )
         context.places.note_own(
-            stream_ask.StreamPlace(
+            placement.Placement(
                 request_id=ask.request_id,
                 decode_id=decode.runner_id,
                 prefill_id=prefill.runner_id if prefill else '',
             ),
             ask,
         )
-        return Rooms(decode=decode, prefill=prefill)
+        return AssignedRunners(decode=decode, prefill=prefill)
 
     def _log_alone(
         self,
-        ask: stream_ask.StreamAsk,
-        answer: place_client.Answer,
-        got: Rooms | stream_ask.StreamRefusal,
+        ask: placement.PlacementRequest,
+        answer: scheduler_client.Answer,
+        got: AssignedRunners | placement.Rejection,
     ) -> None:
-        decode = got.decode.runner_id if isinstance(got, Rooms) else ''
+        decode = (
+            got.decode.runner_id if isinstance(got, AssignedRunners) else ''
+        )
         LOG.info(
             'decided alone',
             extra={
--- a/limpetroute/forwarding/place_client.py
+++ b/limpetroute/forwarding/scheduler_client.py
@@ -6,7 +6,7 @@
 import logging
 import typing
 
-from limpetroute.routing import stream_ask
+from limpetroute.routing import placement
 from limpetroute.routing import stream_times
 from limpetroute.wire import call_failed
 from limpetroute.wire import caller
@@ -27,23 +27,23 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class NobodyDecides:
+class NoScheduler:
     """No leader could be asked."""
 
     reason: str
 
 
-Answer = stream_ask.StreamPlace | stream_ask.StreamRefusal | NobodyDecides
+Answer = placement.Placement | placement.Rejection | NoScheduler
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class _HeldPlace:
-    place: stream_ask.StreamPlace
-    ask: stream_ask.StreamAsk
+    place: placement.Placement
+    ask: placement.PlacementRequest
     since_s: float
 
 
-class PlaceClient:
+class SchedulerClient:
     """Asks the leading control host for streams' places.
 
     Parameters
@@ -81,12 +81,12 @@
         if leader_url and self._held:
             self._aside(self._tell_held())
 
-    async def ask(self, ask: stream_ask.StreamAsk) -> Answer:
+    async def ask(self, ask: placement.PlacementRequest) -> Answer:
         """Return a stream's place, once there is one."""
         if not self._leader_url:
-            return NobodyDecides(reason='no leader is known')
+            return NoScheduler(reason='no leader is known')
         if _now_s() < self._unreachable_until_s:
-            return NobodyDecides(reason='the leader could not be reached')
+            return NoScheduler(reason='the leader could not be reached')
         try:
             got = await self._http.call(
                 method='POST',
@@ -100,7 +100,7 @@
             # names it is lost with this call.
             self.end(
                 ask.service,
-                stream_ask.StreamEnd(
+                placement.Release(
                     request_id=ask.request_id, attempt=ask.attempt
                 ),
                 known=False,
@@ -109,23 +109,23 @@
         if isinstance(got, call_failed.CallFailed):
             if not got.sent:
                 self._unreachable_until_s = _now_s() + UNREACHABLE_S
-            return NobodyDecides(reason=f'the leader: {got.kind.value}')
+            return NoScheduler(reason=f'the leader: {got.kind.value}')
         try:
             if got.ok and self._untold:
                 self._untold = False
                 self._aside(self._tell_held())
             if got.status == HTTP_UNAVAILABLE:
-                return stream_ask.StreamRefusal(**got.json())
+                return placement.Rejection(**got.json())
             if not got.ok:
-                return NobodyDecides(reason=f'status {got.status}')
-            place = stream_ask.StreamPlace(**got.json())
+                return NoScheduler(reason=f'status {got.status}')
+            place = placement.Placement(**got.json())
         except (ValueError, TypeError) as exc:
-            return NobodyDecides(reason=str(exc))
+            return NoScheduler(reason=str(exc))
         self.note(place, ask)
         return place
 
     def note(
-        self, place: stream_ask.StreamPlace, ask: stream_ask.StreamAsk
+        self, place: placement.Placement, ask: placement.PlacementRequest
     ) -> None:
         """Take note of a place that this host holds."""
         self._held[place.request_id] = _HeldPlace(
@@ -133,7 +133,7 @@
         )
 
     def note_own(
-        self, place: stream_ask.StreamPlace, ask: stream_ask.StreamAsk
+        self, place: placement.Placement, ask: placement.PlacementRequest
     ) -> None:
         """Take note of a place that this host gave itself.
 
@@ -149,7 +149,7 @@
         return next(self._attempts)
 
     def end(
-        self, service: str, end: stream_ask.StreamEnd, *, known: bool = True
+        self, service: str, end: placement.Release, *, known: bool = True
     ) -> None:
         """Give a place back; nobody waits for that."""
         if self._held.pop(end.request_id, None) is None and known:
@@ -181,7 +181,7 @@
                 extra={'request': request_id},
             )
 
-    async def _tell_end(self, service: str, end: stream_ask.StreamEnd) -> None:
+    async def _tell_end(self, service: str, end: placement.Release) -> None:
         got = await self._http.call(
             method='POST',
             url=f'{self._leader_url}/v1/places/end',
@@ -231,6 +231,6 @@
     return asyncio.get_running_loop().time()
 
 
-def _answer_due_s(ask: stream_ask.StreamAsk) -> float:
+def _answer_due_s(ask: placement.PlacementRequest) -> float:
     """Return how long the leader may hold this call."""
     return max(0.0, stream_times.longest_wait_s(ask) - ask.waited_s)
--- a/limpetroute/forwarding/server.py
+++ b/limpetroute/forwarding/server.py
@@ -14,7 +14,7 @@
 from limpetroute.forwarding import forward_meters
 from limpetroute.forwarding import forwarder as forwarder_module
 from limpetroute.forwarding import front_server
-from limpetroute.forwarding import place_client
+from limpetroute.forwarding import scheduler_client
 from limpetroute.forwarding import side_port
 from limpetroute.routing import route_plan
 from limpetroute.routing import send_budget
@@ -67,7 +67,7 @@
         self.view = fleet_view.FleetView(dialect=dialect)
         trust = settings.credentials()
         http = caller.Caller(tls=trust.client_tls, token=trust.token)
-        places = place_client.PlaceClient(http=http)
+        places = scheduler_client.SchedulerClient(http=http)
         self.watch = control_watch.ControlWatch(
             view=self.view,
             http=caller.Caller(
--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -7,19 +7,19 @@
 from limpetroute.forwarding import dialect as dialect_module
 from limpetroute.forwarding import forward_context
 from limpetroute.forwarding import own_answer
+from limpetroute.forwarding import placement_session
 from limpetroute.forwarding import prompt_reading
 from limpetroute.forwarding import responder as responder_module
 from limpetroute.forwarding import runner_call
-from limpetroute.forwarding import stream_places
 from limpetroute.forwarding import stream_relay
-from limpetroute.routing import held_places
 from limpetroute.routing import next_step
+from limpetroute.routing import placement
+from limpetroute.routing import reservations
 from limpetroute.routing import route as route_module
 from limpetroute.routing import runner_info
 from limpetroute.routing import send_history
 from limpetroute.routing import send_result
 from limpetroute.routing import service as service_module
-from limpetroute.routing import stream_ask
 
 LOG = logging.getLogger(__name__)
 
@@ -83,7 +83,7 @@
             await self._end(next_step.Step.REFUSE, 'this host stops')
             return
         while True:
-            places = stream_places.StreamPlaces(
+            places = placement_session.PlacementSession(
                 context=self._context,
                 request=self._request,
                 route=self._route,
@@ -91,7 +91,7 @@
             )
             try:
                 got = await places.take(self._so_far())
-                if isinstance(got, stream_ask.StreamRefusal):
+                if isinstance(got, placement.Rejection):
                     await self._end(
                         next_step.Step.REFUSE, got.reason, got.retry_after_s
                     )
@@ -121,13 +121,13 @@
 
     def _note_speed(self) -> None:
         events_s = self._relay.events_s
-        if self._whole and events_s > held_places.LEAST_MEASURED_S:
+        if self._whole and events_s > reservations.LEAST_MEASURED_S:
             self._context.note_speed(
                 self._service, self._tokens_written() / events_s
             )
 
-    def _so_far(self) -> stream_places.SoFar:
-        return stream_places.SoFar(
+    def _so_far(self) -> placement_session.StreamProgress:
+        return placement_session.StreamProgress(
             tried=frozenset(self._tried),
             goes_on=self._goes_on(),
             written_tokens=self._tokens_written(),
@@ -163,8 +163,8 @@
 
     async def _send(
         self,
-        rooms: stream_places.Rooms,
-        places: stream_places.StreamPlaces,
+        rooms: placement_session.AssignedRunners,
+        places: placement_session.PlacementSession,
     ) -> next_step.Step:
         runner = rooms.decode
         load = self._context.view.load(runner.runner_id)
--- a/limpetroute/routing/writer_choice.py
+++ b/limpetroute/routing/decode_placement.py
@@ -1,30 +1,30 @@
 """Which decode runner a stream is given."""
 
-from limpetroute.routing import held_places
-from limpetroute.routing import reading_turns
+from limpetroute.routing import outlier_detector
+from limpetroute.routing import placement
+from limpetroute.routing import prefill_queue
+from limpetroute.routing import reservations
 from limpetroute.routing import runner_info
-from limpetroute.routing import runner_watch
 from limpetroute.routing import service as service_module
-from limpetroute.routing import stream_ask
 
 # Part of the memory by which a runner of the caller's zone may be fuller
 # than another one and still be taken: an answer is 24 KB that would be
 # paid for between zones. A stream takes 4 to 8 % of a runner.
-NEAR_SHARE = 0.08
+SAME_ZONE_BONUS = 0.08
 
 
-class WriterChoice:
+class DecodePlacement:
     """Which decode runner a stream is given.
 
     Parameters
     ----------
     engine : Engine
         Places and memory of the runners.
-    held : HeldPlaces
+    held : Reservations
         The places that are given.
-    reading : ReadingTurns
+    reading : PrefillQueue
         When runners may read.
-    watch : RunnerWatch
+    watch : OutlierDetector
         Places that hosts out of reach have taken.
     """
 
@@ -32,9 +32,9 @@
         self,
         *,
         engine: service_module.Engine,
-        held: held_places.HeldPlaces,
-        reading: reading_turns.ReadingTurns,
-        watch: runner_watch.RunnerWatch,
+        held: reservations.Reservations,
+        reading: prefill_queue.PrefillQueue,
+        watch: outlier_detector.OutlierDetector,
     ) -> None:
         self._engine = engine
         self._held = held
@@ -46,7 +46,7 @@
 
     def best(
         self,
-        ask: stream_ask.StreamAsk,
+        ask: placement.PlacementRequest,
         decoders: list[runner_info.RunnerInfo],
         reader: runner_info.RunnerInfo | None,
         ready_s: float,
@@ -72,7 +72,7 @@
 
     def _rank(
         self,
-        ask: stream_ask.StreamAsk,
+        ask: placement.PlacementRequest,
         runner: runner_info.RunnerInfo,
         ready_s: float,
         now_s: float,
@@ -92,5 +92,5 @@
             return None
         rank = room - peak
         if runner.zone == ask.zone:
-            rank += room * NEAR_SHARE
+            rank += room * SAME_ZONE_BONUS
         return rank
--- a/limpetroute/routing/stream_placement.py
+++ b/limpetroute/routing/local_placement.py
@@ -4,10 +4,10 @@
 import typing
 
 from limpetroute.decisions import stage as stage_module
+from limpetroute.routing import placement
 from limpetroute.routing import runner_info
 from limpetroute.routing import runner_load
 from limpetroute.routing import service as service_module
-from limpetroute.routing import stream_ask
 
 # A host that decides alone knows no measured pauses: up to this length,
 # a prompt holds streams of the longest events up for less than 300 ms.
@@ -15,7 +15,7 @@
 
 
 def may_self_read_alone(
-    ask: stream_ask.StreamAsk, *, entry_hosts: int
+    ask: placement.PlacementRequest, *, entry_hosts: int
 ) -> bool:
     """Return whether a host may have a decode runner read this prompt.
 
--- a/limpetroute/routing/runner_watch.py
+++ b/limpetroute/routing/outlier_detector.py
@@ -11,7 +11,7 @@
 HIDDEN_S = 1.5
 
 
-class RunnerWatch:
+class OutlierDetector:
     """Which runners are given work, as told by how streams went there.
 
     Health checks say little: a runner may answer them and fail its
--- a/limpetroute/routing/stream_ask.py
+++ b/limpetroute/routing/placement.py
@@ -7,7 +7,7 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class StreamAsk:
+class PlacementRequest:
     """A stream that asks for places at runners.
 
     Parameters
@@ -78,7 +78,7 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class StreamPlace:
+class Placement:
     """Room at a decode runner, and who reads the prompt.
 
     Parameters
@@ -97,7 +97,7 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class StreamRefusal:
+class Rejection:
     """There is no place in time.
 
     Parameters
@@ -116,7 +116,7 @@
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class StreamEnd:
+class Release:
     """A stream gives its place back.
 
     Parameters
--- a/limpetroute/routing/reading_turns.py
+++ b/limpetroute/routing/prefill_queue.py
@@ -2,11 +2,11 @@
 
 import dataclasses
 
-from limpetroute.routing import held_places
+from limpetroute.routing import placement
 from limpetroute.routing import reading_pause
+from limpetroute.routing import reservations
 from limpetroute.routing import runner_info
 from limpetroute.routing import stage_rates
-from limpetroute.routing import stream_ask
 from limpetroute.routing import stream_times
 from limpetroute.routing import usual_size
 
@@ -43,7 +43,7 @@
     since_s: float
 
 
-class ReadingTurns:
+class PrefillQueue:
     """When runners are free to read the next prompt.
 
     Prefill runners read one prompt after the other. What is queued there
@@ -54,7 +54,7 @@
 
     Parameters
     ----------
-    held : HeldPlaces
+    held : Reservations
         The places that are given.
     prompt_size : UsualSize
         Lengths of the prompts that come.
@@ -63,7 +63,7 @@
     def __init__(
         self,
         *,
-        held: held_places.HeldPlaces,
+        held: reservations.Reservations,
         prompt_size: usual_size.UsualSize,
     ) -> None:
         self._held = held
@@ -77,7 +77,7 @@
 
     def reader(
         self,
-        ask: stream_ask.StreamAsk,
+        ask: placement.PlacementRequest,
         readers: list[runner_info.RunnerInfo],
         now_s: float,
     ) -> runner_info.RunnerInfo | None:
@@ -112,7 +112,7 @@
 
     def ready_s(
         self,
-        ask: stream_ask.StreamAsk,
+        ask: placement.PlacementRequest,
         reader: runner_info.RunnerInfo | None,
         now_s: float,
     ) -> float:
@@ -124,7 +124,7 @@
         return now_s + queue_s + self.to_first_event_s(ask, has_reader)
 
     def to_first_event_s(
-        self, ask: stream_ask.StreamAsk, has_reader: bool
+        self, ask: placement.PlacementRequest, has_reader: bool
     ) -> float:
         """Return the time from a place to the first event, as measured."""
         speed = (
@@ -164,7 +164,7 @@
 
     def take(
         self,
-        ask: stream_ask.StreamAsk,
+        ask: placement.PlacementRequest,
         reader: runner_info.RunnerInfo | None,
         decoder: runner_info.RunnerInfo,
         now_s: float,
@@ -216,7 +216,7 @@
 
     def may_read(
         self,
-        ask: stream_ask.StreamAsk,
+        ask: placement.PlacementRequest,
         decoder: runner_info.RunnerInfo,
         now_s: float,
     ) -> bool:
@@ -234,7 +234,7 @@
 
     def can_be_read(
         self,
-        ask: stream_ask.StreamAsk,
+        ask: placement.PlacementRequest,
         decoders: list[runner_info.RunnerInfo],
         readers: list[runner_info.RunnerInfo],
     ) -> bool:
@@ -246,7 +246,9 @@
             for one in decoders
         )
 
-    def is_too_long(self, ask: stream_ask.StreamAsk, beside: int) -> bool:
+    def is_too_long(
+        self, ask: placement.PlacementRequest, beside: int
+    ) -> bool:
         """Return whether reading it would hold too many streams up."""
         if beside <= FEW_STREAMS:
             return False
--- a/limpetroute/routing/held_places.py
+++ b/limpetroute/routing/reservations.py
@@ -6,9 +6,9 @@
 from limpetroute.routing import decode_room
 from limpetroute.routing import length_estimate
 from limpetroute.routing import memory_headroom
+from limpetroute.routing import placement
 from limpetroute.routing import service as service_module
 from limpetroute.routing import stage_rates
-from limpetroute.routing import stream_ask
 from limpetroute.routing import usual_size
 
 # Ends shorter than this say little of a stream's speed.
@@ -17,13 +17,13 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class _Held:
-    place: stream_ask.StreamPlace
-    ask: stream_ask.StreamAsk
+    place: placement.Placement
+    ask: placement.PlacementRequest
     outlook: decode_room.StreamOutlook
     expires_s: float
 
 
-class HeldPlaces:
+class Reservations:
     """The places that are given, and how long their streams last.
 
     Parameters
@@ -74,8 +74,8 @@
 
     def add(
         self,
-        place: stream_ask.StreamPlace,
-        ask: stream_ask.StreamAsk,
+        place: placement.Placement,
+        ask: placement.PlacementRequest,
         *,
         sent_s: float,
         begins_s: float,
@@ -93,12 +93,12 @@
         held = self._held.pop(request_id, None)
         return held.ask.attempt if held is not None else None
 
-    def end(self, end: stream_ask.StreamEnd) -> stream_ask.StreamPlace | None:
+    def end(self, end: placement.Release) -> placement.Placement | None:
         """Take a place back, learn from its stream, and return it.
 
         Returns
         -------
-        StreamPlace or None
+        Placement or None
             None where the place was taken back before; what says so was
             overtaken by the next ask under the same id.
         """
@@ -155,7 +155,7 @@
             for held in self._held.values()
         )
 
-    def expected_tokens(self, ask: stream_ask.StreamAsk) -> int:
+    def expected_tokens(self, ask: placement.PlacementRequest) -> int:
         """Return how long a stream's whole answer should become."""
         return self._lengths.tokens(
             said_tokens=ask.output_tokens,
@@ -163,7 +163,7 @@
         )
 
     def outlook(
-        self, ask: stream_ask.StreamAsk, begins_s: float
+        self, ask: placement.PlacementRequest, begins_s: float
     ) -> decode_room.StreamOutlook:
         """Return how a stream's memory grows if it begins then."""
         expected = self.expected_tokens(ask)
@@ -179,7 +179,7 @@
     def peak_with(
         self,
         runner_id: str,
-        ask: stream_ask.StreamAsk,
+        ask: placement.PlacementRequest,
         *,
         begins_s: float,
         now_s: float,
--- a/limpetroute/routing/comeback_time.py
+++ b/limpetroute/routing/retry_after.py
@@ -13,7 +13,7 @@
 MIN_RETRY_AFTER_S = 0.3
 
 
-class ComebackTime:
+class RetryAfterEstimator:
     """When a refused stream's caller should come back.
 
     Pattern: a burst of new streams for some seconds, or a runner lost.
--- a/limpetroute/routing/return_book.py
+++ b/limpetroute/routing/retry_tracker.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from limpetroute.routing import stream_ask
+from limpetroute.routing import placement
 
 # Callers forget nothing sooner than their patience ends; this bounds the
 # memory where thousands are refused each second (about 200 bytes each).
@@ -16,7 +16,7 @@
     is_back: bool = False
 
 
-class ReturnBook:
+class RetryTracker:
     """Knows streams that come back after a refusal.
 
     A caller that comes back has a new request id, and comes to another
@@ -35,7 +35,7 @@
         return f'{type(self).__name__}(known={len(self._refused)!r})'
 
     def first_sent_s(
-        self, ask: stream_ask.StreamAsk, sent_s: float, now_s: float
+        self, ask: placement.PlacementRequest, sent_s: float, now_s: float
     ) -> float:
         """Return when a stream's caller asked for the first time."""
         known = self._refused.get(_key(ask))
@@ -45,7 +45,10 @@
         return min(sent_s, known.first_sent_s)
 
     def note(
-        self, ask: stream_ask.StreamAsk, first_sent_s: float, now_s: float
+        self,
+        ask: placement.PlacementRequest,
+        first_sent_s: float,
+        now_s: float,
     ) -> None:
         """Take note of a stream that is refused."""
         if not ask.prompt_id:
@@ -64,7 +67,7 @@
             for one in self._refused.values()
         )
 
-    def served(self, ask: stream_ask.StreamAsk) -> None:
+    def served(self, ask: placement.PlacementRequest) -> None:
         """Forget a stream that got a place."""
         self._refused.pop(_key(ask), None)
 
@@ -78,7 +81,7 @@
             del self._refused[oldest]
 
 
-def _key(ask: stream_ask.StreamAsk) -> str:
+def _key(ask: placement.PlacementRequest) -> str:
     """Return what names a prompt, whoever asks for it again.
 
     A session may send several prompts under one name; their sizes tell
--- a/limpetroute/routing/stage_split.py
+++ b/limpetroute/routing/stage_split.py
@@ -31,7 +31,7 @@
 # With two writers left and no reader, neither is taken away at once: for
 # ten seconds the other would be alone. Runners are lost in pairs, and
 # most crashed ones are back by then.
-LONE_WRITER_WAIT_S = 4.0
+LAST_DECODER_GRACE_S = 4.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -262,4 +262,4 @@
         return 0.0
     if not writers:
         return math.inf
-    return LONE_WRITER_WAIT_S if writers == 1 else 0.0
+    return LAST_DECODER_GRACE_S if writers == 1 else 0.0
--- a/limpetroute/routing/stream_desk.py
+++ b/limpetroute/routing/stream_scheduler.py
@@ -3,34 +3,34 @@
 import typing
 
 from limpetroute.decisions import stage as stage_module
-from limpetroute.routing import comeback_time
-from limpetroute.routing import held_places
-from limpetroute.routing import reading_turns
-from limpetroute.routing import return_book
+from limpetroute.routing import decode_placement
+from limpetroute.routing import outlier_detector
+from limpetroute.routing import placement
+from limpetroute.routing import prefill_queue
+from limpetroute.routing import reservations
+from limpetroute.routing import retry_after
+from limpetroute.routing import retry_tracker
 from limpetroute.routing import runner_info
-from limpetroute.routing import runner_watch
 from limpetroute.routing import service as service_module
 from limpetroute.routing import stage_rates
-from limpetroute.routing import stream_ask
-from limpetroute.routing import stream_turns
 from limpetroute.routing import usual_size
+from limpetroute.routing import wait_estimate
 from limpetroute.routing import waiting_stream
-from limpetroute.routing import writer_choice
 
 # A large stream at the head that does not fit lets smaller ones pass for
 # this long; after that, room that becomes free is kept for it.
-PASSED_OVER_S = 0.25
+HEAD_OF_LINE_TIMEOUT_S = 0.25
 # Streams that cannot make their target any more may wait for a place in
 # this part of all places; the rest are told at once when to come back.
 LATE_PART = 1 / 6
 # While streams wait that can still make it, one place in this many goes
 # to one that cannot: a late answer is worth a fifth, but not nothing.
-LATE_EVERY = 8
+LATE_ADMISSION_INTERVAL = 8
 
-Answer = stream_ask.StreamPlace | stream_ask.StreamRefusal
+Answer = placement.Placement | placement.Rejection
 
 
-class StreamDesk:
+class StreamScheduler:
     """Gives streams their places at the runners of one service.
 
     Pattern: many entry hosts send streams to few runners. Each of them
@@ -53,36 +53,38 @@
 
     def __init__(self, *, engine: service_module.Engine) -> None:
         self._engine = engine
-        self._held = held_places.HeldPlaces(engine=engine)
+        self._reservations = reservations.Reservations(engine=engine)
         guess = stage_rates.first_guess(engine)
         self._prompt_size = usual_size.UsualSize(guess.prompt_tokens)
         self._output_size = usual_size.UsualSize(guess.output_tokens)
-        self._reading = reading_turns.ReadingTurns(
-            held=self._held,
+        self._prefill = prefill_queue.PrefillQueue(
+            held=self._reservations,
             prompt_size=self._prompt_size,
         )
-        self._watch = runner_watch.RunnerWatch(uses=self._held.uses)
-        self._writers = writer_choice.WriterChoice(
+        self._outliers = outlier_detector.OutlierDetector(
+            uses=self._reservations.uses
+        )
+        self._decode_placement = decode_placement.DecodePlacement(
             engine=engine,
-            held=self._held,
-            reading=self._reading,
-            watch=self._watch,
+            held=self._reservations,
+            reading=self._prefill,
+            watch=self._outliers,
         )
-        self._returns = return_book.ReturnBook()
+        self._retries = retry_tracker.RetryTracker()
         self._waiting: dict[str, waiting_stream.WaitingStream] = {}
-        self._comeback = comeback_time.ComebackTime()
+        self._retry_after = retry_after.RetryAfterEstimator()
         self._in_time_in_a_row = 0
 
     def __repr__(self) -> str:
         return (
-            f'{type(self).__name__}(held={len(self._held)!r}, '
+            f'{type(self).__name__}(held={len(self._reservations)!r}, '
             f'waiting={len(self._waiting)!r})'
         )
 
     @property
     def held(self) -> int:
         """Number of places that are given."""
-        return len(self._held)
+        return len(self._reservations)
 
     @property
     def waiting(self) -> int:
@@ -92,7 +94,7 @@
     @property
     def tokens_per_s(self) -> float:
         """How fast one stream writes, as measured."""
-        return self._held.tokens_per_s
+        return self._reservations.tokens_per_s
 
     @property
     def rates(self) -> stage_rates.StageRates:
@@ -100,16 +102,16 @@
         return stage_rates.StageRates(
             prompt_tokens=self._prompt_size.mean,
             output_tokens=self._output_size.mean,
-            read_tokens_per_s=self._reading.tokens_per_s,
-            write_tokens_per_s=self._held.tokens_per_s,
-            deviation_tokens=self._held.deviation_tokens,
+            read_tokens_per_s=self._prefill.tokens_per_s,
+            write_tokens_per_s=self._reservations.tokens_per_s,
+            deviation_tokens=self._reservations.deviation_tokens,
         )
 
     def gone_s(
         self, runners: typing.Iterable[runner_info.RunnerInfo], now_s: float
     ) -> dict[str, float]:
         """Return for how long runners have seemed gone, by identity."""
-        return self._watch.gone_s(runners, now_s)
+        return self._outliers.gone_s(runners, now_s)
 
     def forget_runner(self, runner_id: str) -> None:
         """Forget a runner's earlier life; it has started again.
@@ -118,11 +120,11 @@
         streams would keep new ones out until they expire, and failures
         of a process that is gone would keep it at rest.
         """
-        self._held.forget_runner(runner_id)
-        self._reading.forget_runner(runner_id)
-        self._watch.forget(runner_id)
+        self._reservations.forget_runner(runner_id)
+        self._prefill.forget_runner(runner_id)
+        self._outliers.forget(runner_id)
 
-    def ask(self, ask: stream_ask.StreamAsk, now_s: float) -> None:
+    def ask(self, ask: placement.PlacementRequest, now_s: float) -> None:
         """Take a stream; `decide` tells what it gets.
 
         One that asks again has given its place back, and what says so
@@ -130,11 +132,11 @@
         """
         self._drop(ask.request_id)
         sent_s = now_s - ask.waited_s
-        first_sent_s = self._returns.first_sent_s(ask, sent_s, now_s)
+        first_sent_s = self._retries.first_sent_s(ask, sent_s, now_s)
         if first_sent_s == sent_s and not ask.goes_on:
-            self._comeback.note_new(now_s)
+            self._retry_after.note_new(now_s)
             self._prompt_size.note(ask.prompt_tokens)
-            self._output_size.note(self._held.expected_tokens(ask))
+            self._output_size.note(self._reservations.expected_tokens(ask))
         self._waiting[ask.request_id] = waiting_stream.WaitingStream(
             ask=ask,
             sent_s=sent_s,
@@ -148,36 +150,38 @@
 
     def read(self, request_id: str, attempt: int, now_s: float) -> None:
         """Take note that a prompt was read apart."""
-        reader_id = self._reading.done(request_id, attempt, now_s)
+        reader_id = self._prefill.done(request_id, attempt, now_s)
         if reader_id is not None:
-            self._watch.went_well(reader_id)
+            self._outliers.went_well(reader_id)
 
-    def end(self, end: stream_ask.StreamEnd, now_s: float) -> None:
+    def end(self, end: placement.Release, now_s: float) -> None:
         """Take a place back and learn from how the stream went."""
-        place = self._held.end(end)
-        self._reading.drop(end.request_id, end.attempt)
+        place = self._reservations.end(end)
+        self._prefill.drop(end.request_id, end.attempt)
         if place is not None:
-            self._comeback.note_end(now_s)
+            self._retry_after.note_end(now_s)
         for runner_id in end.full:
-            seen = len(self._held.outlooks(runner_id))
-            self._watch.full(runner_id, self._engine.slots - seen, now_s)
+            seen = len(self._reservations.outlooks(runner_id))
+            self._outliers.full(runner_id, self._engine.slots - seen, now_s)
         for runner_id in end.failed:
-            self._watch.failed(runner_id, now_s)
+            self._outliers.failed(runner_id, now_s)
         if place is not None and not end.failed:
             # Of the reader it says nothing new: its part was over
             # seconds ago, and it may be gone since.
-            self._watch.went_well(place.decode_id)
+            self._outliers.went_well(place.decode_id)
 
     def adopt(
         self,
-        place: stream_ask.StreamPlace,
-        ask: stream_ask.StreamAsk,
+        place: placement.Placement,
+        ask: placement.PlacementRequest,
         now_s: float,
     ) -> None:
         """Take note of a place that another host gave before."""
-        if place.request_id in self._held:
+        if place.request_id in self._reservations:
             return
-        self._held.add(place, ask, sent_s=now_s - ask.waited_s, begins_s=now_s)
+        self._reservations.add(
+            place, ask, sent_s=now_s - ask.waited_s, begins_s=now_s
+        )
 
     def decide(
         self,
@@ -192,7 +196,7 @@
         for some seconds they refuse all, and are announced as they were.
         """
         staying = [one for one in runners if one.runner_id not in changing]
-        usable = self._watch.usable(staying, now_s)
+        usable = self._outliers.usable(staying, now_s)
         decoders = [
             one for one in usable if one.stage is stage_module.Stage.DECODE
         ]
@@ -200,14 +204,14 @@
             one for one in usable if one.stage is stage_module.Stage.PREFILL
         ]
         if decoders:
-            readers = self._watch.without_gone_readers(readers, now_s)
-        self._held.expire(now_s)
+            readers = self._outliers.without_gone_readers(readers, now_s)
+        self._reservations.expire(now_s)
         answers: list[Answer] = []
         answers.extend(self._give_places(decoders, readers, now_s))
-        turns = stream_turns.StreamTurns(
+        turns = wait_estimate.WaitEstimate(
             engine=self._engine,
-            held=self._held,
-            reading=self._reading,
+            held=self._reservations,
+            reading=self._prefill,
             decoders=decoders,
             readers=readers,
             now_s=now_s,
@@ -218,9 +222,9 @@
         return answers
 
     def _drop(self, request_id: str) -> None:
-        attempt = self._held.drop(request_id)
+        attempt = self._reservations.drop(request_id)
         if attempt is not None:
-            self._reading.drop(request_id, attempt)
+            self._prefill.drop(request_id, attempt)
 
     # Places
 
@@ -229,7 +233,7 @@
         decoders: list[runner_info.RunnerInfo],
         readers: list[runner_info.RunnerInfo],
         now_s: float,
-    ) -> list[stream_ask.StreamPlace]:
+    ) -> list[placement.Placement]:
         places = []
         has_reader = bool(readers)
         for one in self._in_order(now_s, has_reader):
@@ -238,11 +242,11 @@
                 self._count_turn(one, now_s, has_reader)
                 places.append(place)
                 continue
-            if not self._reading.can_be_read(one.ask, decoders, readers):
+            if not self._prefill.can_be_read(one.ask, decoders, readers):
                 # It waits for streams to end, not for room: kept free
                 # for it, four of twelve places stood empty for 2.7 s.
                 continue
-            if now_s - one.sent_s > PASSED_OVER_S:
+            if now_s - one.sent_s > HEAD_OF_LINE_TIMEOUT_S:
                 break
         return places
 
@@ -265,7 +269,7 @@
         # One that may be sent only once comes back to nothing: first.
         in_time.sort(key=lambda one: (one.ask.may_repeat, one.target_s))
         late.sort(key=lambda one: one.sent_s)
-        if late and self._in_time_in_a_row >= LATE_EVERY:
+        if late and self._in_time_in_a_row >= LATE_ADMISSION_INTERVAL:
             return [*begun, late[0], *in_time, *late[1:]]
         return [*begun, *in_time, *late]
 
@@ -276,7 +280,7 @@
         has_reader: bool,
     ) -> bool:
         """Return whether a place given then makes the stream's target."""
-        needed_s = self._reading.to_first_event_s(one.ask, has_reader)
+        needed_s = self._prefill.to_first_event_s(one.ask, has_reader)
         return one.in_time(at_s, needed_s)
 
     def _count_turn(
@@ -296,41 +300,45 @@
         decoders: list[runner_info.RunnerInfo],
         readers: list[runner_info.RunnerInfo],
         now_s: float,
-    ) -> stream_ask.StreamPlace | None:
-        reader = self._reading.reader(one.ask, readers, now_s)
-        ready_s = self._reading.ready_s(one.ask, reader, now_s)
-        if reader is not None and not self._reading.may_queue(reader, now_s):
+    ) -> placement.Placement | None:
+        reader = self._prefill.reader(one.ask, readers, now_s)
+        ready_s = self._prefill.ready_s(one.ask, reader, now_s)
+        if reader is not None and not self._prefill.may_queue(reader, now_s):
             # Writers have room, and the prompt waits for the readers: a
             # burst, or one of the readers is lost. A writer that reads it
             # by itself is slower, but sooner done.
-            by_writer_s = self._reading.ready_s(one.ask, None, now_s)
-            if by_writer_s >= ready_s or not self._reading.writers_read_well:
+            by_writer_s = self._prefill.ready_s(one.ask, None, now_s)
+            if by_writer_s >= ready_s or not self._prefill.writers_read_well:
                 return None
             reader = None
             ready_s = by_writer_s
-        best = self._writers.best(one.ask, decoders, reader, ready_s, now_s)
+        best = self._decode_placement.best(
+            one.ask, decoders, reader, ready_s, now_s
+        )
         if best is None:
             return None
-        place = stream_ask.StreamPlace(
+        place = placement.Placement(
             request_id=one.ask.request_id,
             decode_id=best.runner_id,
             prefill_id=reader.runner_id if reader else '',
         )
         del self._waiting[one.ask.request_id]
-        self._returns.served(one.ask)
-        self._reading.take(one.ask, reader, best, now_s)
-        self._held.add(place, one.ask, sent_s=one.sent_s, begins_s=ready_s)
+        self._retries.served(one.ask)
+        self._prefill.take(one.ask, reader, best, now_s)
+        self._reservations.add(
+            place, one.ask, sent_s=one.sent_s, begins_s=ready_s
+        )
         return place
 
     # Refusals
 
     def _refuse_hopeless(
         self,
-        turns: stream_turns.StreamTurns,
+        turns: wait_estimate.WaitEstimate,
         decoders: list[runner_info.RunnerInfo],
         has_reader: bool,
         now_s: float,
-    ) -> list[stream_ask.StreamRefusal]:
+    ) -> list[placement.Rejection]:
         """Refuse at once what no place will become free for."""
         places = len(decoders) * self._engine.slots
         late_room = max(1, round(places * LATE_PART))
@@ -356,19 +364,19 @@
     def _refuse(
         self,
         one: waiting_stream.WaitingStream,
-        turns: stream_turns.StreamTurns,
+        turns: wait_estimate.WaitEstimate,
         now_s: float,
-    ) -> stream_ask.StreamRefusal:
+    ) -> placement.Rejection:
         del self._waiting[one.ask.request_id]
-        self._returns.note(one.ask, one.first_sent_s, now_s)
+        self._retries.note(one.ask, one.first_sent_s, now_s)
         turn_s = turns.place_s(len(self._waiting))
-        wait_s = self._comeback.retry_after_s(
+        wait_s = self._retry_after.retry_after_s(
             place_s=turn_s - now_s,
-            expected_back=self._returns.expected(now_s) - 1,
+            expected_back=self._retries.expected(now_s) - 1,
             patience_s=one.ask.patience_s - (now_s - one.sent_s),
             now_s=now_s,
         )
-        return stream_ask.StreamRefusal(
+        return placement.Rejection(
             request_id=one.ask.request_id,
             retry_after_s=wait_s,
             reason='no place in time',
--- a/limpetroute/routing/stream_times.py
+++ b/limpetroute/routing/stream_times.py
@@ -1,7 +1,7 @@
 """How long the steps of a stream take."""
 
+from limpetroute.routing import placement
 from limpetroute.routing import stage_rates
-from limpetroute.routing import stream_ask
 
 # From a grant to the first event, beside the reading: the way to the
 # entry host and two runners, the transfer, the first steps.
@@ -15,14 +15,14 @@
 LAST_CHANCE_TO_BEGIN_S = 1.2
 
 
-def longest_wait_s(ask: stream_ask.StreamAsk) -> float:
+def longest_wait_s(ask: placement.PlacementRequest) -> float:
     """Return how long after its last event a place is still worth giving."""
     if ask.goes_on:
         return ask.silence_s - LAST_CHANCE_S
     return ask.silence_s - LAST_CHANCE_TO_BEGIN_S
 
 
-def may_wait(ask: stream_ask.StreamAsk, wait_s: float) -> bool:
+def may_wait(ask: placement.PlacementRequest, wait_s: float) -> bool:
     """Return whether a stream is worth beginning after another wait.
 
     Where nobody decides, room and a leader may come within moments; who
--- a/limpetroute/routing/stream_turns.py
+++ b/limpetroute/routing/wait_estimate.py
@@ -2,23 +2,23 @@
 
 import math
 
-from limpetroute.routing import held_places
-from limpetroute.routing import reading_turns
+from limpetroute.routing import placement
+from limpetroute.routing import prefill_queue
+from limpetroute.routing import reservations
 from limpetroute.routing import runner_info
 from limpetroute.routing import service as service_module
-from limpetroute.routing import stream_ask
 
 
-class StreamTurns:
+class WaitEstimate:
     """When a waiting stream's turn comes, at one moment.
 
     Parameters
     ----------
     engine : Engine
         Places and memory of the runners.
-    held : HeldPlaces
+    held : Reservations
         The places that are given.
-    reading : ReadingTurns
+    reading : PrefillQueue
         When runners may read.
     decoders, readers : list of RunnerInfo
         The runners that are used now.
@@ -30,8 +30,8 @@
         self,
         *,
         engine: service_module.Engine,
-        held: held_places.HeldPlaces,
-        reading: reading_turns.ReadingTurns,
+        held: reservations.Reservations,
+        reading: prefill_queue.PrefillQueue,
         decoders: list[runner_info.RunnerInfo],
         readers: list[runner_info.RunnerInfo],
         now_s: float,
@@ -47,7 +47,7 @@
     def __repr__(self) -> str:
         return f'{type(self).__name__}(ends_s={self._ends_s!r})'
 
-    def turn_s(self, ask: stream_ask.StreamAsk, ahead: int) -> float:
+    def turn_s(self, ask: placement.PlacementRequest, ahead: int) -> float:
         """Return when a stream gets its place, after those ahead."""
         if not self._reading.can_be_read(ask, self._decoders, self._readers):
             return self._quiet_s()
@@ -66,7 +66,7 @@
             return self._ends_s[ahead]
         return self._ends_s[-1] if self._ends_s else self._now_s
 
-    def _read_s(self, ask: stream_ask.StreamAsk, ahead: int) -> float:
+    def _read_s(self, ask: placement.PlacementRequest, ahead: int) -> float:
         """Return when a decode runner with room may read a prompt.
 
         Such a runner has places, but reads one prompt at a time: it is
@@ -97,11 +97,11 @@
                 one.ends_s(self._now_s)
                 for one in self._held.outlooks(runner.runner_id)
             )
-            quiet_s.append(ends_s[-reading_turns.FEW_STREAMS - 1])
+            quiet_s.append(ends_s[-prefill_queue.FEW_STREAMS - 1])
         return max(self._now_s, min(quiet_s, default=math.inf))
 
     def _has_room(
-        self, ask: stream_ask.StreamAsk, runner: runner_info.RunnerInfo
+        self, ask: placement.PlacementRequest, runner: runner_info.RunnerInfo
     ) -> bool:
         if runner.runner_id in ask.avoid:
             return False
--- a/limpetroute/routing/waiting_stream.py
+++ b/limpetroute/routing/waiting_stream.py
@@ -2,7 +2,7 @@
 
 import dataclasses
 
-from limpetroute.routing import stream_ask
+from limpetroute.routing import placement
 from limpetroute.routing import stream_times
 
 
@@ -12,7 +12,7 @@
 
     Parameters
     ----------
-    ask : StreamAsk
+    ask : PlacementRequest
         What it asked for.
     sent_s : float
         When its caller sent it, or got its last event.
@@ -20,7 +20,7 @@
         When its caller sent it for the first time.
     """
 
-    ask: stream_ask.StreamAsk
+    ask: placement.PlacementRequest
     sent_s: float
     first_sent_s: float
 
--- a/tests/cli/test_explain.py
+++ b/tests/cli/test_explain.py
@@ -35,7 +35,7 @@
         line(
             '2', 'answered for itself', status=503, reason='no place in time'
         ),
-        line('1', 'stream decided', outcome='StreamRefusal', held=12),
+        line('1', 'stream decided', outcome='Rejection', held=12),
     )
     assert code == 1
     assert out.index('stream decided') < out.index('answered for itself')
--- a/tests/dispatch/test_started_again.py
+++ b/tests/dispatch/test_started_again.py
@@ -4,14 +4,14 @@
 
 from limpetroute.dispatch import stage_orders
 from limpetroute.platform import orders
-from limpetroute.routing import stream_ask
-from limpetroute.routing import stream_desk
+from limpetroute.routing import placement
+from limpetroute.routing import stream_scheduler
 from limpetroute.wire import reply
 from tests.routing import builders
 
 
 def make_end(name, failed):
-    return stream_ask.StreamEnd(request_id=name, failed=(failed,))
+    return placement.Release(request_id=name, failed=(failed,))
 
 
 def test_a_started_runner_has_all_its_places_again():
@@ -21,7 +21,7 @@
     then, the streams of its earlier life keep new ones out of a runner
     that has nothing to do.
     """
-    desk = stream_desk.StreamDesk(engine=builders.ENGINE)
+    desk = stream_scheduler.StreamScheduler(engine=builders.ENGINE)
     runner = builders.make_runner('d1')
     for n in range(builders.ENGINE.slots):
         desk.ask(builders.make_ask(f's{n}', prompt_tokens=10), 0.0)
@@ -32,7 +32,7 @@
 
 
 def test_failures_of_an_earlier_life_keep_no_runner_at_rest():
-    desk = stream_desk.StreamDesk(engine=builders.ENGINE)
+    desk = stream_scheduler.StreamScheduler(engine=builders.ENGINE)
     runners = [builders.make_runner('d1')]
     for n in range(4):
         desk.ask(builders.make_ask(f's{n}'), 0.0)
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -12,7 +12,7 @@
 from limpetroute.forwarding import forward_meters
 from limpetroute.forwarding import forwarder
 from limpetroute.forwarding import front_server
-from limpetroute.forwarding import place_client
+from limpetroute.forwarding import scheduler_client
 from limpetroute.platform import http_dialect
 from limpetroute.routing import route
 from limpetroute.routing import route_kind
@@ -36,7 +36,7 @@
         for one in runners:
             self.view._runners[one.runner_id] = one
             self.view._by_service.setdefault(one.service, []).append(one)
-        self.places = place_client.PlaceClient(http=caller.Caller())
+        self.places = scheduler_client.SchedulerClient(http=caller.Caller())
         self.context = forward_context.ForwardContext(
             view=self.view,
             watch=OneHost(),
--- a/tests/forwarding/test_place_client.py
+++ b/tests/forwarding/test_scheduler_client.py
@@ -3,8 +3,8 @@
 import asyncio
 import json
 
-from limpetroute.forwarding import place_client
-from limpetroute.routing import stream_ask
+from limpetroute.forwarding import scheduler_client
+from limpetroute.routing import placement
 from limpetroute.wire import call_failed
 from limpetroute.wire import reply
 from tests.routing import builders
@@ -31,9 +31,7 @@
 
 
 def own_place(name):
-    return stream_ask.StreamPlace(
-        request_id=name, decode_id='d', prefill_id='p'
-    )
+    return placement.Placement(request_id=name, decode_id='d', prefill_id='p')
 
 
 def test_what_a_host_gave_itself_is_told_once_the_leader_answers_again():
@@ -46,7 +44,7 @@
 
     async def work():
         leader = Leader()
-        client = place_client.PlaceClient(http=leader)
+        client = scheduler_client.SchedulerClient(http=leader)
         client.note_own(own_place('own'), builders.make_ask('own'))
         client.follow('http://127.0.0.1:1')
         await asyncio.sleep(0)
@@ -68,7 +66,7 @@
 
 
 def test_each_ask_for_a_place_has_a_number_of_its_own():
-    client = place_client.PlaceClient(http=Leader())
+    client = scheduler_client.SchedulerClient(http=Leader())
     assert client.next_attempt() != client.next_attempt()
 
 
@@ -91,7 +89,7 @@
 
     async def work():
         leader = LateLeader()
-        client = place_client.PlaceClient(http=leader)
+        client = scheduler_client.SchedulerClient(http=leader)
         client.note(own_place('own'), builders.make_ask('own'))
         client.follow('http://127.0.0.1:1')
         await asyncio.sleep(0)
--- a/tests/routing/builders.py
+++ b/tests/routing/builders.py
@@ -1,11 +1,11 @@
 from limpetroute.decisions import stage as stage_module
 from limpetroute.routing import caller_limits
+from limpetroute.routing import placement
 from limpetroute.routing import route
 from limpetroute.routing import route_kind
 from limpetroute.routing import route_plan
 from limpetroute.routing import runner_info
 from limpetroute.routing import service
-from limpetroute.routing import stream_ask
 
 ENGINE = service.Engine(
     slots=12,
@@ -45,7 +45,7 @@
         'patience_s': 14.0,
         **fields,
     }
-    return stream_ask.StreamAsk(**values)
+    return placement.PlacementRequest(**values)
 
 
 def make_route(**fields):
--- a/tests/routing/stream_play.py
+++ b/tests/routing/stream_play.py
@@ -5,8 +5,8 @@
 import heapq
 import random
 
-from limpetroute.routing import stream_ask
-from limpetroute.routing import stream_desk
+from limpetroute.routing import placement
+from limpetroute.routing import stream_scheduler
 from tests.routing import builders
 
 STEP_S = 0.05
@@ -38,7 +38,7 @@
 
     def __init__(self, seed, *, writers, base, peak, burst, until_s=30.0):
         self.rng = random.Random(seed)
-        self.desk = stream_desk.StreamDesk(engine=builders.ENGINE)
+        self.desk = stream_scheduler.StreamScheduler(engine=builders.ENGINE)
         self.fleet = [builders.make_runner('p', builders.PREFILL)]
         for n in range(writers):
             self.fleet.append(builders.make_runner(f'd{n}'))
@@ -88,7 +88,7 @@
             return
         if event.kind == 'end':
             self.desk.end(
-                stream_ask.StreamEnd(
+                placement.Release(
                     request_id=event.name,
                     output_tokens=stream.came_tokens,
                     decode_s=stream.came_tokens / TOKENS_PER_S,
@@ -112,7 +112,7 @@
         name = answer.request_id
         stream = self.streams[name.removesuffix('-again')]
         left_s = PATIENCE_S - (now_s - stream.sent_s)
-        if isinstance(answer, stream_ask.StreamPlace):
+        if isinstance(answer, placement.Placement):
             self.read_s = max(self.read_s, now_s)
             self.read_s += stream.prompt_tokens / 50_000
             self.add(self.read_s, 'read', name)
--- a/tests/routing/test_comeback_time.py
+++ b/tests/routing/test_retry_after.py
@@ -2,12 +2,12 @@
 
 import pytest
 
-from limpetroute.routing import comeback_time
+from limpetroute.routing import retry_after
 from tests.routing import stream_play
 
 
 def told(*, came, ended, expected_back=0, patience_s=14.0):
-    known = comeback_time.ComebackTime()
+    known = retry_after.RetryAfterEstimator()
     for n in range(came):
         known.note_new(n * 0.01)
     for n in range(ended):
@@ -35,7 +35,7 @@
 
 
 def test_old_counts_are_forgotten():
-    known = comeback_time.ComebackTime()
+    known = retry_after.RetryAfterEstimator()
     for n in range(50):
         known.note_new(n * 0.01)
     known.note_end(9.5)
--- a/tests/routing/test_stage_split.py
+++ b/tests/routing/test_stage_split.py
@@ -14,7 +14,7 @@
 from limpetroute.routing import reading_pause
 from limpetroute.routing import stage_rates
 from limpetroute.routing import stage_split
-from limpetroute.routing import stream_desk
+from limpetroute.routing import stream_scheduler
 from tests.routing import builders
 
 # Memory for nine streams of the mean size, and twelve places.
@@ -185,7 +185,7 @@
     readers would be best: a writer was away for six seconds, and two
     runners left soon after.
     """
-    desk = stream_desk.StreamDesk(engine=SMALL)
+    desk = stream_scheduler.StreamScheduler(engine=SMALL)
     runners = [builders.make_runner('a', builders.PREFILL)]
     runners += [builders.make_runner(name) for name in 'bcd']
     for n in range(3):
--- a/tests/routing/test_stream_desk.py
+++ b/tests/routing/test_stream_scheduler.py
@@ -4,8 +4,8 @@
 import math
 import random
 
-from limpetroute.routing import stream_ask
-from limpetroute.routing import stream_desk
+from limpetroute.routing import placement
+from limpetroute.routing import stream_scheduler
 from tests.routing import builders
 
 # Events of eight tokens: streams go on while their runner reads.
@@ -13,7 +13,7 @@
 
 
 def make_desk():
-    return stream_desk.StreamDesk(engine=builders.ENGINE)
+    return stream_scheduler.StreamScheduler(engine=builders.ENGINE)
 
 
 def make_fleet(writers=2, readers=12):
@@ -63,13 +63,11 @@
 
 
 def places(answers):
-    return [one for one in answers if isinstance(one, stream_ask.StreamPlace)]
+    return [one for one in answers if isinstance(one, placement.Placement)]
 
 
 def refusals(answers):
-    return [
-        one for one in answers if isinstance(one, stream_ask.StreamRefusal)
-    ]
+    return [one for one in answers if isinstance(one, placement.Rejection)]
 
 
 def test_a_stream_gets_a_reader_and_a_writer():
@@ -115,7 +113,7 @@
         desk.ask(builders.make_ask(f's{n}', output_tokens=2000), 0.0)
     answers = desk.decide(make_fleet(), 0.0)
     told = refusals(answers)
-    late_room = round(24 * stream_desk.LATE_PART)
+    late_room = round(24 * stream_scheduler.LATE_PART)
     assert len(told) == 60 - 24 - late_room
     assert all(one.retry_after_s >= 0.3 for one in told)
 
@@ -125,7 +123,7 @@
     for n in range(25):
         desk.ask(builders.make_ask(f's{n}', output_tokens=500), 0.0)
     first = places(desk.decide(make_fleet(), 0.0))
-    end = stream_ask.StreamEnd(request_id=first[0].request_id)
+    end = placement.Release(request_id=first[0].request_id)
     desk.end(end, 0.1)
     (place,) = places(desk.decide(make_fleet(), 0.1))
     assert place.request_id == 's24'
@@ -141,7 +139,7 @@
     desk.ask(
         builders.make_ask('begun', goes_on=True, reads_prompt=False), 0.15
     )
-    desk.end(stream_ask.StreamEnd(request_id=given[0].request_id), 0.2)
+    desk.end(placement.Release(request_id=given[0].request_id), 0.2)
     (place,) = places(desk.decide(make_fleet(), 0.2))
     assert place.request_id == 'begun'
 
@@ -161,7 +159,7 @@
             served.append(one.request_id)
             held.append(one.request_id)
         if len(held) > 20:
-            desk.end(stream_ask.StreamEnd(request_id=held.pop(0)), now_s)
+            desk.end(placement.Release(request_id=held.pop(0)), now_s)
     assert 'late' in served
 
 
@@ -188,7 +186,7 @@
         desk.ask(small, now_s)
         if held and n % 4 == 0:
             ended = held.pop(rng.randrange(len(held)))
-            desk.end(stream_ask.StreamEnd(request_id=ended), now_s)
+            desk.end(placement.Release(request_id=ended), now_s)
         for one in places(desk.decide(fleet, now_s)):
             served.append(one.request_id)
             held.append(one.request_id)
@@ -212,9 +210,7 @@
             dark = one.decode_id == 'd0'
             wasted += dark
             failed = ('d0',) if dark else ()
-            end = stream_ask.StreamEnd(
-                request_id=one.request_id, failed=failed
-            )
+            end = placement.Release(request_id=one.request_id, failed=failed)
             desk.end(end, now_s)
     assert wasted <= 6
 
@@ -224,7 +220,7 @@
     desk.ask(builders.make_ask(name, prompt_tokens=2000), now_s)
     (place,) = places(desk.decide(fleet, now_s))
     failed = (place.prefill_id,) if place.prefill_id else ()
-    desk.end(stream_ask.StreamEnd(request_id=name, failed=failed), now_s)
+    desk.end(placement.Release(request_id=name, failed=failed), now_s)
     return place
 
 
@@ -254,7 +250,7 @@
     assert places(desk.decide(fleet, 8.0))
     desk.read('old', 0, 8.1)
     fail_a_place(desk, fleet, 's0', 10.0)
-    desk.end(stream_ask.StreamEnd(request_id='old', whole=True), 10.0)
+    desk.end(placement.Release(request_id='old', whole=True), 10.0)
     fail_a_place(desk, fleet, 's1', 10.0)
     assert not fail_a_place(desk, fleet, 's2', 10.5).prefill_id
 
@@ -279,7 +275,7 @@
     for n in range(2):
         desk.ask(builders.make_ask(f's{n}'), 10.0)
         desk.decide(fleet, 10.0)
-    desk.end(stream_ask.StreamEnd(request_id='s0', failed=('p',)), 10.0)
+    desk.end(placement.Release(request_id='s0', failed=('p',)), 10.0)
     assert fail_a_place(desk, fleet, 's3', 10.1).prefill_id
 
 
@@ -290,7 +286,7 @@
     desk.ask(builders.make_ask('one'), 0.0)
     (place,) = desk.decide(fleet, 0.0)
     full = (place.decode_id,)
-    desk.end(stream_ask.StreamEnd(request_id='one', full=full), 0.0)
+    desk.end(placement.Release(request_id='one', full=full), 0.0)
     desk.ask(builders.make_ask('two'), 0.1)
     assert not places(desk.decide(fleet, 0.1))
     desk.ask(builders.make_ask('three'), 2.0)
@@ -312,7 +308,7 @@
     fleet = make_fleet(writers=1)
     for n in range(12):
         ask = builders.make_ask(f'old{n}', output_tokens=500)
-        place = stream_ask.StreamPlace(
+        place = placement.Placement(
             request_id=ask.request_id, decode_id='d0', prefill_id='p'
         )
         desk.adopt(place, ask, 0.0)
@@ -474,7 +470,7 @@
         ask = builders.make_ask(f'new{n}', prompt_id=f'q{n}')
         desk.ask(ask, 2.0)
     for name in held[:6]:
-        desk.end(stream_ask.StreamEnd(request_id=name), 2.0)
+        desk.end(placement.Release(request_id=name), 2.0)
     given = [one.request_id for one in places(desk.decide(fleet, 2.0))]
     # One place in eight goes to a late one.
     assert sum(name.startswith('new') for name in given) >= 5
@@ -488,7 +484,7 @@
         desk.ask(ask, 0.0)
     answers = desk.decide(fleet, 0.0)
     for one in places(answers):
-        desk.end(stream_ask.StreamEnd(request_id=one.request_id), 3.0)
+        desk.end(placement.Release(request_id=one.request_id), 3.0)
     back = refusals(answers)[0].request_id
     ask = builders.make_ask('again', prompt_id=f'p{back[1:]}')
     desk.ask(ask, 3.0)
@@ -499,7 +495,7 @@
 def test_one_prompt_of_a_session_does_not_count_for_the_next():
     """Sessions send prompts of other sizes under one name."""
     engine = dataclasses.replace(builders.ENGINE, slots=4)
-    desk = stream_desk.StreamDesk(engine=engine)
+    desk = stream_scheduler.StreamScheduler(engine=engine)
     fleet = make_fleet(writers=0)
     desk.ask(builders.make_ask('a', prompt_id='p'), 0.0)
     assert refusals(desk.decide(fleet, 0.0))
@@ -523,7 +519,7 @@
     """
     rng = random.Random(11)
     engine = dataclasses.replace(builders.ENGINE, memory_tokens=78_000)
-    desk = stream_desk.StreamDesk(engine=engine)
+    desk = stream_scheduler.StreamScheduler(engine=engine)
     fleet = make_fleet(writers=1)
     running = {}
     over = 0
@@ -538,7 +534,7 @@
             running[name] = (None, came)
             desk.ask(ask, now_s)
         for one in desk.decide(fleet, now_s):
-            if isinstance(one, stream_ask.StreamRefusal):
+            if isinstance(one, placement.Rejection):
                 del running[one.request_id]
                 continue
             running[one.request_id] = (now_s, running[one.request_id][1])
@@ -551,7 +547,7 @@
             if written < came:
                 used += 5000 + written
                 continue
-            end = stream_ask.StreamEnd(
+            end = placement.Release(
                 request_id=name,
                 output_tokens=came,
                 decode_s=came / 1300,
@@ -581,12 +577,12 @@
     again = builders.make_ask('s', attempt=2, avoid=(first.decode_id,))
     desk.ask(again, 0.3)
     (second,) = places(desk.decide(fleet, 0.3))
-    end = stream_ask.StreamEnd(
+    end = placement.Release(
         request_id='s', attempt=1, failed=(first.decode_id,)
     )
     desk.end(end, 0.31)
     assert desk.held == 1
-    desk.end(stream_ask.StreamEnd(request_id='s', attempt=2), 2.0)
+    desk.end(placement.Release(request_id='s', attempt=2), 2.0)
     assert desk.held == 0
 
 
@@ -620,7 +616,7 @@
     the newest are pushed out again.
     """
     engine = dataclasses.replace(builders.ENGINE, memory_tokens=78_000)
-    desk = stream_desk.StreamDesk(engine=engine)
+    desk = stream_scheduler.StreamScheduler(engine=engine)
     for n in range(12):
         ask = builders.make_ask(
             f's{n}', goes_on=True, written_tokens=4000, output_tokens=5000
@@ -668,7 +664,7 @@
     # Ten a second are read; the rest cannot be in time and comes back.
     assert 8 <= given <= 14
     # A few late ones may go on waiting.
-    late_room = round(36 * stream_desk.LATE_PART)
+    late_room = round(36 * stream_scheduler.LATE_PART)
     assert 30 - given - late_room <= refused <= 30 - given
 
 
@@ -703,7 +699,7 @@
             running.append((now_s + 1.5, one.request_id))
         while running and running[0][0] <= now_s:
             name = running.pop(0)[1]
-            desk.end(stream_ask.StreamEnd(request_id=name), now_s)
+            desk.end(placement.Release(request_id=name), now_s)
     assert reader.longest_s < 0.55
 
 
@@ -713,7 +709,7 @@
     The other one's queue was full, and every further stream waited for
     it until its target was past, while the writers had room for all.
     """
-    desk = stream_desk.StreamDesk(engine=SHORT_EVENTS)
+    desk = stream_scheduler.StreamScheduler(engine=SHORT_EVENTS)
     fleet = make_fleet(writers=3, readers=1)
     for n in range(8):
         desk.ask(builders.make_ask(f's{n}'), 0.0)
@@ -746,7 +742,7 @@
     for n in range(30):
         desk.ask(builders.make_ask(f's{n}', output_tokens=100), now_s)
         (place,) = places(desk.decide(fleet, now_s))
-        end = stream_ask.StreamEnd(
+        end = placement.Release(
             request_id=place.request_id,
             output_tokens=100,
             decode_s=0.3,
