--- a/limpetroute/cli/bench.py
+++ b/limpetroute/cli/bench.py
@@ -5,6 +5,7 @@
                     [--policies LIST] [--json FILE] [--html FILE]
   limpetroute bench cost [--json FILE]
   limpetroute bench capacity [--json FILE]
+  limpetroute bench scheduler [--json FILE]
 
 Options:
   --seeds N        Play the first N seeds only.
@@ -21,6 +22,7 @@
   limpetroute bench run experiments/federation.json --html report.html
 """
 
+import dataclasses
 import json
 import pathlib
 import sys
@@ -47,6 +49,8 @@
         return _cost(args)
     if args['capacity']:
         return _capacity(args)
+    if args['scheduler']:
+        return _scheduler(args)
     try:
         path = pathlib.Path(args['EXPERIMENT'])
         body = settings_file.load(experiment.ExperimentBody, path)
@@ -160,5 +164,21 @@
     return EXIT_OK
 
 
+def _scheduler(args: dict[str, typing.Any]) -> int:
+    from limpetroute.bench import scheduler_cost
+
+    rows = scheduler_cost.measure()
+    for row in rows:
+        print(
+            f'runners {row.runners:5} waiting {row.waiting:5} '
+            f'median {row.median_us:8.1f} us 99th {row.p99_us:8.1f} us '
+            f'room checks {row.room_checks:6.2f}'
+        )
+    if args['--json'] is not None:
+        found = [dataclasses.asdict(row) for row in rows]
+        _write(args['--json'], json.dumps({'cost': found}, indent=1))
+    return EXIT_OK
+
+
 def _write(name: str, text: str) -> None:
     pathlib.Path(name).write_text(text + '\n')
--- a/limpetroute/control/metrics_part.py
+++ b/limpetroute/control/metrics_part.py
@@ -11,6 +11,7 @@
 from limpetroute.border import listen_settings
 from limpetroute.control import node as node_module
 from limpetroute.telemetry import exports as exports_module
+from limpetroute.telemetry import instruments
 
 
 class _MetricsHandler(web.RequestHandler):
@@ -47,6 +48,8 @@
         )
         for name, read in _gauges(node).items():
             self._exports.observe(f'control_{name}', read)
+        histogram = instruments.loop_lag(self._exports.meter)
+        node.loop_lag.record_to(histogram.record)
         args = {'text': self._exports.text}
         self._server = httpserver.HTTPServer(
             web.Application(
--- a/limpetroute/control/node.py
+++ b/limpetroute/control/node.py
@@ -30,6 +30,7 @@
 from limpetroute.control import routes_cutter
 from limpetroute.control import seeds as seeds_module
 from limpetroute.telemetry import boot_clock
+from limpetroute.telemetry import loop_lag
 from limpetroute.wire import caller
 
 LOG = logging.getLogger(__name__)
@@ -40,6 +41,9 @@
 HOST_LIVE_S = 10.0
 HOST_FORGET_S = 86400.0
 FORGET_EVERY_S = 5.0
+# Part of the election time: an event loop that is late for as long as
+# that cannot keep a leader's term.
+LOOP_LAG_LOG_PART = 0.1
 # How often a disk that failed is tried again.
 REOPEN_S = 0.5
 
@@ -88,6 +92,9 @@
         self.failure = ''
         self.replacements = replacements.Replacements()
         self.cutter = routes_cutter.RoutesCutter()
+        self.loop_lag = loop_lag.LoopLag(
+            log_from_s=settings.election_s * LOOP_LAG_LOG_PART
+        )
         self._rng = random.Random()
         self._timings = timings_module.Timings(
             heartbeat_s=settings.heartbeat_s,
@@ -181,9 +188,11 @@
             self._add_link(url)
         self._link_to_seeds()
         self._tasks = [asyncio.create_task(self._tick())]
+        self.loop_lag.start()
 
     async def stop(self) -> None:
         """End; nothing more is acknowledged."""
+        self.loop_lag.stop()
         for task in self._tasks:
             task.cancel()
         for link in self._links.values():
--- a/limpetroute/dispatch/dispatcher.py
+++ b/limpetroute/dispatch/dispatcher.py
@@ -6,6 +6,7 @@
 import typing
 
 from limpetroute.control import node as node_module
+from limpetroute.control import runner_row
 from limpetroute.dispatch import order_dialect
 from limpetroute.dispatch import stage_orders
 from limpetroute.routing import placement
@@ -34,6 +35,12 @@
     future: asyncio.Future[Answer]
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _ReadRow:
+    row: runner_row.RunnerRow
+    info: runner_info.RunnerInfo
+
+
 class Dispatcher:
     """Decides for all entry hosts while this control host leads.
 
@@ -61,19 +68,21 @@
             dialect=dialect,
             http=caller.Caller(),
         )
-        self._desks: dict[str, stream_scheduler.StreamScheduler] = {}
+        self._schedulers: dict[str, stream_scheduler.StreamScheduler] = {}
         self._pending: dict[str, _Pending] = {}
+        self._passes: set[str] = set()
         self._services: dict[str, service_module.Service] = {}
         self._routes_index = 0
         self._by_service: dict[str, list[runner_info.RunnerInfo]] = {}
         self._runners_index = -1
         self._started_ms: dict[str, int] = {}
+        self._read_rows: dict[str, _ReadRow] = {}
         self._led_term = 0
         self._adopts_until_s = 0.0
         self._task: asyncio.Task[None] | None = None
 
     def __repr__(self) -> str:
-        return f'{type(self).__name__}(desks={self._desks!r})'
+        return f'{type(self).__name__}(schedulers={self._schedulers!r})'
 
     def start(self) -> None:
         """Begin to decide whenever this host leads."""
@@ -94,42 +103,42 @@
         if not self.leads:
             return None
         self._note_term()
-        desk = self._desk(ask.service)
-        if desk is None:
+        scheduler = self._scheduler(ask.service)
+        if scheduler is None:
             return None
         future: asyncio.Future[Answer] = (
             asyncio.get_running_loop().create_future()
         )
         self._pending[ask.request_id] = _Pending(ask=ask, future=future)
-        desk.ask(ask, boot_clock.now_s())
-        self._decide(ask.service, desk)
+        scheduler.ask(ask, boot_clock.now_s())
+        self._request_pass(ask.service)
         try:
             return await future
         except asyncio.CancelledError:
-            desk.withdraw(ask.request_id)
+            scheduler.withdraw(ask.request_id)
             raise
         finally:
             self._pending.pop(ask.request_id, None)
 
     def withdraw(self, service: str, request_id: str) -> None:
         """Forget a stream whose caller is gone."""
-        desk = self._desk(service)
-        if desk is not None:
-            desk.withdraw(request_id)
+        scheduler = self._scheduler(service)
+        if scheduler is not None:
+            scheduler.withdraw(request_id)
 
     def read(self, service: str, request_id: str, attempt: int) -> None:
         """Take note that a prompt was read apart."""
-        desk = self._desk(service)
-        if desk is not None:
-            desk.read(request_id, attempt, boot_clock.now_s())
-            self._decide(service, desk)
+        scheduler = self._scheduler(service)
+        if scheduler is not None:
+            scheduler.read(request_id, attempt, boot_clock.now_s())
+            self._request_pass(service)
 
     def end(self, service: str, end: placement.Release) -> None:
         """Take a place back."""
-        desk = self._desk(service)
-        if desk is not None:
-            desk.end(end, boot_clock.now_s())
-            self._decide(service, desk)
+        scheduler = self._scheduler(service)
+        if scheduler is not None:
+            scheduler.end(end, boot_clock.now_s())
+            self._request_pass(service)
 
     def adopt(
         self, place: placement.Placement, ask: placement.PlacementRequest
@@ -138,9 +147,9 @@
         if not self.leads:
             return
         self._note_term()
-        desk = self._desk(ask.service)
-        if desk is not None:
-            desk.adopt(place, ask, boot_clock.now_s())
+        scheduler = self._scheduler(ask.service)
+        if scheduler is not None:
+            scheduler.adopt(place, ask, boot_clock.now_s())
 
     async def _run(self) -> None:
         while True:
@@ -150,9 +159,9 @@
                 continue
             await self._node.cutter.cut(self._node.config.state)
             self._note_term()
-            for service, desk in self._desks.items():
-                if desk.waiting:
-                    self._decide(service, desk)
+            for service, scheduler in self._schedulers.items():
+                if scheduler.waiting:
+                    self._request_pass(service)
             self._keep_stages()
 
     def _note_term(self) -> None:
@@ -163,21 +172,23 @@
         # what they hold as soon as they hear of the new leader.
         self._led_term = term
         self._adopts_until_s = boot_clock.now_s() + ADOPT_S
-        self._desks.clear()
+        self._schedulers.clear()
         self._orders.begin_term(term, boot_clock.now_s())
         LOG.info('dispatching', extra={'term': term})
 
-    def _desk(self, service: str) -> stream_scheduler.StreamScheduler | None:
+    def _scheduler(
+        self, service: str
+    ) -> stream_scheduler.StreamScheduler | None:
         self._read_services()
-        known = self._desks.get(service)
+        known = self._schedulers.get(service)
         if known is not None:
             return known
         found = self._services.get(service)
         if found is None or found.engine is None:
             return None
-        desk = stream_scheduler.StreamScheduler(engine=found.engine)
-        self._desks[service] = desk
-        return desk
+        scheduler = stream_scheduler.StreamScheduler(engine=found.engine)
+        self._schedulers[service] = scheduler
+        return scheduler
 
     def _read_services(self) -> None:
         """Take the services of the configuration in force.
@@ -205,14 +216,17 @@
             started_ms = {row.runner_id: row.started_ms for row in table}
             self._forget_earlier_lives(started_ms)
             self._started_ms = started_ms
+            read_rows = {}
             for row in table:
-                one = runner_info.from_detail(
-                    runner_id=row.runner_id,
-                    address=row.address,
-                    ready=row.state == 'ready',
-                    detail=row.text,
+                known = self._read_rows.get(row.runner_id)
+                if known is None or known.row is not row:
+                    known = _ReadRow(row=row, info=_info(row))
+                read_rows[row.runner_id] = known
+                of_service = self._by_service.setdefault(
+                    known.info.service, []
                 )
-                self._by_service.setdefault(one.service, []).append(one)
+                of_service.append(known.info)
+            self._read_rows = read_rows
         return self._by_service.get(service, [])
 
     def _forget_earlier_lives(
@@ -226,18 +240,38 @@
                 'a runner has started again',
                 extra={'runner': runner_id, 'started_ms': at_ms},
             )
-            for desk in self._desks.values():
-                desk.forget_runner(runner_id)
+            for scheduler in self._schedulers.values():
+                scheduler.forget_runner(runner_id)
+
+    def _request_pass(self, service: str) -> None:
+        """Have a service's streams placed after what is at hand now.
+
+        Events that come together are decided together, and heartbeats that
+        came in are read before the next pass.
+        """
+        if service in self._passes:
+            return
+        self._passes.add(service)
+        asyncio.get_running_loop().call_soon(self._run_pass, service)
+
+    def _run_pass(self, service: str) -> None:
+        self._passes.discard(service)
+        scheduler = self._schedulers.get(service)
+        if scheduler is None or not self.leads:
+            return
+        self._decide(service, scheduler)
+        if scheduler.unfinished:
+            self._request_pass(service)
 
     def _decide(
-        self, service: str, desk: stream_scheduler.StreamScheduler
+        self, service: str, scheduler: stream_scheduler.StreamScheduler
     ) -> None:
         if boot_clock.now_s() < self._adopts_until_s:
             return
         runners = self._runners(service)
         now_s = boot_clock.now_s()
         changing = self._orders.changing()
-        for answer in desk.decide(runners, now_s, changing=changing):
+        for answer in scheduler.decide(runners, now_s, changing=changing):
             pending = self._pending.get(answer.request_id)
             LOG.info(
                 'stream decided',
@@ -246,9 +280,9 @@
                     'outcome': type(answer).__name__,
                     **_detail(answer),
                     **(_inputs(pending.ask) if pending else {}),
-                    'held': desk.held,
-                    'waiting': desk.waiting,
-                    'tokens_per_s': round(desk.tokens_per_s),
+                    'held': scheduler.held,
+                    'waiting': scheduler.waiting,
+                    'tokens_per_s': round(scheduler.tokens_per_s),
                     'term': self._led_term,
                 },
             )
@@ -262,14 +296,23 @@
                 continue
             runners = self._runners(service.name)
             now_s = boot_clock.now_s()
-            desk = self._desks.get(service.name)
-            gone_s = desk.gone_s(runners, now_s) if desk else {}
-            rates = desk.rates if desk else None
+            scheduler = self._schedulers.get(service.name)
+            gone_s = scheduler.gone_s(runners, now_s) if scheduler else {}
+            rates = scheduler.rates if scheduler else None
             self._orders.keep(
                 service, runners, now_s, gone_s=gone_s, rates=rates
             )
 
 
+def _info(row: runner_row.RunnerRow) -> runner_info.RunnerInfo:
+    return runner_info.from_detail(
+        runner_id=row.runner_id,
+        address=row.address,
+        ready=row.state == 'ready',
+        detail=row.text,
+    )
+
+
 def _detail(answer: Answer) -> dict[str, typing.Any]:
     body = dataclasses.asdict(answer)
     del body['request_id']
--- /dev/null
+++ b/limpetroute/routing/admission.py
@@ -0,0 +1,65 @@
+"""Tells callers that are turned away when to come back."""
+
+from limpetroute.routing import placement
+from limpetroute.routing import retry_after
+from limpetroute.routing import retry_tracker
+from limpetroute.routing import waiting_stream
+
+
+class Admission:
+    """Tells callers that are turned away when to come back."""
+
+    def __init__(self) -> None:
+        self._retries = retry_tracker.RetryTracker()
+        self._retry_after = retry_after.RetryAfterEstimator()
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(retries={self._retries!r})'
+
+    def first_sent_s(
+        self, ask: placement.PlacementRequest, sent_s: float, now_s: float
+    ) -> float:
+        """Return when a stream's caller asked for the first time."""
+        first_s = self._retries.first_sent_s(ask, sent_s, now_s)
+        if first_s == sent_s and not ask.goes_on:
+            self._retry_after.note_new(now_s)
+        return first_s
+
+    def served(self, ask: placement.PlacementRequest) -> None:
+        """Forget a stream that got a place."""
+        self._retries.served(ask)
+
+    def released(self, now_s: float) -> None:
+        """Count a place that became free."""
+        self._retry_after.note_end(now_s)
+
+    def reject(
+        self,
+        stream: waiting_stream.WaitingStream,
+        place_s: float,
+        now_s: float,
+    ) -> placement.Rejection:
+        """Turn a stream away.
+
+        Parameters
+        ----------
+        stream : WaitingStream
+            The stream.
+        place_s : float
+            When the next place becomes free that nobody waits for.
+        now_s : float
+            A steady clock.
+        """
+        ask = stream.ask
+        self._retries.note(ask, stream.first_sent_s, now_s)
+        wait_s = self._retry_after.retry_after_s(
+            place_s=place_s - now_s,
+            expected_back=self._retries.expected(now_s) - 1,
+            patience_s=ask.patience_s - (now_s - stream.sent_s),
+            now_s=now_s,
+        )
+        return placement.Rejection(
+            request_id=ask.request_id,
+            retry_after_s=wait_s,
+            reason='no place in time',
+        )
--- a/limpetroute/routing/decode_placement.py
+++ b/limpetroute/routing/decode_placement.py
@@ -1,93 +1,143 @@
-"""Which decode runner a stream is given."""
+"""Which decode runner a stream is placed at."""
 
+import typing
+
+from limpetroute.routing import decode_room
+from limpetroute.routing import fleet as fleet_module
 from limpetroute.routing import outlier_detector
 from limpetroute.routing import placement
-from limpetroute.routing import prefill_queue
 from limpetroute.routing import reservations
 from limpetroute.routing import runner_info
 from limpetroute.routing import service as service_module
 
 # Part of the memory by which a runner of the caller's zone may be fuller
-# than another one and still be taken: an answer is 24 KB that would be
-# paid for between zones. A stream takes 4 to 8 % of a runner.
+# than another one and still be taken: an answer that crosses zones costs
+# more than an even spread gains.
 SAME_ZONE_BONUS = 0.08
+# Runners that are looked at to tell whether there is room for a stream:
+# where those with most free memory have none, others hardly do.
+ROOM_CANDIDATES = 4
 
 
 class DecodePlacement:
-    """Which decode runner a stream is given.
+    """Which decode runner a stream is placed at.
 
     Parameters
     ----------
     engine : Engine
-        Places and memory of the runners.
-    held : Reservations
-        The places that are given.
-    reading : PrefillQueue
-        When runners may read.
-    watch : OutlierDetector
-        Places that hosts out of reach have taken.
+        Slots and memory of the runners.
+    reserved : Reservations
+        The slots that are reserved.
+    outliers : OutlierDetector
+        Slots that hosts out of reach have taken.
+    fleet : Fleet
+        The runners that may be used.
     """
 
     def __init__(
         self,
         *,
         engine: service_module.Engine,
-        held: reservations.Reservations,
-        reading: prefill_queue.PrefillQueue,
-        watch: outlier_detector.OutlierDetector,
+        reserved: reservations.Reservations,
+        outliers: outlier_detector.OutlierDetector,
+        fleet: fleet_module.Fleet,
     ) -> None:
         self._engine = engine
-        self._held = held
-        self._reading = reading
-        self._watch = watch
+        self._reservations = reserved
+        self._outliers = outliers
+        self._fleet = fleet
+        self.room_checks = 0
 
     def __repr__(self) -> str:
-        return f'{type(self).__name__}(held={self._held!r})'
+        return f'{type(self).__name__}(room_checks={self.room_checks!r})'
 
     def best(
+        self, ask: placement.PlacementRequest, ready_s: float, now_s: float
+    ) -> runner_info.RunnerInfo | None:
+        """Return the decode runner with most memory left, if one has room.
+
+        Runners are looked at from the one with most free memory on, until
+        none that follows can be better; those of the caller's zone first.
+        """
+        decoders = self._fleet.decoders
+        outlook = self._reservations.outlook(ask, ready_s)
+        bonus = self._engine.memory_tokens * SAME_ZONE_BONUS
+        best = None
+        best_rank = 0.0
+        if ask.zone:
+            for free, runner in decoders.most_free(ask.zone):
+                most = free - ask.tokens_to_read
+                if most < 0 or (best and most + bonus <= best_rank):
+                    break
+                rank = self._rank(ask, outlook, runner, now_s)
+                if rank is not None and (best is None or rank > best_rank):
+                    best, best_rank = runner, rank
+        for free, runner in decoders.most_free():
+            most = free - ask.tokens_to_read
+            if most < 0 or (best and most <= best_rank):
+                break
+            if ask.zone and runner.zone == ask.zone:
+                continue
+            rank = self._rank(ask, outlook, runner, now_s)
+            if rank is not None and (best is None or rank > best_rank):
+                best, best_rank = runner, rank
+        return best
+
+    def best_of(
         self,
         ask: placement.PlacementRequest,
-        decoders: list[runner_info.RunnerInfo],
-        reader: runner_info.RunnerInfo | None,
+        runners: typing.Iterable[runner_info.RunnerInfo],
         ready_s: float,
         now_s: float,
     ) -> runner_info.RunnerInfo | None:
-        """Return the decode runner with most memory left, if one has room.
+        """Return the best of some decode runners, if one has room.
 
-        Without a reader, it is one that may read the prompt itself.
+        They come in the order of their free memory, most first.
         """
+        outlook = None
         best = None
         best_rank = 0.0
-        for runner in decoders:
-            if reader is None and not self._reading.may_read(
-                ask, runner, now_s
-            ):
-                continue
-            rank = self._rank(ask, runner, ready_s, now_s)
-            if rank is None:
-                continue
-            if best is None or rank > best_rank:
+        for runner in runners:
+            free = self._fleet.decoders.free_tokens(runner.runner_id)
+            if free < ask.tokens_to_read:
+                break
+            if outlook is None:
+                outlook = self._reservations.outlook(ask, ready_s)
+            rank = self._rank(ask, outlook, runner, now_s)
+            if rank is not None and (best is None or rank > best_rank):
                 best, best_rank = runner, rank
         return best
 
+    def has_room(self, ask: placement.PlacementRequest, now_s: float) -> bool:
+        """Return whether a decode runner has room for a stream now."""
+        outlook = self._reservations.outlook(ask, now_s)
+        checks = 0
+        for free, runner in self._fleet.decoders.most_free():
+            if free < ask.tokens_to_read or checks == ROOM_CANDIDATES:
+                return False
+            if self._rank(ask, outlook, runner, now_s) is not None:
+                return True
+            checks += 1
+        return False
+
     def _rank(
         self,
         ask: placement.PlacementRequest,
+        outlook: decode_room.StreamOutlook,
         runner: runner_info.RunnerInfo,
-        ready_s: float,
         now_s: float,
     ) -> float | None:
         """Return the memory left at a runner, or None without room."""
         if runner.runner_id in ask.avoid:
             return None
-        taken = len(self._held.outlooks(runner.runner_id))
-        hidden = self._watch.hidden(runner.runner_id, now_s)
+        taken = self._reservations.streams(runner.runner_id)
+        hidden = self._outliers.hidden(runner.runner_id, now_s)
         if taken + hidden >= self._engine.slots:
             return None
-        room = self._held.room_tokens(taken + 1)
-        peak = self._held.peak_with(
-            runner.runner_id, ask, begins_s=ready_s, now_s=now_s
-        )
+        self.room_checks += 1
+        room = self._reservations.room_tokens(taken + 1)
+        profile = self._reservations.profile(runner.runner_id, now_s)
+        peak = profile.peak_with(outlook, now_s)
         if peak > room:
             return None
         rank = room - peak
--- /dev/null
+++ b/limpetroute/routing/fleet.py
@@ -0,0 +1,128 @@
+"""The runners of a service that may be given work now."""
+
+import typing
+
+from limpetroute.decisions import stage as stage_module
+from limpetroute.routing import outlier_detector
+from limpetroute.routing import reservations
+from limpetroute.routing import room_index
+from limpetroute.routing import runner_info
+
+
+class Fleet:
+    """The runners of a service that may be given work now.
+
+    Parameters
+    ----------
+    reserved : Reservations
+        The slots that are reserved.
+    outliers : OutlierDetector
+        Which runners are ejected.
+    """
+
+    def __init__(
+        self,
+        *,
+        reserved: reservations.Reservations,
+        outliers: outlier_detector.OutlierDetector,
+    ) -> None:
+        self._reservations = reserved
+        self._outliers = outliers
+        self._known: list[runner_info.RunnerInfo] = []
+        self._changing: frozenset[str] = frozenset()
+        self._ready: dict[
+            stage_module.Stage | None, dict[str, runner_info.RunnerInfo]
+        ] = {}
+        self._unusable: tuple[set[str], set[str]] = (set(), set())
+        self.decoders = room_index.RoomIndex()
+        self.readers: list[runner_info.RunnerInfo] = []
+
+    def __repr__(self) -> str:
+        return (
+            f'{type(self).__name__}(decoders={len(self.decoders)!r}, '
+            f'readers={len(self.readers)!r})'
+        )
+
+    def refresh(
+        self,
+        runners: typing.Iterable[runner_info.RunnerInfo],
+        changing: typing.Collection[str],
+        now_s: float,
+    ) -> bool:
+        """Take note of the runners; return whether others may be used now.
+
+        ``changing`` are runners that were told to change their stage: for
+        some seconds they refuse all, and are announced as they were.
+        """
+        known = list(runners)
+        # Unchanged runners are the same objects, which compare at once.
+        is_new = known != self._known or set(changing) != self._changing
+        if is_new:
+            self._known = known
+            self._changing = frozenset(changing)
+            self._ready = {}
+            for one in known:
+                if one.ready and one.runner_id not in self._changing:
+                    of_stage = self._ready.setdefault(one.stage, {})
+                    of_stage[one.runner_id] = one
+        unusable = self._find_unusable(now_s)
+        if not is_new and unusable == self._unusable:
+            return False
+        self._unusable = unusable
+        self._index(now_s)
+        ready = self._ready.get(stage_module.Stage.PREFILL, {})
+        self.readers = [
+            one for name, one in ready.items() if name not in unusable[1]
+        ]
+        return True
+
+    def update(self, now_s: float) -> None:
+        """Take note of what runners have free whose streams changed."""
+        for runner_id in self._reservations.take_changed():
+            if runner_id in self.decoders:
+                self.decoders.put(
+                    self.decoders.runner(runner_id),
+                    self._reservations.free_tokens(runner_id, now_s),
+                )
+
+    def by_room(
+        self, runner_ids: typing.Iterable[str]
+    ) -> list[runner_info.RunnerInfo]:
+        """Return some decode runners that may be used, most free first."""
+        known = [one for one in runner_ids if one in self.decoders]
+        known.sort(key=lambda one: (-self.decoders.free_tokens(one), one))
+        return [self.decoders.runner(one) for one in known]
+
+    def _index(self, now_s: float) -> None:
+        self._reservations.take_changed()
+        self.decoders = room_index.RoomIndex()
+        ready = self._ready.get(stage_module.Stage.DECODE, {})
+        for runner_id, one in ready.items():
+            if runner_id not in self._unusable[0]:
+                free = self._reservations.free_tokens(runner_id, now_s)
+                self.decoders.put(one, free)
+
+    def _find_unusable(self, now_s: float) -> tuple[set[str], set[str]]:
+        """Return the decode and the prefill runners that get no work.
+
+        With none left of a stage, the ones that failed are better than
+        nothing: the failure may have been one connection's. Only prompts
+        need no prefill runner; one that is gone and still registered
+        would be given every prompt for want of another.
+        """
+        decoders = self._ready.get(stage_module.Stage.DECODE, {})
+        readers = self._ready.get(stage_module.Stage.PREFILL, {})
+        no_decoders = self._outliers.ejected(decoders, now_s)
+        if len(no_decoders) == len(decoders):
+            no_decoders = set()
+        no_readers = self._outliers.ejected(readers, now_s)
+        if len(no_readers) == len(readers):
+            if decoders:
+                no_readers = {
+                    one
+                    for one in no_readers
+                    if self._outliers.seemed_gone_s(one, now_s)
+                }
+            else:
+                no_readers = set()
+        return no_decoders, no_readers
--- a/limpetroute/routing/prefill_queue.py
+++ b/limpetroute/routing/prefill_queue.py
@@ -1,6 +1,9 @@
 """When runners are free to read the next prompt."""
 
 import dataclasses
+import typing
+
+import sortedcontainers
 
 from limpetroute.routing import placement
 from limpetroute.routing import reading_pause
@@ -54,8 +57,8 @@
 
     Parameters
     ----------
-    held : Reservations
-        The places that are given.
+    reserved : Reservations
+        The slots that are reserved.
     prompt_size : UsualSize
         Lengths of the prompts that come.
     """
@@ -63,52 +66,59 @@
     def __init__(
         self,
         *,
-        held: reservations.Reservations,
+        reserved: reservations.Reservations,
         prompt_size: usual_size.UsualSize,
     ) -> None:
-        self._held = held
+        self._reservations = reserved
+        # In the order in which they began.
         self._readings: dict[tuple[str, int], _Reading] = {}
+        self._queued: dict[str, int] = {}
+        self._readers: dict[str, runner_info.RunnerInfo] = {}
+        self._order = sortedcontainers.SortedList()
+        self._key_of: dict[str, tuple[float, str]] = {}
         self._speeds: dict[str, float] = {}
+        self._speed_sum = 0.0
         self._self_read_s: dict[str, float] = {}
         self._prompt_size = prompt_size
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(readings={len(self._readings)!r})'
 
-    def reader(
-        self,
-        ask: placement.PlacementRequest,
-        readers: list[runner_info.RunnerInfo],
-        now_s: float,
-    ) -> runner_info.RunnerInfo | None:
-        """Return the prefill runner that is free first, if one may read."""
-        if not ask.reads_prompt:
-            return None
-        return min(
-            readers,
-            key=lambda runner: self._queue_s(runner.runner_id, now_s),
-            default=None,
-        )
-
     @property
     def tokens_per_s(self) -> float:
         """How fast prefill runners read, as measured."""
         if not self._speeds:
             return stage_rates.FIRST_READ_TOKENS_PER_S
-        return sum(self._speeds.values()) / len(self._speeds)
+        return self._speed_sum / len(self._speeds)
+
+    def use(self, readers: typing.Iterable[runner_info.RunnerInfo]) -> None:
+        """Take note of the prefill runners that may be given prompts."""
+        self._readers = {one.runner_id: one for one in readers}
+        self._order.clear()
+        self._key_of.clear()
+        for runner_id in self._readers:
+            self._sort(runner_id)
+
+    def first_free(self, now_s: float) -> runner_info.RunnerInfo | None:
+        """Return the prefill runner that is free first, if there is one."""
+        self._lapse(now_s)
+        if not self._order:
+            return None
+        return self._readers[self._order[0][1]]
 
     def may_queue(self, reader: runner_info.RunnerInfo, now_s: float) -> bool:
         """Return whether a prefill runner may be given another prompt."""
-        return self._queue_s(reader.runner_id, now_s) <= LONGEST_QUEUE_S
+        return self.queue_s(reader, now_s) <= LONGEST_QUEUE_S
 
-    def queue_turn_s(
-        self, readers: list[runner_info.RunnerInfo], ahead: int, now_s: float
-    ) -> float:
-        """Return when a prefill runner takes a prompt, after others."""
-        queue_s = min(self._queue_s(one.runner_id, now_s) for one in readers)
-        each_s = self._prompt_size.mean / self.tokens_per_s / len(readers)
-        wait_s = queue_s - LONGEST_QUEUE_S + ahead * each_s
-        return now_s + max(0.0, wait_s)
+    def queue_s(self, reader: runner_info.RunnerInfo, now_s: float) -> float:
+        """Return for how long a prefill runner reads what it was given."""
+        self._lapse(now_s)
+        return self._queue_s(reader.runner_id)
+
+    @property
+    def read_each_s(self) -> float:
+        """Time that a prefill runner takes for a prompt."""
+        return self._prompt_size.mean / self.tokens_per_s
 
     def ready_s(
         self,
@@ -119,7 +129,7 @@
         """Return when the first event is there, if it is read now."""
         queue_s = 0.0
         if reader is not None:
-            queue_s = self._queue_s(reader.runner_id, now_s)
+            queue_s = self.queue_s(reader, now_s)
         has_reader = reader is not None
         return now_s + queue_s + self.to_first_event_s(ask, has_reader)
 
@@ -145,7 +155,7 @@
     @property
     def pace_beside_reading(self) -> float:
         """Part of their speed at which streams go on beside a reading."""
-        return reading_pause.pace(self._held.tokens_per_s)
+        return reading_pause.pace(self._reservations.tokens_per_s)
 
     @property
     def writers_read_well(self) -> bool:
@@ -176,13 +186,17 @@
                 now_s + read_s + SELF_READ_PAUSE_S
             )
             return
-        ahead = self._queued_tokens(reader.runner_id, now_s)
+        self._remove((ask.request_id, ask.attempt))
+        self._lapse(now_s)
+        ahead = self._queued.get(reader.runner_id, 0)
+        self._queued[reader.runner_id] = ahead + ask.prompt_tokens
         self._readings[(ask.request_id, ask.attempt)] = _Reading(
             reader_id=reader.runner_id,
             tokens=ask.prompt_tokens,
             queued_tokens=ahead + ask.prompt_tokens,
             since_s=now_s,
         )
+        self._sort(reader.runner_id)
 
     def done(self, request_id: str, attempt: int, now_s: float) -> str | None:
         """Take note of a prompt that was read, and how long it took.
@@ -192,59 +206,48 @@
         str or None
             Identity of the prefill runner that read it, if it is known.
         """
-        reading = self._readings.pop((request_id, attempt), None)
+        reading = self._remove((request_id, attempt))
         if reading is None:
             return None
         took_s = max(0.001, now_s - reading.since_s - WAY_S)
         speed = self._speed(reading.reader_id)
         measured = min(reading.queued_tokens / took_s, 2 * speed)
         speed += (measured - speed) * SPEED_WEIGHT
+        self._speed_sum += speed - self._speeds.get(reading.reader_id, 0.0)
         self._speeds[reading.reader_id] = speed
+        self._sort(reading.reader_id)
         return reading.reader_id
 
     def drop(self, request_id: str, attempt: int) -> None:
         """Forget a reading that failed or is not waited for any more."""
-        self._readings.pop((request_id, attempt), None)
+        self._remove((request_id, attempt))
 
     def forget_runner(self, runner_id: str) -> None:
         """Forget what a runner reads and how fast; it has started again."""
         for key, reading in list(self._readings.items()):
             if reading.reader_id == runner_id:
-                del self._readings[key]
-        self._speeds.pop(runner_id, None)
+                self._remove(key)
+        self._speed_sum -= self._speeds.pop(runner_id, 0.0)
+        self._sort(runner_id)
         self._self_read_s.pop(runner_id, None)
 
-    def may_read(
-        self,
-        ask: placement.PlacementRequest,
-        decoder: runner_info.RunnerInfo,
-        now_s: float,
-    ) -> bool:
-        """Return whether a decode runner may read this prompt now.
+    def is_idle(self, decoder: runner_info.RunnerInfo, now_s: float) -> bool:
+        """Return whether a decode runner may read a prompt now.
 
         Its own streams stand still while it reads: it takes one prompt
-        at a time, and a long one only while it has few streams.
+        at a time.
         """
-        beside = len(self._held.outlooks(decoder.runner_id))
-        if not beside:
+        if not self._reservations.streams(decoder.runner_id):
             return True
-        if self.is_too_long(ask, beside):
-            return False
         return self.self_read_s(decoder, now_s) <= now_s
 
-    def can_be_read(
-        self,
-        ask: placement.PlacementRequest,
-        decoders: list[runner_info.RunnerInfo],
-        readers: list[runner_info.RunnerInfo],
-    ) -> bool:
-        """Return whether some runner may read a prompt once it is free."""
-        if ask.reads_prompt and readers:
-            return True
-        return not all(
-            self.is_too_long(ask, len(self._held.outlooks(one.runner_id)))
-            for one in decoders
-        )
+    def has_few_streams(self, decoder: runner_info.RunnerInfo) -> bool:
+        """Return whether a decode runner may read a prompt of any length."""
+        return self._reservations.streams(decoder.runner_id) <= FEW_STREAMS
+
+    def is_long(self, ask: placement.PlacementRequest) -> bool:
+        """Return whether only runners with few streams may read it."""
+        return self.is_too_long(ask, FEW_STREAMS + 1)
 
     def is_too_long(
         self, ask: placement.PlacementRequest, beside: int
@@ -256,7 +259,7 @@
         read_s = ask.tokens_to_read / self.self_read_tokens_per_s
         return read_s > reading_pause.longest_reading_s(
             limit_s,
-            event_s=self._held.event_s,
+            event_s=self._reservations.event_s,
             pace_beside=self.pace_beside_reading,
         )
 
@@ -266,20 +269,37 @@
         """Return when a decode runner has read what it was given."""
         return max(now_s, self._self_read_s.get(decoder.runner_id, now_s))
 
-    def _queue_s(self, reader_id: str, now_s: float) -> float:
-        tokens = self._queued_tokens(reader_id, now_s)
+    def _queue_s(self, reader_id: str) -> float:
+        tokens = self._queued.get(reader_id, 0)
         return tokens / self._speed(reader_id)
 
-    def _queued_tokens(self, reader_id: str, now_s: float) -> int:
-        """Return the tokens that a reader was given and has not read."""
-        for key, reading in list(self._readings.items()):
-            if now_s - reading.since_s > FORGET_S:
-                del self._readings[key]
-        return sum(
-            reading.tokens
-            for reading in self._readings.values()
-            if reading.reader_id == reader_id
-        )
+    def _lapse(self, now_s: float) -> None:
+        """Forget readings that nothing was heard of for too long."""
+        while self._readings:
+            key, oldest = next(iter(self._readings.items()))
+            if now_s - oldest.since_s <= FORGET_S:
+                return
+            self._remove(key)
+
+    def _remove(self, key: tuple[str, int]) -> _Reading | None:
+        reading = self._readings.pop(key, None)
+        if reading is None:
+            return None
+        left = self._queued.pop(reading.reader_id, 0) - reading.tokens
+        if left > 0:
+            self._queued[reading.reader_id] = left
+        self._sort(reading.reader_id)
+        return reading
+
+    def _sort(self, reader_id: str) -> None:
+        """Put a prefill runner where its queue belongs in the order."""
+        known = self._key_of.pop(reader_id, None)
+        if known is not None:
+            self._order.remove(known)
+        if reader_id in self._readers:
+            key = (self._queue_s(reader_id), reader_id)
+            self._key_of[reader_id] = key
+            self._order.add(key)
 
     def _speed(self, reader_id: str) -> float:
         return self._speeds.get(reader_id, self.tokens_per_s)
--- a/limpetroute/routing/reservations.py
+++ b/limpetroute/routing/reservations.py
@@ -1,22 +1,31 @@
-"""The places that are given, and how long their streams last."""
+"""The slots that are reserved, and how long their streams last."""
 
 import dataclasses
+import heapq
 import math
 
+import sortedcontainers
+
 from limpetroute.routing import decode_room
 from limpetroute.routing import length_estimate
 from limpetroute.routing import memory_headroom
+from limpetroute.routing import memory_profile
 from limpetroute.routing import placement
+from limpetroute.routing import runner_reservations
 from limpetroute.routing import service as service_module
 from limpetroute.routing import stage_rates
 from limpetroute.routing import usual_size
 
 # Ends shorter than this say little of a stream's speed.
 LEAST_MEASURED_S = 0.2
+# Memory is planned with the deviation of answers as it was until it has
+# moved by this part: it moves a little with each answer, and with it the
+# room of every runner.
+DEVIATION_STEP = 0.05
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class _Held:
+class _Reservation:
     place: placement.Placement
     ask: placement.PlacementRequest
     outlook: decode_room.StreamOutlook
@@ -24,32 +33,40 @@
 
 
 class Reservations:
-    """The places that are given, and how long their streams last.
+    """The slots that are reserved, and how long their streams last.
 
     Parameters
     ----------
     engine : Engine
-        Places and memory of the runners.
+        Slots and memory of the runners.
     """
 
     def __init__(self, *, engine: service_module.Engine) -> None:
         self._engine = engine
-        self._held: dict[str, _Held] = {}
+        self._reserved: dict[str, _Reservation] = {}
+        self._by_runner: dict[str, runner_reservations.RunnerReservations] = {}
+        self._ends = sortedcontainers.SortedList()
+        self._end_of: dict[str, float] = {}
+        self._expiries: list[tuple[float, str]] = []
+        self._changed: set[str] = set()
+        self._freed: set[str] = set()
         self._lengths = length_estimate.LengthEstimate()
         first_error = stage_rates.first_guess(engine).deviation_tokens
         self._square_error = usual_size.UsualSize(first_error * first_error)
+        self._planned_deviation_tokens = first_error
+        self._rooms: dict[int, float] = {}
         self._speed = usual_size.UsualSize(
             stage_rates.first_write_tokens_per_s(engine)
         )
 
     def __repr__(self) -> str:
-        return f'{type(self).__name__}(held={len(self._held)!r})'
+        return f'{type(self).__name__}(reserved={len(self._reserved)!r})'
 
     def __len__(self) -> int:
-        return len(self._held)
+        return len(self._reserved)
 
     def __contains__(self, request_id: str) -> bool:
-        return request_id in self._held
+        return request_id in self._reserved
 
     @property
     def tokens_per_s(self) -> float:
@@ -68,9 +85,27 @@
 
     def room_tokens(self, streams: int) -> float:
         """Return the memory of a runner with so many streams to plan for."""
-        return memory_headroom.room_tokens(
-            self._engine.memory_tokens, streams, self.deviation_tokens
-        )
+        known = self._rooms.get(streams)
+        if known is None:
+            known = memory_headroom.room_tokens(
+                self._engine.memory_tokens,
+                streams,
+                self._planned_deviation_tokens,
+            )
+            self._rooms[streams] = known
+        return known
+
+    def free_tokens(self, runner_id: str, now_s: float) -> float:
+        """Return the memory that another stream could take at a runner.
+
+        That is until the first of the runner's streams ends; less may be
+        free later. Minus infinity where all slots are taken.
+        """
+        streams = self.streams(runner_id)
+        if streams >= self._engine.slots:
+            return -math.inf
+        profile = self.profile(runner_id, now_s)
+        return self.room_tokens(streams + 1) - profile.first_peak_tokens
 
     def add(
         self,
@@ -80,80 +115,109 @@
         sent_s: float,
         begins_s: float,
     ) -> None:
-        """Take note of a place that is given."""
-        self._held[place.request_id] = _Held(
+        """Reserve a slot."""
+        reserved = _Reservation(
             place=place,
             ask=ask,
             outlook=self.outlook(ask, begins_s),
             expires_s=sent_s + ask.patience_s + 1.0,
         )
+        name = place.request_id
+        self._remove(name)
+        self._reserved[name] = reserved
+        heapq.heappush(self._expiries, (reserved.expires_s, name))
+        self._put_end(name, reserved.outlook.ends_s(begins_s))
+        self._runner(place.decode_id).add(name, reserved.outlook)
+        if place.prefill_id:
+            self._runner(place.prefill_id).add_prefill(name)
+        self._changed.add(place.decode_id)
 
     def drop(self, request_id: str) -> int | None:
-        """Forget a place, with nothing learned, and return its attempt."""
-        held = self._held.pop(request_id, None)
-        return held.ask.attempt if held is not None else None
+        """Forget a reservation, learn nothing, and return its attempt."""
+        reserved = self._remove(request_id)
+        return reserved.ask.attempt if reserved is not None else None
 
     def end(self, end: placement.Release) -> placement.Placement | None:
-        """Take a place back, learn from its stream, and return it.
+        """Release a slot, learn from its stream, and return its placement.
 
         Returns
         -------
         Placement or None
-            None where the place was taken back before; what says so was
-            overtaken by the next ask under the same id.
+            None where the slot was released before; what says so was
+            overtaken by the next request under the same id.
         """
         if end.decode_s > LEAST_MEASURED_S and end.output_tokens:
             self._speed.note(end.output_tokens / end.decode_s)
-        held = self._held.get(end.request_id)
-        if held is None or held.ask.attempt != end.attempt:
+        reserved = self._reserved.get(end.request_id)
+        if reserved is None or reserved.ask.attempt != end.attempt:
             return None
-        del self._held[end.request_id]
-        if end.whole and not held.ask.goes_on:
-            error = end.output_tokens - held.outlook.output_tokens
-            self._square_error.note(error * error)
+        self._remove(end.request_id)
+        if end.whole and not reserved.ask.goes_on:
+            error = end.output_tokens - reserved.outlook.output_tokens
+            self._note_error(error)
             self._lengths.learn(
-                said_tokens=held.ask.output_tokens,
+                said_tokens=reserved.ask.output_tokens,
                 came_tokens=end.output_tokens,
             )
-        return held.place
+        return reserved.place
 
     def expire(self, now_s: float) -> None:
-        """Drop places whose entry host died without giving them back."""
-        for request_id, held in list(self._held.items()):
-            if now_s > held.expires_s:
-                del self._held[request_id]
+        """Drop reservations whose entry host died without a release."""
+        while self._expiries and self._expiries[0][0] < now_s:
+            expires_s, request_id = heapq.heappop(self._expiries)
+            reserved = self._reserved.get(request_id)
+            if reserved is not None and reserved.expires_s == expires_s:
+                self._remove(request_id)
 
     def forget_runner(self, runner_id: str) -> None:
-        """Drop the places at a runner that has started again.
+        """Drop the reservations at a runner that has started again.
 
         Its streams are over. Their ends come from their hosts, some of
         them after the first new streams are placed there.
         """
-        for request_id, held in list(self._held.items()):
-            if held.place.decode_id == runner_id:
-                del self._held[request_id]
+        known = self._by_runner.get(runner_id)
+        if known is None:
+            return
+        for request_id in known.request_ids:
+            self._remove(request_id)
+
+    def take_changed(self) -> set[str]:
+        """Return the runners whose streams changed since the last call."""
+        changed, self._changed = self._changed, set()
+        return changed
+
+    def take_freed(self) -> set[str]:
+        """Return the runners that a stream left since the last call."""
+        freed, self._freed = self._freed, set()
+        return freed
+
+    def streams(self, runner_id: str) -> int:
+        """Return how many streams a runner decodes."""
+        known = self._by_runner.get(runner_id)
+        return known.streams if known is not None else 0
 
     def uses(self, runner_id: str) -> int:
-        """Return how many streams read or write at a runner."""
-        return sum(
-            runner_id in (held.place.decode_id, held.place.prefill_id)
-            for held in self._held.values()
-        )
+        """Return how many streams a runner prefills or decodes."""
+        known = self._by_runner.get(runner_id)
+        return known.uses if known is not None else 0
 
-    def outlooks(self, runner_id: str) -> list[decode_room.StreamOutlook]:
-        """Return the outlooks of the streams that a runner writes."""
-        return [
-            held.outlook
-            for held in self._held.values()
-            if held.place.decode_id == runner_id
-        ]
-
-    def ends_s(self, now_s: float) -> list[float]:
-        """Return when places become free, in order."""
-        return sorted(
-            max(now_s, held.outlook.ends_s(now_s))
-            for held in self._held.values()
-        )
+    def profile(
+        self, runner_id: str, now_s: float
+    ) -> memory_profile.MemoryProfile:
+        """Return the memory that a runner's streams take over time."""
+        return self._runner(runner_id).profile(now_s)
+
+    def next_ends_s(self, count: int, now_s: float) -> list[float]:
+        """Return when the next slots become free, in order.
+
+        A stream that has outlasted its estimate ends some time later.
+        """
+        while self._ends and self._ends[0][0] < now_s:
+            _, request_id = self._ends[0]
+            outlook = self._reserved[request_id].outlook
+            later_s = now_s + memory_profile.OVERDUE_STEP_S
+            self._put_end(request_id, max(later_s, outlook.ends_s(now_s)))
+        return [end_s for end_s, _ in self._ends.islice(0, count)]
 
     def expected_tokens(self, ask: placement.PlacementRequest) -> int:
         """Return how long a stream's whole answer should become."""
@@ -176,15 +240,41 @@
             tokens_per_s=self._speed.mean,
         )
 
-    def peak_with(
-        self,
-        runner_id: str,
-        ask: placement.PlacementRequest,
-        *,
-        begins_s: float,
-        now_s: float,
-    ) -> float:
-        """Return the most memory a runner's streams take with another."""
-        streams = self.outlooks(runner_id)
-        streams.append(self.outlook(ask, begins_s))
-        return decode_room.peak_tokens(streams, now_s)
+    def _runner(
+        self, runner_id: str
+    ) -> runner_reservations.RunnerReservations:
+        known = self._by_runner.get(runner_id)
+        if known is None:
+            known = runner_reservations.RunnerReservations()
+            self._by_runner[runner_id] = known
+        return known
+
+    def _remove(self, request_id: str) -> _Reservation | None:
+        reserved = self._reserved.pop(request_id, None)
+        if reserved is None:
+            return None
+        self._ends.remove((self._end_of.pop(request_id), request_id))
+        place = reserved.place
+        for runner_id in filter(None, (place.decode_id, place.prefill_id)):
+            known = self._by_runner[runner_id]
+            known.discard(request_id)
+            if not known.uses:
+                del self._by_runner[runner_id]
+        self._changed.add(place.decode_id)
+        self._freed.add(place.decode_id)
+        return reserved
+
+    def _put_end(self, request_id: str, end_s: float) -> None:
+        known_s = self._end_of.get(request_id)
+        if known_s is not None:
+            self._ends.remove((known_s, request_id))
+        self._end_of[request_id] = end_s
+        self._ends.add((end_s, request_id))
+
+    def _note_error(self, error_tokens: float) -> None:
+        self._square_error.note(error_tokens * error_tokens)
+        planned = self._planned_deviation_tokens
+        measured = self.deviation_tokens
+        if abs(measured - planned) > DEVIATION_STEP * planned:
+            self._planned_deviation_tokens = measured
+            self._rooms.clear()
--- a/limpetroute/routing/retry_tracker.py
+++ b/limpetroute/routing/retry_tracker.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import sortedcontainers
+
 from limpetroute.routing import placement
 
 # Callers forget nothing sooner than their patience ends; this bounds the
@@ -30,6 +32,8 @@
 
     def __init__(self) -> None:
         self._refused: dict[str, _Refused] = {}
+        # Those who are not back yet, by when they are not waited for.
+        self._awaited = sortedcontainers.SortedList()
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(known={len(self._refused)!r})'
@@ -41,7 +45,7 @@
         known = self._refused.get(_key(ask))
         if known is None or now_s > known.forget_s:
             return sent_s
-        known.is_back = True
+        self._stop_waiting(_key(ask), known)
         return min(sent_s, known.first_sent_s)
 
     def note(
@@ -53,23 +57,23 @@
         """Take note of a stream that is refused."""
         if not ask.prompt_id:
             return
-        self._refused.pop(_key(ask), None)
-        self._refused[_key(ask)] = _Refused(
+        self._remove(_key(ask))
+        refused = _Refused(
             first_sent_s=first_sent_s,
             forget_s=now_s + ask.patience_s - ask.waited_s,
         )
+        self._refused[_key(ask)] = refused
+        self._awaited.add((refused.forget_s, _key(ask)))
         self._forget(now_s)
 
     def expected(self, now_s: float) -> int:
         """Return how many callers have yet to come back."""
-        return sum(
-            not one.is_back and now_s <= one.forget_s
-            for one in self._refused.values()
-        )
+        over = self._awaited.bisect_left((now_s, ''))
+        return len(self._awaited) - over
 
     def served(self, ask: placement.PlacementRequest) -> None:
         """Forget a stream that got a place."""
-        self._refused.pop(_key(ask), None)
+        self._remove(_key(ask))
 
     def _forget(self, now_s: float) -> None:
         """Drop the oldest ones that are over, or too many."""
@@ -78,7 +82,17 @@
             is_over = now_s > self._refused[oldest].forget_s
             if not is_over and len(self._refused) <= MAX_KNOWN:
                 return
-            del self._refused[oldest]
+            self._remove(oldest)
+
+    def _remove(self, key: str) -> None:
+        known = self._refused.pop(key, None)
+        if known is not None:
+            self._stop_waiting(key, known)
+
+    def _stop_waiting(self, key: str, known: _Refused) -> None:
+        if not known.is_back:
+            known.is_back = True
+            self._awaited.remove((known.forget_s, key))
 
 
 def _key(ask: placement.PlacementRequest) -> str:
--- /dev/null
+++ b/limpetroute/routing/runner_choice.py
@@ -0,0 +1,151 @@
+"""Chooses the runners of waiting streams, at one moment."""
+
+import dataclasses
+import math
+import typing
+
+from limpetroute.routing import decode_placement as placement_module
+from limpetroute.routing import fleet as fleet_module
+from limpetroute.routing import placement
+from limpetroute.routing import prefill_queue
+from limpetroute.routing import runner_info
+from limpetroute.routing import waiting_stream
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Chosen:
+    """The runners of one stream.
+
+    Parameters
+    ----------
+    decoder : RunnerInfo
+        Writes its answer.
+    reader : RunnerInfo or None
+        Reads its prompt; None if the decode runner does.
+    ready_s : float
+        When its first event is expected.
+    """
+
+    decoder: runner_info.RunnerInfo
+    reader: runner_info.RunnerInfo | None
+    ready_s: float
+
+
+class RunnerChoice:
+    """Chooses the runners of waiting streams, at one moment.
+
+    What is found for one stream holds for those behind it: with all
+    prefill runners busy, the rest of the queue is not offered to them.
+
+    Parameters
+    ----------
+    prefill : PrefillQueue
+        When runners may read.
+    decode_placement : DecodePlacement
+        Which decode runner has room.
+    fleet : Fleet
+        The runners that are used now.
+    freed : sequence of RunnerInfo
+        Decode runners that a stream has left, most free first.
+    now_s : float
+        The moment.
+    """
+
+    def __init__(
+        self,
+        *,
+        prefill: prefill_queue.PrefillQueue,
+        decode_placement: placement_module.DecodePlacement,
+        fleet: fleet_module.Fleet,
+        freed: typing.Sequence[runner_info.RunnerInfo],
+        now_s: float,
+    ) -> None:
+        self._prefill = prefill
+        self._decode_placement = decode_placement
+        self._fleet = fleet
+        self._freed = freed
+        self._now_s = now_s
+        self._reader: runner_info.RunnerInfo | None = None
+        self._reader_is_busy = False
+        self._idle: list[runner_info.RunnerInfo] | None = None
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(now_s={self._now_s!r})'
+
+    @property
+    def freed_tokens(self) -> float:
+        """Most memory that is free at a runner that a stream has left."""
+        return max(map(self._free_tokens, self._freed), default=-math.inf)
+
+    def choose(self, one: waiting_stream.WaitingStream) -> Chosen | None:
+        """Return the runners that a stream gets, or None.
+
+        They are expected to be taken before the next stream is asked for.
+        """
+        ask = one.ask
+        reader = self._first_free_reader() if ask.reads_prompt else None
+        if reader is not None and self._reader_is_busy:
+            # A decode runner with room that reads the prompt itself is
+            # slower, but may be done sooner than the queue.
+            if not self._prefill.writers_read_well or not self._idle_runners:
+                return None
+            ready_s = self._prefill.ready_s(ask, None, self._now_s)
+            if ready_s >= self._prefill.ready_s(ask, reader, self._now_s):
+                return None
+            reader = None
+        else:
+            ready_s = self._prefill.ready_s(ask, reader, self._now_s)
+        if reader is None:
+            decoder = self._self_reading_decoder(ask, ready_s)
+        else:
+            decoder = self._decoder(one, ready_s)
+        if decoder is None:
+            return None
+        if reader is None:
+            self._idle = None
+        else:
+            self._reader = None
+        return Chosen(decoder=decoder, reader=reader, ready_s=ready_s)
+
+    def _free_tokens(self, runner: runner_info.RunnerInfo) -> float:
+        return self._fleet.decoders.free_tokens(runner.runner_id)
+
+    def _first_free_reader(self) -> runner_info.RunnerInfo | None:
+        if self._reader is None:
+            self._reader = self._prefill.first_free(self._now_s)
+            self._reader_is_busy = (
+                self._reader is not None
+                and not self._prefill.may_queue(self._reader, self._now_s)
+            )
+        return self._reader
+
+    def _decoder(
+        self, one: waiting_stream.WaitingStream, ready_s: float
+    ) -> runner_info.RunnerInfo | None:
+        if one.fits_nowhere:
+            return self._decode_placement.best_of(
+                one.ask, self._freed, ready_s, self._now_s
+            )
+        found = self._decode_placement.best(one.ask, ready_s, self._now_s)
+        one.fits_nowhere = found is None
+        return found
+
+    def _self_reading_decoder(
+        self, ask: placement.PlacementRequest, ready_s: float
+    ) -> runner_info.RunnerInfo | None:
+        """Return the best decode runner that may read a prompt now."""
+        idle: typing.Iterable[runner_info.RunnerInfo] = self._idle_runners
+        if self._prefill.is_long(ask):
+            idle = filter(self._prefill.has_few_streams, self._idle_runners)
+        return self._decode_placement.best_of(ask, idle, ready_s, self._now_s)
+
+    @property
+    def _idle_runners(self) -> list[runner_info.RunnerInfo]:
+        """Decode runners that may read a prompt now, most free first."""
+        if self._idle is None:
+            self._idle = [
+                one
+                for _, one in self._fleet.decoders.most_free()
+                if self._prefill.is_idle(one, self._now_s)
+            ]
+        return self._idle
--- /dev/null
+++ b/limpetroute/routing/runner_reservations.py
@@ -0,0 +1,57 @@
+"""The slots of one runner that are reserved."""
+
+from limpetroute.routing import decode_room
+from limpetroute.routing import memory_profile
+
+
+class RunnerReservations:
+    """The slots of one runner that are reserved."""
+
+    def __init__(self) -> None:
+        self._streams: dict[str, decode_room.StreamOutlook] = {}
+        self._prefills: set[str] = set()
+        self._profile: memory_profile.MemoryProfile | None = None
+
+    def __repr__(self) -> str:
+        return (
+            f'{type(self).__name__}(streams={len(self._streams)!r}, '
+            f'prefills={len(self._prefills)!r})'
+        )
+
+    @property
+    def streams(self) -> int:
+        """Number of streams that the runner decodes."""
+        return len(self._streams)
+
+    @property
+    def uses(self) -> int:
+        """Number of streams that the runner prefills or decodes."""
+        return len(self._streams) + len(self._prefills)
+
+    @property
+    def request_ids(self) -> list[str]:
+        """The streams that the runner decodes."""
+        return list(self._streams)
+
+    def add(self, request_id: str, outlook: decode_room.StreamOutlook) -> None:
+        """Add a stream that the runner decodes."""
+        self._streams[request_id] = outlook
+        self._profile = None
+
+    def add_prefill(self, request_id: str) -> None:
+        """Add a stream whose prompt the runner reads."""
+        self._prefills.add(request_id)
+
+    def discard(self, request_id: str) -> None:
+        """Forget a stream."""
+        self._prefills.discard(request_id)
+        if self._streams.pop(request_id, None) is not None:
+            self._profile = None
+
+    def profile(self, now_s: float) -> memory_profile.MemoryProfile:
+        """Return the memory that its streams take until each one ends."""
+        known = self._profile
+        if known is None or now_s >= known.fresh_until_s:
+            known = memory_profile.MemoryProfile(self._streams.values(), now_s)
+            self._profile = known
+        return known
--- a/limpetroute/routing/stage_split.py
+++ b/limpetroute/routing/stage_split.py
@@ -18,6 +18,10 @@
 # Halvings of the interval in which a split's rate is looked for: to a
 # thousandth of it.
 HALVINGS = 10
+# Splits of a large pool that are tried first, and by how much their
+# distance shrinks from one round to the next.
+SPLITS_TRIED = 32
+STEP_DIVISOR = 4
 # A change takes a runner away for the time of its streams and of the
 # change, six to ten seconds, and another one back takes as long. It has
 # to let in this many times the streams: measured rates move by a tenth
@@ -111,13 +115,23 @@
         return 0
     best = 1
     best_per_s = 0.0
-    for readers in range(runners):
-        per_s = streams_per_s(
-            readers, runners - readers, engine=engine, rates=rates
+    # The rate rises to its peak and falls from there, so a large pool is
+    # searched in steps that get smaller around the best one.
+    step = max(1, runners // SPLITS_TRIED)
+    tried = range(0, runners, step)
+    while True:
+        for readers in tried:
+            per_s = streams_per_s(
+                readers, runners - readers, engine=engine, rates=rates
+            )
+            if per_s > best_per_s:
+                best, best_per_s = readers, per_s
+        if step == 1:
+            return best
+        last, step = step, max(1, step // STEP_DIVISOR)
+        tried = range(
+            max(0, best - last + step), min(runners, best + last), step
         )
-        if per_s > best_per_s:
-            best, best_per_s = readers, per_s
-    return best
 
 
 def _at_once(
--- a/limpetroute/routing/stream_scheduler.py
+++ b/limpetroute/routing/stream_scheduler.py
@@ -1,20 +1,23 @@
-"""Gives streams their places at runners, for all entry hosts."""
+"""Places streams at runners, for all entry hosts."""
 
+import math
 import typing
 
-from limpetroute.decisions import stage as stage_module
+from limpetroute.routing import admission
 from limpetroute.routing import decode_placement
+from limpetroute.routing import fleet as fleet_module
 from limpetroute.routing import outlier_detector
 from limpetroute.routing import placement
 from limpetroute.routing import prefill_queue
 from limpetroute.routing import reservations
-from limpetroute.routing import retry_after
-from limpetroute.routing import retry_tracker
+from limpetroute.routing import room_probe
+from limpetroute.routing import runner_choice
 from limpetroute.routing import runner_info
 from limpetroute.routing import service as service_module
 from limpetroute.routing import stage_rates
 from limpetroute.routing import usual_size
 from limpetroute.routing import wait_estimate
+from limpetroute.routing import waiting_queue
 from limpetroute.routing import waiting_stream
 
 # A large stream at the head that does not fit lets smaller ones pass for
@@ -24,20 +27,25 @@
 # this part of all places; the rest are told at once when to come back.
 LATE_PART = 1 / 6
 # While streams wait that can still make it, one place in this many goes
-# to one that cannot: a late answer is worth a fifth, but not nothing.
+# to one that cannot: a late answer is worth a part, but not nothing.
 LATE_ADMISSION_INTERVAL = 8
+# All waiting streams are looked at anew this often. Between, an event is
+# offered to the streams and runners that it may concern.
+FULL_PASS_S = 0.05
+# Room checks of one pass; what is left goes on in the next one, so that
+# no pass keeps its process from other work.
+MOST_ROOM_CHECKS = 1000
 
 Answer = placement.Placement | placement.Rejection
 
 
 class StreamScheduler:
-    """Gives streams their places at the runners of one service.
+    """Places streams at the runners of one service.
 
     Pattern: many entry hosts send streams to few runners. Each of them
     sees only its own, so without one place that decides they fill a
-    runner beyond its places and memory together: prompts are read for
-    streams that are then refused (566 thousand tokens and 47 of 165
-    streams on a calm day), and others are preempted in mid-answer.
+    runner beyond its slots and memory together: prompts are read for
+    streams that are then refused, and others are preempted in mid-answer.
 
     Room at a decode runner is given before the prompt is read. Streams
     that can still make their target go first, earliest target first. In
@@ -45,6 +53,11 @@
     stream whose turn cannot come in time is told so at once, and only a
     few late ones wait for what is left.
 
+    A decision looks at what an event may have changed: a new stream at the
+    runners with most free memory, a runner that a stream has left at the
+    streams from the head of the queue on. At longer intervals, all
+    waiting streams are looked at anew.
+
     Parameters
     ----------
     engine : Engine
@@ -58,21 +71,31 @@
         self._prompt_size = usual_size.UsualSize(guess.prompt_tokens)
         self._output_size = usual_size.UsualSize(guess.output_tokens)
         self._prefill = prefill_queue.PrefillQueue(
-            held=self._reservations,
+            reserved=self._reservations,
             prompt_size=self._prompt_size,
         )
         self._outliers = outlier_detector.OutlierDetector(
             uses=self._reservations.uses
         )
+        self._fleet = fleet_module.Fleet(
+            reserved=self._reservations, outliers=self._outliers
+        )
         self._decode_placement = decode_placement.DecodePlacement(
             engine=engine,
-            held=self._reservations,
-            reading=self._prefill,
-            watch=self._outliers,
+            reserved=self._reservations,
+            outliers=self._outliers,
+            fleet=self._fleet,
         )
-        self._retries = retry_tracker.RetryTracker()
-        self._waiting: dict[str, waiting_stream.WaitingStream] = {}
-        self._retry_after = retry_after.RetryAfterEstimator()
+        self._estimate = wait_estimate.WaitEstimate(
+            reserved=self._reservations,
+            prefill=self._prefill,
+            fleet=self._fleet,
+        )
+        self._admission = admission.Admission()
+        self._waiting = waiting_queue.WaitingQueue()
+        self._has_new = False
+        self._full_pass_s = -math.inf
+        self._unfinished = False
         self._in_time_in_a_row = 0
 
     def __repr__(self) -> str:
@@ -91,6 +114,16 @@
         """Number of streams that wait."""
         return len(self._waiting)
 
+    @property
+    def unfinished(self) -> bool:
+        """Whether the last decision left streams to the next one."""
+        return self._unfinished
+
+    @property
+    def room_checks(self) -> int:
+        """How often it was worked out whether a stream fits a runner."""
+        return self._decode_placement.room_checks
+
     @property
     def tokens_per_s(self) -> float:
         """How fast one stream writes, as measured."""
@@ -132,20 +165,22 @@
         """
         self._drop(ask.request_id)
         sent_s = now_s - ask.waited_s
-        first_sent_s = self._retries.first_sent_s(ask, sent_s, now_s)
+        first_sent_s = self._admission.first_sent_s(ask, sent_s, now_s)
         if first_sent_s == sent_s and not ask.goes_on:
-            self._retry_after.note_new(now_s)
             self._prompt_size.note(ask.prompt_tokens)
             self._output_size.note(self._reservations.expected_tokens(ask))
-        self._waiting[ask.request_id] = waiting_stream.WaitingStream(
+        stream = waiting_stream.WaitingStream(
             ask=ask,
             sent_s=sent_s,
             first_sent_s=first_sent_s,
+            tokens=ask.tokens_to_read,
         )
+        self._waiting.add(stream, self._in_time(stream, now_s))
+        self._has_new = True
 
     def withdraw(self, request_id: str) -> None:
         """Forget a stream whose caller is gone."""
-        self._waiting.pop(request_id, None)
+        self._waiting.remove(request_id)
         self._drop(request_id)
 
     def read(self, request_id: str, attempt: int, now_s: float) -> None:
@@ -159,9 +194,9 @@
         place = self._reservations.end(end)
         self._prefill.drop(end.request_id, end.attempt)
         if place is not None:
-            self._retry_after.note_end(now_s)
+            self._admission.released(now_s)
         for runner_id in end.full:
-            seen = len(self._reservations.outlooks(runner_id))
+            seen = self._reservations.streams(runner_id)
             self._outliers.full(runner_id, self._engine.slots - seen, now_s)
         for runner_id in end.failed:
             self._outliers.failed(runner_id, now_s)
@@ -195,30 +230,23 @@
         ``changing`` are runners that were told to change their stage:
         for some seconds they refuse all, and are announced as they were.
         """
-        staying = [one for one in runners if one.runner_id not in changing]
-        usable = self._outliers.usable(staying, now_s)
-        decoders = [
-            one for one in usable if one.stage is stage_module.Stage.DECODE
-        ]
-        readers = [
-            one for one in usable if one.stage is stage_module.Stage.PREFILL
-        ]
-        if decoders:
-            readers = self._outliers.without_gone_readers(readers, now_s)
         self._reservations.expire(now_s)
+        others = self._fleet.refresh(runners, changing, now_s)
+        full = others or now_s - self._full_pass_s >= FULL_PASS_S
+        if others:
+            self._prefill.use(self._fleet.readers)
+        if full:
+            self._full_pass_s = now_s
+            self._waiting.sort(lambda one: self._in_time(one, now_s))
+            for one in self._waiting.in_order():
+                one.fits_nowhere = False
+        self._estimate.refresh(len(self._waiting), now_s, full=full)
         answers: list[Answer] = []
-        answers.extend(self._give_places(decoders, readers, now_s))
-        turns = wait_estimate.WaitEstimate(
-            engine=self._engine,
-            held=self._reservations,
-            reading=self._prefill,
-            decoders=decoders,
-            readers=readers,
-            now_s=now_s,
-        )
-        answers.extend(
-            self._refuse_hopeless(turns, decoders, bool(readers), now_s)
-        )
+        answers.extend(self._place_waiting(now_s))
+        if full or self._has_new:
+            self._estimate.refresh(len(self._waiting), now_s, full=full)
+            answers.extend(self._reject_hopeless(now_s, full=full))
+            self._has_new = False
         return answers
 
     def _drop(self, request_id: str) -> None:
@@ -226,158 +254,122 @@
         if attempt is not None:
             self._prefill.drop(request_id, attempt)
 
-    # Places
-
-    def _give_places(
-        self,
-        decoders: list[runner_info.RunnerInfo],
-        readers: list[runner_info.RunnerInfo],
-        now_s: float,
-    ) -> list[placement.Placement]:
-        places = []
-        has_reader = bool(readers)
-        for one in self._in_order(now_s, has_reader):
-            place = self._place(one, decoders, readers, now_s)
-            if place is not None:
-                self._count_turn(one, now_s, has_reader)
-                places.append(place)
-                continue
-            if not self._prefill.can_be_read(one.ask, decoders, readers):
-                # It waits for streams to end, not for room: kept free
-                # for it, four of twelve places stood empty for 2.7 s.
-                continue
-            if now_s - one.sent_s > HEAD_OF_LINE_TIMEOUT_S:
-                break
-        return places
-
-    def _in_order(
-        self, now_s: float, has_reader: bool
-    ) -> list[waiting_stream.WaitingStream]:
-        begun = []
-        in_time = []
-        late = []
-        for one in self._waiting.values():
-            if one.ask.goes_on:
-                begun.append(one)
-            elif self._in_time(one, now_s, has_reader):
-                in_time.append(one)
-            else:
-                late.append(one)
-        # A stream that was begun is lost with all that was written for it
-        # unless it goes on soon: before all others.
-        begun.sort(key=lambda one: one.sent_s)
-        # One that may be sent only once comes back to nothing: first.
-        in_time.sort(key=lambda one: (one.ask.may_repeat, one.target_s))
-        late.sort(key=lambda one: one.sent_s)
-        if late and self._in_time_in_a_row >= LATE_ADMISSION_INTERVAL:
-            return [*begun, late[0], *in_time, *late[1:]]
-        return [*begun, *in_time, *late]
-
-    def _in_time(
-        self,
-        one: waiting_stream.WaitingStream,
-        at_s: float,
-        has_reader: bool,
-    ) -> bool:
+    def _in_time(self, one: waiting_stream.WaitingStream, at_s: float) -> bool:
         """Return whether a place given then makes the stream's target."""
+        has_reader = bool(self._fleet.readers)
         needed_s = self._prefill.to_first_event_s(one.ask, has_reader)
         return one.in_time(at_s, needed_s)
 
-    def _count_turn(
+    # Placement
+
+    def _place_waiting(self, now_s: float) -> list[placement.Placement]:
+        self._fleet.update(now_s)
+        freed = self._fleet.by_room(self._reservations.take_freed())
+        most_checks = self._decode_placement.room_checks + MOST_ROOM_CHECKS
+        choice = runner_choice.RunnerChoice(
+            prefill=self._prefill,
+            decode_placement=self._decode_placement,
+            fleet=self._fleet,
+            freed=freed,
+            now_s=now_s,
+        )
+        self._unfinished = False
+        late_first = self._in_time_in_a_row >= LATE_ADMISSION_INTERVAL
+        placements = []
+        freed_tokens = choice.freed_tokens
+        for one in self._waiting.in_order(late_first=late_first):
+            waited_s = now_s - one.sent_s
+            if one.fits_nowhere and one.tokens > freed_tokens:
+                # Nothing has changed for it since it was looked at.
+                if waited_s <= HEAD_OF_LINE_TIMEOUT_S:
+                    continue
+                chosen = None
+            elif self._decode_placement.room_checks > most_checks:
+                self._unfinished = True
+                break
+            else:
+                chosen = choice.choose(one)
+            if chosen is not None:
+                placements.append(self._place(one, chosen, now_s))
+                freed_tokens = choice.freed_tokens
+                continue
+            # One that cannot be read yet waits for streams to end, not
+            # for room: room that is kept free for it would stand empty.
+            if waited_s > HEAD_OF_LINE_TIMEOUT_S and (
+                self._estimate.can_be_read(one.ask)
+            ):
+                break
+        return placements
+
+    def _place(
         self,
         one: waiting_stream.WaitingStream,
+        chosen: runner_choice.Chosen,
         now_s: float,
-        has_reader: bool,
-    ) -> None:
-        if self._in_time(one, now_s, has_reader):
+    ) -> placement.Placement:
+        if self._in_time(one, now_s):
             self._in_time_in_a_row += 1
         else:
             self._in_time_in_a_row = 0
-
-    def _place(
-        self,
-        one: waiting_stream.WaitingStream,
-        decoders: list[runner_info.RunnerInfo],
-        readers: list[runner_info.RunnerInfo],
-        now_s: float,
-    ) -> placement.Placement | None:
-        reader = self._prefill.reader(one.ask, readers, now_s)
-        ready_s = self._prefill.ready_s(one.ask, reader, now_s)
-        if reader is not None and not self._prefill.may_queue(reader, now_s):
-            # Writers have room, and the prompt waits for the readers: a
-            # burst, or one of the readers is lost. A writer that reads it
-            # by itself is slower, but sooner done.
-            by_writer_s = self._prefill.ready_s(one.ask, None, now_s)
-            if by_writer_s >= ready_s or not self._prefill.writers_read_well:
-                return None
-            reader = None
-            ready_s = by_writer_s
-        best = self._decode_placement.best(
-            one.ask, decoders, reader, ready_s, now_s
-        )
-        if best is None:
-            return None
+        reader = chosen.reader
         place = placement.Placement(
-            request_id=one.ask.request_id,
-            decode_id=best.runner_id,
+            request_id=one.request_id,
+            decode_id=chosen.decoder.runner_id,
             prefill_id=reader.runner_id if reader else '',
         )
-        del self._waiting[one.ask.request_id]
-        self._retries.served(one.ask)
-        self._prefill.take(one.ask, reader, best, now_s)
+        self._waiting.remove(one.request_id)
+        self._admission.served(one.ask)
+        self._prefill.take(one.ask, reader, chosen.decoder, now_s)
         self._reservations.add(
-            place, one.ask, sent_s=one.sent_s, begins_s=ready_s
+            place, one.ask, sent_s=one.sent_s, begins_s=chosen.ready_s
         )
+        self._fleet.update(now_s)
         return place
 
-    # Refusals
+    # Rejection
 
-    def _refuse_hopeless(
-        self,
-        turns: wait_estimate.WaitEstimate,
-        decoders: list[runner_info.RunnerInfo],
-        has_reader: bool,
-        now_s: float,
+    def _reject_hopeless(
+        self, now_s: float, *, full: bool
     ) -> list[placement.Rejection]:
-        """Refuse at once what no place will become free for."""
-        places = len(decoders) * self._engine.slots
-        late_room = max(1, round(places * LATE_PART))
-        refusals = []
+        """Turn away at once what no place will become free for.
+
+        Between full passes only new streams are looked at, behind those
+        that were found to have a turn.
+        """
+        slots = len(self._fleet.decoders) * self._engine.slots
+        late_room = max(1, round(slots * LATE_PART))
+        room = room_probe.RoomProbe(
+            decode_placement=self._decode_placement, now_s=now_s
+        )
+        late_first = self._in_time_in_a_row >= LATE_ADMISSION_INTERVAL
+        rejections = []
         ahead = 0
         late = 0
-        for one in self._in_order(now_s, has_reader):
-            turn_s = turns.turn_s(one.ask, ahead)
-            waits_too_long = turn_s - one.sent_s > one.longest_s
-            if decoders and (
-                self._in_time(one, turn_s, has_reader)
-                or (one.ask.goes_on and not waits_too_long)
-            ):
+        for one in self._waiting.in_order(late_first=late_first):
+            if full or not one.is_known:
+                one.is_known = True
+                has_room = not one.fits_nowhere and room.has_room(one.ask)
+                turn_s = self._estimate.turn_s(one.ask, ahead, has_room)
+                too_late = turn_s - one.sent_s > one.longest_s
+                one.counts_ahead = bool(slots) and (
+                    self._in_time(one, turn_s)
+                    or (one.ask.goes_on and not too_late)
+                )
+                overdue = now_s - one.sent_s > one.longest_s
+                if not one.counts_ahead and (
+                    not slots or late >= late_room or too_late or overdue
+                ):
+                    rejections.append(self._reject(one, now_s))
+                    continue
+            if one.counts_ahead:
                 ahead += 1
-                continue
-            overdue = now_s - one.sent_s > one.longest_s
-            if not decoders or late >= late_room or waits_too_long or overdue:
-                refusals.append(self._refuse(one, turns, now_s))
-                continue
-            late += 1
-        return refusals
+            else:
+                late += 1
+        return rejections
 
-    def _refuse(
-        self,
-        one: waiting_stream.WaitingStream,
-        turns: wait_estimate.WaitEstimate,
-        now_s: float,
+    def _reject(
+        self, one: waiting_stream.WaitingStream, now_s: float
     ) -> placement.Rejection:
-        del self._waiting[one.ask.request_id]
-        self._retries.note(one.ask, one.first_sent_s, now_s)
-        turn_s = turns.place_s(len(self._waiting))
-        wait_s = self._retry_after.retry_after_s(
-            place_s=turn_s - now_s,
-            expected_back=self._retries.expected(now_s) - 1,
-            patience_s=one.ask.patience_s - (now_s - one.sent_s),
-            now_s=now_s,
-        )
-        return placement.Rejection(
-            request_id=one.ask.request_id,
-            retry_after_s=wait_s,
-            reason='no place in time',
-        )
+        self._waiting.remove(one.request_id)
+        place_s = self._estimate.place_s(len(self._waiting))
+        return self._admission.reject(one, place_s, now_s)
--- a/limpetroute/routing/wait_estimate.py
+++ b/limpetroute/routing/wait_estimate.py
@@ -2,88 +2,143 @@
 
 import math
 
+from limpetroute.routing import fleet as fleet_module
 from limpetroute.routing import placement
 from limpetroute.routing import prefill_queue
 from limpetroute.routing import reservations
-from limpetroute.routing import runner_info
-from limpetroute.routing import service as service_module
+from limpetroute.routing import self_prefill
+
+# Slots that are looked at beyond one for each waiting stream.
+MORE_ENDS = 16
 
 
 class WaitEstimate:
-    """When a waiting stream's turn comes, at one moment.
+    """When a waiting stream's turn comes.
+
+    What holds for all streams is worked out once; for each stream it is
+    looked up.
 
     Parameters
     ----------
-    engine : Engine
-        Places and memory of the runners.
-    held : Reservations
-        The places that are given.
-    reading : PrefillQueue
+    reserved : Reservations
+        The slots that are reserved.
+    prefill : PrefillQueue
         When runners may read.
-    decoders, readers : list of RunnerInfo
+    fleet : Fleet
         The runners that are used now.
-    now_s : float
-        The moment.
     """
 
     def __init__(
         self,
         *,
-        engine: service_module.Engine,
-        held: reservations.Reservations,
-        reading: prefill_queue.PrefillQueue,
-        decoders: list[runner_info.RunnerInfo],
-        readers: list[runner_info.RunnerInfo],
-        now_s: float,
+        reserved: reservations.Reservations,
+        prefill: prefill_queue.PrefillQueue,
+        fleet: fleet_module.Fleet,
     ) -> None:
-        self._engine = engine
-        self._held = held
-        self._reading = reading
-        self._decoders = decoders
-        self._readers = readers
-        self._now_s = now_s
-        self._ends_s = held.ends_s(now_s)
+        self._reservations = reserved
+        self._prefill = prefill
+        self._fleet = fleet
+        self._now_s = 0.0
+        self._waiting = 0
+        self._ends_s: list[float] | None = None
+        self._queue_s: float | None = None
+        self._self_readers: self_prefill.SelfPrefill | None = None
+        self._quiet_at_s: float | None = None
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(ends_s={self._ends_s!r})'
 
-    def turn_s(self, ask: placement.PlacementRequest, ahead: int) -> float:
+    def refresh(self, waiting: int, now_s: float, *, full: bool) -> None:
+        """Begin to answer for another moment.
+
+        Parameters
+        ----------
+        waiting : int
+            Number of streams that wait.
+        now_s : float
+            The moment.
+        full : bool
+            Whether to look at each decode runner anew, which takes longer
+            the more there are.
+        """
+        self._now_s = now_s
+        self._waiting = waiting
+        self._ends_s = None
+        self._queue_s = None
+        self._quiet_at_s = None
+        if full:
+            self._self_readers = None
+
+    def can_be_read(self, ask: placement.PlacementRequest) -> bool:
+        """Return whether some runner may read a prompt once it is free."""
+        if ask.reads_prompt and self._fleet.readers:
+            return True
+        if not self._prefill.is_long(ask):
+            return bool(self._fleet.decoders)
+        return self._self_reading.has_quiet
+
+    def turn_s(
+        self, ask: placement.PlacementRequest, ahead: int, has_room: bool
+    ) -> float:
         """Return when a stream gets its place, after those ahead."""
-        if not self._reading.can_be_read(ask, self._decoders, self._readers):
+        if not self.can_be_read(ask):
             return self._quiet_s()
-        if not self._readers or not ask.reads_prompt:
-            return min(self.place_s(ahead), self._read_s(ask, ahead))
-        queue_s = self._reading.queue_turn_s(self._readers, ahead, self._now_s)
-        if self._reading.writers_read_well:
-            queue_s = min(queue_s, self._read_s(ask, ahead))
-        if any(self._has_room(ask, one) for one in self._decoders):
+        if not self._fleet.readers or not ask.reads_prompt:
+            return min(self.place_s(ahead), self._self_read_s(ask, ahead))
+        queue_s = self._queue_turn_s(ahead)
+        if self._prefill.writers_read_well:
+            queue_s = min(queue_s, self._self_read_s(ask, ahead))
+        if has_room:
             return queue_s
         return max(queue_s, self.place_s(ahead))
 
     def place_s(self, ahead: int) -> float:
         """Return when the place after those ahead becomes free."""
+        if self._ends_s is None:
+            self._ends_s = self._reservations.next_ends_s(
+                self._waiting + MORE_ENDS, self._now_s
+            )
         if ahead < len(self._ends_s):
             return self._ends_s[ahead]
         return self._ends_s[-1] if self._ends_s else self._now_s
 
-    def _read_s(self, ask: placement.PlacementRequest, ahead: int) -> float:
+    def _queue_turn_s(self, ahead: int) -> float:
+        """Return when a prefill runner takes a prompt, after others."""
+        if self._queue_s is None:
+            first = self._prefill.first_free(self._now_s)
+            self._queue_s = 0.0
+            if first is not None:
+                self._queue_s = self._prefill.queue_s(first, self._now_s)
+        each_s = self._prefill.read_each_s / len(self._fleet.readers)
+        longest_s = prefill_queue.LONGEST_QUEUE_S
+        wait_s = self._queue_s - longest_s + ahead * each_s
+        return self._now_s + max(0.0, wait_s)
+
+    def _self_read_s(
+        self, ask: placement.PlacementRequest, ahead: int
+    ) -> float:
         """Return when a decode runner with room may read a prompt.
 
-        Such a runner has places, but reads one prompt at a time: it is
+        Such a runner has slots, but reads one prompt at a time: it is
         waited for, not for the end of one of its streams.
         """
-        soonest_s = []
-        for runner in self._decoders:
-            if not self._has_room(ask, runner):
-                continue
-            beside = len(self._held.outlooks(runner.runner_id))
-            if self._reading.is_too_long(ask, beside):
-                continue
-            soonest_s.append(self._reading.self_read_s(runner, self._now_s))
-        if not soonest_s:
+        soonest_s, count = self._self_reading.soonest(
+            ask.tokens_to_read, only_quiet=self._prefill.is_long(ask)
+        )
+        if not count:
             return math.inf
-        each_s = self._reading.self_read_each_s / len(soonest_s)
-        return min(soonest_s) + ahead * each_s
+        return soonest_s + ahead * self._prefill.self_read_each_s / count
+
+    @property
+    def _self_reading(self) -> self_prefill.SelfPrefill:
+        if self._self_readers is None:
+            self._self_readers = self_prefill.SelfPrefill(
+                reserved=self._reservations,
+                prefill=self._prefill,
+                fleet=self._fleet,
+                now_s=self._now_s,
+            )
+        return self._self_readers
 
     def _quiet_s(self) -> float:
         """Return when a decode runner has few streams left.
@@ -91,24 +146,13 @@
         That is if it gets no new ones; where others wait, it comes
         later or never.
         """
-        quiet_s = []
-        for runner in self._decoders:
-            ends_s = sorted(
-                one.ends_s(self._now_s)
-                for one in self._held.outlooks(runner.runner_id)
-            )
-            quiet_s.append(ends_s[-prefill_queue.FEW_STREAMS - 1])
-        return max(self._now_s, min(quiet_s, default=math.inf))
-
-    def _has_room(
-        self, ask: placement.PlacementRequest, runner: runner_info.RunnerInfo
-    ) -> bool:
-        if runner.runner_id in ask.avoid:
-            return False
-        beside = len(self._held.outlooks(runner.runner_id))
-        if beside >= self._engine.slots:
-            return False
-        peak = self._held.peak_with(
-            runner.runner_id, ask, begins_s=self._now_s, now_s=self._now_s
-        )
-        return peak <= self._held.room_tokens(beside + 1)
+        if self._quiet_at_s is None:
+            quiet_s = []
+            for runner in self._fleet.decoders:
+                profile = self._reservations.profile(
+                    runner.runner_id, self._now_s
+                )
+                ends_s = profile.ends_s
+                quiet_s.append(ends_s[-prefill_queue.FEW_STREAMS - 1])
+            self._quiet_at_s = max(self._now_s, min(quiet_s, default=math.inf))
+        return self._quiet_at_s
--- a/limpetroute/routing/waiting_stream.py
+++ b/limpetroute/routing/waiting_stream.py
@@ -1,4 +1,4 @@
-"""A stream that waits for its place."""
+"""A stream that waits for its placement."""
 
 import dataclasses
 
@@ -6,9 +6,9 @@
 from limpetroute.routing import stream_times
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@dataclasses.dataclass(kw_only=True, slots=True)
 class WaitingStream:
-    """A stream that waits for its place.
+    """A stream that waits for its placement.
 
     Parameters
     ----------
@@ -18,11 +18,29 @@
         When its caller sent it, or got its last event.
     first_sent_s : float
         When its caller sent it for the first time.
+    tokens : int
+        Tokens that a runner reads before it writes.
+    is_known : bool
+        Whether it was looked at before.
+    fits_nowhere : bool
+        Whether no decode runner had room for it. It is offered only to
+        runners that a stream has left since.
+    counts_ahead : bool
+        Whether those behind it wait for its turn too.
     """
 
     ask: placement.PlacementRequest
     sent_s: float
     first_sent_s: float
+    tokens: int
+    is_known: bool = False
+    fits_nowhere: bool = False
+    counts_ahead: bool = True
+
+    @property
+    def request_id(self) -> str:
+        """Names the stream."""
+        return self.ask.request_id
 
     @property
     def target_s(self) -> float:
--- a/limpetroute/telemetry/instruments.py
+++ b/limpetroute/telemetry/instruments.py
@@ -40,6 +40,18 @@
     0.5,
     1.0,
 )
+LOOP_LAG_BOUNDS_S = (
+    0.001,
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.25,
+    0.5,
+    1.0,
+)
 # Memory held for a gone caller is to be free within 2 s.
 HELD_BOUNDS_S = (0.01, 0.05, 0.1, 0.25, 0.5, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0)
 
@@ -117,3 +129,13 @@
         yield metrics.Observation(read())
 
     meter.create_observable_gauge(f'limpetroute.{name}', [callback])
+
+
+def loop_lag(meter: metrics.Meter) -> metrics.Histogram:
+    """Make the histogram of how late an event loop is."""
+    return meter.create_histogram(
+        'limpetroute.loop_lag',
+        unit='s',
+        description='How late the event loop runs what is due',
+        explicit_bucket_boundaries_advisory=LOOP_LAG_BOUNDS_S,
+    )
--- a/tests/control/test_metrics.py
+++ b/tests/control/test_metrics.py
@@ -19,6 +19,7 @@
         part.start()
         try:
             await fleet.submit('127.0.0.41', 7)
+            await asyncio.sleep(0.1)
             got = await caller.Caller().call(
                 method='GET',
                 url=f'http://127.0.0.1:{port}/metrics',
@@ -35,5 +36,6 @@
         assert 'limpetroute_control_leads 1.0' in lines
         assert 'limpetroute_control_routes_version 7.0' in lines
         assert 'limpetroute_control_voters 1.0' in lines
+        assert 'limpetroute_loop_lag_seconds_count' in text
 
     asyncio.run(work())
--- /dev/null
+++ b/tests/dispatch/test_leader_keeps_its_term.py
@@ -0,0 +1,63 @@
+"""A control group whose leader is charged for what it decides.
+
+Pattern: a burst on a large fleet, all of whose streams are placed by the
+host that also keeps the group's lease.
+"""
+
+import pytest
+
+from tests import work_counter
+from tests.agreement import cluster as cluster_module
+from tests.routing import full_fleet
+
+STREAMS_PER_S = 120
+SECONDS = 3
+# Ten lines of the scheduler take a microsecond.
+LINES_PER_S = 10_000_000
+
+
+class BusyLeader:
+    """Plays a group, and a fleet of which its leader decides."""
+
+    def __init__(self, runners):
+        self.cluster = cluster_module.Cluster(5, 7)
+        self.leader = self.cluster.calm()
+        self.term = self.leader.replica.term
+        self.fleet = full_fleet.FullFleet(runners, 30)
+        self.busy_until_s = 0.0
+
+    def play(self):
+        """Play the burst; return whether the leader kept its lease."""
+        steps = round(SECONDS / cluster_module.MICRO_STEP_S)
+        for _ in range(steps):
+            if self.cluster.now_s >= self.busy_until_s:
+                self.leader.frozen = False
+                spent_s = self._decide() / LINES_PER_S
+                self.busy_until_s = self.cluster.now_s + spent_s
+            if self.busy_until_s > self.cluster.now_s + 0.1:
+                self.leader.frozen = True
+            self.cluster.run(1)
+            self.fleet.now_s += cluster_module.MICRO_STEP_S
+            if any(
+                node.replica.term != self.term
+                for node in self.cluster.running()
+            ):
+                return False
+        return True
+
+    def _decide(self):
+        """Decide what comes in one step; return the lines it took."""
+        counter = work_counter.WorkCounter()
+        with counter.counting():
+            for _ in range(round(STREAMS_PER_S * cluster_module.MICRO_STEP_S)):
+                self.fleet.ask()
+                self.fleet.decide()
+                self.fleet.end()
+                self.fleet.decide()
+        return counter.lines
+
+
+@pytest.mark.parametrize('runners', [45, 200])
+def test_a_burst_does_not_end_the_leaders_term(runners):
+    """The leader's lease ran out while it placed streams, eleven times."""
+    assert BusyLeader(runners).play()
--- /dev/null
+++ b/tests/routing/test_decode_placement.py
@@ -0,0 +1,117 @@
+"""The runner that is chosen by index against a look at every runner."""
+
+import random
+
+import pytest
+
+from limpetroute.routing import decode_placement
+from limpetroute.routing import decode_room
+from limpetroute.routing import fleet
+from limpetroute.routing import memory_profile
+from limpetroute.routing import outlier_detector
+from limpetroute.routing import placement
+from limpetroute.routing import reservations
+from tests.routing import builders
+
+NOW_S = 50.0
+
+
+class Placing:
+    """Runners in three zones with streams of all sizes."""
+
+    def __init__(self, seed):
+        self.rng = random.Random(seed)
+        self.reserved = reservations.Reservations(engine=builders.ENGINE)
+        self.outliers = outlier_detector.OutlierDetector(
+            uses=self.reserved.uses
+        )
+        self.fleet = fleet.Fleet(
+            reserved=self.reserved, outliers=self.outliers
+        )
+        self.choice = decode_placement.DecodePlacement(
+            engine=builders.ENGINE,
+            reserved=self.reserved,
+            outliers=self.outliers,
+            fleet=self.fleet,
+        )
+        self.runners = [
+            builders.make_runner(f'd{n:02}', zone=f'z{n % 3}')
+            for n in range(20)
+        ]
+        self.fleet.refresh(self.runners, (), NOW_S)
+        self.streams = {one.runner_id: [] for one in self.runners}
+        self.count = 0
+
+    def request(self):
+        self.count += 1
+        return builders.make_ask(
+            f's{self.count}',
+            prompt_tokens=self.rng.randrange(100, 11_000),
+            output_tokens=self.rng.randrange(4000, 9000),
+            zone=f'z{self.rng.randrange(3)}',
+        )
+
+    def expected(self, ask):
+        """Return the best rank over all runners, looked at one by one."""
+        outlook = self.reserved.outlook(ask, NOW_S)
+        best = None
+        for runner in self.runners:
+            streams = self.streams[runner.runner_id]
+            if len(streams) >= builders.ENGINE.slots:
+                continue
+            room = self.reserved.room_tokens(len(streams) + 1)
+            profile = memory_profile.MemoryProfile(streams, NOW_S)
+            peak = max(
+                decode_room.peak_tokens([*streams, outlook], NOW_S),
+                profile.first_peak_tokens + outlook.prompt_tokens,
+            )
+            if peak > room:
+                continue
+            rank = room - peak
+            if runner.zone == ask.zone:
+                rank += room * decode_placement.SAME_ZONE_BONUS
+            if best is None or rank > best[0]:
+                best = (rank, runner.runner_id)
+        return best
+
+    def take(self, ask, runner):
+        place = placement.Placement(
+            request_id=ask.request_id,
+            decode_id=runner.runner_id,
+            prefill_id='',
+        )
+        self.streams[runner.runner_id].append(
+            self.reserved.outlook(ask, NOW_S)
+        )
+        self.reserved.add(place, ask, sent_s=NOW_S, begins_s=NOW_S)
+        self.fleet.update(NOW_S)
+
+
+@pytest.mark.parametrize('seed', range(5))
+def test_the_index_finds_the_runner_with_most_memory_left(seed):
+    """Runners that are passed over unseen must not be better ones."""
+    placing = Placing(seed)
+    for _ in range(300):
+        ask = placing.request()
+        expected = placing.expected(ask)
+        found = placing.choice.best(ask, NOW_S, NOW_S)
+        assert (found is None) == (expected is None)
+        if found is None:
+            continue
+        assert found.runner_id == expected[1]
+        placing.take(ask, found)
+
+
+def test_a_full_fleet_is_not_looked_at_runner_by_runner():
+    """Each waiting stream was worked out for every runner on every event."""
+    placing = Placing(1)
+    while True:
+        ask = placing.request()
+        found = placing.choice.best(ask, NOW_S, NOW_S)
+        if found is None:
+            break
+        placing.take(ask, found)
+    before = placing.choice.room_checks
+    large = builders.make_ask('large', prompt_tokens=60_000)
+    assert placing.choice.best(large, NOW_S, NOW_S) is None
+    assert placing.choice.room_checks == before
--- a/tests/routing/test_stage_split.py
+++ b/tests/routing/test_stage_split.py
@@ -76,6 +76,30 @@
     assert got == readers
 
 
+@pytest.mark.parametrize('runners', [64, 200, 360, 1800])
+@pytest.mark.parametrize('rates', [LONG_ANSWERS, SHORT_ANSWERS])
+def test_the_split_of_a_large_pool_is_found_with_few_tries(
+    monkeypatch, runners, rates
+):
+    """The leader spent two thirds of its time on the split of a pool."""
+    plain = stage_split.streams_per_s
+    tried = []
+
+    def counted(readers, writers, **rest):
+        tried.append(readers)
+        return plain(readers, writers, **rest)
+
+    monkeypatch.setattr(stage_split, 'streams_per_s', counted)
+    got = stage_split.wanted_prefill(runners, builders.ENGINE, rates)
+    assert len(tried) <= 100
+    best = max(
+        plain(one, runners - one, engine=builders.ENGINE, rates=rates)
+        for one in range(runners)
+    )
+    found = plain(got, runners - got, engine=builders.ENGINE, rates=rates)
+    assert found >= best * 0.995
+
+
 def test_before_any_stream_the_first_guess_is_not_far_off():
     """Orders before the first stream go by a guess.
 
