--- a/tests/dispatch/test_leader_keeps_its_term.py
+++ b/tests/dispatch/test_leader_keeps_its_term.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from tests import work_counter
 from tests.agreement import cluster as cluster_module
 from tests.routing import full_fleet
+from tests.routing import work_counter
 
 STREAMS_PER_S = 120
 SECONDS = 3
--- a/tests/routing/test_scheduler_cost.py
+++ b/tests/routing/test_scheduler_cost.py
@@ -6,8 +6,8 @@
 
 import pytest
 
-from tests import work_counter
 from tests.routing import full_fleet
+from tests.routing import work_counter
 
 EVENTS = 20
 
