Keep the outcome of a once-only call before its answer goes out

A test of a whole deployment, beside load, had the second of two posts with one Idempotency-Key, at another entry host, answered 409 'the call was made before and its outcome is not known' after the first had been answered.

Cause: the outcome was written to the control log in a task of its own, after the answer; a repeat at another host found the claim without an outcome. docs/CALLERS.md promises the answer to a repeat, so 409 is wrong there. Ruled out: a second run (the claim was found, nothing was sent).

Change: the answer waits until the outcome is kept, for half a second at most, so that a control log that can't be reached does not hold it back. A repeat while the first call is under way elsewhere is still answered 409.

Before: test_a_repeat_at_another_host_gets_the_answer_that_went_out failed with Unknown(reason='claimed_before'); after: passes.

--- a/limpetroute/entry/services/once_calls.py
+++ b/limpetroute/entry/services/once_calls.py
@@ -16,6 +16,9 @@
 
 CLAIM_TIMEOUT_S = 5.0
 SETTLE_TIMEOUT_S = 5.0
+# An answer waits for this long at most until it is kept; a control log
+# that can't be reached does not hold it back.
+KEPT_BEFORE_ANSWER_S = 0.5
 SETTLE_TRIES = 10
 SETTLE_PAUSE_S = 0.2
 MAX_TRIES = 3
@@ -136,7 +139,11 @@
         if may_start:
             got = await self._send(call, verdict.fence, guard)
         outcome = _outcome(got, guard, may_start=may_start)
-        self._settle(claims, team, call.key, outcome)
+        settling = self._settle(claims, team, call.key, outcome)
+        if settling is not None:
+            # Who has the answer may repeat the call at another host, which
+            # knows only what the control log has.
+            await asyncio.wait({settling}, timeout=KEPT_BEFORE_ANSWER_S)
         return outcome
 
     async def _send(
@@ -168,7 +175,8 @@
         team: str,
         key: str,
         outcome: service_outcome.ServiceOutcome,
-    ) -> None:
+    ) -> asyncio.Task[None] | None:
+        """Begin to keep an outcome; None for one that is not known."""
         if isinstance(outcome, service_outcome.Answered):
             reply = outcome.reply
             status, body = reply.status, stored_reply.encode(reply)
@@ -177,10 +185,11 @@
         else:
             # Left open: the claim without an outcome says for ever that
             # the call may have run.
-            return
+            return None
         task = asyncio.create_task(_settle(claims, team, key, status, body))
         self._settling.add(task)
         task.add_done_callback(self._settling.discard)
+        return task
 
 
 async def _settle(
--- /dev/null
+++ b/tests/entry/test_once_calls.py
@@ -0,0 +1,100 @@
+"""Calls that must run at most once, asked for at two hosts."""
+
+import asyncio
+
+from limpetroute.control import claim_book
+from limpetroute.entry.services import once_calls
+from limpetroute.entry.services import service_outcome
+from limpetroute.runners import service_call
+
+CALL = service_call.ServiceCall(
+    service='registry',
+    method='POST',
+    path='/release',
+    body=b'{}',
+    content_type='application/json',
+    accept='*/*',
+    key='release-7',
+    timeout_s=2.0,
+)
+
+
+class SlowBook:
+    """A claim book of all hosts whose outcomes take time to be kept."""
+
+    def __init__(self, settle_s):
+        self.settle_s = settle_s
+        self.claims = {}
+
+    async def claim(self, *, key, **rest):
+        if key in self.claims:
+            status, body = self.claims[key]
+            return claim_book.ClaimFound(
+                same_body=True, status=status, body=body
+            )
+        self.claims[key] = (None, '')
+        return claim_book.ClaimGranted(fence=1)
+
+    async def settle(self, *, key, status, body, **rest):
+        await asyncio.sleep(self.settle_s)
+        self.claims[key] = (status, body)
+        return True
+
+
+class Runner:
+    runner_id = 'r1'
+
+
+class Pool:
+    """A service that answers, and counts what it ran."""
+
+    def __init__(self):
+        self.runs = 0
+
+    def pick(self, service, tried):
+        return None if tried else Runner()
+
+    async def send(self, runner, call, *, fence):
+        self.runs += 1
+        return service_call.ServiceReply(
+            status=200, content_type='text/plain', body=b'done'
+        )
+
+
+async def call_at(host, book):
+    return await host.call(
+        claims=book, team='t', digest='d', call=CALL, made_key=False
+    )
+
+
+def test_a_repeat_at_another_host_gets_the_answer_that_went_out():
+    """A repeat was told that the outcome was not known, though it was out."""
+
+    async def work():
+        pool = Pool()
+        book = SlowBook(settle_s=0.1)
+        hosts = [
+            once_calls.OnceCalls(host_id=f'h{n}', pool=pool) for n in range(2)
+        ]
+        first = await call_at(hosts[0], book)
+        again = await call_at(hosts[1], book)
+        assert pool.runs == 1
+        assert isinstance(first, service_outcome.Answered)
+        assert isinstance(again, service_outcome.Answered), again
+        assert again.reply.body == first.reply.body
+
+    asyncio.run(work())
+
+
+def test_an_answer_does_not_wait_for_a_control_log_that_is_gone():
+    """A ready answer is delivered, whether it can be kept or not."""
+
+    async def work():
+        host = once_calls.OnceCalls(host_id='h', pool=Pool())
+        begun_s = asyncio.get_running_loop().time()
+        got = await call_at(host, SlowBook(settle_s=30.0))
+        took_s = asyncio.get_running_loop().time() - begun_s
+        assert isinstance(got, service_outcome.Answered)
+        assert took_s < once_calls.KEPT_BEFORE_ANSWER_S + 0.5
+
+    asyncio.run(work())
