--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -136,6 +136,7 @@
     'forwarding',
     'platform',
     'runners',
+    'telemetry',
     'wire',
 )
 
