--- a/limpetroute/routing/stage_split.py
+++ b/limpetroute/routing/stage_split.py
@@ -201,7 +201,9 @@
     readers = [
         one for one in settled if one.stage is stage_module.Stage.PREFILL
     ]
-    writers = [one for one in settled if one not in readers]
+    writers = [
+        one for one in settled if one.stage is not stage_module.Stage.PREFILL
+    ]
     will_read = len(readers) + sum(
         one.stage is stage_module.Stage.DECODE for one in under_way
     )
--- a/tests/routing/test_stage_split.py
+++ b/tests/routing/test_stage_split.py
@@ -12,6 +12,7 @@
 import pytest
 
 from limpetroute.routing import reading_pause
+from limpetroute.routing import runner_info
 from limpetroute.routing import stage_rates
 from limpetroute.routing import stage_split
 from limpetroute.routing import stream_scheduler
@@ -311,3 +312,24 @@
         stages[change.runner_id] = change.stage
     else:
         raise AssertionError('never comes to rest')
+
+
+def test_the_next_change_compares_no_runner_with_all_others(monkeypatch):
+    """The leader stood still for 0.3 s at a time with 1,800 runners."""
+    compared = []
+
+    def counted(one, other):
+        compared.append(one)
+        return one is other
+
+    runners = [
+        builders.make_runner(
+            f'r{n:04}', builders.PREFILL if n < 120 else builders.DECODE
+        )
+        for n in range(360)
+    ]
+    monkeypatch.setattr(runner_info.RunnerInfo, '__eq__', counted)
+    stage_split.next_change(
+        runners, engine=builders.ENGINE, changing=(), rates=LONG_ANSWERS
+    )
+    assert len(compared) <= len(runners)
