Tell control hosts of entry hosts once a second, and of changes at once

Each message between control hosts, heartbeats and acknowledgements too, carried a report of every entry host.

All reports go with one message in four heartbeats now, changed revisions with the next.

--- a/limpetroute/control/host_reports.py
+++ b/limpetroute/control/host_reports.py
@@ -9,10 +9,14 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class HostReport:
-    """An entry host's revision and when it was heard."""
+    """An entry host's revision and when it was heard.
+
+    ``change`` counts the changes of all revisions up to its own.
+    """
 
     number: int
     heard_s: float
+    change: int = 0
 
 
 class HostReports:
@@ -26,12 +30,13 @@
         Silence after which it is forgotten.
     """
 
-    __slots__ = ('_forget_s', '_live_s', '_reports')
+    __slots__ = ('_forget_s', '_live_s', '_reports', 'changes')
 
     def __init__(self, *, live_s: float, forget_s: float) -> None:
         self._live_s = live_s
         self._forget_s = forget_s
         self._reports: dict[str, HostReport] = {}
+        self.changes = 0
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(hosts={len(self._reports)!r})'
@@ -43,7 +48,13 @@
             return
         if old is not None and heard_s < old.heard_s:
             return
-        self._reports[host_id] = HostReport(number=number, heard_s=heard_s)
+        change = old.change if old is not None else 0
+        if old is None or old.number != number:
+            self.changes += 1
+            change = self.changes
+        self._reports[host_id] = HostReport(
+            number=number, heard_s=heard_s, change=change
+        )
 
     def expire(self, now_s: float) -> None:
         """Forget hosts that were silent for long."""
@@ -71,14 +82,26 @@
         """Return every report."""
         return dict(self._reports)
 
-    def bodies(self, now_s: float) -> dict[str, peer_batch.HostReportBody]:
-        """Return what a peer is told: what was heard of late."""
+    def bodies(
+        self, now_s: float, *, after_change: int = -1
+    ) -> dict[str, peer_batch.HostReportBody]:
+        """Return what a peer is told: what was heard of late.
+
+        Parameters
+        ----------
+        now_s : float
+            The clock of this process.
+        after_change : int
+            Only revisions that changed after this many changes; all of
+            them if it is left out.
+        """
         return {
             host_id: peer_batch.HostReportBody(
                 number=report.number, age_s=now_s - report.heard_s
             )
             for host_id, report in self._reports.items()
-            if now_s - report.heard_s <= self._live_s
+            if report.change > after_change
+            and now_s - report.heard_s <= self._live_s
         }
 
     def take(
--- a/limpetroute/control/node.py
+++ b/limpetroute/control/node.py
@@ -320,6 +320,7 @@
             url=url,
             http=self._http,
             hello=self._hello,
+            reports=self.reports,
             hello_s=self.settings.heartbeat_s * HELLO_HEARTBEATS,
             timeout_s=self.settings.election_s * 0.4,
         )
@@ -334,7 +335,6 @@
             blank=self._is_pristine(),
             founding=self.folder.founding,
             replacements=self.replacements.bodies(self.now_s),
-            hosts=self.reports.bodies(self.now_s),
             urls=self.urls if self.settings.seeds else [],
         )
 
--- a/limpetroute/control/peer_link.py
+++ b/limpetroute/control/peer_link.py
@@ -6,6 +6,8 @@
 
 from limpetroute.agreement import messages
 from limpetroute.border import peer_batch
+from limpetroute.control import host_reports
+from limpetroute.telemetry import boot_clock
 from limpetroute.wire import call_failed
 from limpetroute.wire import caller
 
@@ -34,7 +36,11 @@
     http : Caller
         Makes the calls.
     hello : callable
-        Returns a batch without envelopes.
+        Returns a batch without envelopes and reports.
+    reports : HostReports
+        What was heard of entry hosts. All of it goes with a batch once in
+        ``hello_s``, and only changes between: it grows with the hosts, and
+        heartbeats are many.
     hello_s : float
         Time between batches when there is nothing else to send.
     timeout_s : float
@@ -47,6 +53,7 @@
         url: str,
         http: caller.Caller,
         hello: typing.Callable[[], peer_batch.PeerBatch],
+        reports: host_reports.HostReports,
         hello_s: float,
         timeout_s: float,
     ) -> None:
@@ -54,6 +61,9 @@
         self.answers = False
         self._http = http
         self._hello = hello
+        self._reports = reports
+        self._reports_due_s = 0.0
+        self._reported_changes = 0
         self._hello_s = hello_s
         self._timeout_s = timeout_s
         self._queue: list[peer_batch.EnvelopeBody] = []
@@ -115,6 +125,16 @@
             assert isinstance(message, messages.SnapshotRequest)
             await self._post([body], SLOWEST_LINK_BYTES_PER_S)
 
+    def _hosts(self) -> dict[str, peer_batch.HostReportBody]:
+        """Return what the other host is told of entry hosts now."""
+        now_s = boot_clock.now_s()
+        after_change = self._reported_changes
+        if now_s >= self._reports_due_s:
+            self._reports_due_s = now_s + self._hello_s
+            after_change = -1
+        self._reported_changes = self._reports.changes
+        return self._reports.bodies(now_s, after_change=after_change)
+
     async def _post(
         self,
         envelopes: list[peer_batch.EnvelopeBody],
@@ -126,7 +146,9 @@
         be cut and sent again without end.
         """
         hello = self._hello()
-        batch = hello.model_copy(update={'envelopes': envelopes})
+        batch = hello.model_copy(
+            update={'envelopes': envelopes, 'hosts': self._hosts()}
+        )
         data = batch.model_dump_json().encode()
         got = await self._http.call(
             method='POST',
--- a/limpetroute/control/watch_handler.py
+++ b/limpetroute/control/watch_handler.py
@@ -27,7 +27,7 @@
         version = int(self._number('version', 0))
         host_id = self.get_query_argument('host', '')
         if host_id:
-            self.node.reports.note(host_id, after, self.node.now_s)
+            self.node.reports.note(host_id, version, self.node.now_s)
         await self._wait_beyond(
             after,
             version,
