--- /dev/null
+++ b/tests/dispatch/test_dispatcher.py
@@ -0,0 +1,178 @@
+"""How the leader takes in events and decides on them."""
+
+import asyncio
+import types
+
+from limpetroute.control import runner_row
+from limpetroute.dispatch import dispatcher as dispatcher_module
+from limpetroute.platform import orders
+from limpetroute.routing import placement
+from limpetroute.routing import stream_scheduler
+from tests.routing import builders
+
+
+class Table(list):
+    changed_index = 1
+
+
+class Replica:
+    """A leader whose lease may end."""
+
+    term = 1
+
+    def __init__(self):
+        self.leads = True
+
+    def lease_valid(self, now_s):
+        return self.leads
+
+
+def make_row(name, stage):
+    info = builders.make_runner(name, stage)
+    return runner_row.RunnerRow(
+        runner_id=name,
+        address=info.address,
+        text=info.detail(),
+        sequence=1,
+        state='ready',
+        changed_index=1,
+    )
+
+
+class Leader:
+    """A dispatcher on a control host that leads."""
+
+    def __init__(self):
+        rows = [make_row('p', builders.PREFILL)]
+        rows += [make_row(f'd{n}', builders.DECODE) for n in range(2)]
+        self.replica = Replica()
+        service = builders.make_service('model', builders.ENGINE)
+        state = types.SimpleNamespace(
+            runners=Table(rows),
+            routes=types.SimpleNamespace(digest='x'),
+            routes_index=1,
+            recent_routes=types.SimpleNamespace(is_cut=lambda digest: True),
+            routes_copy=lambda: types.SimpleNamespace(parts=()),
+        )
+        node = types.SimpleNamespace(
+            settings=types.SimpleNamespace(host_id='c1'),
+            config=types.SimpleNamespace(replica=self.replica, state=state),
+        )
+        dialect = orders.Orders()
+        dialect.read_services = lambda parts: [service]
+        self.dispatcher = dispatcher_module.Dispatcher(
+            node=node, dialect=dialect
+        )
+
+    async def place(self, name, **fields):
+        ask = builders.make_ask(name, **fields)
+        return await self.dispatcher.place(ask)
+
+
+def count_decisions(monkeypatch):
+    """Return a list that gets an item for each decision."""
+    decisions = []
+    decide = stream_scheduler.StreamScheduler.decide
+
+    def counted(self, *args, **rest):
+        decisions.append(self.waiting)
+        return decide(self, *args, **rest)
+
+    monkeypatch.setattr(stream_scheduler.StreamScheduler, 'decide', counted)
+    return decisions
+
+
+def play(monkeypatch, work):
+    monkeypatch.setattr(dispatcher_module, 'ADOPT_S', 0.0)
+    return asyncio.run(work(Leader()))
+
+
+def test_what_comes_at_one_moment_is_decided_once(monkeypatch):
+    """Each of a hundred requests had all others worked out again."""
+    decisions = count_decisions(monkeypatch)
+
+    async def work(leader):
+        asks = [leader.place(f's{n}', output_tokens=500) for n in range(100)]
+        return await asyncio.wait_for(asyncio.gather(*asks[:2]), 2.0), [
+            one.close() for one in asks[2:]
+        ]
+
+    answers, _ = play(monkeypatch, work)
+    assert all(isinstance(one, placement.Placement) for one in answers)
+    assert decisions == [2]
+
+
+def test_a_decision_leaves_the_loop_to_others_before_the_rest(monkeypatch):
+    """Heartbeats waited until a whole burst was placed."""
+    monkeypatch.setattr(stream_scheduler, 'MOST_ROOM_CHECKS', 1)
+    decisions = count_decisions(monkeypatch)
+    ticks = []
+
+    async def work(leader):
+        asks = [
+            asyncio.create_task(leader.place(f's{n}', output_tokens=500))
+            for n in range(3)
+        ]
+        while not all(one.done() for one in asks):
+            ticks.append(len(decisions))
+            await asyncio.sleep(0)
+        return [one.result() for one in asks]
+
+    answers = play(monkeypatch, work)
+    assert len(answers) == 3
+    assert len(decisions) > 1
+    # Other work ran after each of the decisions.
+    assert set(range(1, len(decisions))) <= set(ticks)
+
+
+def test_nothing_is_placed_after_the_lease_has_ended(monkeypatch):
+    """Two hosts would fill the same runners."""
+
+    async def work(leader):
+        ask = asyncio.create_task(leader.place('s'))
+        await asyncio.sleep(0)
+        leader.replica.leads = False
+        await asyncio.sleep(0.05)
+        return ask.done(), ask.cancel()
+
+    is_done, _ = play(monkeypatch, work)
+    assert not is_done
+
+
+def test_rows_are_read_again_only_when_they_change(monkeypatch):
+    """All rows were parsed for each announcement of one runner."""
+    read = []
+    plain = dispatcher_module.runner_info.from_detail
+
+    def counted(**fields):
+        read.append(fields['runner_id'])
+        return plain(**fields)
+
+    monkeypatch.setattr(dispatcher_module.runner_info, 'from_detail', counted)
+
+    async def work(leader):
+        await leader.place('s1')
+        table = leader.dispatcher._node.config.state.runners
+        table[1] = make_row('d0', builders.PREFILL)
+        table.changed_index = 2
+        await leader.place('s2')
+
+    play(monkeypatch, work)
+    assert read == ['p', 'd0', 'd1', 'd0']
+
+
+def test_a_request_that_waits_is_answered_by_the_next_release(monkeypatch):
+    async def work(leader):
+        first = []
+        for n in range(24):
+            first.append(await leader.place(f's{n}', output_tokens=300))
+            leader.dispatcher.read('model', f's{n}', 0)
+        waits = asyncio.create_task(leader.place('next', target_s=9.0))
+        await asyncio.sleep(0.02)
+        assert not waits.done()
+        leader.dispatcher.end(
+            'model', placement.Release(request_id=first[0].request_id)
+        )
+        return await asyncio.wait_for(waits, 1.0)
+
+    assert isinstance(play(monkeypatch, work), placement.Placement)
