--- a/limpetroute/routing/stage_split.py
+++ b/limpetroute/routing/stage_split.py
@@ -18,6 +18,10 @@
 # Halvings of the interval in which a split's rate is looked for: to a
 # thousandth of it.
 HALVINGS = 10
+# Splits of a large pool that are tried first, and by how much their
+# distance shrinks from one round to the next.
+SPLITS_TRIED = 32
+STEP_DIVISOR = 4
 # A change takes a runner away for the time of its streams and of the
 # change, six to ten seconds, and another one back takes as long. It has
 # to let in this many times the streams: measured rates move by a tenth
@@ -31,7 +35,7 @@
 # With two writers left and no reader, neither is taken away at once: for
 # ten seconds the other would be alone. Runners are lost in pairs, and
 # most crashed ones are back by then.
-LONE_WRITER_WAIT_S = 4.0
+LAST_DECODER_GRACE_S = 4.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -111,13 +115,23 @@
         return 0
     best = 1
     best_per_s = 0.0
-    for readers in range(runners):
-        per_s = streams_per_s(
-            readers, runners - readers, engine=engine, rates=rates
+    # The rate rises to its peak and falls from there, so a large pool is
+    # searched in steps that get smaller around the best one.
+    step = max(1, runners // SPLITS_TRIED)
+    tried = range(0, runners, step)
+    while True:
+        for readers in tried:
+            per_s = streams_per_s(
+                readers, runners - readers, engine=engine, rates=rates
+            )
+            if per_s > best_per_s:
+                best, best_per_s = readers, per_s
+        if step == 1:
+            return best
+        last, step = step, max(1, step // STEP_DIVISOR)
+        tried = range(
+            max(0, best - last + step), min(runners, best + last), step
         )
-        if per_s > best_per_s:
-            best, best_per_s = readers, per_s
-    return best
 
 
 def _at_once(
@@ -187,7 +201,9 @@
     readers = [
         one for one in settled if one.stage is stage_module.Stage.PREFILL
     ]
-    writers = [one for one in settled if one not in readers]
+    writers = [
+        one for one in settled if one.stage is not stage_module.Stage.PREFILL
+    ]
     will_read = len(readers) + sum(
         one.stage is stage_module.Stage.DECODE for one in under_way
     )
@@ -262,4 +278,4 @@
         return 0.0
     if not writers:
         return math.inf
-    return LONE_WRITER_WAIT_S if writers == 1 else 0.0
+    return LAST_DECODER_GRACE_S if writers == 1 else 0.0
--- a/tests/routing/test_stage_split.py
+++ b/tests/routing/test_stage_split.py
@@ -12,9 +12,10 @@
 import pytest
 
 from limpetroute.routing import reading_pause
+from limpetroute.routing import runner_info
 from limpetroute.routing import stage_rates
 from limpetroute.routing import stage_split
-from limpetroute.routing import stream_desk
+from limpetroute.routing import stream_scheduler
 from tests.routing import builders
 
 # Memory for nine streams of the mean size, and twelve places.
@@ -76,6 +77,30 @@
     assert got == readers
 
 
+@pytest.mark.parametrize('runners', [64, 200, 360, 1800])
+@pytest.mark.parametrize('rates', [LONG_ANSWERS, SHORT_ANSWERS])
+def test_the_split_of_a_large_pool_is_found_with_few_tries(
+    monkeypatch, runners, rates
+):
+    """The leader spent two thirds of its time on the split of a pool."""
+    plain = stage_split.streams_per_s
+    tried = []
+
+    def counted(readers, writers, **rest):
+        tried.append(readers)
+        return plain(readers, writers, **rest)
+
+    monkeypatch.setattr(stage_split, 'streams_per_s', counted)
+    got = stage_split.wanted_prefill(runners, builders.ENGINE, rates)
+    assert len(tried) <= 100
+    best = max(
+        plain(one, runners - one, engine=builders.ENGINE, rates=rates)
+        for one in range(runners)
+    )
+    found = plain(got, runners - got, engine=builders.ENGINE, rates=rates)
+    assert found >= best * 0.995
+
+
 def test_before_any_stream_the_first_guess_is_not_far_off():
     """Orders before the first stream go by a guess.
 
@@ -185,7 +210,7 @@
     readers would be best: a writer was away for six seconds, and two
     runners left soon after.
     """
-    desk = stream_desk.StreamDesk(engine=SMALL)
+    desk = stream_scheduler.StreamScheduler(engine=SMALL)
     runners = [builders.make_runner('a', builders.PREFILL)]
     runners += [builders.make_runner(name) for name in 'bcd']
     for n in range(3):
@@ -287,3 +312,24 @@
         stages[change.runner_id] = change.stage
     else:
         raise AssertionError('never comes to rest')
+
+
+def test_the_next_change_compares_no_runner_with_all_others(monkeypatch):
+    """The leader stood still for 0.3 s at a time with 1,800 runners."""
+    compared = []
+
+    def counted(one, other):
+        compared.append(one)
+        return one is other
+
+    runners = [
+        builders.make_runner(
+            f'r{n:04}', builders.PREFILL if n < 120 else builders.DECODE
+        )
+        for n in range(360)
+    ]
+    monkeypatch.setattr(runner_info.RunnerInfo, '__eq__', counted)
+    stage_split.next_change(
+        runners, engine=builders.ENGINE, changing=(), rates=LONG_ANSWERS
+    )
+    assert len(compared) <= len(runners)
