Let as many late streams wait as runners have memory for a part of

A sixth of all slots may wait late; of 64 slots of a runner memory fills six, so the bound was 330 for 200 streams at once. It is a sixth of the streams that run at once now. The test had 64 waiting before, 8 are allowed; where slots bind, nothing changes.

--- a/limpetroute/routing/stage_split.py
+++ b/limpetroute/routing/stage_split.py
@@ -68,7 +68,7 @@
     use = 0.0
     if reading_pause.is_good_beside(rates.pace_beside_reading):
         use = READ_USE
-    places = writers * _at_once(engine, rates)
+    places = writers * streams_at_once(engine, rates)
     begin_s = rates.read_s + stream_times.OVERHEAD_S
     least = 0.0
     most = places / (begin_s + rates.write_s)
@@ -136,10 +136,18 @@
         )
 
 
-def _at_once(
+def streams_at_once(
     engine: service_module.Engine, rates: stage_rates.StageRates
 ) -> float:
-    """Return how many streams a writer has at once."""
+    """Return how many streams a decode runner has at once.
+
+    Parameters
+    ----------
+    engine : Engine
+        Its slots and memory.
+    rates : StageRates
+        What was measured of its streams.
+    """
     room_tokens = memory_headroom.room_tokens(
         engine.memory_tokens,
         min(
--- a/limpetroute/routing/stream_scheduler.py
+++ b/limpetroute/routing/stream_scheduler.py
@@ -15,6 +15,7 @@
 from limpetroute.routing import runner_info
 from limpetroute.routing import service as service_module
 from limpetroute.routing import stage_rates
+from limpetroute.routing import stage_split
 from limpetroute.routing import usual_size
 from limpetroute.routing import wait_estimate
 from limpetroute.routing import waiting_queue
@@ -23,8 +24,9 @@
 # A large stream at the head that does not fit lets smaller ones pass for
 # this long; after that, room that becomes free is kept for it.
 HEAD_OF_LINE_TIMEOUT_S = 0.25
-# Streams that cannot make their target any more may wait for a place in
-# this part of all places; the rest are told at once when to come back.
+# As many streams that cannot make their target any more may wait as this
+# part of those that run at once; the rest are told at once when to come
+# back.
 LATE_PART = 1 / 6
 # While streams wait that can still make it, one place in this many goes
 # to one that cannot: a late answer is worth a part, but not nothing.
@@ -336,8 +338,8 @@
         Between full passes only new streams are looked at, behind those
         that were found to have a turn.
         """
-        slots = len(self._fleet.decoders) * self._engine.slots
-        late_room = max(1, round(slots * LATE_PART))
+        has_decoder = bool(self._fleet.decoders)
+        late_room = max(1, round(self._streams_at_once * LATE_PART))
         room = room_probe.RoomProbe(
             decode_placement=self._decode_placement, now_s=now_s
         )
@@ -351,13 +353,13 @@
                 has_room = not one.fits_nowhere and room.has_room(one.ask)
                 turn_s = self._estimate.turn_s(one.ask, ahead, has_room)
                 too_late = turn_s - one.sent_s > one.longest_s
-                one.counts_ahead = bool(slots) and (
+                one.counts_ahead = has_decoder and (
                     self._in_time(one, turn_s)
                     or (one.ask.goes_on and not too_late)
                 )
                 overdue = now_s - one.sent_s > one.longest_s
                 if not one.counts_ahead and (
-                    not slots or late >= late_room or too_late or overdue
+                    not has_decoder or late >= late_room or too_late or overdue
                 ):
                     rejections.append(self._reject(one, now_s))
                     continue
@@ -367,6 +369,16 @@
                 late += 1
         return rejections
 
+    @property
+    def _streams_at_once(self) -> float:
+        """How many streams the decode runners have at once.
+
+        Slots alone would let hundreds wait for memory until they are
+        overdue, where a few dozen can be placed in time.
+        """
+        each = stage_split.streams_at_once(self._engine, self.rates)
+        return len(self._fleet.decoders) * each
+
     def _reject(
         self, one: waiting_stream.WaitingStream, now_s: float
     ) -> placement.Rejection:
--- a/tests/routing/test_stream_scheduler.py
+++ b/tests/routing/test_stream_scheduler.py
@@ -771,3 +771,29 @@
     for n in range(8):
         desk.ask(builders.make_ask(f's{n}'), 0.0)
     assert all(one.prefill_id for one in places(desk.decide(fleet, 0.0)))
+
+
+def test_late_streams_wait_only_for_memory_that_there_is():
+    """A burst where memory for six streams binds, and 64 slots do not.
+
+    A sixth of all slots were ten late streams for each runner that writes
+    six: they waited until they were overdue and were refused then.
+    """
+    engine = dataclasses.replace(
+        builders.ENGINE, slots=64, memory_tokens=38_404, tokens_per_event=8
+    )
+    scheduler = stream_scheduler.StreamScheduler(engine=engine)
+    fleet = make_fleet(writers=6)
+    sizes = {'output_tokens': 550, 'most_output_tokens': 1100}
+    for n in range(36):
+        ask = builders.make_ask(f'h{n}', **sizes)
+        place = placement.Placement(
+            request_id=ask.request_id, decode_id=f'd{n % 6}', prefill_id=''
+        )
+        scheduler.adopt(place, ask, n / 12)
+    for n in range(200):
+        ask = builders.make_ask(f's{n}', waited_s=0.85, **sizes)
+        scheduler.ask(ask, 3.0)
+    answers = scheduler.decide(fleet, 3.0)
+    assert len(places(answers)) <= 12
+    assert 1 <= scheduler.waiting <= 36 * stream_scheduler.LATE_PART + 2
