--- a/limpetroute/routing/stage_split.py
+++ b/limpetroute/routing/stage_split.py
@@ -26,7 +26,8 @@
 # change, six to ten seconds, and another one back takes as long. In a pool
 # of up to `RUNNERS_PER_CHANGE` runners it has to let in this part more
 # streams; in a larger one it costs a smaller part of the pool, and less is
-# asked for, but not less than measured rates move by themselves.
+# asked for, but not less than measured rates move by themselves. A guess
+# is not worth that much.
 GAIN_OF_A_CHANGE = 0.2
 LEAST_GAIN_OF_A_CHANGE = 0.05
 # One runner of this many may be changing at a time; of fewer, one.
@@ -257,8 +258,10 @@
     then_per_s = streams_per_s(
         wanted, runners - wanted, engine=engine, rates=rates
     )
-    small_part = min(1.0, RUNNERS_PER_CHANGE / runners)
-    gain = max(LEAST_GAIN_OF_A_CHANGE, GAIN_OF_A_CHANGE * small_part)
+    gain = GAIN_OF_A_CHANGE
+    if rates.is_measured:
+        small_part = min(1.0, RUNNERS_PER_CHANGE / runners)
+        gain = max(LEAST_GAIN_OF_A_CHANGE, GAIN_OF_A_CHANGE * small_part)
     return then_per_s >= now_per_s * (1 + gain)
 
 
--- a/tests/routing/test_stage_split.py
+++ b/tests/routing/test_stage_split.py
@@ -328,6 +328,7 @@
         read_tokens_per_s=31_000.0,
         write_tokens_per_s=166.0,
         deviation_tokens=120.0,
+        is_measured=True,
     )
     stages = {
         f'r{n:02}': builders.PREFILL if n < 15 else builders.DECODE
@@ -345,6 +346,23 @@
     assert got >= best / 1.05
 
 
+def test_a_guess_does_not_move_a_large_pool_far():
+    """Seven of 15 prefill runners were taken away before the first stream.
+
+    Prompts took twice as long as was guessed, and waited in the burst.
+    """
+    engine = dataclasses.replace(
+        builders.ENGINE, slots=64, memory_tokens=38_404, tokens_per_event=8
+    )
+    stages = {
+        f'r{n:02}': builders.PREFILL if n < 15 else builders.DECODE
+        for n in range(42)
+    }
+    rates = stage_rates.first_guess(engine)
+    stages = settle(stages, engine=engine, rates=rates)
+    assert list(stages.values()).count(builders.PREFILL) >= 12
+
+
 def test_the_next_change_compares_no_runner_with_all_others(monkeypatch):
     """The leader stood still for 0.3 s at a time with 1,800 runners."""
     compared = []
