--- a/limpetroute/routing/stage_split.py
+++ b/limpetroute/routing/stage_split.py
@@ -26,7 +26,8 @@
 # change, six to ten seconds, and another one back takes as long. In a pool
 # of up to `RUNNERS_PER_CHANGE` runners it has to let in this part more
 # streams; in a larger one it costs a smaller part of the pool, and less is
-# asked for, but not less than measured rates move by themselves.
+# asked for, but not less than measured rates move by themselves. A guess
+# is not worth that much.
 GAIN_OF_A_CHANGE = 0.2
 LEAST_GAIN_OF_A_CHANGE = 0.05
 # One runner of this many may be changing at a time; of fewer, one.
@@ -68,7 +69,7 @@
     use = 0.0
     if reading_pause.is_good_beside(rates.pace_beside_reading):
         use = READ_USE
-    places = writers * _at_once(engine, rates)
+    places = writers * streams_at_once(engine, rates)
     begin_s = rates.read_s + stream_times.OVERHEAD_S
     least = 0.0
     most = places / (begin_s + rates.write_s)
@@ -136,10 +137,18 @@
         )
 
 
-def _at_once(
+def streams_at_once(
     engine: service_module.Engine, rates: stage_rates.StageRates
 ) -> float:
-    """Return how many streams a writer has at once."""
+    """Return how many streams a decode runner has at once.
+
+    Parameters
+    ----------
+    engine : Engine
+        Its slots and memory.
+    rates : StageRates
+        What was measured of its streams.
+    """
     room_tokens = memory_headroom.room_tokens(
         engine.memory_tokens,
         min(
@@ -249,8 +258,10 @@
     then_per_s = streams_per_s(
         wanted, runners - wanted, engine=engine, rates=rates
     )
-    small_part = min(1.0, RUNNERS_PER_CHANGE / runners)
-    gain = max(LEAST_GAIN_OF_A_CHANGE, GAIN_OF_A_CHANGE * small_part)
+    gain = GAIN_OF_A_CHANGE
+    if rates.is_measured:
+        small_part = min(1.0, RUNNERS_PER_CHANGE / runners)
+        gain = max(LEAST_GAIN_OF_A_CHANGE, GAIN_OF_A_CHANGE * small_part)
     return then_per_s >= now_per_s * (1 + gain)
 
 
