Revert the two changes that weigh a change of stage by the size of the pool

The model of a split counts streams that are let in, not those that are in time, so moving nearer to its best costs more than it gains.

--- a/limpetroute/routing/reservations.py
+++ b/limpetroute/routing/reservations.py
@@ -73,11 +73,6 @@
         """How fast one stream writes, as measured."""
         return self._speed.mean
 
-    @property
-    def is_measured(self) -> bool:
-        """Whether enough streams have ended to tell their speed."""
-        return self._speed.is_measured
-
     @property
     def event_s(self) -> float:
         """Usual time between two events of a stream."""
--- a/limpetroute/routing/stage_rates.py
+++ b/limpetroute/routing/stage_rates.py
@@ -36,8 +36,6 @@
         How fast a decode runner writes each of its streams.
     deviation_tokens : float
         How far answers are from what was expected of them.
-    is_measured : bool
-        Whether streams have been seen, so that it is not a guess.
     """
 
     prompt_tokens: float
@@ -45,7 +43,6 @@
     read_tokens_per_s: float
     write_tokens_per_s: float
     deviation_tokens: float
-    is_measured: bool = False
 
     @property
     def read_s(self) -> float:
--- a/limpetroute/routing/stage_split.py
+++ b/limpetroute/routing/stage_split.py
@@ -23,13 +23,10 @@
 SPLITS_TRIED = 32
 STEP_DIVISOR = 4
 # A change takes a runner away for the time of its streams and of the
-# change, six to ten seconds, and another one back takes as long. In a pool
-# of up to `RUNNERS_PER_CHANGE` runners it has to let in this part more
-# streams; in a larger one it costs a smaller part of the pool, and less is
-# asked for, but not less than measured rates move by themselves. A guess
-# is not worth that much.
-GAIN_OF_A_CHANGE = 0.2
-LEAST_GAIN_OF_A_CHANGE = 0.05
+# change, six to ten seconds, and another one back takes as long. It has
+# to let in this many times the streams: measured rates move by a tenth
+# from one half minute to the next.
+WORTH_A_CHANGE = 1.2
 # One runner of this many may be changing at a time; of fewer, one.
 RUNNERS_PER_CHANGE = 10
 # A runner that has failed all it was sent for this long is taken to be
@@ -258,11 +255,7 @@
     then_per_s = streams_per_s(
         wanted, runners - wanted, engine=engine, rates=rates
     )
-    gain = GAIN_OF_A_CHANGE
-    if rates.is_measured:
-        small_part = min(1.0, RUNNERS_PER_CHANGE / runners)
-        gain = max(LEAST_GAIN_OF_A_CHANGE, GAIN_OF_A_CHANGE * small_part)
-    return then_per_s >= now_per_s * (1 + gain)
+    return then_per_s >= now_per_s * WORTH_A_CHANGE
 
 
 def writers_after(
--- a/limpetroute/routing/stream_scheduler.py
+++ b/limpetroute/routing/stream_scheduler.py
@@ -140,8 +140,6 @@
             read_tokens_per_s=self._prefill.tokens_per_s,
             write_tokens_per_s=self._reservations.tokens_per_s,
             deviation_tokens=self._reservations.deviation_tokens,
-            is_measured=self._prompt_size.is_measured
-            and self._reservations.is_measured,
         )
 
     def gone_s(
--- a/limpetroute/routing/usual_size.py
+++ b/limpetroute/routing/usual_size.py
@@ -34,11 +34,6 @@
         """The mean."""
         return self._mean
 
-    @property
-    def is_measured(self) -> bool:
-        """Whether as much was seen as the first guess counts for."""
-        return self._count >= 2 * GUESS_WEIGHT
-
     def note(self, value: float) -> None:
         """Take note of what came."""
         self._count += 1
