--- a/limpetroute/dispatch/stage_orders.py
+++ b/limpetroute/dispatch/stage_orders.py
@@ -31,9 +31,7 @@
 # reader gone, decode runners read prompts between their tokens.
 SETTLE_S = 1.4
 # At the start of a fleet they come within seconds of each other, and a
-# heartbeat that found nobody to take it is sent again only with the next:
-# the last of four runners was heard of 2.7 s after the first, and a
-# runner ordered to read and back again was away for twelve seconds.
+# heartbeat that found nobody to take it is sent again only with the next.
 FOUNDING_S = 5.0
 FOUNDING_SETTLE_S = 2.6
 HTTP_ACCEPTED = 202
--- a/limpetroute/forwarding/placement_session.py
+++ b/limpetroute/forwarding/placement_session.py
@@ -80,13 +80,12 @@
     async def take(
         self, so_far: StreamProgress
     ) -> AssignedRunners | placement.Rejection:
-        """Return rooms, or a refusal.
+        """Return runners, or a rejection.
 
         The host that decides for all is asked; where it cannot be, this
         host decides by what it has sent itself. Where it has no room
-        left, another leader is mostly there within a second: refused
-        at once, the caller came back late (34 of 260 streams on a day
-        with two changes of leader and three hosts cut off).
+        left, another leader is mostly there within a second, sooner than
+        a caller that was rejected is back.
         """
         begun_s = _now_s()
         while True:
--- a/limpetroute/routing/last_streams.py
+++ b/limpetroute/routing/last_streams.py
@@ -12,12 +12,10 @@
     Pattern: hosts are stopped one after the other, faster than each of
     them ends; a zone then has one host in three that does not stop, and
     the balancer sends callers to all of them again. Refused there, a
-    caller has one try left, and in a burst it is refused for good (26
-    refusals of 480 streams in eight seconds). A stream that surely ends
-    in the time that is left is served. Its longest answer counts, not
-    the expected one: estimates are off by half for one stream in five,
-    and one that was taken now and is cut at the end is lost by a planned
-    stop.
+    caller has one try left, and in a burst it is refused for good. A
+    stream that surely ends in the time that is left is served. Its
+    longest answer counts, not the expected one: estimates are often
+    short, and a stream that is cut at the end is lost by a planned stop.
 
     Parameters
     ----------
--- a/limpetroute/routing/length_estimate.py
+++ b/limpetroute/routing/length_estimate.py
@@ -4,13 +4,12 @@
 
 # Callers' estimates are right at the median and often far off. Where they
 # are off by as much as lengths differ, half of what an estimate says
-# beyond the usual is true; so it is until it has been measured (slope
-# 0.50 over 201 answers whose estimates were off by half).
+# beyond the usual is true, until the slope has been measured.
 FIRST_SLOPE = 0.5
 # Answers that the first slope counts for.
 FIRST_WEIGHT = 30.0
-# Later answers push earlier ones out: half of the weight is from the
-# last 140, some half minute at five a second.
+# Later answers push earlier ones out; half of the weight is from the
+# last 140.
 FORGET = 0.995
 
 
@@ -21,7 +20,7 @@
     the memory of a decode runner is planned to the end of each stream,
     and what outgrows its plan pushes the newest one out, whose prompt is
     read again. A line through the logarithms of estimates and lengths
-    brings the error from 0.5 to 0.33 (201 answers).
+    corrects them.
     """
 
     def __init__(self) -> None:
--- a/limpetroute/routing/local_placement.py
+++ b/limpetroute/routing/local_placement.py
@@ -21,10 +21,9 @@
 
     Pattern: a leader and the last prefill runner are lost together. A
     host that decides alone does not see the other hosts' streams at the
-    decode runner. One prompt of 8,400 tokens, sent there in the second
-    without a leader, held all eleven streams up for 352 ms: nine answers
-    in time were lost for one. A leader is there within about a second,
-    and knows whether the runner has little to do.
+    decode runner, and a long prompt holds all of them up. A leader is
+    there within about a second, and knows whether the runner has little
+    to do.
     """
     if entry_hosts <= 1:
         return True
--- a/limpetroute/routing/memory_headroom.py
+++ b/limpetroute/routing/memory_headroom.py
@@ -3,11 +3,8 @@
 import math
 
 # Deviations of the sum of a writer's answers that are kept free: one sum in
-# forty outgrows that. Played for 160 s with memory for 78,000 tokens and
-# nine streams, whose answers are off by 2,080: a tenth (1.25 deviations)
-# gives 327 places and overflows 8 times, 15 % (nearly two) 316 and 3, and
-# 3 % 347 and 44. An overflow costs a prompt read again and two streams'
-# targets. Between 1.25 and 2 no steady difference was found on two sites.
+# forty outgrows that. An overflow costs a prompt read again, and the
+# targets of two streams.
 DEVIATIONS = 2.0
 # Blocks of memory that are not full, and what is read beside.
 LEAST_PART = 0.03
--- a/limpetroute/routing/prefill_queue.py
+++ b/limpetroute/routing/prefill_queue.py
@@ -14,8 +14,7 @@
 from limpetroute.routing import usual_size
 
 # Two prompts read by a decode runner within one event of its streams make
-# that event's pause too long: 5,000 tokens hold it up for 180 ms, an
-# event takes 50 ms without, and pauses over 300 ms are late.
+# that event's pause too long.
 SELF_READ_PAUSE_S = 0.1
 # A prompt that holds a runner's streams up for too long is still read
 # where it has no more streams than this: less is lost than gained.
@@ -23,18 +22,17 @@
 # Longest pause between events where a route names none.
 USUAL_PAUSE_S = 0.3
 # Readings that are queued at a prefill runner. Who waits there cannot be
-# put behind one that is due sooner, and after 0.6 s its host takes the
-# runner for dark; with less than two prompts queued, the runner would
+# put behind one that is due sooner, and a host that waits too long takes
+# the runner for dark; with less than two prompts queued, the runner would
 # stand still between two.
 LONGEST_QUEUE_S = 0.25
 # A reading that nothing was heard of for this long is over: its host
-# takes the runner for dark after 0.6 s and 0.04 s for 1,000 tokens.
+# has taken the runner for dark before.
 FORGET_S = 1.5
 # Beside the reading itself: the way to the entry host, to the runner and
 # back, and to who counts.
 WAY_S = 0.02
-# Weight of one reading in a runner's measured speed: runners differ by
-# a third, and ten readings last a second.
+# Weight of one reading in a runner's measured speed.
 SPEED_WEIGHT = 1 / 8
 
 
@@ -51,9 +49,8 @@
 
     Prefill runners read one prompt after the other. What is queued there
     is counted from what was given and not heard of again: worked out
-    from a speed alone, a runner a fifth slower than that fell behind by
-    0.7 s in three seconds of a burst, and its readings were given up and
-    asked for anew for 19 s.
+    from a speed alone, the queue of a slower runner would grow unseen
+    until its readings are given up.
 
     Parameters
     ----------
--- a/limpetroute/routing/reading_pause.py
+++ b/limpetroute/routing/reading_pause.py
@@ -42,9 +42,8 @@
 ) -> float:
     """Return how long a reading may take for pauses to stay good.
 
-    An event that has seventy tokens waits until the whole prompt is read
-    (6,500 tokens: 325 ms, 11,000 tokens: 466 ms); one that has eight
-    comes after eight pieces of it.
+    An event that has seventy tokens waits until the whole prompt is read;
+    one that has eight comes after eight pieces of it.
 
     Parameters
     ----------
--- a/limpetroute/routing/stage_split.py
+++ b/limpetroute/routing/stage_split.py
@@ -23,18 +23,17 @@
 SPLITS_TRIED = 32
 STEP_DIVISOR = 4
 # A change takes a runner away for the time of its streams and of the
-# change, six to ten seconds, and another one back takes as long. It has
-# to let in this many times the streams: measured rates move by a tenth
-# from one half minute to the next.
+# change, and another one back takes as long. It has to let in this many
+# times the streams, as measured rates move by themselves.
 WORTH_A_CHANGE = 1.2
 # One runner of this many may be changing at a time; of fewer, one.
 RUNNERS_PER_CHANGE = 10
 # A runner that has failed all it was sent for this long is taken to be
 # gone for good: one that crashes is mostly back within five seconds.
 LOST_AFTER_S = 6.0
-# With two writers left and no reader, neither is taken away at once: for
-# ten seconds the other would be alone. Runners are lost in pairs, and
-# most crashed ones are back by then.
+# With two decode runners left and no other, neither is taken away at
+# once: the other would be alone for the time of a change. Most runners
+# that crash are back by then.
 LAST_DECODER_GRACE_S = 4.0
 
 
@@ -97,9 +96,8 @@
     Pattern: what prompts and answers ask of the two stages differs from
     service to service by a factor of ten. Prompts of 5,000 tokens with
     answers of 5,000 want one reader to five writers; with answers of 550,
-    one to two. One reader too few, and prompts wait for it while places
-    stand empty (refusals at 25 of 40 places, half of all streams late in
-    a burst); one too many, and it stands idle while there are no places.
+    one to two. One reader too few, and prompts wait for it while slots
+    stand empty; one too many, and it stands idle while there are no slots.
 
     So the split is taken that lets in the most streams by what is
     measured: the lengths that are asked for, the speeds of reading and
@@ -108,10 +106,8 @@
     if runners < 2:
         return 0
     if runners == 2 and _memory_binds(engine, rates):
-        # A reader's memory holds no streams. Of two runners with memory
-        # for nine, one that read left half of all callers out: worth of
-        # three such days 0.20 with a reader, 0.41 with two writers.
-        # Where places bind, the reader is worth more (0.18 and 0.17).
+        # A prefill runner's memory holds no streams: one of two that
+        # reads leaves half of the callers out where memory binds.
         return 0
     best = 1
     best_per_s = 0.0
@@ -278,9 +274,8 @@
     """Return how long a change has to be wanted before it is ordered.
 
     Pattern: the last reader leaves while one of the two writers has just
-    crashed, or is about to leave. The order took the other one away for
-    eleven seconds; with the next loss nobody was left, and 94 streams of
-    a day were refused while a runner stood idle between two stages.
+    crashed, or is about to leave. An order takes the other one away for
+    seconds, and with the next loss nobody is left.
     """
     if change.stage is stage_module.Stage.DECODE:
         return 0.0
--- a/limpetroute/routing/usual_size.py
+++ b/limpetroute/routing/usual_size.py
@@ -3,10 +3,8 @@
 # Of the mean, this part is from the newest one; some sixty streams, a few
 # seconds of them, make up most of it.
 LEAST_WEIGHT = 1 / 32
-# The first guess counts for as much as this many, two seconds of a calm
-# service: the first three estimates of a day were a third of the usual
-# answer, and by their mean a writer was ordered to read, for the twelve
-# seconds that an order and the one back take.
+# The first guess counts for as much as this many: a few first callers
+# say little, and a change of stage that is taken back costs twice its time.
 GUESS_WEIGHT = 16
 
 
--- a/tests/dispatch/test_started_again.py
+++ b/tests/dispatch/test_started_again.py
@@ -21,26 +21,26 @@
     then, the streams of its earlier life keep new ones out of a runner
     that has nothing to do.
     """
-    desk = stream_scheduler.StreamScheduler(engine=builders.ENGINE)
+    scheduler = stream_scheduler.StreamScheduler(engine=builders.ENGINE)
     runner = builders.make_runner('d1')
     for n in range(builders.ENGINE.slots):
-        desk.ask(builders.make_ask(f's{n}', prompt_tokens=10), 0.0)
-        desk.decide([runner], float(n))
-    assert desk.held == builders.ENGINE.slots
-    desk.forget_runner('d1')
-    assert desk.held == 0
+        scheduler.ask(builders.make_ask(f's{n}', prompt_tokens=10), 0.0)
+        scheduler.decide([runner], float(n))
+    assert scheduler.held == builders.ENGINE.slots
+    scheduler.forget_runner('d1')
+    assert scheduler.held == 0
 
 
 def test_failures_of_an_earlier_life_keep_no_runner_at_rest():
-    desk = stream_scheduler.StreamScheduler(engine=builders.ENGINE)
+    scheduler = stream_scheduler.StreamScheduler(engine=builders.ENGINE)
     runners = [builders.make_runner('d1')]
     for n in range(4):
-        desk.ask(builders.make_ask(f's{n}'), 0.0)
-        desk.decide(runners, 0.0)
-        desk.end(make_end(f's{n}', 'd1'), 0.0)
-    assert desk.gone_s(runners, 1.0)
-    desk.forget_runner('d1')
-    assert not desk.gone_s(runners, 1.0)
+        scheduler.ask(builders.make_ask(f's{n}'), 0.0)
+        scheduler.decide(runners, 0.0)
+        scheduler.end(make_end(f's{n}', 'd1'), 0.0)
+    assert scheduler.gone_s(runners, 1.0)
+    scheduler.forget_runner('d1')
+    assert not scheduler.gone_s(runners, 1.0)
 
 
 class Accepting:
--- a/tests/routing/stream_play.py
+++ b/tests/routing/stream_play.py
@@ -1,4 +1,4 @@
-"""Plays a service's streams through the desk on a virtual clock."""
+"""Plays a service's streams through the scheduler on a virtual clock."""
 
 import collections
 import dataclasses
@@ -38,7 +38,9 @@
 
     def __init__(self, seed, *, writers, base, peak, burst, until_s=30.0):
         self.rng = random.Random(seed)
-        self.desk = stream_scheduler.StreamScheduler(engine=builders.ENGINE)
+        self.scheduler = stream_scheduler.StreamScheduler(
+            engine=builders.ENGINE
+        )
         self.fleet = [builders.make_runner('p', builders.PREFILL)]
         for n in range(writers):
             self.fleet.append(builders.make_runner(f'd{n}'))
@@ -77,17 +79,17 @@
             now_s += STEP_S
             while self.events and self.events[0].at_s <= now_s:
                 self.take(heapq.heappop(self.events), now_s)
-            for answer in self.desk.decide(self.fleet, now_s):
+            for answer in self.scheduler.decide(self.fleet, now_s):
                 self.answer(answer, now_s)
         return self.counts
 
     def take(self, event, now_s):
         stream = self.streams[event.name.removesuffix('-again')]
         if event.kind == 'read':
-            self.desk.read(event.name, 0, now_s)
+            self.scheduler.read(event.name, 0, now_s)
             return
         if event.kind == 'end':
-            self.desk.end(
+            self.scheduler.end(
                 placement.Release(
                     request_id=event.name,
                     output_tokens=stream.came_tokens,
@@ -97,7 +99,7 @@
                 now_s,
             )
             return
-        self.desk.ask(
+        self.scheduler.ask(
             builders.make_ask(
                 event.name,
                 prompt_tokens=stream.prompt_tokens,
--- a/tests/routing/test_stream_scheduler.py
+++ b/tests/routing/test_stream_scheduler.py
@@ -12,7 +12,7 @@
 SHORT_EVENTS = dataclasses.replace(builders.ENGINE, tokens_per_event=8)
 
 
-def make_desk():
+def make_scheduler():
     return stream_scheduler.StreamScheduler(engine=builders.ENGINE)
 
 
@@ -30,8 +30,8 @@
 class Reader:
     """A prefill runner that reads one prompt after the other."""
 
-    def __init__(self, desk, *, tokens_per_s=50_000.0):
-        self.desk = desk
+    def __init__(self, scheduler, *, tokens_per_s=50_000.0):
+        self.scheduler = scheduler
         self.tokens_per_s = tokens_per_s
         self.free_s = 0.0
         self.longest_s = 0.0
@@ -50,7 +50,7 @@
         for tick in range(20):
             now_s = tick * 0.05
             self.read(now_s)
-            answers = self.desk.decide(fleet, now_s)
+            answers = self.scheduler.decide(fleet, now_s)
             refused += len(refusals(answers))
             for one in places(answers):
                 given += 1
@@ -59,7 +59,7 @@
 
     def read(self, now_s):
         while self.queue and self.queue[0][0] <= now_s:
-            self.desk.read(self.queue.pop(0)[1], 0, now_s)
+            self.scheduler.read(self.queue.pop(0)[1], 0, now_s)
 
 
 def places(answers):
@@ -71,35 +71,37 @@
 
 
 def test_a_stream_gets_a_reader_and_a_writer():
-    desk = make_desk()
-    desk.ask(builders.make_ask('s'), 0.0)
-    (place,) = desk.decide(make_fleet(), 0.0)
+    scheduler = make_scheduler()
+    scheduler.ask(builders.make_ask('s'), 0.0)
+    (place,) = scheduler.decide(make_fleet(), 0.0)
     assert place.prefill_id == 'p'
     assert place.decode_id in ('d0', 'd1')
 
 
 def test_streams_spread_over_the_writers():
-    desk = make_desk()
+    scheduler = make_scheduler()
     for n in range(10):
-        desk.ask(builders.make_ask(f's{n}'), 0.0)
-    taken = [one.decode_id for one in places(desk.decide(make_fleet(), 0.0))]
+        scheduler.ask(builders.make_ask(f's{n}'), 0.0)
+    taken = [
+        one.decode_id for one in places(scheduler.decide(make_fleet(), 0.0))
+    ]
     assert taken.count('d0') == taken.count('d1') == 5
 
 
 def test_a_burst_never_fills_a_runner_beyond_its_places():
     """Beyond its places a runner refuses, with the prompt read in vain."""
-    desk = make_desk()
+    scheduler = make_scheduler()
     for n in range(60):
-        desk.ask(builders.make_ask(f's{n}', output_tokens=500), 0.0)
-    given = places(desk.decide(make_fleet(), 0.0))
+        scheduler.ask(builders.make_ask(f's{n}', output_tokens=500), 0.0)
+    given = places(scheduler.decide(make_fleet(), 0.0))
     assert len(given) == 2 * builders.ENGINE.slots
 
 
 def test_memory_binds_before_places():
-    desk = make_desk()
+    scheduler = make_scheduler()
     for n in range(60):
-        desk.ask(builders.make_ask(f's{n}', prompt_tokens=11_000), 0.0)
-    given = places(desk.decide(make_fleet(), 0.0))
+        scheduler.ask(builders.make_ask(f's{n}', prompt_tokens=11_000), 0.0)
+    given = places(scheduler.decide(make_fleet(), 0.0))
     room = builders.ENGINE.memory_tokens // 16_000
     # Reading staggers them, so one more may fit each runner.
     assert 2 * (room - 1) <= len(given) <= 2 * (room + 1)
@@ -108,10 +110,10 @@
 
 def test_in_overload_most_are_told_at_once():
     """Waiting for a place that cannot come in time helps nobody."""
-    desk = make_desk()
+    scheduler = make_scheduler()
     for n in range(60):
-        desk.ask(builders.make_ask(f's{n}', output_tokens=2000), 0.0)
-    answers = desk.decide(make_fleet(), 0.0)
+        scheduler.ask(builders.make_ask(f's{n}', output_tokens=2000), 0.0)
+    answers = scheduler.decide(make_fleet(), 0.0)
     told = refusals(answers)
     late_room = round(24 * stream_scheduler.LATE_PART)
     assert len(told) == 60 - 24 - late_room
@@ -119,53 +121,53 @@
 
 
 def test_a_place_that_is_given_back_goes_to_who_waits():
-    desk = make_desk()
+    scheduler = make_scheduler()
     for n in range(25):
-        desk.ask(builders.make_ask(f's{n}', output_tokens=500), 0.0)
-    first = places(desk.decide(make_fleet(), 0.0))
+        scheduler.ask(builders.make_ask(f's{n}', output_tokens=500), 0.0)
+    first = places(scheduler.decide(make_fleet(), 0.0))
     end = placement.Release(request_id=first[0].request_id)
-    desk.end(end, 0.1)
-    (place,) = places(desk.decide(make_fleet(), 0.1))
+    scheduler.end(end, 0.1)
+    (place,) = places(scheduler.decide(make_fleet(), 0.1))
     assert place.request_id == 's24'
 
 
 def test_a_begun_stream_goes_before_new_ones():
     """Refused, it would be lost with all that was written for it."""
-    desk = make_desk()
+    scheduler = make_scheduler()
     for n in range(24):
-        desk.ask(builders.make_ask(f's{n}', output_tokens=500), 0.0)
-    given = places(desk.decide(make_fleet(), 0.0))
-    desk.ask(builders.make_ask('new', output_tokens=500), 0.1)
-    desk.ask(
+        scheduler.ask(builders.make_ask(f's{n}', output_tokens=500), 0.0)
+    given = places(scheduler.decide(make_fleet(), 0.0))
+    scheduler.ask(builders.make_ask('new', output_tokens=500), 0.1)
+    scheduler.ask(
         builders.make_ask('begun', goes_on=True, reads_prompt=False), 0.15
     )
-    desk.end(placement.Release(request_id=given[0].request_id), 0.2)
-    (place,) = places(desk.decide(make_fleet(), 0.2))
+    scheduler.end(placement.Release(request_id=given[0].request_id), 0.2)
+    (place,) = places(scheduler.decide(make_fleet(), 0.2))
     assert place.request_id == 'begun'
 
 
 def test_late_ones_are_served_now_and_then():
     """With new streams always first, one that is late would starve."""
-    desk = make_desk()
+    scheduler = make_scheduler()
     fleet = make_fleet()
     now_s = 0.0
     served = []
     held = []
-    desk.ask(builders.make_ask('late', waited_s=0.89), now_s)
+    scheduler.ask(builders.make_ask('late', waited_s=0.89), now_s)
     for n in range(200):
         now_s += 0.01
-        desk.ask(builders.make_ask(f's{n}', output_tokens=300), now_s)
-        for one in places(desk.decide(fleet, now_s)):
+        scheduler.ask(builders.make_ask(f's{n}', output_tokens=300), now_s)
+        for one in places(scheduler.decide(fleet, now_s)):
             served.append(one.request_id)
             held.append(one.request_id)
         if len(held) > 20:
-            desk.end(placement.Release(request_id=held.pop(0)), now_s)
+            scheduler.end(placement.Release(request_id=held.pop(0)), now_s)
     assert 'late' in served
 
 
 def test_a_large_stream_is_not_passed_over_for_ever():
     """Small ones would fit first each time a little room is free."""
-    desk = make_desk()
+    scheduler = make_scheduler()
     fleet = make_fleet(writers=1)
     rng = random.Random(3)
     now_s = 0.0
@@ -174,20 +176,20 @@
         ask = builders.make_ask(
             f'h{n}', prompt_tokens=8000, output_tokens=2000
         )
-        desk.ask(ask, now_s)
-    held = [one.request_id for one in places(desk.decide(fleet, now_s))]
-    desk.ask(
+        scheduler.ask(ask, now_s)
+    held = [one.request_id for one in places(scheduler.decide(fleet, now_s))]
+    scheduler.ask(
         builders.make_ask('large', prompt_tokens=30_000, target_s=3.0), now_s
     )
     served = []
     for n in range(100):
         now_s += 0.02
         small = builders.make_ask(f's{n}', prompt_tokens=900, target_s=3.0)
-        desk.ask(small, now_s)
+        scheduler.ask(small, now_s)
         if held and n % 4 == 0:
             ended = held.pop(rng.randrange(len(held)))
-            desk.end(placement.Release(request_id=ended), now_s)
-        for one in places(desk.decide(fleet, now_s)):
+            scheduler.end(placement.Release(request_id=ended), now_s)
+        for one in places(scheduler.decide(fleet, now_s)):
             served.append(one.request_id)
             held.append(one.request_id)
     assert 'large' in served
@@ -199,28 +201,28 @@
     Each place given there costs a prompt read for nothing and a quarter
     second; a runner that failed is tried with one stream only.
     """
-    desk = make_desk()
+    scheduler = make_scheduler()
     fleet = make_fleet()
     wasted = 0
     now_s = 0.0
     for n in range(100):
         now_s += 0.1
-        desk.ask(builders.make_ask(f's{n}'), now_s)
-        for one in places(desk.decide(fleet, now_s)):
+        scheduler.ask(builders.make_ask(f's{n}'), now_s)
+        for one in places(scheduler.decide(fleet, now_s)):
             dark = one.decode_id == 'd0'
             wasted += dark
             failed = ('d0',) if dark else ()
             end = placement.Release(request_id=one.request_id, failed=failed)
-            desk.end(end, now_s)
+            scheduler.end(end, now_s)
     assert wasted <= 6
 
 
-def fail_a_place(desk, fleet, name, now_s):
+def fail_a_place(scheduler, fleet, name, now_s):
     """Have a stream fail at its reader; return its place."""
-    desk.ask(builders.make_ask(name, prompt_tokens=2000), now_s)
-    (place,) = places(desk.decide(fleet, now_s))
+    scheduler.ask(builders.make_ask(name, prompt_tokens=2000), now_s)
+    (place,) = places(scheduler.decide(fleet, now_s))
     failed = (place.prefill_id,) if place.prefill_id else ()
-    desk.end(placement.Release(request_id=name, failed=failed), now_s)
+    scheduler.end(placement.Release(request_id=name, failed=failed), now_s)
     return place
 
 
@@ -230,11 +232,11 @@
     For want of another reader every prompt went there: each caller was
     refused after two readings that came to nothing.
     """
-    desk = make_desk()
+    scheduler = make_scheduler()
     fleet = make_fleet(writers=2, readers=1)
     for n in range(2):
-        assert fail_a_place(desk, fleet, f's{n}', 10.0).prefill_id
-    assert not fail_a_place(desk, fleet, 's2', 10.5).prefill_id
+        assert fail_a_place(scheduler, fleet, f's{n}', 10.0).prefill_id
+    assert not fail_a_place(scheduler, fleet, 's2', 10.5).prefill_id
 
 
 def test_a_stream_that_ends_says_nothing_of_its_reader():
@@ -244,93 +246,93 @@
     was given prompts all the while: callers were refused after two
     readings that came to nothing.
     """
-    desk = make_desk()
+    scheduler = make_scheduler()
     fleet = make_fleet(writers=2, readers=1)
-    desk.ask(builders.make_ask('old'), 8.0)
-    assert places(desk.decide(fleet, 8.0))
-    desk.read('old', 0, 8.1)
-    fail_a_place(desk, fleet, 's0', 10.0)
-    desk.end(placement.Release(request_id='old', whole=True), 10.0)
-    fail_a_place(desk, fleet, 's1', 10.0)
-    assert not fail_a_place(desk, fleet, 's2', 10.5).prefill_id
+    scheduler.ask(builders.make_ask('old'), 8.0)
+    assert places(scheduler.decide(fleet, 8.0))
+    scheduler.read('old', 0, 8.1)
+    fail_a_place(scheduler, fleet, 's0', 10.0)
+    scheduler.end(placement.Release(request_id='old', whole=True), 10.0)
+    fail_a_place(scheduler, fleet, 's1', 10.0)
+    assert not fail_a_place(scheduler, fleet, 's2', 10.5).prefill_id
 
 
 def test_a_reader_that_reads_again_is_given_prompts():
-    desk = make_desk()
+    scheduler = make_scheduler()
     fleet = make_fleet(writers=2, readers=1)
     for n in range(2):
-        fail_a_place(desk, fleet, f's{n}', 10.0)
-    desk.ask(builders.make_ask('probe', prompt_tokens=2000), 11.5)
-    (probe,) = places(desk.decide(fleet, 11.5))
+        fail_a_place(scheduler, fleet, f's{n}', 10.0)
+    scheduler.ask(builders.make_ask('probe', prompt_tokens=2000), 11.5)
+    (probe,) = places(scheduler.decide(fleet, 11.5))
     assert probe.prefill_id
-    desk.read('probe', 0, 11.6)
+    scheduler.read('probe', 0, 11.6)
     for n in range(2, 4):
-        assert fail_a_place(desk, fleet, f's{n}', 11.7).prefill_id
+        assert fail_a_place(scheduler, fleet, f's{n}', 11.7).prefill_id
 
 
 def test_a_reader_that_failed_once_goes_on_reading():
     """One reset is chance; writers that read pause their streams."""
-    desk = make_desk()
+    scheduler = make_scheduler()
     fleet = make_fleet(writers=2, readers=1)
     for n in range(2):
-        desk.ask(builders.make_ask(f's{n}'), 10.0)
-        desk.decide(fleet, 10.0)
-    desk.end(placement.Release(request_id='s0', failed=('p',)), 10.0)
-    assert fail_a_place(desk, fleet, 's3', 10.1).prefill_id
+        scheduler.ask(builders.make_ask(f's{n}'), 10.0)
+        scheduler.decide(fleet, 10.0)
+    scheduler.end(placement.Release(request_id='s0', failed=('p',)), 10.0)
+    assert fail_a_place(scheduler, fleet, 's3', 10.1).prefill_id
 
 
 def test_a_runner_filled_by_others_is_left_alone_for_a_while():
     """Hosts cut off from the leader fill a runner, unseen here."""
-    desk = make_desk()
+    scheduler = make_scheduler()
     fleet = make_fleet(writers=1)
-    desk.ask(builders.make_ask('one'), 0.0)
-    (place,) = desk.decide(fleet, 0.0)
+    scheduler.ask(builders.make_ask('one'), 0.0)
+    (place,) = scheduler.decide(fleet, 0.0)
     full = (place.decode_id,)
-    desk.end(placement.Release(request_id='one', full=full), 0.0)
-    desk.ask(builders.make_ask('two'), 0.1)
-    assert not places(desk.decide(fleet, 0.1))
-    desk.ask(builders.make_ask('three'), 2.0)
-    assert places(desk.decide(fleet, 2.0))
+    scheduler.end(placement.Release(request_id='one', full=full), 0.0)
+    scheduler.ask(builders.make_ask('two'), 0.1)
+    assert not places(scheduler.decide(fleet, 0.1))
+    scheduler.ask(builders.make_ask('three'), 2.0)
+    assert places(scheduler.decide(fleet, 2.0))
 
 
 def test_places_of_a_host_that_died_lapse():
-    desk = make_desk()
+    scheduler = make_scheduler()
     for n in range(24):
         ask = builders.make_ask(f's{n}', output_tokens=500, patience_s=2.0)
-        desk.ask(ask, 0.0)
-    desk.decide(make_fleet(), 0.0)
-    desk.ask(builders.make_ask('next'), 3.5)
-    assert places(desk.decide(make_fleet(), 3.5))
+        scheduler.ask(ask, 0.0)
+    scheduler.decide(make_fleet(), 0.0)
+    scheduler.ask(builders.make_ask('next'), 3.5)
+    assert places(scheduler.decide(make_fleet(), 3.5))
 
 
 def test_places_given_by_an_earlier_leader_count():
-    desk = make_desk()
+    scheduler = make_scheduler()
     fleet = make_fleet(writers=1)
     for n in range(12):
         ask = builders.make_ask(f'old{n}', output_tokens=500)
         place = placement.Placement(
             request_id=ask.request_id, decode_id='d0', prefill_id='p'
         )
-        desk.adopt(place, ask, 0.0)
-    desk.ask(builders.make_ask('new'), 0.1)
-    assert not places(desk.decide(fleet, 0.1))
+        scheduler.adopt(place, ask, 0.0)
+    scheduler.ask(builders.make_ask('new'), 0.1)
+    assert not places(scheduler.decide(fleet, 0.1))
 
 
 def test_a_lone_writer_reads_one_prompt_at_a_time():
     """Two prompts read at once pause all its streams beyond 300 ms."""
-    desk = make_desk()
+    scheduler = make_scheduler()
     fleet = [builders.make_runner('d0')]
     for n in range(4):
-        desk.ask(builders.make_ask(f's{n}', output_tokens=500), 0.0)
-    assert len(places(desk.decide(fleet, 0.0))) == 1
-    assert not places(desk.decide(fleet, 0.1))
-    assert len(places(desk.decide(fleet, 0.35))) == 1
+        scheduler.ask(builders.make_ask(f's{n}', output_tokens=500), 0.0)
+    assert len(places(scheduler.decide(fleet, 0.0))) == 1
+    assert not places(scheduler.decide(fleet, 0.1))
+    assert len(places(scheduler.decide(fleet, 0.35))) == 1
 
 
 def test_with_no_writer_all_are_told_at_once():
-    desk = make_desk()
-    desk.ask(builders.make_ask('s'), 0.0)
-    assert refusals(desk.decide([], 0.0))
+    scheduler = make_scheduler()
+    scheduler.ask(builders.make_ask('s'), 0.0)
+    assert refusals(scheduler.decide([], 0.0))
 
 
 def test_a_long_prompt_does_not_stop_a_lone_writers_streams():
@@ -339,30 +341,30 @@
     While it reads 11,000 tokens, none of its streams moves for 466 ms:
     one answer more costs eleven callers a good one.
     """
-    desk = make_desk()
+    scheduler = make_scheduler()
     fleet = [builders.make_runner('d0')]
     now_s = 0.0
     for n in range(6):
         short = builders.make_ask(f's{n}', prompt_tokens=2000)
-        desk.ask(short, now_s)
-        assert places(desk.decide(fleet, now_s))
+        scheduler.ask(short, now_s)
+        assert places(scheduler.decide(fleet, now_s))
         now_s += 0.4
-    desk.ask(builders.make_ask('long', prompt_tokens=11_000), now_s)
-    assert not places(desk.decide(fleet, now_s))
-    desk.ask(builders.make_ask('short', prompt_tokens=2000), now_s)
-    assert places(desk.decide(fleet, now_s))
+    scheduler.ask(builders.make_ask('long', prompt_tokens=11_000), now_s)
+    assert not places(scheduler.decide(fleet, now_s))
+    scheduler.ask(builders.make_ask('short', prompt_tokens=2000), now_s)
+    assert places(scheduler.decide(fleet, now_s))
 
 
 def busy_lone_writer():
-    """Return a desk, a fleet of one writer with six streams, and a time."""
-    desk = make_desk()
+    """Return a scheduler, a fleet of one writer with six streams, and a time."""
+    scheduler = make_scheduler()
     fleet = [builders.make_runner('d0')]
     now_s = 0.0
     for n in range(6):
-        desk.ask(builders.make_ask(f's{n}', prompt_tokens=2000), now_s)
-        assert places(desk.decide(fleet, now_s))
+        scheduler.ask(builders.make_ask(f's{n}', prompt_tokens=2000), now_s)
+        assert places(scheduler.decide(fleet, now_s))
         now_s += 0.4
-    return desk, fleet, now_s
+    return scheduler, fleet, now_s
 
 
 def test_who_waits_for_a_quiet_writer_keeps_no_place_from_others():
@@ -371,58 +373,58 @@
     After a quarter of a second it counted as one for which room is kept:
     twelve callers got nothing for 2.7 s, with four places free.
     """
-    desk, fleet, now_s = busy_lone_writer()
+    scheduler, fleet, now_s = busy_lone_writer()
     for n in range(2):
         long = builders.make_ask(
             f'long{n}', prompt_tokens=11_000, target_s=20.0
         )
-        desk.ask(long, now_s)
-    desk.decide(fleet, now_s)
+        scheduler.ask(long, now_s)
+    scheduler.decide(fleet, now_s)
     now_s += 0.4
     short = builders.make_ask('short', prompt_tokens=2000, target_s=30.0)
-    desk.ask(short, now_s)
-    assert places(desk.decide(fleet, now_s))
+    scheduler.ask(short, now_s)
+    assert places(scheduler.decide(fleet, now_s))
 
 
 def test_a_long_prompt_that_no_writer_can_read_is_told_at_once():
     """It could be read once all but three streams have ended, in 3 s."""
-    desk, fleet, now_s = busy_lone_writer()
-    desk.ask(builders.make_ask('long', prompt_tokens=11_000), now_s)
-    assert [one.request_id for one in refusals(desk.decide(fleet, now_s))] == [
-        'long'
-    ]
+    scheduler, fleet, now_s = busy_lone_writer()
+    scheduler.ask(builders.make_ask('long', prompt_tokens=11_000), now_s)
+    assert [
+        one.request_id for one in refusals(scheduler.decide(fleet, now_s))
+    ] == ['long']
 
 
 def test_a_long_prompt_is_read_by_a_writer_that_has_little_to_do():
-    desk = make_desk()
+    scheduler = make_scheduler()
     fleet = [builders.make_runner('d0')]
-    desk.ask(builders.make_ask('long', prompt_tokens=11_000), 0.0)
-    assert places(desk.decide(fleet, 0.0))
+    scheduler.ask(builders.make_ask('long', prompt_tokens=11_000), 0.0)
+    assert places(scheduler.decide(fleet, 0.0))
 
 
 def test_of_equal_writers_the_near_one_is_taken():
-    desk = make_desk()
+    scheduler = make_scheduler()
     fleet = [
         *make_fleet(writers=0),
         builders.make_runner('d0', zone='a'),
         builders.make_runner('d1', zone='b'),
     ]
     for n in range(6):
-        desk.ask(builders.make_ask(f's{n}', zone='ab'[n % 2]), 0.0)
+        scheduler.ask(builders.make_ask(f's{n}', zone='ab'[n % 2]), 0.0)
     taken = {
         one.request_id: one.decode_id
-        for one in places(desk.decide(fleet, 0.0))
+        for one in places(scheduler.decide(fleet, 0.0))
     }
     assert taken == {f's{n}': f'd{n % 2}' for n in range(6)}
 
 
 def test_a_near_writer_is_not_filled_while_others_are_free():
-    desk = make_desk()
+    scheduler = make_scheduler()
     fleet = make_fleet(writers=0)
     fleet += [builders.make_runner(f'd{n}', zone=f'z{n}') for n in range(2)]
     for n in range(16):
-        desk.ask(builders.make_ask(f's{n}', zone='z0'), 0.0)
-    taken = [one.decode_id for one in places(desk.decide(fleet, 0.0))]
+        scheduler.ask(builders.make_ask(f's{n}', zone='z0'), 0.0)
+    taken = [one.decode_id for one in places(scheduler.decide(fleet, 0.0))]
     assert 6 <= taken.count('d1') <= 8
 
 
@@ -433,16 +435,16 @@
     if the next place came only with the end of a stream: half of the
     places stood empty while most callers were told to come back.
     """
-    desk = make_desk()
+    scheduler = make_scheduler()
     fleet = [builders.make_runner('d0')]
     for n in range(3):
         ask = builders.make_ask(
             f's{n}', prompt_tokens=3000, output_tokens=8000
         )
-        desk.ask(ask, 0.0)
+        scheduler.ask(ask, 0.0)
     served = []
     for step in range(18):
-        answers = desk.decide(fleet, step * 0.05)
+        answers = scheduler.decide(fleet, step * 0.05)
         assert not refusals(answers)
         served += [one.request_id for one in places(answers)]
     assert served == ['s0', 's1', 's2']
@@ -455,57 +457,59 @@
     fill the places, and streams that could have been in time are told to
     come back themselves: each of them is late in turn.
     """
-    desk = make_desk()
+    scheduler = make_scheduler()
     fleet = make_fleet(writers=1)
     for n in range(60):
         ask = builders.make_ask(f's{n}', prompt_id=f'p{n}')
-        desk.ask(ask, 0.0)
-    answers = desk.decide(fleet, 0.0)
+        scheduler.ask(ask, 0.0)
+    answers = scheduler.decide(fleet, 0.0)
     held = [one.request_id for one in places(answers)]
     told = [one.request_id for one in refusals(answers)]
     for name in told:
         ask = builders.make_ask(f'again-{name}', prompt_id=f'p{name[1:]}')
-        desk.ask(ask, 2.0)
+        scheduler.ask(ask, 2.0)
     for n in range(6):
         ask = builders.make_ask(f'new{n}', prompt_id=f'q{n}')
-        desk.ask(ask, 2.0)
+        scheduler.ask(ask, 2.0)
     for name in held[:6]:
-        desk.end(placement.Release(request_id=name), 2.0)
-    given = [one.request_id for one in places(desk.decide(fleet, 2.0))]
+        scheduler.end(placement.Release(request_id=name), 2.0)
+    given = [one.request_id for one in places(scheduler.decide(fleet, 2.0))]
     # One place in eight goes to a late one.
     assert sum(name.startswith('new') for name in given) >= 5
 
 
 def test_who_comes_back_is_let_in_when_there_is_room():
-    desk = make_desk()
+    scheduler = make_scheduler()
     fleet = make_fleet(writers=1)
     for n in range(40):
         ask = builders.make_ask(f's{n}', prompt_id=f'p{n}')
-        desk.ask(ask, 0.0)
-    answers = desk.decide(fleet, 0.0)
+        scheduler.ask(ask, 0.0)
+    answers = scheduler.decide(fleet, 0.0)
     for one in places(answers):
-        desk.end(placement.Release(request_id=one.request_id), 3.0)
+        scheduler.end(placement.Release(request_id=one.request_id), 3.0)
     back = refusals(answers)[0].request_id
     ask = builders.make_ask('again', prompt_id=f'p{back[1:]}')
-    desk.ask(ask, 3.0)
-    given = [one.request_id for one in places(desk.decide(fleet, 3.0))]
+    scheduler.ask(ask, 3.0)
+    given = [one.request_id for one in places(scheduler.decide(fleet, 3.0))]
     assert 'again' in given
 
 
 def test_one_prompt_of_a_session_does_not_count_for_the_next():
     """Sessions send prompts of other sizes under one name."""
     engine = dataclasses.replace(builders.ENGINE, slots=4)
-    desk = stream_scheduler.StreamScheduler(engine=engine)
+    scheduler = stream_scheduler.StreamScheduler(engine=engine)
     fleet = make_fleet(writers=0)
-    desk.ask(builders.make_ask('a', prompt_id='p'), 0.0)
-    assert refusals(desk.decide(fleet, 0.0))
+    scheduler.ask(builders.make_ask('a', prompt_id='p'), 0.0)
+    assert refusals(scheduler.decide(fleet, 0.0))
     fleet = make_fleet(writers=1)
     for n in range(3):
-        desk.ask(builders.make_ask(f'x{n}'), 1.0)
-    assert len(places(desk.decide(fleet, 1.0))) == 3
-    desk.ask(builders.make_ask('b', prompt_id='p', prompt_tokens=900), 1.0)
-    desk.ask(builders.make_ask('late', waited_s=0.89), 1.0)
-    (place,) = places(desk.decide(fleet, 1.0))
+        scheduler.ask(builders.make_ask(f'x{n}'), 1.0)
+    assert len(places(scheduler.decide(fleet, 1.0))) == 3
+    scheduler.ask(
+        builders.make_ask('b', prompt_id='p', prompt_tokens=900), 1.0
+    )
+    scheduler.ask(builders.make_ask('late', waited_s=0.89), 1.0)
+    (place,) = places(scheduler.decide(fleet, 1.0))
     assert place.request_id == 'b'
 
 
@@ -519,7 +523,7 @@
     """
     rng = random.Random(11)
     engine = dataclasses.replace(builders.ENGINE, memory_tokens=78_000)
-    desk = stream_scheduler.StreamScheduler(engine=engine)
+    scheduler = stream_scheduler.StreamScheduler(engine=engine)
     fleet = make_fleet(writers=1)
     running = {}
     over = 0
@@ -532,8 +536,8 @@
             name = f's{step}'
             ask = builders.make_ask(name, output_tokens=said)
             running[name] = (None, came)
-            desk.ask(ask, now_s)
-        for one in desk.decide(fleet, now_s):
+            scheduler.ask(ask, now_s)
+        for one in scheduler.decide(fleet, now_s):
             if isinstance(one, placement.Rejection):
                 del running[one.request_id]
                 continue
@@ -543,7 +547,7 @@
         for name, (begun_s, came) in list(running.items()):
             if begun_s is None:
                 continue
-            written = (now_s - begun_s) * desk.tokens_per_s
+            written = (now_s - begun_s) * scheduler.tokens_per_s
             if written < came:
                 used += 5000 + written
                 continue
@@ -553,7 +557,7 @@
                 decode_s=came / 1300,
                 whole=True,
             )
-            desk.end(end, now_s)
+            scheduler.end(end, now_s)
             del running[name]
         over += used > engine.memory_tokens
     assert given > 140
@@ -570,39 +574,39 @@
     beyond its memory, and refused 15 streams whose prompts had been read
     within 3 s.
     """
-    desk = make_desk()
+    scheduler = make_scheduler()
     fleet = make_fleet()
-    desk.ask(builders.make_ask('s', attempt=1), 0.0)
-    (first,) = places(desk.decide(fleet, 0.0))
+    scheduler.ask(builders.make_ask('s', attempt=1), 0.0)
+    (first,) = places(scheduler.decide(fleet, 0.0))
     again = builders.make_ask('s', attempt=2, avoid=(first.decode_id,))
-    desk.ask(again, 0.3)
-    (second,) = places(desk.decide(fleet, 0.3))
+    scheduler.ask(again, 0.3)
+    (second,) = places(scheduler.decide(fleet, 0.3))
     end = placement.Release(
         request_id='s', attempt=1, failed=(first.decode_id,)
     )
-    desk.end(end, 0.31)
-    assert desk.held == 1
-    desk.end(placement.Release(request_id='s', attempt=2), 2.0)
-    assert desk.held == 0
+    scheduler.end(end, 0.31)
+    assert scheduler.held == 1
+    scheduler.end(placement.Release(request_id='s', attempt=2), 2.0)
+    assert scheduler.held == 0
 
 
 def test_who_asks_again_holds_nothing_meanwhile():
     """The call that gives the first place back may be lost."""
-    desk = make_desk()
-    desk.ask(builders.make_ask('s', attempt=1), 0.0)
-    desk.decide(make_fleet(), 0.0)
-    desk.ask(builders.make_ask('s', attempt=2), 0.3)
-    assert desk.held == 0
+    scheduler = make_scheduler()
+    scheduler.ask(builders.make_ask('s', attempt=1), 0.0)
+    scheduler.decide(make_fleet(), 0.0)
+    scheduler.ask(builders.make_ask('s', attempt=2), 0.3)
+    assert scheduler.held == 0
 
 
 def test_a_runner_that_changes_its_stage_gets_nothing():
     """It refuses all for six seconds, and is still announced as ready."""
-    desk = make_desk()
-    desk.ask(builders.make_ask('s'), 0.0)
-    answers = desk.decide(make_fleet(writers=2), 0.0, changing=('d0',))
+    scheduler = make_scheduler()
+    scheduler.ask(builders.make_ask('s'), 0.0)
+    answers = scheduler.decide(make_fleet(writers=2), 0.0, changing=('d0',))
     assert places(answers)[0].decode_id == 'd1'
-    desk.ask(builders.make_ask('t'), 0.0)
-    answers = desk.decide(
+    scheduler.ask(builders.make_ask('t'), 0.0)
+    answers = scheduler.decide(
         make_fleet(writers=1, readers=1), 0.0, changing=('p',)
     )
     assert places(answers)[0].prefill_id == ''
@@ -616,16 +620,16 @@
     the newest are pushed out again.
     """
     engine = dataclasses.replace(builders.ENGINE, memory_tokens=78_000)
-    desk = stream_scheduler.StreamScheduler(engine=engine)
+    scheduler = stream_scheduler.StreamScheduler(engine=engine)
     for n in range(12):
         ask = builders.make_ask(
             f's{n}', goes_on=True, written_tokens=4000, output_tokens=5000
         )
-        desk.ask(ask, 0.0)
+        scheduler.ask(ask, 0.0)
     now_s = 0.0
     given = 0
     while now_s < 3.0:
-        given += len(places(desk.decide(make_fleet(writers=1), now_s)))
+        given += len(places(scheduler.decide(make_fleet(writers=1), now_s)))
         now_s += 0.05
     # 9,000 tokens each from the first event on, of 70,000 planned for.
     assert given == 7
@@ -633,16 +637,16 @@
 
 def test_what_was_written_is_read_too():
     """Beside others, a decode runner must not read for long."""
-    desk = make_desk()
+    scheduler = make_scheduler()
     lone = [builders.make_runner('d0')]
     for n in range(5):
-        desk.ask(builders.make_ask(f's{n}'), n * 0.5)
-        assert places(desk.decide(lone, n * 0.5))
+        scheduler.ask(builders.make_ask(f's{n}'), n * 0.5)
+        assert places(scheduler.decide(lone, n * 0.5))
     fields = {'goes_on': True, 'prompt_tokens': 3000}
-    desk.ask(builders.make_ask('a', written_tokens=4000, **fields), 3.0)
-    assert not places(desk.decide(lone, 3.0))
-    desk.ask(builders.make_ask('b', written_tokens=1000, **fields), 3.0)
-    (place,) = places(desk.decide(lone, 3.0))
+    scheduler.ask(builders.make_ask('a', written_tokens=4000, **fields), 3.0)
+    assert not places(scheduler.decide(lone, 3.0))
+    scheduler.ask(builders.make_ask('b', written_tokens=1000, **fields), 3.0)
+    (place,) = places(scheduler.decide(lone, 3.0))
     assert place.request_id == 'b'
 
 
@@ -654,11 +658,11 @@
     the same readings again, and for eight seconds the reader read
     prompts that nobody waited for any more.
     """
-    desk = make_desk()
+    scheduler = make_scheduler()
     fleet = make_fleet(writers=3, readers=1)
     for n in range(30):
-        desk.ask(builders.make_ask(f's{n}'), 0.0)
-    reader = Reader(desk)
+        scheduler.ask(builders.make_ask(f's{n}'), 0.0)
+    reader = Reader(scheduler)
     given, refused = reader.play(fleet)
     assert reader.longest_s < 0.5
     # Ten a second are read; the rest cannot be in time and comes back.
@@ -669,11 +673,11 @@
 
 
 def test_who_waits_for_a_reader_is_not_refused_while_there_is_time():
-    desk = make_desk()
+    scheduler = make_scheduler()
     fleet = make_fleet(writers=3, readers=1)
     for n in range(6):
-        desk.ask(builders.make_ask(f's{n}'), 0.0)
-    reader = Reader(desk)
+        scheduler.ask(builders.make_ask(f's{n}'), 0.0)
+    reader = Reader(scheduler)
     given, refused = reader.play(fleet)
     assert (given, refused) == (6, 0)
 
@@ -685,21 +689,23 @@
     grew to 0.8 s. Hosts then took it for dark and asked for the same
     readings again; it read for nobody, and 110 of 140 streams were late.
     """
-    desk = make_desk()
+    scheduler = make_scheduler()
     fleet = make_fleet(writers=4, readers=1)
-    reader = Reader(desk, tokens_per_s=37_000.0)
+    reader = Reader(scheduler, tokens_per_s=37_000.0)
     running = []
     for tick in range(200):
         now_s = tick * 0.025
         if tick % 4 == 0:
-            desk.ask(builders.make_ask(f's{tick}', output_tokens=900), now_s)
+            scheduler.ask(
+                builders.make_ask(f's{tick}', output_tokens=900), now_s
+            )
         reader.read(now_s)
-        for one in places(desk.decide(fleet, now_s)):
+        for one in places(scheduler.decide(fleet, now_s)):
             reader.take(one, now_s)
             running.append((now_s + 1.5, one.request_id))
         while running and running[0][0] <= now_s:
             name = running.pop(0)[1]
-            desk.end(placement.Release(request_id=name), now_s)
+            scheduler.end(placement.Release(request_id=name), now_s)
     assert reader.longest_s < 0.55
 
 
@@ -709,11 +715,11 @@
     The other one's queue was full, and every further stream waited for
     it until its target was past, while the writers had room for all.
     """
-    desk = stream_scheduler.StreamScheduler(engine=SHORT_EVENTS)
+    scheduler = stream_scheduler.StreamScheduler(engine=SHORT_EVENTS)
     fleet = make_fleet(writers=3, readers=1)
     for n in range(8):
-        desk.ask(builders.make_ask(f's{n}'), 0.0)
-    got = places(desk.decide(fleet, 0.0))
+        scheduler.ask(builders.make_ask(f's{n}'), 0.0)
+    got = places(scheduler.decide(fleet, 0.0))
     by_writers = [one.decode_id for one in got if not one.prefill_id]
     assert sorted(by_writers) == ['d0', 'd1', 'd2']
     assert len(got) > len(by_writers)
@@ -721,11 +727,11 @@
 
 def test_a_reader_that_is_sooner_done_is_waited_for():
     """A prompt is not read at half the speed where that wins nothing."""
-    desk = make_desk()
+    scheduler = make_scheduler()
     fleet = make_fleet(writers=3, readers=2)
     for n in range(4):
-        desk.ask(builders.make_ask(f's{n}'), 0.0)
-    assert all(one.prefill_id for one in places(desk.decide(fleet, 0.0)))
+        scheduler.ask(builders.make_ask(f's{n}'), 0.0)
+    assert all(one.prefill_id for one in places(scheduler.decide(fleet, 0.0)))
 
 
 def test_a_lone_writer_with_much_to_do_does_not_seem_ever_slower():
@@ -736,28 +742,28 @@
     given a prompt a second in place of three, and longer ones, whose
     pauses were late for all of its streams.
     """
-    desk = make_desk()
+    scheduler = make_scheduler()
     fleet = [builders.make_runner('d0')]
     now_s = 0.0
     for n in range(30):
-        desk.ask(builders.make_ask(f's{n}', output_tokens=100), now_s)
-        (place,) = places(desk.decide(fleet, now_s))
+        scheduler.ask(builders.make_ask(f's{n}', output_tokens=100), now_s)
+        (place,) = places(scheduler.decide(fleet, now_s))
         end = placement.Release(
             request_id=place.request_id,
             output_tokens=100,
             decode_s=0.3,
             whole=True,
         )
-        desk.end(end, now_s + 0.7)
+        scheduler.end(end, now_s + 0.7)
         now_s += 0.35
     long = builders.make_ask('long', prompt_tokens=11_000)
     for n in range(4):
         ask = builders.make_ask(f'b{n}', output_tokens=9000)
-        desk.ask(ask, now_s)
-        assert places(desk.decide(fleet, now_s))
+        scheduler.ask(ask, now_s)
+        assert places(scheduler.decide(fleet, now_s))
         now_s += 0.35
-    desk.ask(long, now_s)
-    assert not places(desk.decide(fleet, now_s))
+    scheduler.ask(long, now_s)
+    assert not places(scheduler.decide(fleet, now_s))
 
 
 def test_where_streams_would_stand_still_prompts_wait_for_their_reader():
@@ -766,11 +772,11 @@
     Read by writers in every burst, prompts made the events of twelve
     streams late for one that came sooner.
     """
-    desk = make_desk()
+    scheduler = make_scheduler()
     fleet = make_fleet(writers=3, readers=1)
     for n in range(8):
-        desk.ask(builders.make_ask(f's{n}'), 0.0)
-    assert all(one.prefill_id for one in places(desk.decide(fleet, 0.0)))
+        scheduler.ask(builders.make_ask(f's{n}'), 0.0)
+    assert all(one.prefill_id for one in places(scheduler.decide(fleet, 0.0)))
 
 
 def test_late_streams_wait_only_for_memory_that_there_is():
