--- a/tests/routing/test_stage_split.py
+++ b/tests/routing/test_stage_split.py
@@ -210,13 +210,13 @@
     readers would be best: a writer was away for six seconds, and two
     runners left soon after.
     """
-    desk = stream_scheduler.StreamScheduler(engine=SMALL)
+    scheduler = stream_scheduler.StreamScheduler(engine=SMALL)
     runners = [builders.make_runner('a', builders.PREFILL)]
     runners += [builders.make_runner(name) for name in 'bcd']
     for n in range(3):
-        desk.ask(builders.make_ask(f's{n}', output_tokens=1500), 0.0)
+        scheduler.ask(builders.make_ask(f's{n}', output_tokens=1500), 0.0)
         change = stage_split.next_change(
-            runners, engine=SMALL, changing=(), rates=desk.rates
+            runners, engine=SMALL, changing=(), rates=scheduler.rates
         )
         assert change is None
 
