--- a/tests/routing/test_stream_scheduler.py
+++ b/tests/routing/test_stream_scheduler.py
@@ -356,7 +356,7 @@
 
 
 def busy_lone_writer():
-    """Return a scheduler, a fleet of one writer with six streams, and a time."""
+    """Return a scheduler, a lone writer with six streams, and a time."""
     scheduler = make_scheduler()
     fleet = [builders.make_runner('d0')]
     now_s = 0.0
