--- a/limpetroute/dispatch/dispatcher.py
+++ b/limpetroute/dispatch/dispatcher.py
@@ -6,8 +6,8 @@
 import typing
 
 from limpetroute.control import node as node_module
-from limpetroute.control import runner_row
 from limpetroute.dispatch import order_dialect
+from limpetroute.dispatch import service_runners
 from limpetroute.dispatch import stage_orders
 from limpetroute.routing import placement
 from limpetroute.routing import runner_info
@@ -35,12 +35,6 @@
     future: asyncio.Future[Answer]
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class _ReadRow:
-    row: runner_row.RunnerRow
-    info: runner_info.RunnerInfo
-
-
 class Dispatcher:
     """Decides for all entry hosts while this control host leads.
 
@@ -73,10 +67,9 @@
         self._passes: set[str] = set()
         self._services: dict[str, service_module.Service] = {}
         self._routes_index = 0
-        self._by_service: dict[str, list[runner_info.RunnerInfo]] = {}
-        self._runners_index = -1
-        self._started_ms: dict[str, int] = {}
-        self._read_rows: dict[str, _ReadRow] = {}
+        self._service_runners = service_runners.ServiceRunners(
+            on_restart=self._forget_runner
+        )
         self._led_term = 0
         self._adopts_until_s = 0.0
         self._task: asyncio.Task[None] | None = None
@@ -210,38 +203,12 @@
 
     def _runners(self, service: str) -> list[runner_info.RunnerInfo]:
         table = self._node.config.state.runners
-        if table.changed_index != self._runners_index:
-            self._runners_index = table.changed_index
-            self._by_service = {}
-            started_ms = {row.runner_id: row.started_ms for row in table}
-            self._forget_earlier_lives(started_ms)
-            self._started_ms = started_ms
-            read_rows = {}
-            for row in table:
-                known = self._read_rows.get(row.runner_id)
-                if known is None or known.row is not row:
-                    known = _ReadRow(row=row, info=_info(row))
-                read_rows[row.runner_id] = known
-                of_service = self._by_service.setdefault(
-                    known.info.service, []
-                )
-                of_service.append(known.info)
-            self._read_rows = read_rows
-        return self._by_service.get(service, [])
-
-    def _forget_earlier_lives(
-        self, started_ms: typing.Mapping[str, int]
-    ) -> None:
-        """Forget what was known of runners that have started again."""
-        for runner_id, at_ms in started_ms.items():
-            if self._started_ms.get(runner_id, at_ms) == at_ms:
-                continue
-            LOG.info(
-                'a runner has started again',
-                extra={'runner': runner_id, 'started_ms': at_ms},
-            )
-            for scheduler in self._schedulers.values():
-                scheduler.forget_runner(runner_id)
+        return self._service_runners.get(service, table)
+
+    def _forget_runner(self, runner_id: str) -> None:
+        """Forget what was known of a runner that has started again."""
+        for scheduler in self._schedulers.values():
+            scheduler.forget_runner(runner_id)
 
     def _request_pass(self, service: str) -> None:
         """Have a service's streams placed after what is at hand now.
@@ -304,15 +271,6 @@
             )
 
 
-def _info(row: runner_row.RunnerRow) -> runner_info.RunnerInfo:
-    return runner_info.from_detail(
-        runner_id=row.runner_id,
-        address=row.address,
-        ready=row.state == 'ready',
-        detail=row.text,
-    )
-
-
 def _detail(answer: Answer) -> dict[str, typing.Any]:
     body = dataclasses.asdict(answer)
     del body['request_id']
--- /dev/null
+++ b/limpetroute/dispatch/service_runners.py
@@ -0,0 +1,82 @@
+"""The runners of each service, read from the rows of the control log."""
+
+import dataclasses
+import logging
+import typing
+
+from limpetroute.control import runner_row
+from limpetroute.control import runner_table
+from limpetroute.routing import runner_info
+
+LOG = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _ReadRow:
+    row: runner_row.RunnerRow
+    info: runner_info.RunnerInfo
+
+
+class ServiceRunners:
+    """The runners of each service, read from the rows of the control log.
+
+    A row is parsed when it changes, not when another one does; unchanged
+    runners stay the same objects.
+
+    Parameters
+    ----------
+    on_restart : callable
+        Is called with the identity of a runner that has started again.
+    """
+
+    def __init__(self, *, on_restart: typing.Callable[[str], None]) -> None:
+        self._on_restart = on_restart
+        self._read_index = -1
+        self._rows: dict[str, _ReadRow] = {}
+        self._by_service: dict[str, list[runner_info.RunnerInfo]] = {}
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(runners={len(self._rows)!r})'
+
+    def get(
+        self, service: str, table: runner_table.RunnerTable
+    ) -> list[runner_info.RunnerInfo]:
+        """Return the runners of a service as a table has them."""
+        if table.changed_index != self._read_index:
+            self._read_index = table.changed_index
+            self._read(table)
+        return self._by_service.get(service, [])
+
+    def _read(self, table: runner_table.RunnerTable) -> None:
+        rows = {}
+        self._by_service = {}
+        for row in table:
+            known = self._rows.get(row.runner_id)
+            if known is None or known.row is not row:
+                self._note_restart(row, known)
+                known = _ReadRow(row=row, info=_info(row))
+            rows[row.runner_id] = known
+            self._by_service.setdefault(known.info.service, []).append(
+                known.info
+            )
+        self._rows = rows
+
+    def _note_restart(
+        self, row: runner_row.RunnerRow, known: _ReadRow | None
+    ) -> None:
+        if known is None or known.row.started_ms == row.started_ms:
+            return
+        LOG.info(
+            'a runner has started again',
+            extra={'runner': row.runner_id, 'started_ms': row.started_ms},
+        )
+        self._on_restart(row.runner_id)
+
+
+def _info(row: runner_row.RunnerRow) -> runner_info.RunnerInfo:
+    return runner_info.from_detail(
+        runner_id=row.runner_id,
+        address=row.address,
+        ready=row.state == 'ready',
+        detail=row.text,
+    )
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -7,6 +7,7 @@
 from limpetroute.dispatch import dispatcher as dispatcher_module
 from limpetroute.platform import orders
 from limpetroute.routing import placement
+from limpetroute.routing import runner_info
 from limpetroute.routing import stream_scheduler
 from tests.routing import builders
 
@@ -142,13 +143,13 @@
 def test_rows_are_read_again_only_when_they_change(monkeypatch):
     """All rows were parsed for each announcement of one runner."""
     read = []
-    plain = dispatcher_module.runner_info.from_detail
+    plain = runner_info.from_detail
 
     def counted(**fields):
         read.append(fields['runner_id'])
         return plain(**fields)
 
-    monkeypatch.setattr(dispatcher_module.runner_info, 'from_detail', counted)
+    monkeypatch.setattr(runner_info, 'from_detail', counted)
 
     async def work(leader):
         await leader.place('s1')
