Move only the runner that is ejected or back in the order of free memory

Cause: each change of what is left out had the order of all decode runners made anew (11 ms at 1,800, measured). The test counted 39,630 lines at 900 runners and 2,010 at 45 before; now the second is no more than twice the first.

--- a/limpetroute/routing/fleet.py
+++ b/limpetroute/routing/fleet.py
@@ -68,8 +68,11 @@
         unusable = self._find_unusable(now_s)
         if not is_new and unusable == self._unusable:
             return False
-        self._unusable = unusable
-        self._index(now_s)
+        ejected, self._unusable = self._unusable[0], unusable
+        if is_new:
+            self._index(now_s)
+        else:
+            self._eject(unusable[0] - ejected, ejected - unusable[0], now_s)
         ready = self._ready.get(stage_module.Stage.PREFILL, {})
         self.readers = [
             one for name, one in ready.items() if name not in unusable[1]
@@ -102,6 +105,16 @@
                 free = self._reservations.free_tokens(runner_id, now_s)
                 self.decoders.put(one, free)
 
+    def _eject(
+        self, left_out: set[str], taken_back: set[str], now_s: float
+    ) -> None:
+        for runner_id in left_out:
+            self.decoders.remove(runner_id)
+        ready = self._ready.get(stage_module.Stage.DECODE, {})
+        for runner_id in taken_back:
+            free = self._reservations.free_tokens(runner_id, now_s)
+            self.decoders.put(ready[runner_id], free)
+
     def _find_unusable(self, now_s: float) -> tuple[set[str], set[str]]:
         """Return the decode and the prefill runners that get no work.
 
