--- a/tests/control/test_large_changes.py
+++ b/tests/control/test_large_changes.py
@@ -58,6 +58,19 @@
     run(tmp_path, work)
 
 
+def _bytes_in(folder):
+    """Return the size of all files of a folder.
+
+    A snapshot is renamed when it is whole; a listing that it was renamed
+    in is made again, so that no file is left out.
+    """
+    while True:
+        try:
+            return sum(path.stat().st_size for path in folder.iterdir())
+        except FileNotFoundError:
+            continue
+
+
 def test_hundreds_of_large_changes_do_not_fill_the_disk(tmp_path):
     """Late in a day with many changes, control hosts stop one by one.
 
