Say which request was at a runner that crashed

Added: a fingerprint of host, path, caller and body (hashed only when a send broke), a check whether the runner refuses connections, one line and one counter for each request that was there. No decision follows from it yet.

--- a/limpetroute/forwarding/caller_request.py
+++ b/limpetroute/forwarding/caller_request.py
@@ -4,6 +4,8 @@
 
 from tornado import httputil
 
+from limpetroute.routing import fingerprint
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Generation:
@@ -56,6 +58,8 @@
         None for a plain request.
     resume_after : str
         The last event that the caller has; empty to begin.
+    caller : str
+        Its caller's credentials; empty where callers have none.
     """
 
     request_id: str
@@ -68,8 +72,19 @@
     patience_s: float | None
     generation: Generation | None
     resume_after: str
+    caller: str = ''
 
     @property
     def path(self) -> str:
         """The target without its query."""
         return self.target.partition('?')[0]
+
+    @property
+    def fingerprint(self) -> str:
+        """What all attempts at this request share; hashes the body."""
+        return fingerprint.fingerprint(
+            host=self.host,
+            path=self.path,
+            caller=self.caller,
+            body=self.body,
+        )
--- a/limpetroute/forwarding/forward_context.py
+++ b/limpetroute/forwarding/forward_context.py
@@ -8,6 +8,7 @@
 
 from limpetroute.forwarding import caller_request
 from limpetroute.forwarding import control_watch
+from limpetroute.forwarding import crash_check
 from limpetroute.forwarding import dialect as dialect_module
 from limpetroute.forwarding import fleet_view
 from limpetroute.forwarding import forward_meters
@@ -168,6 +169,40 @@
             **more,
         )
 
+    async def note_broken(
+        self,
+        request: caller_request.CallerRequest,
+        runner: runner_info.RunnerInfo,
+        *,
+        begun: bool,
+    ) -> None:
+        """Look whether a runner that broke off has crashed, and say so.
+
+        Parameters
+        ----------
+        request : CallerRequest
+            What was at the runner.
+        runner : RunnerInfo
+            The runner as it was known when the request was sent.
+        begun : bool
+            Whether a part of the answer came from it.
+        """
+        if not await crash_check.has_crashed(runner, self.view):
+            return
+        self.meters.crashed(begun)
+        LOG.info(
+            'runner crashed under a request',
+            extra={
+                'request': request.request_id,
+                'fingerprint': request.fingerprint,
+                'runner': runner.runner_id,
+                'address': runner.address,
+                'started_ms': runner.started_ms,
+                'begun': begun,
+                'index': self.view.index,
+            },
+        )
+
     @contextlib.contextmanager
     def sending(
         self,
--- a/limpetroute/forwarding/forward_meters.py
+++ b/limpetroute/forwarding/forward_meters.py
@@ -51,6 +51,11 @@
             description='Sends to runners, by part and result.',
         )
 
+        self._crashes = meter.create_counter(
+            'limpetroute_crashes',
+            description='Requests under which a runner crashed.',
+        )
+
     def __repr__(self) -> str:
         return f'{type(self).__name__}()'
 
@@ -65,3 +70,7 @@
     def sent(self, part: str, result: str) -> None:
         """Count a send to a runner."""
         self._sends.add(1, {'part': part, 'result': result})
+
+    def crashed(self, begun: bool) -> None:
+        """Count a request under which a runner crashed."""
+        self._crashes.add(1, {'begun': begun})
--- a/limpetroute/forwarding/plain_forward.py
+++ b/limpetroute/forwarding/plain_forward.py
@@ -120,6 +120,8 @@
             load.note_success(took_s)
         elif result is not send_result.SendResult.TIMED_OUT:
             load.note_failure(_now_s())
+        if result is send_result.SendResult.BROKEN:
+            await context.note_broken(self._request, runner, begun=False)
         step = self._decide(result)
         context.log_send(
             self._request,
--- a/limpetroute/forwarding/prompt_reading.py
+++ b/limpetroute/forwarding/prompt_reading.py
@@ -116,6 +116,8 @@
                     handle, failed = await self._read_handle(call)
         finally:
             call.close()
+        if failed and failed.result is send_result.SendResult.BROKEN:
+            await context.note_broken(self._request, runner, begun=False)
         load = context.view.load(runner.runner_id)
         if failed is None:
             load.note_success(_now_s() - begun_s)
--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -243,6 +243,7 @@
     ) -> next_step.Step:
         context = self._context
         begun_s = _now_s()
+        events_before = self._relay.count
         runner = call.runner
         self._tried.add(runner.runner_id)
         note = dialect_module.SendNote(
@@ -263,6 +264,12 @@
                     call, may_leave=self._history.another_may_follow
                 )
         self._judge(runner, result, source, _now_s() - begun_s)
+        if result is send_result.SendResult.BROKEN:
+            await context.note_broken(
+                self._request,
+                runner,
+                begun=self._relay.count > events_before,
+            )
         step = self._decide(result)
         context.log_send(
             self._request,
--- a/limpetroute/platform/http_dialect.py
+++ b/limpetroute/platform/http_dialect.py
@@ -49,6 +49,7 @@
                 headers.get(header_names.PROMPT_PREFIX, ''),
             ),
             resume_after=headers.get(header_names.LAST_EVENT_ID, ''),
+            caller=headers.get('Authorization', ''),
         )
 
     def runner_headers(
--- a/limpetroute/wire/call_failed.py
+++ b/limpetroute/wire/call_failed.py
@@ -28,9 +28,12 @@
         Text for a log line.
     received_bytes : int
         What had come of the reply's body.
+    refused : bool
+        Whether nothing listens at the address.
     """
 
     kind: FailureKind
     sent: bool
     detail: str = ''
     received_bytes: int = 0
+    refused: bool = False
--- a/limpetroute/wire/connection.py
+++ b/limpetroute/wire/connection.py
@@ -183,6 +183,7 @@
                 kind=call_failed.FailureKind.CONNECT,
                 sent=False,
                 detail=str(cause),
+                refused=isinstance(cause, ConnectionRefusedError),
             )
         except asyncio.CancelledError:
             self.close()
--- /dev/null
+++ b/tests/routing/test_fingerprint.py
@@ -0,0 +1,37 @@
+"""What makes two attempts of callers the same request."""
+
+import dataclasses
+
+import pytest
+
+from limpetroute.routing import fingerprint
+
+
+@dataclasses.dataclass(frozen=True)
+class Parts:
+    host: str = 'h.example'
+    path: str = '/a/1'
+    caller: str = 'Token k'
+    body: bytes = b'prompt'
+
+    def fingerprint(self):
+        return fingerprint.fingerprint(**dataclasses.asdict(self))
+
+
+def test_the_same_parts_are_the_same_request():
+    assert Parts().fingerprint() == Parts().fingerprint()
+
+
+@pytest.mark.parametrize(
+    'parts',
+    [
+        Parts(host='i.example'),
+        Parts(path='/a/2'),
+        Parts(caller=''),
+        Parts(body=b'prompt2'),
+        Parts(path='/a/', caller='1Token k'),
+        Parts(caller='Token ', body=b'kprompt'),
+    ],
+)
+def test_another_part_is_another_request(parts):
+    assert parts.fingerprint() != Parts().fingerprint()
