Test that a request that crashes runners is not sent again and again

On real processes (three control hosts, two entry hosts, runners that come back 0.4 s after each crash, under new identities). The same request comes ten times a second, at each entry host in turn, with a new id each time. The code as it is sends it, over 3 s after the third crash, 20 times more as a stream, 30 times as a plain request that may be repeated, 27 times as one that may not (32, 45 and 43 crashes in 9 s). Allowed: three.

Beside them: a request at three runners that crash by themselves is served when it comes back. That holds today and has to hold after the mend.

--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -6,6 +6,8 @@
 
 EVENTS = 12
 EVENT_S = 0.04
+# A runner that crashed is back after this long.
+DOWN_S = 0.4
 
 
 class Runner:
@@ -22,12 +24,19 @@
         # When a heartbeat that says so was acknowledged.
         self.draining_since = None
         self.served_s = []
+        # Bodies that crash it, and how often each still does.
+        self.fatal = {}
+        # (time, body, request's id) of each request that ran.
+        self.arrivals = []
+        self.crashes_s = []
+        self._lives = 0
+        self._first_name = name
         self._doors = set()
         self._silent = set()
         self._writers = set()
 
-    async def start(self, host):
-        self._server = await asyncio.start_server(self._serve, host, 0)
+    async def start(self, host, port=0):
+        self._server = await asyncio.start_server(self._serve, host, port)
         self.address = f'{host}:{self._server.sockets[0].getsockname()[1]}'
 
     def close(self):
@@ -58,6 +67,25 @@
         """Let open connections go silent for good; new ones work."""
         self._silent |= self._writers
 
+    async def crash(self):
+        """End, and come back at the same address as another runner."""
+        now_s = asyncio.get_running_loop().time()
+        self.crashes_s.append(now_s)
+        self._server.close()
+        self.reset()
+        await asyncio.sleep(DOWN_S)
+        self._lives += 1
+        self.name = f'{self._first_name}.{self._lives}'
+        self.started_ms = round(time.time() * 1000)
+        host, _, port = self.address.rpartition(':')
+        await self.start(host, int(port))
+
+    def _kills(self, body):
+        left = self.fatal.get(body, 0)
+        if left:
+            self.fatal[body] = left - 1
+        return left > 0
+
     async def _serve(self, reader, writer):
         self._writers.add(writer)
         try:
@@ -80,7 +108,7 @@
         for line in head.split('\r\n')[1:]:
             name, _, value = line.partition(':')
             fields[name.lower()] = value.strip()
-        await reader.readexactly(int(fields.get('content-length', 0)))
+        body = await reader.readexactly(int(fields.get('content-length', 0)))
         request_id = fields.get('request-id', '')
         if fields.get('expect-instance') != self.name:
             await self._write(writer, _head(421, {'Content-Length': '0'}))
@@ -91,6 +119,11 @@
             now_s = asyncio.get_running_loop().time()
             self.served_s.append(now_s)
         self.runs.append(request_id)
+        now_s = asyncio.get_running_loop().time()
+        self.arrivals.append((now_s, body, request_id))
+        if self._kills(body):
+            self._restart = asyncio.create_task(self.crash())
+            return
         if 'token-usage' in fields:
             await self._stream(fields, writer)
             return
