Quarantine a request under which three runners have crashed

Callers saw: for as long as a request came again that crashes each runner that runs it, one or two decode runners were down at any time, reviews were refused, and up to eleven streams were lost with each crash. In the record eleven runners ended under each of two requests.

Cause: what came of a request was known to one attempt at one host only. Each attempt of a caller has an id of its own, a crash counted against the runner, and nothing told the next host. Class: a failure that belongs to an input is kept with the process that met it, and no state is keyed by the input. Ruled out: repeats within one attempt (two sends under each id at most in the logs); runners that end under any request (at each of the ten runners that ended from second 37 to 53 there was one prompt, with no event passed on, and written streams beside it).

Change: crashes and the requests that were there go into the control log, by fingerprint. With the third crash that a request is blamed for, every host refuses it before its next send. One host at a time may try it again, 2, 30 and 600 s later, three times in all; an answer that comes to its end clears it. What a host saw itself counts until the fleet knows.

A request at three runners that crash by themselves is served, by its fourth send.

--- a/limpetroute/control/commands.py
+++ b/limpetroute/control/commands.py
@@ -3,6 +3,7 @@
 import base64
 import dataclasses
 import json
+import typing
 import zlib
 
 
@@ -100,11 +101,44 @@
     started_ms: int = 0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class NoteCrashes:
+    """Runners crashed under requests.
+
+    Each row has the runner's identity, its start in Unix milliseconds, and
+    whether an answer had begun, by the request's fingerprint.
+    """
+
+    crashes: list[list[typing.Any]]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class ClearRequest:
+    """A request under which runners crashed is harmless."""
+
+    fingerprint: str
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TakeTrial:
+    """One host may send a quarantined request once.
+
+    Of two hosts that ask at the same time, the second finds that
+    ``taken`` is not the number of trials any more.
+    """
+
+    fingerprint: str
+    taken: int
+
+
 Command = (
     SubmitManifest
     | SubmitRoutes
     | NoteRunner
     | ForgetRunner
+    | NoteCrashes
+    | ClearRequest
+    | TakeTrial
     | NextFence
     | MakeClaim
     | WithdrawClaim
@@ -119,6 +153,9 @@
         SubmitRoutes,
         NoteRunner,
         ForgetRunner,
+        NoteCrashes,
+        ClearRequest,
+        TakeTrial,
         NextFence,
         MakeClaim,
         WithdrawClaim,
--- a/limpetroute/control/control_state.py
+++ b/limpetroute/control/control_state.py
@@ -11,6 +11,7 @@
 from limpetroute.control import results
 from limpetroute.control import routes_store
 from limpetroute.control import runner_table
+from limpetroute.routing import quarantine
 from limpetroute.routing import routes_copy
 
 MAX_FENCES = 100_000
@@ -42,6 +43,8 @@
         'claims',
         'fences',
         'newest',
+        'quarantine',
+        'quarantine_index',
         'recent_routes',
         'routes',
         'routes_index',
@@ -56,6 +59,9 @@
         self.recent_routes = recent_routes.RecentRoutes()
         self.runners = runner_table.RunnerTable()
         self.claims = claim_table.ClaimTable(max_bytes=max_claim_bytes)
+        self.quarantine = quarantine.Quarantine()
+        # Where the quarantined requests changed last.
+        self.quarantine_index = 0
 
     def __repr__(self) -> str:
         number = self.newest.number if self.newest else 0
@@ -87,6 +93,15 @@
                     command.runner_id, index, started_ms=command.started_ms
                 )
                 return results.Done()
+            case commands.NoteCrashes():
+                return self._note_crashes(command, index)
+            case commands.ClearRequest():
+                return self._clear_request(command, index)
+            case commands.TakeTrial():
+                trial = self.quarantine.take_trial(
+                    command.fingerprint, command.taken
+                )
+                return results.TrialDecided(trial=trial.value)
             case commands.NextFence():
                 return self._next_fence(command.name)
             case commands.MakeClaim():
@@ -115,6 +130,8 @@
             'routes': dataclasses.astuple(routes) if routes else None,
             'routes_index': self.routes_index,
             'runners': self.runners.dump(),
+            'quarantine': self.quarantine.dump(),
+            'quarantine_index': self.quarantine_index,
         }
         return json.dumps(body, separators=(',', ':')).encode()
 
@@ -138,6 +155,36 @@
             self.recent_routes.note(self.routes)
         self.routes_index = body.get('routes_index', 0)
         self.runners.load(body.get('runners', []))
+        if 'quarantine' in body:
+            self.quarantine.load(body['quarantine'])
+            self.quarantine_index = body['quarantine_index']
+
+    def _note_crashes(
+        self, command: commands.NoteCrashes, index: int
+    ) -> results.Result:
+        before = self.quarantine.requests
+        for runner_id, started_ms, suspects in command.crashes:
+            self.quarantine.note_crash(
+                quarantine.RunnerLife(
+                    runner_id=runner_id, started_ms=started_ms
+                ),
+                [
+                    quarantine.Suspect(fingerprint=one, begun=begun)
+                    for one, begun in suspects.items()
+                ],
+            )
+        if self.quarantine.requests != before:
+            self.quarantine_index = index
+        return results.Done()
+
+    def _clear_request(
+        self, command: commands.ClearRequest, index: int
+    ) -> results.Result:
+        before = self.quarantine.requests
+        self.quarantine.clear(command.fingerprint)
+        if self.quarantine.requests != before:
+            self.quarantine_index = index
+        return results.Done()
 
     def _submit_routes(
         self, command: commands.SubmitRoutes, index: int
--- a/limpetroute/control/node.py
+++ b/limpetroute/control/node.py
@@ -29,6 +29,7 @@
 from limpetroute.control import replacements
 from limpetroute.control import routes_cutter
 from limpetroute.control import seeds as seeds_module
+from limpetroute.control import trial_times
 from limpetroute.telemetry import boot_clock
 from limpetroute.telemetry import loop_lag
 from limpetroute.wire import caller
@@ -92,6 +93,7 @@
         self.failure = ''
         self.replacements = replacements.Replacements()
         self.cutter = routes_cutter.RoutesCutter()
+        self.trial_times = trial_times.TrialTimes()
         self.loop_lag = loop_lag.LoopLag(
             log_from_s=settings.election_s * LOOP_LAG_LOG_PART
         )
--- a/limpetroute/control/results.py
+++ b/limpetroute/control/results.py
@@ -38,6 +38,13 @@
     known: bool
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class TrialDecided:
+    """Whether a request may be tried; see `quarantine.Trial`."""
+
+    trial: str
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Done:
     """Nothing to say."""
@@ -57,6 +64,7 @@
     | Granted
     | Found
     | Settled
+    | TrialDecided
     | Done
     | Full
 )
--- a/limpetroute/control/server.py
+++ b/limpetroute/control/server.py
@@ -16,6 +16,7 @@
 from limpetroute.control import node as node_module
 from limpetroute.control import part as part_module
 from limpetroute.control import peer_handlers
+from limpetroute.control import quarantine_handlers
 from limpetroute.control import routes_handlers
 from limpetroute.control import seeds
 from limpetroute.control import watch_handler
@@ -157,6 +158,9 @@
         url('/v1/fences', claim_handlers.FenceHandler, args),
         url('/v1/peer', peer_handlers.PeerHandler, args),
         url('/v1/watch', watch_handler.WatchHandler, args),
+        url('/v1/crashes', quarantine_handlers.CrashesHandler, args),
+        url('/v1/quarantine/clear', quarantine_handlers.ClearHandler, args),
+        url('/v1/quarantine/trial', quarantine_handlers.TrialHandler, args),
         url('/v1/routes', routes_handlers.RoutesSliceHandler, args),
         url('/v1/routes/newest', routes_handlers.NewestRoutesHandler, args),
         url('/v1/commands', command_handler.CommandHandler, args),
--- a/limpetroute/control/watch_handler.py
+++ b/limpetroute/control/watch_handler.py
@@ -44,11 +44,15 @@
         state = self.node.config.state
         rows, index = state.runners.next_after(after, MAX_ROWS)
         if index >= state.runners.changed_index:
-            index = max(index, state.routes_index)
+            index = max(index, state.routes_index, state.quarantine_index)
+        quarantined = None
+        if state.quarantine_index > after:
+            quarantined = state.quarantine.requests
         return {
             'index': index,
             'in_touch': self._is_in_touch(),
             'routes': self._notice(version),
+            'quarantined': quarantined,
             'runners': [dataclasses.asdict(row) for row in rows],
             'urls': self.node.urls,
             'entry_hosts': self._entry_hosts(),
@@ -108,6 +112,8 @@
                         return
                     if state.routes and state.routes.version > version:
                         return
+                    if state.quarantine_index > after:
+                        return
                     if leader_url and self._leader_url() != leader_url:
                         return
                     await changed.wait()
--- a/limpetroute/forwarding/caller_request.py
+++ b/limpetroute/forwarding/caller_request.py
@@ -1,6 +1,7 @@
 """A caller's request as the forwarder works with it."""
 
 import dataclasses
+import functools
 
 from tornado import httputil
 
@@ -36,7 +37,7 @@
         return self.prompt_tokens + self.max_output_tokens
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+@dataclasses.dataclass(frozen=True, kw_only=True)
 class CallerRequest:
     """A caller's request as the forwarder works with it.
 
@@ -79,7 +80,7 @@
         """The target without its query."""
         return self.target.partition('?')[0]
 
-    @property
+    @functools.cached_property
     def fingerprint(self) -> str:
         """What all attempts at this request share; hashes the body."""
         return fingerprint.fingerprint(
--- a/limpetroute/forwarding/control_watch.py
+++ b/limpetroute/forwarding/control_watch.py
@@ -7,6 +7,7 @@
 
 from limpetroute.border import routes_update_body
 from limpetroute.forwarding import fleet_view
+from limpetroute.forwarding import quarantine_client
 from limpetroute.forwarding import routes_loader
 from limpetroute.wire import call_failed
 from limpetroute.wire import caller
@@ -38,6 +39,8 @@
         Returns the control hosts of the settings, which may change.
     host_id : str
         This host, as control hosts count it.
+    quarantine : QuarantineClient
+        Takes which requests are quarantined.
     on_leader : callable
         Told the address of the control host that leads.
     """
@@ -49,9 +52,11 @@
         http: caller.Caller,
         urls: typing.Callable[[], typing.Sequence[str]],
         host_id: str,
+        quarantine: quarantine_client.QuarantineClient,
         on_leader: typing.Callable[[str], None],
     ) -> None:
         self._on_leader = on_leader
+        self._quarantine = quarantine
         self._view = view
         self._http = http
         self._settings_urls = urls
@@ -108,6 +113,11 @@
         self._next += 1
         return urls[self._next % len(urls)]
 
+    def leader_first(self) -> list[str]:
+        """Return all control hosts, the one that leads first."""
+        first = [self._leader_url] if self._leader_url else []
+        return list(dict.fromkeys([*first, *self._known_urls()]))
+
     def _known_urls(self) -> list[str]:
         """Return all control hosts, the one that is followed first."""
         first = [self._following] if self._following else []
@@ -138,13 +148,16 @@
             body = got.json()
             in_touch = bool(body['in_touch'])
             if in_touch:
-                self._view.take(body)
+                is_newer = self._view.take(body)
                 if body['routes'] is not None:
                     self._loader.hear(
                         routes_update_body.RoutesNoticeBody.model_validate(
                             body['routes']
                         )
                     )
+                quarantined = body.get('quarantined')
+                if is_newer and quarantined is not None:
+                    self._quarantine.receive(quarantined)
                 self._leader_url = str(body['leader_url'])
                 self._on_leader(self._leader_url)
                 self._heard_urls = [str(one) for one in body['urls']]
--- a/limpetroute/forwarding/forward_context.py
+++ b/limpetroute/forwarding/forward_context.py
@@ -12,6 +12,7 @@
 from limpetroute.forwarding import dialect as dialect_module
 from limpetroute.forwarding import fleet_view
 from limpetroute.forwarding import forward_meters
+from limpetroute.forwarding import quarantine_client
 from limpetroute.forwarding import responder as responder_module
 from limpetroute.forwarding import scheduler_client
 from limpetroute.routing import last_streams
@@ -41,6 +42,8 @@
         Knows how many hosts there are.
     places : SchedulerClient
         Gives streams their places.
+    quarantine : QuarantineClient
+        Knows the requests under which runners crash.
     dialect : Dialect
         How callers and runners are spoken to.
     meters : ForwardMeters
@@ -59,6 +62,7 @@
         view: fleet_view.FleetView,
         watch: control_watch.ControlWatch,
         places: scheduler_client.SchedulerClient,
+        quarantine: quarantine_client.QuarantineClient,
         dialect: dialect_module.Dialect,
         meters: forward_meters.ForwardMeters,
         zone: str,
@@ -67,6 +71,7 @@
     ) -> None:
         self.view = view
         self.places = places
+        self.quarantine = quarantine
         self.dialect = dialect
         self.meters = meters
         self.zone = zone
@@ -176,7 +181,7 @@
         *,
         begun: bool,
     ) -> None:
-        """Look whether a runner that broke off has crashed, and say so.
+        """Look whether a runner that broke off has crashed, and tell.
 
         Parameters
         ----------
@@ -202,6 +207,7 @@
                 'index': self.view.index,
             },
         )
+        self.quarantine.note_crash(request, runner, begun=begun)
 
     @contextlib.contextmanager
     def sending(
--- a/limpetroute/forwarding/own_answer.py
+++ b/limpetroute/forwarding/own_answer.py
@@ -32,6 +32,9 @@
 STARTING_RETRY_AFTER_S = 1.5
 
 
+QUARANTINED = 'runners crashed under this request'
+
+
 async def write(
     context: forward_context.ForwardContext,
     *,
--- a/limpetroute/forwarding/plain_forward.py
+++ b/limpetroute/forwarding/plain_forward.py
@@ -8,6 +8,7 @@
 from limpetroute.forwarding import dialect as dialect_module
 from limpetroute.forwarding import forward_context
 from limpetroute.forwarding import own_answer
+from limpetroute.forwarding import quarantine_gate
 from limpetroute.forwarding import responder as responder_module
 from limpetroute.forwarding import runner_call
 from limpetroute.routing import next_step
@@ -57,6 +58,9 @@
         self._responder = responder
         self._tried: set[str] = set()
         self._history = send_history.SendHistory(route=route)
+        self._gate = quarantine_gate.QuarantineGate(
+            client=context.quarantine, request=request
+        )
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(request={self._request.request_id!r})'
@@ -71,6 +75,13 @@
             if runner is None:
                 await self._end(next_step.Step.REFUSE, 'no runner')
                 return
+            if not await self._gate.may_send():
+                await self._end(
+                    next_step.Step.REFUSE,
+                    own_answer.QUARANTINED,
+                    self._gate.retry_after_s,
+                )
+                return
             step = await self._send(runner)
             if step is next_step.Step.RELAY:
                 return
@@ -118,6 +129,7 @@
         took_s = _now_s() - begun_s
         if result is send_result.SendResult.ANSWERED:
             load.note_success(took_s)
+            context.quarantine.note_answered(self._request)
         elif result is not send_result.SendResult.TIMED_OUT:
             load.note_failure(_now_s())
         if result is send_result.SendResult.BROKEN:
@@ -155,7 +167,12 @@
             return True
         return self._context.may_send_again(self._service)
 
-    async def _end(self, step: next_step.Step, reason: str) -> None:
+    async def _end(
+        self,
+        step: next_step.Step,
+        reason: str,
+        retry_after_s: float = own_answer.RETRY_AFTER_S,
+    ) -> None:
         await own_answer.write(
             self._context,
             request=self._request,
@@ -163,6 +180,7 @@
             responder=self._responder,
             step=self._history.truly(step),
             reason=reason,
+            retry_after_s=retry_after_s,
         )
 
 
--- /dev/null
+++ b/limpetroute/forwarding/quarantine_client.py
@@ -0,0 +1,253 @@
+"""What this host knows of quarantined requests, and tells of crashes."""
+
+import asyncio
+import collections
+import dataclasses
+import logging
+import typing
+
+from limpetroute.control import control_client
+from limpetroute.forwarding import caller_request
+from limpetroute.routing import quarantine
+from limpetroute.routing import runner_info
+from limpetroute.wire import caller
+
+LOG = logging.getLogger(__name__)
+
+# All requests that a crashed runner had are told together: their sends
+# break within some milliseconds.
+GATHER_S = 0.01
+RETRY_S = 0.2
+CALL_TIMEOUT_S = 1.0
+# What is refused where no control host can be asked whether it may be tried.
+UNSURE_WAIT_S = 1.0
+MAX_UNTOLD = 64
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Verdict:
+    """Whether a quarantined request may be sent now.
+
+    Parameters
+    ----------
+    allowed : bool
+        Whether it may be sent once.
+    wait_s : float
+        When to ask again if not.
+    """
+
+    allowed: bool
+    wait_s: float = 0.0
+
+
+class QuarantineClient:
+    """What this host knows of quarantined requests, and tells of crashes.
+
+    The control log has the fleet's word on which requests are quarantined.
+    What this host saw itself counts until it is told otherwise, so one
+    without a leader in reach keeps to its own count.
+
+    Parameters
+    ----------
+    http : Caller
+        Makes the calls.
+    urls : callable
+        Returns the control hosts, the likeliest leader first.
+    """
+
+    def __init__(
+        self,
+        *,
+        http: caller.Caller,
+        urls: typing.Callable[[], typing.Sequence[str]],
+    ) -> None:
+        self._http = http
+        self._urls = urls
+        self._own = quarantine.Quarantine()
+        self._told: frozenset[str] = frozenset()
+        self._waits_until_s: dict[str, float] = {}
+        self._untold: collections.OrderedDict[
+            quarantine.RunnerLife, dict[str, bool]
+        ] = collections.OrderedDict()
+        self._unclear: dict[str, None] = {}
+        self._task: asyncio.Task[None] | None = None
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(told={len(self._told)!r})'
+
+    def receive(self, fingerprints: typing.Iterable[str]) -> None:
+        """Take the fleet's quarantined requests."""
+        told = frozenset(fingerprints)
+        for one in self._told - told:
+            self._own.clear(one)
+            self._waits_until_s.pop(one, None)
+        if told != self._told:
+            LOG.info(
+                'quarantine changed',
+                extra={
+                    'added': sorted(told - self._told),
+                    'removed': sorted(self._told - told),
+                },
+            )
+        self._told = told
+
+    def holds(self, request: caller_request.CallerRequest) -> bool:
+        """Return whether a request is quarantined."""
+        if not self._told and not self._own:
+            return False
+        fingerprint = request.fingerprint
+        return fingerprint in self._told or fingerprint in self._own
+
+    def wait_s(self, request: caller_request.CallerRequest) -> float:
+        """Return how long a quarantined request surely may not be sent."""
+        until_s = self._waits_until_s.get(request.fingerprint, 0.0)
+        return max(0.0, until_s - _now_s())
+
+    def note_crash(
+        self,
+        request: caller_request.CallerRequest,
+        runner: runner_info.RunnerInfo,
+        *,
+        begun: bool,
+    ) -> None:
+        """Take note of a request under which a runner crashed."""
+        life = quarantine.RunnerLife(
+            runner_id=runner.runner_id, started_ms=runner.started_ms
+        )
+        fingerprint = request.fingerprint
+        suspect = quarantine.Suspect(fingerprint=fingerprint, begun=begun)
+        self._own.note_crash(life, [suspect])
+        self._unclear.pop(fingerprint, None)
+        untold = self._untold.setdefault(life, {})
+        if len(untold) < quarantine.KEPT_SUSPECTS:
+            untold[fingerprint] = begun
+        while len(self._untold) > MAX_UNTOLD:
+            self._untold.popitem(last=False)
+        self._tell()
+
+    def note_answered(self, request: caller_request.CallerRequest) -> None:
+        """Take note of a request that a runner answered to the end."""
+        if not self._told and not self._own:
+            return
+        fingerprint = request.fingerprint
+        known = fingerprint in self._told or self._own.suspects(fingerprint)
+        if not known:
+            return
+        self._own.clear(fingerprint)
+        self._waits_until_s.pop(fingerprint, None)
+        for untold in self._untold.values():
+            untold.pop(fingerprint, None)
+        if len(self._unclear) < MAX_UNTOLD:
+            self._unclear[fingerprint] = None
+        self._tell()
+
+    async def ask_trial(
+        self, request: caller_request.CallerRequest
+    ) -> Verdict:
+        """Ask whether a quarantined request may be sent once more."""
+        fingerprint = request.fingerprint
+        wait_s = self.wait_s(request)
+        if wait_s:
+            return Verdict(allowed=False, wait_s=wait_s)
+        if self._untold:
+            # Asked before its crashes are known there, it would pass for
+            # one that was never quarantined.
+            return Verdict(allowed=False, wait_s=UNSURE_WAIT_S)
+        got = await self._ask(
+            '/v1/quarantine/trial', {'fingerprint': fingerprint}
+        )
+        if got is None:
+            return self._refuse(fingerprint, UNSURE_WAIT_S)
+        outcome = got.get('outcome')
+        if outcome == quarantine.Trial.RELEASED:
+            self._own.clear(fingerprint)
+            return Verdict(allowed=True)
+        wait_s = float(got.get('wait_s', UNSURE_WAIT_S))
+        verdict = self._refuse(fingerprint, wait_s)
+        if outcome == quarantine.Trial.GRANTED:
+            return Verdict(allowed=True)
+        return verdict
+
+    def stop(self) -> None:
+        """End."""
+        if self._task is not None:
+            self._task.cancel()
+
+    def _refuse(self, fingerprint: str, wait_s: float) -> Verdict:
+        """Note for how long it need not be asked again."""
+        now_s = _now_s()
+        for one, until_s in list(self._waits_until_s.items()):
+            if until_s <= now_s:
+                del self._waits_until_s[one]
+        if len(self._waits_until_s) < quarantine.KEPT_REQUESTS:
+            self._waits_until_s[fingerprint] = now_s + wait_s
+        return Verdict(allowed=False, wait_s=wait_s)
+
+    def _tell(self) -> None:
+        if self._task is None or self._task.done():
+            self._task = asyncio.create_task(self._tell_all())
+
+    async def _tell_all(self) -> None:
+        """Tell what the control hosts do not know yet, until they do."""
+        await asyncio.sleep(GATHER_S)
+        while self._untold or self._unclear:
+            if not await self._tell_once():
+                await asyncio.sleep(RETRY_S)
+
+    async def _tell_once(self) -> bool:
+        if self._untold:
+            told = {life: dict(s) for life, s in self._untold.items() if s}
+            if told and not await self._tell_crashes(told):
+                return False
+            for life in list(self._untold):
+                # More of the same crash may have come meanwhile.
+                if self._untold[life] == told.get(life, {}):
+                    del self._untold[life]
+            return True
+        fingerprint = next(iter(self._unclear))
+        got = await self._ask(
+            '/v1/quarantine/clear', {'fingerprint': fingerprint}
+        )
+        if got is None:
+            return False
+        self._unclear.pop(fingerprint, None)
+        return True
+
+    async def _tell_crashes(
+        self,
+        crashes: typing.Mapping[
+            quarantine.RunnerLife, typing.Mapping[str, bool]
+        ],
+    ) -> bool:
+        rows = [
+            {
+                'runner_id': life.runner_id,
+                'started_ms': life.started_ms,
+                'suspects': suspects,
+            }
+            for life, suspects in crashes.items()
+        ]
+        return await self._ask('/v1/crashes', {'crashes': rows}) is not None
+
+    async def _ask(
+        self, path: str, body: dict[str, typing.Any]
+    ) -> dict[str, typing.Any] | None:
+        """Return the group's answer, or None if there was none."""
+        urls = self._urls()
+        if not urls:
+            return None
+        client = control_client.ControlClient(
+            urls=urls, http=self._http, try_s=CALL_TIMEOUT_S / 2
+        )
+        got = await client.ask(path=path, body=body, timeout_s=CALL_TIMEOUT_S)
+        if isinstance(got, control_client.Answered) and got.status < 300:
+            return got.body
+        LOG.info(
+            'control hosts do not answer for the quarantine',
+            extra={'path': path, 'reason': str(got)[:200]},
+        )
+        return None
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/limpetroute/forwarding/server.py
+++ b/limpetroute/forwarding/server.py
@@ -14,6 +14,7 @@
 from limpetroute.forwarding import forward_meters
 from limpetroute.forwarding import forwarder as forwarder_module
 from limpetroute.forwarding import front_server
+from limpetroute.forwarding import quarantine_client
 from limpetroute.forwarding import scheduler_client
 from limpetroute.forwarding import side_port
 from limpetroute.routing import route_plan
@@ -68,6 +69,9 @@
         trust = settings.credentials()
         http = caller.Caller(tls=trust.client_tls, token=trust.token)
         places = scheduler_client.SchedulerClient(http=http)
+        quarantine = quarantine_client.QuarantineClient(
+            http=http, urls=lambda: self.watch.leader_first()
+        )
         self.watch = control_watch.ControlWatch(
             view=self.view,
             http=caller.Caller(
@@ -75,12 +79,14 @@
             ),
             urls=self._control_urls,
             host_id=settings.host_id,
+            quarantine=quarantine,
             on_leader=places.follow,
         )
         self._context = forward_context.ForwardContext(
             view=self.view,
             watch=self.watch,
             places=places,
+            quarantine=quarantine,
             dialect=dialect,
             meters=forward_meters.ForwardMeters(meter=self._exports.meter),
             zone=settings.zone,
@@ -154,6 +160,7 @@
         self._front.stop_listening()
         LOG.info('stopped', extra={'broken_off': self.forwarder.active})
         self.watch.stop()
+        self._context.quarantine.stop()
         await self._front.close()
         self._side.close()
 
--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -9,6 +9,7 @@
 from limpetroute.forwarding import own_answer
 from limpetroute.forwarding import placement_session
 from limpetroute.forwarding import prompt_reading
+from limpetroute.forwarding import quarantine_gate
 from limpetroute.forwarding import responder as responder_module
 from limpetroute.forwarding import runner_call
 from limpetroute.forwarding import stream_relay
@@ -69,6 +70,9 @@
         self._failed: set[str] = set()
         self._full: set[str] = set()
         self._history = send_history.SendHistory(route=route)
+        self._gate = quarantine_gate.QuarantineGate(
+            client=context.quarantine, request=request
+        )
         self._readings = 0
         self._failed_readings = 0
         self._sends_to_gone = 0
@@ -83,6 +87,9 @@
             await self._end(next_step.Step.REFUSE, 'this host stops')
             return
         while True:
+            if self._gate.is_shut():
+                await self._refuse_quarantined()
+                return
             places = placement_session.PlacementSession(
                 context=self._context,
                 request=self._request,
@@ -96,6 +103,9 @@
                         next_step.Step.REFUSE, got.reason, got.retry_after_s
                     )
                     return
+                if not await self._gate.may_send():
+                    await self._refuse_quarantined()
+                    return
                 step = await self._send(got, places)
             finally:
                 places.give_back(
@@ -114,6 +124,13 @@
                 await self._end(step, 'after a send')
                 return
 
+    async def _refuse_quarantined(self) -> None:
+        await self._end(
+            next_step.Step.REFUSE,
+            own_answer.QUARANTINED,
+            self._gate.retry_after_s,
+        )
+
     def _is_taken(self) -> bool:
         generation = self._request.generation
         assert generation is not None
@@ -316,6 +333,7 @@
         """Take note of what a send says of its runner."""
         if result is send_result.SendResult.ANSWERED:
             self._whole = True
+            self._context.quarantine.note_answered(self._request)
             self._context.view.load(runner.runner_id).note_success(took_s)
         elif result is send_result.SendResult.REFUSED and source:
             # Mostly the KV cache has lapsed before it was taken; the
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -12,6 +12,7 @@
 from limpetroute.forwarding import forward_meters
 from limpetroute.forwarding import forwarder
 from limpetroute.forwarding import front_server
+from limpetroute.forwarding import quarantine_client
 from limpetroute.forwarding import scheduler_client
 from limpetroute.platform import http_dialect
 from limpetroute.routing import route
@@ -37,10 +38,14 @@
             self.view._runners[one.runner_id] = one
             self.view._by_service.setdefault(one.service, []).append(one)
         self.places = scheduler_client.SchedulerClient(http=caller.Caller())
+        self.quarantine = quarantine_client.QuarantineClient(
+            http=caller.Caller(), urls=list
+        )
         self.context = forward_context.ForwardContext(
             view=self.view,
             watch=OneHost(),
             places=self.places,
+            quarantine=self.quarantine,
             dialect=self.dialect,
             meters=forward_meters.ForwardMeters(
                 meter=metrics.NoOpMeter('test')
--- a/tests/forwarding/large_routes.py
+++ b/tests/forwarding/large_routes.py
@@ -7,7 +7,9 @@
 
 from limpetroute.forwarding import control_watch
 from limpetroute.forwarding import fleet_view
+from limpetroute.forwarding import quarantine_client
 from limpetroute.platform import http_dialect
+from limpetroute.wire import caller
 from tests.control import seed_fleet
 from tests.forwarding import slow_link
 
@@ -61,6 +63,9 @@
             http=slow_link.LinkedCaller(link),
             urls=lambda: urls,
             host_id=host_id,
+            quarantine=quarantine_client.QuarantineClient(
+                http=caller.Caller(), urls=list
+            ),
             on_leader=lambda url: None,
         )
 
--- a/tests/forwarding/test_control_watch.py
+++ b/tests/forwarding/test_control_watch.py
@@ -5,6 +5,7 @@
 
 from limpetroute.forwarding import control_watch
 from limpetroute.forwarding import fleet_view
+from limpetroute.forwarding import quarantine_client
 from limpetroute.platform import http_dialect
 from limpetroute.wire import caller
 
@@ -28,6 +29,9 @@
             http=caller.Caller(),
             urls=lambda: [f'http://127.0.0.1:{port}'],
             host_id='entry-1',
+            quarantine=quarantine_client.QuarantineClient(
+                http=caller.Caller(), urls=list
+            ),
             on_leader=lambda url: None,
         )
         watch.start()
--- a/tests/whole_path/test_crashing_requests.py
+++ b/tests/whole_path/test_crashing_requests.py
@@ -47,6 +47,16 @@
         for one in self.world.runners:
             one.fatal = fatal
 
+    def kill_all(self):
+        """Kill all hosts and start them again; no group is founded."""
+        processes = [*self.world.controls, *self.world.forwards]
+        for process in processes:
+            process.end()
+        for process in self.world.controls:
+            process.change(may_found=False)
+        for process in processes:
+            process.start()
+
     def arrivals_s(self, body):
         found = [
             at_s
@@ -123,6 +133,33 @@
     assert others == 200
 
 
+def test_a_quarantine_outlives_all_processes(tmp_path):
+    """All hosts are killed at one moment after the third crash."""
+
+    async def work():
+        async with Fleet(tmp_path) as fleet:
+            fleet.make_fatal(b'fatal')
+            until_s = time.monotonic() + 4.0
+            while time.monotonic() < until_s:
+                await fleet.ask(fleet._asked, '/stream/1', b'fatal')
+                await asyncio.sleep(0.1)
+            fleet.kill_all()
+            for host in range(world_module.FORWARDS):
+                await world_module.wait_until(
+                    lambda host=host: fleet._serves(host), 15, 'an answer'
+                )
+            until_s = time.monotonic() + 5.0
+            while time.monotonic() < until_s:
+                await fleet.ask(fleet._asked, '/stream/1', b'fatal')
+                await asyncio.sleep(0.1)
+            return fleet.arrivals_s(b'fatal')
+
+    arrivals_s = asyncio.run(work())
+    third_s = arrivals_s[CRASHES - 1]
+    late = [at_s for at_s in arrivals_s if at_s > third_s + CONTACT_S]
+    assert len(late) <= MOST_RETRIES
+
+
 @pytest.mark.parametrize('path', ['/stream/1', '/safe/1', '/once/1'])
 def test_a_request_at_runners_that_crash_by_themselves_is_served(
     tmp_path, path
