Say which limit of requests a second a runner names

No line or metric says what a host knew of a runner's limit, so the three hypotheses of the incident could not be told apart. The limit is read from each answer (it is untrusted: what is not a number of 0 or more is logged and changes nothing), kept with the runner's load, dropped with the runner's life, and a line is written when it changes. Nothing is decided by it yet.

--- a/limpetroute/forwarding/dialect.py
+++ b/limpetroute/forwarding/dialect.py
@@ -75,6 +75,13 @@
     def misdirected(self, status: int) -> bool:
         """Return whether another runner than the one meant answers."""
 
+    def rate_limit_text(self, headers: httputil.HTTPHeaders) -> str | None:
+        """Return the limit that a runner names, as it wrote it.
+
+        Requests a second that it takes from all hosts together, for as
+        long as its answers say so; None where it names none.
+        """
+
     def belongs(
         self,
         request: caller_request.CallerRequest,
--- a/limpetroute/forwarding/forward_context.py
+++ b/limpetroute/forwarding/forward_context.py
@@ -14,9 +14,11 @@
 from limpetroute.forwarding import forward_meters
 from limpetroute.forwarding import quarantine_client
 from limpetroute.forwarding import responder as responder_module
+from limpetroute.forwarding import runner_call
 from limpetroute.forwarding import scheduler_client
 from limpetroute.routing import last_streams
 from limpetroute.routing import next_step
+from limpetroute.routing import rate_limit
 from limpetroute.routing import route as route_module
 from limpetroute.routing import runner_info
 from limpetroute.routing import send_budget
@@ -174,6 +176,35 @@
             **more,
         )
 
+    def note_answer_of(self, call: runner_call.RunnerCall) -> None:
+        """Take note of the limit that a runner's answer names."""
+        if not call.status or self.dialect.misdirected(call.status):
+            return
+        runner = call.runner
+        text = self.dialect.rate_limit_text(call.headers)
+        limit_per_s = None
+        if text is not None:
+            limit_per_s = rate_limit.read_limit(text)
+        if text is not None and limit_per_s is None:
+            LOG.warning(
+                'a limit cannot be read',
+                extra={'runner': runner.runner_id, 'text': text[:80]},
+            )
+            return
+        load = self.view.load(runner.runner_id)
+        if limit_per_s == load.limit_per_s:
+            return
+        LOG.info(
+            'runner limits its requests',
+            extra={
+                'runner': runner.runner_id,
+                'limit_per_s': limit_per_s,
+                'before': load.limit_per_s,
+                'own_requests': load.requests,
+            },
+        )
+        load.limit_per_s = limit_per_s
+
     async def note_broken(
         self,
         request: caller_request.CallerRequest,
--- a/limpetroute/forwarding/plain_forward.py
+++ b/limpetroute/forwarding/plain_forward.py
@@ -115,6 +115,7 @@
         try:
             with context.sending(self._request, runner):
                 failed = await call.open(self._request, note)
+                context.note_answer_of(call)
                 body: bytes | runner_call.SendFailure = b''
                 if failed is None:
                     body = await call.read(
--- a/limpetroute/forwarding/prompt_reading.py
+++ b/limpetroute/forwarding/prompt_reading.py
@@ -112,6 +112,7 @@
         try:
             with context.sending(self._request, runner, part='prefill'):
                 failed = await call.open(self._request, note)
+                context.note_answer_of(call)
                 if failed is None:
                     handle, failed = await self._read_handle(call)
         finally:
--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -271,6 +271,7 @@
         )
         with context.sending(self._request, runner, part='decode'):
             failed = await call.open(self._request, note)
+            context.note_answer_of(call)
             result = failed.result if failed else None
             if failed is None and call.status >= runner_call.HTTP_SERVER_ERROR:
                 result = send_result.SendResult.FAILED
--- a/limpetroute/platform/header_names.py
+++ b/limpetroute/platform/header_names.py
@@ -14,6 +14,8 @@
 # ID:TOKENS of each part of the prompt, in order. The last part is the
 # caller's own, so its ID names the prompt; the others are shared.
 PROMPT_PREFIX = 'Prompt-Prefix'
+# Requests a second that a runner takes from all hosts together.
+SERVER_LIMIT = 'Server-Limit'
 STAGE = 'Stage'
 # ADDRESS/HANDLE of a prefill's result.
 KV_FROM = 'Kv-From'
--- a/limpetroute/platform/http_dialect.py
+++ b/limpetroute/platform/http_dialect.py
@@ -81,6 +81,10 @@
         """Return whether another runner than the one meant answers."""
         return status == HTTP_MISDIRECTED
 
+    def rate_limit_text(self, headers: httputil.HTTPHeaders) -> str | None:
+        """Return the limit that a runner names, as it wrote it."""
+        return headers.get(header_names.SERVER_LIMIT)
+
     def belongs(
         self,
         request: caller_request.CallerRequest,
--- a/limpetroute/routing/runner_load.py
+++ b/limpetroute/routing/runner_load.py
@@ -30,6 +30,9 @@
         Smoothed time of its plain answers; 0 while unknown.
     failing_since_s : float
         Time of the first of the failures in a row.
+    limit_per_s : float or None
+        Requests a second that it takes from all hosts together, as its
+        last answer here says.
     """
 
     requests: int = 0
@@ -38,6 +41,7 @@
     rests_until_s: float = 0.0
     answer_s: float = 0.0
     failing_since_s: float = 0.0
+    limit_per_s: float | None = None
 
     def note_failure(self, now_s: float) -> None:
         """Count a failure and leave the runner alone for a while."""
