--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -29,6 +29,8 @@
         # (time, body, request's id) of each request that ran.
         self.arrivals = []
         self.crashes_s = []
+        # Requests a second that it says it takes; None for no limit.
+        self.limit_per_s = None
         self._lives = 0
         self._first_name = name
         self._doors = set()
@@ -132,6 +134,7 @@
             'Runner-Stamp': self.name,
             'Request-Id': request_id,
             'Content-Length': str(len(body)),
+            **self._limit(),
         }
         await self._write(writer, _head(200, headers) + body)
 
@@ -142,6 +145,7 @@
             'Runner-Stamp': self.name,
             'Request-Id': request_id,
             'Transfer-Encoding': 'chunked',
+            **self._limit(),
         }
         await self._write(writer, _head(200, headers))
         for number in range(after + 1, EVENTS + 1):
@@ -151,6 +155,11 @@
             await asyncio.sleep(EVENT_S)
         await self._write(writer, b'0\r\n\r\n')
 
+    def _limit(self):
+        if self.limit_per_s is None:
+            return {}
+        return {'Server-Limit': str(self.limit_per_s)}
+
     async def _write(self, writer, data):
         if writer in self._silent:
             await asyncio.sleep(30)
--- /dev/null
+++ b/tests/whole_path/fleet.py
@@ -0,0 +1,101 @@
+"""Three control hosts, two entry hosts and runners, for tests."""
+
+import asyncio
+
+from limpetroute.wire import connection
+from tests.soak import world as world_module
+
+BASE = 18
+ALWAYS = 1_000_000
+
+
+class Fleet:
+    """The processes, and what callers ask of them."""
+
+    def __init__(self, folder):
+        self.world = world_module.World(folder, BASE)
+        self._beats = []
+        self._asked = 0
+
+    async def __aenter__(self):
+        await self.world.start()
+        self._beats = [
+            asyncio.create_task(self._beat(one)) for one in self.world.runners
+        ]
+        await world_module.wait_until(self._submit, 15, 'the first routes')
+        for host in range(world_module.FORWARDS):
+            await world_module.wait_until(
+                lambda host=host: self._serves(host), 15, 'a first answer'
+            )
+        return self
+
+    async def __aexit__(self, *exc):
+        for task in self._beats:
+            task.cancel()
+        self.world.end()
+
+    def make_fatal(self, body, times=ALWAYS):
+        """Have a request crash each runner that runs it, so often."""
+        fatal = {body: times}
+        for one in self.world.runners:
+            one.fatal = fatal
+
+    def kill_all(self):
+        """Kill all hosts and start them again; no group is founded."""
+        processes = [*self.world.controls, *self.world.forwards]
+        for process in processes:
+            process.end()
+        for process in self.world.controls:
+            process.change(may_found=False)
+        for process in processes:
+            process.start()
+
+    def arrivals_s(self, body):
+        found = [
+            at_s
+            for one in self.world.runners
+            for at_s, arrived, _ in one.arrivals
+            if arrived == body
+        ]
+        return sorted(found)
+
+    async def ask(self, host, path, body):
+        """Return the status, Retry-After and body of one attempt."""
+        self._asked += 1
+        headers = {
+            'Host': 'h.example',
+            'Request-Id': f'q{self._asked}',
+            'Deadline-Ms': '4000',
+        }
+        if path.startswith('/stream/'):
+            headers['Token-Usage'] = '100,120'
+        address = self.world.entry_urls[host % world_module.FORWARDS]
+        link = connection.Connection(host=address[0], port=address[1])
+        failed = await link.send(
+            method='POST',
+            path=path,
+            headers=headers,
+            body=body,
+            timeout_s=5.0,
+        )
+        if failed is not None:
+            return 0, 0.0, b''
+        got = b''
+        async for chunk in link.chunks(idle_timeout_s=5.0):
+            got += chunk
+        link.close()
+        return link.status, float(link.headers.get('Retry-After', 0)), got
+
+    async def _submit(self):
+        body = world_module.routes(1)
+        return await self.world.to_control('PUT', '/api/config', body)
+
+    async def _serves(self, host):
+        plain = await self.ask(host, '/safe/x', b'first')
+        stream = await self.ask(host, '/stream/x', b'first')
+        return (plain[0], stream[0]) == (200, 200)
+
+    async def _beat(self, one):
+        while True:
+            await self.world.beat(one)
+            await asyncio.sleep(0.2)
