--- a/limpetroute/forwarding/quarantine_client.py
+++ b/limpetroute/forwarding/quarantine_client.py
@@ -10,6 +10,7 @@
 from limpetroute.forwarding import caller_request
 from limpetroute.routing import quarantine
 from limpetroute.routing import runner_info
+from limpetroute.routing import runner_life
 from limpetroute.wire import caller
 
 LOG = logging.getLogger(__name__)
@@ -67,7 +68,7 @@
         self._told: frozenset[str] = frozenset()
         self._waits_until_s: dict[str, float] = {}
         self._untold: collections.OrderedDict[
-            quarantine.RunnerLife, dict[str, bool]
+            runner_life.RunnerLife, dict[str, bool]
         ] = collections.OrderedDict()
         self._unclear: dict[str, None] = {}
         self._task: asyncio.Task[None] | None = None
@@ -111,9 +112,7 @@
         begun: bool,
     ) -> None:
         """Take note of a request under which a runner crashed."""
-        life = quarantine.RunnerLife(
-            runner_id=runner.runner_id, started_ms=runner.started_ms
-        )
+        life = runner.life
         fingerprint = request.fingerprint
         suspect = quarantine.Suspect(fingerprint=fingerprint, begun=begun)
         self._own.note_crash(life, [suspect])
@@ -216,7 +215,7 @@
     async def _tell_crashes(
         self,
         crashes: typing.Mapping[
-            quarantine.RunnerLife, typing.Mapping[str, bool]
+            runner_life.RunnerLife, typing.Mapping[str, bool]
         ],
     ) -> bool:
         rows = [
--- a/limpetroute/routing/quarantine.py
+++ b/limpetroute/routing/quarantine.py
@@ -5,6 +5,8 @@
 import enum
 import typing
 
+from limpetroute.routing import runner_life
+
 # Crashes of runners after which a request is no longer sent.
 MAX_CRASHES = 3
 # Times that a quarantined request may be tried once more, whatever the
@@ -17,14 +19,6 @@
 KEPT_REQUESTS = 256
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class RunnerLife:
-    """One life of a runner, from a start to its end."""
-
-    runner_id: str
-    started_ms: int
-
-
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Suspect:
     """A request that was at a runner when it crashed.
@@ -71,9 +65,9 @@
     """
 
     def __init__(self) -> None:
-        self._crashes: collections.OrderedDict[RunnerLife, dict[str, bool]] = (
-            collections.OrderedDict()
-        )
+        self._crashes: collections.OrderedDict[
+            runner_life.RunnerLife, dict[str, bool]
+        ] = collections.OrderedDict()
         self._trials: collections.OrderedDict[str, int] = (
             collections.OrderedDict()
         )
@@ -106,7 +100,7 @@
         return self._trials.get(fingerprint, 0)
 
     def note_crash(
-        self, life: RunnerLife, suspects: typing.Iterable[Suspect]
+        self, life: runner_life.RunnerLife, suspects: typing.Iterable[Suspect]
     ) -> None:
         """Take a crash, or more of the requests that were there."""
         known = self._crashes.setdefault(life, {})
@@ -164,7 +158,9 @@
     def load(self, body: typing.Mapping[str, typing.Any]) -> None:
         """Take what `dump` returned, into an empty table."""
         for runner_id, started_ms, suspects in body['crashes']:
-            life = RunnerLife(runner_id=runner_id, started_ms=started_ms)
+            life = runner_life.RunnerLife(
+                runner_id=runner_id, started_ms=started_ms
+            )
             self._crashes[life] = suspects
         self._trials.update(body['trials'])
 
--- a/limpetroute/routing/runner_info.py
+++ b/limpetroute/routing/runner_info.py
@@ -4,6 +4,7 @@
 import json
 
 from limpetroute.decisions import stage as stage_module
+from limpetroute.routing import runner_life
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -40,6 +41,13 @@
     stage: stage_module.Stage | None
     started_ms: int = 0
 
+    @property
+    def life(self) -> runner_life.RunnerLife:
+        """The life that it is in now."""
+        return runner_life.RunnerLife(
+            runner_id=self.runner_id, started_ms=self.started_ms
+        )
+
     @property
     def host(self) -> str:
         """The IP address."""
--- a/tests/routing/test_quarantine.py
+++ b/tests/routing/test_quarantine.py
@@ -8,12 +8,13 @@
 import pytest
 
 from limpetroute.routing import quarantine
+from limpetroute.routing import runner_life
 
 Trial = quarantine.Trial
 
 
 def _life(number):
-    return quarantine.RunnerLife(runner_id=f'r{number}', started_ms=number)
+    return runner_life.RunnerLife(runner_id=f'r{number}', started_ms=number)
 
 
 def _crash(table, number, *silent, begun=()):
@@ -44,7 +45,7 @@
 def test_another_start_of_a_runner_is_another_crash():
     table = quarantine.Quarantine()
     for started_ms in (1, 2, 3):
-        life = quarantine.RunnerLife(runner_id='r', started_ms=started_ms)
+        life = runner_life.RunnerLife(runner_id='r', started_ms=started_ms)
         suspect = quarantine.Suspect(fingerprint='bad', begun=False)
         table.note_crash(life, [suspect])
     assert 'bad' in table
