Keep requests within the limits that runners name

Callers saw nothing yet; runners in need got ten times what they said that they take (46 requests in four seconds where 27 were allowed), and would have failed next.

Cause: nothing read the limit. Class: a bound of the whole fleet that no host can keep by itself. Ruled out: hosts that each keep to it (arrivals did not fall when it was named), second sends on top (calls that are never sent twice broke it alike).

Weighed: an even part for each host. It leaves most of a limit unused where callers are spread nine to one, and 3 a second have no parts for 200 hosts.

Change: the host that leads gives out a limited runner's requests one by one, to hosts that have one to send; streams and prompts read apart are placed within the limit by the same count. A refused host is told a turn of its own and sends elsewhere until then; where no runner is left, the caller is refused at once with that time. Without a leader in reach a host sends three tenths of its even share.

--- /dev/null
+++ b/limpetroute/border/limit_bodies.py
@@ -0,0 +1,33 @@
+"""What entry hosts post about limits that runners name."""
+
+import pydantic
+
+from limpetroute.border import strict_model
+from limpetroute.routing import rate_limit
+from limpetroute.routing import runner_life
+from limpetroute.routing import runner_limits
+
+
+class LimitBody(strict_model.StrictModel):
+    """``POST /v1/limits``: what a runner named, and whether one is to be sent.
+
+    ``age_s`` is how long ago its answer came.
+    """
+
+    runner_id: str = pydantic.Field(min_length=1, max_length=200)
+    started_ms: int = pydantic.Field(ge=0)
+    limit_per_s: float | None = pydantic.Field(
+        ge=0, le=rate_limit.MAX_LIMIT_PER_S, allow_inf_nan=False
+    )
+    age_s: float = pydantic.Field(ge=0, allow_inf_nan=False)
+    takes: bool
+
+    def report(self, now_s: float) -> runner_limits.Report:
+        """Return what it says."""
+        return runner_limits.Report(
+            life=runner_life.RunnerLife(
+                runner_id=self.runner_id, started_ms=self.started_ms
+            ),
+            limit_per_s=self.limit_per_s,
+            heard_s=now_s - self.age_s,
+        )
--- a/limpetroute/dispatch/dispatcher.py
+++ b/limpetroute/dispatch/dispatcher.py
@@ -11,6 +11,7 @@
 from limpetroute.dispatch import stage_orders
 from limpetroute.routing import placement
 from limpetroute.routing import runner_info
+from limpetroute.routing import runner_limits
 from limpetroute.routing import service as service_module
 from limpetroute.routing import stream_scheduler
 from limpetroute.telemetry import boot_clock
@@ -62,6 +63,7 @@
             dialect=dialect,
             http=caller.Caller(),
         )
+        self._limits = runner_limits.RunnerLimits()
         self._schedulers: dict[str, stream_scheduler.StreamScheduler] = {}
         self._pending: dict[str, _Pending] = {}
         self._passes: set[str] = set()
@@ -133,6 +135,29 @@
             scheduler.end(end, boot_clock.now_s())
             self._request_pass(service)
 
+    def take_limited(
+        self, report: runner_limits.Report, *, takes: bool
+    ) -> float | None:
+        """Return when a host may send to a limited runner; None if now.
+
+        Parameters
+        ----------
+        report : Report
+            What the runner named, as the host heard it.
+        takes : bool
+            Whether the host has a request to send.
+        """
+        self._note_term()
+        now_s = boot_clock.now_s()
+        runner_id = report.life.runner_id
+        self._limits.note(report, now_s)
+        if not takes:
+            return None
+        if self._limits.has_token(runner_id, now_s):
+            self._limits.take(runner_id, now_s)
+            return None
+        return self._limits.turn_s(runner_id, now_s)
+
     def adopt(
         self, place: placement.Placement, ask: placement.PlacementRequest
     ) -> None:
@@ -166,6 +191,7 @@
         self._led_term = term
         self._adopts_until_s = boot_clock.now_s() + ADOPT_S
         self._schedulers.clear()
+        self._limits = runner_limits.RunnerLimits()
         self._orders.begin_term(term, boot_clock.now_s())
         LOG.info('dispatching', extra={'term': term})
 
@@ -179,7 +205,9 @@
         found = self._services.get(service)
         if found is None or found.engine is None:
             return None
-        scheduler = stream_scheduler.StreamScheduler(engine=found.engine)
+        scheduler = stream_scheduler.StreamScheduler(
+            engine=found.engine, limits=self._limits
+        )
         self._schedulers[service] = scheduler
         return scheduler
 
--- a/limpetroute/dispatch/part.py
+++ b/limpetroute/dispatch/part.py
@@ -40,6 +40,7 @@
             web.url('/v1/places/end', place_handlers.EndHandler, args),
             web.url('/v1/places/read', place_handlers.ReadHandler, args),
             web.url('/v1/places/held', place_handlers.HeldHandler, args),
+            web.url('/v1/limits', place_handlers.LimitHandler, args),
         ]
 
     def start(self) -> None:
--- a/limpetroute/dispatch/place_handlers.py
+++ b/limpetroute/dispatch/place_handlers.py
@@ -7,9 +7,11 @@
 import tornado.web
 
 from limpetroute.border import errors
+from limpetroute.border import limit_bodies
 from limpetroute.border import place_bodies
 from limpetroute.dispatch import dispatcher as dispatcher_module
 from limpetroute.routing import placement
+from limpetroute.telemetry import boot_clock
 
 HTTP_BAD_REQUEST = 400
 HTTP_MISDIRECTED = 421
@@ -99,3 +101,22 @@
         for one in body.held:
             self.dispatcher.adopt(one.place(), one.asked.ask())
         self.set_status(204)
+
+
+class LimitHandler(_Handler):
+    """``POST /v1/limits``."""
+
+    def post(self) -> None:
+        """Take what a runner named, and say whether one may be sent."""
+        body = self.parse(limit_bodies.LimitBody)
+        if body is None:
+            return
+        assert isinstance(body, limit_bodies.LimitBody)
+        if not self.dispatcher.leads:
+            self.set_status(HTTP_MISDIRECTED)
+            self.finish({'reason': 'this host does not lead'})
+            return
+        wait_s = self.dispatcher.take_limited(
+            body.report(boot_clock.now_s()), takes=body.takes
+        )
+        self.finish({'allowed': wait_s is None, 'wait_s': wait_s or 0.0})
--- a/limpetroute/forwarding/forward_context.py
+++ b/limpetroute/forwarding/forward_context.py
@@ -12,6 +12,7 @@
 from limpetroute.forwarding import dialect as dialect_module
 from limpetroute.forwarding import fleet_view
 from limpetroute.forwarding import forward_meters
+from limpetroute.forwarding import limit_client
 from limpetroute.forwarding import quarantine_client
 from limpetroute.forwarding import responder as responder_module
 from limpetroute.forwarding import runner_call
@@ -46,6 +47,8 @@
         Gives streams their places.
     quarantine : QuarantineClient
         Knows the requests under which runners crash.
+    limits : LimitClient
+        Keeps to the limits that runners name.
     dialect : Dialect
         How callers and runners are spoken to.
     meters : ForwardMeters
@@ -65,6 +68,7 @@
         watch: control_watch.ControlWatch,
         places: scheduler_client.SchedulerClient,
         quarantine: quarantine_client.QuarantineClient,
+        limits: limit_client.LimitClient,
         dialect: dialect_module.Dialect,
         meters: forward_meters.ForwardMeters,
         zone: str,
@@ -74,6 +78,7 @@
         self.view = view
         self.places = places
         self.quarantine = quarantine
+        self.limits = limits
         self.dialect = dialect
         self.meters = meters
         self.zone = zone
@@ -191,19 +196,7 @@
                 extra={'runner': runner.runner_id, 'text': text[:80]},
             )
             return
-        load = self.view.load(runner.runner_id)
-        if limit_per_s == load.limit_per_s:
-            return
-        LOG.info(
-            'runner limits its requests',
-            extra={
-                'runner': runner.runner_id,
-                'limit_per_s': limit_per_s,
-                'before': load.limit_per_s,
-                'own_requests': load.requests,
-            },
-        )
-        load.limit_per_s = limit_per_s
+        self.limits.note(runner, limit_per_s)
 
     async def note_broken(
         self,
--- /dev/null
+++ b/limpetroute/forwarding/limit_client.py
@@ -0,0 +1,224 @@
+"""Keeps what this host sends within the limits that runners name."""
+
+import asyncio
+import dataclasses
+import logging
+import typing
+
+from limpetroute.forwarding import fleet_view
+from limpetroute.routing import rate_limit
+from limpetroute.routing import runner_info
+from limpetroute.routing import runner_life
+from limpetroute.wire import call_failed
+from limpetroute.wire import caller
+
+LOG = logging.getLogger(__name__)
+
+CONNECT_TRIES_S = (0.1,)
+CALL_TIMEOUT_S = 0.15
+# A leader that did not answer is not waited for by each request.
+UNREACHABLE_S = 0.5
+# Part of its even share that a host without a leader sends: others may
+# still be given theirs by a leader that it cannot reach.
+LOCAL_PART = 0.3
+# What the leader was told is told again after this long, if it still is so.
+TELL_AGAIN_S = 1.0
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Heard:
+    limit_per_s: float | None
+    heard_s: float
+    told_s: float = 0.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Answer:
+    allowed: bool
+    wait_s: float
+
+
+class LimitClient:
+    """Keeps what this host sends within the limits that runners name.
+
+    The leader gives out a limited runner's requests one by one. Without a
+    leader in reach, this host sends a part of its even share.
+
+    Parameters
+    ----------
+    http : Caller
+        Makes the calls.
+    view : FleetView
+        What is known of runners.
+    entry_hosts : callable
+        Returns how many hosts send.
+    """
+
+    def __init__(
+        self,
+        *,
+        http: caller.Caller,
+        view: fleet_view.FleetView,
+        entry_hosts: typing.Callable[[], int],
+    ) -> None:
+        self._http = http
+        self._view = view
+        self._entry_hosts = entry_hosts
+        self._leader_url = ''
+        self._unreachable_until_s = 0.0
+        self._heard: dict[runner_life.RunnerLife, _Heard] = {}
+        self._own: dict[runner_life.RunnerLife, rate_limit.TokenBucket] = {}
+        self._tasks: set[asyncio.Task[typing.Any]] = set()
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(runners={len(self._heard)!r})'
+
+    def follow(self, leader_url: str) -> None:
+        """Take note of who leads, and tell a new leader what is known."""
+        if leader_url == self._leader_url:
+            return
+        self._leader_url = leader_url
+        self._unreachable_until_s = 0.0
+        if not leader_url:
+            return
+        for life, heard in list(self._heard.items()):
+            self._tell_aside(life, heard)
+
+    def note(
+        self, runner: runner_info.RunnerInfo, limit_per_s: float | None
+    ) -> None:
+        """Take note of the limit, or of none, in a runner's answer."""
+        load = self._view.load(runner.runner_id)
+        heard = self._heard.get(runner.life)
+        if limit_per_s is None and heard is None:
+            return
+        if limit_per_s != load.limit_per_s:
+            LOG.info(
+                'runner limits its requests',
+                extra={
+                    'runner': runner.runner_id,
+                    'limit_per_s': limit_per_s,
+                    'before': load.limit_per_s,
+                    'own_requests': load.requests,
+                },
+            )
+        load.limit_per_s = limit_per_s
+        now_s = _now_s()
+        told_s = heard.told_s if heard else 0.0
+        is_new = heard is None or heard.limit_per_s != limit_per_s
+        heard = _Heard(limit_per_s=limit_per_s, heard_s=now_s, told_s=told_s)
+        self._heard[runner.life] = heard
+        if limit_per_s is None:
+            load.limited_until_s = 0.0
+            self._own.pop(runner.life, None)
+        if is_new or now_s - told_s > TELL_AGAIN_S:
+            self._tell_aside(runner.life, heard)
+        self._forget_gone()
+
+    async def take(self, runner: runner_info.RunnerInfo) -> bool:
+        """Return whether a request may be sent to a runner now.
+
+        Where it may not, the runner's load says until when.
+        """
+        load = self._view.load(runner.runner_id)
+        if load.limit_per_s is None:
+            return True
+        heard = self._heard.get(runner.life)
+        if heard is None or load.is_limited(_now_s()):
+            return heard is None
+        got = await self._tell(runner.life, heard, takes=True)
+        if got is None:
+            return self._take_own(runner, load.limit_per_s)
+        self._own.pop(runner.life, None)
+        if got.allowed:
+            return True
+        load.limited_until_s = _now_s() + got.wait_s
+        return False
+
+    def take_alone(self, runner: runner_info.RunnerInfo) -> bool:
+        """Return whether a request may be sent that no leader gave out."""
+        limit_per_s = self._view.load(runner.runner_id).limit_per_s
+        return limit_per_s is None or self._take_own(runner, limit_per_s)
+
+    def _take_own(
+        self, runner: runner_info.RunnerInfo, limit_per_s: float
+    ) -> bool:
+        now_s = _now_s()
+        hosts = max(1, self._entry_hosts())
+        rate_per_s = max(limit_per_s, rate_limit.LEAST_PER_S)
+        rate_per_s *= LOCAL_PART / hosts
+        bucket = self._own.get(runner.life)
+        if bucket is None:
+            bucket = rate_limit.TokenBucket(rate_per_s=rate_per_s, now_s=now_s)
+            self._own[runner.life] = bucket
+        bucket.change(rate_per_s, now_s)
+        if bucket.has_token(now_s):
+            bucket.take(now_s)
+            return True
+        load = self._view.load(runner.runner_id)
+        wait_s = min(bucket.wait_s(now_s), UNREACHABLE_S)
+        load.limited_until_s = now_s + wait_s
+        return False
+
+    def _tell_aside(self, life: runner_life.RunnerLife, heard: _Heard) -> None:
+        task = asyncio.create_task(self._tell(life, heard, takes=False))
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    async def _tell(
+        self, life: runner_life.RunnerLife, heard: _Heard, *, takes: bool
+    ) -> _Answer | None:
+        """Tell the leader, and return its answer; None if there is none."""
+        now_s = _now_s()
+        if not self._leader_url or now_s < self._unreachable_until_s:
+            return None
+        heard.told_s = now_s
+        got = await self._http.call(
+            method='POST',
+            url=f'{self._leader_url}/v1/limits',
+            body={
+                'runner_id': life.runner_id,
+                'started_ms': life.started_ms,
+                'limit_per_s': heard.limit_per_s,
+                'age_s': max(0.0, now_s - heard.heard_s),
+                'takes': takes,
+            },
+            timeout_s=CALL_TIMEOUT_S,
+            connect_tries_s=CONNECT_TRIES_S,
+        )
+        if not isinstance(got, call_failed.CallFailed) and got.ok:
+            try:
+                body: dict[str, typing.Any] = got.json()
+                answer = _Answer(
+                    allowed=bool(body['allowed']),
+                    wait_s=float(body['wait_s']),
+                )
+                if heard.limit_per_s is None:
+                    # Told again with each answer until it is known.
+                    self._heard.pop(life, None)
+                return answer
+            except (ValueError, KeyError, TypeError) as exc:
+                reason = str(exc)
+        elif isinstance(got, call_failed.CallFailed):
+            reason = got.kind.value
+        else:
+            reason = f'status {got.status}'
+        heard.told_s = 0.0
+        self._unreachable_until_s = _now_s() + UNREACHABLE_S
+        LOG.info(
+            'the leader does not answer for limits',
+            extra={'url': self._leader_url, 'reason': reason},
+        )
+        return None
+
+    def _forget_gone(self) -> None:
+        """Forget runners that have left or started again."""
+        for life in list(self._heard):
+            known = self._view.runner(life.runner_id)
+            if known is None or known.life != life:
+                self._heard.pop(life)
+                self._own.pop(life, None)
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/limpetroute/forwarding/own_answer.py
+++ b/limpetroute/forwarding/own_answer.py
@@ -32,6 +32,7 @@
 STARTING_RETRY_AFTER_S = 1.5
 
 
+LIMITED = 'runners take no more for now'
 QUARANTINED = 'runners crashed under this request'
 
 
--- a/limpetroute/forwarding/placement_session.py
+++ b/limpetroute/forwarding/placement_session.py
@@ -204,7 +204,7 @@
         may_read = prefill or local_placement.may_self_read_alone(
             ask, entry_hosts=context.entry_hosts
         )
-        if decode is None or not may_read:
+        if decode is None or not may_read or not self._take(decode, prefill):
             return placement.Rejection(
                 request_id=ask.request_id,
                 retry_after_s=1.0,
@@ -220,6 +220,17 @@
         )
         return AssignedRunners(decode=decode, prefill=prefill)
 
+    def _take(
+        self,
+        decode: runner_info.RunnerInfo,
+        prefill: runner_info.RunnerInfo | None,
+    ) -> bool:
+        """Return whether limits let this host send to both now."""
+        limits = self._context.limits
+        if prefill is not None and not limits.take_alone(prefill):
+            return False
+        return limits.take_alone(decode)
+
     def _log_alone(
         self,
         ask: placement.PlacementRequest,
--- a/limpetroute/forwarding/plain_forward.py
+++ b/limpetroute/forwarding/plain_forward.py
@@ -73,8 +73,10 @@
         while True:
             runner = self._choose()
             if runner is None:
-                await self._end(next_step.Step.REFUSE, 'no runner')
+                await self._end_without_runner()
                 return
+            if not await self._context.limits.take(runner):
+                continue
             if not await self._gate.may_send():
                 await self._end(
                     next_step.Step.REFUSE,
@@ -89,6 +91,18 @@
                 await self._end(step, 'after a send')
                 return
 
+    async def _end_without_runner(self) -> None:
+        wait_s = plain_choice.limit_wait_s(
+            self._context.view.runners(self._service),
+            loads=self._context.view.loads,
+            tried=self._tried,
+            now_s=_now_s(),
+        )
+        if wait_s:
+            await self._end(next_step.Step.REFUSE, own_answer.LIMITED, wait_s)
+            return
+        await self._end(next_step.Step.REFUSE, 'no runner')
+
     def _choose(self) -> runner_info.RunnerInfo | None:
         context = self._context
         return plain_choice.choose(
--- a/limpetroute/forwarding/server.py
+++ b/limpetroute/forwarding/server.py
@@ -14,6 +14,7 @@
 from limpetroute.forwarding import forward_meters
 from limpetroute.forwarding import forwarder as forwarder_module
 from limpetroute.forwarding import front_server
+from limpetroute.forwarding import limit_client
 from limpetroute.forwarding import quarantine_client
 from limpetroute.forwarding import scheduler_client
 from limpetroute.forwarding import side_port
@@ -80,13 +81,20 @@
             urls=self._control_urls,
             host_id=settings.host_id,
             quarantine=quarantine,
-            on_leader=places.follow,
+            on_leader=self._follow,
+        )
+        self._places = places
+        self._limits = limit_client.LimitClient(
+            http=http,
+            view=self.view,
+            entry_hosts=lambda: self.watch.entry_hosts,
         )
         self._context = forward_context.ForwardContext(
             view=self.view,
             watch=self.watch,
             places=places,
             quarantine=quarantine,
+            limits=self._limits,
             dialect=dialect,
             meters=forward_meters.ForwardMeters(meter=self._exports.meter),
             zone=settings.zone,
@@ -164,6 +172,10 @@
         await self._front.close()
         self._side.close()
 
+    def _follow(self, leader_url: str) -> None:
+        self._places.follow(leader_url)
+        self._limits.follow(leader_url)
+
     def _apply_limits(self, plan: route_plan.RoutePlan) -> None:
         self._front.apply(plan.limits)
 
--- a/limpetroute/routing/decode_placement.py
+++ b/limpetroute/routing/decode_placement.py
@@ -8,6 +8,7 @@
 from limpetroute.routing import placement
 from limpetroute.routing import reservations
 from limpetroute.routing import runner_info
+from limpetroute.routing import runner_limits
 from limpetroute.routing import service as service_module
 
 # Part of the memory by which a runner of the caller's zone may be fuller
@@ -32,6 +33,8 @@
         Slots that hosts out of reach have taken.
     fleet : Fleet
         The runners that may be used.
+    limits : RunnerLimits
+        Requests a second that runners take.
     """
 
     def __init__(
@@ -41,11 +44,13 @@
         reserved: reservations.Reservations,
         outliers: outlier_detector.OutlierDetector,
         fleet: fleet_module.Fleet,
+        limits: runner_limits.RunnerLimits,
     ) -> None:
         self._engine = engine
         self._reservations = reserved
         self._outliers = outliers
         self._fleet = fleet
+        self._limits = limits
         self.room_checks = 0
 
     def __repr__(self) -> str:
@@ -144,6 +149,8 @@
         hidden = self._outliers.hidden(runner.runner_id, now_s)
         if taken + hidden >= self._engine.slots:
             return None
+        if not self._limits.has_token(runner.runner_id, now_s):
+            return None
         self.room_checks += 1
         room = self._reservations.room_tokens(taken + 1)
         profile = self._reservations.profile(runner.runner_id, now_s)
--- a/limpetroute/routing/fleet.py
+++ b/limpetroute/routing/fleet.py
@@ -7,6 +7,7 @@
 from limpetroute.routing import reservations
 from limpetroute.routing import room_index
 from limpetroute.routing import runner_info
+from limpetroute.routing import runner_limits
 
 
 class Fleet:
@@ -18,6 +19,8 @@
         The slots that are reserved.
     outliers : OutlierDetector
         Which runners are ejected.
+    limits : RunnerLimits
+        Requests a second that runners take.
     """
 
     def __init__(
@@ -25,9 +28,11 @@
         *,
         reserved: reservations.Reservations,
         outliers: outlier_detector.OutlierDetector,
+        limits: runner_limits.RunnerLimits,
     ) -> None:
         self._reservations = reserved
         self._outliers = outliers
+        self._limits = limits
         self._known: list[runner_info.RunnerInfo] = []
         self._changing: frozenset[str] = frozenset()
         self._ready: dict[
@@ -138,4 +143,4 @@
                 }
             else:
                 no_readers = set()
-        return no_decoders, no_readers
+        return no_decoders, no_readers | self._limits.spent(readers, now_s)
--- a/limpetroute/routing/local_placement.py
+++ b/limpetroute/routing/local_placement.py
@@ -74,6 +74,8 @@
         if one.runner_id in tried:
             continue
         load = loads.get(one.runner_id) or runner_load.RunnerLoad()
+        if load.is_limited(now_s):
+            continue
         if load.requests and load.requests >= engine.slots * part:
             continue
         memory_tokens = engine.memory_tokens * min(1.0, part)
@@ -99,7 +101,7 @@
         if not one.ready or one.stage is not stage_module.Stage.PREFILL:
             continue
         load = loads.get(one.runner_id) or runner_load.RunnerLoad()
-        if load.rests(now_s):
+        if load.rests(now_s) or load.is_limited(now_s):
             continue
         rank = (load.tokens, rng.random())
         if best_rank is None or rank < best_rank:
--- a/limpetroute/routing/plain_choice.py
+++ b/limpetroute/routing/plain_choice.py
@@ -26,7 +26,9 @@
     Many hosts choose without knowing of each other. The least loaded by
     the own count, ties by lot, keeps them from all taking the same one.
     A runner that rests after a failure comes last, not never: with all
-    of them resting, one of them is still the best try.
+    of them resting, one of them is still the best try. One whose limit of
+    requests a second is spent is left out: the rest goes elsewhere, or
+    back to its callers.
 
     Parameters
     ----------
@@ -49,6 +51,8 @@
         if not one.ready or one.runner_id in tried:
             continue
         load = loads.get(one.runner_id) or runner_load.RunnerLoad()
+        if load.is_limited(now_s):
+            continue
         waiting = float(load.requests)
         if one.zone == zone:
             waiting -= NEAR_BONUS
@@ -56,3 +60,22 @@
         if best_rank is None or rank < best_rank:
             best, best_rank = one, rank
     return best
+
+
+def limit_wait_s(
+    runners: typing.Iterable[runner_info.RunnerInfo],
+    *,
+    loads: typing.Mapping[str, runner_load.RunnerLoad],
+    tried: typing.Collection[str],
+    now_s: float,
+) -> float:
+    """Return when one of the limited runners takes a request again.
+
+    0 if no runner is left out for its limit alone.
+    """
+    waits_s = [
+        loads[one.runner_id].limited_until_s - now_s
+        for one in runners
+        if one.ready and one.runner_id in loads and one.runner_id not in tried
+    ]
+    return min((one for one in waits_s if one > 0.0), default=0.0)
--- a/limpetroute/routing/runner_load.py
+++ b/limpetroute/routing/runner_load.py
@@ -33,6 +33,8 @@
     limit_per_s : float or None
         Requests a second that it takes from all hosts together, as its
         last answer here says.
+    limited_until_s : float
+        Time before which nothing may be sent within that limit.
     """
 
     requests: int = 0
@@ -42,6 +44,7 @@
     answer_s: float = 0.0
     failing_since_s: float = 0.0
     limit_per_s: float | None = None
+    limited_until_s: float = 0.0
 
     def note_failure(self, now_s: float) -> None:
         """Count a failure and leave the runner alone for a while."""
@@ -65,6 +68,10 @@
             return 0.0
         return now_s - self.failing_since_s
 
+    def is_limited(self, now_s: float) -> bool:
+        """Return whether the runner takes no request now."""
+        return now_s < self.limited_until_s
+
     def rests(self, now_s: float) -> bool:
         """Return whether the runner is left alone."""
         return now_s < self.rests_until_s
--- a/limpetroute/routing/stream_scheduler.py
+++ b/limpetroute/routing/stream_scheduler.py
@@ -13,6 +13,7 @@
 from limpetroute.routing import room_probe
 from limpetroute.routing import runner_choice
 from limpetroute.routing import runner_info
+from limpetroute.routing import runner_limits
 from limpetroute.routing import service as service_module
 from limpetroute.routing import stage_rates
 from limpetroute.routing import stage_split
@@ -64,10 +65,18 @@
     ----------
     engine : Engine
         Places and memory of the runners.
+    limits : RunnerLimits or None
+        Requests a second that runners take; None for no limits.
     """
 
-    def __init__(self, *, engine: service_module.Engine) -> None:
+    def __init__(
+        self,
+        *,
+        engine: service_module.Engine,
+        limits: runner_limits.RunnerLimits | None = None,
+    ) -> None:
         self._engine = engine
+        self._limits = limits or runner_limits.RunnerLimits()
         self._reservations = reservations.Reservations(engine=engine)
         guess = stage_rates.first_guess(engine)
         self._prompt_size = usual_size.UsualSize(guess.prompt_tokens)
@@ -80,13 +89,16 @@
             uses=self._reservations.uses
         )
         self._fleet = fleet_module.Fleet(
-            reserved=self._reservations, outliers=self._outliers
+            reserved=self._reservations,
+            outliers=self._outliers,
+            limits=self._limits,
         )
         self._decode_placement = decode_placement.DecodePlacement(
             engine=engine,
             reserved=self._reservations,
             outliers=self._outliers,
             fleet=self._fleet,
+            limits=self._limits,
         )
         self._estimate = wait_estimate.WaitEstimate(
             reserved=self._reservations,
@@ -320,6 +332,9 @@
             decode_id=chosen.decoder.runner_id,
             prefill_id=reader.runner_id if reader else '',
         )
+        self._limits.take(chosen.decoder.runner_id, now_s)
+        if reader is not None:
+            self._limits.take(reader.runner_id, now_s)
         self._waiting.remove(one.request_id)
         self._admission.served(one.ask)
         self._prefill.take(one.ask, reader, chosen.decoder, now_s)
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -12,6 +12,7 @@
 from limpetroute.forwarding import forward_meters
 from limpetroute.forwarding import forwarder
 from limpetroute.forwarding import front_server
+from limpetroute.forwarding import limit_client
 from limpetroute.forwarding import quarantine_client
 from limpetroute.forwarding import scheduler_client
 from limpetroute.platform import http_dialect
@@ -41,11 +42,15 @@
         self.quarantine = quarantine_client.QuarantineClient(
             http=caller.Caller(), urls=list
         )
+        self.limits = limit_client.LimitClient(
+            http=caller.Caller(), view=self.view, entry_hosts=lambda: 1
+        )
         self.context = forward_context.ForwardContext(
             view=self.view,
             watch=OneHost(),
             places=self.places,
             quarantine=self.quarantine,
+            limits=self.limits,
             dialect=self.dialect,
             meters=forward_meters.ForwardMeters(
                 meter=metrics.NoOpMeter('test')
--- a/tests/routing/test_decode_placement.py
+++ b/tests/routing/test_decode_placement.py
@@ -11,6 +11,7 @@
 from limpetroute.routing import outlier_detector
 from limpetroute.routing import placement
 from limpetroute.routing import reservations
+from limpetroute.routing import runner_limits
 from tests.routing import builders
 
 NOW_S = 50.0
@@ -26,13 +27,16 @@
             uses=self.reserved.uses
         )
         self.fleet = fleet.Fleet(
-            reserved=self.reserved, outliers=self.outliers
+            reserved=self.reserved,
+            outliers=self.outliers,
+            limits=runner_limits.RunnerLimits(),
         )
         self.choice = decode_placement.DecodePlacement(
             engine=builders.ENGINE,
             reserved=self.reserved,
             outliers=self.outliers,
             fleet=self.fleet,
+            limits=runner_limits.RunnerLimits(),
         )
         self.runners = [
             builders.make_runner(f'd{n:02}', zone=f'z{n % 3}')
--- a/tests/routing/test_fleet.py
+++ b/tests/routing/test_fleet.py
@@ -5,6 +5,7 @@
 from limpetroute.routing import fleet as fleet_module
 from limpetroute.routing import outlier_detector
 from limpetroute.routing import reservations
+from limpetroute.routing import runner_limits
 from tests.routing import builders
 from tests.routing import work_counter
 
@@ -18,7 +19,9 @@
             uses=self.reserved.uses
         )
         self.fleet = fleet_module.Fleet(
-            reserved=self.reserved, outliers=self.outliers
+            reserved=self.reserved,
+            outliers=self.outliers,
+            limits=runner_limits.RunnerLimits(),
         )
         self.runners = [builders.make_runner(f'd{n}') for n in range(decoders)]
         self.runners += [
--- /dev/null
+++ b/tests/routing/test_runner_limits.py
@@ -0,0 +1,197 @@
+"""Hosts with uneven callers share runners that take few requests."""
+
+import heapq
+import random
+
+import pytest
+
+from limpetroute.routing import runner_life
+from limpetroute.routing import runner_limits
+from limpetroute.routing import stream_scheduler
+from tests.routing import builders
+
+WINDOW_S = 4.0
+
+
+def _report(limit_per_s, heard_s=0.0, name='r', started_ms=1):
+    return runner_limits.Report(
+        life=runner_life.RunnerLife(runner_id=name, started_ms=started_ms),
+        limit_per_s=limit_per_s,
+        heard_s=heard_s,
+    )
+
+
+def _most(times_s):
+    return max(
+        sum(at_s <= one < at_s + WINDOW_S for one in times_s)
+        for at_s in times_s
+    )
+
+
+class Hosts:
+    """Hosts that ask as often as their callers and waits let them."""
+
+    def __init__(self, rates_per_s, limit_at, seed=1):
+        self.rng = random.Random(seed)
+        self.limits = runner_limits.RunnerLimits()
+        self.limit_at = limit_at
+        self.sent_s = []
+        self.asked = 0
+        self._waits_s = [0.0] * len(rates_per_s)
+        self._arrivals = []
+        for host, rate in enumerate(rates_per_s):
+            if rate:
+                heapq.heappush(self._arrivals, (self._gap_s(rate), host, rate))
+
+    def run(self, until_s):
+        while self._arrivals[0][0] < until_s:
+            now_s, host, rate = heapq.heappop(self._arrivals)
+            self._request(host, now_s)
+            heapq.heappush(
+                self._arrivals, (now_s + self._gap_s(rate), host, rate)
+            )
+
+    def _gap_s(self, rate):
+        return self.rng.expovariate(rate)
+
+    def _request(self, host, now_s):
+        if now_s < self._waits_s[host]:
+            return
+        self.asked += 1
+        self.limits.note(_report(self.limit_at(now_s), now_s), now_s)
+        if self.limits.has_token('r', now_s):
+            self.limits.take('r', now_s)
+            self.sent_s.append(now_s)
+            return
+        self._waits_s[host] = now_s + self.limits.turn_s('r', now_s)
+
+
+@pytest.mark.parametrize('seed', range(3))
+@pytest.mark.parametrize('limit_per_s', [0.5, 3.5, 40.0])
+@pytest.mark.parametrize(
+    'rates_per_s',
+    [[90.0, 10.0], [20.0] * 7, [0.5] * 200],
+    ids=['nine to one', 'even', 'many hosts'],
+)
+def test_a_limit_is_used_and_not_exceeded(rates_per_s, limit_per_s, seed):
+    hosts = Hosts(rates_per_s, lambda now_s: limit_per_s, seed)
+    hosts.run(60.0)
+    assert _most(hosts.sent_s) <= 1.5 * limit_per_s * WINDOW_S + 5
+    assert len(hosts.sent_s) >= 0.8 * 60.0 * limit_per_s
+    # No request of a caller costs more than one call to the leader.
+    assert hosts.asked <= 60.0 * sum(rates_per_s) * 1.1
+
+
+def test_limits_that_change_each_second_are_kept():
+    hosts = Hosts([30.0, 3.0], lambda now_s: 2.0 + 8.0 * (int(now_s) % 2))
+    hosts.run(60.0)
+    assert _most(hosts.sent_s) <= 1.5 * 6.0 * WINDOW_S + 5
+    assert len(hosts.sent_s) >= 0.8 * 60.0 * 6.0
+
+
+def test_a_host_that_leaves_takes_no_share_with_it():
+    hosts = Hosts([30.0, 30.0], lambda now_s: 4.0)
+    hosts.run(20.0)
+    hosts._arrivals = [one for one in hosts._arrivals if one[1] == 1]
+    hosts.sent_s.clear()
+    hosts.run(40.0)
+    assert len(hosts.sent_s) >= 0.8 * 20.0 * 4.0
+
+
+def test_a_runner_that_takes_nothing_is_asked_now_and_then():
+    """Never asked, it could not say that it takes requests again."""
+    hosts = Hosts([20.0], lambda now_s: 0.0)
+    hosts.run(60.0)
+    assert 6 <= len(hosts.sent_s) <= 15
+
+
+def test_a_limit_that_is_taken_back_binds_no_more():
+    limits = runner_limits.RunnerLimits()
+    limits.note(_report(1.0, 10.0), 10.0)
+    assert not limits.has_token('r', 10.0)
+    limits.note(_report(None, 11.0), 11.0)
+    assert limits.has_token('r', 11.0)
+    assert limits.turn_s('r', 11.0) == 0.0
+
+
+def test_what_was_heard_before_comes_late_and_changes_nothing():
+    limits = runner_limits.RunnerLimits()
+    limits.note(_report(None, 11.0), 11.0)
+    limits.note(_report(1.0, 10.0), 11.1)
+    assert limits.limit_per_s('r') is None
+
+
+def test_another_life_of_a_runner_has_another_limit():
+    limits = runner_limits.RunnerLimits()
+    limits.note(_report(1.0, 10.0, started_ms=1), 10.0)
+    limits.note(_report(5.0, 9.0, started_ms=2), 10.5)
+    assert limits.limit_per_s('r') == 5.0
+    limits.note(_report(1.0, 12.0, started_ms=1), 12.0)
+    assert limits.limit_per_s('r') == 5.0
+
+
+def test_many_runners_take_a_bounded_place():
+    limits = runner_limits.RunnerLimits()
+    for number in range(runner_limits.KEPT_RUNNERS + 10):
+        limits.note(_report(1.0, name=f'r{number}'), 0.0)
+    assert len(limits._limited) == runner_limits.KEPT_RUNNERS
+    assert limits.limit_per_s('r0') is None
+
+
+RUNNERS = [
+    builders.make_runner('d1'),
+    builders.make_runner('d2'),
+    builders.make_runner('p1', builders.PREFILL),
+    builders.make_runner('p2', builders.PREFILL),
+]
+
+
+class Streams:
+    """A burst of short streams at two decode and two prefill runners."""
+
+    def __init__(self, limits):
+        self.scheduler = stream_scheduler.StreamScheduler(
+            engine=builders.ENGINE, limits=limits
+        )
+        self.placed = []
+        self.count = 0
+
+    def run(self, seconds, per_s):
+        for step in range(int(seconds * per_s)):
+            now_s = step / per_s
+            self.count += 1
+            ask = builders.make_ask(
+                f's{self.count}', prompt_tokens=500, output_tokens=300
+            )
+            self.scheduler.ask(ask, now_s)
+            answers = self.scheduler.decide(RUNNERS, now_s)
+            for one in answers:
+                if hasattr(one, 'decode_id'):
+                    self.placed.append((now_s, one))
+                    self._end(one, now_s)
+
+    def _end(self, place, now_s):
+        release = stream_scheduler.placement.Release(
+            request_id=place.request_id, whole=True
+        )
+        self.scheduler.read(place.request_id, 0, now_s)
+        self.scheduler.end(release, now_s)
+
+    def times_s(self, runner_id):
+        return [
+            at_s
+            for at_s, one in self.placed
+            if runner_id in (one.decode_id, one.prefill_id)
+        ]
+
+
+@pytest.mark.parametrize('name', ['d1', 'p1'])
+def test_the_leader_places_streams_within_a_limit(name):
+    """All of a waiting queue would go to the limited runner in one pass."""
+    limits = runner_limits.RunnerLimits()
+    limits.note(_report(2.0, name=name, started_ms=0), 0.0)
+    streams = Streams(limits)
+    streams.run(20.0, 20.0)
+    assert _most(streams.times_s(name)) <= 1.5 * 2.0 * WINDOW_S + 5
+    assert len(streams.times_s(name)) >= 0.5 * 20.0 * 2.0
+    assert len(streams.placed) >= 0.95 * streams.count
