Refuse a quarantined plain request before anything is taken for it

A limit's token was taken first. Two guards whose removal no test saw have one now: a runner that is cut off is no evidence of a crash, and reports that failed are sent again (the test counted calls that had failed).

--- a/limpetroute/forwarding/plain_forward.py
+++ b/limpetroute/forwarding/plain_forward.py
@@ -75,14 +75,13 @@
             if runner is None:
                 await self._end_without_runner()
                 return
+            if self._gate.is_shut():
+                await self._refuse_quarantined()
+                return
             if not await self._context.limits.take(runner):
                 continue
             if not await self._gate.may_send():
-                await self._end(
-                    next_step.Step.REFUSE,
-                    own_answer.QUARANTINED,
-                    self._gate.retry_after_s,
-                )
+                await self._refuse_quarantined()
                 return
             step = await self._send(runner)
             if step is next_step.Step.RELAY:
@@ -91,6 +90,13 @@
                 await self._end(step, 'after a send')
                 return
 
+    async def _refuse_quarantined(self) -> None:
+        await self._end(
+            next_step.Step.REFUSE,
+            own_answer.QUARANTINED,
+            self._gate.retry_after_s,
+        )
+
     async def _end_without_runner(self) -> None:
         wait_s = plain_choice.limit_wait_s(
             self._context.view.runners(self._service),
--- a/tests/forwarding/test_crash_check.py
+++ b/tests/forwarding/test_crash_check.py
@@ -6,6 +6,8 @@
 from limpetroute.forwarding import crash_check
 from limpetroute.forwarding import fleet_view
 from limpetroute.platform import http_dialect
+from limpetroute.wire import call_failed
+from limpetroute.wire import connection
 from tests.routing import builders
 
 
@@ -49,6 +51,19 @@
     assert not asyncio.run(work())
 
 
+def test_one_that_is_cut_off_answers_nothing_and_is_no_evidence(monkeypatch):
+    """Each cut would count as a crash of all that was there."""
+
+    async def silent(link, tries_s):
+        return call_failed.CallFailed(
+            kind=call_failed.FailureKind.CONNECT, sent=False
+        )
+
+    monkeypatch.setattr(connection.Connection, 'connect', silent)
+    runner = builders.make_runner('r')
+    assert not _crashed(runner, runner)
+
+
 def test_one_that_said_that_it_leaves_has_not_crashed():
     runner = builders.make_runner('r', port=asyncio.run(_closed_port()))
     assert not _crashed(runner, dataclasses.replace(runner, ready=False))
--- a/tests/forwarding/test_quarantine.py
+++ b/tests/forwarding/test_quarantine.py
@@ -17,7 +17,9 @@
     def __init__(self, trial=None):
         self.trial = trial
         self.reachable = True
+        # Calls that were answered, and all of them.
         self.calls = []
+        self.asked = 0
 
     def client(self):
         client = quarantine_client.QuarantineClient(http=None, urls=list)
@@ -25,9 +27,10 @@
         return client
 
     async def _ask(self, path, body):
-        self.calls.append((path, body))
+        self.asked += 1
         if not self.reachable:
             return None
+        self.calls.append((path, body))
         if path.endswith('/trial'):
             return self.trial
         return {'outcome': 'done'}
@@ -96,16 +99,16 @@
         client = control.client()
         _crash(client, count=3)
         await asyncio.sleep(0.05)
-        assert not control.called('/trial')
+        assert control.asked
         control.reachable = True
         await asyncio.sleep(0.1)
         told = control.called('/crashes')[-1]['crashes']
         assert [one['runner_id'] for one in told] == ['r0', 'r1', 'r2']
         fingerprint = _request().fingerprint
         assert all(one['suspects'] == {fingerprint: False} for one in told)
-        count = len(control.calls)
+        count = control.asked
         await asyncio.sleep(0.1)
-        assert len(control.calls) == count
+        assert control.asked == count
 
     asyncio.run(work())
 
