Name the quarantine client's parts in the field's terms

Reports that control hosts refuse as invalid are dropped with an error line instead of being sent again five times a second without end, and failed calls are logged once for each doubling.

--- a/limpetroute/forwarding/quarantine_client.py
+++ b/limpetroute/forwarding/quarantine_client.py
@@ -1,4 +1,4 @@
-"""What this host knows of quarantined requests, and tells of crashes."""
+"""What this host knows of quarantined requests; reports crashes."""
 
 import asyncio
 import collections
@@ -15,14 +15,15 @@
 
 LOG = logging.getLogger(__name__)
 
-# All requests that a crashed runner had are told together: their sends
-# break within some milliseconds.
+# All requests that a crashed runner had are reported together: their
+# sends break within some milliseconds.
 GATHER_S = 0.01
 RETRY_S = 0.2
 CALL_TIMEOUT_S = 1.0
 # What is refused where no control host can be asked whether it may be tried.
 UNSURE_WAIT_S = 1.0
-MAX_UNTOLD = 64
+MAX_UNREPORTED = 64
+HTTP_BAD_REQUEST = 400
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -42,11 +43,10 @@
 
 
 class QuarantineClient:
-    """What this host knows of quarantined requests, and tells of crashes.
+    """What this host knows of quarantined requests; reports crashes.
 
-    The control log has the fleet's word on which requests are quarantined.
-    What this host saw itself counts until it is told otherwise, so one
-    without a leader in reach keeps to its own count.
+    The control log decides which requests are quarantined. Until it has,
+    this host's own count holds, also with no leader in reach.
 
     Parameters
     ----------
@@ -65,39 +65,41 @@
         self._http = http
         self._urls = urls
         self._own = quarantine.Quarantine()
-        self._told: frozenset[str] = frozenset()
+        self._fleet_wide: frozenset[str] = frozenset()
         self._waits_until_s: dict[str, float] = {}
-        self._untold: collections.OrderedDict[
+        self._unreported: collections.OrderedDict[
             runner_life.RunnerLife, dict[str, bool]
         ] = collections.OrderedDict()
-        self._unclear: dict[str, None] = {}
+        self._unreported_clears: dict[str, None] = {}
         self._task: asyncio.Task[None] | None = None
+        self._failed_asks = 0
 
     def __repr__(self) -> str:
-        return f'{type(self).__name__}(told={len(self._told)!r})'
+        return f'{type(self).__name__}(requests={len(self._fleet_wide)!r})'
 
     def receive(self, fingerprints: typing.Iterable[str]) -> None:
         """Take the fleet's quarantined requests."""
-        told = frozenset(fingerprints)
-        for one in self._told - told:
+        received = frozenset(fingerprints)
+        removed = self._fleet_wide - received
+        for one in removed:
             self._own.clear(one)
             self._waits_until_s.pop(one, None)
-        if told != self._told:
+        if received != self._fleet_wide:
             LOG.info(
                 'quarantine changed',
                 extra={
-                    'added': sorted(told - self._told),
-                    'removed': sorted(self._told - told),
+                    'added': sorted(received - self._fleet_wide),
+                    'removed': sorted(removed),
                 },
             )
-        self._told = told
+        self._fleet_wide = received
 
     def holds(self, request: caller_request.CallerRequest) -> bool:
         """Return whether a request is quarantined."""
-        if not self._told and not self._own:
+        if not self._fleet_wide and not self._own:
             return False
         fingerprint = request.fingerprint
-        return fingerprint in self._told or fingerprint in self._own
+        return fingerprint in self._fleet_wide or fingerprint in self._own
 
     def wait_s(self, request: caller_request.CallerRequest) -> float:
         """Return how long a quarantined request surely may not be sent."""
@@ -116,29 +118,31 @@
         fingerprint = request.fingerprint
         suspect = quarantine.Suspect(fingerprint=fingerprint, begun=begun)
         self._own.note_crash(life, [suspect])
-        self._unclear.pop(fingerprint, None)
-        untold = self._untold.setdefault(life, {})
-        if len(untold) < quarantine.KEPT_SUSPECTS:
-            untold[fingerprint] = begun
-        while len(self._untold) > MAX_UNTOLD:
-            self._untold.popitem(last=False)
-        self._tell()
+        self._unreported_clears.pop(fingerprint, None)
+        unreported = self._unreported.setdefault(life, {})
+        if len(unreported) < quarantine.KEPT_SUSPECTS:
+            unreported[fingerprint] = begun
+        while len(self._unreported) > MAX_UNREPORTED:
+            self._unreported.popitem(last=False)
+        self._report()
 
     def note_answered(self, request: caller_request.CallerRequest) -> None:
         """Take note of a request that a runner answered to the end."""
-        if not self._told and not self._own:
+        if not self._fleet_wide and not self._own:
             return
         fingerprint = request.fingerprint
-        known = fingerprint in self._told or self._own.suspects(fingerprint)
+        known = fingerprint in self._fleet_wide or self._own.suspects(
+            fingerprint
+        )
         if not known:
             return
         self._own.clear(fingerprint)
         self._waits_until_s.pop(fingerprint, None)
-        for untold in self._untold.values():
-            untold.pop(fingerprint, None)
-        if len(self._unclear) < MAX_UNTOLD:
-            self._unclear[fingerprint] = None
-        self._tell()
+        for unreported in self._unreported.values():
+            unreported.pop(fingerprint, None)
+        if len(self._unreported_clears) < MAX_UNREPORTED:
+            self._unreported_clears[fingerprint] = None
+        self._report()
 
     async def ask_trial(
         self, request: caller_request.CallerRequest
@@ -148,7 +152,7 @@
         wait_s = self.wait_s(request)
         if wait_s:
             return Verdict(allowed=False, wait_s=wait_s)
-        if self._untold:
+        if self._unreported:
             # Asked before its crashes are known there, it would pass for
             # one that was never quarantined.
             return Verdict(allowed=False, wait_s=UNSURE_WAIT_S)
@@ -182,37 +186,37 @@
             self._waits_until_s[fingerprint] = now_s + wait_s
         return Verdict(allowed=False, wait_s=wait_s)
 
-    def _tell(self) -> None:
+    def _report(self) -> None:
         if self._task is None or self._task.done():
-            self._task = asyncio.create_task(self._tell_all())
+            self._task = asyncio.create_task(self._report_all())
 
-    async def _tell_all(self) -> None:
-        """Tell what the control hosts do not know yet, until they do."""
+    async def _report_all(self) -> None:
+        """Report until the control hosts know everything."""
         await asyncio.sleep(GATHER_S)
-        while self._untold or self._unclear:
-            if not await self._tell_once():
+        while self._unreported or self._unreported_clears:
+            if not await self._report_once():
                 await asyncio.sleep(RETRY_S)
 
-    async def _tell_once(self) -> bool:
-        if self._untold:
-            told = {life: dict(s) for life, s in self._untold.items() if s}
-            if told and not await self._tell_crashes(told):
+    async def _report_once(self) -> bool:
+        if self._unreported:
+            sent = {life: dict(s) for life, s in self._unreported.items() if s}
+            if sent and not await self._report_crashes(sent):
                 return False
-            for life in list(self._untold):
+            for life in list(self._unreported):
                 # More of the same crash may have come meanwhile.
-                if self._untold[life] == told.get(life, {}):
-                    del self._untold[life]
+                if self._unreported[life] == sent.get(life, {}):
+                    del self._unreported[life]
             return True
-        fingerprint = next(iter(self._unclear))
+        fingerprint = next(iter(self._unreported_clears))
         got = await self._ask(
             '/v1/quarantine/clear', {'fingerprint': fingerprint}
         )
         if got is None:
             return False
-        self._unclear.pop(fingerprint, None)
+        self._unreported_clears.pop(fingerprint, None)
         return True
 
-    async def _tell_crashes(
+    async def _report_crashes(
         self,
         crashes: typing.Mapping[
             runner_life.RunnerLife, typing.Mapping[str, bool]
@@ -239,12 +243,25 @@
             urls=urls, http=self._http, try_s=CALL_TIMEOUT_S / 2
         )
         got = await client.ask(path=path, body=body, timeout_s=CALL_TIMEOUT_S)
-        if isinstance(got, control_client.Answered) and got.status < 300:
+        if isinstance(got, control_client.Answered):
+            self._failed_asks = 0
+            if got.status == HTTP_BAD_REQUEST:
+                # Sent again, it would be refused again.
+                LOG.error(
+                    'control hosts refuse a report',
+                    extra={'path': path, 'reason': str(got.body)[:200]},
+                )
             return got.body
-        LOG.info(
-            'control hosts do not answer for the quarantine',
-            extra={'path': path, 'reason': str(got)[:200]},
-        )
+        self._failed_asks += 1
+        if self._failed_asks.bit_count() == 1:
+            LOG.info(
+                'control hosts do not answer for the quarantine',
+                extra={
+                    'path': path,
+                    'reason': got.reason,
+                    'failed_asks': self._failed_asks,
+                },
+            )
         return None
 
 
--- a/tests/forwarding/test_quarantine.py
+++ b/tests/forwarding/test_quarantine.py
@@ -204,9 +204,9 @@
         control = Control()
         control.reachable = False
         client = control.client()
-        for number in range(3 * quarantine_client.MAX_UNTOLD):
+        for number in range(3 * quarantine_client.MAX_UNREPORTED):
             _crash(client, b'%d' % number, count=1, first=number)
-        assert len(client._untold) == quarantine_client.MAX_UNTOLD
+        assert len(client._unreported) == quarantine_client.MAX_UNREPORTED
         for number in range(2 * quarantine.KEPT_REQUESTS):
             client._refuse(f'f{number}', 5.0)
         assert len(client._waits_until_s) == quarantine.KEPT_REQUESTS
