--- a/limpetroute/border/limit_bodies.py
+++ b/limpetroute/border/limit_bodies.py
@@ -29,5 +29,5 @@
                 runner_id=self.runner_id, started_ms=self.started_ms
             ),
             limit_per_s=self.limit_per_s,
-            heard_s=now_s - self.age_s,
+            received_s=now_s - self.age_s,
         )
--- a/limpetroute/forwarding/limit_client.py
+++ b/limpetroute/forwarding/limit_client.py
@@ -21,15 +21,15 @@
 # Part of its even share that a host without a leader sends: others may
 # still be given theirs by a leader that it cannot reach.
 LOCAL_PART = 0.3
-# What the leader was told is told again after this long, if it still is so.
-TELL_AGAIN_S = 1.0
+# A limit that a runner still names is reported again after this long.
+REPORT_AGAIN_S = 1.0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
-class _Heard:
+class _KnownLimit:
     limit_per_s: float | None
-    heard_s: float
-    told_s: float = 0.0
+    received_s: float
+    reported_s: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -66,31 +66,31 @@
         self._entry_hosts = entry_hosts
         self._leader_url = ''
         self._unreachable_until_s = 0.0
-        self._heard: dict[runner_life.RunnerLife, _Heard] = {}
+        self._known: dict[runner_life.RunnerLife, _KnownLimit] = {}
         self._own: dict[runner_life.RunnerLife, rate_limit.TokenBucket] = {}
         self._tasks: set[asyncio.Task[typing.Any]] = set()
 
     def __repr__(self) -> str:
-        return f'{type(self).__name__}(runners={len(self._heard)!r})'
+        return f'{type(self).__name__}(runners={len(self._known)!r})'
 
     def follow(self, leader_url: str) -> None:
-        """Take note of who leads, and tell a new leader what is known."""
+        """Take note of who leads, and report all limits to a new leader."""
         if leader_url == self._leader_url:
             return
         self._leader_url = leader_url
         self._unreachable_until_s = 0.0
         if not leader_url:
             return
-        for life, heard in list(self._heard.items()):
-            self._tell_aside(life, heard)
+        for life, known in list(self._known.items()):
+            self._report_soon(life, known)
 
     def note(
         self, runner: runner_info.RunnerInfo, limit_per_s: float | None
     ) -> None:
         """Take note of the limit, or of none, in a runner's answer."""
         load = self._view.load(runner.runner_id)
-        heard = self._heard.get(runner.life)
-        if limit_per_s is None and heard is None:
+        known = self._known.get(runner.life)
+        if limit_per_s is None and known is None:
             return
         if limit_per_s != load.limit_per_s:
             LOG.info(
@@ -104,15 +104,17 @@
             )
         load.limit_per_s = limit_per_s
         now_s = _now_s()
-        told_s = heard.told_s if heard else 0.0
-        is_new = heard is None or heard.limit_per_s != limit_per_s
-        heard = _Heard(limit_per_s=limit_per_s, heard_s=now_s, told_s=told_s)
-        self._heard[runner.life] = heard
+        reported_s = known.reported_s if known else 0.0
+        is_new = known is None or known.limit_per_s != limit_per_s
+        known = _KnownLimit(
+            limit_per_s=limit_per_s, received_s=now_s, reported_s=reported_s
+        )
+        self._known[runner.life] = known
         if limit_per_s is None:
             load.limited_until_s = 0.0
             self._own.pop(runner.life, None)
-        if is_new or now_s - told_s > TELL_AGAIN_S:
-            self._tell_aside(runner.life, heard)
+        if is_new or now_s - reported_s > REPORT_AGAIN_S:
+            self._report_soon(runner.life, known)
         self._forget_gone()
 
     async def take(self, runner: runner_info.RunnerInfo) -> bool:
@@ -123,10 +125,12 @@
         load = self._view.load(runner.runner_id)
         if load.limit_per_s is None:
             return True
-        heard = self._heard.get(runner.life)
-        if heard is None or load.is_limited(_now_s()):
-            return heard is None
-        got = await self._tell(runner.life, heard, takes=True)
+        known = self._known.get(runner.life)
+        if known is None:
+            return True
+        if load.is_limited(_now_s()):
+            return False
+        got = await self._report(runner.life, known, takes=True)
         if got is None:
             return self._take_own(runner, load.limit_per_s)
         self._own.pop(runner.life, None)
@@ -160,27 +164,29 @@
         load.limited_until_s = now_s + wait_s
         return False
 
-    def _tell_aside(self, life: runner_life.RunnerLife, heard: _Heard) -> None:
-        task = asyncio.create_task(self._tell(life, heard, takes=False))
+    def _report_soon(
+        self, life: runner_life.RunnerLife, known: _KnownLimit
+    ) -> None:
+        task = asyncio.create_task(self._report(life, known, takes=False))
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    async def _tell(
-        self, life: runner_life.RunnerLife, heard: _Heard, *, takes: bool
+    async def _report(
+        self, life: runner_life.RunnerLife, known: _KnownLimit, *, takes: bool
     ) -> _Answer | None:
-        """Tell the leader, and return its answer; None if there is none."""
+        """Report a limit; return the leader's answer, None without one."""
         now_s = _now_s()
         if not self._leader_url or now_s < self._unreachable_until_s:
             return None
-        heard.told_s = now_s
+        known.reported_s = now_s
         got = await self._http.call(
             method='POST',
             url=f'{self._leader_url}/v1/limits',
             body={
                 'runner_id': life.runner_id,
                 'started_ms': life.started_ms,
-                'limit_per_s': heard.limit_per_s,
-                'age_s': max(0.0, now_s - heard.heard_s),
+                'limit_per_s': known.limit_per_s,
+                'age_s': max(0.0, now_s - known.received_s),
                 'takes': takes,
             },
             timeout_s=CALL_TIMEOUT_S,
@@ -193,9 +199,9 @@
                     allowed=bool(body['allowed']),
                     wait_s=float(body['wait_s']),
                 )
-                if heard.limit_per_s is None:
-                    # Told again with each answer until it is known.
-                    self._heard.pop(life, None)
+                if known.limit_per_s is None:
+                    # Reported with each answer until it arrived.
+                    self._known.pop(life, None)
                 return answer
             except (ValueError, KeyError, TypeError) as exc:
                 reason = str(exc)
@@ -203,7 +209,7 @@
             reason = got.kind.value
         else:
             reason = f'status {got.status}'
-        heard.told_s = 0.0
+        known.reported_s = 0.0
         self._unreachable_until_s = _now_s() + UNREACHABLE_S
         LOG.info(
             'the leader does not answer for limits',
@@ -213,10 +219,10 @@
 
     def _forget_gone(self) -> None:
         """Forget runners that have left or started again."""
-        for life in list(self._heard):
-            known = self._view.runner(life.runner_id)
-            if known is None or known.life != life:
-                self._heard.pop(life)
+        for life in list(self._known):
+            runner = self._view.runner(life.runner_id)
+            if runner is None or runner.life != life:
+                self._known.pop(life)
                 self._own.pop(life, None)
 
 
--- a/limpetroute/routing/runner_limits.py
+++ b/limpetroute/routing/runner_limits.py
@@ -24,13 +24,13 @@
         The runner.
     limit_per_s : float or None
         Requests a second; None once it names no limit.
-    heard_s : float
+    received_s : float
         When its answer came, by a steady clock.
     """
 
     life: runner_life.RunnerLife
     limit_per_s: float | None
-    heard_s: float
+    received_s: float
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -66,7 +66,7 @@
                 return
             known = _Limited(report=report, bucket=None)
             self._limited[runner_id] = known
-        elif report.heard_s < known.report.heard_s:
+        elif report.received_s < known.report.received_s:
             return
         self._limited.move_to_end(runner_id)
         known.report = report
--- a/tests/forwarding/test_limits.py
+++ b/tests/forwarding/test_limits.py
@@ -109,7 +109,7 @@
 def test_that_a_limit_is_taken_back_is_told_until_it_is_known(monkeypatch):
     """The leader would place streams by a limit that is gone."""
     monkeypatch.setattr(limit_client, 'UNREACHABLE_S', 0.0)
-    monkeypatch.setattr(limit_client, 'TELL_AGAIN_S', 0.0)
+    monkeypatch.setattr(limit_client, 'REPORT_AGAIN_S', 0.0)
 
     async def work():
         leader = Leader()
--- a/tests/routing/test_runner_limits.py
+++ b/tests/routing/test_runner_limits.py
@@ -13,11 +13,11 @@
 WINDOW_S = 4.0
 
 
-def _report(limit_per_s, heard_s=0.0, name='r', started_ms=1):
+def _report(limit_per_s, received_s=0.0, name='r', started_ms=1):
     return runner_limits.Report(
         life=runner_life.RunnerLife(runner_id=name, started_ms=started_ms),
         limit_per_s=limit_per_s,
-        heard_s=heard_s,
+        received_s=received_s,
     )
 
 
