--- a/limpetroute/forwarding/forward_context.py
+++ b/limpetroute/forwarding/forward_context.py
@@ -19,7 +19,6 @@
 from limpetroute.forwarding import scheduler_client
 from limpetroute.routing import last_streams
 from limpetroute.routing import next_step
-from limpetroute.routing import rate_limit
 from limpetroute.routing import route as route_module
 from limpetroute.routing import runner_info
 from limpetroute.routing import send_budget
@@ -185,18 +184,9 @@
         """Take note of the limit that a runner's answer names."""
         if not call.status or self.dialect.misdirected(call.status):
             return
-        runner = call.runner
-        text = self.dialect.rate_limit_text(call.headers)
-        limit_per_s = None
-        if text is not None:
-            limit_per_s = rate_limit.read_limit(text)
-        if text is not None and limit_per_s is None:
-            LOG.warning(
-                'a limit cannot be read',
-                extra={'runner': runner.runner_id, 'text': text[:80]},
-            )
-            return
-        self.limits.note(runner, limit_per_s)
+        self.limits.note_answer(
+            call.runner, self.dialect.rate_limit_text(call.headers)
+        )
 
     async def note_broken(
         self,
--- a/limpetroute/forwarding/limit_client.py
+++ b/limpetroute/forwarding/limit_client.py
@@ -84,6 +84,28 @@
         for life, known in list(self._known.items()):
             self._report_soon(life, known)
 
+    def note_answer(
+        self, runner: runner_info.RunnerInfo, text: str | None
+    ) -> None:
+        """Take what a runner's answer says of its limit, None for nothing.
+
+        What cannot be read changes nothing, and is logged once.
+        """
+        if text is None:
+            self.note(runner, None)
+            return
+        limit_per_s = rate_limit.read_limit(text)
+        if limit_per_s is not None:
+            self.note(runner, limit_per_s)
+            return
+        load = self._view.load(runner.runner_id)
+        if load.unreadable_limit != text:
+            load.unreadable_limit = text
+            LOG.warning(
+                'a limit cannot be read',
+                extra={'runner': runner.runner_id, 'text': text[:80]},
+            )
+
     def note(
         self, runner: runner_info.RunnerInfo, limit_per_s: float | None
     ) -> None:
--- a/limpetroute/routing/runner_load.py
+++ b/limpetroute/routing/runner_load.py
@@ -35,6 +35,8 @@
         last answer here says.
     limited_until_s : float
         Time before which nothing may be sent within that limit.
+    unreadable_limit : str
+        The last text in place of a limit that was none.
     """
 
     requests: int = 0
@@ -45,6 +47,7 @@
     failing_since_s: float = 0.0
     limit_per_s: float | None = None
     limited_until_s: float = 0.0
+    unreadable_limit: str = ''
 
     def note_failure(self, now_s: float) -> None:
         """Count a failure and leave the runner alone for a while."""
