--- a/limpetroute/control/watch_handler.py
+++ b/limpetroute/control/watch_handler.py
@@ -45,19 +45,18 @@
         rows, index = state.runners.next_after(after, MAX_ROWS)
         if index >= state.runners.changed_index:
             index = max(index, state.routes_index, state.quarantine_index)
-        quarantined = None
-        if state.quarantine_index > after:
-            quarantined = state.quarantine.requests
-        return {
+        body: dict[str, object] = {
             'index': index,
             'in_touch': self._is_in_touch(),
             'routes': self._notice(version),
-            'quarantined': quarantined,
             'runners': [dataclasses.asdict(row) for row in rows],
             'urls': self.node.urls,
             'entry_hosts': self._entry_hosts(),
             'leader_url': self._leader_url(),
         }
+        if state.quarantine_index > after:
+            body['quarantined'] = state.quarantine.requests
+        return body
 
     def _notice(self, version: int) -> dict[str, object] | None:
         """Return the news of the routes.
