Log what was expected of a stream beside what it saw

The logs could not tell two hypotheses of the incident apart: prompts read on a wrong speed, or the load alone. A placement now carries what the leader expected: the wait there, the first event, whether that is in time, the streams beside it, their pause while its prompt is read, and the speed taken for that. The leader logs it with the decision, the entry host beside first_event_ms, and both are histograms: first_event_error, longest_pause. No decision changes.

--- a/limpetroute/dispatch/dispatcher.py
+++ b/limpetroute/dispatch/dispatcher.py
@@ -302,6 +302,16 @@
 def _detail(answer: Answer) -> dict[str, typing.Any]:
     body = dataclasses.asdict(answer)
     del body['request_id']
+    expected = body.pop('forecast', None)
+    if expected is not None:
+        body.update(
+            queued_ms=round(expected['queued_s'] * 1000),
+            expected_first_ms=round(expected['first_event_s'] * 1000),
+            in_time=expected['in_time'],
+            beside=expected['beside'],
+            pause_beside_ms=round(expected['pause_s'] * 1000),
+            read_tokens_per_s=round(expected['read_tokens_per_s']),
+        )
     return body
 
 
--- a/limpetroute/forwarding/forward_meters.py
+++ b/limpetroute/forwarding/forward_meters.py
@@ -21,6 +21,10 @@
 )
 
 
+# First events that come sooner than expected, and later.
+ERROR_BOUNDS_S = (-0.5, -0.2, -0.1, -0.05, 0.0, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0)
+
+
 class ForwardMeters:
     """Counters and histograms of the forwarder.
 
@@ -46,6 +50,18 @@
             description="From a request to its stream's first event.",
             explicit_bucket_boundaries_advisory=ANSWER_BOUNDS_S,
         )
+        self._first_event_errors = meter.create_histogram(
+            'limpetroute_first_event_error',
+            unit='s',
+            description='By how much first events come later than expected.',
+            explicit_bucket_boundaries_advisory=ERROR_BOUNDS_S,
+        )
+        self._longest_pauses = meter.create_histogram(
+            'limpetroute_longest_pause',
+            unit='s',
+            description="Longest time between two of an answer's events.",
+            explicit_bucket_boundaries_advisory=ANSWER_BOUNDS_S,
+        )
         self._sends = meter.create_counter(
             'limpetroute_sends',
             description='Sends to runners, by part and result.',
@@ -67,6 +83,14 @@
         """Record a stream's first event."""
         self._first_events.record(seconds)
 
+    def first_event_error(self, seconds: float) -> None:
+        """Record by how much a first event came later than expected."""
+        self._first_event_errors.record(seconds)
+
+    def longest_pause(self, seconds: float) -> None:
+        """Record an answer's longest time between two events."""
+        self._longest_pauses.record(seconds)
+
     def sent(self, part: str, result: str) -> None:
         """Count a send to a runner."""
         self._sends.add(1, {'part': part, 'result': result})
--- a/limpetroute/forwarding/placement_session.py
+++ b/limpetroute/forwarding/placement_session.py
@@ -8,6 +8,7 @@
 from limpetroute.forwarding import caller_request
 from limpetroute.forwarding import forward_context
 from limpetroute.forwarding import scheduler_client
+from limpetroute.routing import forecast as forecast_module
 from limpetroute.routing import local_placement
 from limpetroute.routing import placement
 from limpetroute.routing import route as route_module
@@ -28,10 +29,11 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class AssignedRunners:
-    """The runners of one stream."""
+    """The runners of one stream, and what is expected of it."""
 
     decode: runner_info.RunnerInfo
     prefill: runner_info.RunnerInfo | None
+    forecast: forecast_module.Forecast | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -174,7 +176,9 @@
             prefill = view.runner(place.prefill_id)
         if prefill is not None and not prefill.ready:
             prefill = None
-        return AssignedRunners(decode=decode, prefill=prefill)
+        return AssignedRunners(
+            decode=decode, prefill=prefill, forecast=place.forecast
+        )
 
     def _decide_alone(
         self, ask: placement.PlacementRequest
--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -13,6 +13,7 @@
 from limpetroute.forwarding import responder as responder_module
 from limpetroute.forwarding import runner_call
 from limpetroute.forwarding import stream_relay
+from limpetroute.routing import forecast
 from limpetroute.routing import next_step
 from limpetroute.routing import placement
 from limpetroute.routing import reservations
@@ -207,7 +208,7 @@
                     return self._after_failed_reading(rooms.prefill)
                 self._readings += 1
                 places.note_read()
-            return await self._decode(call, source)
+            return await self._decode(call, source, rooms.forecast)
         finally:
             call.close()
             reading.free_unless_taken()
@@ -257,6 +258,7 @@
         self,
         call: runner_call.RunnerCall,
         source: prompt_reading.Reading | None,
+        expected: forecast.Forecast | None,
     ) -> next_step.Step:
         context = self._context
         begun_s = _now_s()
@@ -282,6 +284,8 @@
                     call, may_leave=self._history.another_may_follow
                 )
         self._judge(runner, result, source, _now_s() - begun_s)
+        if result is send_result.SendResult.ANSWERED:
+            self._measure(expected, resumed=events_before > 0)
         if result is send_result.SendResult.BROKEN:
             await context.note_broken(
                 self._request,
@@ -300,6 +304,7 @@
             events=self._relay.count,
             first_event_ms=self._relay.first_event_ms,
             longest_gap_ms=self._relay.longest_gap_ms,
+            expected_first_ms=_expected_ms(expected),
             asked_tokens=self._tokens(),
         )
         if step is next_step.Step.RELAY and not self._responder.finished:
@@ -310,6 +315,17 @@
             self._sends_to_gone += 1
         return step
 
+    def _measure(
+        self, expected: forecast.Forecast | None, *, resumed: bool
+    ) -> None:
+        """Record how a whole answer compares with what was expected."""
+        meters = self._context.meters
+        meters.longest_pause(self._relay.longest_gap_ms / 1000)
+        first_ms = self._relay.first_event_ms
+        if expected is None or first_ms is None or resumed:
+            return
+        meters.first_event_error(first_ms / 1000 - expected.first_event_s)
+
     async def _is_gone(
         self, runner: runner_info.RunnerInfo, result: send_result.SendResult
     ) -> bool:
@@ -392,5 +408,11 @@
         )
 
 
+def _expected_ms(expected: forecast.Forecast | None) -> int | None:
+    if expected is None:
+        return None
+    return round(expected.first_event_s * 1000)
+
+
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
--- a/limpetroute/routing/placement.py
+++ b/limpetroute/routing/placement.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+from limpetroute.routing import forecast as forecast_module
+
 # Of a stream whose first event is due within 0.9 s.
 USUAL_SILENCE_S = 3.6
 
@@ -89,11 +91,14 @@
         The decode runner.
     prefill_id : str
         The prefill runner; empty if the decode runner reads itself.
+    forecast : Forecast or None
+        What is expected; None where nobody decided for all hosts.
     """
 
     request_id: str
     decode_id: str
     prefill_id: str
+    forecast: forecast_module.Forecast | None = None
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/limpetroute/routing/prefill_queue.py
+++ b/limpetroute/routing/prefill_queue.py
@@ -139,6 +139,33 @@
         )
         return stream_times.OVERHEAD_S + ask.tokens_to_read / speed
 
+    def speed(self, reader: runner_info.RunnerInfo | None) -> float:
+        """Return the tokens a second that a prompt is read at.
+
+        Parameters
+        ----------
+        reader : RunnerInfo or None
+            The prefill runner; None if a decode runner reads it.
+        """
+        if reader is None:
+            return self.self_read_tokens_per_s
+        return self._speed(reader.runner_id)
+
+    def pause_beside_s(
+        self,
+        ask: placement.PlacementRequest,
+        reader: runner_info.RunnerInfo | None,
+    ) -> float:
+        """Return the longest time between two events beside its prefill."""
+        if reader is not None:
+            return 0.0
+        read_s = ask.tokens_to_read / self.self_read_tokens_per_s
+        return reading_pause.pause_s(
+            read_s,
+            event_s=self._reservations.event_s,
+            pace_beside=self.pace_beside_reading,
+        )
+
     @property
     def self_read_tokens_per_s(self) -> float:
         """How fast decode runners read prompts themselves.
--- a/limpetroute/routing/reading_pause.py
+++ b/limpetroute/routing/reading_pause.py
@@ -37,6 +37,21 @@
     return pace_beside >= LEAST_PACE
 
 
+def pause_s(read_s: float, *, event_s: float, pace_beside: float) -> float:
+    """Return the longest time between two events beside a reading.
+
+    Parameters
+    ----------
+    read_s : float
+        How long the reading takes.
+    event_s : float
+        The usual time between two events.
+    pace_beside : float
+        How fast streams go on, as a part of their usual speed.
+    """
+    return min(event_s / pace_beside, event_s + read_s * (1 - pace_beside))
+
+
 def longest_reading_s(
     limit_s: float, *, event_s: float, pace_beside: float
 ) -> float:
--- a/limpetroute/routing/stream_scheduler.py
+++ b/limpetroute/routing/stream_scheduler.py
@@ -6,6 +6,7 @@
 from limpetroute.routing import admission
 from limpetroute.routing import decode_placement
 from limpetroute.routing import fleet as fleet_module
+from limpetroute.routing import forecast
 from limpetroute.routing import outlier_detector
 from limpetroute.routing import placement
 from limpetroute.routing import prefill_queue
@@ -331,6 +332,7 @@
             request_id=one.request_id,
             decode_id=chosen.decoder.runner_id,
             prefill_id=reader.runner_id if reader else '',
+            forecast=self._forecast(one, chosen, now_s),
         )
         self._limits.take(chosen.decoder.runner_id, now_s)
         if reader is not None:
@@ -344,6 +346,22 @@
         self._fleet.update(now_s)
         return place
 
+    def _forecast(
+        self,
+        one: waiting_stream.WaitingStream,
+        chosen: runner_choice.Chosen,
+        now_s: float,
+    ) -> forecast.Forecast:
+        decode_id = chosen.decoder.runner_id
+        return forecast.Forecast(
+            queued_s=now_s - one.sent_s - one.ask.waited_s,
+            first_event_s=chosen.ready_s - one.sent_s,
+            in_time=chosen.ready_s <= one.target_s,
+            beside=self._reservations.streams(decode_id),
+            pause_s=self._prefill.pause_beside_s(one.ask, chosen.reader),
+            read_tokens_per_s=self._prefill.speed(chosen.reader),
+        )
+
     # Rejection
 
     def _reject_hopeless(
