Reproduce the incident on engines of our own, failing

FleetPlay runs the scheduler against BatchEngine, a runner that goes on in steps and reads prompts in pieces between them.

--- /dev/null
+++ b/limpetroute/bench/fleet_play.py
@@ -0,0 +1,461 @@
+"""Plays streams on engines that come and go, through the scheduler."""
+
+import collections
+import dataclasses
+import functools
+import heapq
+import itertools
+import math
+import random
+import typing
+
+from limpetroute.bench import batch_engine
+from limpetroute.decisions import stage as stage_module
+from limpetroute.routing import placement
+from limpetroute.routing import runner_info
+from limpetroute.routing import service as service_module
+from limpetroute.routing import stream_scheduler
+
+# Between an entry host and the leader or a runner, and back.
+HOP_S = 0.004
+TICK_S = 0.005
+LOOK_S = 0.05
+# A silent runner is left after this long.
+SILENT_S = 1.0
+# Callers wait as told, up to this part of the time they have left.
+KEPT_PART = 1 / 3
+# A prompt that a prefill runner has read before is in its cache.
+CACHED_READ_S = 0.003
+TARGET_S = 0.9
+PAUSE_TARGET_S = 0.3
+SILENCE_S = 3.6
+PATIENCE_S = 14.0
+LATE_WORTH = 11 / 54
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class Load:
+    """Streams that come.
+
+    Parameters
+    ----------
+    streams_per_s : tuple of (float, float)
+        From when on how many come a second.
+    until_s : float
+        When the last one comes.
+    """
+
+    streams_per_s: tuple[tuple[float, float], ...]
+    until_s: float
+
+    def rate(self, now_s: float) -> float:
+        """Return how many come a second at a moment."""
+        found = 0.0
+        for since_s, rate in self.streams_per_s:
+            if now_s >= since_s:
+                found = rate
+        return found
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class Caller:
+    """A caller's stream, and what it saw of its answer.
+
+    Parameters
+    ----------
+    name : str
+        Names its prompt.
+    sent_s : float
+        When it was sent for the first time.
+    prompt_tokens, said_tokens, tokens : int
+        Length of the prompt, and of the answer as said and as it is.
+    """
+
+    name: str
+    sent_s: float
+    prompt_tokens: int
+    said_tokens: int
+    tokens: int
+    attempt: int = 0
+    waits_since_s: float = 0.0
+    written: int = 0
+    first_s: float | None = None
+    last_s: float | None = None
+    longest_pause_s: float = 0.0
+    decode_id: str = ''
+    expected_on_time: bool = False
+    refused: int = 0
+    refused_at_s: list[float] = dataclasses.field(default_factory=list)
+    whole: bool = False
+    over: bool = False
+
+    @property
+    def request_id(self) -> str:
+        """Names this attempt."""
+        return f'{self.name}/{self.attempt}'
+
+    @property
+    def size(self) -> float:
+        """What its answer is worth beside others."""
+        return self.prompt_tokens + 10.0 * self.tokens
+
+    @property
+    def on_time(self) -> bool:
+        """Whether its answer is whole, and was good all the while."""
+        return (
+            self.whole
+            and self.first_s is not None
+            and self.first_s - self.sent_s <= TARGET_S
+            and self.longest_pause_s <= PAUSE_TARGET_S
+        )
+
+
+class FleetPlay:
+    """Plays streams on engines that come and go.
+
+    Parameters
+    ----------
+    seed : int
+        For lengths and times.
+    load : Load
+        Streams that come.
+    shape : EngineShape
+        The engines.
+    memory_tokens : int
+        Their memory.
+    """
+
+    def __init__(
+        self,
+        *,
+        seed: int,
+        load: Load,
+        shape: batch_engine.EngineShape,
+        memory_tokens: int = 135_015,
+    ) -> None:
+        self._rng = random.Random(seed)
+        self._load = load
+        self._shape = shape
+        self.scheduler = stream_scheduler.StreamScheduler(
+            engine=service_module.Engine(
+                slots=shape.slots,
+                memory_tokens=memory_tokens,
+                tokens_per_event=shape.tokens_per_event,
+                handle_life_s=0.5,
+                stage_change_s=6.0,
+            )
+        )
+        self.callers: list[Caller] = []
+        self._by_request: dict[str, Caller] = {}
+        self._engines: dict[str, batch_engine.BatchEngine] = {}
+        self._prefill_free_s: dict[str, float] = {}
+        self._cached: dict[str, set[str]] = {}
+        self._runners: dict[str, runner_info.RunnerInfo] = {}
+        self._dark: set[str] = set()
+        self._numbers = itertools.count()
+        self._agenda: list[tuple[float, int, typing.Callable[[], object]]] = []
+        self.now_s = 0.0
+        self.counts: collections.Counter[str] = collections.Counter()
+        self._plan_callers()
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(now_s={self.now_s!r})'
+
+    def at(self, at_s: float, do: typing.Callable[[], object]) -> None:
+        """Have something done at a moment."""
+        heapq.heappush(self._agenda, (at_s, next(self._numbers), do))
+
+    # The fleet
+
+    def add(
+        self,
+        runner_id: str,
+        stage: stage_module.Stage,
+        *,
+        shape: batch_engine.EngineShape | None = None,
+    ) -> None:
+        """Add a runner."""
+        self._runners[runner_id] = runner_info.RunnerInfo(
+            runner_id=runner_id,
+            service='model',
+            address='127.0.0.1:1',
+            zone='',
+            slots=self._shape.slots,
+            ready=True,
+            stage=stage,
+        )
+        if stage is stage_module.Stage.PREFILL:
+            self._prefill_free_s[runner_id] = self.now_s
+            self._cached[runner_id] = set()
+            return
+        self._engines[runner_id] = batch_engine.BatchEngine(
+            shape=shape or self._shape, now_s=self.now_s
+        )
+
+    def drain(self, runner_id: str) -> None:
+        """Give a runner no new streams; it finishes those it has."""
+        self._runners[runner_id] = dataclasses.replace(
+            self._runners[runner_id], ready=False
+        )
+
+    def go_dark(self, runner_id: str) -> None:
+        """Have a runner send nothing more."""
+        self._dark.add(runner_id)
+        at_s = self.now_s + SILENT_S
+        for caller in self.callers:
+            if caller.decode_id == runner_id and not caller.over:
+                attempt = caller.request_id
+                self.at(at_s, functools.partial(self._left, caller, attempt))
+
+    def remove(self, runner_id: str) -> None:
+        """Take a runner from the fleet."""
+        self._runners.pop(runner_id, None)
+
+    # The play
+
+    def run(self) -> None:
+        """Play until all callers are gone."""
+        look_s = 0.0
+        while self._agenda or any(not one.over for one in self.callers):
+            self.now_s += TICK_S
+            asked = False
+            while self._agenda and self._agenda[0][0] <= self.now_s:
+                _, _, do = heapq.heappop(self._agenda)
+                do()
+                asked = True
+            for runner_id, engine in self._engines.items():
+                if runner_id in self._dark:
+                    continue
+                for event in engine.advance(self.now_s):
+                    asked = self._event(event) or asked
+            if asked or self.now_s >= look_s:
+                look_s = self.now_s + LOOK_S
+                self._decide()
+
+    def _plan_callers(self) -> None:
+        now_s = 0.0
+        while True:
+            rate = self._load.rate(now_s)
+            now_s += self._rng.expovariate(rate)
+            if now_s >= self._load.until_s:
+                return
+            events = min(130, self._draw(70.0))
+            tokens = max(1, round(events)) * self._shape.tokens_per_event
+            said = tokens * self._rng.lognormvariate(0.0, 0.5)
+            caller = Caller(
+                name=f's{len(self.callers)}',
+                sent_s=now_s,
+                prompt_tokens=200 + min(11_000, round(self._draw(5000.0))),
+                said_tokens=max(1, round(said)),
+                tokens=tokens,
+            )
+            self.callers.append(caller)
+            self.at(now_s + HOP_S, functools.partial(self._ask, caller))
+
+    def _draw(self, mean: float) -> float:
+        return mean * self._rng.lognormvariate(-0.125, 0.5)
+
+    def _ask(self, caller: Caller) -> None:
+        if caller.over:
+            return
+        if caller.last_s is not None or caller.refused:
+            since_s = max(caller.waits_since_s, caller.last_s or 0.0)
+        else:
+            since_s = caller.sent_s
+        caller.waits_since_s = since_s
+        caller.attempt += 1
+        self._by_request[caller.request_id] = caller
+        written = caller.written
+        most = 130 * self._shape.tokens_per_event
+        self.scheduler.ask(
+            placement.PlacementRequest(
+                request_id=caller.request_id,
+                service='model',
+                prompt_tokens=caller.prompt_tokens,
+                output_tokens=min(most, caller.said_tokens),
+                most_output_tokens=most,
+                waited_s=self.now_s - since_s,
+                target_s=TARGET_S,
+                patience_s=PATIENCE_S - (since_s - caller.sent_s),
+                goes_on=bool(written),
+                written_tokens=written,
+                prompt_id=caller.name,
+                pause_target_s=PAUSE_TARGET_S,
+                silence_s=SILENCE_S,
+            ),
+            self.now_s,
+        )
+        name = caller.request_id
+        self.at(
+            since_s + SILENCE_S, functools.partial(self._leave, caller, name)
+        )
+
+    def _leave(self, caller: Caller, request_id: str) -> None:
+        """Have a caller leave that has seen nothing for too long."""
+        if caller.over or caller.request_id != request_id:
+            return
+        last_s = max(caller.waits_since_s, caller.last_s or 0.0)
+        if self.now_s < last_s + SILENCE_S - TICK_S:
+            self.at(
+                last_s + SILENCE_S,
+                functools.partial(self._leave, caller, request_id),
+            )
+            return
+        caller.over = True
+        self.counts['left'] += 1
+        self.scheduler.withdraw(request_id)
+        if caller.decode_id:
+            self._engines[caller.decode_id].cancel(request_id)
+
+    def _left(self, caller: Caller, request_id: str) -> None:
+        """Give a stream up at a silent runner, and ask for another."""
+        if caller.over or caller.request_id != request_id:
+            return
+        self._release(caller, failed=(caller.decode_id,))
+        self._ask(caller)
+
+    def _decide(self) -> None:
+        runners = list(self._runners.values())
+        for answer in self.scheduler.decide(runners, self.now_s):
+            caller = self._by_request[answer.request_id]
+            if caller.over or caller.request_id != answer.request_id:
+                continue
+            if isinstance(answer, placement.Rejection):
+                self._reject(caller, answer)
+            else:
+                self._place(caller, answer)
+
+    def _reject(self, caller: Caller, answer: placement.Rejection) -> None:
+        caller.refused += 1
+        caller.refused_at_s.append(self.now_s)
+        if caller.refused > 1:
+            caller.over = True
+            return
+        left_s = PATIENCE_S - (self.now_s - caller.sent_s)
+        wait_s = min(answer.retry_after_s, left_s * KEPT_PART)
+        caller.waits_since_s = self.now_s + wait_s
+        caller.attempt += 1
+        self.at(
+            self.now_s + wait_s + HOP_S, functools.partial(self._ask, caller)
+        )
+
+    def _place(self, caller: Caller, answer: placement.Placement) -> None:
+        self.counts['placed'] += 1
+        caller.decode_id = answer.decode_id
+        expected = answer.forecast
+        caller.expected_on_time = expected is not None and expected.in_time
+        if not answer.prefill_id:
+            self.at(
+                self.now_s + HOP_S,
+                functools.partial(self._send_whole, caller, answer.request_id),
+            )
+            return
+        reader = answer.prefill_id
+        read_s = CACHED_READ_S
+        if caller.name not in self._cached[reader]:
+            read_s = caller.prompt_tokens / self._shape.read_tokens_per_s
+        self._cached[reader].add(caller.name)
+        begins_s = max(self.now_s + HOP_S, self._prefill_free_s[reader])
+        self._prefill_free_s[reader] = begins_s + read_s
+        name = answer.request_id
+        self.at(
+            begins_s + read_s + HOP_S,
+            functools.partial(self._was_read, caller, name),
+        )
+
+    def _send_whole(self, caller: Caller, request_id: str) -> None:
+        read_tokens = caller.prompt_tokens + caller.written
+        self._send(caller, request_id, read_tokens)
+
+    def _was_read(self, caller: Caller, request_id: str) -> None:
+        if caller.over or caller.request_id != request_id:
+            return
+        self.scheduler.read(request_id, 0, self.now_s)
+        self._send(caller, request_id, caller.written)
+
+    def _send(self, caller: Caller, request_id: str, read_tokens: int) -> None:
+        if caller.over or caller.request_id != request_id:
+            return
+        if caller.decode_id in self._dark:
+            self.at(
+                self.now_s + SILENT_S,
+                functools.partial(self._left, caller, request_id),
+            )
+            return
+        taken = self._engines[caller.decode_id].submit(
+            request_id,
+            read_tokens=read_tokens,
+            tokens=caller.tokens - caller.written,
+        )
+        if not taken:
+            self.counts['full'] += 1
+            self._release(caller, full=(caller.decode_id,))
+            self._ask(caller)
+
+    def _event(self, event: batch_engine.EngineEvent) -> bool:
+        """Pass an event on; return whether the scheduler hears of it."""
+        caller = self._by_request[event.name]
+        if caller.over or caller.request_id != event.name:
+            return False
+        seen_s = event.at_s + HOP_S
+        is_first = caller.first_s is None
+        if caller.first_s is None:
+            caller.first_s = seen_s
+        if caller.last_s is not None:
+            pause_s = seen_s - caller.last_s
+            caller.longest_pause_s = max(caller.longest_pause_s, pause_s)
+        caller.last_s = seen_s
+        caller.written += self._shape.tokens_per_event
+        if event.last:
+            caller.whole = True
+            caller.over = True
+            self._release(caller, whole=True)
+        return is_first or event.last
+
+    def _release(
+        self,
+        caller: Caller,
+        *,
+        failed: tuple[str, ...] = (),
+        full: tuple[str, ...] = (),
+        whole: bool = False,
+    ) -> None:
+        decode_s = 0.0
+        if caller.first_s is not None and caller.last_s is not None:
+            decode_s = caller.last_s - caller.first_s
+        self.scheduler.end(
+            placement.Release(
+                request_id=caller.request_id,
+                output_tokens=caller.written,
+                decode_s=decode_s,
+                failed=failed,
+                full=full,
+                whole=whole,
+            ),
+            self.now_s,
+        )
+
+    # What came of it
+
+    def sent(
+        self, since_s: float = 0.0, until_s: float = math.inf
+    ) -> list[Caller]:
+        """Return the streams that were sent in a span of time."""
+        return [one for one in self.callers if since_s <= one.sent_s < until_s]
+
+    def worth_of(self, caller: Caller) -> float:
+        """Return what a stream's answer is worth on time."""
+        mean = sum(one.size for one in self.callers) / len(self.callers)
+        return 0.3 + 0.7 * caller.size / mean
+
+    def earned(self, since_s: float = 0.0, until_s: float = math.inf) -> float:
+        """Return which part of the worth of its streams was earned."""
+        owed = earned = 0.0
+        for one in self.sent(since_s, until_s):
+            worth = self.worth_of(one)
+            owed += worth
+            if one.on_time:
+                earned += worth
+            elif one.whole:
+                earned += worth * LATE_WORTH
+        return earned / owed if owed else 0.0
--- /dev/null
+++ b/tests/routing/test_lone_decode_runner.py
@@ -0,0 +1,36 @@
+import pytest
+
+from tests.routing import shrinking_fleet
+
+SEEDS = range(10)
+# Part of the streams that meet their targets, and of the worth of a class
+# that is earned, by the stated aims.
+ON_TIME_PART = 0.95
+FLOOR = 0.31
+
+
+# Guards against prompts read so close together, or so long, that streams
+# placed in time pause beyond their target.
+@pytest.mark.parametrize('slow_factor', [1.0, 1.3])
+def test_streams_placed_in_time_keep_their_targets(slow_factor):
+    placed = on_time = 0
+    for seed in SEEDS:
+        played = shrinking_fleet.play(seed, slow_factor=slow_factor)
+        for one in played.sent(shrinking_fleet.LONE_SINCE_S):
+            if not one.whole or not one.expected_on_time:
+                continue
+            placed += 1
+            on_time += one.on_time
+    assert on_time >= ON_TIME_PART * placed
+
+
+# Guards against a lone decode runner that is kept busy with answers whose
+# targets are missed.
+def test_a_lone_decode_runner_earns_the_floor():
+    earned = [
+        shrinking_fleet.play(seed).earned(
+            shrinking_fleet.LONE_SINCE_S, shrinking_fleet.LAST_SENT_S
+        )
+        for seed in SEEDS
+    ]
+    assert min(earned) >= FLOOR
