Give a decode runner its next prompt when the last one is read

Cause: a decode runner's prompts were paced by a clock, on half of the speed of other runners, with a fixed pause.

The entry host now tells the leader of the first event after a reading (POST /v1/places/first-event, only where a decode runner reads). The next prompt waits for it and for one event of the streams; a reading of which nothing is heard lapses after 1.5 s or twice its time. Prompts read there before do not count. What a resumed stream has written counts as read too.

Six tests of lone decode runners now tell first events as hosts do; their checks are as they were, and one gives slow samples in two of three prompts.

--- a/limpetroute/bench/fleet_play.py
+++ b/limpetroute/bench/fleet_play.py
@@ -84,6 +84,7 @@
     longest_pause_s: float = 0.0
     decode_id: str = ''
     expected_on_time: bool = False
+    sent_to_runner_s: float | None = None
     refused: int = 0
     refused_at_s: list[float] = dataclasses.field(default_factory=list)
     whole: bool = False
@@ -382,6 +383,7 @@
                 functools.partial(self._left, caller, request_id),
             )
             return
+        caller.sent_to_runner_s = self.now_s
         taken = self._engines[caller.decode_id].submit(
             request_id,
             read_tokens=read_tokens,
@@ -401,6 +403,10 @@
         is_first = caller.first_s is None
         if caller.first_s is None:
             caller.first_s = seen_s
+        if caller.sent_to_runner_s is not None:
+            took_s = seen_s + HOP_S - caller.sent_to_runner_s
+            self.scheduler.first_event(event.name, 0, took_s, self.now_s)
+            caller.sent_to_runner_s = None
         if caller.last_s is not None:
             pause_s = seen_s - caller.last_s
             caller.longest_pause_s = max(caller.longest_pause_s, pause_s)
--- a/limpetroute/border/place_bodies.py
+++ b/limpetroute/border/place_bodies.py
@@ -1,5 +1,7 @@
 """What entry hosts post about streams' places."""
 
+import pydantic
+
 from limpetroute.border import strict_model
 from limpetroute.routing import placement
 
@@ -64,6 +66,15 @@
     attempt: int
 
 
+class FirstEventBody(strict_model.StrictModel):
+    """A decode runner has read a prompt: its first event is there."""
+
+    service: str
+    request_id: str
+    attempt: int
+    took_s: pydantic.NonNegativeFloat
+
+
 class HeldPlaceBody(strict_model.StrictModel):
     """A place that an entry host holds."""
 
--- a/limpetroute/dispatch/dispatcher.py
+++ b/limpetroute/dispatch/dispatcher.py
@@ -128,6 +128,16 @@
             scheduler.read(request_id, attempt, boot_clock.now_s())
             self._request_pass(service)
 
+    def first_event(
+        self, service: str, request_id: str, attempt: int, took_s: float
+    ) -> None:
+        """Take note of the first event after a decode runner's own reading."""
+        scheduler = self._scheduler(service)
+        if scheduler is not None:
+            now_s = boot_clock.now_s()
+            scheduler.first_event(request_id, attempt, took_s, now_s)
+            self._request_pass(service)
+
     def end(self, service: str, end: placement.Release) -> None:
         """Take a place back."""
         scheduler = self._scheduler(service)
--- a/limpetroute/dispatch/part.py
+++ b/limpetroute/dispatch/part.py
@@ -39,6 +39,11 @@
             web.url('/v1/places', place_handlers.PlaceHandler, args),
             web.url('/v1/places/end', place_handlers.EndHandler, args),
             web.url('/v1/places/read', place_handlers.ReadHandler, args),
+            web.url(
+                '/v1/places/first-event',
+                place_handlers.FirstEventHandler,
+                args,
+            ),
             web.url('/v1/places/held', place_handlers.HeldHandler, args),
             web.url('/v1/limits', place_handlers.LimitHandler, args),
         ]
--- a/limpetroute/dispatch/place_handlers.py
+++ b/limpetroute/dispatch/place_handlers.py
@@ -89,6 +89,21 @@
         self.set_status(204)
 
 
+class FirstEventHandler(_Handler):
+    """``POST /v1/places/first-event``."""
+
+    def post(self) -> None:
+        """Take note of the first event after a decode runner's reading."""
+        body = self.parse(place_bodies.FirstEventBody)
+        if body is None:
+            return
+        assert isinstance(body, place_bodies.FirstEventBody)
+        self.dispatcher.first_event(
+            body.service, body.request_id, body.attempt, body.took_s
+        )
+        self.set_status(204)
+
+
 class HeldHandler(_Handler):
     """``POST /v1/places/held``."""
 
--- a/limpetroute/forwarding/placement_session.py
+++ b/limpetroute/forwarding/placement_session.py
@@ -114,6 +114,15 @@
             self._service.name, self._request.request_id, self._attempt
         )
 
+    def note_first_event(self, sent_s: float) -> None:
+        """Tell that the decode runner has read what it was sent then."""
+        self._context.places.first_event(
+            self._service.name,
+            self._request.request_id,
+            self._attempt,
+            _now_s() - sent_s,
+        )
+
     def give_back(
         self,
         *,
--- a/limpetroute/forwarding/scheduler_client.py
+++ b/limpetroute/forwarding/scheduler_client.py
@@ -163,16 +163,38 @@
         if self._leader_url and request_id in self._held:
             self._aside(self._tell_read(service, request_id, attempt))
 
+    def first_event(
+        self, service: str, request_id: str, attempt: int, took_s: float
+    ) -> None:
+        """Tell that a decode runner has read a prompt itself."""
+        if self._leader_url and request_id in self._held:
+            self._aside(
+                self._tell_read(
+                    service,
+                    request_id,
+                    attempt,
+                    path='/v1/places/first-event',
+                    took_s=took_s,
+                )
+            )
+
     async def _tell_read(
-        self, service: str, request_id: str, attempt: int
+        self,
+        service: str,
+        request_id: str,
+        attempt: int,
+        *,
+        path: str = '/v1/places/read',
+        **more: float,
     ) -> None:
         got = await self._http.call(
             method='POST',
-            url=f'{self._leader_url}/v1/places/read',
+            url=f'{self._leader_url}{path}',
             body={
                 'service': service,
                 'request_id': request_id,
                 'attempt': attempt,
+                **more,
             },
             timeout_s=END_TIMEOUT_S,
         )
--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -1,6 +1,7 @@
 """Forwards a request whose answer is a stream of events."""
 
 import asyncio
+import functools
 import logging
 
 from limpetroute.forwarding import caller_request
@@ -208,7 +209,7 @@
                     return self._after_failed_reading(rooms.prefill)
                 self._readings += 1
                 places.note_read()
-            return await self._decode(call, source, rooms.forecast)
+            return await self._decode(call, source, places, rooms.forecast)
         finally:
             call.close()
             reading.free_unless_taken()
@@ -258,11 +259,18 @@
         self,
         call: runner_call.RunnerCall,
         source: prompt_reading.Reading | None,
+        places: placement_session.PlacementSession,
         expected: forecast.Forecast | None,
     ) -> next_step.Step:
         context = self._context
         begun_s = _now_s()
         events_before = self._relay.count
+        on_first_event = None
+        if source is None or self._goes_on():
+            # The decode runner reads at least what was written before.
+            on_first_event = functools.partial(
+                places.note_first_event, begun_s
+            )
         runner = call.runner
         self._tried.add(runner.runner_id)
         note = dialect_module.SendNote(
@@ -281,7 +289,9 @@
                 if source is not None:
                     source.taken = True
                 result = await self._relay.run(
-                    call, may_leave=self._history.another_may_follow
+                    call,
+                    may_leave=self._history.another_may_follow,
+                    on_first_event=on_first_event,
                 )
         self._judge(runner, result, source, _now_s() - begun_s)
         if result is send_result.SendResult.ANSWERED:
--- a/limpetroute/forwarding/stream_relay.py
+++ b/limpetroute/forwarding/stream_relay.py
@@ -1,6 +1,7 @@
 """Passes a stream's events on to its caller, whole and once."""
 
 import asyncio
+import typing
 
 from limpetroute.forwarding import caller_request
 from limpetroute.forwarding import event_splitter
@@ -50,6 +51,7 @@
         self._first_event_s = 0.0
         self._events_s = 0.0
         self._longest_gap_s = 0.0
+        self._on_first_event: typing.Callable[[], None] | None = None
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(request={self._request.request_id!r})'
@@ -88,15 +90,22 @@
         return _now_s() - (since_s or self._request.received_s)
 
     async def run(
-        self, call: runner_call.RunnerCall, *, may_leave: bool
+        self,
+        call: runner_call.RunnerCall,
+        *,
+        may_leave: bool,
+        on_first_event: typing.Callable[[], None] | None = None,
     ) -> send_result.SendResult:
         """Pass whole events on as they come; return how it ended.
 
+        ``on_first_event`` is called with the first one of this runner.
+
         A silent runner is only left where ``may_leave`` says that the
         stream may go on elsewhere. A full runner that preempts is silent
         for seconds and goes on: left with no other send allowed, its
         caller had the answer cut in the middle for nothing.
         """
+        self._on_first_event = on_first_event
         responder = self._responder
         idle_s = self._context.left_s(self._request, self._route)
         if self._route.resumable and may_leave:
@@ -124,6 +133,9 @@
     ) -> None:
         responder = self._responder
         now_s = _now_s()
+        if self._on_first_event is not None:
+            self._on_first_event()
+            self._on_first_event = None
         self._first_event_s = self._first_event_s or now_s
         before_s = self._first_event_s + self._events_s
         self._longest_gap_s = max(self._longest_gap_s, now_s - before_s)
--- a/limpetroute/routing/prefill_queue.py
+++ b/limpetroute/routing/prefill_queue.py
@@ -11,13 +11,11 @@
 from limpetroute.routing import reading_pause
 from limpetroute.routing import reservations
 from limpetroute.routing import runner_info
+from limpetroute.routing import self_prefill_tracker
 from limpetroute.routing import stage_rates
 from limpetroute.routing import stream_times
 from limpetroute.routing import usual_size
 
-# Two prompts read by a decode runner within one event of its streams make
-# that event's pause too long.
-SELF_READ_PAUSE_S = 0.1
 # A prompt that holds a runner's streams up for too long is still read
 # where it has no more streams than this: less is lost than gained.
 FEW_STREAMS = 3
@@ -80,7 +78,7 @@
         self._key_of: dict[str, tuple[float, str]] = {}
         self._speeds: dict[str, float] = {}
         self._speed_sum = 0.0
-        self._self_read_s: dict[str, float] = {}
+        self._self_reads = self_prefill_tracker.SelfPrefillTracker()
         self._prompt_size = prompt_size
         self._read_prompts = read_prompts.ReadPrompts()
         # Readings of prompts in a cache, queued at each prefill runner.
@@ -142,9 +140,7 @@
         self, ask: placement.PlacementRequest, has_reader: bool
     ) -> float:
         """Return the time from a place to the first event, as measured."""
-        speed = (
-            self.tokens_per_s if has_reader else self.self_read_tokens_per_s
-        )
+        speed = self.tokens_per_s if has_reader else self.self_read_speed()
         return stream_times.OVERHEAD_S + ask.tokens_to_read / speed
 
     def speed(self, reader: runner_info.RunnerInfo | None) -> float:
@@ -156,7 +152,7 @@
             The prefill runner; None if a decode runner reads it.
         """
         if reader is None:
-            return self.self_read_tokens_per_s
+            return self.self_read_speed()
         return self._speed(reader.runner_id)
 
     def pause_beside_s(
@@ -167,21 +163,26 @@
         """Return the longest time between two events beside its prefill."""
         if reader is not None:
             return 0.0
-        read_s = ask.tokens_to_read / self.self_read_tokens_per_s
+        read_s = ask.tokens_to_read / self.self_read_speed()
         return reading_pause.pause_s(
             read_s,
             event_s=self._reservations.event_s,
             pace_beside=self.pace_beside_reading,
         )
 
-    @property
-    def self_read_tokens_per_s(self) -> float:
-        """How fast decode runners read prompts themselves.
+    def self_read_speed(self, runner_id: str | None = None) -> float:
+        """Return the tokens a second at which decode runners read.
 
-        Not measured: what shows is the time to a stream's first event,
-        which has waits of the runner's own in it. Taken for reading, they
-        made a lone runner seem ever slower, and leave it ever less.
+        Until it is measured, this is half of what prefill runners do.
+
+        Parameters
+        ----------
+        runner_id : str or None
+            One runner; what is known of all if it is left out.
         """
+        measured = self._self_reads.tokens_per_s(runner_id)
+        if measured is not None:
+            return measured
         return self.tokens_per_s * stage_rates.SELF_READ_PART
 
     @property
@@ -201,8 +202,8 @@
     @property
     def self_read_each_s(self) -> float:
         """Time after which a decode runner may read the next prompt."""
-        read_s = self._prompt_size.mean / self.self_read_tokens_per_s
-        return read_s + SELF_READ_PAUSE_S
+        read_s = self._prompt_size.mean / self.self_read_speed()
+        return read_s + self._reservations.event_s
 
     def take(
         self,
@@ -212,11 +213,21 @@
         now_s: float,
     ) -> None:
         """Take note of who reads a prompt from now on."""
-        if reader is None:
-            read_s = ask.tokens_to_read / self.self_read_tokens_per_s
-            self._self_read_s[decoder.runner_id] = (
-                now_s + read_s + SELF_READ_PAUSE_S
+        own_tokens = ask.written_tokens if reader else ask.tokens_to_read
+        if own_tokens:
+            begins_s = 0.0
+            if reader is not None:
+                begins_s = self.queue_s(reader, now_s)
+                begins_s += ask.prompt_tokens / self._speed(reader.runner_id)
+            speed = self.self_read_speed(decoder.runner_id)
+            self._self_reads.begin(
+                ask,
+                decoder.runner_id,
+                tokens=own_tokens,
+                read_s=begins_s + own_tokens / speed,
+                now_s=now_s,
             )
+        if reader is None:
             return
         self._remove((ask.request_id, ask.attempt))
         self._lapse(now_s)
@@ -256,9 +267,30 @@
         self._sort(reading.reader_id)
         return reading.reader_id
 
+    def first_event(
+        self, request_id: str, attempt: int, took_s: float, now_s: float
+    ) -> None:
+        """Take note of the first event after a decode runner's own reading.
+
+        Parameters
+        ----------
+        request_id, attempt : str, int
+            The stream.
+        took_s : float
+            Time from its send to the event.
+        now_s : float
+            A steady clock.
+        """
+        self._self_reads.done(
+            (request_id, attempt),
+            took_s,
+            free_s=now_s + self._reservations.event_s,
+        )
+
     def drop(self, request_id: str, attempt: int) -> None:
         """Forget a reading that failed or is not waited for any more."""
         self._remove((request_id, attempt))
+        self._self_reads.drop((request_id, attempt))
 
     def forget_runner(self, runner_id: str) -> None:
         """Forget what a runner reads and how fast; it has started again."""
@@ -268,7 +300,7 @@
         self._read_prompts.forget_runner(runner_id)
         self._speed_sum -= self._speeds.pop(runner_id, 0.0)
         self._sort(runner_id)
-        self._self_read_s.pop(runner_id, None)
+        self._self_reads.forget_runner(runner_id)
 
     def is_idle(self, decoder: runner_info.RunnerInfo, now_s: float) -> bool:
         """Return whether a decode runner may read a prompt now.
@@ -295,7 +327,7 @@
         if beside <= FEW_STREAMS:
             return False
         limit_s = ask.pause_target_s or USUAL_PAUSE_S
-        read_s = ask.tokens_to_read / self.self_read_tokens_per_s
+        read_s = ask.tokens_to_read / self.self_read_speed()
         return read_s > reading_pause.longest_reading_s(
             limit_s,
             event_s=self._reservations.event_s,
@@ -306,7 +338,7 @@
         self, decoder: runner_info.RunnerInfo, now_s: float
     ) -> float:
         """Return when a decode runner has read what it was given."""
-        return max(now_s, self._self_read_s.get(decoder.runner_id, now_s))
+        return self._self_reads.free_s(decoder.runner_id, now_s)
 
     def _queue_s(self, reader_id: str) -> float:
         tokens = self._queued.get(reader_id, 0)
--- /dev/null
+++ b/limpetroute/routing/self_prefill_tracker.py
@@ -0,0 +1,144 @@
+"""The prompts that decode runners read themselves."""
+
+import dataclasses
+
+from limpetroute.routing import placement
+from limpetroute.routing import read_prompts
+from limpetroute.routing import read_speed
+
+# From the send of a prompt to its first event, beside the reading: the
+# way to the runner and back, and the first step.
+WAY_S = 0.01
+LEAST_TOOK_S = 0.001
+# A prompt whose first event nobody has told of counts as being read for
+# this many times the time that it should take, and no less than this.
+OVERDUE_FACTOR = 2.0
+LEAST_OVERDUE_S = 1.5
+# How soon an overdue reading is taken to end, again and again.
+OVERDUE_STEP_S = 0.05
+
+Key = tuple[str, int]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Reading:
+    runner_id: str
+    tokens: int
+    ends_s: float
+    lapses_s: float
+    measures: bool
+
+
+class SelfPrefillTracker:
+    """The prompts that decode runners read themselves.
+
+    A runner's streams pause while it reads, and two prompts that it reads
+    within one of their events add up. So the next one waits until the
+    first event of the last is there, which its entry host tells, and its
+    streams have had an event since.
+    """
+
+    def __init__(self) -> None:
+        self._readings: dict[Key, _Reading] = {}
+        self._of_runner: dict[str, Key] = {}
+        self._free_s: dict[str, float] = {}
+        self._speeds: dict[str, read_speed.ReadSpeed] = {}
+        self._all_speeds = read_speed.ReadSpeed()
+        self._read_prompts = read_prompts.ReadPrompts()
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(readings={len(self._readings)!r})'
+
+    def tokens_per_s(self, runner_id: str | None = None) -> float | None:
+        """Return how fast a runner reads; None until it is known.
+
+        Parameters
+        ----------
+        runner_id : str or None
+            A runner, or None for what all of them tell.
+        """
+        known = self._speeds.get(runner_id) if runner_id else None
+        own = known.tokens_per_s if known is not None else None
+        return own if own is not None else self._all_speeds.tokens_per_s
+
+    def begin(
+        self,
+        ask: placement.PlacementRequest,
+        runner_id: str,
+        *,
+        tokens: int,
+        read_s: float,
+        now_s: float,
+    ) -> None:
+        """Take note of a prompt that a decode runner reads from now on."""
+        key = (ask.request_id, ask.attempt)
+        was_read = self._read_prompts.note(runner_id, ask)
+        overdue_s = max(LEAST_OVERDUE_S, read_s * OVERDUE_FACTOR)
+        self._readings[key] = _Reading(
+            runner_id=runner_id,
+            tokens=tokens,
+            ends_s=now_s + read_s,
+            lapses_s=now_s + overdue_s,
+            measures=not was_read and tokens == ask.prompt_tokens,
+        )
+        self._of_runner[runner_id] = key
+
+    def done(self, key: Key, took_s: float, *, free_s: float) -> bool:
+        """Take note of a first event; return whether it was waited for.
+
+        Parameters
+        ----------
+        key : tuple of str and int
+            The stream and its attempt.
+        took_s : float
+            Time from the send to the first event.
+        free_s : float
+            When the runner may read the next prompt.
+        """
+        reading = self._end(key, free_s)
+        if reading is None:
+            return False
+        if reading.measures:
+            read_s = max(LEAST_TOOK_S, took_s - WAY_S)
+            speeds = self._speeds.setdefault(
+                reading.runner_id, read_speed.ReadSpeed()
+            )
+            speeds.note(reading.tokens / read_s)
+            self._all_speeds.note(reading.tokens / read_s)
+        return True
+
+    def drop(self, key: Key) -> None:
+        """Forget a prompt whose stream is over."""
+        reading = self._readings.get(key)
+        if reading is not None:
+            self._end(key, 0.0)
+
+    def forget_runner(self, runner_id: str) -> None:
+        """Forget what a runner reads and how fast; it has started again."""
+        for key, reading in list(self._readings.items()):
+            if reading.runner_id == runner_id:
+                del self._readings[key]
+        self._of_runner.pop(runner_id, None)
+        self._free_s.pop(runner_id, None)
+        self._speeds.pop(runner_id, None)
+        self._read_prompts.forget_runner(runner_id)
+
+    def free_s(self, runner_id: str, now_s: float) -> float:
+        """Return when a runner may read the next prompt."""
+        key = self._of_runner.get(runner_id)
+        if key is None:
+            return max(now_s, self._free_s.get(runner_id, now_s))
+        reading = self._readings[key]
+        if now_s >= reading.lapses_s:
+            self._end(key, now_s)
+            return now_s
+        return max(reading.ends_s, now_s + OVERDUE_STEP_S)
+
+    def _end(self, key: Key, free_s: float) -> _Reading | None:
+        reading = self._readings.pop(key, None)
+        if reading is None:
+            return None
+        if self._of_runner.get(reading.runner_id) == key:
+            del self._of_runner[reading.runner_id]
+            self._free_s[reading.runner_id] = free_s
+        return reading
--- a/limpetroute/routing/stream_scheduler.py
+++ b/limpetroute/routing/stream_scheduler.py
@@ -199,6 +199,15 @@
         self._waiting.remove(request_id)
         self._drop(request_id)
 
+    def first_event(
+        self, request_id: str, attempt: int, took_s: float, now_s: float
+    ) -> None:
+        """Take note of the first event after a decode runner's own reading.
+
+        ``took_s`` is the time from the send to the event.
+        """
+        self._prefill.first_event(request_id, attempt, took_s, now_s)
+
     def read(self, request_id: str, attempt: int, now_s: float) -> None:
         """Take note that a prompt was read apart."""
         reader_id = self._prefill.done(request_id, attempt, now_s)
--- a/tests/forwarding/test_scheduler_client.py
+++ b/tests/forwarding/test_scheduler_client.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 
+from limpetroute.border import place_bodies
 from limpetroute.forwarding import scheduler_client
 from limpetroute.routing import placement
 from limpetroute.wire import call_failed
@@ -65,6 +66,21 @@
     assert len(again) == len(told) == 1
 
 
+def test_a_first_event_is_told_of_streams_that_are_held():
+    async def work():
+        leader = Leader()
+        client = scheduler_client.SchedulerClient(http=leader)
+        client.follow('http://127.0.0.1:1')
+        await client.ask(builders.make_ask('held', attempt=3))
+        client.first_event('model', 'held', 3, 0.2)
+        client.first_event('model', 'unknown', 1, 0.2)
+        await asyncio.sleep(0)
+        return [body for kind, body in leader.calls if kind == 'first-event']
+
+    (body,) = asyncio.run(work())
+    assert place_bodies.FirstEventBody(**body).took_s == 0.2
+
+
 def test_each_ask_for_a_place_has_a_number_of_its_own():
     client = scheduler_client.SchedulerClient(http=Leader())
     assert client.next_attempt() != client.next_attempt()
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -3,6 +3,8 @@
 import asyncio
 import json
 
+import pytest
+
 from limpetroute.routing import route_kind
 from tests.forwarding import harness
 from tests.forwarding import scripted_runner
@@ -80,6 +82,31 @@
     run(work())
 
 
+# Guards against a leader that never hears that a decode runner has read a
+# prompt, and gives it none for seconds; and against calls for nothing.
+@pytest.mark.parametrize(
+    ('scripts', 'stages', 'told'),
+    [
+        ([_stream(1, 2, 3)], [DECODE], 1),
+        ([_prefill, _stream(1, 2, 3)], [PREFILL, DECODE], 0),
+    ],
+)
+def test_the_leader_hears_when_a_decode_runner_has_read(scripts, stages, told):
+    heard = []
+
+    async def work():
+        async with harness.running(scripts, stages=stages, **STREAM) as (
+            front,
+            _,
+        ):
+            front.places.first_event = lambda *args: heard.append(args)
+            await front.ask(method='POST', body=b'prompt', more=USAGE)
+
+    run(work())
+    assert len(heard) == told
+    assert all(0 < took_s < 1 for _, _, _, took_s in heard)
+
+
 def test_what_is_the_systems_to_set_is_dropped_from_callers():
     async def work():
         async with harness.running(
--- a/tests/routing/test_stream_scheduler.py
+++ b/tests/routing/test_stream_scheduler.py
@@ -70,6 +70,10 @@
     return [one for one in answers if isinstance(one, placement.Rejection)]
 
 
+def tell_first_event(scheduler, place, sent_s, now_s):
+    scheduler.first_event(place.request_id, 0, now_s - sent_s, now_s)
+
+
 def test_a_stream_gets_a_reader_and_a_writer():
     scheduler = make_scheduler()
     scheduler.ask(builders.make_ask('s'), 0.0)
@@ -324,11 +328,38 @@
     fleet = [builders.make_runner('d0')]
     for n in range(4):
         scheduler.ask(builders.make_ask(f's{n}', output_tokens=500), 0.0)
-    assert len(places(scheduler.decide(fleet, 0.0))) == 1
+    (first,) = places(scheduler.decide(fleet, 0.0))
     assert not places(scheduler.decide(fleet, 0.1))
+    tell_first_event(scheduler, first, 0.0, 0.2)
     assert len(places(scheduler.decide(fleet, 0.35))) == 1
 
 
+# Guards against a second prompt beside one that takes longer than expected.
+def test_a_lone_writer_that_takes_longer_is_waited_for():
+    scheduler = make_scheduler()
+    fleet = [builders.make_runner('d0')]
+    for n in range(2):
+        ask = builders.make_ask(f's{n}', output_tokens=500, target_s=9.0)
+        scheduler.ask(ask, 0.0)
+    (first,) = places(scheduler.decide(fleet, 0.0))
+    for now_s in (0.35, 0.6, 0.9):
+        assert not places(scheduler.decide(fleet, now_s))
+    tell_first_event(scheduler, first, 0.0, 0.95)
+    assert not places(scheduler.decide(fleet, 0.96))
+    assert places(scheduler.decide(fleet, 1.05))
+
+
+# Guards against a runner that is given nothing for want of one message.
+def test_a_lone_writer_of_which_nothing_is_heard_is_given_prompts_again():
+    scheduler = make_scheduler()
+    fleet = [builders.make_runner('d0')]
+    for n in range(2):
+        ask = builders.make_ask(f's{n}', output_tokens=500, target_s=9.0)
+        scheduler.ask(ask, 0.0)
+    assert places(scheduler.decide(fleet, 0.0))
+    assert places(scheduler.decide(fleet, 1.6))
+
+
 def test_with_no_writer_all_are_told_at_once():
     scheduler = make_scheduler()
     scheduler.ask(builders.make_ask('s'), 0.0)
@@ -347,7 +378,8 @@
     for n in range(6):
         short = builders.make_ask(f's{n}', prompt_tokens=2000)
         scheduler.ask(short, now_s)
-        assert places(scheduler.decide(fleet, now_s))
+        (place,) = places(scheduler.decide(fleet, now_s))
+        tell_first_event(scheduler, place, now_s, now_s + 0.09)
         now_s += 0.4
     scheduler.ask(builders.make_ask('long', prompt_tokens=11_000), now_s)
     assert not places(scheduler.decide(fleet, now_s))
@@ -362,7 +394,8 @@
     now_s = 0.0
     for n in range(6):
         scheduler.ask(builders.make_ask(f's{n}', prompt_tokens=2000), now_s)
-        assert places(scheduler.decide(fleet, now_s))
+        (place,) = places(scheduler.decide(fleet, now_s))
+        tell_first_event(scheduler, place, now_s, now_s + 0.09)
         now_s += 0.4
     return scheduler, fleet, now_s
 
@@ -446,7 +479,10 @@
     for step in range(18):
         answers = scheduler.decide(fleet, step * 0.05)
         assert not refusals(answers)
-        served += [one.request_id for one in places(answers)]
+        for one in places(answers):
+            served.append(one.request_id)
+            begun_s = step * 0.05
+            tell_first_event(scheduler, one, begun_s, begun_s + 0.13)
     assert served == ['s0', 's1', 's2']
 
 
@@ -641,7 +677,8 @@
     lone = [builders.make_runner('d0')]
     for n in range(5):
         scheduler.ask(builders.make_ask(f's{n}'), n * 0.5)
-        assert places(scheduler.decide(lone, n * 0.5))
+        (place,) = places(scheduler.decide(lone, n * 0.5))
+        tell_first_event(scheduler, place, n * 0.5, n * 0.5 + 0.21)
     fields = {'goes_on': True, 'prompt_tokens': 3000}
     scheduler.ask(builders.make_ask('a', written_tokens=4000, **fields), 3.0)
     assert not places(scheduler.decide(lone, 3.0))
@@ -748,6 +785,8 @@
     for n in range(30):
         scheduler.ask(builders.make_ask(f's{n}', output_tokens=100), now_s)
         (place,) = places(scheduler.decide(fleet, now_s))
+        took_s = 0.55 if n % 3 else 0.21
+        scheduler.first_event(place.request_id, 0, took_s, now_s + 0.21)
         end = placement.Release(
             request_id=place.request_id,
             output_tokens=100,
@@ -760,7 +799,8 @@
     for n in range(4):
         ask = builders.make_ask(f'b{n}', output_tokens=9000)
         scheduler.ask(ask, now_s)
-        assert places(scheduler.decide(fleet, now_s))
+        (place,) = places(scheduler.decide(fleet, now_s))
+        tell_first_event(scheduler, place, now_s, now_s + 0.21)
         now_s += 0.35
     scheduler.ask(long, now_s)
     assert not places(scheduler.decide(fleet, now_s))
