Count what a long prompt costs the streams beside it

What callers saw: after an outage every prompt over 6,600 tokens was turned away for six seconds, though the streams that ran were resumed ones, late already; and a long prompt was read beside three streams that it made late. Cause: a decode runner's streams were counted, not what they had to lose. A prompt that holds them up for too long is now read where it makes at most one late if its own stream is on time, and none otherwise. Reservations know which streams are on time: by the forecast, by the first event that came, and until a long prompt was read beside.

Three tests failed before.

--- a/limpetroute/routing/prefill_queue.py
+++ b/limpetroute/routing/prefill_queue.py
@@ -16,9 +16,9 @@
 from limpetroute.routing import stream_times
 from limpetroute.routing import usual_size
 
-# A prompt that holds a runner's streams up for too long is still read
-# where it has no more streams than this: less is lost than gained.
-FEW_STREAMS = 3
+# A prompt that holds a runner's streams up for too long is only read where
+# it makes no more of them late than it is itself on time.
+MOST_MADE_LATE = 1
 # Longest pause between events where a route names none.
 USUAL_PAUSE_S = 0.3
 # Readings that are queued at a prefill runner. Who waits there cannot be
@@ -317,20 +317,23 @@
             return True
         return self.self_read_s(decoder, now_s) <= now_s
 
-    def has_few_streams(self, decoder: runner_info.RunnerInfo) -> bool:
-        """Return whether a decode runner may read a prompt of any length."""
-        return self._reservations.streams(decoder.runner_id) <= FEW_STREAMS
+    def may_read_long(
+        self, decoder: runner_info.RunnerInfo, *, on_time: bool = True
+    ) -> bool:
+        """Return whether a decode runner may read a prompt of any length.
 
-    def is_long(self, ask: placement.PlacementRequest) -> bool:
-        """Return whether only runners with few streams may read it."""
-        return self.is_too_long(ask, FEW_STREAMS + 1)
+        Parameters
+        ----------
+        decoder : RunnerInfo
+            The runner.
+        on_time : bool
+            Whether the prompt's own stream is on time.
+        """
+        made_late = self._reservations.on_time(decoder.runner_id)
+        return made_late <= (MOST_MADE_LATE if on_time else 0)
 
-    def is_too_long(
-        self, ask: placement.PlacementRequest, beside: int
-    ) -> bool:
-        """Return whether reading it would hold too many streams up."""
-        if beside <= FEW_STREAMS:
-            return False
+    def is_long(self, ask: placement.PlacementRequest) -> bool:
+        """Return whether reading it holds streams up for too long."""
         limit_s = ask.pause_target_s or USUAL_PAUSE_S
         read_s = ask.tokens_to_read / self.self_read_speed()
         return read_s > reading_pause.longest_reading_s(
--- a/limpetroute/routing/reservations.py
+++ b/limpetroute/routing/reservations.py
@@ -29,6 +29,7 @@
     place: placement.Placement
     ask: placement.PlacementRequest
     outlook: decode_room.StreamOutlook
+    due_s: float
     expires_s: float
 
 
@@ -114,12 +115,28 @@
         *,
         sent_s: float,
         begins_s: float,
+        on_time: bool = True,
     ) -> None:
-        """Reserve a slot."""
+        """Reserve a slot.
+
+        Parameters
+        ----------
+        place : Placement
+            Where.
+        ask : PlacementRequest
+            The stream.
+        sent_s : float
+            When its caller sent it.
+        begins_s : float
+            When its first event is expected.
+        on_time : bool
+            Whether that meets its target.
+        """
         reserved = _Reservation(
             place=place,
             ask=ask,
             outlook=self.outlook(ask, begins_s),
+            due_s=sent_s + ask.target_s,
             expires_s=sent_s + ask.patience_s + 1.0,
         )
         name = place.request_id
@@ -127,7 +144,9 @@
         self._reserved[name] = reserved
         heapq.heappush(self._expiries, (reserved.expires_s, name))
         self._put_end(name, reserved.outlook.ends_s(begins_s))
-        self._runner(place.decode_id).add(name, reserved.outlook)
+        self._runner(place.decode_id).add(
+            name, reserved.outlook, on_time=on_time
+        )
         if place.prefill_id:
             self._runner(place.prefill_id).add_prefill(name)
         self._changed.add(place.decode_id)
@@ -196,6 +215,28 @@
         known = self._by_runner.get(runner_id)
         return known.streams if known is not None else 0
 
+    def on_time(self, runner_id: str) -> int:
+        """Return how many of a runner's streams still meet their targets."""
+        known = self._by_runner.get(runner_id)
+        return known.on_time if known is not None else 0
+
+    def on_time_ends_s(self, runner_id: str, now_s: float) -> list[float]:
+        """Return when the streams of a runner that are on time end."""
+        known = self._by_runner.get(runner_id)
+        return known.on_time_ends_s(now_s) if known is not None else []
+
+    def note_long_pause(self, runner_id: str) -> None:
+        """Take note of a pause that makes all of a runner's streams late."""
+        known = self._by_runner.get(runner_id)
+        if known is not None:
+            known.note_long_pause()
+
+    def note_first_event(self, request_id: str, now_s: float) -> None:
+        """Take note of when a stream's first event came."""
+        reserved = self._reserved.get(request_id)
+        if reserved is not None and now_s > reserved.due_s:
+            self._runner(reserved.place.decode_id).note_late(request_id)
+
     def uses(self, runner_id: str) -> int:
         """Return how many streams a runner prefills or decodes."""
         known = self._by_runner.get(runner_id)
--- a/limpetroute/routing/runner_choice.py
+++ b/limpetroute/routing/runner_choice.py
@@ -6,7 +6,6 @@
 
 from limpetroute.routing import decode_placement as placement_module
 from limpetroute.routing import fleet as fleet_module
-from limpetroute.routing import placement
 from limpetroute.routing import prefill_queue
 from limpetroute.routing import runner_info
 from limpetroute.routing import waiting_stream
@@ -96,7 +95,7 @@
         else:
             ready_s = self._prefill.ready_s(ask, reader, self._now_s)
         if reader is None:
-            decoder = self._self_reading_decoder(ask, ready_s)
+            decoder = self._self_reading_decoder(one, ready_s)
         else:
             decoder = self._decoder(one, ready_s)
         if decoder is None:
@@ -131,13 +130,20 @@
         return found
 
     def _self_reading_decoder(
-        self, ask: placement.PlacementRequest, ready_s: float
+        self, one: waiting_stream.WaitingStream, ready_s: float
     ) -> runner_info.RunnerInfo | None:
         """Return the best decode runner that may read a prompt now."""
-        idle: typing.Iterable[runner_info.RunnerInfo] = self._idle_runners
-        if self._prefill.is_long(ask):
-            idle = filter(self._prefill.has_few_streams, self._idle_runners)
-        return self._decode_placement.best_of(ask, idle, ready_s, self._now_s)
+        idle = self._idle_runners
+        if self._prefill.is_long(one.ask):
+            on_time = one.is_on_time(ready_s)
+            idle = [
+                runner
+                for runner in idle
+                if self._prefill.may_read_long(runner, on_time=on_time)
+            ]
+        return self._decode_placement.best_of(
+            one.ask, idle, ready_s, self._now_s
+        )
 
     @property
     def _idle_runners(self) -> list[runner_info.RunnerInfo]:
--- a/limpetroute/routing/runner_reservations.py
+++ b/limpetroute/routing/runner_reservations.py
@@ -9,6 +9,7 @@
 
     def __init__(self) -> None:
         self._streams: dict[str, decode_room.StreamOutlook] = {}
+        self._on_time: set[str] = set()
         self._prefills: set[str] = set()
         self._profile: memory_profile.MemoryProfile | None = None
 
@@ -33,10 +34,38 @@
         """The streams that the runner decodes."""
         return list(self._streams)
 
-    def add(self, request_id: str, outlook: decode_room.StreamOutlook) -> None:
+    @property
+    def on_time(self) -> int:
+        """Number of streams that a longer pause would make late."""
+        return len(self._on_time)
+
+    def add(
+        self,
+        request_id: str,
+        outlook: decode_room.StreamOutlook,
+        *,
+        on_time: bool,
+    ) -> None:
         """Add a stream that the runner decodes."""
         self._streams[request_id] = outlook
         self._profile = None
+        if on_time:
+            self._on_time.add(request_id)
+
+    def note_late(self, request_id: str) -> None:
+        """Take note that a stream has missed its targets."""
+        self._on_time.discard(request_id)
+
+    def note_long_pause(self) -> None:
+        """Take note of a pause that makes all streams late."""
+        self._on_time.clear()
+
+    def on_time_ends_s(self, now_s: float) -> list[float]:
+        """Return when the streams that are on time end, in order."""
+        return sorted(
+            max(now_s, self._streams[one].ends_s(now_s))
+            for one in self._on_time
+        )
 
     def add_prefill(self, request_id: str) -> None:
         """Add a stream whose prompt the runner reads."""
@@ -45,6 +74,7 @@
     def discard(self, request_id: str) -> None:
         """Forget a stream."""
         self._prefills.discard(request_id)
+        self._on_time.discard(request_id)
         if self._streams.pop(request_id, None) is not None:
             self._profile = None
 
--- a/limpetroute/routing/self_prefill.py
+++ b/limpetroute/routing/self_prefill.py
@@ -5,7 +5,6 @@
 
 from limpetroute.routing import fleet as fleet_module
 from limpetroute.routing import prefill_queue
-from limpetroute.routing import reservations
 
 
 class SelfPrefill:
@@ -13,8 +12,6 @@
 
     Parameters
     ----------
-    reserved : Reservations
-        The slots that are reserved.
     prefill : PrefillQueue
         When runners may read.
     fleet : Fleet
@@ -26,7 +23,6 @@
     def __init__(
         self,
         *,
-        reserved: reservations.Reservations,
         prefill: prefill_queue.PrefillQueue,
         fleet: fleet_module.Fleet,
         now_s: float,
@@ -35,8 +31,7 @@
         self._all = _Soonest()
         self._quiet = _Soonest()
         for free, runner in fleet.decoders.most_free():
-            streams = reserved.streams(runner.runner_id)
-            is_quiet = streams <= prefill_queue.FEW_STREAMS
+            is_quiet = prefill.may_read_long(runner)
             self.has_quiet = self.has_quiet or is_quiet
             if free <= 0:
                 continue
--- a/limpetroute/routing/stream_scheduler.py
+++ b/limpetroute/routing/stream_scheduler.py
@@ -207,6 +207,7 @@
         ``took_s`` is the time from the send to the event.
         """
         self._prefill.first_event(request_id, attempt, took_s, now_s)
+        self._reservations.note_first_event(request_id, now_s)
 
     def read(self, request_id: str, attempt: int, now_s: float) -> None:
         """Take note that a prompt was read apart."""
@@ -240,7 +241,11 @@
         if place.request_id in self._reservations:
             return
         self._reservations.add(
-            place, ask, sent_s=now_s - ask.waited_s, begins_s=now_s
+            place,
+            ask,
+            sent_s=now_s - ask.waited_s,
+            begins_s=now_s,
+            on_time=not ask.goes_on,
         )
 
     def decide(
@@ -349,8 +354,14 @@
         self._waiting.remove(one.request_id)
         self._admission.served(one.ask)
         self._prefill.take(one.ask, reader, chosen.decoder, now_s)
+        if reader is None and self._prefill.is_long(one.ask):
+            self._reservations.note_long_pause(place.decode_id)
         self._reservations.add(
-            place, one.ask, sent_s=one.sent_s, begins_s=chosen.ready_s
+            place,
+            one.ask,
+            sent_s=one.sent_s,
+            begins_s=chosen.ready_s,
+            on_time=one.is_on_time(chosen.ready_s),
         )
         self._fleet.update(now_s)
         return place
@@ -365,7 +376,7 @@
         return forecast.Forecast(
             queued_s=now_s - one.sent_s - one.ask.waited_s,
             first_event_s=chosen.ready_s - one.sent_s,
-            in_time=chosen.ready_s <= one.target_s,
+            in_time=one.is_on_time(chosen.ready_s),
             beside=self._reservations.streams(decode_id),
             pause_s=self._prefill.pause_beside_s(one.ask, chosen.reader),
             read_tokens_per_s=self._prefill.speed(chosen.reader),
--- a/limpetroute/routing/wait_estimate.py
+++ b/limpetroute/routing/wait_estimate.py
@@ -148,7 +148,7 @@
         found_s = [
             self._prefill.self_read_s(runner, self._now_s)
             for runner in self._fleet.decoders
-            if not (only_quiet and not self._prefill.has_few_streams(runner))
+            if not (only_quiet and not self._prefill.may_read_long(runner))
             and self._decode_placement.fits(ask, runner, self._now_s)
         ]
         return min(found_s, default=math.inf), len(found_s)
@@ -157,7 +157,6 @@
     def _self_reading(self) -> self_prefill.SelfPrefill:
         if self._self_readers is None:
             self._self_readers = self_prefill.SelfPrefill(
-                reserved=self._reservations,
                 prefill=self._prefill,
                 fleet=self._fleet,
                 now_s=self._now_s,
@@ -165,21 +164,20 @@
         return self._self_readers
 
     def _quiet_s(self) -> float:
-        """Return when a decode runner has few streams left.
+        """Return when a decode runner may read a prompt of any length.
 
-        That is if it gets no new ones; where others wait, it comes
+        That is if it gets no new streams; where others wait, it comes
         later or never.
         """
         if self._quiet_at_s is None:
             quiet_s = []
             for runner in self._fleet.decoders:
-                profile = self._reservations.profile(
+                ends_s = self._reservations.on_time_ends_s(
                     runner.runner_id, self._now_s
                 )
-                ends_s = profile.ends_s
-                if len(ends_s) <= prefill_queue.FEW_STREAMS:
+                if len(ends_s) <= prefill_queue.MOST_MADE_LATE:
                     quiet_s.append(self._now_s)
                     continue
-                quiet_s.append(ends_s[-prefill_queue.FEW_STREAMS - 1])
+                quiet_s.append(ends_s[-prefill_queue.MOST_MADE_LATE - 1])
             self._quiet_at_s = max(self._now_s, min(quiet_s, default=math.inf))
         return self._quiet_at_s
--- a/limpetroute/routing/waiting_stream.py
+++ b/limpetroute/routing/waiting_stream.py
@@ -52,6 +52,13 @@
         """How long after `sent_s` a place is still worth giving."""
         return stream_times.longest_wait_s(self.ask)
 
+    def is_on_time(self, first_event_s: float) -> bool:
+        """Return whether it meets its targets with a first event then.
+
+        The pause before a resumed stream's next event has missed them.
+        """
+        return not self.ask.goes_on and first_event_s <= self.target_s
+
     def in_time(self, at_s: float, needed_s: float) -> bool:
         """Return whether a place given then makes its target.
 
--- a/tests/routing/test_stream_scheduler.py
+++ b/tests/routing/test_stream_scheduler.py
@@ -435,6 +435,44 @@
     assert places(scheduler.decide(fleet, 0.0))
 
 
+def lone_writer_with(count, **fields):
+    """Return a scheduler, a lone writer with some streams, and a time."""
+    scheduler = make_scheduler()
+    fleet = [builders.make_runner('d0')]
+    now_s = 0.0
+    for n in range(count):
+        ask = builders.make_ask(f's{n}', prompt_tokens=2000, **fields)
+        scheduler.ask(ask, now_s)
+        (place,) = places(scheduler.decide(fleet, now_s))
+        tell_first_event(scheduler, place, now_s, now_s + 0.09)
+        now_s += 0.4
+    return scheduler, fleet, now_s
+
+
+# Guards against long prompts that are kept from streams which are late
+# anyway, such as those resumed after an outage.
+def test_a_long_prompt_is_read_beside_streams_that_are_late_already():
+    scheduler, fleet, now_s = lone_writer_with(6, goes_on=True)
+    scheduler.ask(builders.make_ask('long', prompt_tokens=11_000), now_s)
+    assert places(scheduler.decide(fleet, now_s))
+
+
+# Guards against an admission that makes more streams late than it serves.
+def test_a_long_prompt_does_not_make_three_streams_late():
+    scheduler, fleet, now_s = lone_writer_with(3)
+    long = builders.make_ask('long', prompt_tokens=11_000, target_s=9.0)
+    scheduler.ask(long, now_s)
+    assert not places(scheduler.decide(fleet, now_s))
+
+
+# Guards against the same where the prompt's own stream is late.
+def test_a_late_stream_makes_none_late():
+    scheduler, fleet, now_s = lone_writer_with(1)
+    late = builders.make_ask('late', prompt_tokens=11_000, waited_s=0.7)
+    scheduler.ask(late, now_s)
+    assert not places(scheduler.decide(fleet, now_s))
+
+
 def test_of_equal_writers_the_near_one_is_taken():
     scheduler = make_scheduler()
     fleet = [
