Let waiting streams go when the leader's lease ends

What callers saw: nothing for up to 2.7 s, then an answer that could only be late, or none. Evidence: request 32f262 waited so and was then sent by its host alone. They are told at once now, and their hosts ask the next leader. test_who_waits_is_told_at_once_when_the_lease_ends failed before (no answer in 0.5 s).

--- a/limpetroute/dispatch/dispatcher.py
+++ b/limpetroute/dispatch/dispatcher.py
@@ -33,7 +33,7 @@
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class _Pending:
     ask: placement.PlacementRequest
-    future: asyncio.Future[Answer]
+    future: asyncio.Future[Answer | None]
 
 
 class Dispatcher:
@@ -101,7 +101,7 @@
         scheduler = self._scheduler(ask.service)
         if scheduler is None:
             return None
-        future: asyncio.Future[Answer] = (
+        future: asyncio.Future[Answer | None] = (
             asyncio.get_running_loop().create_future()
         )
         self._pending[ask.request_id] = _Pending(ask=ask, future=future)
@@ -184,6 +184,7 @@
             await asyncio.sleep(LOOK_S)
             if not self.leads:
                 self._led_term = 0
+                self._give_up_pending()
                 continue
             await self._node.cutter.cut(self._node.config.state)
             self._note_term()
@@ -192,6 +193,16 @@
                     self._request_pass(service)
             self._keep_stages()
 
+    def _give_up_pending(self) -> None:
+        """Tell those who wait that this host cannot decide any more.
+
+        Their entry hosts look for the next leader; kept here, they would
+        wait until their callers leave.
+        """
+        for pending in self._pending.values():
+            if not pending.future.done():
+                pending.future.set_result(None)
+
     def _note_term(self) -> None:
         term = self._node.config.replica.term
         if term == self._led_term:
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -177,3 +177,22 @@
         return await asyncio.wait_for(waits, 1.0)
 
     assert isinstance(play(monkeypatch, work), placement.Placement)
+
+
+# Guards against streams that wait until their callers leave at a host which
+# leads no more.
+def test_who_waits_is_told_at_once_when_the_lease_ends():
+    async def work():
+        leader = Leader()
+        waiting = [
+            asyncio.create_task(leader.place(f's{n}')) for n in range(3)
+        ]
+        await asyncio.sleep(0)
+        leader.replica.leads = False
+        leader.dispatcher.start()
+        try:
+            return await asyncio.wait_for(asyncio.gather(*waiting), 0.5)
+        finally:
+            leader.dispatcher.stop()
+
+    assert asyncio.run(work()) == [None] * 3
