Count the time at a failed leader when a host places a stream alone

What callers saw: a slot of the last decode runner held for six seconds by a stream whose caller had waited 2.7 s before it was sent, and two other streams that waited 0.6 s for a slot the leader took to be free. Cause: local placement went by the wait before the leader was asked. The wait is taken anew, and a stream whose caller is about to leave is rejected, not sent. test_a_stream_that_waited_too_long_for_a_leader_is_not_sent failed before (sent, 200).

--- a/limpetroute/forwarding/placement_session.py
+++ b/limpetroute/forwarding/placement_session.py
@@ -100,6 +100,9 @@
                 if rooms is not None:
                     return rooms
                 self.give_back()
+            # The leader may have kept it waiting before it failed.
+            waited_s = so_far.waited_s + _now_s() - begun_s
+            ask = dataclasses.replace(ask, waited_s=waited_s)
             got = self._decide_alone(ask)
             if isinstance(got, AssignedRunners) or not stream_times.may_wait(
                 ask, LOOK_AGAIN_S
@@ -192,6 +195,12 @@
     def _decide_alone(
         self, ask: placement.PlacementRequest
     ) -> AssignedRunners | placement.Rejection:
+        if ask.waited_s > stream_times.longest_wait_s(ask):
+            return placement.Rejection(
+                request_id=ask.request_id,
+                retry_after_s=1.0,
+                reason='its caller is about to leave',
+            )
         context = self._context
         assert self._service.engine is not None
         runners = context.view.runners(self._service.name)
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -5,6 +5,7 @@
 
 import pytest
 
+from limpetroute.forwarding import scheduler_client
 from limpetroute.routing import route_kind
 from tests.forwarding import harness
 from tests.forwarding import scripted_runner
@@ -400,6 +401,26 @@
     return script
 
 
+# Guards against a stream that is sent after a leader kept it waiting, for
+# a caller who is about to leave.
+def test_a_stream_that_waited_too_long_for_a_leader_is_not_sent():
+    async def work():
+        async with harness.running(
+            [_stream(1)], stages=[DECODE], silence_s=1.5, **STREAM
+        ) as (front, (decode,)):
+
+            async def ask(one):
+                await asyncio.sleep(0.4)
+                return scheduler_client.NoScheduler(reason='timeout')
+
+            front.places.ask = ask
+            got = await front.ask(more=USAGE)
+            assert harness.status(got) == 503
+            assert not decode.seen
+
+    run(work())
+
+
 def test_a_stream_of_a_dead_runner_has_its_prompt_read_apart_again():
     """A decode runner crashes with twelve streams in mid-answer.
 
