Leave a runner alone locally that was full a moment before

What callers saw: eight streams placed by hosts alone within 0.5 s of a lost leader, at runners whose slots others had; those already served, and the leader's own placements, waited for them (0.3 to 1.2 s). Cause: a host without a leader counts its own streams only. The forecast of its last placement says how many a runner has; for two seconds a full one is left alone, and the stream waits for a leader within its target, or is told to come back. test_a_runner_that_was_full_a_moment_ago_is_left_alone failed before (no such count).

--- a/limpetroute/forwarding/placement_session.py
+++ b/limpetroute/forwarding/placement_session.py
@@ -180,6 +180,10 @@
 
     def _rooms(self, place: placement.Placement) -> AssignedRunners | None:
         view = self._context.view
+        if place.forecast is not None:
+            view.load(place.decode_id).note_all_streams(
+                place.forecast.beside + 1, _now_s()
+            )
         decode = view.runner(place.decode_id)
         if decode is None or not decode.ready:
             return None
--- a/limpetroute/routing/local_placement.py
+++ b/limpetroute/routing/local_placement.py
@@ -74,7 +74,7 @@
         if one.runner_id in tried:
             continue
         load = loads.get(one.runner_id) or runner_load.RunnerLoad()
-        if load.is_limited(now_s):
+        if load.is_limited(now_s) or load.seems_full(engine.slots, now_s):
             continue
         if load.requests and load.requests >= engine.slots * part:
             continue
--- a/limpetroute/routing/runner_load.py
+++ b/limpetroute/routing/runner_load.py
@@ -1,6 +1,7 @@
 """What this host knows of one runner's load and health."""
 
 import dataclasses
+import math
 
 # A runner that failed is left alone for this long; after each further
 # failure for twice as long. Short, as one reset may be chance and a
@@ -10,6 +11,9 @@
 # One reset may be chance; this many failures in a row, without an
 # answer between them, are taken for a runner that is gone.
 GONE_AFTER = 2
+# A stream lasts some seconds: what the leader said of a runner's streams
+# is mostly true for this long.
+HEARD_VALID_S = 2.0
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -37,6 +41,8 @@
         Time before which nothing may be sent within that limit.
     unreadable_limit : str
         The last text in place of a limit that was none.
+    all_streams, all_streams_s : int, float
+        Streams of all hosts there, as the leader said last, and when.
     """
 
     requests: int = 0
@@ -48,6 +54,8 @@
     limit_per_s: float | None = None
     limited_until_s: float = 0.0
     unreadable_limit: str = ''
+    all_streams: int = 0
+    all_streams_s: float = -math.inf
 
     def note_failure(self, now_s: float) -> None:
         """Count a failure and leave the runner alone for a while."""
@@ -71,6 +79,16 @@
             return 0.0
         return now_s - self.failing_since_s
 
+    def note_all_streams(self, count: int, now_s: float) -> None:
+        """Take note of how many streams of all hosts the runner has."""
+        self.all_streams = count
+        self.all_streams_s = now_s
+
+    def seems_full(self, slots: int, now_s: float) -> bool:
+        """Return whether other hosts' streams leave no slot, as last heard."""
+        heard_s = now_s - self.all_streams_s
+        return heard_s < HEARD_VALID_S and self.all_streams >= slots
+
     def is_limited(self, now_s: float) -> bool:
         """Return whether the runner takes no request now."""
         return now_s < self.limited_until_s
--- a/tests/routing/test_local_placement.py
+++ b/tests/routing/test_local_placement.py
@@ -1,4 +1,7 @@
+import random
+
 from limpetroute.routing import local_placement
+from limpetroute.routing import runner_load
 from tests.routing import builders
 
 
@@ -26,3 +29,27 @@
         'begun', prompt_tokens=3000, written_tokens=4000, goes_on=True
     )
     assert not local_placement.may_self_read_alone(begun, entry_hosts=7)
+
+
+def choose(load, now_s):
+    return local_placement.choose_decode(
+        [builders.make_runner('d')],
+        engine=builders.ENGINE,
+        loads={'d': load},
+        tokens=5000,
+        part=0.2,
+        tried=(),
+        now_s=now_s,
+        rng=random.Random(0),
+    )
+
+
+# Guards against streams that hosts without a leader send to a runner which
+# they were told to be full a moment before.
+def test_a_runner_that_was_full_a_moment_ago_is_left_alone():
+    load = runner_load.RunnerLoad()
+    load.note_all_streams(builders.ENGINE.slots, 10.0)
+    assert choose(load, 11.0) is None
+    assert choose(load, 20.0) is not None
+    load.note_all_streams(builders.ENGINE.slots - 1, 20.0)
+    assert choose(load, 20.0) is not None
