Do not tell callers to come back where most are refused again

Cause: while new streams take all places the latest time that callers keep to was told, whatever became of those told before. What became of those who came back is counted now, over eight seconds; where less than a quarter got a place, a caller is told to stay away until its deadline, and the reason says so.

--- a/limpetroute/routing/admission.py
+++ b/limpetroute/routing/admission.py
@@ -6,6 +6,11 @@
 from limpetroute.routing import waiting_stream
 
 
+# Where a smaller part than this of those who come back gets a place, callers
+# are told to stay away until their deadline.
+LEAST_SERVED_PART = 0.25
+
+
 class Admission:
     """Tells callers that are turned away when to come back."""
 
@@ -25,9 +30,9 @@
             self._retry_after.note_new(now_s)
         return first_s
 
-    def served(self, ask: placement.PlacementRequest) -> None:
+    def served(self, ask: placement.PlacementRequest, now_s: float) -> None:
         """Forget a stream that got a place."""
-        self._retries.served(ask)
+        self._retries.served(ask, now_s)
 
     def released(self, now_s: float) -> None:
         """Count a place that became free."""
@@ -52,10 +57,19 @@
         """
         ask = stream.ask
         self._retries.note(ask, stream.first_sent_s, now_s)
+        left_s = ask.patience_s - (now_s - stream.sent_s)
+        served_part = self._retries.served_part(now_s)
+        if served_part is not None and served_part < LEAST_SERVED_PART:
+            # Told less, most would come back for a second refusal.
+            return placement.Rejection(
+                request_id=ask.request_id,
+                retry_after_s=max(retry_after.MIN_RETRY_AFTER_S, left_s),
+                reason='no place before its deadline',
+            )
         wait_s = self._retry_after.retry_after_s(
             place_s=place_s - now_s,
             expected_back=self._retries.expected(now_s) - 1,
-            patience_s=ask.patience_s - (now_s - stream.sent_s),
+            patience_s=left_s,
             now_s=now_s,
         )
         return placement.Rejection(
--- a/limpetroute/routing/retry_tracker.py
+++ b/limpetroute/routing/retry_tracker.py
@@ -1,5 +1,6 @@
 """Knows streams that come back after a refusal."""
 
+import collections
 import dataclasses
 
 import sortedcontainers
@@ -9,6 +10,10 @@
 # Callers forget nothing sooner than their patience ends; this bounds the
 # memory where thousands are refused each second (about 200 bytes each).
 MAX_KNOWN = 20_000
+# What became of callers who came back is counted over this time, and from
+# so many on.
+OUTCOMES_S = 8.0
+LEAST_OUTCOMES = 6
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -34,6 +39,9 @@
         self._refused: dict[str, _Refused] = {}
         # Those who are not back yet, by when they are not waited for.
         self._awaited = sortedcontainers.SortedList()
+        self._outcomes: collections.deque[tuple[float, bool]] = (
+            collections.deque()
+        )
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(known={len(self._refused)!r})'
@@ -57,6 +65,7 @@
         """Take note of a stream that is refused."""
         if not ask.prompt_id:
             return
+        self._note_outcome(ask, now_s, served=False)
         self._remove(_key(ask))
         refused = _Refused(
             first_sent_s=first_sent_s,
@@ -71,10 +80,30 @@
         over = self._awaited.bisect_left((now_s, ''))
         return len(self._awaited) - over
 
-    def served(self, ask: placement.PlacementRequest) -> None:
+    def served(self, ask: placement.PlacementRequest, now_s: float) -> None:
         """Forget a stream that got a place."""
+        self._note_outcome(ask, now_s, served=True)
         self._remove(_key(ask))
 
+    def served_part(self, now_s: float) -> float | None:
+        """Return which part of those who came back of late got a place.
+
+        None while too few came.
+        """
+        outcomes = self._outcomes
+        while outcomes and now_s - outcomes[0][0] > OUTCOMES_S:
+            outcomes.popleft()
+        if len(outcomes) < LEAST_OUTCOMES:
+            return None
+        return sum(served for _, served in outcomes) / len(outcomes)
+
+    def _note_outcome(
+        self, ask: placement.PlacementRequest, now_s: float, *, served: bool
+    ) -> None:
+        known = self._refused.get(_key(ask))
+        if known is not None and known.is_back:
+            self._outcomes.append((now_s, served))
+
     def _forget(self, now_s: float) -> None:
         """Drop the oldest ones that are over, or too many."""
         while self._refused:
--- a/limpetroute/routing/stream_scheduler.py
+++ b/limpetroute/routing/stream_scheduler.py
@@ -352,7 +352,7 @@
         if reader is not None:
             self._limits.take(reader.runner_id, now_s)
         self._waiting.remove(one.request_id)
-        self._admission.served(one.ask)
+        self._admission.served(one.ask, now_s)
         self._prefill.take(one.ask, reader, chosen.decoder, now_s)
         if reader is None and self._prefill.is_long(one.ask):
             self._reservations.note_long_pause(place.decode_id)
