--- a/limpetroute/cli/bench.py
+++ b/limpetroute/cli/bench.py
@@ -6,6 +6,7 @@
   limpetroute bench cost [--json FILE]
   limpetroute bench capacity [--json FILE]
   limpetroute bench scheduler [--json FILE]
+  limpetroute bench lone-runner [--json FILE]
 
 Options:
   --seeds N        Play the first N seeds only.
@@ -51,6 +52,8 @@
         return _capacity(args)
     if args['scheduler']:
         return _scheduler(args)
+    if args['lone-runner']:
+        return _lone_runner(args)
     try:
         path = pathlib.Path(args['EXPERIMENT'])
         body = settings_file.load(experiment.ExperimentBody, path)
@@ -180,5 +183,22 @@
     return EXIT_OK
 
 
+def _lone_runner(args: dict[str, typing.Any]) -> int:
+    from limpetroute.bench import lone_runner
+
+    rows = lone_runner.measure()
+    for row in rows:
+        print(
+            f'slower by {row.slow_factor:.1f} seed {row.seed:2} '
+            f'streams {row.streams:4} on time {row.on_time:3} '
+            f'late {row.late:3} earned {row.earned:.3f} '
+            f'bound on time {row.bound:.3f}'
+        )
+    if args['--json'] is not None:
+        found = [dataclasses.asdict(row) for row in rows]
+        _write(args['--json'], json.dumps({'lone_runner': found}, indent=1))
+    return EXIT_OK
+
+
 def _write(name: str, text: str) -> None:
     pathlib.Path(name).write_text(text + '\n')
--- a/limpetroute/routing/admission.py
+++ b/limpetroute/routing/admission.py
@@ -5,7 +5,6 @@
 from limpetroute.routing import retry_tracker
 from limpetroute.routing import waiting_stream
 
-
 # Where a smaller part than this of those who come back gets a place, callers
 # are told to stay away until their deadline.
 LEAST_SERVED_PART = 0.25
--- a/limpetroute/routing/recent_samples.py
+++ b/limpetroute/routing/recent_samples.py
@@ -19,6 +19,7 @@
 
     def __init__(self, guess: float) -> None:
         self._samples = collections.deque([guess] * GUESSES, maxlen=SAMPLES)
+        self._ordered = sorted(self._samples)
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(samples={list(self._samples)!r})'
@@ -26,8 +27,9 @@
     def note(self, value: float) -> None:
         """Take note of a sample."""
         self._samples.append(value)
+        self._ordered = sorted(self._samples)
 
     def quantile(self, part: float) -> float:
         """Return the sample that this part of them does not exceed."""
-        ordered = sorted(self._samples)
-        return ordered[min(len(ordered) - 1, int(len(ordered) * part))]
+        count = len(self._ordered)
+        return self._ordered[min(count - 1, int(count * part))]
--- a/tests/routing/test_lone_decode_runner.py
+++ b/tests/routing/test_lone_decode_runner.py
@@ -1,6 +1,6 @@
 import pytest
 
-from tests.routing import shrinking_fleet
+from limpetroute.bench import lone_runner
 
 SEEDS = range(10)
 # Part of the streams that meet their targets, and of the worth of a class
@@ -15,8 +15,8 @@
 def test_streams_placed_in_time_keep_their_targets(slow_factor):
     placed = on_time = 0
     for seed in SEEDS:
-        played = shrinking_fleet.play(seed, slow_factor=slow_factor)
-        for one in played.sent(shrinking_fleet.LONE_SINCE_S):
+        played = lone_runner.play(seed, slow_factor=slow_factor)
+        for one in played.sent(lone_runner.LONE_SINCE_S):
             if not one.whole or not one.expected_on_time:
                 continue
             placed += 1
@@ -28,8 +28,8 @@
 # targets are missed.
 def test_a_lone_decode_runner_earns_the_floor():
     earned = [
-        shrinking_fleet.play(seed).earned(
-            shrinking_fleet.LONE_SINCE_S, shrinking_fleet.LAST_SENT_S
+        lone_runner.play(seed).earned(
+            lone_runner.LONE_SINCE_S, lone_runner.LAST_SENT_S
         )
         for seed in SEEDS
     ]
@@ -42,7 +42,7 @@
     errors_s = sorted(
         one.first_s - one.sent_s - one.expected_first_s
         for seed in SEEDS
-        for one in shrinking_fleet.play(seed).sent(20.0)
+        for one in lone_runner.play(seed).sent(20.0)
         if one.first_s is not None and not one.refused
     )
     middle_s = errors_s[len(errors_s) // 2]
