Plan pauses by the pace of the runner that reads

What callers saw: pauses of 310 to 340 ms beside a decode runner that is slower by a third. Cause: the time between two events was that of all runners' streams, which moves by a thirtieth with each one that ends. Each runner's own is kept now, of its last sixteen streams with eight events or more, and of few runners the slowest counts. test_a_slower_runner_is_found_by_its_own_streams failed before (no such measure).

--- a/limpetroute/bench/fleet_play.py
+++ b/limpetroute/bench/fleet_play.py
@@ -20,8 +20,10 @@
 HOP_S = 0.004
 TICK_S = 0.005
 LOOK_S = 0.05
-# A silent runner is left after this long.
+# A silent runner is left after this long; one that takes no connection
+# sooner.
 SILENT_S = 1.0
+CONNECT_S = 0.25
 # Callers wait as told, up to this part of the time they have left.
 KEPT_PART = 1 / 3
 # A prompt that a prefill runner has read before is in its cache.
@@ -391,7 +393,7 @@
             return
         if caller.decode_id in self._dark:
             self.at(
-                self.now_s + SILENT_S,
+                self.now_s + CONNECT_S,
                 functools.partial(self._left, caller, request_id),
             )
             return
--- a/limpetroute/routing/prefill_queue.py
+++ b/limpetroute/routing/prefill_queue.py
@@ -10,6 +10,7 @@
 from limpetroute.routing import read_prompts
 from limpetroute.routing import reading_pause
 from limpetroute.routing import reservations
+from limpetroute.routing import room_index
 from limpetroute.routing import runner_info
 from limpetroute.routing import self_prefill_tracker
 from limpetroute.routing import stage_rates
@@ -19,6 +20,8 @@
 # A prompt that holds a runner's streams up for too long is only read where
 # it makes no more of them late than it is itself on time.
 MOST_MADE_LATE = 1
+# Up to so many decode runners, each is looked at.
+FEW_RUNNERS = 8
 # Runners of a service differ in speed: one that has not read yet may be
 # slower than the others.
 UNMEASURED_PART = 0.85
@@ -77,6 +80,7 @@
         self._readings: dict[tuple[str, int], _Reading] = {}
         self._queued: dict[str, int] = {}
         self._readers: dict[str, runner_info.RunnerInfo] = {}
+        self._decoders = room_index.RoomIndex()
         self._order = sortedcontainers.SortedList()
         self._key_of: dict[str, tuple[float, str]] = {}
         self._speeds: dict[str, float] = {}
@@ -97,8 +101,14 @@
             return stage_rates.FIRST_READ_TOKENS_PER_S
         return self._speed_sum / len(self._speeds)
 
-    def use(self, readers: typing.Iterable[runner_info.RunnerInfo]) -> None:
-        """Take note of the prefill runners that may be given prompts."""
+    def use(
+        self,
+        readers: typing.Iterable[runner_info.RunnerInfo],
+        decoders: room_index.RoomIndex | None = None,
+    ) -> None:
+        """Take note of the runners that may be given prompts."""
+        if decoders is not None:
+            self._decoders = decoders
         self._readers = {one.runner_id: one for one in readers}
         self._order.clear()
         self._key_of.clear()
@@ -172,7 +182,7 @@
         read_s = ask.tokens_to_read / self.self_read_speed()
         return reading_pause.pause_s(
             read_s,
-            event_s=self._reservations.event_s,
+            event_s=self._event_s,
             pace_beside=self.pace_beside_reading,
         )
 
@@ -189,6 +199,19 @@
         measured = self._self_reads.tokens_per_s(runner_id)
         return measured if measured is not None else self._first_self_speed
 
+    @property
+    def _event_s(self) -> float:
+        """Usual time between two events at the slowest of few runners.
+
+        Of many, one that is slow is not waited for.
+        """
+        if not 0 < len(self._decoders) <= FEW_RUNNERS:
+            return self._reservations.event_s
+        return max(
+            self._reservations.event_s_at(one.runner_id)
+            for one in self._decoders
+        )
+
     @property
     def _first_self_speed(self) -> float:
         usual = self.tokens_per_s * stage_rates.SELF_READ_PART
@@ -212,7 +235,7 @@
     def self_read_each_s(self) -> float:
         """Time after which a decode runner may read the next prompt."""
         read_s = self._prompt_size.mean / self.self_read_speed()
-        return read_s + self._reservations.event_s
+        return read_s + self._event_s
 
     def take(
         self,
@@ -296,7 +319,7 @@
             (request_id, attempt),
             took_s,
             usual_speed=self._first_self_speed,
-            free_s=now_s + self._reservations.event_s,
+            free_s=now_s + self._event_s,
             now_s=now_s,
         )
 
@@ -346,7 +369,7 @@
         read_s = ask.tokens_to_read / self.self_read_speed()
         return read_s > reading_pause.longest_reading_s(
             limit_s,
-            event_s=self._reservations.event_s,
+            event_s=self._event_s,
             pace_beside=self.pace_beside_reading,
         )
 
--- a/limpetroute/routing/reservations.py
+++ b/limpetroute/routing/reservations.py
@@ -11,6 +11,7 @@
 from limpetroute.routing import memory_headroom
 from limpetroute.routing import memory_profile
 from limpetroute.routing import placement
+from limpetroute.routing import recent_samples
 from limpetroute.routing import runner_reservations
 from limpetroute.routing import service as service_module
 from limpetroute.routing import stage_rates
@@ -18,6 +19,8 @@
 
 # Ends shorter than this say little of a stream's speed.
 LEAST_MEASURED_S = 0.2
+# Of fewer events, one long pause makes up the mean.
+LEAST_EVENTS = 8
 # Memory is planned with the deviation of answers as it was until it has
 # moved by this part: it moves a little with each answer, and with it the
 # room of every runner.
@@ -60,6 +63,8 @@
             stage_rates.first_write_tokens_per_s(engine)
         )
 
+        self._event_s: dict[str, recent_samples.RecentSamples] = {}
+
     def __repr__(self) -> str:
         return f'{type(self).__name__}(reserved={len(self._reserved)!r})'
 
@@ -79,6 +84,11 @@
         """Usual time between two events of a stream."""
         return self._engine.tokens_per_event / self._speed.mean
 
+    def event_s_at(self, runner_id: str) -> float:
+        """Return the usual time between two events at one runner."""
+        known = self._event_s.get(runner_id)
+        return known.quantile(0.5) if known is not None else self.event_s
+
     @property
     def deviation_tokens(self) -> float:
         """How far answers are from what was expected of them."""
@@ -171,6 +181,7 @@
         if reserved is None or reserved.ask.attempt != end.attempt:
             return None
         self._remove(end.request_id)
+        self._note_pace(reserved.place.decode_id, end)
         if end.whole and not reserved.ask.goes_on:
             error = end.output_tokens - reserved.outlook.output_tokens
             self._note_error(error)
@@ -194,6 +205,7 @@
         Its streams are over. Their ends come from their hosts, some of
         them after the first new streams are placed there.
         """
+        self._event_s.pop(runner_id, None)
         known = self._by_runner.get(runner_id)
         if known is None:
             return
@@ -312,6 +324,16 @@
         self._end_of[request_id] = end_s
         self._ends.add((end_s, request_id))
 
+    def _note_pace(self, runner_id: str, end: placement.Release) -> None:
+        events = end.output_tokens / self._engine.tokens_per_event
+        if events < LEAST_EVENTS or end.decode_s < LEAST_MEASURED_S:
+            return
+        samples = self._event_s.get(runner_id)
+        if samples is None:
+            samples = recent_samples.RecentSamples(self.event_s)
+            self._event_s[runner_id] = samples
+        samples.note(end.decode_s / events)
+
     def _note_error(self, error_tokens: float) -> None:
         self._square_error.note(error_tokens * error_tokens)
         planned = self._planned_deviation_tokens
--- a/limpetroute/routing/stream_scheduler.py
+++ b/limpetroute/routing/stream_scheduler.py
@@ -264,7 +264,7 @@
         others = self._fleet.refresh(runners, changing, now_s)
         full = others or now_s - self._full_pass_s >= FULL_PASS_S
         if others:
-            self._prefill.use(self._fleet.readers)
+            self._prefill.use(self._fleet.readers, self._fleet.decoders)
         if full:
             self._full_pass_s = now_s
             self._waiting.sort(lambda one: self._in_time(one, now_s))
--- a/limpetroute/routing/wait_estimate.py
+++ b/limpetroute/routing/wait_estimate.py
@@ -9,8 +9,6 @@
 from limpetroute.routing import reservations
 from limpetroute.routing import self_prefill
 
-# Up to so many decode runners, each is looked at for each event.
-FEW_RUNNERS = 8
 # Slots that are looked at beyond one for each waiting stream.
 MORE_ENDS = 16
 
@@ -74,7 +72,7 @@
         self._ends_s = None
         self._queue_s = None
         self._quiet_at_s = None
-        if full or len(self._fleet.decoders) <= FEW_RUNNERS:
+        if full or len(self._fleet.decoders) <= prefill_queue.FEW_RUNNERS:
             self._self_readers = None
 
     def can_be_read(self, ask: placement.PlacementRequest) -> bool:
@@ -130,7 +128,7 @@
         Such a runner has slots, but reads one prompt at a time: it is
         waited for, not for the end of one of its streams.
         """
-        if len(self._fleet.decoders) <= FEW_RUNNERS:
+        if len(self._fleet.decoders) <= prefill_queue.FEW_RUNNERS:
             soonest_s, count = self._soonest_with_room(ask)
         else:
             soonest_s, count = self._self_reading.soonest(
--- a/tests/routing/test_reservations.py
+++ b/tests/routing/test_reservations.py
@@ -2,6 +2,8 @@
 
 import random
 
+import pytest
+
 from limpetroute.routing import placement
 from limpetroute.routing import reservations
 from tests.routing import builders
@@ -63,3 +65,26 @@
     reserved.drop('s')
     assert reserved.take_freed() == {'d1'}
     assert reserved.take_freed() == set()
+
+
+# Guards against pauses that are planned by the pace of faster runners.
+def test_a_slower_runner_is_found_by_its_own_streams():
+    held = reservations.Reservations(engine=builders.ENGINE)
+    usual_s = held.event_s
+    for n in range(12):
+        ask = builders.make_ask(f's{n}')
+        place = placement.Placement(
+            request_id=ask.request_id, decode_id='slow', prefill_id=''
+        )
+        held.add(place, ask, sent_s=0.0, begins_s=0.2)
+        tokens = 40 * builders.ENGINE.tokens_per_event
+        held.end(
+            placement.Release(
+                request_id=ask.request_id,
+                output_tokens=tokens,
+                decode_s=40 * 2 * usual_s,
+                whole=True,
+            )
+        )
+    assert held.event_s_at('slow') == pytest.approx(2 * usual_s)
+    assert held.event_s_at('other') == held.event_s < 1.5 * usual_s
