Take no stream whose caller left as a sign that its runner is sound

What callers saw: with the only decode runner dark, three streams at once sent there 2.3 s after it had been given up, and again 0.4 s later; none got an event. Cause: each release without a failure cleared the runner's failures, also that of a stream whose caller had left waiting. Only a whole answer speaks for a runner now. test_a_caller_that_left_says_nothing_good_of_a_runner failed before (three placements at the dark runner).

--- a/limpetroute/routing/stream_scheduler.py
+++ b/limpetroute/routing/stream_scheduler.py
@@ -226,9 +226,10 @@
             self._outliers.full(runner_id, self._engine.slots - seen, now_s)
         for runner_id in end.failed:
             self._outliers.failed(runner_id, now_s)
-        if place is not None and not end.failed:
-            # Of the reader it says nothing new: its part was over
-            # seconds ago, and it may be gone since.
+        if place is not None and end.whole and not end.failed:
+            # One that its caller gave up says nothing of the runner. Of the
+            # reader none does: its part was over seconds ago, and it may
+            # be gone since.
             self._outliers.went_well(place.decode_id)
 
     def adopt(
--- a/tests/routing/test_stream_scheduler.py
+++ b/tests/routing/test_stream_scheduler.py
@@ -230,6 +230,26 @@
     return place
 
 
+# Guards against a dark runner that passes for sound because callers left
+# while they waited for it, and is then sent all that asks.
+def test_a_caller_that_left_says_nothing_good_of_a_runner():
+    scheduler = make_scheduler()
+    fleet = make_fleet(writers=2)
+    for n in range(4):
+        scheduler.ask(builders.make_ask(f's{n}'), 0.0)
+    given = places(scheduler.decide(fleet, 0.0))
+    dark = [one for one in given if one.decode_id == 'd0']
+    for one in dark[:-1]:
+        end = placement.Release(request_id=one.request_id, failed=('d0',))
+        scheduler.end(end, 0.5)
+    left = placement.Release(request_id=dark[-1].request_id)
+    scheduler.end(left, 0.6)
+    for n in range(4):
+        scheduler.ask(builders.make_ask(f'r{n}'), 0.7)
+    again = places(scheduler.decide(fleet, 0.7))
+    assert [one for one in again if one.decode_id == 'd0'] == []
+
+
 def test_without_its_reader_a_fleet_lets_writers_read():
     """The only reader is gone for good, and its registration stands.
 
