Work out a pause beside a reading in one place

The longest good reading and the pause of a reading were the same formula twice, once solved for each. What a placement's forecast says is not worked out a second time for its reservation.

--- a/limpetroute/routing/prefill_queue.py
+++ b/limpetroute/routing/prefill_queue.py
@@ -366,12 +366,8 @@
     def is_long(self, ask: placement.PlacementRequest) -> bool:
         """Return whether reading it holds streams up for too long."""
         limit_s = ask.pause_target_s or USUAL_PAUSE_S
-        read_s = ask.tokens_to_read / self.self_read_speed()
-        return read_s > reading_pause.longest_reading_s(
-            limit_s,
-            event_s=self._event_s,
-            pace_beside=self.pace_beside_reading,
-        )
+        pause_s = self.pause_beside_s(ask, None)
+        return reading_pause.is_too_long(pause_s, limit_s)
 
     def self_read_s(
         self, decoder: runner_info.RunnerInfo, now_s: float
--- a/limpetroute/routing/reading_pause.py
+++ b/limpetroute/routing/reading_pause.py
@@ -1,7 +1,5 @@
 """How long a decode runner's streams pause while it reads a prompt."""
 
-import math
-
 # Between two steps of its streams, a decode runner reads a piece of the
 # prompt for this long (a quarter of the usual piece, at half the speed).
 PIECE_S = 0.01
@@ -40,6 +38,9 @@
 def pause_s(read_s: float, *, event_s: float, pace_beside: float) -> float:
     """Return the longest time between two events beside a reading.
 
+    An event that has seventy tokens waits until the whole prompt is read;
+    one that has eight comes after eight pieces of it.
+
     Parameters
     ----------
     read_s : float
@@ -52,24 +53,6 @@
     return min(event_s / pace_beside, event_s + read_s * (1 - pace_beside))
 
 
-def longest_reading_s(
-    limit_s: float, *, event_s: float, pace_beside: float
-) -> float:
-    """Return how long a reading may take for pauses to stay good.
-
-    An event that has seventy tokens waits until the whole prompt is read;
-    one that has eight comes after eight pieces of it.
-
-    Parameters
-    ----------
-    limit_s : float
-        Longest good time between two events.
-    event_s : float
-        The usual time between two events.
-    pace_beside : float
-        How fast streams go on, as a part of their usual speed.
-    """
-    planned_s = limit_s * PLANNED_PART
-    if event_s / pace_beside <= planned_s:
-        return math.inf
-    return max(0.0, planned_s - event_s) / (1 - pace_beside)
+def is_too_long(pause_s: float, limit_s: float) -> bool:
+    """Return whether a planned pause may exceed the longest good one."""
+    return pause_s > limit_s * PLANNED_PART
--- a/limpetroute/routing/stream_scheduler.py
+++ b/limpetroute/routing/stream_scheduler.py
@@ -343,11 +343,12 @@
         else:
             self._in_time_in_a_row = 0
         reader = chosen.reader
+        expected = self._forecast(one, chosen, now_s)
         place = placement.Placement(
             request_id=one.request_id,
             decode_id=chosen.decoder.runner_id,
             prefill_id=reader.runner_id if reader else '',
-            forecast=self._forecast(one, chosen, now_s),
+            forecast=expected,
         )
         self._limits.take(chosen.decoder.runner_id, now_s)
         if reader is not None:
@@ -362,7 +363,7 @@
             one.ask,
             sent_s=one.sent_s,
             begins_s=chosen.ready_s,
-            on_time=one.is_on_time(chosen.ready_s),
+            on_time=expected.in_time,
         )
         self._fleet.update(now_s)
         return place
--- a/tests/routing/test_reading_pause.py
+++ b/tests/routing/test_reading_pause.py
@@ -9,6 +9,11 @@
 LIMIT_S = 0.3
 
 
+def is_too_long(read_s, **streams):
+    pause_s = reading_pause.pause_s(read_s, **streams)
+    return reading_pause.is_too_long(pause_s, LIMIT_S)
+
+
 def test_where_events_are_long_prompts_up_to_a_fifth_of_a_second_are_read():
     """Measured: 6,500 tokens hold streams up for 325 ms.
 
@@ -16,10 +21,8 @@
     """
     pace = reading_pause.pace(1400.0)
     assert pace < 0.1
-    longest_s = reading_pause.longest_reading_s(
-        LIMIT_S, event_s=0.05, pace_beside=pace
-    )
-    assert 5500 < longest_s * 25_000 < 6500
+    assert not is_too_long(5500 / 25_000, event_s=0.05, pace_beside=pace)
+    assert is_too_long(6500 / 25_000, event_s=0.05, pace_beside=pace)
 
 
 def test_where_events_are_short_any_prompt_may_be_read():
@@ -30,13 +33,8 @@
     """
     pace = reading_pause.pace(170.0)
     assert pace == pytest.approx(0.37, abs=0.01)
-    longest_s = reading_pause.longest_reading_s(
-        LIMIT_S, event_s=8 / 170, pace_beside=pace
-    )
-    assert longest_s == math.inf
+    assert not is_too_long(math.inf, event_s=8 / 170, pace_beside=pace)
 
 
 def test_where_events_take_as_long_as_they_may_nothing_is_read_beside():
-    assert not reading_pause.longest_reading_s(
-        LIMIT_S, event_s=0.3, pace_beside=0.5
-    )
+    assert is_too_long(0.001, event_s=0.3, pace_beside=0.5)
