--- a/limpetroute/bench/fleet_play.py
+++ b/limpetroute/bench/fleet_play.py
@@ -10,6 +10,9 @@
 import typing
 
 from limpetroute.bench import batch_engine
+from limpetroute.bench import engine_shape
+from limpetroute.bench import played_caller
+from limpetroute.bench import stream_load
 from limpetroute.decisions import stage as stage_module
 from limpetroute.routing import placement
 from limpetroute.routing import runner_info
@@ -28,92 +31,11 @@
 KEPT_PART = 1 / 3
 # A prompt that a prefill runner has read before is in its cache.
 CACHED_READ_S = 0.003
-TARGET_S = 0.9
-PAUSE_TARGET_S = 0.3
 SILENCE_S = 3.6
 PATIENCE_S = 14.0
 LATE_WORTH = 11 / 54
 
 
-@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
-class Load:
-    """Streams that come.
-
-    Parameters
-    ----------
-    streams_per_s : tuple of (float, float)
-        From when on how many come a second.
-    until_s : float
-        When the last one comes.
-    """
-
-    streams_per_s: tuple[tuple[float, float], ...]
-    until_s: float
-
-    def rate(self, now_s: float) -> float:
-        """Return how many come a second at a moment."""
-        found = 0.0
-        for since_s, rate in self.streams_per_s:
-            if now_s >= since_s:
-                found = rate
-        return found
-
-
-@dataclasses.dataclass(kw_only=True, slots=True)
-class Caller:
-    """A caller's stream, and what it saw of its answer.
-
-    Parameters
-    ----------
-    name : str
-        Names its prompt.
-    sent_s : float
-        When it was sent for the first time.
-    prompt_tokens, said_tokens, tokens : int
-        Length of the prompt, and of the answer as said and as it is.
-    """
-
-    name: str
-    sent_s: float
-    prompt_tokens: int
-    said_tokens: int
-    tokens: int
-    attempt: int = 0
-    waits_since_s: float = 0.0
-    written: int = 0
-    first_s: float | None = None
-    last_s: float | None = None
-    longest_pause_s: float = 0.0
-    decode_id: str = ''
-    expected_on_time: bool = False
-    expected_first_s: float = 0.0
-    sent_to_runner_s: float | None = None
-    refused: int = 0
-    refused_at_s: list[float] = dataclasses.field(default_factory=list)
-    whole: bool = False
-    over: bool = False
-
-    @property
-    def request_id(self) -> str:
-        """Names this attempt."""
-        return f'{self.name}/{self.attempt}'
-
-    @property
-    def size(self) -> float:
-        """What its answer is worth beside others."""
-        return self.prompt_tokens + 10.0 * self.tokens
-
-    @property
-    def on_time(self) -> bool:
-        """Whether its answer is whole, and was good all the while."""
-        return (
-            self.whole
-            and self.first_s is not None
-            and self.first_s - self.sent_s <= TARGET_S
-            and self.longest_pause_s <= PAUSE_TARGET_S
-        )
-
-
 class FleetPlay:
     """Plays streams on engines that come and go.
 
@@ -121,7 +43,7 @@
     ----------
     seed : int
         For lengths and times.
-    load : Load
+    load : StreamLoad
         Streams that come.
     shape : EngineShape
         The engines.
@@ -133,8 +55,8 @@
         self,
         *,
         seed: int,
-        load: Load,
-        shape: batch_engine.EngineShape,
+        load: stream_load.StreamLoad,
+        shape: engine_shape.EngineShape,
         memory_tokens: int = 135_015,
     ) -> None:
         self._rng = random.Random(seed)
@@ -149,8 +71,8 @@
                 stage_change_s=6.0,
             )
         )
-        self.callers: list[Caller] = []
-        self._by_request: dict[str, Caller] = {}
+        self.callers: list[played_caller.PlayedCaller] = []
+        self._by_request: dict[str, played_caller.PlayedCaller] = {}
         self._engines: dict[str, batch_engine.BatchEngine] = {}
         self._prefill_free_s: dict[str, float] = {}
         self._cached: dict[str, set[str]] = {}
@@ -176,7 +98,7 @@
         runner_id: str,
         stage: stage_module.Stage,
         *,
-        shape: batch_engine.EngineShape | None = None,
+        shape: engine_shape.EngineShape | None = None,
     ) -> None:
         """Add a runner."""
         self._runners[runner_id] = runner_info.RunnerInfo(
@@ -246,7 +168,7 @@
             events = min(130, self._draw(70.0))
             tokens = max(1, round(events)) * self._shape.tokens_per_event
             said = tokens * self._rng.lognormvariate(0.0, 0.5)
-            caller = Caller(
+            caller = played_caller.PlayedCaller(
                 name=f's{len(self.callers)}',
                 sent_s=now_s,
                 prompt_tokens=200 + min(11_000, round(self._draw(5000.0))),
@@ -262,7 +184,7 @@
     def _draw(self, mean: float) -> float:
         return mean * self._rng.lognormvariate(-0.125, 0.5)
 
-    def _ask(self, caller: Caller) -> None:
+    def _ask(self, caller: played_caller.PlayedCaller) -> None:
         if caller.over:
             return
         if caller.last_s is not None or caller.refused:
@@ -282,12 +204,12 @@
                 output_tokens=min(most, caller.said_tokens),
                 most_output_tokens=most,
                 waited_s=self.now_s - since_s,
-                target_s=TARGET_S,
+                target_s=played_caller.TARGET_S,
                 patience_s=PATIENCE_S - (since_s - caller.sent_s),
                 goes_on=bool(written),
                 written_tokens=written,
                 prompt_id=caller.name,
-                pause_target_s=PAUSE_TARGET_S,
+                pause_target_s=played_caller.PAUSE_TARGET_S,
                 silence_s=SILENCE_S,
             ),
             self.now_s,
@@ -297,7 +219,9 @@
             since_s + SILENCE_S, functools.partial(self._leave, caller, name)
         )
 
-    def _leave(self, caller: Caller, request_id: str) -> None:
+    def _leave(
+        self, caller: played_caller.PlayedCaller, request_id: str
+    ) -> None:
         """Have a caller leave that has seen nothing for too long."""
         if caller.over or caller.request_id != request_id:
             return
@@ -310,7 +234,7 @@
             return
         self._give_up(caller)
 
-    def _give_up(self, caller: Caller) -> None:
+    def _give_up(self, caller: played_caller.PlayedCaller) -> None:
         """Have a caller leave."""
         if caller.over:
             return
@@ -320,7 +244,9 @@
         if caller.decode_id:
             self._engines[caller.decode_id].cancel(caller.request_id)
 
-    def _left(self, caller: Caller, request_id: str) -> None:
+    def _left(
+        self, caller: played_caller.PlayedCaller, request_id: str
+    ) -> None:
         """Give a stream up at a silent runner, and ask for another."""
         if caller.over or caller.request_id != request_id:
             return
@@ -338,7 +264,9 @@
             else:
                 self._place(caller, answer)
 
-    def _reject(self, caller: Caller, answer: placement.Rejection) -> None:
+    def _reject(
+        self, caller: played_caller.PlayedCaller, answer: placement.Rejection
+    ) -> None:
         caller.refused += 1
         caller.refused_at_s.append(self.now_s)
         if caller.refused > 1:
@@ -352,7 +280,9 @@
             self.now_s + wait_s + HOP_S, functools.partial(self._ask, caller)
         )
 
-    def _place(self, caller: Caller, answer: placement.Placement) -> None:
+    def _place(
+        self, caller: played_caller.PlayedCaller, answer: placement.Placement
+    ) -> None:
         self.counts['placed'] += 1
         caller.decode_id = answer.decode_id
         expected = answer.forecast
@@ -378,17 +308,26 @@
             functools.partial(self._was_read, caller, name),
         )
 
-    def _send_whole(self, caller: Caller, request_id: str) -> None:
+    def _send_whole(
+        self, caller: played_caller.PlayedCaller, request_id: str
+    ) -> None:
         read_tokens = caller.prompt_tokens + caller.written
         self._send(caller, request_id, read_tokens)
 
-    def _was_read(self, caller: Caller, request_id: str) -> None:
+    def _was_read(
+        self, caller: played_caller.PlayedCaller, request_id: str
+    ) -> None:
         if caller.over or caller.request_id != request_id:
             return
         self.scheduler.read(request_id, 0, self.now_s)
         self._send(caller, request_id, caller.written)
 
-    def _send(self, caller: Caller, request_id: str, read_tokens: int) -> None:
+    def _send(
+        self,
+        caller: played_caller.PlayedCaller,
+        request_id: str,
+        read_tokens: int,
+    ) -> None:
         if caller.over or caller.request_id != request_id:
             return
         if caller.decode_id in self._dark:
@@ -434,7 +373,7 @@
 
     def _release(
         self,
-        caller: Caller,
+        caller: played_caller.PlayedCaller,
         *,
         failed: tuple[str, ...] = (),
         full: tuple[str, ...] = (),
@@ -459,11 +398,11 @@
 
     def sent(
         self, since_s: float = 0.0, until_s: float = math.inf
-    ) -> list[Caller]:
+    ) -> list[played_caller.PlayedCaller]:
         """Return the streams that were sent in a span of time."""
         return [one for one in self.callers if since_s <= one.sent_s < until_s]
 
-    def worth_of(self, caller: Caller) -> float:
+    def worth_of(self, caller: played_caller.PlayedCaller) -> float:
         """Return what a stream's answer is worth on time."""
         mean = sum(one.size for one in self.callers) / len(self.callers)
         return 0.3 + 0.7 * caller.size / mean
--- a/limpetroute/bench/lone_runner.py
+++ b/limpetroute/bench/lone_runner.py
@@ -3,9 +3,11 @@
 import dataclasses
 import functools
 
-from limpetroute.bench import batch_engine
+from limpetroute.bench import engine_shape
 from limpetroute.bench import fleet_play
 from limpetroute.bench import on_time_bound
+from limpetroute.bench import played_caller
+from limpetroute.bench import stream_load
 from limpetroute.decisions import stage as stage_module
 
 DRAINS_S = 8.1
@@ -14,7 +16,7 @@
 LONE_SINCE_S = 15.3
 LAST_SENT_S = 34.0
 USUAL_PER_S = 3.84
-LOAD = fleet_play.Load(
+LOAD = stream_load.StreamLoad(
     streams_per_s=(
         (0.0, USUAL_PER_S),
         (6.0, USUAL_PER_S * 1.6),
@@ -64,7 +66,7 @@
     successor, and the prefill runner leaves last.
     """
     played = fleet_play.FleetPlay(
-        seed=seed, load=LOAD, shape=batch_engine.EngineShape()
+        seed=seed, load=LOAD, shape=engine_shape.EngineShape()
     )
     played.add('drains', stage_module.Stage.DECODE)
     played.add('dark', stage_module.Stage.DECODE)
@@ -82,7 +84,7 @@
     played.add(
         'last',
         stage_module.Stage.DECODE,
-        shape=batch_engine.EngineShape(slow_factor=slow_factor),
+        shape=engine_shape.EngineShape(slow_factor=slow_factor),
     )
 
 
@@ -93,7 +95,7 @@
     answer for those that run then. What it had to do before is not taken
     off, so the bound is a generous one.
     """
-    shape = batch_engine.EngineShape(slow_factor=slow_factor)
+    shape = engine_shape.EngineShape(slow_factor=slow_factor)
     callers = played.sent(LONE_SINCE_S, LAST_SENT_S)
     demands = [
         on_time_bound.Demand(
@@ -104,7 +106,7 @@
         for one in callers
     ]
     mean_tokens = sum(one.tokens for one in callers) / len(callers)
-    time_s = LAST_SENT_S + fleet_play.TARGET_S - LONE_SINCE_S
+    time_s = LAST_SENT_S + played_caller.TARGET_S - LONE_SINCE_S
     time_s += mean_tokens * shape.step_of_s(shape.slots)
     owed = sum(one.worth for one in demands)
     return on_time_bound.most_worth(demands, shape, time_s) / owed
--- a/limpetroute/bench/on_time_bound.py
+++ b/limpetroute/bench/on_time_bound.py
@@ -3,7 +3,7 @@
 import dataclasses
 import typing
 
-from limpetroute.bench import batch_engine
+from limpetroute.bench import engine_shape
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -23,7 +23,7 @@
     worth: float
 
 
-def busy_s(demand: Demand, shape: batch_engine.EngineShape) -> float:
+def busy_s(demand: Demand, shape: engine_shape.EngineShape) -> float:
     """Return the time of the runner that a stream takes.
 
     That is the time in which its prompt is read, when no other stream goes
@@ -36,7 +36,7 @@
 
 def most_worth(
     demands: typing.Iterable[Demand],
-    shape: batch_engine.EngineShape,
+    shape: engine_shape.EngineShape,
     time_s: float,
 ) -> float:
     """Return the worth that no order of service can exceed.
