Send a placement's forecast where earlier releases do not look

While hosts are replaced one by one, entry hosts of the earlier release would have refused each placement of a new leader, for a field that they do not know, and placed their streams by themselves. The forecast goes in a header now, and what a later release adds to it is left out. test_a_placement_has_no_field_that_earlier_releases_do_not_know failed before (a field more).

--- a/limpetroute/dispatch/place_handlers.py
+++ b/limpetroute/dispatch/place_handlers.py
@@ -7,6 +7,7 @@
 import tornado.web
 
 from limpetroute.border import errors
+from limpetroute.border import forecast_header
 from limpetroute.border import limit_bodies
 from limpetroute.border import place_bodies
 from limpetroute.dispatch import dispatcher as dispatcher_module
@@ -40,11 +41,11 @@
 
     async def post(self) -> None:
         """Answer with a place, a refusal, or that this host cannot say."""
-        body = self.parse(place_bodies.AskBody)
-        if body is None:
+        asked = self.parse(place_bodies.AskBody)
+        if asked is None:
             return
-        assert isinstance(body, place_bodies.AskBody)
-        self._task = asyncio.create_task(self.dispatcher.place(body.ask()))
+        assert isinstance(asked, place_bodies.AskBody)
+        self._task = asyncio.create_task(self.dispatcher.place(asked.ask()))
         try:
             answer = await self._task
         except asyncio.CancelledError:
@@ -55,7 +56,13 @@
             return
         if isinstance(answer, placement.Rejection):
             self.set_status(HTTP_UNAVAILABLE)
-        self.finish(dataclasses.asdict(answer))
+        body = dataclasses.asdict(answer)
+        body.pop('forecast', None)
+        if isinstance(answer, placement.Placement) and answer.forecast:
+            self.set_header(
+                forecast_header.NAME, forecast_header.encode(answer.forecast)
+            )
+        self.finish(body)
 
     def on_connection_close(self) -> None:
         """Withdraw the stream of a caller that is gone."""
--- a/limpetroute/forwarding/scheduler_client.py
+++ b/limpetroute/forwarding/scheduler_client.py
@@ -6,7 +6,7 @@
 import logging
 import typing
 
-from limpetroute.routing import forecast
+from limpetroute.border import forecast_header
 from limpetroute.routing import placement
 from limpetroute.routing import stream_times
 from limpetroute.wire import call_failed
@@ -119,7 +119,12 @@
                 return placement.Rejection(**got.json())
             if not got.ok:
                 return NoScheduler(reason=f'status {got.status}')
-            place = _placement(got.json())
+            place = placement.Placement(
+                **got.json(),
+                forecast=forecast_header.decode(
+                    got.headers.get(forecast_header.NAME)
+                ),
+            )
         except (ValueError, TypeError) as exc:
             return NoScheduler(reason=str(exc))
         self.note(place, ask)
@@ -254,13 +259,6 @@
     return asyncio.get_running_loop().time()
 
 
-def _placement(body: dict[str, typing.Any]) -> placement.Placement:
-    expected = body.pop('forecast', None)
-    return placement.Placement(
-        **body, forecast=forecast.Forecast(**expected) if expected else None
-    )
-
-
 def _answer_due_s(ask: placement.PlacementRequest) -> float:
     """Return how long the leader may hold this call."""
     return max(0.0, stream_times.longest_wait_s(ask) - ask.waited_s)
--- /dev/null
+++ b/tests/dispatch/test_place_handlers.py
@@ -0,0 +1,83 @@
+import asyncio
+import dataclasses
+
+from tornado import httpserver
+from tornado import netutil
+from tornado import web
+
+from limpetroute.border import forecast_header
+from limpetroute.dispatch import place_handlers
+from limpetroute.forwarding import scheduler_client
+from limpetroute.routing import forecast
+from limpetroute.routing import placement
+from limpetroute.wire import caller
+from tests.routing import builders
+
+EXPECTED = forecast.Forecast(
+    queued_s=0.1,
+    first_event_s=0.3,
+    in_time=True,
+    beside=4,
+    pause_s=0.2,
+    read_tokens_per_s=25_000.0,
+)
+# What an entry host of an earlier release takes.
+KNOWN_FIELDS = {'request_id', 'decode_id', 'prefill_id'}
+
+
+class Dispatcher:
+    async def place(self, ask):
+        return placement.Placement(
+            request_id=ask.request_id,
+            decode_id='d',
+            prefill_id='p',
+            forecast=EXPECTED,
+        )
+
+
+def with_leader(work):
+    """Run something with the address of a leader that places all."""
+
+    async def story():
+        args = {'dispatcher': Dispatcher()}
+        app = web.Application(
+            [('/v1/places', place_handlers.PlaceHandler, args)]
+        )
+        server = httpserver.HTTPServer(app)
+        (socket,) = netutil.bind_sockets(0, '127.0.0.1')
+        server.add_sockets([socket])
+        try:
+            return await work(f'http://127.0.0.1:{socket.getsockname()[1]}')
+        finally:
+            server.stop()
+
+    return asyncio.run(story())
+
+
+# Guards against a placement that hosts of an earlier release cannot read,
+# so that each of them places its streams by itself.
+def test_a_placement_has_no_field_that_earlier_releases_do_not_know():
+    async def work(url):
+        return await caller.Caller().call(
+            method='POST',
+            url=f'{url}/v1/places',
+            body=dataclasses.asdict(builders.make_ask('s')),
+            timeout_s=2.0,
+        )
+
+    assert set(with_leader(work).json()) == KNOWN_FIELDS
+
+
+def test_a_host_hears_the_forecast_of_its_placement():
+    async def work(url):
+        client = scheduler_client.SchedulerClient(http=caller.Caller())
+        client.follow(url)
+        return await client.ask(builders.make_ask('s'))
+
+    assert with_leader(work).forecast == EXPECTED
+
+
+# Guards against the same when a later release says more.
+def test_a_forecast_with_more_in_it_is_understood():
+    text = forecast_header.encode(EXPECTED).replace('{', '{"more": 1, ', 1)
+    assert forecast_header.decode(text) == EXPECTED
