Give rate limits a token bucket that quotas can share

Cause: the bucket of runners' limits counted single requests and could not be asked how much is left, so a quota in tokens would have needed a second one.

Change: TokenBucket takes rate, size and amounts; what belongs to runners' limits (half a second of burst, one request at least) stays in rate_limit. Behaviour of the limits is unchanged.

--- a/limpetroute/forwarding/rate_limit_client.py
+++ b/limpetroute/forwarding/rate_limit_client.py
@@ -9,6 +9,7 @@
 from limpetroute.routing import rate_limit
 from limpetroute.routing import runner_incarnation
 from limpetroute.routing import runner_info
+from limpetroute.routing import token_bucket
 from limpetroute.wire import call_failed
 from limpetroute.wire import caller
 
@@ -73,7 +74,7 @@
             runner_incarnation.RunnerIncarnation, _AnnouncedLimit
         ] = {}
         self._local_buckets: dict[
-            runner_incarnation.RunnerIncarnation, rate_limit.TokenBucket
+            runner_incarnation.RunnerIncarnation, token_bucket.TokenBucket
         ] = {}
         self._tasks: set[asyncio.Task[typing.Any]] = set()
 
@@ -192,14 +193,14 @@
         rate_per_s *= LOCAL_SHARE / hosts
         bucket = self._local_buckets.get(runner.incarnation)
         if bucket is None:
-            bucket = rate_limit.TokenBucket(rate_per_s=rate_per_s, now_s=now_s)
+            bucket = rate_limit.make_bucket(rate_per_s, now_s)
             self._local_buckets[runner.incarnation] = bucket
-        bucket.set_rate(rate_per_s, now_s)
-        if bucket.has_token(now_s):
-            bucket.take(now_s)
+        rate_limit.set_limit(bucket, rate_per_s, now_s)
+        if bucket.level(now_s) >= 1.0:
+            bucket.take(1.0, now_s)
             return True
         load = self._view.load(runner.runner_id)
-        wait_s = min(bucket.wait_s(now_s), UNREACHABLE_S)
+        wait_s = min(bucket.wait_s(1.0, now_s), UNREACHABLE_S)
         load.limited_until_s = now_s + wait_s
         return False
 
--- a/limpetroute/routing/rate_limit.py
+++ b/limpetroute/routing/rate_limit.py
@@ -2,6 +2,8 @@
 
 import math
 
+from limpetroute.routing import token_bucket
+
 # More than any runner can answer, so a higher limit has no effect.
 MAX_LIMIT_PER_S = 1_000_000.0
 # Requests left unused for this long may be sent in a burst.
@@ -29,57 +31,21 @@
     return min(limit_per_s, MAX_LIMIT_PER_S)
 
 
-class TokenBucket:
-    """Token bucket that limits the rate of requests.
-
-    Parameters
-    ----------
-    rate_per_s : float
-        Average number of requests per second.
-    now_s : float
-        Time of a monotonic clock.
-    """
-
-    def __init__(self, *, rate_per_s: float, now_s: float) -> None:
-        self._rate_per_s = rate_per_s
-        self._tokens = 0.0
-        self._filled_s = now_s
-
-    def __repr__(self) -> str:
-        return f'{type(self).__name__}(rate_per_s={self._rate_per_s!r})'
-
-    @property
-    def rate_per_s(self) -> float:
-        """Average number of requests per second."""
-        return self._rate_per_s
-
-    def set_rate(self, rate_per_s: float, now_s: float) -> None:
-        """Change the rate and keep the remaining tokens."""
-        self._fill(now_s)
-        self._rate_per_s = rate_per_s
-        self._tokens = min(self._tokens, self._max_tokens)
-
-    def has_token(self, now_s: float) -> bool:
-        """Return whether a request may be sent now."""
-        self._fill(now_s)
-        return self._tokens >= 1.0
+def make_bucket(limit_per_s: float, now_s: float) -> token_bucket.TokenBucket:
+    """Return an empty bucket of requests for a runner's limit."""
+    return token_bucket.TokenBucket(
+        rate_per_s=limit_per_s, burst=_burst(limit_per_s), now_s=now_s
+    )
 
-    def take(self, now_s: float) -> None:
-        """Take a token for a request, even if none is left."""
-        self._fill(now_s)
-        self._tokens -= 1.0
 
-    def wait_s(self, now_s: float) -> float:
-        """Return the time until the next request may be sent."""
-        self._fill(now_s)
-        return max(0.0, 1.0 - self._tokens) / self._rate_per_s
+def set_limit(
+    bucket: token_bucket.TokenBucket, limit_per_s: float, now_s: float
+) -> None:
+    """Change the limit of a runner's bucket and keep its tokens."""
+    bucket.set_limits(
+        rate_per_s=limit_per_s, burst=_burst(limit_per_s), now_s=now_s
+    )
 
-    @property
-    def _max_tokens(self) -> float:
-        return max(1.0, self._rate_per_s * BURST_S)
 
-    def _fill(self, now_s: float) -> None:
-        elapsed_s = max(0.0, now_s - self._filled_s)
-        self._filled_s = now_s
-        self._tokens += elapsed_s * self._rate_per_s
-        self._tokens = min(self._tokens, self._max_tokens)
+def _burst(limit_per_s: float) -> float:
+    return max(1.0, limit_per_s * BURST_S)
--- a/limpetroute/routing/runner_limits.py
+++ b/limpetroute/routing/runner_limits.py
@@ -6,6 +6,7 @@
 
 from limpetroute.routing import rate_limit
 from limpetroute.routing import runner_incarnation
+from limpetroute.routing import token_bucket
 
 # The runner whose last report is oldest is removed first.
 MAX_RUNNERS = 4000
@@ -36,7 +37,7 @@
 @dataclasses.dataclass(kw_only=True, slots=True)
 class _LimitedRunner:
     report: LimitReport
-    bucket: rate_limit.TokenBucket | None
+    bucket: token_bucket.TokenBucket | None
     last_retry_s: float = 0.0
 
 
@@ -80,10 +81,8 @@
                 report.limit_per_s, rate_limit.MIN_PROBE_RATE_PER_S
             )
             if limited.bucket is None:
-                limited.bucket = rate_limit.TokenBucket(
-                    rate_per_s=rate_per_s, now_s=now_s
-                )
-            limited.bucket.set_rate(rate_per_s, now_s)
+                limited.bucket = rate_limit.make_bucket(rate_per_s, now_s)
+            rate_limit.set_limit(limited.bucket, rate_per_s, now_s)
         while len(self._limited) > MAX_RUNNERS:
             self._limited.popitem(last=False)
 
@@ -95,7 +94,7 @@
     def has_token(self, runner_id: str, now_s: float) -> bool:
         """Return whether a request may be sent to a runner now."""
         bucket = self._bucket(runner_id)
-        return bucket is None or bucket.has_token(now_s)
+        return bucket is None or bucket.level(now_s) >= 1.0
 
     def exhausted(
         self, runner_ids: typing.Iterable[str], now_s: float
@@ -113,7 +112,7 @@
         """Count a request to a runner."""
         bucket = self._bucket(runner_id)
         if bucket is not None:
-            bucket.take(now_s)
+            bucket.take(1.0, now_s)
 
     def retry_wait_s(self, runner_id: str, now_s: float) -> float:
         """Return how long a refused host must wait before it retries.
@@ -124,7 +123,7 @@
         limited = self._limited.get(runner_id)
         if limited is None or limited.bucket is None:
             return 0.0
-        first_s = now_s + limited.bucket.wait_s(now_s)
+        first_s = now_s + limited.bucket.wait_s(1.0, now_s)
         limited.last_retry_s = max(
             first_s, limited.last_retry_s + 1.0 / limited.bucket.rate_per_s
         )
@@ -133,7 +132,7 @@
         wait_s = min(limited.last_retry_s - now_s, MAX_RETRY_WAIT_S)
         return max(wait_s, MIN_RETRY_WAIT_S)
 
-    def _bucket(self, runner_id: str) -> rate_limit.TokenBucket | None:
+    def _bucket(self, runner_id: str) -> token_bucket.TokenBucket | None:
         limited = self._limited.get(runner_id)
         return limited.bucket if limited is not None else None
 
