--- a/limpetroute/border/control_settings.py
+++ b/limpetroute/border/control_settings.py
@@ -7,6 +7,7 @@
 from limpetroute.border import listen_settings
 from limpetroute.border import names
 from limpetroute.border import paths
+from limpetroute.border import quota_settings
 from limpetroute.border import trust_settings
 from limpetroute.border import units
 
@@ -63,6 +64,8 @@
         Longest wait for a quorum.
     watch_timeout_s : float
         How long a watch call stays open while nothing changes.
+    quotas : QuotaSettings
+        How teams' quotas are kept.
     """
 
     host_id: names.Name
@@ -89,6 +92,7 @@
     void_retention_s: units.Seconds = 3600.0
     commit_timeout_s: units.Seconds = 5.0
     watch_timeout_s: units.Seconds = 20.0
+    quotas: quota_settings.QuotaSettings = quota_settings.QuotaSettings()
     max_body_bytes: int = pydantic.Field(default=64 << 20, ge=65536)
 
     @pydantic.field_validator('peer_urls')
--- a/limpetroute/border/forwarder_settings.py
+++ b/limpetroute/border/forwarder_settings.py
@@ -5,6 +5,7 @@
 from limpetroute.border import addresses
 from limpetroute.border import listen_settings
 from limpetroute.border import names
+from limpetroute.border import quota_settings
 from limpetroute.border import strict_model
 from limpetroute.border import trust_settings
 from limpetroute.border import units
@@ -34,6 +35,8 @@
         Time from SIGTERM until the process is killed.
     send_budget : RetryBudgetSettings
         Bound on retries.
+    quotas : QuotaSettings
+        How teams' quotas are kept.
     """
 
     host_id: names.Name
@@ -45,3 +48,4 @@
     control_port: units.Port
     grace_s: units.Seconds = 8.0
     send_budget: RetryBudgetSettings = RetryBudgetSettings()
+    quotas: quota_settings.QuotaSettings = quota_settings.QuotaSettings()
--- a/limpetroute/border/placement_bodies.py
+++ b/limpetroute/border/placement_bodies.py
@@ -27,6 +27,9 @@
     avoid: tuple[str, ...] = ()
     pause_target_s: float | None = None
     silence_s: float = placement.DEFAULT_SILENCE_S
+    team: str = ''
+    quota_cost: pydantic.NonNegativeFloat = 0.0
+    priority: int = 0
 
     def to_request(self) -> placement.PlacementRequest:
         """Return the placement request."""
--- a/limpetroute/border/strict_model.py
+++ b/limpetroute/border/strict_model.py
@@ -6,4 +6,7 @@
 class StrictModel(pydantic.BaseModel):
     """Immutable model that rejects unknown fields."""
 
-    model_config = pydantic.ConfigDict(extra='forbid', frozen=True)
+    # An error that quotes its input would show keys of callers.
+    model_config = pydantic.ConfigDict(
+        extra='forbid', frozen=True, hide_input_in_errors=True
+    )
--- a/limpetroute/dispatch/dispatch_component.py
+++ b/limpetroute/dispatch/dispatch_component.py
@@ -35,6 +35,7 @@
         args = {'dispatcher': self._dispatcher}
         return [
             web.url('/v1/places', placement_handlers.PlacementHandler, args),
+            web.url('/v1/quotas', placement_handlers.QuotaHandler, args),
             web.url('/v1/places/end', placement_handlers.ReleaseHandler, args),
             web.url(
                 '/v1/places/read', placement_handlers.PrefillDoneHandler, args
--- a/limpetroute/dispatch/order_codec.py
+++ b/limpetroute/dispatch/order_codec.py
@@ -5,6 +5,7 @@
 from limpetroute.decisions import stage as stage_module
 from limpetroute.routing import config_fragments
 from limpetroute.routing import service
+from limpetroute.routing import team_index
 from limpetroute.wire import small_call
 
 
@@ -16,6 +17,11 @@
     ) -> tuple[service.Service, ...]:
         """Decode the services of a routing configuration."""
 
+    def parse_teams(
+        self, parts: typing.Sequence[config_fragments.ConfigFragment]
+    ) -> team_index.TeamIndex:
+        """Decode the teams of a routing configuration."""
+
     def stage_order(
         self,
         stage: stage_module.Stage,
--- a/limpetroute/dispatch/placement_handlers.py
+++ b/limpetroute/dispatch/placement_handlers.py
@@ -10,6 +10,7 @@
 from limpetroute.border import forecast_header
 from limpetroute.border import limit_bodies
 from limpetroute.border import placement_bodies
+from limpetroute.border import quota_bodies
 from limpetroute.dispatch import dispatcher as dispatcher_module
 from limpetroute.routing import placement
 from limpetroute.telemetry import boot_clock
@@ -58,9 +59,11 @@
             return
         if isinstance(answer, placement.Rejection):
             self.set_status(HTTP_UNAVAILABLE)
+            self.finish(placement.to_body(answer))
+            return
         body = dataclasses.asdict(answer)
         body.pop('forecast', None)
-        if isinstance(answer, placement.Placement) and answer.forecast:
+        if answer.forecast:
             self.set_header(
                 forecast_header.NAME, forecast_header.encode(answer.forecast)
             )
@@ -131,6 +134,25 @@
         self.set_status(204)
 
 
+class QuotaHandler(_Handler):
+    """``POST /v1/quotas``."""
+
+    def post(self) -> None:
+        """Charge what a host let run, and reply with what is left."""
+        body = self.parse(quota_bodies.QuotaReportBody)
+        if body is None:
+            return
+        assert isinstance(body, quota_bodies.QuotaReportBody)
+        if not self.dispatcher.leads:
+            self.set_status(HTTP_MISDIRECTED)
+            self.finish({'reason': 'this host does not lead'})
+            return
+        levels = self.dispatcher.note_spent(
+            body.host_id, body.spent, body.history
+        )
+        self.finish({'levels': levels, 'term': self.dispatcher.term})
+
+
 class LimitHandler(_Handler):
     """``POST /v1/limits``."""
 
--- a/limpetroute/forwarding/caller_request.py
+++ b/limpetroute/forwarding/caller_request.py
@@ -6,6 +6,7 @@
 from tornado import httputil
 
 from limpetroute.routing import fingerprint
+from limpetroute.routing import team as team_module
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -60,8 +61,18 @@
     resume_after : str
         Identity of the last event that the caller has received; empty
         for a new stream.
-    caller : str
-        The caller's credentials; empty if it sent none.
+    credentials_digest : str
+        Digest of the caller's credentials; empty if it sent none.
+    key_digest : bytes or None
+        Digest of the caller's team key; None if it sent none.
+    team : str
+        Team of the caller; empty if it is of none or not known yet.
+    priority : int or None
+        The team's priority; None for that of the route.
+    quota : Quota or None
+        The team's quota; None if there is none.
+    hides_credentials : bool
+        Whether runners must not receive the caller's credentials.
     """
 
     request_id: str
@@ -74,19 +85,46 @@
     deadline_s: float | None
     generation: Generation | None
     resume_after: str
-    caller: str = ''
+    credentials_digest: str = ''
+    key_digest: bytes | None = None
+    team: str = ''
+    priority: int | None = None
+    quota: team_module.Quota | None = None
+    hides_credentials: bool = False
 
     @property
     def path(self) -> str:
         """The target without its query."""
         return self.target.partition('?')[0]
 
+    @property
+    def quota_cost(self) -> float:
+        """Units of its team's quota that the request uses; 0 without."""
+        if self.quota is None:
+            return 0.0
+        stated = None
+        if self.generation is not None:
+            stated = self.generation.peak_tokens
+        return self.quota.cost(stated)
+
+    def of_team(
+        self, team: team_module.Team | None, *, hides_credentials: bool
+    ) -> 'CallerRequest':
+        """Return the request with the team that its caller belongs to."""
+        return dataclasses.replace(
+            self,
+            team=team.name if team else '',
+            priority=team.priority if team else None,
+            quota=team.quota if team else None,
+            hides_credentials=hides_credentials,
+        )
+
     @functools.cached_property
     def fingerprint(self) -> str:
         """Hash that all attempts at this request share."""
         return fingerprint.fingerprint(
             host=self.host,
             path=self.path,
-            caller=self.caller,
+            caller=self.team or self.credentials_digest,
             body=self.body,
         )
--- a/limpetroute/forwarding/forward_context.py
+++ b/limpetroute/forwarding/forward_context.py
@@ -13,10 +13,12 @@
 from limpetroute.forwarding import fleet_view
 from limpetroute.forwarding import forward_meters
 from limpetroute.forwarding import quarantine_client
+from limpetroute.forwarding import quota_client
 from limpetroute.forwarding import rate_limit_client
 from limpetroute.forwarding import responder as responder_module
 from limpetroute.forwarding import runner_call
 from limpetroute.forwarding import scheduler_client
+from limpetroute.forwarding import team_gate
 from limpetroute.routing import moving_mean
 from limpetroute.routing import next_step
 from limpetroute.routing import retry_budget
@@ -48,6 +50,10 @@
         Holds the requests that crash runners.
     limits : RateLimitClient
         Enforces the rate limits that runners announce.
+    teams : TeamGate
+        Finds the team of each request.
+    quotas : QuotaClient
+        Keeps teams within their quotas.
     dialect : Dialect
         Formats of requests and responses.
     meters : ForwardMeters
@@ -68,6 +74,8 @@
         scheduler: scheduler_client.SchedulerClient,
         quarantine: quarantine_client.QuarantineClient,
         limits: rate_limit_client.RateLimitClient,
+        teams: team_gate.TeamGate,
+        quotas: quota_client.QuotaClient,
         dialect: dialect_module.Dialect,
         meters: forward_meters.ForwardMeters,
         zone: str,
@@ -78,6 +86,8 @@
         self.scheduler = scheduler
         self.quarantine = quarantine
         self.limits = limits
+        self.teams = teams
+        self.quotas = quotas
         self.dialect = dialect
         self.meters = meters
         self.zone = zone
@@ -157,6 +167,8 @@
         """Count an answer and record its time."""
         kind = route.kind.value if route else 'none'
         self.meters.answered(kind, status, _now_s() - request.received_s)
+        if request.team:
+            self.meters.team_answered(request.team, status)
 
     def log_send(
         self,
--- a/limpetroute/forwarding/forward_meters.py
+++ b/limpetroute/forwarding/forward_meters.py
@@ -2,6 +2,8 @@
 
 from opentelemetry import metrics
 
+from limpetroute.telemetry import bounded_labels
+
 # Targets are 200 to 400 ms for plain calls and 900 ms for the first event
 # of a stream; the buckets are narrow around these values.
 ANSWER_BOUNDS_S = (
@@ -23,6 +25,8 @@
 
 # Negative values mean that the first event came earlier than forecast.
 ERROR_BOUNDS_S = (-0.5, -0.2, -0.1, -0.05, 0.0, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0)
+# Teams with a time series of their own at one host.
+MAX_TEAM_LABELS = 24
 
 
 class ForwardMeters:
@@ -72,6 +76,12 @@
             description='Requests under which a runner crashed.',
         )
 
+        self._team_answers = meter.create_counter(
+            'limpetroute_team_answers',
+            description='Answers to callers, by team and status.',
+        )
+        self._team_labels = bounded_labels.BoundedLabels(limit=MAX_TEAM_LABELS)
+
     def __repr__(self) -> str:
         return f'{type(self).__name__}()'
 
@@ -79,6 +89,11 @@
         """Record an answer to a caller."""
         self._answers.record(seconds, {'kind': kind, 'status': status})
 
+    def team_answered(self, team: str, status: int) -> None:
+        """Count an answer to a team's caller."""
+        label = self._team_labels.get(team)
+        self._team_answers.add(1, {'team': label, 'status': status})
+
     def first_event(self, seconds: float) -> None:
         """Record a stream's first event."""
         self._first_events.record(seconds)
--- a/limpetroute/forwarding/forwarder.py
+++ b/limpetroute/forwarding/forwarder.py
@@ -9,6 +9,7 @@
 from limpetroute.forwarding import plain_forward
 from limpetroute.forwarding import responder as responder_module
 from limpetroute.forwarding import stream_forward
+from limpetroute.forwarding import team_gate
 from limpetroute.routing import next_step
 from limpetroute.routing import route as route_module
 from limpetroute.routing import route_plan
@@ -76,18 +77,59 @@
                 retry_after_s=local_reply.STARTING_RETRY_AFTER_S,
             )
             return
+        route = await self._find_route(plan, request, responder)
+        if route is None:
+            return
+        identified = await context.teams.identify(request, plan, route)
+        if isinstance(identified, team_gate.Denied):
+            await self._reply_denied(identified, request, route, responder)
+            return
+        if context.view.plan is not plan and context.view.plan is not None:
+            # A newer version came into force meanwhile.
+            route = await self._find_route(
+                context.view.plan, request, responder
+            )
+            if route is None:
+                return
+        await self._forward(identified, route, responder)
+
+    async def _find_route(
+        self,
+        plan: route_plan.RoutePlan,
+        request: caller_request.CallerRequest,
+        responder: responder_module.Responder,
+    ) -> route_module.Route | None:
+        """Return the request's route; answer the request if it has none."""
         route = plan.find(request.host, request.path)
         if route is None:
             await local_reply.write_status(
-                context,
+                self._context,
                 request=request,
                 route=None,
                 responder=responder,
                 status=local_reply.HTTP_NOT_FOUND,
                 reason=f'no route in version {plan.version}',
             )
-            return
-        await self._forward(request, route, responder)
+        return route
+
+    async def _reply_denied(
+        self,
+        denied: team_gate.Denied,
+        request: caller_request.CallerRequest,
+        route: route_module.Route,
+        responder: responder_module.Responder,
+    ) -> None:
+        status = local_reply.HTTP_UNAUTHORIZED
+        if denied is team_gate.Denied.UNCERTAIN:
+            status = local_reply.HTTP_UNAVAILABLE
+        await local_reply.write_status(
+            self._context,
+            request=request,
+            route=route,
+            responder=responder,
+            status=status,
+            reason=denied.value,
+        )
 
     async def _wait_for_first_plan(
         self, request: caller_request.CallerRequest
--- a/limpetroute/forwarding/local_reply.py
+++ b/limpetroute/forwarding/local_reply.py
@@ -7,12 +7,15 @@
 from limpetroute.forwarding import forward_context
 from limpetroute.forwarding import responder as responder_module
 from limpetroute.routing import next_step
+from limpetroute.routing import quota_verdict
 from limpetroute.routing import route as route_module
 
 LOG = logging.getLogger(__name__)
 
 HTTP_NOT_FOUND = 404
 HTTP_BAD_REQUEST = 400
+HTTP_UNAUTHORIZED = 401
+HTTP_TOO_MANY_REQUESTS = 429
 HTTP_BAD_GATEWAY = 502
 HTTP_UNAVAILABLE = 503
 HTTP_GATEWAY_TIMEOUT = 504
@@ -33,6 +36,11 @@
 
 LIMITED = 'runners take no more for now'
 QUARANTINED = 'runners crashed under this request'
+OVER_QUOTA = 'over quota'
+LOCAL_SHARE_USED = 'no leader: local share of the quota is used up'
+KEY_CHANGED = 'the key changed while the request waited'
+
+_RETRYABLE = (HTTP_UNAVAILABLE, HTTP_TOO_MANY_REQUESTS)
 
 
 async def write(
@@ -57,6 +65,28 @@
     )
 
 
+async def write_over_quota(
+    context: forward_context.ForwardContext,
+    *,
+    request: caller_request.CallerRequest,
+    route: route_module.Route,
+    responder: responder_module.Responder,
+    verdict: quota_verdict.QuotaVerdict,
+) -> None:
+    """Refuse a request that its team's quota does not allow now."""
+    await write_status(
+        context,
+        request=request,
+        route=route,
+        responder=responder,
+        status=(
+            HTTP_TOO_MANY_REQUESTS if verdict.by_leader else HTTP_UNAVAILABLE
+        ),
+        reason=OVER_QUOTA if verdict.by_leader else LOCAL_SHARE_USED,
+        retry_after_s=verdict.wait_s,
+    )
+
+
 async def write_status(
     context: forward_context.ForwardContext,
     *,
@@ -73,8 +103,8 @@
     """
     headers = context.dialect.local_reply_headers(request)
     headers['Content-Type'] = 'application/json'
-    if status == HTTP_UNAVAILABLE:
-        headers['Retry-After'] = f'{retry_after_s:.3f}'.rstrip('0')
+    if status in _RETRYABLE:
+        headers['Retry-After'] = f'{retry_after_s:.3f}'.rstrip('0').rstrip('.')
     plan = context.view.plan
     LOG.info(
         'answered for itself',
@@ -83,6 +113,7 @@
             'route': route.name if route else '',
             'status': status,
             'reason': reason,
+            'team': request.team,
             'version': plan.version if plan else 0,
         },
     )
--- a/limpetroute/forwarding/placement_session.py
+++ b/limpetroute/forwarding/placement_session.py
@@ -7,6 +7,8 @@
 
 from limpetroute.forwarding import caller_request
 from limpetroute.forwarding import forward_context
+from limpetroute.forwarding import local_reply
+from limpetroute.forwarding import quota_charge
 from limpetroute.forwarding import scheduler_client
 from limpetroute.routing import forecast as forecast_module
 from limpetroute.routing import local_placement
@@ -60,6 +62,8 @@
         Its route.
     service : Service
         Its service.
+    charge : QuotaCharge
+        What it is charged to its team.
     """
 
     def __init__(
@@ -69,7 +73,9 @@
         request: caller_request.CallerRequest,
         route: route_module.Route,
         service: service_module.Service,
+        charge: quota_charge.QuotaCharge,
     ) -> None:
+        self._charge = charge
         self._context = context
         self._request = request
         self._route = route
@@ -97,8 +103,11 @@
             )
             answer = await self._context.scheduler.request_placement(request)
             if isinstance(answer, placement.Rejection):
+                if answer.over_quota:
+                    self._charge.note_refused()
                 return answer
             if isinstance(answer, placement.Placement):
+                self._charge.note_granted()
                 assigned = self._find_runners(answer)
                 if assigned is not None:
                     return assigned
@@ -185,8 +194,17 @@
             avoid=tuple(progress.tried),
             pause_target_s=self._route.gap_target_s,
             silence_s=self._route.silence_s,
+            team=self._request.team,
+            quota_cost=self._charge.due,
+            priority=self._priority(),
         )
 
+    def _priority(self) -> int:
+        """Return the team's priority, or that of the route."""
+        if self._request.priority is not None:
+            return self._request.priority
+        return self._route.priority
+
     def _find_runners(
         self, assigned: placement.Placement
     ) -> AssignedRunners | None:
@@ -251,6 +269,13 @@
                 retry_after_s=1.0,
                 reason='no room known',
             )
+        verdict = self._charge.take_locally()
+        if not verdict.allowed:
+            return placement.Rejection(
+                request_id=request.request_id,
+                retry_after_s=verdict.wait_s,
+                reason=local_reply.LOCAL_SHARE_USED,
+            )
         context.scheduler.note_local_placement(
             placement.Placement(
                 request_id=request.request_id,
--- a/limpetroute/forwarding/plain_forward.py
+++ b/limpetroute/forwarding/plain_forward.py
@@ -9,6 +9,7 @@
 from limpetroute.forwarding import forward_context
 from limpetroute.forwarding import local_reply
 from limpetroute.forwarding import quarantine_gate
+from limpetroute.forwarding import quota_charge
 from limpetroute.forwarding import responder as responder_module
 from limpetroute.forwarding import runner_call
 from limpetroute.routing import next_step
@@ -62,6 +63,9 @@
         self._gate = quarantine_gate.QuarantineGate(
             client=context.quarantine, request=request
         )
+        self._charge = quota_charge.QuotaCharge(
+            client=context.quotas, request=request
+        )
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(request={self._request.request_id!r})'
@@ -71,11 +75,32 @@
         if not self._context.accepts_calls:
             await self._reply(next_step.Step.REFUSE, 'this host stops')
             return
+        verdict = self._charge.take()
+        if not verdict.allowed:
+            await local_reply.write_over_quota(
+                self._context,
+                request=self._request,
+                route=self._route,
+                responder=self._responder,
+                verdict=verdict,
+            )
+            return
+        try:
+            await self._send_until_answered()
+        finally:
+            self._charge.settle(may_have_run=self._history.may_have_run)
+
+    async def _send_until_answered(self) -> None:
         while True:
             runner = self._choose()
             if runner is None:
                 await self._refuse_without_runner()
                 return
+            if not self._context.teams.is_current(self._request, self._route):
+                await self._reply(
+                    next_step.Step.REFUSE, local_reply.KEY_CHANGED
+                )
+                return
             if self._gate.is_closed():
                 await self._refuse_quarantined()
                 return
@@ -135,6 +160,7 @@
             runner_id=runner.runner_id,
         )
         load.requests += 1
+        self._history.begin_send()
         try:
             with context.log_if_cancelled(self._request, runner):
                 failed = await call.open(self._request, options)
--- a/limpetroute/forwarding/rate_limit_client.py
+++ b/limpetroute/forwarding/rate_limit_client.py
@@ -6,12 +6,11 @@
 import typing
 
 from limpetroute.forwarding import fleet_view
+from limpetroute.forwarding import leader_channel
 from limpetroute.routing import rate_limit
 from limpetroute.routing import runner_incarnation
 from limpetroute.routing import runner_info
 from limpetroute.routing import token_bucket
-from limpetroute.wire import call_failed
-from limpetroute.wire import caller
 
 LOG = logging.getLogger(__name__)
 
@@ -50,8 +49,8 @@
 
     Parameters
     ----------
-    http : Caller
-        Makes the calls.
+    channel : LeaderChannel
+        Calls to the leader.
     view : FleetView
         The known runners and their load.
     entry_hosts : callable
@@ -61,14 +60,13 @@
     def __init__(
         self,
         *,
-        http: caller.Caller,
+        channel: leader_channel.LeaderChannel,
         view: fleet_view.FleetView,
         entry_hosts: typing.Callable[[], int],
     ) -> None:
-        self._http = http
+        self._channel = channel
         self._view = view
         self._entry_hosts = entry_hosts
-        self._leader_url = ''
         self._unreachable_until_s = 0.0
         self._limits: dict[
             runner_incarnation.RunnerIncarnation, _AnnouncedLimit
@@ -77,17 +75,15 @@
             runner_incarnation.RunnerIncarnation, token_bucket.TokenBucket
         ] = {}
         self._tasks: set[asyncio.Task[typing.Any]] = set()
+        channel.subscribe(self._start_term)
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(runners={len(self._limits)!r})'
 
-    def follow(self, leader_url: str) -> None:
-        """Switch to a leader and report all limits to a new one."""
-        if leader_url == self._leader_url:
-            return
-        self._leader_url = leader_url
+    def _start_term(self, before: str) -> None:
+        """Report all limits to a new leader."""
         self._unreachable_until_s = 0.0
-        if not leader_url:
+        if not self._channel.url:
             return
         for incarnation, limit in list(self._limits.items()):
             self._start_report(incarnation, limit)
@@ -228,13 +224,12 @@
         report also requests the permission to send one request.
         """
         now_s = _now_s()
-        if not self._leader_url or now_s < self._unreachable_until_s:
+        if not self._channel.url or now_s < self._unreachable_until_s:
             return None
         limit.reported_s = now_s
-        reply = await self._http.call(
-            method='POST',
-            url=f'{self._leader_url}/v1/limits',
-            body={
+        reply = await self._channel.call(
+            '/v1/limits',
+            {
                 'runner_id': incarnation.runner_id,
                 'started_ms': incarnation.started_ms,
                 'limit_per_s': limit.limit_per_s,
@@ -244,7 +239,9 @@
             timeout_s=CALL_TIMEOUT_S,
             connect_tries_s=CONNECT_TRIES_S,
         )
-        if not isinstance(reply, call_failed.CallFailed) and reply.ok:
+        if isinstance(reply, leader_channel.LeaderUnavailable):
+            reason = reply.reason
+        elif reply.ok:
             try:
                 body: dict[str, typing.Any] = reply.json()
                 decision = _Decision(
@@ -258,15 +255,13 @@
                 return decision
             except (ValueError, KeyError, TypeError) as exc:
                 reason = str(exc)
-        elif isinstance(reply, call_failed.CallFailed):
-            reason = reply.kind.value
         else:
             reason = f'status {reply.status}'
         limit.reported_s = 0.0
         self._unreachable_until_s = _now_s() + UNREACHABLE_S
         LOG.info(
             'could not report a rate limit to the leader',
-            extra={'url': self._leader_url, 'reason': reason},
+            extra={'url': self._channel.url, 'reason': reason},
         )
         return None
 
--- a/limpetroute/forwarding/scheduler_client.py
+++ b/limpetroute/forwarding/scheduler_client.py
@@ -4,13 +4,11 @@
 import dataclasses
 import itertools
 import logging
-import typing
 
 from limpetroute.border import forecast_header
+from limpetroute.forwarding import leader_channel
 from limpetroute.routing import placement
 from limpetroute.routing import stream_times
-from limpetroute.wire import call_failed
-from limpetroute.wire import caller
 
 LOG = logging.getLogger(__name__)
 
@@ -19,12 +17,6 @@
 # time after that counts as failed, and this host places the stream
 # locally.
 RESPONSE_MARGIN_S = 0.3
-# Control hosts are a few milliseconds away, so a leader that accepts
-# neither connection attempt is unreachable. Such a leader is skipped for
-# UNREACHABLE_S, or until a new leader is known, because each failed
-# request delays a stream by a quarter of a second.
-CONNECT_TRIES_S = (0.1, 0.15)
-UNREACHABLE_S = 1.0
 NOTIFY_TIMEOUT_S = 0.5
 HTTP_UNAVAILABLE = 503
 
@@ -53,38 +45,32 @@
 
     Parameters
     ----------
-    http : Caller
-        Makes the calls.
+    channel : LeaderChannel
+        Calls to the leader.
     """
 
-    def __init__(self, *, http: caller.Caller) -> None:
-        self._http = http
-        self._leader_url = ''
-        self._unreachable_until_s = 0.0
+    def __init__(self, *, channel: leader_channel.LeaderChannel) -> None:
+        self._channel = channel
         self._held: dict[str, _HeldPlacement] = {}
         self._attempts = itertools.count(1)
         self._must_report_held = False
-        self._tasks: set[asyncio.Task[None]] = set()
+        channel.subscribe(self._start_term)
 
     def __repr__(self) -> str:
-        return f'{type(self).__name__}(leader_url={self._leader_url!r})'
+        return f'{type(self).__name__}(channel={self._channel!r})'
 
-    def follow(self, leader_url: str) -> None:
-        """Switch to a leader and report the held placements to a new one."""
-        if leader_url == self._leader_url:
-            return
+    def _start_term(self, before: str) -> None:
+        """Report the held placements to a new leader."""
         LOG.info(
             'scheduler leader changed',
             extra={
-                'url': leader_url,
-                'before': self._leader_url,
+                'url': self._channel.url,
+                'before': before,
                 'held': len(self._held),
             },
         )
-        self._leader_url = leader_url
-        self._unreachable_until_s = 0.0
-        if leader_url and self._held:
-            self._run_in_background(self._report_held())
+        if self._channel.url and self._held:
+            self._channel.run_in_background(self._report_held())
 
     async def request_placement(
         self, request: placement.PlacementRequest
@@ -94,19 +80,14 @@
         The call lasts until a place is free or the leader rejects the
         request.
         """
-        if not self._leader_url:
-            return SchedulerUnavailable(reason='no leader is known')
-        if _now_s() < self._unreachable_until_s:
-            return SchedulerUnavailable(
-                reason='the leader could not be reached'
-            )
+        unavailable = self._channel.unavailable
+        if unavailable is not None:
+            return SchedulerUnavailable(reason=unavailable.reason)
         try:
-            reply = await self._http.call(
-                method='POST',
-                url=f'{self._leader_url}/v1/places',
-                body=dataclasses.asdict(request),
+            reply = await self._channel.call(
+                '/v1/places',
+                placement.to_body(request),
                 timeout_s=_max_wait_s(request) + RESPONSE_MARGIN_S,
-                connect_tries_s=CONNECT_TRIES_S,
             )
         except asyncio.CancelledError:
             # The leader may already have reserved a place, and the
@@ -121,16 +102,12 @@
                 only_if_held=False,
             )
             raise
-        if isinstance(reply, call_failed.CallFailed):
-            if not reply.sent:
-                self._unreachable_until_s = _now_s() + UNREACHABLE_S
-            return SchedulerUnavailable(
-                reason=f'the leader: {reply.kind.value}'
-            )
+        if isinstance(reply, leader_channel.LeaderUnavailable):
+            return SchedulerUnavailable(reason=reply.reason)
         try:
             if reply.ok and self._must_report_held:
                 self._must_report_held = False
-                self._run_in_background(self._report_held())
+                self._channel.run_in_background(self._report_held())
             if reply.status == HTTP_UNAVAILABLE:
                 return placement.Rejection(**reply.json())
             if not reply.ok:
@@ -195,15 +172,17 @@
         """
         if self._held.pop(release.request_id, None) is None and only_if_held:
             return
-        if self._leader_url:
-            self._run_in_background(self._send_release(service, release))
+        if self._channel.url:
+            self._channel.run_in_background(
+                self._send_release(service, release)
+            )
 
     def note_prefill_done(
         self, service: str, request_id: str, attempt: int
     ) -> None:
         """Report in the background that a prefill runner is done."""
-        if self._leader_url and request_id in self._held:
-            self._run_in_background(
+        if self._channel.url and request_id in self._held:
+            self._channel.run_in_background(
                 self._send_prefill_done(service, request_id, attempt)
             )
 
@@ -211,8 +190,8 @@
         self, service: str, request_id: str, attempt: int, took_s: float
     ) -> None:
         """Report in the background that a decode runner has prefilled."""
-        if self._leader_url and request_id in self._held:
-            self._run_in_background(
+        if self._channel.url and request_id in self._held:
+            self._channel.run_in_background(
                 self._send_prefill_done(
                     service,
                     request_id,
@@ -231,10 +210,9 @@
         path: str = '/v1/places/read',
         **extra_fields: float,
     ) -> None:
-        reply = await self._http.call(
-            method='POST',
-            url=f'{self._leader_url}{path}',
-            body={
+        reply = await self._channel.call(
+            path,
+            {
                 'service': service,
                 'request_id': request_id,
                 'attempt': attempt,
@@ -242,7 +220,7 @@
             },
             timeout_s=NOTIFY_TIMEOUT_S,
         )
-        if isinstance(reply, call_failed.CallFailed) or not reply.ok:
+        if isinstance(reply, leader_channel.LeaderUnavailable) or not reply.ok:
             LOG.info(
                 'could not report a finished prefill, it will expire',
                 extra={'request': request_id},
@@ -251,13 +229,12 @@
     async def _send_release(
         self, service: str, release: placement.Release
     ) -> None:
-        reply = await self._http.call(
-            method='POST',
-            url=f'{self._leader_url}/v1/places/end',
-            body={'service': service, **dataclasses.asdict(release)},
+        reply = await self._channel.call(
+            '/v1/places/end',
+            {'service': service, **dataclasses.asdict(release)},
             timeout_s=NOTIFY_TIMEOUT_S,
         )
-        if isinstance(reply, call_failed.CallFailed) or not reply.ok:
+        if isinstance(reply, leader_channel.LeaderUnavailable) or not reply.ok:
             LOG.info(
                 'could not release a placement, it will expire',
                 extra={'request': release.request_id},
@@ -273,30 +250,22 @@
                 {
                     'decode_id': entry.assigned.decode_id,
                     'prefill_id': entry.assigned.prefill_id,
-                    'asked': dataclasses.asdict(request),
+                    'asked': placement.to_body(request),
                 }
             )
-        reply = await self._http.call(
-            method='POST',
-            url=f'{self._leader_url}/v1/places/held',
-            body={'held': held},
+        reply = await self._channel.call(
+            '/v1/places/held',
+            {'held': held},
             timeout_s=NOTIFY_TIMEOUT_S,
         )
-        if isinstance(reply, call_failed.CallFailed) or not reply.ok:
+        if isinstance(reply, leader_channel.LeaderUnavailable) or not reply.ok:
             # Report again after the leader's next successful response.
             self._must_report_held = True
             LOG.info(
                 'could not report held placements to the leader',
-                extra={'url': self._leader_url, 'held': len(held)},
+                extra={'url': self._channel.url, 'held': len(held)},
             )
 
-    def _run_in_background(
-        self, work: typing.Coroutine[None, None, None]
-    ) -> None:
-        task = asyncio.create_task(work)
-        self._tasks.add(task)
-        task.add_done_callback(self._tasks.discard)
-
 
 def _now_s() -> float:
     return asyncio.get_running_loop().time()
--- a/limpetroute/forwarding/server.py
+++ b/limpetroute/forwarding/server.py
@@ -8,6 +8,7 @@
 from limpetroute.border import forwarder_settings
 from limpetroute.control import seeds as seeds_module
 from limpetroute.forwarding import admin_server
+from limpetroute.forwarding import config_freshness
 from limpetroute.forwarding import control_watch
 from limpetroute.forwarding import dialect as dialect_module
 from limpetroute.forwarding import fleet_view
@@ -15,9 +16,12 @@
 from limpetroute.forwarding import forward_meters
 from limpetroute.forwarding import forwarder as forwarder_module
 from limpetroute.forwarding import front_server
+from limpetroute.forwarding import leader_channel
 from limpetroute.forwarding import quarantine_client
+from limpetroute.forwarding import quota_client
 from limpetroute.forwarding import rate_limit_client
 from limpetroute.forwarding import scheduler_client
+from limpetroute.forwarding import team_gate
 from limpetroute.routing import retry_budget
 from limpetroute.routing import route_plan
 from limpetroute.telemetry import exports as exports_module
@@ -69,7 +73,8 @@
         self.view = fleet_view.FleetView(dialect=dialect)
         trust = settings.credentials()
         http = caller.Caller(tls=trust.client_tls, token=trust.token)
-        scheduler = scheduler_client.SchedulerClient(http=http)
+        self._channel = leader_channel.LeaderChannel(http=http)
+        scheduler = scheduler_client.SchedulerClient(channel=self._channel)
         quarantine = quarantine_client.QuarantineClient(
             http=http, urls=lambda: self.watch.urls_leader_first()
         )
@@ -81,20 +86,33 @@
             urls=self._control_urls,
             host_id=settings.host_id,
             quarantine=quarantine,
-            on_leader=self._set_leader,
+            on_leader=self._channel.follow,
         )
-        self._scheduler = scheduler
-        self._limits = rate_limit_client.RateLimitClient(
-            http=http,
+        limits = rate_limit_client.RateLimitClient(
+            channel=self._channel,
             view=self.view,
             entry_hosts=lambda: self.watch.entry_hosts,
         )
+        self._quotas = quota_client.QuotaClient(
+            channel=self._channel,
+            host_id=settings.host_id,
+            entry_hosts=lambda: self.watch.entry_hosts,
+            window=settings.quotas.to_window(),
+        )
+        teams = team_gate.TeamGate(
+            view=self.view,
+            freshness=config_freshness.ConfigFreshness(
+                channel=self._channel, view=self.view
+            ),
+        )
         self._context = forward_context.ForwardContext(
             view=self.view,
             watch=self.watch,
             scheduler=scheduler,
             quarantine=quarantine,
-            limits=self._limits,
+            limits=limits,
+            teams=teams,
+            quotas=self._quotas,
             dialect=dialect,
             meters=forward_meters.ForwardMeters(meter=self._exports.meter),
             zone=settings.zone,
@@ -170,13 +188,10 @@
         LOG.info('stopped', extra={'broken_off': self.forwarder.active})
         self.watch.stop()
         self._context.quarantine.stop()
+        self._quotas.stop()
         await self._front.close()
         self._admin.close()
 
-    def _set_leader(self, leader_url: str) -> None:
-        self._scheduler.follow(leader_url)
-        self._limits.follow(leader_url)
-
     def _apply_caller_limits(self, plan: route_plan.RoutePlan) -> None:
         self._front.apply_limits(plan.limits)
 
--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -11,12 +11,14 @@
 from limpetroute.forwarding import placement_session
 from limpetroute.forwarding import prompt_prefill
 from limpetroute.forwarding import quarantine_gate
+from limpetroute.forwarding import quota_charge
 from limpetroute.forwarding import responder as responder_module
 from limpetroute.forwarding import runner_call
 from limpetroute.forwarding import stream_relay
 from limpetroute.routing import forecast
 from limpetroute.routing import next_step
 from limpetroute.routing import placement
+from limpetroute.routing import quota_verdict
 from limpetroute.routing import reservations
 from limpetroute.routing import route as route_module
 from limpetroute.routing import runner_info
@@ -74,6 +76,9 @@
         self._gate = quarantine_gate.QuarantineGate(
             client=context.quarantine, request=request
         )
+        self._charge = quota_charge.QuotaCharge(
+            client=context.quotas, request=request
+        )
         self._prefills = 0
         self._failed_prefills = 0
         self._sends_to_unreachable = 0
@@ -87,6 +92,12 @@
         if not self._is_accepted():
             await self._reply(next_step.Step.REFUSE, 'this host stops')
             return
+        try:
+            await self._place_until_answered()
+        finally:
+            self._charge.settle(may_have_run=self._history.may_have_run)
+
+    async def _place_until_answered(self) -> None:
         while True:
             if self._gate.is_closed():
                 await self._refuse_quarantined()
@@ -96,14 +107,16 @@
                 request=self._request,
                 route=self._route,
                 service=self._service,
+                charge=self._charge,
             )
             try:
                 result = await session.acquire(self._progress())
                 if isinstance(result, placement.Rejection):
+                    await self._reply_rejected(result)
+                    return
+                if not self._is_team_current():
                     await self._reply(
-                        next_step.Step.REFUSE,
-                        result.reason,
-                        result.retry_after_s,
+                        next_step.Step.REFUSE, local_reply.KEY_CHANGED
                     )
                     return
                 if not await self._gate.may_send():
@@ -127,6 +140,32 @@
                 await self._reply(step, 'after a send')
                 return
 
+    async def _reply_rejected(self, rejection: placement.Rejection) -> None:
+        if rejection.over_quota and not self._history.may_have_run:
+            verdict = quota_verdict.QuotaVerdict(
+                allowed=False, wait_s=rejection.retry_after_s
+            )
+            await local_reply.write_over_quota(
+                self._context,
+                request=self._request,
+                route=self._route,
+                responder=self._responder,
+                verdict=verdict,
+            )
+            return
+        await self._reply(
+            next_step.Step.REFUSE, rejection.reason, rejection.retry_after_s
+        )
+
+    def _is_team_current(self) -> bool:
+        """Return whether the stream may be sent for its team.
+
+        A stream that already runs goes on when its key is taken away.
+        """
+        return self._relay.last_id != '' or self._context.teams.is_current(
+            self._request, self._route
+        )
+
     async def _refuse_quarantined(self) -> None:
         await self._reply(
             next_step.Step.REFUSE,
@@ -284,6 +323,7 @@
             kv_source=prefilled.source if prefilled else None,
             resume_after=self._relay.last_id or None,
         )
+        self._history.begin_send()
         with context.log_if_cancelled(self._request, runner, part='decode'):
             failed = await call.open(self._request, options)
             context.note_rate_limit(call)
--- a/limpetroute/platform/header_names.py
+++ b/limpetroute/platform/header_names.py
@@ -21,10 +21,16 @@
 # ADDRESS/HANDLE of the KV cache at the prefill runner.
 KV_FROM = 'Kv-From'
 LAST_EVENT_ID = 'Last-Event-Id'
+# ``Token KEY``; runners receive the team that holds the key instead.
+AUTHORIZATION = 'Authorization'
+KEY_SCHEME = 'token'
+# Name of the team.
+TENANT = 'Tenant'
 
 # Only the router may set these; they are removed from callers' requests.
 SYSTEM_ONLY = (
     STAGE,
+    TENANT,
     KV_FROM,
     EXPECT_INSTANCE,
     'Kv-Backup',
--- a/limpetroute/platform/http_dialect.py
+++ b/limpetroute/platform/http_dialect.py
@@ -11,6 +11,7 @@
 from limpetroute.platform import routes_reader
 from limpetroute.routing import config_fragments
 from limpetroute.routing import route_plan
+from limpetroute.routing import team
 from limpetroute.wire import small_call
 
 MILLIS = 1000.0
@@ -49,7 +50,8 @@
                 headers.get(header_names.PROMPT_PREFIX, ''),
             ),
             resume_after=headers.get(header_names.LAST_EVENT_ID, ''),
-            caller=headers.get('Authorization', ''),
+            credentials_digest=_credentials_digest(headers),
+            key_digest=_key_digest(headers),
         )
 
     def runner_headers(
@@ -61,6 +63,10 @@
             (*header_names.HOP_BY_HOP, *header_names.SYSTEM_ONLY),
         )
         headers.pop('Content-Length', None)
+        if request.hides_credentials:
+            headers.pop(header_names.AUTHORIZATION, None)
+        if request.team:
+            headers[header_names.TENANT] = request.team
         remaining_ms = max(1, int(note.remaining_s * MILLIS))
         headers[header_names.DEADLINE_MS] = str(remaining_ms)
         headers[header_names.EXPECT_INSTANCE] = note.runner_id
@@ -173,6 +179,19 @@
         return None
 
 
+def _key_digest(headers: httputil.HTTPHeaders) -> bytes | None:
+    """Return the digest of the caller's key, or None if it sent none."""
+    scheme, _, key = headers.get(header_names.AUTHORIZATION, '').partition(' ')
+    if scheme.lower() != header_names.KEY_SCHEME or not key.strip():
+        return None
+    return team.key_digest(key.strip())
+
+
+def _credentials_digest(headers: httputil.HTTPHeaders) -> str:
+    credentials = headers.get(header_names.AUTHORIZATION, '')
+    return team.key_digest(credentials).hex() if credentials else ''
+
+
 def _generation(
     usage: str | None, hint: str | None, prefix: str
 ) -> caller_request.Generation | None:
--- a/limpetroute/platform/orders.py
+++ b/limpetroute/platform/orders.py
@@ -6,14 +6,19 @@
 from limpetroute.decisions import stage as stage_module
 from limpetroute.platform import header_names
 from limpetroute.platform import routes_reader
+from limpetroute.platform import teams_reader
 from limpetroute.routing import config_fragments
 from limpetroute.routing import service
+from limpetroute.routing import team_index
 from limpetroute.wire import small_call
 
 
 class Orders:
     """Builds the platform's control calls to runners."""
 
+    def __init__(self) -> None:
+        self._teams = teams_reader.TeamsReader()
+
     def __repr__(self) -> str:
         return f'{type(self).__name__}()'
 
@@ -23,6 +28,12 @@
         """Decode the services of a routing configuration."""
         return routes_reader.read_services(parts)
 
+    def parse_teams(
+        self, parts: typing.Sequence[config_fragments.ConfigFragment]
+    ) -> team_index.TeamIndex:
+        """Decode the teams of a routing configuration."""
+        return self._teams.read(parts, routes_reader.unsplit_teams(parts))
+
     def stage_order(
         self,
         stage: stage_module.Stage,
--- a/limpetroute/platform/routes_body.py
+++ b/limpetroute/platform/routes_body.py
@@ -11,6 +11,8 @@
     model_config = pydantic.ConfigDict(
         extra='ignore',
         frozen=True,
+        # An error that quotes its input would show callers' keys.
+        hide_input_in_errors=True,
         alias_generator=lambda name: name.replace('_', '-'),
     )
 
@@ -39,6 +41,8 @@
     split: list[SplitBody] = []
     # Maximum number of runners tried for one request of a caller.
     attempts: int = 1
+    # Whether callers need no key.
+    public: bool = False
     resumable: bool = False
 
 
@@ -74,6 +78,21 @@
     idle_timeout_ms: float = 15000.0
 
 
+class TenantBody(_Body):
+    """A team: its keys and its quota."""
+
+    name: str = pydantic.Field(min_length=1)
+    api_keys: list[str] = []
+    priority: int | None = None
+    # ``token_stream`` counts tokens, anything else requests.
+    unit: str = ''
+    # Tokens of a request without ``Token-Usage``.
+    raw_tokens: float = pydantic.Field(default=0.0, ge=0)
+    # 0 for no limit.
+    rate_per_s: float = pydantic.Field(default=0.0, ge=0, allow_inf_nan=False)
+    burst: float = pydantic.Field(default=0.0, ge=0, allow_inf_nan=False)
+
+
 class RoutesBody(_Body):
     """The whole configuration."""
 
@@ -81,3 +100,5 @@
     routes: list[RouteBody]
     services: list[ServiceBody]
     limits: LimitsBody = LimitsBody()
+    # None if callers need no keys.
+    tenants: list[TenantBody] | None = None
--- a/limpetroute/platform/routes_codec.py
+++ b/limpetroute/platform/routes_codec.py
@@ -1,5 +1,7 @@
 """Decodes the operator's routing configuration."""
 
+import json
+
 import pydantic
 
 from limpetroute.platform import routes_body
@@ -8,8 +10,12 @@
 from limpetroute.routing import route_kind
 from limpetroute.routing import route_plan
 from limpetroute.routing import service as service_module
+from limpetroute.routing import team as team_module
+from limpetroute.routing import team_index
 
 MILLIS = 1000.0
+TEAMS_FIELD = 'tenants'
+TOKENS_UNIT = 'token_stream'
 # Callers leave a stream after the longest of these times without an event:
 # a fixed time, a multiple of the route's target, and a multiple of its
 # target for the gap between events.
@@ -39,7 +45,7 @@
     try:
         body = routes_body.RoutesBody.model_validate_json(text)
     except pydantic.ValidationError as exc:
-        raise InvalidRoutesError(str(exc)) from exc
+        raise InvalidRoutesError(_describe(exc, text)) from None
     plan = route_plan.RoutePlan(
         version=body.version,
         routes=tuple(route(route_body) for route_body in body.routes),
@@ -48,7 +54,8 @@
         ),
         limits=limits(body),
     )
-    problems = plan.problems()
+    teams = [team(team_body) for team_body in body.tenants or ()]
+    problems = [*plan.problems(), *team_index.problems(teams)]
     if problems:
         raise InvalidRoutesError('; '.join(problems))
     return plan
@@ -90,6 +97,7 @@
             TARGETS_OF_SILENCE * body.slo_ms / MILLIS,
             PAUSES_OF_SILENCE * (gap_s or 0.0),
         ),
+        public=body.public,
     )
 
 
@@ -110,3 +118,42 @@
         max_connections=body.max_conns,
         engine=engine,
     )
+
+
+def team(body: routes_body.TenantBody) -> team_module.Team:
+    """Convert a team; its keys are kept as digests only."""
+    quota = None
+    if body.rate_per_s > 0:
+        quota = team_module.Quota(
+            rate_per_s=body.rate_per_s,
+            burst=body.burst,
+            counts_tokens=body.unit == TOKENS_UNIT,
+            default_tokens=body.raw_tokens,
+        )
+    return team_module.Team(
+        name=body.name,
+        key_digests=tuple(
+            team_module.key_digest(key) for key in body.api_keys
+        ),
+        priority=body.priority,
+        quota=quota,
+    )
+
+
+def _describe(exc: pydantic.ValidationError, text: str | bytes) -> str:
+    """Return the errors with the names of the teams they concern."""
+    lines = []
+    for error in exc.errors(include_input=False, include_url=False):
+        where = '.'.join(str(part) for part in error['loc'])
+        if error['loc'][:1] == (TEAMS_FIELD,) and len(error['loc']) > 1:
+            where = f'team {_team_name(text, error["loc"][1])}, {where}'
+        lines.append(f'{where}: {error["msg"]}')
+    return '; '.join(lines)
+
+
+def _team_name(text: str | bytes, position: int | str) -> str:
+    """Return a team's name from a document that could be parsed."""
+    try:
+        return repr(json.loads(text)[TEAMS_FIELD][position]['name'])
+    except (KeyError, IndexError, TypeError):
+        return f'at position {position}'
--- a/limpetroute/platform/routes_reader.py
+++ b/limpetroute/platform/routes_reader.py
@@ -2,10 +2,10 @@
 
 import typing
 
-import pydantic
-
 from limpetroute.platform import routes_body
 from limpetroute.platform import routes_codec
+from limpetroute.platform import teams_reader
+from limpetroute.platform import validated_part
 from limpetroute.routing import config_fragments
 from limpetroute.routing import route as route_module
 from limpetroute.routing import route_plan
@@ -13,6 +13,7 @@
 
 _ROUTES = 'routes'
 _SERVICES = 'services'
+_TEAMS = routes_codec.TEAMS_FIELD
 
 
 class RoutesReader:
@@ -27,6 +28,7 @@
         self._routes: dict[
             config_fragments.ConfigFragment, route_module.Route
         ] = {}
+        self._teams = teams_reader.TeamsReader()
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(routes={len(self._routes)!r})'
@@ -39,6 +41,8 @@
         for part in parts:
             if part.array == _ROUTES and part not in decoded:
                 decoded[part] = _route(part)
+            elif part.array == _TEAMS:
+                self._teams.prepare(part)
 
     def read(
         self, parts: typing.Sequence[config_fragments.ConfigFragment]
@@ -65,6 +69,11 @@
             ),
             services=_services(remainder, parts),
             limits=routes_codec.limits(remainder),
+            teams=(
+                None
+                if remainder.tenants is None
+                else self._teams.read(parts, remainder.tenants)
+            ),
         )
 
 
@@ -75,14 +84,22 @@
     return _services(_remainder(parts), parts)
 
 
+def unsplit_teams(
+    parts: typing.Sequence[config_fragments.ConfigFragment],
+) -> typing.Sequence[routes_body.TenantBody]:
+    """Decode the teams of a document that was not split into fragments."""
+    if len(parts) != 1:
+        return ()
+    return _remainder(parts).tenants or ()
+
+
 def _remainder(
     parts: typing.Iterable[config_fragments.ConfigFragment],
 ) -> routes_body.RoutesBody:
-    """Decode the configuration without its routes and services."""
-    text = ''.join(
-        [part.text for part in parts if part.array not in (_ROUTES, _SERVICES)]
-    )
-    return _validated(routes_body.RoutesBody, text)
+    """Decode the configuration without its routes, services and teams."""
+    apart = (_ROUTES, _SERVICES, _TEAMS)
+    text = ''.join([part.text for part in parts if part.array not in apart])
+    return validated_part.validated(routes_body.RoutesBody, text)
 
 
 def _services(
@@ -92,19 +109,13 @@
     bodies = list(remainder.services)
     for part in parts:
         if part.array == _SERVICES:
-            bodies.append(_validated(routes_body.ServiceBody, part.element))
+            bodies.append(
+                validated_part.validated(routes_body.ServiceBody, part.element)
+            )
     return tuple(routes_codec.service(body) for body in bodies)
 
 
 def _route(part: config_fragments.ConfigFragment) -> route_module.Route:
-    return routes_codec.route(_validated(routes_body.RouteBody, part.element))
-
-
-_Model = typing.TypeVar('_Model', bound=pydantic.BaseModel)
-
-
-def _validated(model: type[_Model], text: str) -> _Model:
-    try:
-        return model.model_validate_json(text)
-    except pydantic.ValidationError as exc:
-        raise routes_codec.InvalidRoutesError(str(exc)) from exc
+    return routes_codec.route(
+        validated_part.validated(routes_body.RouteBody, part.element)
+    )
--- a/limpetroute/routing/fingerprint.py
+++ b/limpetroute/routing/fingerprint.py
@@ -15,7 +15,8 @@
     path : str
         Path without the query.
     caller : str
-        The caller's credentials; empty if the caller sends none.
+        The caller's team, or the digest of its credentials; empty if it
+        has neither.
     body : bytes
         The whole body.
     """
--- a/limpetroute/routing/placement.py
+++ b/limpetroute/routing/placement.py
@@ -1,12 +1,15 @@
 """Requests for placements of streams, and their results."""
 
 import dataclasses
+import typing
 
 from limpetroute.routing import forecast as forecast_module
 
 # Fits streams whose first event is due within 0.9 s.
 DEFAULT_SILENCE_S = 3.6
 
+_TEAM_FIELDS = ('team', 'quota_cost', 'priority', 'over_quota')
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class PlacementRequest:
@@ -53,6 +56,12 @@
         one.
     silence_s : float
         Time without an event after which the caller disconnects.
+    team : str
+        The caller's team; empty if it is of none.
+    quota_cost : float
+        Units to charge to the team's quota; 0 if they are charged already.
+    priority : int
+        Priority of the stream; 0 is the highest.
     """
 
     request_id: str
@@ -73,6 +82,9 @@
     avoid: tuple[str, ...] = ()
     pause_target_s: float | None = None
     silence_s: float = DEFAULT_SILENCE_S
+    team: str = ''
+    quota_cost: float = 0.0
+    priority: int = 0
 
     @property
     def prefill_tokens(self) -> int:
@@ -80,6 +92,21 @@
         return self.prompt_tokens + self.written_tokens
 
 
+def to_body(
+    message: 'PlacementRequest | Rejection',
+) -> dict[str, typing.Any]:
+    """Return a message as JSON types.
+
+    Fields about teams are left out where they have their default, because
+    hosts of earlier releases refuse fields that they do not know.
+    """
+    body = dataclasses.asdict(message)
+    for name in _TEAM_FIELDS:
+        if not body.get(name, True):
+            del body[name]
+    return body
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Placement:
     """A reserved slot on a decode runner, and the runner for the prefill.
@@ -115,11 +142,14 @@
         Time after which a retry should succeed.
     reason : str
         Text for the log.
+    over_quota : bool
+        Whether the caller's team has used up its quota.
     """
 
     request_id: str
     retry_after_s: float
     reason: str
+    over_quota: bool = False
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/limpetroute/routing/route.py
+++ b/limpetroute/routing/route.py
@@ -43,6 +43,8 @@
         Whether a stream may be resumed at another runner.
     silence_s : float
         Time without an event after which a stream's caller disconnects.
+    public : bool
+        Whether requests without a team's key are allowed.
     """
 
     name: str
@@ -57,6 +59,7 @@
     max_sends: int
     resumable: bool
     silence_s: float
+    public: bool = False
 
     @property
     def repeatable(self) -> bool:
--- a/limpetroute/routing/route_plan.py
+++ b/limpetroute/routing/route_plan.py
@@ -5,6 +5,7 @@
 from limpetroute.routing import caller_limits
 from limpetroute.routing import route as route_module
 from limpetroute.routing import service as service_module
+from limpetroute.routing import team_index
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True)
@@ -21,12 +22,16 @@
         The services.
     limits : CallerLimits
         Limits on callers' requests.
+    teams : TeamIndex or None
+        The teams; None if the configuration has none, so that anybody may
+        call.
     """
 
     version: int
     routes: tuple[route_module.Route, ...]
     services: tuple[service_module.Service, ...]
     limits: caller_limits.CallerLimits
+    teams: team_index.TeamIndex | None = None
     _by_host: dict[str, list[route_module.Route]] = dataclasses.field(
         init=False, repr=False, compare=False
     )
--- a/limpetroute/routing/send_history.py
+++ b/limpetroute/routing/send_history.py
@@ -19,6 +19,7 @@
     def __init__(self, *, route: route_module.Route) -> None:
         self._route = route
         self._ran_before = False
+        self._is_sending = False
         self.sends = 0
 
     def __repr__(self) -> str:
@@ -32,6 +33,15 @@
         """Whether the route allows another send after the current one."""
         return self.sends + 1 < self._route.max_sends
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether a runner may have run the request, or may run it now."""
+        return self._ran_before or self._is_sending
+
+    def begin_send(self) -> None:
+        """Note that the request is being sent to a runner."""
+        self._is_sending = True
+
     def decide(
         self,
         result: send_result.SendResult,
@@ -52,6 +62,7 @@
             reached a runner before, whether the retry budget allows a
             retry. It is called only if the route allows another send.
         """
+        self._is_sending = False
         if result is not send_result.SendResult.NOT_SENT:
             self.sends += 1
         context = next_step.RetryContext(
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -3,6 +3,7 @@
 import asyncio
 import types
 
+from limpetroute.border import quota_settings
 from limpetroute.control import runner_row
 from limpetroute.dispatch import dispatcher as dispatcher_module
 from limpetroute.platform import orders
@@ -56,7 +57,9 @@
             routes_copy=lambda: types.SimpleNamespace(parts=()),
         )
         node = types.SimpleNamespace(
-            settings=types.SimpleNamespace(host_id='c1'),
+            settings=types.SimpleNamespace(
+                host_id='c1', quotas=quota_settings.QuotaSettings()
+            ),
             config=types.SimpleNamespace(replica=self.replica, state=state),
         )
         codec = orders.Orders()
--- a/tests/dispatch/test_placement_handlers.py
+++ b/tests/dispatch/test_placement_handlers.py
@@ -7,6 +7,7 @@
 
 from limpetroute.border import forecast_header
 from limpetroute.dispatch import placement_handlers
+from limpetroute.forwarding import leader_channel
 from limpetroute.forwarding import scheduler_client
 from limpetroute.routing import forecast
 from limpetroute.routing import placement
@@ -73,8 +74,10 @@
 
 def test_a_host_receives_the_forecast_of_its_placement():
     async def work(url):
-        client = scheduler_client.SchedulerClient(http=caller.Caller())
-        client.follow(url)
+        client = scheduler_client.SchedulerClient(
+            channel=leader_channel.LeaderChannel(http=caller.Caller())
+        )
+        client._channel.follow(url)
         return await client.request_placement(builders.make_request('s'))
 
     assert with_leader(work).forecast == EXPECTED
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -7,15 +7,20 @@
 
 from opentelemetry import metrics
 
+from limpetroute.forwarding import config_freshness
 from limpetroute.forwarding import fleet_view
 from limpetroute.forwarding import forward_context
 from limpetroute.forwarding import forward_meters
 from limpetroute.forwarding import forwarder
 from limpetroute.forwarding import front_server
+from limpetroute.forwarding import leader_channel
 from limpetroute.forwarding import quarantine_client
+from limpetroute.forwarding import quota_client
 from limpetroute.forwarding import rate_limit_client
 from limpetroute.forwarding import scheduler_client
+from limpetroute.forwarding import team_gate
 from limpetroute.platform import http_dialect
+from limpetroute.routing import quota_window
 from limpetroute.routing import retry_budget
 from limpetroute.routing import route
 from limpetroute.routing import route_kind
@@ -38,12 +43,25 @@
         for one in runners:
             self.view._runners[one.runner_id] = one
             self.view._by_service.setdefault(one.service, []).append(one)
-        self.scheduler = scheduler_client.SchedulerClient(http=caller.Caller())
+        self.channel = leader_channel.LeaderChannel(http=caller.Caller())
+        self.scheduler = scheduler_client.SchedulerClient(channel=self.channel)
         self.quarantine = quarantine_client.QuarantineClient(
             http=caller.Caller(), urls=list
         )
         self.limits = rate_limit_client.RateLimitClient(
-            http=caller.Caller(), view=self.view, entry_hosts=lambda: 1
+            channel=self.channel, view=self.view, entry_hosts=lambda: 1
+        )
+        self.quotas = quota_client.QuotaClient(
+            channel=self.channel,
+            host_id='e1',
+            entry_hosts=lambda: 1,
+            window=quota_window.QuotaWindow(window_s=8.0),
+        )
+        self.teams = team_gate.TeamGate(
+            view=self.view,
+            freshness=config_freshness.ConfigFreshness(
+                channel=self.channel, view=self.view
+            ),
         )
         self.context = forward_context.ForwardContext(
             view=self.view,
@@ -51,6 +69,8 @@
             scheduler=self.scheduler,
             quarantine=self.quarantine,
             limits=self.limits,
+            teams=self.teams,
+            quotas=self.quotas,
             dialect=self.dialect,
             meters=forward_meters.ForwardMeters(
                 meter=metrics.NoOpMeter('test')
--- a/tests/forwarding/test_limits.py
+++ b/tests/forwarding/test_limits.py
@@ -4,6 +4,7 @@
 import dataclasses
 
 from limpetroute.forwarding import fleet_view
+from limpetroute.forwarding import leader_channel
 from limpetroute.forwarding import rate_limit_client
 from limpetroute.platform import http_dialect
 from limpetroute.routing import plain_runner_choice
@@ -35,10 +36,11 @@
         self.view = fleet_view.FleetView(dialect=http_dialect.HttpDialect())
         self.runner = builders.make_runner('r', None, started_ms=5)
         self.view._runners['r'] = self.runner
+        self.channel = leader_channel.LeaderChannel(http=leader)
         self.client = rate_limit_client.RateLimitClient(
-            http=leader, view=self.view, entry_hosts=lambda: hosts
+            channel=self.channel, view=self.view, entry_hosts=lambda: hosts
         )
-        self.client.follow('http://leader')
+        self.channel.follow('http://leader')
 
     def take(self):
         return self.client.take(self.runner)
@@ -99,7 +101,7 @@
         host.client.note_limit(host.runner, 3.0)
         await asyncio.sleep(0.01)
         leader.calls.clear()
-        host.client.follow('http://other')
+        host.channel.follow('http://other')
         await asyncio.sleep(0.01)
         assert [one['takes'] for one in leader.calls] == [False]
 
--- a/tests/forwarding/test_scheduler_client.py
+++ b/tests/forwarding/test_scheduler_client.py
@@ -4,6 +4,7 @@
 import json
 
 from limpetroute.border import placement_bodies
+from limpetroute.forwarding import leader_channel
 from limpetroute.forwarding import scheduler_client
 from limpetroute.routing import placement
 from limpetroute.wire import call_failed
@@ -46,11 +47,13 @@
 
     async def work():
         leader = Leader()
-        client = scheduler_client.SchedulerClient(http=leader)
+        client = scheduler_client.SchedulerClient(
+            channel=leader_channel.LeaderChannel(http=leader)
+        )
         client.note_local_placement(
             local_placement('own'), builders.make_request('own')
         )
-        client.follow('http://127.0.0.1:1')
+        client._channel.follow('http://127.0.0.1:1')
         await asyncio.sleep(0)
         leader.calls.clear()
         client.note_local_placement(
@@ -74,8 +77,10 @@
 def test_first_events_are_reported_for_held_placements_only():
     async def work():
         leader = Leader()
-        client = scheduler_client.SchedulerClient(http=leader)
-        client.follow('http://127.0.0.1:1')
+        client = scheduler_client.SchedulerClient(
+            channel=leader_channel.LeaderChannel(http=leader)
+        )
+        client._channel.follow('http://127.0.0.1:1')
         await client.request_placement(
             builders.make_request('held', attempt=3)
         )
@@ -89,7 +94,9 @@
 
 
 def test_attempt_numbers_are_unique():
-    client = scheduler_client.SchedulerClient(http=Leader())
+    client = scheduler_client.SchedulerClient(
+        channel=leader_channel.LeaderChannel(http=Leader())
+    )
     assert client.next_attempt() != client.next_attempt()
 
 
@@ -112,11 +119,13 @@
 
     async def work():
         leader = LateLeader()
-        client = scheduler_client.SchedulerClient(http=leader)
+        client = scheduler_client.SchedulerClient(
+            channel=leader_channel.LeaderChannel(http=leader)
+        )
         client.note_placement(
             local_placement('own'), builders.make_request('own')
         )
-        client.follow('http://127.0.0.1:1')
+        client._channel.follow('http://127.0.0.1:1')
         await asyncio.sleep(0)
         await client.request_placement(builders.make_request('asked'))
         await asyncio.sleep(0)
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -28,6 +28,8 @@
         self.fatal = {}
         # (time, body, request's id) of each request that ran.
         self.arrivals = []
+        # (time, id, team, credentials, stated tokens) of each of them.
+        self.callers = []
         self.crashes_s = []
         # Requests a second that it says it takes; None for no limit.
         self.limit_per_s = None
@@ -123,6 +125,16 @@
         self.runs.append(request_id)
         now_s = asyncio.get_running_loop().time()
         self.arrivals.append((now_s, body, request_id))
+        usage = fields.get('token-usage', '0,0').split(',')
+        self.callers.append(
+            (
+                now_s,
+                request_id,
+                fields.get('tenant', ''),
+                fields.get('authorization', ''),
+                sum(int(tokens) for tokens in usage),
+            )
+        )
         if self._kills(body):
             self._restart = asyncio.create_task(self.crash())
             return
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -30,6 +30,12 @@
         self._popen = None
         self._told_to_stop = False
 
+    @property
+    def listen_port(self):
+        """Port at which a control host serves other hosts."""
+        listen = json.loads(self._path.read_text())['listen']
+        return int(listen.rpartition(':')[2])
+
     @property
     def stopping(self):
         """Whether it was told to stop and has not ended."""
@@ -180,8 +186,11 @@
         return got is not None
 
 
-def routes(version, others=0):
-    """A configuration; each version has a route of its own, and others."""
+def routes(version, others=0, teams=None):
+    """A configuration; each version has a route of its own, and others.
+
+    ``teams`` is the list of the teams, if callers need keys.
+    """
     common = {'host': 'h.example', 'timeout-ms': 4000, 'slo-ms': 900}
     found = [
         {**common, 'path-prefix': '/once/', 'kind': 'non_idempotent'},
@@ -211,6 +220,8 @@
             {'name': 'model', 'engine': engine},
         ],
     }
+    if teams is not None:
+        body['tenants'] = teams
     return json.dumps(body).encode()
 
 
--- a/tests/whole_path/fleet.py
+++ b/tests/whole_path/fleet.py
@@ -12,8 +12,11 @@
 class Fleet:
     """The processes, and what callers ask of them."""
 
-    def __init__(self, folder):
+    def __init__(self, folder, teams=None, key=''):
         self.world = world_module.World(folder, BASE)
+        self.version = 1
+        self._teams = teams
+        self._key = key
         self._beats = []
         self._asked = 0
 
@@ -59,7 +62,13 @@
         ]
         return sorted(found)
 
-    async def ask(self, host, path, body):
+    async def change_teams(self, teams):
+        """Put a new version with other teams in force."""
+        self._teams = teams
+        self.version += 1
+        assert await self._submit()
+
+    async def ask(self, host, path, body, key=None):
         """Return the status, Retry-After and body of one attempt."""
         self._asked += 1
         headers = {
@@ -67,6 +76,9 @@
             'Request-Id': f'q{self._asked}',
             'Deadline-Ms': '4000',
         }
+        key = self._key if key is None else key
+        if key:
+            headers['Authorization'] = f'Token {key}'
         if path.startswith('/stream/'):
             headers['Token-Usage'] = '100,120'
         address = self.world.entry_urls[host % world_module.FORWARDS]
@@ -87,7 +99,7 @@
         return link.status, float(link.headers.get('Retry-After', 0)), got
 
     async def _submit(self):
-        body = world_module.routes(1)
+        body = world_module.routes(self.version, teams=self._teams)
         return await self.world.to_control('PUT', '/api/config', body)
 
     async def _serves(self, host):
