--- a/limpetroute/cli/bench.py
+++ b/limpetroute/cli/bench.py
@@ -7,6 +7,7 @@
   limpetroute bench capacity [--json FILE]
   limpetroute bench scheduler [--json FILE]
   limpetroute bench lone-runner [--json FILE]
+  limpetroute bench quotas [--json FILE]
 
 Options:
   --seeds N        Play the first N seeds only.
@@ -54,6 +55,8 @@
         return _scheduler(args)
     if args['lone-runner']:
         return _lone_runner(args)
+    if args['quotas']:
+        return _quotas(args)
     try:
         path = pathlib.Path(args['EXPERIMENT'])
         body = settings_file.load(experiment.ExperimentBody, path)
@@ -200,5 +203,23 @@
     return EXIT_OK
 
 
+def _quotas(args: dict[str, typing.Any]) -> int:
+    from limpetroute.bench import quota_play
+
+    rows = quota_play.measure()
+    for row in rows:
+        print(
+            f'hosts {row["hosts"]:4} way {row["way"]:8} '
+            f'refused within quota {row["refused_within"]:.4f} '
+            f'hot team {row["hot_share"]:.3f} '
+            f'fullest window {row["most_of_bound"]:.3f} '
+            f'calls/s {row["calls_per_s"]:7.1f} '
+            f'mean wait {row["mean_wait_ms"]:.2f} ms'
+        )
+    if args['--json'] is not None:
+        _write(args['--json'], json.dumps({'quotas': rows}, indent=1))
+    return EXIT_OK
+
+
 def _write(name: str, text: str) -> None:
     pathlib.Path(name).write_text(text + '\n')
--- a/limpetroute/dispatch/dispatcher.py
+++ b/limpetroute/dispatch/dispatcher.py
@@ -198,6 +198,10 @@
             for team in {*spent, *history}
         }
 
+    def low_teams(self) -> list[str]:
+        """Return the teams that are near their quota."""
+        return self._quotas.low(boot_clock.now_s())
+
     @property
     def term(self) -> int:
         """Term in which this host leads; 0 if it does not."""
--- a/limpetroute/dispatch/placement_handlers.py
+++ b/limpetroute/dispatch/placement_handlers.py
@@ -150,7 +150,13 @@
         levels = self.dispatcher.note_spent(
             body.host_id, body.spent, body.history
         )
-        self.finish({'levels': levels, 'term': self.dispatcher.term})
+        self.finish(
+            {
+                'levels': levels,
+                'low': self.dispatcher.low_teams(),
+                'term': self.dispatcher.term,
+            }
+        )
 
 
 class LimitHandler(_Handler):
--- a/limpetroute/forwarding/quota_client.py
+++ b/limpetroute/forwarding/quota_client.py
@@ -213,6 +213,7 @@
         try:
             body = reply.json()
             self._quotas.note_levels(body['levels'], _now_s())
+            self._quotas.note_low_teams(body['low'], _now_s())
             term = int(body['term'])
         except (ValueError, KeyError, TypeError) as exc:
             LOG.error(
--- a/limpetroute/routing/host_quotas.py
+++ b/limpetroute/routing/host_quotas.py
@@ -1,6 +1,7 @@
 """Quotas as one entry host sees them."""
 
 import dataclasses
+import math
 import typing
 
 from limpetroute.routing import quota_verdict
@@ -9,13 +10,15 @@
 from limpetroute.routing import team as team_module
 from limpetroute.routing import token_bucket
 
-# A team with less than this share of its quota left is near its quota.
-LOW_SHARE = 0.25
 # Delay of a report by what is known of the teams in it: the nearer to its
 # quota, the sooner the other hosts have to know.
 LOW_REPORT_DELAY_S = 0.1
 UNKNOWN_REPORT_DELAY_S = 0.25
 CALM_REPORT_DELAY_S = 1.0
+# Time for which the leader's list of the teams near their quota is used.
+# Hosts talk to the leader about once a second, and an election takes
+# another second or two.
+LOW_TEAMS_VALID_S = 4.0
 # Without a leader, a refused caller returns after this time at most, as a
 # new leader is usually elected by then.
 MAX_LOCAL_WAIT_S = 1.0
@@ -47,7 +50,9 @@
 
     def is_low(self, now_s: float) -> bool:
         level = self.estimate(now_s)
-        return level is not None and level < self.limit * LOW_SHARE
+        return (
+            level is not None and level < self.limit * quota_window.LOW_SHARE
+        )
 
 
 class HostQuotas:
@@ -60,8 +65,8 @@
     delay of a report.
 
     Without a leader, a host lets a team use its even share. A request that
-    is larger than the share may overdraw it, unless the team was near its
-    quota when the leader was last in reach. The share refills slowly also
+    is larger than the share may overdraw it, if the leader said lately
+    which teams are near their quota and this one was not among them. The share refills slowly also
     while there is a leader, so that losing several in a row lets no team
     use its share several times. With ``c`` of ``h`` hosts cut
     off, the requests in a window stay within
@@ -76,6 +81,8 @@
 
     def __init__(self, *, window: quota_window.QuotaWindow) -> None:
         self._window = window
+        self._low_teams: frozenset[str] = frozenset()
+        self._low_teams_s = -math.inf
         self._teams: dict[str, _TeamState] = {}
 
     def __repr__(self) -> str:
@@ -121,7 +128,8 @@
             Number of entry hosts that share the quota.
         """
         state = self._state(name, quota)
-        is_low = state.is_low(now_s)
+        is_low = name in self._low_teams or state.is_low(now_s)
+        is_known = now_s - self._low_teams_s <= LOW_TEAMS_VALID_S
         if state.local is None:
             share = quota.burst / hosts
             state.local = token_bucket.TokenBucket(
@@ -130,8 +138,9 @@
                 now_s=now_s,
                 tokens=0.0 if is_low else share,
             )
+        may_overdraw = is_known and not is_low
         level = state.local.level(now_s)
-        if level <= 0.0 or (is_low and level < cost):
+        if level <= 0.0 or (level < cost and not may_overdraw):
             wait_s = min(state.local.wait_s(cost, now_s), MAX_LOCAL_WAIT_S)
             return quota_verdict.QuotaVerdict(
                 allowed=False, wait_s=wait_s, level=level, by_leader=False
@@ -206,6 +215,13 @@
             state.level_s = now_s
             state.spent_since = state.unreported
 
+    def note_low_teams(
+        self, names: typing.Iterable[str], now_s: float
+    ) -> None:
+        """Record which teams the leader says are near their quota."""
+        self._low_teams = frozenset(names)
+        self._low_teams_s = now_s
+
     def take_history(
         self, now_s: float
     ) -> dict[str, list[tuple[float, float]]]:
--- a/limpetroute/routing/quota_window.py
+++ b/limpetroute/routing/quota_window.py
@@ -7,6 +7,8 @@
 # Share of the tolerance up to which requests run. The rest covers what runs
 # before a host learns that a quota is used up, and while nobody leads.
 USED_TOLERANCE = 0.5
+# A team with less than this share of its limit left is near its quota.
+LOW_SHARE = 0.25
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/limpetroute/routing/team_quotas.py
+++ b/limpetroute/routing/team_quotas.py
@@ -1,6 +1,7 @@
 """Quotas of all teams, kept by the leader for all hosts."""
 
 import dataclasses
+import math
 import typing
 
 from limpetroute.routing import quota_verdict
@@ -14,6 +15,7 @@
 SWEEP_INTERVAL_TEAMS = 512
 # A team is below its quota again once nothing was refused for this long.
 CALM_S = 2.0
+LOW_INTERVAL_S = 0.1
 
 Spend = tuple[float, float]
 
@@ -71,6 +73,8 @@
         self._teams = team_index.TeamIndex(teams=())
         self._active: dict[str, _ActiveTeam] = {}
         self._added = 0
+        self._low: list[str] = []
+        self._low_s = -math.inf
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(active={len(self._active)!r})'
@@ -153,6 +157,20 @@
             and now_s - active.refused_s <= CALM_S
         }
 
+    def low(self, now_s: float) -> list[str]:
+        """Return the teams that are near their quota.
+
+        The list is worked out anew at intervals, as each host asks for it.
+        """
+        if now_s - self._low_s > LOW_INTERVAL_S:
+            self._low_s = now_s
+            self._low = [
+                one.team
+                for one in self.nearest(now_s, len(self._active))
+                if one.level < quota_window.LOW_SHARE * one.limit
+            ]
+        return self._low
+
     def nearest(self, now_s: float, count: int) -> list[TeamLevel]:
         """Return the teams with the least share of their quota left."""
         levels = []
--- a/tests/forwarding/test_teams.py
+++ b/tests/forwarding/test_teams.py
@@ -44,7 +44,7 @@
         self.bodies.append(body)
         answer = {'version': self.version}
         if path == '/v1/quotas':
-            answer = {'levels': self.levels, 'term': 1}
+            answer = {'levels': self.levels, 'low': [], 'term': 1}
         return reply.Reply(
             status=200, headers={}, body=json.dumps(answer).encode()
         )
@@ -226,6 +226,8 @@
     async def work(host, runners):
         bank = make_team('bank', 'k1', quota=QUOTA)
         use_teams(host, bank)
+        await host.request(target='/a/x', headers=f'{KEY}Token-Usage: x\r\n')
+        await asyncio.sleep(0.4)
         host.channel.follow('')
         headers = f'{harness.STREAM_HEADERS}{KEY}'
         assert harness.status(await host.request(headers=headers)) == 200
--- a/tests/routing/test_host_quotas.py
+++ b/tests/routing/test_host_quotas.py
@@ -79,6 +79,7 @@
 def test_a_cut_off_host_lets_a_calm_team_overdraw_its_share_once():
     """One large request is more than the share of a host among many."""
     host = make_host()
+    host.note_low_teams([], 0.5)
     assert admit(host, LARGE, 1.0).allowed
     refused = admit(host, 200.0, 1.1)
     assert not refused.allowed
@@ -89,14 +90,21 @@
 def test_a_cut_off_host_keeps_a_team_near_its_quota_to_its_share():
     """Otherwise all hosts together run far more while nobody leads."""
     host = make_host()
-    host.admit_with_leader('a', QUOTA, 200.0, 1.0)
-    host.note_levels({'a': 100.0}, 1.0)
+    host.note_low_teams(['a'], 1.0)
     assert not admit(host, LARGE, 1.1).allowed
     assert not admit(host, 200.0, 1.1).allowed
     assert admit(host, 200.0, 3.3).allowed
     assert not admit(host, 200.0, 3.3).allowed
 
 
+def test_a_host_that_was_cut_off_long_ago_lets_nothing_overdraw():
+    """A team that was calm then may be hot now, at all other hosts."""
+    host = make_host()
+    host.note_low_teams([], 0.5)
+    assert not admit(host, LARGE, 10.0).allowed
+    assert admit(host, 200.0, 10.0).allowed
+
+
 def test_another_quota_makes_the_known_level_void():
     host = make_host()
     host.admit_with_leader('a', QUOTA, 200.0, 1.0)
