Play streams on fleets of several shapes, and compare two results

Change: bench streams plays the real scheduler on four shapes and on drawn ones, with bursts, lost runners and teams; bench compare reads two results and prints the change of each shape with its interval over the same seeds.

--- a/limpetroute/bench/fleet_play.py
+++ b/limpetroute/bench/fleet_play.py
@@ -60,6 +60,7 @@
         memory_tokens: int = 135_015,
     ) -> None:
         self._rng = random.Random(seed)
+        self._team_rng = random.Random(seed)
         self._load = load
         self._shape = shape
         self.scheduler = stream_scheduler.StreamScheduler(
@@ -171,9 +172,10 @@
             caller = played_caller.PlayedCaller(
                 name=f's{len(self.callers)}',
                 sent_s=now_s,
-                prompt_tokens=200 + min(11_000, round(self._draw(5000.0))),
+                prompt_tokens=200 + self._draw_prompt(),
                 said_tokens=max(1, round(said)),
                 tokens=tokens,
+                team=self._draw_team(),
             )
             self.callers.append(caller)
             self.at(
@@ -184,6 +186,17 @@
     def _draw(self, mean: float) -> float:
         return mean * self._rng.lognormvariate(-0.125, 0.5)
 
+    def _draw_prompt(self) -> int:
+        drawn = round(self._draw(self._load.prompt_tokens))
+        return min(self._load.max_prompt_tokens, drawn)
+
+    def _draw_team(self) -> str:
+        if not self._load.teams:
+            return ''
+        names = [name for name, _ in self._load.teams]
+        shares = [share for _, share in self._load.teams]
+        return self._team_rng.choices(names, shares)[0]
+
     def _ask(self, caller: played_caller.PlayedCaller) -> None:
         if caller.over:
             return
@@ -211,6 +224,7 @@
                 prompt_id=caller.name,
                 pause_target_s=played_caller.PAUSE_TARGET_S,
                 silence_s=SILENCE_S,
+                team=caller.team,
             ),
             self.now_s,
         )
--- a/limpetroute/bench/played_caller.py
+++ b/limpetroute/bench/played_caller.py
@@ -18,6 +18,8 @@
         When it was sent for the first time.
     prompt_tokens, said_tokens, tokens : int
         Length of the prompt, and of the answer as said and as it is.
+    team : str
+        Its team; empty for none.
     """
 
     name: str
@@ -25,6 +27,7 @@
     prompt_tokens: int
     said_tokens: int
     tokens: int
+    team: str = ''
     attempt: int = 0
     waits_since_s: float = 0.0
     written: int = 0
--- a/limpetroute/cli/bench.py
+++ b/limpetroute/cli/bench.py
@@ -8,9 +8,12 @@
   limpetroute bench scheduler [--json FILE]
   limpetroute bench lone-runner [--json FILE]
   limpetroute bench quotas [--json FILE]
+  limpetroute bench streams [--seeds N] [--json FILE]
+  limpetroute bench compare BEFORE AFTER
 
 Options:
-  --seeds N        Play the first N seeds only.
+  --seeds N        Play the first N seeds only (of 10 by default with
+                   "streams").
   --cases LIST     Names of cases, with commas between them.
   --policies LIST  Policies to play in place of the experiment's own:
                    round_robin, least_load, two_choices, full,
@@ -22,6 +25,10 @@
 
 Example:
   limpetroute bench run experiments/federation.json --html report.html
+
+"streams" plays bursts, lost runners and teams on fleets of several
+shapes; "compare" reads two of its results, of two revisions, and prints
+the change of each shape with its interval over the same seeds.
 """
 
 import dataclasses
@@ -57,6 +64,10 @@
         return _lone_runner(args)
     if args['quotas']:
         return _quotas(args)
+    if args['streams']:
+        return _streams(args)
+    if args['compare']:
+        return _compare(args)
     try:
         path = pathlib.Path(args['EXPERIMENT'])
         body = settings_file.load(experiment.ExperimentBody, path)
@@ -221,5 +232,47 @@
     return EXIT_OK
 
 
+def _streams(args: dict[str, typing.Any]) -> int:
+    from limpetroute.bench import stream_shapes
+
+    count = args['--seeds'] or '10'
+    if not count.isdigit() or not int(count):
+        print(f'--seeds: {count!r} is not 1 or more', file=sys.stderr)
+        return EXIT_USAGE
+    rows = stream_shapes.measure(int(count))
+    for row in rows:
+        print(
+            f'{row.shape:20} seed {row.seed:3} worth {row.worth:.3f} '
+            f'on time {row.on_time:4} late {row.late:4} lost {row.lost:4} '
+            f'worst team {row.worst_team:.2f}'
+        )
+    if args['--json'] is not None:
+        results = [dataclasses.asdict(row) for row in rows]
+        _write(args['--json'], json.dumps({'streams': results}, indent=1))
+    return EXIT_OK
+
+
+def _compare(args: dict[str, typing.Any]) -> int:
+    from limpetroute.bench import paired_comparison
+
+    results = []
+    for name in (args['BEFORE'], args['AFTER']):
+        try:
+            body = json.loads(pathlib.Path(name).read_text())
+            results.append(body['streams'])
+        except (OSError, ValueError, KeyError, TypeError) as exc:
+            print(f'{name}: no result of "streams": {exc}', file=sys.stderr)
+            return EXIT_USAGE
+    for row in paired_comparison.compare(*results):
+        print(
+            f'{row.shape:20} seeds {row.seeds:3} '
+            f'worth {row.before:.3f} -> {row.after:.3f} '
+            f'change {row.change:+.4f} '
+            f'({row.change - row.half_width:+.4f}'
+            f'..{row.change + row.half_width:+.4f})'
+        )
+    return EXIT_OK
+
+
 def _write(name: str, text: str) -> None:
     pathlib.Path(name).write_text(text + '\n')
