--- a/limpetroute/dispatch/dispatcher.py
+++ b/limpetroute/dispatch/dispatcher.py
@@ -488,6 +488,7 @@
 def _detail(answer: Answer) -> dict[str, typing.Any]:
     body = dataclasses.asdict(answer)
     del body['request_id']
+    body.pop('runners', None)
     forecast = body.pop('forecast', None)
     if forecast is not None:
         body.update(
--- a/limpetroute/dispatch/placement_handlers.py
+++ b/limpetroute/dispatch/placement_handlers.py
@@ -11,6 +11,7 @@
 from limpetroute.border import limit_bodies
 from limpetroute.border import placement_bodies
 from limpetroute.border import quota_bodies
+from limpetroute.border import runners_header
 from limpetroute.dispatch import dispatcher as dispatcher_module
 from limpetroute.routing import placement
 from limpetroute.telemetry import boot_clock
@@ -63,6 +64,10 @@
             return
         body = dataclasses.asdict(answer)
         body.pop('forecast', None)
+        body.pop('runners', None)
+        self.set_header(
+            runners_header.NAME, runners_header.encode(answer.runners)
+        )
         if answer.forecast:
             self.set_header(
                 forecast_header.NAME, forecast_header.encode(answer.forecast)
--- a/limpetroute/forwarding/placement_session.py
+++ b/limpetroute/forwarding/placement_session.py
@@ -213,18 +213,35 @@
             view.load(assigned.decode_id).note_fleet_streams(
                 assigned.forecast.beside + 1, _now_s()
             )
-        decode = view.runner(assigned.decode_id)
+        decode = self._find_runner(assigned.decode_id, assigned)
         if decode is None or not decode.ready:
             return None
         prefill = None
         if assigned.prefill_id:
-            prefill = view.runner(assigned.prefill_id)
+            prefill = self._find_runner(assigned.prefill_id, assigned)
         if prefill is not None and not prefill.ready:
             prefill = None
         return AssignedRunners(
             decode=decode, prefill=prefill, forecast=assigned.forecast
         )
 
+    def _find_runner(
+        self, runner_id: str, assigned: placement.Placement
+    ) -> runner_info.RunnerInfo | None:
+        """Return a runner as this host knows it, or as the leader does.
+
+        The leader places waiting streams at a new runner at once, some
+        milliseconds before other hosts learn of it. Placing them locally
+        instead sends them to runners that are gone.
+        """
+        known = self._context.view.runner(runner_id)
+        if known is not None:
+            return known
+        for runner in assigned.runners:
+            if runner.runner_id == runner_id:
+                return runner
+        return None
+
     def _place_locally(
         self, request: placement.PlacementRequest
     ) -> AssignedRunners | placement.Rejection:
--- a/limpetroute/forwarding/scheduler_client.py
+++ b/limpetroute/forwarding/scheduler_client.py
@@ -6,6 +6,7 @@
 import logging
 
 from limpetroute.border import forecast_header
+from limpetroute.border import runners_header
 from limpetroute.forwarding import leader_channel
 from limpetroute.routing import placement
 from limpetroute.routing import stream_times
@@ -117,6 +118,9 @@
                 forecast=forecast_header.decode(
                     reply.headers.get(forecast_header.NAME)
                 ),
+                runners=runners_header.decode(
+                    reply.headers.get(runners_header.NAME)
+                ),
             )
         except (ValueError, TypeError) as exc:
             return SchedulerUnavailable(reason=str(exc))
--- a/limpetroute/routing/placement.py
+++ b/limpetroute/routing/placement.py
@@ -4,6 +4,7 @@
 import typing
 
 from limpetroute.routing import forecast as forecast_module
+from limpetroute.routing import runner_info
 
 # Fits streams whose first event is due within 0.9 s.
 DEFAULT_SILENCE_S = 3.6
@@ -122,12 +123,16 @@
     forecast : Forecast or None
         Forecast of the scheduler; None if an entry host placed the stream
         without the leader.
+    runners : tuple of RunnerInfo
+        What the leader knows of both runners, which may have announced
+        themselves moments ago; empty if that is not known.
     """
 
     request_id: str
     decode_id: str
     prefill_id: str
     forecast: forecast_module.Forecast | None = None
+    runners: tuple[runner_info.RunnerInfo, ...] = ()
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/limpetroute/routing/stream_scheduler.py
+++ b/limpetroute/routing/stream_scheduler.py
@@ -369,6 +369,11 @@
             decode_id=chosen.decode_runner.runner_id,
             prefill_id=prefill_runner.runner_id if prefill_runner else '',
             forecast=expected,
+            runners=tuple(
+                runner
+                for runner in (chosen.decode_runner, prefill_runner)
+                if runner is not None
+            ),
         )
         self._limits.take(chosen.decode_runner.runner_id, now_s)
         if prefill_runner is not None:
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -5,8 +5,10 @@
 
 import pytest
 
+from limpetroute.border import runners_header
 from limpetroute.forwarding import scheduler_client
 from limpetroute.routing import route_kind
+from limpetroute.wire import reply
 from tests.forwarding import harness
 from tests.forwarding import scripted_runner
 from tests.routing import builders
@@ -541,3 +543,48 @@
         assert _complete(got)
 
     run(work())
+
+
+class _LeaderWithNews:
+    """A leader that places streams at a runner that hosts don't know."""
+
+    def __init__(self, runner):
+        self.runner = runner
+
+    async def call(self, *, url, body, **rest):
+        place = {
+            'request_id': body.get('request_id', ''),
+            'decode_id': self.runner.runner_id,
+            'prefill_id': '',
+        }
+        return reply.Reply(
+            status=200,
+            headers={
+                runners_header.NAME: runners_header.encode([self.runner])
+            },
+            body=json.dumps(place).encode(),
+        )
+
+
+def test_a_stream_goes_to_a_runner_that_only_the_leader_knows():
+    """Guards against local placement right after runners come back.
+
+    Pattern: runners crash in a burst and announce themselves again, and
+    the leader places the streams that wait within milliseconds. Hosts that
+    had not received the new runners sent these streams to the old ones.
+    """
+
+    async def work():
+        async with harness.running(
+            [_stream(1), _stream(2)], stages=[DECODE, DECODE], **STREAM
+        ) as (front, (known, other)):
+            news = front.view._runners.pop('r1')
+            front.view._by_service['model'].remove(news)
+            front.channel._http = _LeaderWithNews(news)
+            front.channel.follow('http://leader')
+            got = await front.request(method='POST', headers=USAGE)
+            assert not known.requests
+            assert len(other.requests) == 1
+        assert _events(got) == [2]
+
+    run(work())
