Send a stream that a live runner reset unread to the same runner again

The next send went to another runner. A route that allows two sends allows no second prefill, so a decode runner had to prefill the prompt itself, and in the burst none had room: 7 of 16 such streams were refused with 502.

Change: if the runner still accepts connections and no event had come, the stream goes to it once more within the same placement. A runner that completes a stream is not reported as failed for it.

Result: both new tests failed before.

--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -83,6 +83,8 @@
         self._failed_prefills = 0
         self._sends_to_unreachable = 0
         self._is_complete = False
+        # Whether a live runner broke off before the first event.
+        self._broke_unread = False
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(request={self._request.request_id!r})'
@@ -250,15 +252,39 @@
                     return self._handle_failed_prefill(assigned.prefill)
                 self._prefills += 1
                 session.note_prefill_done()
-            return await self._decode(
+            step = await self._decode(
                 call, prefilled, session, assigned.forecast
             )
+            if not await self._may_repeat_at(runner, step):
+                return step
+            call.close()
+            call = runner_call.RunnerCall(
+                runner=runner, dialect=self._context.dialect
+            )
+            return await self._decode(
+                call, None, session, assigned.forecast, is_repeat=True
+            )
         finally:
             call.close()
             prefill.free_unless_taken()
             load.requests -= 1
             load.tokens -= self._peak_tokens()
 
+    async def _may_repeat_at(
+        self, runner: runner_info.RunnerInfo, step: next_step.Step
+    ) -> bool:
+        """Return whether to send the stream to the same runner again.
+
+        A live runner that reset the connection before the first event has
+        the prompt in its cache. At another runner the prompt would have to
+        be prefilled again, if there is room for it at all.
+        """
+        return (
+            step is next_step.Step.RETRY
+            and self._broke_unread
+            and await self._gate.may_send()
+        )
+
     def _handle_failed_connect(
         self, runner: runner_info.RunnerInfo, failed: runner_call.SendFailure
     ) -> next_step.Step:
@@ -304,12 +330,14 @@
         prefilled: prompt_prefill.PrefilledPrompt | None,
         session: placement_session.PlacementSession,
         predicted: forecast.Forecast | None,
+        *,
+        is_repeat: bool = False,
     ) -> next_step.Step:
         context = self._context
         started_s = _now_s()
         events_before = self._relay.event_count
         on_first_event = None
-        if prefilled is None or self._is_resumed():
+        if not is_repeat and (prefilled is None or self._is_resumed()):
             # The decode runner has to prefill, at least the tokens that
             # were written before.
             on_first_event = functools.partial(
@@ -364,10 +392,15 @@
         )
         if step is next_step.Step.RELAY and not self._responder.finished:
             await self._relay_failure(call)
-        if step is next_step.Step.RETRY and await self._is_unreachable(
-            runner, result
-        ):
-            self._sends_to_unreachable += 1
+        self._broke_unread = False
+        if step is next_step.Step.RETRY:
+            if await self._is_unreachable(runner, result):
+                self._sends_to_unreachable += 1
+            else:
+                self._broke_unread = (
+                    result is send_result.SendResult.BROKEN
+                    and self._relay.event_count == events_before
+                )
         return step
 
     def _record_forecast_error(
@@ -405,6 +438,7 @@
         """Update the health of a runner with the result of a send."""
         if result is send_result.SendResult.ANSWERED:
             self._is_complete = True
+            self._failed_runners.discard(runner.runner_id)
             self._context.quarantine.note_answered(self._request)
             self._context.view.load(runner.runner_id).note_success(took_s)
         elif result is send_result.SendResult.REFUSED and prefilled:
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -545,6 +545,64 @@
     run(work())
 
 
+def _reset_once_then(script):
+    """Reset the first request; run a script for all others."""
+    sent = []
+
+    async def work(request, writer):
+        if not sent:
+            sent.append(request)
+            writer.transport.abort()
+            return
+        await script(request, writer)
+
+    return work
+
+
+def test_a_live_runner_that_reset_a_stream_gets_it_again():
+    """Guards against a second prefill while the first is in a cache.
+
+    Pattern: in a burst, runners reset a part of their streams before the
+    first event. Each of these prompts was prefilled twice, or refused as
+    no other runner had room.
+    """
+
+    async def work():
+        async with harness.running(
+            [_prefill, _reset_once_then(_stream(1, 2)), _stream(7)],
+            stages=[PREFILL, DECODE, DECODE],
+            **RESUMABLE,
+        ) as (front, (prefill, *decode)):
+            front.view.load('r2').tokens = 10
+            got = await front.request(method='POST', headers=USAGE)
+            reads = [
+                one.header('Stage') == 'prefill' for one in prefill.requests
+            ]
+            assert sum(reads) == 1
+            assert len(decode[0].requests) == 2
+            assert decode[0].requests[1].header('Kv-From') is None
+            assert not decode[1].requests
+        assert _events(got) == [1, 2]
+        assert _complete(got)
+
+    run(work())
+
+
+def test_a_runner_that_resets_a_stream_twice_does_not_get_it_again():
+    async def work():
+        async def reset(request, writer):
+            writer.transport.abort()
+
+        async with harness.running(
+            [reset], stages=[DECODE], max_sends=5, **RESUMABLE
+        ) as (front, (decode,)):
+            got = await front.request(method='POST', headers=USAGE)
+            assert len(decode.requests) == 2
+        assert harness.status(got) >= 500
+
+    run(work())
+
+
 class _LeaderWithNews:
     """A leader that places streams at a runner that hosts don't know."""
 
