Let late streams wait for what no other stream can use

Cause: one placement in eight went to a late stream while others could still be in time, and late streams beyond a sixth of those that run at once were refused, whatever they could still have got.

Change: streams that can be in time always go first. A late stream waits if its place is estimated to come while its caller waits, behind the late ones ahead of it, and is refused at once otherwise. The estimate counts a second round of streams once all that run now are taken. Two constants and the streak counter are gone.

--- a/limpetroute/routing/stream_scheduler.py
+++ b/limpetroute/routing/stream_scheduler.py
@@ -11,7 +11,6 @@
 from limpetroute.routing import moving_mean
 from limpetroute.routing import outlier_detector
 from limpetroute.routing import placement
-from limpetroute.routing import pool_sizing
 from limpetroute.routing import prefill_queue
 from limpetroute.routing import reservations
 from limpetroute.routing import runner_info
@@ -26,14 +25,6 @@
 # If a large stream at the head of the queue does not fit, smaller ones may
 # pass it for this long. After that, freed capacity is kept for it.
 HEAD_OF_LINE_TIMEOUT_S = 0.25
-# Number of streams that may wait although they can no longer meet their
-# target, as a share of the streams that run at once. The others are rejected
-# at once with a time to retry.
-LATE_WAITING_SHARE = 1 / 6
-# While streams wait that can still meet their target, one placement in this
-# many goes to a stream that cannot: a late answer is worth less, but not
-# nothing.
-LATE_ADMISSION_INTERVAL = 8
 # Interval at which all waiting streams are checked again. In between, an event
 # is matched only with the streams and runners that it may affect.
 FULL_PASS_S = 0.05
@@ -55,9 +46,9 @@
 
     Capacity on a decode runner is reserved before the prompt is prefilled.
     Streams that can still meet their target go first, earliest target first.
-    Under overload this order alone would serve each stream just too late. So a
-    stream that cannot be placed in time is rejected at once, and only a few
-    late ones wait for the remaining capacity.
+    Under overload this order alone would serve each stream just too late. So
+    late streams wait for the capacity that no other stream can use, and a
+    stream that cannot be placed while its caller waits is rejected at once.
 
     A decision checks only what an event may have changed. A new stream is
     checked against the runners with the most free memory, and a runner where a
@@ -108,13 +99,13 @@
             prefill=self._prefill,
             fleet=self._fleet,
             decode_placement=self._decode_placement,
+            output_size=self._output_size,
         )
         self._admission = admission.Admission()
         self._waiting = waiting_queue.WaitingQueue()
         self._has_new = False
         self._full_pass_s = -math.inf
         self._unfinished = False
-        self._in_time_streak = 0
 
     def __repr__(self) -> str:
         return (
@@ -323,10 +314,9 @@
             now_s=now_s,
         )
         self._unfinished = False
-        late_first = self._in_time_streak >= LATE_ADMISSION_INTERVAL
         placements = []
         freed_tokens = selector.freed_tokens
-        for one in self._waiting.in_order(late_first=late_first):
+        for one in self._waiting.in_order():
             waited_s = now_s - one.sent_s
             if one.fits_nowhere and one.tokens > freed_tokens:
                 # The situation of this stream has not changed since its last
@@ -358,10 +348,6 @@
         chosen: runner_selector.ChosenRunners,
         now_s: float,
     ) -> placement.Placement:
-        if self._can_meet_target(one, now_s):
-            self._in_time_streak += 1
-        else:
-            self._in_time_streak = 0
         prefill_runner = chosen.prefill_runner
         expected = self._forecast(one, chosen, now_s)
         placed = placement.Placement(
@@ -428,56 +414,52 @@
         that are expected to be placed.
         """
         has_decode_runner = bool(self._fleet.decode_runners)
-        late_limit = max(1, round(self._streams_at_once * LATE_WAITING_SHARE))
         probe = capacity_probe.CapacityProbe(
             decode_placement=self._decode_placement, now_s=now_s
         )
-        late_first = self._in_time_streak >= LATE_ADMISSION_INTERVAL
         rejections = []
         ahead = 0
         late = 0
-        for one in self._waiting.in_order(late_first=late_first):
+        for one in self._waiting.in_order():
             if full or not one.is_examined:
                 one.is_examined = True
                 has_free_runner = (
                     not one.fits_nowhere and probe.has_free_runner(one.request)
                 )
+                # A stream that turns out to be late goes behind the late
+                # ones that wait already.
                 start_s = self._estimate.start_s(
                     one.request, ahead, has_free_runner
                 )
-                too_late = start_s - one.sent_s > one.max_wait_s
                 one.counts_in_queue = has_decode_runner and (
                     self._can_meet_target(one, start_s)
-                    or (one.request.goes_on and not too_late)
+                    or (one.request.goes_on and not _is_too_late(one, start_s))
                 )
-                overdue = now_s - one.sent_s > one.max_wait_s
-                if not one.counts_in_queue and (
-                    not has_decode_runner
-                    or late >= late_limit
-                    or too_late
-                    or overdue
-                ):
-                    rejections.append(self._reject(one, now_s))
-                    continue
+                if not one.counts_in_queue:
+                    start_s = self._estimate.start_s(
+                        one.request, ahead + late, has_free_runner
+                    )
+                    if (
+                        not has_decode_runner
+                        or _is_too_late(one, start_s)
+                        or _is_too_late(one, now_s)
+                    ):
+                        rejections.append(self._reject(one, now_s))
+                        continue
             if one.counts_in_queue:
                 ahead += 1
             else:
                 late += 1
         return rejections
 
-    @property
-    def _streams_at_once(self) -> float:
-        """Number of streams that the decode runners hold at once.
-
-        If slots alone counted, hundreds of streams would wait for memory until
-        they are overdue, although only a few dozen can be placed in time.
-        """
-        each = pool_sizing.concurrent_streams(self._engine, self.rates)
-        return len(self._fleet.decode_runners) * each
-
     def _reject(
         self, one: waiting_stream.WaitingStream, now_s: float
     ) -> placement.Rejection:
         self._waiting.remove(one.request_id)
         slot_free_s = self._estimate.slot_free_s(len(self._waiting))
         return self._admission.reject(one, slot_free_s, now_s)
+
+
+def _is_too_late(one: waiting_stream.WaitingStream, start_s: float) -> bool:
+    """Return whether a start at a time is of no use to the caller."""
+    return start_s - one.sent_s > one.max_wait_s
--- a/limpetroute/routing/wait_estimate.py
+++ b/limpetroute/routing/wait_estimate.py
@@ -4,6 +4,7 @@
 
 from limpetroute.routing import decode_placement as placement_module
 from limpetroute.routing import fleet as fleet_module
+from limpetroute.routing import moving_mean
 from limpetroute.routing import placement
 from limpetroute.routing import prefill_queue
 from limpetroute.routing import reservations
@@ -30,6 +31,8 @@
         The runners that may be used.
     decode_placement : DecodePlacement
         Checks which decode runners have free capacity.
+    output_size : MovingMean
+        Mean number of tokens of an answer.
     """
 
     def __init__(
@@ -39,8 +42,10 @@
         prefill: prefill_queue.PrefillQueue,
         fleet: fleet_module.Fleet,
         decode_placement: placement_module.DecodePlacement,
+        output_size: moving_mean.MovingMean,
     ) -> None:
         self._reservations = reserved
+        self._output_size = output_size
         self._decode_placement = decode_placement
         self._prefill = prefill
         self._fleet = fleet
@@ -115,9 +120,12 @@
             self._ends_s = self._reservations.next_ends_s(
                 self._waiting + EXTRA_ENDS, self._now_s
             )
-        if ahead < len(self._ends_s):
-            return self._ends_s[ahead]
-        return self._ends_s[-1] if self._ends_s else self._now_s
+        if not self._ends_s:
+            return self._now_s
+        # Streams beyond those that run now follow others that wait.
+        rounds, position = divmod(ahead, len(self._ends_s))
+        stream_s = self._output_size.mean / self._reservations.tokens_per_s
+        return self._ends_s[position] + rounds * stream_s
 
     def _queue_start_s(self, ahead: int) -> float:
         """Return when a prefill runner accepts a prompt after those ahead."""
--- a/limpetroute/routing/waiting_queue.py
+++ b/limpetroute/routing/waiting_queue.py
@@ -70,22 +70,6 @@
             if is_in_time != was_in_time:
                 self.add(stream, is_in_time)
 
-    def in_order(
-        self, *, late_first: bool = False
-    ) -> list[waiting_stream.WaitingStream]:
-        """Return the streams in order.
-
-        Parameters
-        ----------
-        late_first : bool
-            Whether one late stream goes before those that meet their target.
-        """
-        ordered = list(self._order.values())
-        if not late_first:
-            return ordered
-        late = self._order.bisect_left((LATE,))
-        if late == len(ordered):
-            return ordered
-        begun = self._order.bisect_left((IN_TIME,))
-        ordered.insert(begun, ordered.pop(late))
-        return ordered
+    def in_order(self) -> list[waiting_stream.WaitingStream]:
+        """Return the streams in order."""
+        return list(self._order.values())
