--- a/limpetroute/cli/main.py
+++ b/limpetroute/cli/main.py
@@ -10,6 +10,7 @@
   control    Run one replica of the control log.
   forward    Run the process that forwards requests by route.
   explain    Say from the logs what became of a request.
+  account    Say from the logs what became of a day's requests.
   demo       Run the whole path as tasks of one process.
   standin    Run one stand-in runner, for trials.
   submit     Submit a manifest and say when it is in force.
@@ -44,6 +45,7 @@
     'control',
     'forward',
     'explain',
+    'account',
     'demo',
     'standin',
     'status',
--- a/limpetroute/cli/request_story.py
+++ b/limpetroute/cli/request_story.py
@@ -26,6 +26,25 @@
     'no routes are known yet': (
         'The host had just started and had not heard a control host.'
     ),
+    'unknown key': (
+        'No team of the newest configuration holds the key that was sent.'
+    ),
+    'no key': 'The route is not public, and no key was sent.',
+    'the key may be newer than the routes here': (
+        'The host did not know the key and reached no leader that could '
+        'say whether its configuration is the newest.'
+    ),
+    'over quota': (
+        'The team had used up its quota in the window. "team reached its '
+        'quota" of the control host names what was left, and Retry-After '
+        'when there would be enough.'
+    ),
+    'no leader: local share of the quota is used up': (
+        'The host reached no leader and kept the team to its even share.'
+    ),
+    'the key changed while the request waited': (
+        'Its key was taken away, or moved to another team, before it was sent.'
+    ),
     'this host stops': 'The host was shutting down and takes no streams.',
 }
 
--- a/limpetroute/cli/status.py
+++ b/limpetroute/cli/status.py
@@ -73,6 +73,7 @@
         _print_entries(entries)
         if controls:
             _print_controls(controls)
+            _print_teams(controls)
     code = operator_call.explain_failures([*entries, *controls])
     if code != exit_code.DONE:
         return code
@@ -136,5 +137,17 @@
     table.show(CONTROL_COLUMNS, rows)
 
 
+def _print_teams(answers: list[operator_call.HostAnswer]) -> None:
+    """Print the teams nearest to their quota, as the leader knows them."""
+    rows = [
+        [team['team'], team['left'], team['limit'], team['over_quota']]
+        for answer in answers
+        for team in answer.body.get('teams', [])
+    ]
+    if rows:
+        print()
+        table.show(['team', 'left in window', 'limit', 'over quota'], rows)
+
+
 def _leads(group: dict[str, typing.Any]) -> bool:
     return bool(group['role'] == 'leader')
--- a/limpetroute/control/status.py
+++ b/limpetroute/control/status.py
@@ -35,6 +35,7 @@
             }
             for host_id, report in node.reports.all().items()
         },
+        **{name: read() for name, read in node.describers.items()},
     }
 
 
--- a/limpetroute/dispatch/dispatch_component.py
+++ b/limpetroute/dispatch/dispatch_component.py
@@ -1,5 +1,7 @@
 """Runs the dispatcher and its HTTP handlers in a control process."""
 
+import functools
+
 from tornado import web
 
 from limpetroute.control import node as node_module
@@ -7,6 +9,9 @@
 from limpetroute.dispatch import order_codec
 from limpetroute.dispatch import placement_handlers
 
+# Teams nearest to their quota that the status report lists.
+SHOWN_TEAMS = 5
+
 
 class DispatchComponent:
     """Runs the dispatcher and its HTTP handlers in a control process.
@@ -26,6 +31,9 @@
         codec: order_codec.OrderCodec,
     ) -> None:
         self._dispatcher = dispatcher_module.Dispatcher(node=node, codec=codec)
+        node.describers['teams'] = functools.partial(
+            self._dispatcher.describe_quotas, SHOWN_TEAMS
+        )
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(dispatcher={self._dispatcher!r})'
--- a/limpetroute/routing/host_quotas.py
+++ b/limpetroute/routing/host_quotas.py
@@ -66,10 +66,10 @@
 
     Without a leader, a host lets a team use its even share. A request that
     is larger than the share may overdraw it, if the leader said lately
-    which teams are near their quota and this one was not among them. The share refills slowly also
-    while there is a leader, so that losing several in a row lets no team
-    use its share several times. With ``c`` of ``h`` hosts cut
-    off, the requests in a window stay within
+    which teams are near their quota and this one was not among them. The
+    share refills slowly also while there is a leader, so that losing
+    several in a row lets no team use its share several times. With ``c``
+    of ``h`` hosts cut off, the requests in a window stay within
     ``(rate x window + burst) x (1 + c / h) + c x largest request``.
 
     Parameters
--- a/tests/whole_path/test_teams.py
+++ b/tests/whole_path/test_teams.py
@@ -173,6 +173,10 @@
     got = await fleet.world.http.call(
         method='GET', url=f'http://{host}:{port}/v1/status', timeout_s=1.0
     )
-    return getattr(got, 'ok', False) and any(
-        group['role'] == 'leader' for group in got.json()['groups']
-    )
+    if not getattr(got, 'ok', False):
+        return False
+    body = got.json()
+    is_leader = any(group['role'] == 'leader' for group in body['groups'])
+    if is_leader and fleet.version == 1:
+        assert {one['team'] for one in body['teams']} <= {'bank', 'court'}
+    return is_leader
