Share the replies of plain and stream forwarding, mend an error metric

Cause: both forwards held the same code for ending, refusing and quarantining a request, and quotas would have added a third copy.

Change: RequestReplies holds the replies. The histogram records how far a forecast was off, with "early" as label.

--- a/limpetroute/forwarding/forward_meters.py
+++ b/limpetroute/forwarding/forward_meters.py
@@ -23,8 +23,7 @@
 )
 
 
-# Negative values mean that the first event came earlier than forecast.
-ERROR_BOUNDS_S = (-0.5, -0.2, -0.1, -0.05, 0.0, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0)
+ERROR_BOUNDS_S = (0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0)
 # Teams with a time series of their own at one host.
 MAX_TEAM_LABELS = 24
 
@@ -57,7 +56,7 @@
         self._first_event_errors = meter.create_histogram(
             'limpetroute_first_event_error',
             unit='s',
-            description='By how much first events come later than expected.',
+            description='By how much first events miss their forecast.',
             explicit_bucket_boundaries_advisory=ERROR_BOUNDS_S,
         )
         self._longest_gaps = meter.create_histogram(
@@ -99,8 +98,11 @@
         self._first_events.record(seconds)
 
     def first_event_error(self, seconds: float) -> None:
-        """Record by how much a first event came later than forecast."""
-        self._first_event_errors.record(seconds)
+        """Record by how much a first event came later than forecast.
+
+        Histograms take no negative values, so a label tells early events.
+        """
+        self._first_event_errors.record(abs(seconds), {'early': seconds < 0})
 
     def longest_gap(self, seconds: float) -> None:
         """Record the longest gap between two events of an answer."""
--- a/limpetroute/forwarding/local_reply.py
+++ b/limpetroute/forwarding/local_reply.py
@@ -7,7 +7,6 @@
 from limpetroute.forwarding import forward_context
 from limpetroute.forwarding import responder as responder_module
 from limpetroute.routing import next_step
-from limpetroute.routing import quota_verdict
 from limpetroute.routing import route as route_module
 
 LOG = logging.getLogger(__name__)
@@ -65,28 +64,6 @@
     )
 
 
-async def write_over_quota(
-    context: forward_context.ForwardContext,
-    *,
-    request: caller_request.CallerRequest,
-    route: route_module.Route,
-    responder: responder_module.Responder,
-    verdict: quota_verdict.QuotaVerdict,
-) -> None:
-    """Refuse a request that its team's quota does not allow now."""
-    await write_status(
-        context,
-        request=request,
-        route=route,
-        responder=responder,
-        status=(
-            HTTP_TOO_MANY_REQUESTS if verdict.by_leader else HTTP_UNAVAILABLE
-        ),
-        reason=OVER_QUOTA if verdict.by_leader else LOCAL_SHARE_USED,
-        retry_after_s=verdict.wait_s,
-    )
-
-
 async def write_status(
     context: forward_context.ForwardContext,
     *,
--- a/limpetroute/forwarding/plain_forward.py
+++ b/limpetroute/forwarding/plain_forward.py
@@ -10,6 +10,7 @@
 from limpetroute.forwarding import local_reply
 from limpetroute.forwarding import quarantine_gate
 from limpetroute.forwarding import quota_charge
+from limpetroute.forwarding import request_replies
 from limpetroute.forwarding import responder as responder_module
 from limpetroute.forwarding import runner_call
 from limpetroute.routing import next_step
@@ -60,6 +61,13 @@
         self._responder = responder
         self._tried_runners: set[str] = set()
         self._history = send_history.SendHistory(route=route)
+        self._replies = request_replies.RequestReplies(
+            context=context,
+            request=request,
+            route=route,
+            responder=responder,
+            history=self._history,
+        )
         self._gate = quarantine_gate.QuarantineGate(
             client=context.quarantine, request=request
         )
@@ -73,17 +81,11 @@
     async def run(self) -> None:
         """Answer the request."""
         if not self._context.accepts_calls:
-            await self._reply(next_step.Step.REFUSE, 'this host stops')
+            await self._replies.refuse('this host stops')
             return
         verdict = self._charge.take()
         if not verdict.allowed:
-            await local_reply.write_over_quota(
-                self._context,
-                request=self._request,
-                route=self._route,
-                responder=self._responder,
-                verdict=verdict,
-            )
+            await self._replies.refuse_over_quota(verdict)
             return
         try:
             await self._send_until_answered()
@@ -97,9 +99,7 @@
                 await self._refuse_without_runner()
                 return
             if not self._context.teams.is_current(self._request, self._route):
-                await self._reply(
-                    next_step.Step.REFUSE, local_reply.KEY_CHANGED
-                )
+                await self._replies.refuse(local_reply.KEY_CHANGED)
                 return
             if self._gate.is_closed():
                 await self._refuse_quarantined()
@@ -113,14 +113,12 @@
             if step is next_step.Step.RELAY:
                 return
             if step is not next_step.Step.RETRY:
-                await self._reply(step, 'after a send')
+                await self._replies.end(step, 'after a send')
                 return
 
     async def _refuse_quarantined(self) -> None:
-        await self._reply(
-            next_step.Step.REFUSE,
-            local_reply.QUARANTINED,
-            self._gate.retry_after_s,
+        await self._replies.refuse(
+            local_reply.QUARANTINED, self._gate.retry_after_s
         )
 
     async def _refuse_without_runner(self) -> None:
@@ -131,11 +129,9 @@
             now_s=_now_s(),
         )
         if wait_s:
-            await self._reply(
-                next_step.Step.REFUSE, local_reply.LIMITED, wait_s
-            )
+            await self._replies.refuse(local_reply.LIMITED, wait_s)
             return
-        await self._reply(next_step.Step.REFUSE, 'no runner')
+        await self._replies.refuse('no runner')
 
     def _choose(self) -> runner_info.RunnerInfo | None:
         context = self._context
@@ -219,22 +215,6 @@
             return True
         return self._context.take_retry(self._service)
 
-    async def _reply(
-        self,
-        step: next_step.Step,
-        reason: str,
-        retry_after_s: float = local_reply.RETRY_AFTER_S,
-    ) -> None:
-        await local_reply.write(
-            self._context,
-            request=self._request,
-            route=self._route,
-            responder=self._responder,
-            step=self._history.final_step(step),
-            reason=reason,
-            retry_after_s=retry_after_s,
-        )
-
 
 def _result(
     call: runner_call.RunnerCall, failed: runner_call.SendFailure | None
--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -12,6 +12,7 @@
 from limpetroute.forwarding import prompt_prefill
 from limpetroute.forwarding import quarantine_gate
 from limpetroute.forwarding import quota_charge
+from limpetroute.forwarding import request_replies
 from limpetroute.forwarding import responder as responder_module
 from limpetroute.forwarding import runner_call
 from limpetroute.forwarding import stream_relay
@@ -73,6 +74,13 @@
         self._failed_runners: set[str] = set()
         self._full_runners: set[str] = set()
         self._history = send_history.SendHistory(route=route)
+        self._replies = request_replies.RequestReplies(
+            context=context,
+            request=request,
+            route=route,
+            responder=responder,
+            history=self._history,
+        )
         self._gate = quarantine_gate.QuarantineGate(
             client=context.quarantine, request=request
         )
@@ -92,7 +100,7 @@
     async def run(self) -> None:
         """Answer the request."""
         if not self._is_accepted():
-            await self._reply(next_step.Step.REFUSE, 'this host stops')
+            await self._replies.refuse('this host stops')
             return
         try:
             await self._place_until_answered()
@@ -117,9 +125,7 @@
                     await self._reply_rejected(result)
                     return
                 if not self._is_team_current():
-                    await self._reply(
-                        next_step.Step.REFUSE, local_reply.KEY_CHANGED
-                    )
+                    await self._replies.refuse(local_reply.KEY_CHANGED)
                     return
                 if not await self._gate.may_send():
                     await self._refuse_quarantined()
@@ -139,24 +145,19 @@
             if step is next_step.Step.RELAY:
                 return
             if step is not next_step.Step.RETRY:
-                await self._reply(step, 'after a send')
+                await self._replies.end(step, 'after a send')
                 return
 
     async def _reply_rejected(self, rejection: placement.Rejection) -> None:
-        if rejection.over_quota and not self._history.may_have_run:
-            verdict = quota_verdict.QuotaVerdict(
-                allowed=False, wait_s=rejection.retry_after_s
-            )
-            await local_reply.write_over_quota(
-                self._context,
-                request=self._request,
-                route=self._route,
-                responder=self._responder,
-                verdict=verdict,
+        if not rejection.over_quota:
+            await self._replies.refuse(
+                rejection.reason, rejection.retry_after_s
             )
             return
-        await self._reply(
-            next_step.Step.REFUSE, rejection.reason, rejection.retry_after_s
+        await self._replies.refuse_over_quota(
+            quota_verdict.QuotaVerdict(
+                allowed=False, wait_s=rejection.retry_after_s
+            )
         )
 
     def _is_team_current(self) -> bool:
@@ -169,10 +170,8 @@
         )
 
     async def _refuse_quarantined(self) -> None:
-        await self._reply(
-            next_step.Step.REFUSE,
-            local_reply.QUARANTINED,
-            self._gate.retry_after_s,
+        await self._replies.refuse(
+            local_reply.QUARANTINED, self._gate.retry_after_s
         )
 
     def _is_accepted(self) -> bool:
@@ -459,7 +458,7 @@
             self._context.remaining_s(self._request, self._route)
         )
         if isinstance(body, runner_call.SendFailure):
-            await self._reply(next_step.Step.FAIL, body.detail)
+            await self._replies.end(next_step.Step.FAIL, body.detail)
             return
         await self._responder.write_whole(
             call.status,
@@ -480,22 +479,6 @@
             return True
         return self._context.take_retry(self._service.name)
 
-    async def _reply(
-        self,
-        step: next_step.Step,
-        reason: str,
-        retry_after_s: float = local_reply.RETRY_AFTER_S,
-    ) -> None:
-        await local_reply.write(
-            self._context,
-            request=self._request,
-            route=self._route,
-            responder=self._responder,
-            step=self._history.final_step(step),
-            reason=reason,
-            retry_after_s=retry_after_s,
-        )
-
 
 def _first_event_ms(predicted: forecast.Forecast | None) -> int | None:
     if predicted is None:
