Measure configurations of 13,000 teams, and compare teams by their text

Cause: what a change of one team costs a host was not measured.

Change: measure_routes measures teams too; the reader of teams keeps them by the text of their fragment, as the hash of a tuple is worked out anew each time.

--- a/limpetroute/platform/teams_reader.py
+++ b/limpetroute/platform/teams_reader.py
@@ -18,10 +18,10 @@
     """
 
     def __init__(self) -> None:
-        self._decoded: dict[
-            config_fragments.ConfigFragment, team_module.Team
-        ] = {}
-        self._indexed: set[config_fragments.ConfigFragment] = set()
+        # By the fragment's text: strings keep their hash, so comparing
+        # thousands of them with the last version takes a millisecond.
+        self._decoded: dict[str, team_module.Team] = {}
+        self._indexed: set[str] = set()
         self._index = team_index.TeamIndex(teams=())
 
     def __repr__(self) -> str:
@@ -29,8 +29,8 @@
 
     def prepare(self, part: config_fragments.ConfigFragment) -> None:
         """Decode a team ahead, to make a later `read` short."""
-        if part not in self._decoded:
-            self._decoded[part] = _team(part)
+        if part.text not in self._decoded:
+            self._decoded[part.text] = _team(part)
 
     def read(
         self,
@@ -47,22 +47,26 @@
             Teams that are not fragments of their own, because the
             document was not split.
         """
-        current = {
+        found = [
             part for part in parts if part.array == routes_codec.TEAMS_FIELD
-        }
+        ]
+        current = {part.text for part in found}
         added = current - self._indexed
         removed = self._indexed - current
-        for part in added:
-            self.prepare(part)
+        if added:
+            for part in found:
+                if part.text in added:
+                    self.prepare(part)
         if added or removed:
             self._index = self._index.replaced(
-                removed=[self._decoded[part] for part in removed],
-                added=[self._decoded[part] for part in added],
+                removed=[self._decoded[text] for text in removed],
+                added=[self._decoded[text] for text in added],
             )
             self._indexed = current
         # Drops the teams of versions that never came into force.
-        for part in self._decoded.keys() - current:
-            del self._decoded[part]
+        if len(self._decoded) > len(current):
+            for text in self._decoded.keys() - current:
+                del self._decoded[text]
         apart = [routes_codec.team(body) for body in others]
         if not apart:
             return self._index
--- a/tests/forwarding/large_routes.py
+++ b/tests/forwarding/large_routes.py
@@ -31,6 +31,27 @@
     return json.dumps(body, separators=(',', ':'))
 
 
+def text_with_teams(version, teams, changed=0):
+    """Return a configuration with teams, of which one has another key."""
+    body = json.loads(text(version, 100))
+    body['tenants'] = [
+        {
+            'name': f'team-{number}',
+            'api-keys': [
+                hashlib.sha256(f'{number} {key}'.encode()).hexdigest()[:20]
+                for key in (0, version if number == changed else 1)
+            ],
+            'priority': 1,
+            'unit': 'token_stream',
+            'raw-tokens': 200,
+            'rate-per-s': 60_000,
+            'burst': 60_000,
+        }
+        for number in range(teams)
+    ]
+    return json.dumps(body, separators=(',', ':'))
+
+
 def digest(document):
     return hashlib.sha256(document.encode()).hexdigest()
 
--- a/tests/forwarding/measure_routes.py
+++ b/tests/forwarding/measure_routes.py
@@ -1,10 +1,11 @@
-"""Measures the cost of routing configurations by their number of routes.
+"""Measures the cost of routing configurations by their size.
 
 Run it with ``python -m tests.forwarding.measure_routes``.
 """
 
 import asyncio
 import pathlib
+import resource
 import tempfile
 import time
 
@@ -16,6 +17,7 @@
 from tests.forwarding import large_routes
 
 SIZES = (100, 1_400, 2_800, 10_000)
+TEAM_SIZES = (16, 1_000, 13_000)
 MILLIS = 1000.0
 
 
@@ -23,21 +25,32 @@
     print('routes | document KB | load KB, s | change KB, s', end=' | ')
     print('entry CPU ms load, change | control CPU ms split, update')
     for size in SIZES:
-        with tempfile.TemporaryDirectory() as folder:
-            link_cost = asyncio.run(_link_cost(pathlib.Path(folder), size))
-        document_kb = len(large_routes.text(1, size)) / 1000
-        print(f'{size} | {document_kb:.0f} | {link_cost} | {_cpu_cost(size)}')
+        _measure(size, large_routes.text, size + 1)
+    print('teams, one key changed')
+    for size in TEAM_SIZES:
+        before = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+        _measure(size, large_routes.text_with_teams, size)
+        after = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+        print(f'  most memory of all processes here +{after - before} KB')
 
 
-async def _link_cost(folder, size):
+def _measure(size, make_text, changed_size):
+    texts = (make_text(1, size), make_text(2, changed_size))
+    with tempfile.TemporaryDirectory() as folder:
+        link_cost = asyncio.run(_link_cost(pathlib.Path(folder), texts))
+    document_kb = len(texts[0]) / 1000
+    print(f'{size} | {document_kb:.0f} | {link_cost} | {_cpu_cost(texts)}')
+
+
+async def _link_cost(folder, texts):
     async with large_routes.following(folder) as (fleet, follower):
-        await large_routes.submit(fleet, 1, large_routes.text(1, size))
+        await large_routes.submit(fleet, 1, texts[0])
         started_s = time.monotonic()
         follower.watch.start()
         await large_routes.time_to_version_s(follower, 1, 30.0)
         load_s = time.monotonic() - started_s
         load_bytes = follower.link.bytes_in
-        await large_routes.submit(fleet, 2, large_routes.text(2, size + 1))
+        await large_routes.submit(fleet, 2, texts[1])
         change_s = await large_routes.time_to_version_s(follower, 2, 30.0)
         assert follower.version == 2
         change_bytes = follower.link.bytes_in - load_bytes
@@ -47,12 +60,11 @@
     )
 
 
-def _cpu_cost(size):
+def _cpu_cost(texts):
     recent = recent_routes.RecentRoutes()
     view = fleet_view.FleetView(dialect=http_dialect.HttpDialect())
     times_ms = []
-    for version in (1, 2):
-        text = large_routes.text(version, size + version - 1)
+    for version, text in enumerate(texts, start=1):
         digest = large_routes.digest(text)
         recent.note(
             routes_store.RoutesInForce(
