Give quotas a ledger of their own, and count the wait for restores

A stream that arrived in the first half second of a term waited for hosts' reports, and that time was not counted in its age.

Change: QuotaLedger holds quotas, their log lines and the status. The wait is added to the request's age.

Result: tests/dispatch and tests/whole_path/test_teams pass; the new test of the age fails without the change (0.0 s for 0.1 s).

--- a/limpetroute/dispatch/dispatcher.py
+++ b/limpetroute/dispatch/dispatcher.py
@@ -7,16 +7,14 @@
 
 from limpetroute.control import node as node_module
 from limpetroute.dispatch import order_codec
+from limpetroute.dispatch import quota_ledger
 from limpetroute.dispatch import service_runners
 from limpetroute.dispatch import stage_orders
 from limpetroute.routing import placement
-from limpetroute.routing import quota_verdict
 from limpetroute.routing import runner_info
 from limpetroute.routing import runner_limits
 from limpetroute.routing import service as service_module
 from limpetroute.routing import stream_scheduler
-from limpetroute.routing import team_index
-from limpetroute.routing import team_quotas
 from limpetroute.telemetry import boot_clock
 from limpetroute.wire import caller
 
@@ -67,9 +65,9 @@
             http=caller.Caller(),
         )
         self._limits = runner_limits.RunnerLimits()
-        self._quotas = self._new_quotas()
-        self._teams = team_index.TeamIndex(teams=())
-        self._over_quota: set[str] = set()
+        self._quotas = quota_ledger.QuotaLedger(
+            window=node.settings.quotas.to_window()
+        )
         self._schedulers: dict[str, stream_scheduler.StreamScheduler] = {}
         self._pending: dict[str, _Pending] = {}
         self._passes: set[str] = set()
@@ -114,7 +112,8 @@
         if scheduler is None:
             return None
         if request.quota_cost:
-            refused = await self._charge(request)
+            request = await self._after_restores(request)
+            refused = self._quotas.charge(request, boot_clock.now_s())
             if refused is not None:
                 return refused
             scheduler = self._scheduler(request.service)
@@ -132,43 +131,27 @@
             answer = await future
         except asyncio.CancelledError:
             scheduler.cancel(request.request_id)
-            self._give_back(request)
+            self._quotas.give_back(request, boot_clock.now_s())
             raise
         finally:
             self._pending.pop(request.request_id, None)
         if not isinstance(answer, placement.Placement):
-            self._give_back(request)
+            self._quotas.give_back(request, boot_clock.now_s())
         return answer
 
-    async def _charge(
+    async def _after_restores(
         self, request: placement.PlacementRequest
-    ) -> placement.Rejection | None:
-        """Charge a stream to its team; return a rejection over its quota.
+    ) -> placement.PlacementRequest:
+        """Wait until hosts have told a new leader what was spent before.
 
-        A new leader first learns from the hosts what was spent before.
+        Returns the request with the time that it waited.
         """
-        restore_s = self._restores_until_s - boot_clock.now_s()
-        if restore_s > 0.0:
-            await asyncio.sleep(restore_s)
-        verdict = self._quotas.admit(
-            request.team, request.quota_cost, boot_clock.now_s()
-        )
-        if verdict.allowed:
-            return None
-        self._note_over_quota(request.team, verdict)
-        return placement.Rejection(
-            request_id=request.request_id,
-            retry_after_s=verdict.wait_s,
-            reason='over quota',
-            over_quota=True,
-        )
-
-    def _give_back(self, request: placement.PlacementRequest) -> None:
-        """Give back the cost of a stream that was not placed."""
-        if request.quota_cost:
-            self._quotas.charge(
-                request.team, -request.quota_cost, boot_clock.now_s()
-            )
+        started_s = boot_clock.now_s()
+        if started_s >= self._restores_until_s:
+            return request
+        await asyncio.sleep(self._restores_until_s - started_s)
+        waited_s = request.waited_s + boot_clock.now_s() - started_s
+        return dataclasses.replace(request, waited_s=waited_s)
 
     def note_spent(
         self,
@@ -176,52 +159,27 @@
         spent: typing.Mapping[str, float],
         history: typing.Mapping[str, typing.Sequence[tuple[float, float]]],
     ) -> dict[str, float | None]:
-        """Charge what a host let run; return what is left, by team.
-
-        Parameters
-        ----------
-        host_id : str
-            The host.
-        spent : mapping of str to float
-            Units since its last report.
-        history : mapping of str to sequence of (float, float)
-            Age in seconds and units of what was used under earlier leaders.
-        """
+        """Charge what a host let run; see `QuotaLedger.note_spent`."""
         self._note_term()
         self._update_services()
-        now_s = boot_clock.now_s()
-        self._quotas.restore(host_id, history, now_s)
-        for team, units in spent.items():
-            self._quotas.charge(team, units, now_s)
-        return {
-            team: self._quotas.level(team, now_s)
-            for team in {*spent, *history}
-        }
+        return self._quotas.note_spent(
+            host_id, spent, history, boot_clock.now_s()
+        )
 
     def low_teams(self) -> list[str]:
         """Return the teams that are near their quota."""
-        return self._quotas.low(boot_clock.now_s())
+        return self._quotas.low_teams(boot_clock.now_s())
 
     @property
     def term(self) -> int:
         """Term in which this host leads; 0 if it does not."""
         return self._led_term
 
-    def describe_quotas(self, count: int) -> list[dict[str, typing.Any]]:
+    def describe_quotas(self, count: int) -> list[dict[str, object]]:
         """Return the teams nearest to their quotas as JSON types."""
         if not self.leads:
             return []
-        now_s = boot_clock.now_s()
-        over = self._quotas.over(now_s)
-        return [
-            {
-                'team': one.team,
-                'left': round(one.level),
-                'limit': round(one.limit),
-                'over_quota': one.team in over,
-            }
-            for one in self._quotas.nearest(now_s, count)
-        ]
+        return self._quotas.describe(count, boot_clock.now_s())
 
     def cancel(self, service: str, request_id: str) -> None:
         """Remove a waiting stream whose caller disconnected."""
@@ -321,32 +279,7 @@
                 if scheduler.waiting:
                     self._request_pass(service)
             self._reconcile_stages()
-            self._log_calm_teams()
-
-    def _note_over_quota(
-        self, team: str, verdict: quota_verdict.QuotaVerdict
-    ) -> None:
-        """Log once that a team has reached its quota."""
-        if team in self._over_quota:
-            return
-        self._over_quota.add(team)
-        LOG.info(
-            'team reached its quota',
-            extra={
-                'team': team,
-                'left': round(verdict.level),
-                'wait_ms': round(verdict.wait_s * 1000),
-            },
-        )
-
-    def _log_calm_teams(self) -> None:
-        """Log the teams of which no stream was refused lately."""
-        if not self._over_quota:
-            return
-        calm = self._over_quota - self._quotas.over(boot_clock.now_s())
-        for team in sorted(calm):
-            LOG.info('team is below its quota', extra={'team': team})
-        self._over_quota -= calm
+            self._quotas.log_calm_teams(boot_clock.now_s())
 
     def _resolve_pending(self) -> None:
         """Resolve all waiting requests with None after losing the lease.
@@ -368,17 +301,10 @@
         self._restores_until_s = boot_clock.now_s() + RESTORE_PERIOD_S
         self._schedulers.clear()
         self._limits = runner_limits.RunnerLimits()
-        self._quotas = self._new_quotas()
-        self._quotas.set_teams(self._teams)
-        self._over_quota.clear()
+        self._quotas.begin_term()
         self._orders.begin_term(term, boot_clock.now_s())
         LOG.info('dispatching', extra={'term': term})
 
-    def _new_quotas(self) -> team_quotas.TeamQuotas:
-        return team_quotas.TeamQuotas(
-            window=self._node.settings.quotas.to_window()
-        )
-
     def _scheduler(
         self, service: str
     ) -> stream_scheduler.StreamScheduler | None:
@@ -411,8 +337,7 @@
         assert copy is not None
         services = self._codec.parse_services(copy.parts)
         self._services = {service.name: service for service in services}
-        self._teams = self._codec.parse_teams(copy.parts)
-        self._quotas.set_teams(self._teams)
+        self._quotas.set_teams(self._codec.parse_teams(copy.parts))
         self._routes_index = state.routes_index
 
     def _runners(self, service: str) -> list[runner_info.RunnerInfo]:
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -202,3 +202,31 @@
             leader.dispatcher.stop()
 
     assert asyncio.run(work()) == [None] * 3
+
+
+def test_a_stream_that_waits_for_a_new_leader_is_as_old_as_it_is(monkeypatch):
+    """A new leader charges no stream before hosts told it what was spent.
+
+    Guards against streams that lose this time and are placed as if their
+    targets were further away.
+    """
+    submitted = []
+    submit = stream_scheduler.StreamScheduler.submit
+
+    def noted(self, request, now_s):
+        submitted.append(request)
+        return submit(self, request, now_s)
+
+    monkeypatch.setattr(stream_scheduler.StreamScheduler, 'submit', noted)
+    monkeypatch.setattr(dispatcher_module, 'RESTORE_PERIOD_S', 0.1)
+
+    async def work():
+        leader = Leader()
+        leader.dispatcher.start()
+        placed = await leader.place('a', team='bank', quota_cost=5.0)
+        assert isinstance(placed, placement.Placement)
+        leader.dispatcher.stop()
+
+    asyncio.run(work())
+    (request,) = submitted
+    assert 0.1 <= request.waited_s < 0.5
