Soak teams: keys that rotate, and a team over its quota

Cause: keys and quotas were tested on processes with one kind of fault each.

Change: the soak plays three teams, with a new key in each version and the oldest taken away, one of them far over its quota. It checks whom runners ran each request for, that no credentials reach them, that no key in force is refused, that a refusal with 401 or 429 did not run, and the bound on the hot team's window. Two changes of checks: 401 and 429 count as "not run" like 503, and what carries no request id (control hosts' own calls to runners) belongs to no caller.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,4 +1,4 @@
-"""Soak real processes: python -m tests.soak [--seeds 1-50] [--seconds 20].
+"""Soak real processes: python -m tests.soak [--seeds 1-50] [--teams].
 
 Prints a line for each seed, with its folder of logs where it failed.
 """
@@ -17,19 +17,24 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seeds', default='1-5')
     parser.add_argument('--seconds', type=float, default=20.0)
+    parser.add_argument('--teams', action='store_true')
     args = parser.parse_args()
     first, _, last = args.seeds.partition('-')
     failed = 0
     for seed in range(int(first), int(last or first) + 1):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
-        run = soak.Soak(folder, seed, args.seconds, grows=True)
+        run = soak.Soak(
+            folder, seed, args.seconds, grows=True, has_teams=args.teams
+        )
         try:
             broken = asyncio.run(run.run())
         except AssertionError as exc:
             broken = [str(exc)]
         answers = run.promises.answers
         good = sum(one.status == 200 and one.whole for one in answers)
+        over = sum(one.status == 429 for one in answers)
         print(f'seed {seed}: {len(answers)} requests, {good} whole', end='')
+        print(f', {over} over quota' if args.teams else '', end='')
         if not broken:
             print(', kept')
             shutil.rmtree(folder)
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -5,6 +5,9 @@
 
 from tests.soak import runner as runner_module
 
+# Statuses that promise that a request did not run.
+NOT_RUN = (401, 429, 503)
+
 
 @dataclasses.dataclass
 class Answer:
@@ -45,7 +48,9 @@
         name = answer.request_id
         if answer.kind == 'once' and runs > 1:
             self.broken.append(f'{name} ran {runs} times')
-        if answer.kind == 'once' and answer.status == 503 and runs:
+        if answer.status == 401:
+            self.broken.append(f'{name}: a key in force was refused')
+        if answer.kind == 'once' and answer.status in NOT_RUN and runs:
             self.broken.append(f'{name} was said not to have run, and did')
         if answer.status != 200 or not answer.whole:
             return
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -125,16 +125,9 @@
         self.runs.append(request_id)
         now_s = asyncio.get_running_loop().time()
         self.arrivals.append((now_s, body, request_id))
-        usage = fields.get('token-usage', '0,0').split(',')
-        self.callers.append(
-            (
-                now_s,
-                request_id,
-                fields.get('tenant', ''),
-                fields.get('authorization', ''),
-                sum(int(tokens) for tokens in usage),
-            )
-        )
+        # Calls of control hosts carry no id and belong to no caller.
+        if request_id:
+            self._note_caller(now_s, request_id, fields)
         if self._kills(body):
             self._restart = asyncio.create_task(self.crash())
             return
@@ -150,6 +143,18 @@
         }
         await self._write(writer, _head(200, headers) + body)
 
+    def _note_caller(self, now_s, request_id, fields):
+        usage = fields.get('token-usage', '0,0').split(',')
+        self.callers.append(
+            (
+                now_s,
+                request_id,
+                fields.get('tenant', ''),
+                fields.get('authorization', ''),
+                sum(int(tokens) for tokens in usage),
+            )
+        )
+
     async def _stream(self, fields, writer):
         after = int(fields.get('last-event-id') or 0)
         request_id = fields['request-id']
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -10,6 +10,7 @@
 from limpetroute.wire import connection
 from tests.soak import plan
 from tests.soak import promises as promises_module
+from tests.soak import teams
 from tests.soak import world as world_module
 
 CALLERS = 6
@@ -22,8 +23,11 @@
 
 
 class Soak:
-    def __init__(self, folder, seed, seconds, *, grows=False):
+    def __init__(self, folder, seed, seconds, *, grows=False, has_teams=False):
         self.seed = seed
+        self._has_teams = has_teams
+        self.owners = {}
+        self.losses = 0
         self._growth = random.Random(f'{seed} growth') if grows else None
         self._others = 0
         self.seconds = seconds
@@ -49,6 +53,10 @@
                 task.cancel()
             await asyncio.gather(*self._tasks, return_exceptions=True)
             self._judge_drains()
+            if self._has_teams:
+                self.promises.broken += teams.judge(
+                    self.world.runners, self.owners, self.losses
+                )
             return self.promises.judge(self.world.runners)
         finally:
             for task in self._tasks:
@@ -65,7 +73,11 @@
         version = self.version + 1
         if self._growth is not None:
             self._others += self._growth.choice(GROWTH)
-        body = world_module.routes(version, self._others)
+        body = world_module.routes(
+            version,
+            self._others,
+            teams.bodies(version) if self._has_teams else None,
+        )
         got = await self.world.to_control('PUT', '/api/config', body, version)
         if got is None:
             return False
@@ -116,6 +128,11 @@
         headers['Deadline-Ms'] = '4000'
         if answer.kind == 'stream':
             headers['Token-Usage'] = '100,120'
+        if self._has_teams:
+            name = teams.name_of(number)
+            self.owners[answer.request_id] = name
+            key = teams.key(name, self.promises.acked)
+            headers['Authorization'] = f'Token {key}'
         link = connection.Connection(host=host, port=port)
         failed = await link.send(
             method='POST' if answer.kind == 'once' else 'GET',
@@ -172,6 +189,7 @@
 
     async def _signal(self, processes, subject, fault):
         process = processes[fault.target % len(processes)]
+        self.losses += 1
         if subject == 'pause':
             process.send(signal.SIGSTOP)
             await asyncio.sleep(fault.for_s)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -8,6 +8,7 @@
 from tests.soak import promises as promises_module
 from tests.soak import runner
 from tests.soak import soak
+from tests.soak import teams
 
 WHOLE = b''.join(
     f'id: {n}\ndata: q\n\n'.encode() for n in range(1, runner.EVENTS + 1)
@@ -50,6 +51,31 @@
     assert sum(one.status == 200 and one.whole for one in answers) > 20
 
 
+@pytest.mark.parametrize(('seed', 'seconds'), [(81001, 10)])
+def test_teams_keep_their_promises_under_faults(tmp_path, seed, seconds):
+    """Keys rotate with each change, and one team is over its quota."""
+    run = soak.Soak(tmp_path, seed, seconds, has_teams=True)
+    broken = asyncio.run(run.run())
+    logs = {one.name: one.log()[-1500:] for one in run.world.forwards}
+    assert not broken, (broken, logs)
+    answers = run.promises.answers
+    assert sum(one.status == 200 and one.whole for one in answers) > 20
+    everything = [*run.world.controls, *run.world.forwards]
+    assert not any('-key-' in process.log() for process in everything)
+
+
+@pytest.mark.parametrize(
+    ('team', 'credentials', 'tokens'),
+    [('calm', '', 0), ('hot', 'Token k', 0), ('hot', '', 100_000)],
+)
+def test_a_broken_promise_to_a_team_is_seen(team, credentials, tokens):
+    one = runner.Runner('p1', 'plain')
+    one.callers = [(1.0, 'q', 'hot', '', 0)]
+    assert not teams.judge([one], {'q': 'hot'}, 0)
+    one.callers.append((2.0, 'q', team, credentials, tokens))
+    assert teams.judge([one], {'q': 'hot'}, 0)
+
+
 @pytest.mark.parametrize(
     ('kind', 'status', 'body', 'runs'),
     [
