--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -44,6 +44,15 @@
     assert said in output
 
 
+@pytest.mark.parametrize('name', ['test_red', 'test_green'])
+def test_a_failure_that_comes_sometimes_may_stay_away(pytester, name):
+    line = _line(name).replace('| 0 |', '| 0, sometimes |')
+    listed = [line] if name == 'test_red' else [line, _line('test_red')]
+    got, output = _verdict(pytester, listed)
+    assert got == 0
+    assert f'KNOWN RED: test_it.py::{name}' in output
+
+
 def test_a_line_without_its_fields_is_refused():
     with pytest.raises(known_red.KnownRedError, match='test_it.py'):
         known_red.parse('test_it.py::test_red | no cause\n')
