--- a/limpetroute/bench/fleet_play.py
+++ b/limpetroute/bench/fleet_play.py
@@ -408,7 +408,7 @@
             self.now_s,
         )
 
-    # What came of it
+    # Outcomes
 
     def sent(
         self, since_s: float = 0.0, until_s: float = math.inf
--- a/limpetroute/control/node.py
+++ b/limpetroute/control/node.py
@@ -88,7 +88,7 @@
         self.settings = settings
         self.url = url
         self.folder = folder
-        # What components add to the status report, by its field.
+        # Further fields of the status report, set by components.
         self.describers: dict[str, typing.Callable[[], typing.Any]] = {}
         self.reports = host_reports.HostReports(
             live_s=HOST_LIVE_S, forget_s=HOST_FORGET_S
--- a/limpetroute/forwarding/quota_client.py
+++ b/limpetroute/forwarding/quota_client.py
@@ -49,7 +49,7 @@
         self._host_id = host_id
         self._entry_hosts = entry_hosts
         self._quotas = host_quotas.HostQuotas(window=window)
-        # What was spent before the present leader, until it is reported.
+        # Units used under earlier leaders, not yet reported to this one.
         self._history: dict[str, list[tuple[float, float]]] = {}
         self._history_s = 0.0
         self._is_led = False
--- a/limpetroute/routing/placement.py
+++ b/limpetroute/routing/placement.py
@@ -62,7 +62,8 @@
     quota_cost : float
         Units to charge to the team's quota; 0 if they are charged already.
     priority : int
-        Priority of the stream; 0 is the highest.
+        Priority of the stream; 0 is the highest. It is logged and decides
+        nothing yet.
     """
 
     request_id: str
--- a/tests/routing/test_stream_scheduler.py
+++ b/tests/routing/test_stream_scheduler.py
@@ -44,11 +44,11 @@
         self.longest_queue_s = max(self.longest_queue_s, self.free_s - now_s)
         self.queue.append((self.free_s, placed.request_id))
 
-    def play(self, fleet, play_s=1.0):
+    def play(self, fleet, *, from_s=0.0, play_s=1.0):
         """Play; return how many streams were placed and rejected."""
         given = refused = 0
         for tick in range(round(play_s / 0.05)):
-            now_s = tick * 0.05
+            now_s = from_s + tick * 0.05
             self.prefill(now_s)
             answers = self.scheduler.decide(fleet, now_s)
             refused += len(rejections(answers))
@@ -652,8 +652,7 @@
     given = [
         one.request_id for one in placements(scheduler.decide(fleet, 2.0))
     ]
-    # One slot in eight goes to a late stream.
-    assert sum(name.startswith('new') for name in given) >= 5
+    assert sum(name.startswith('new') for name in given) == 6
 
 
 def test_a_retry_is_placed_when_capacity_is_free():
@@ -852,12 +851,15 @@
     for n in range(30):
         scheduler.submit(builders.make_request(f's{n}'), 0.0)
     prefill_runner = PrefillRunner(scheduler)
-    given, refused = prefill_runner.play(fleet, play_s=3.0)
+    given, refused = prefill_runner.play(fleet)
+    assert 8 <= given <= 14
+    later = prefill_runner.play(fleet, from_s=1.0, play_s=2.0)
+    given, refused = given + later[0], refused + later[1]
     assert prefill_runner.longest_queue_s < 0.5
     # Ten prompts a second are prefilled. The other streams are late, and
     # those that the prefill runner does not reach while their callers wait
     # are rejected.
-    assert 8 <= given <= 10 * (3.6 - 1.2 + 0.25) + 1
+    assert given <= 10 * (3.6 - 1.2 + 0.25) + 1
     assert given + refused == 30
 
 
