Keep both of the last two decode runners while one cannot hold all streams

Callers saw: with two decode runners left and no prefill runner, one of the two was ordered to prefill in the middle of a burst.

Cause: the change was weighed by the highest rate of each split. That rate counts nothing for a decode runner that prefills, and says nothing of the load at hand or of the time that the change takes.

One runner's slots tell the two apart.

Change: such a change waits until the decode runners that are left can hold all streams that run or wait, for the four seconds in which it has to be wanted. Larger pools are not concerned.

--- a/limpetroute/dispatch/dispatcher.py
+++ b/limpetroute/dispatch/dispatcher.py
@@ -406,7 +406,12 @@
             gone_s = scheduler.gone_s(runners, now_s) if scheduler else {}
             rates = scheduler.rates if scheduler else None
             self._orders.reconcile(
-                service, runners, now_s, gone_s=gone_s, rates=rates
+                service,
+                runners,
+                now_s,
+                gone_s=gone_s,
+                rates=rates,
+                streams=scheduler.streams if scheduler else 0,
             )
 
 
--- a/limpetroute/dispatch/stage_orders.py
+++ b/limpetroute/dispatch/stage_orders.py
@@ -107,6 +107,7 @@
         *,
         gone_s: typing.Mapping[str, float] | None = None,
         rates: stage_rates.StageRates | None = None,
+        streams: int = 0,
     ) -> None:
         """Give the next order towards a service's wanted split of stages.
 
@@ -122,6 +123,8 @@
             For how long runners have been unresponsive, by identity.
         rates : StageRates, optional
             Measured rates of the service's streams.
+        streams : int
+            Streams that run or wait.
         """
         assert service.engine is not None
         self._query_once(service.name, runners, now_s)
@@ -151,10 +154,19 @@
         if change is None:
             self._wanted_s.pop(service.name, None)
             return
-        wanted_s = self._wanted_s.setdefault(service.name, now_s)
         decode_runners = pool_sizing.decode_runners_during_change(
             change, runners, gone_s=gone_s
         )
+        if not pool_sizing.leaves_enough_slots(
+            change,
+            decode_runners,
+            streams=streams,
+            engine=service.engine,
+            rates=rates,
+        ):
+            self._wanted_s.pop(service.name, None)
+            return
+        wanted_s = self._wanted_s.setdefault(service.name, now_s)
         if now_s - wanted_s < pool_sizing.change_delay_s(
             change, decode_runners
         ):
--- a/limpetroute/routing/pool_sizing.py
+++ b/limpetroute/routing/pool_sizing.py
@@ -281,6 +281,41 @@
     )
 
 
+def leaves_enough_slots(
+    change: StageChange,
+    decode_runners: int,
+    *,
+    streams: int,
+    engine: service_module.Engine,
+    rates: stage_rates.StageRates | None = None,
+) -> bool:
+    """Return whether the decode runners that are left can hold all streams.
+
+    Pattern: a burst arrives while two decode runners are left without a
+    prefill runner. Together they serve more of it than a prefill runner and
+    one decode runner, and while one of them changes its stage, the other
+    serves half of it. With less load the change pays within seconds, because
+    a decode runner delays its streams with each prompt that it prefills.
+
+    Parameters
+    ----------
+    change : StageChange
+        The change.
+    decode_runners : int
+        Number of decode runners that are left during the change.
+    streams : int
+        Streams that run or wait.
+    engine : Engine
+        Slots and memory of each runner.
+    rates : StageRates, optional
+        Measured rates; the default rates if omitted.
+    """
+    if change.stage is stage_module.Stage.DECODE or decode_runners != 1:
+        return True
+    rates = rates or stage_rates.default_rates(engine)
+    return streams <= concurrent_streams(engine, rates)
+
+
 def change_delay_s(change: StageChange, decode_runners: int) -> float:
     """Return how long a change must be wanted before it is ordered.
 
--- a/limpetroute/routing/stream_scheduler.py
+++ b/limpetroute/routing/stream_scheduler.py
@@ -123,6 +123,11 @@
         """Number of waiting streams."""
         return len(self._waiting)
 
+    @property
+    def streams(self) -> int:
+        """Number of streams that run or wait."""
+        return len(self._reservations) + len(self._waiting)
+
     @property
     def unfinished(self) -> bool:
         """Whether the last decision left streams for the next one."""
--- a/tests/dispatch/test_stage_orders.py
+++ b/tests/dispatch/test_stage_orders.py
@@ -242,7 +242,7 @@
     assert 10.0 <= now_s < 10.2
 
 
-def first_order(runners_at, *, gone_at=None, seconds=20.0):
+def first_order(runners_at, *, gone_at=None, streams_at=None, seconds=20.0):
     """Return the first order and its time, or None."""
 
     async def work():
@@ -253,7 +253,11 @@
         while now_s < seconds:
             gone_s = gone_at(now_s) if gone_at else {}
             controller.reconcile(
-                service(), runners_at(now_s), now_s, gone_s=gone_s
+                service(),
+                runners_at(now_s),
+                now_s,
+                gone_s=gone_s,
+                streams=streams_at(now_s) if streams_at else 0,
             )
             await asyncio.sleep(0)
             if calls.bodies:
@@ -308,3 +312,23 @@
     )
     assert stage == 'decode'
     assert 15.9 < at_s < 16.3
+
+
+# Guards against an order that leaves too few slots for the streams of a
+# burst: half of the callers were refused for as long as the change took.
+def test_two_decode_runners_keep_their_stage_while_one_cannot_hold_all():
+    assert not first_order(
+        two_decode_runners_and_a_prefill_runner_that_leaves,
+        streams_at=lambda now_s: 15,
+    )
+
+
+# Guards against a pool that never gets a prefill runner again.
+def test_a_decode_runner_is_ordered_to_prefill_after_a_burst():
+    at_s, stage = first_order(
+        two_decode_runners_and_a_prefill_runner_that_leaves,
+        streams_at=lambda now_s: 15 if now_s < 15.0 else 6,
+        seconds=30.0,
+    )
+    assert stage == 'prefill'
+    assert 18.9 < at_s < 19.3
