Order a runner to decode at once where no decode runner is left

The last decode runner drained 0.4 s after the prefill runner had come, and the order to decode came 1.06 s after that; the change itself takes 6 s.

Cause: orders wait until no runner has been added for 1.4 s, because an order that follows the first of several new runners may be unnecessary after the next. Where nothing is decoded, waiting saves nothing.

Change: without a ready decode runner there is no wait, but for the start of a fleet, whose runners come one by one.

Ruled out as the cause of the other refusals of that time: the change of stage itself, which the runner takes 6 s for.

--- a/limpetroute/dispatch/stage_orders.py
+++ b/limpetroute/dispatch/stage_orders.py
@@ -5,6 +5,7 @@
 import logging
 import typing
 
+from limpetroute.decisions import stage as stage_module
 from limpetroute.dispatch import order_codec
 from limpetroute.routing import pool_sizing
 from limpetroute.routing import runner_info
@@ -279,6 +280,12 @@
         changed_s = self._changed_s.get(service, now_s)
         if changed_s - self._first_s[service] < FLEET_START_S:
             wait_s = FLEET_START_SETTLE_S
+        elif not any(
+            runner.ready and runner.stage is stage_module.Stage.DECODE
+            for runner in runners
+        ):
+            # Nothing is decoded until a runner changes its stage.
+            return True
         return now_s - changed_s >= wait_s
 
     async def _order(
--- a/tests/dispatch/test_stage_orders.py
+++ b/tests/dispatch/test_stage_orders.py
@@ -332,3 +332,22 @@
     )
     assert stage == 'prefill'
     assert 18.9 < at_s < 19.3
+
+
+# Guards against a prefill runner that has just come and is left idle while
+# the last decode runner leaves and all callers are refused.
+def test_the_only_runner_is_ordered_to_decode_without_a_delay():
+    def runners_at(now_s):
+        decode, *_ = fleet(builders.DECODE)
+        runners = [decode]
+        if now_s > 10.0:
+            runners.append(builders.make_runner('p', builders.PREFILL))
+        if now_s > 10.4:
+            runners[0] = builders.make_runner(
+                'r0', builders.DECODE, ready=False
+            )
+        return runners
+
+    at_s, stage = first_order(runners_at)
+    assert stage == 'decode'
+    assert 10.4 < at_s < 10.6
