Log the backoffs and departures that runners' responses announce

Cause: a refusal is logged as 'status 503', whether the runner was full or asked this host for a pause, so the hypotheses on runners that get requests during a pause could not be told apart.

Change: each call hands its response to a monitor, which logs both announcements. Calls are made by the context, so that none is left out. No decision changes.

--- a/limpetroute/forwarding/dialect.py
+++ b/limpetroute/forwarding/dialect.py
@@ -84,6 +84,18 @@
         response announces no limit.
         """
 
+    def is_leaving(self, headers: httputil.HTTPHeaders) -> bool:
+        """Return whether a runner announces that it is leaving."""
+
+    def backoff_text(
+        self, status: int, headers: httputil.HTTPHeaders
+    ) -> str | None:
+        """Return the backoff that a runner asks for, as received.
+
+        For this many seconds, the runner accepts no requests from this
+        host. None if the response asks for no backoff.
+        """
+
     def belongs_to(
         self,
         request: caller_request.CallerRequest,
--- a/limpetroute/forwarding/forward_context.py
+++ b/limpetroute/forwarding/forward_context.py
@@ -16,6 +16,7 @@
 from limpetroute.forwarding import quota_client
 from limpetroute.forwarding import rate_limit_client
 from limpetroute.forwarding import responder as responder_module
+from limpetroute.forwarding import response_monitor
 from limpetroute.forwarding import runner_call
 from limpetroute.forwarding import scheduler_client
 from limpetroute.forwarding import team_gate
@@ -54,6 +55,8 @@
         Finds the team of each request.
     quotas : QuotaClient
         Keeps teams within their quotas.
+    monitor : ResponseMonitor
+        Logs what runners' responses say about further requests.
     dialect : Dialect
         Formats of requests and responses.
     meters : ForwardMeters
@@ -76,6 +79,7 @@
         limits: rate_limit_client.RateLimitClient,
         teams: team_gate.TeamGate,
         quotas: quota_client.QuotaClient,
+        monitor: response_monitor.ResponseMonitor,
         dialect: dialect_module.Dialect,
         meters: forward_meters.ForwardMeters,
         zone: str,
@@ -88,6 +92,7 @@
         self.limits = limits
         self.teams = teams
         self.quotas = quotas
+        self.monitor = monitor
         self.dialect = dialect
         self.meters = meters
         self.zone = zone
@@ -150,6 +155,14 @@
         self._background_tasks.add(task)
         task.add_done_callback(self._background_tasks.discard)
 
+    def new_call(
+        self, runner: runner_info.RunnerInfo
+    ) -> runner_call.RunnerCall:
+        """Return a new call to a runner."""
+        return runner_call.RunnerCall(
+            runner=runner, dialect=self.dialect, monitor=self.monitor
+        )
+
     def note_request(self, service: str) -> None:
         """Count a caller's request for a service."""
         self._retry_budget(service).note_request(_now_s())
--- a/limpetroute/forwarding/plain_forward.py
+++ b/limpetroute/forwarding/plain_forward.py
@@ -150,7 +150,7 @@
         started_s = _now_s()
         self._tried_runners.add(runner.runner_id)
         load = context.view.load(runner.runner_id)
-        call = runner_call.RunnerCall(runner=runner, dialect=context.dialect)
+        call = context.new_call(runner)
         options = dialect_module.SendOptions(
             remaining_s=context.remaining_s(self._request, self._route),
             runner_id=runner.runner_id,
--- a/limpetroute/forwarding/prompt_prefill.py
+++ b/limpetroute/forwarding/prompt_prefill.py
@@ -108,7 +108,7 @@
     ) -> PrefilledPrompt | None:
         context = self._context
         started_s = _now_s()
-        call = runner_call.RunnerCall(runner=runner, dialect=context.dialect)
+        call = context.new_call(runner)
         remaining_s = context.remaining_s(self._request, self._route)
         max_prefill_s = PREFILL_SLACK_S + tokens / SLOWEST_TOKENS_PER_S
         options = dialect_module.SendOptions(
--- a/limpetroute/forwarding/runner_call.py
+++ b/limpetroute/forwarding/runner_call.py
@@ -8,6 +8,7 @@
 
 from limpetroute.forwarding import caller_request
 from limpetroute.forwarding import dialect as dialect_module
+from limpetroute.forwarding import response_monitor
 from limpetroute.routing import runner_info
 from limpetroute.routing import send_result
 from limpetroute.wire import call_failed
@@ -39,6 +40,8 @@
         The runner.
     dialect : Dialect
         Formats of requests and responses.
+    monitor : ResponseMonitor
+        Logs what runners' responses say about further requests.
     """
 
     def __init__(
@@ -46,9 +49,11 @@
         *,
         runner: runner_info.RunnerInfo,
         dialect: dialect_module.Dialect,
+        monitor: response_monitor.ResponseMonitor,
     ) -> None:
         self.runner = runner
         self._dialect = dialect
+        self._monitor = monitor
         self._link = connection.Connection(host=runner.host, port=runner.port)
 
     def __repr__(self) -> str:
@@ -95,6 +100,7 @@
         )
         if failed is not None:
             return SendFailure(result=_result(failed), detail=failed.detail)
+        self._monitor.note_response(self.runner, self.status, self.headers)
         if self._dialect.is_refusal(self.status, self.headers):
             self.close()
             result = send_result.SendResult.REFUSED
--- a/limpetroute/forwarding/server.py
+++ b/limpetroute/forwarding/server.py
@@ -20,6 +20,7 @@
 from limpetroute.forwarding import quarantine_client
 from limpetroute.forwarding import quota_client
 from limpetroute.forwarding import rate_limit_client
+from limpetroute.forwarding import response_monitor
 from limpetroute.forwarding import scheduler_client
 from limpetroute.forwarding import team_gate
 from limpetroute.routing import retry_budget
@@ -113,6 +114,9 @@
             limits=limits,
             teams=teams,
             quotas=self._quotas,
+            monitor=response_monitor.ResponseMonitor(
+                dialect=dialect, view=self.view
+            ),
             dialect=dialect,
             meters=forward_meters.ForwardMeters(meter=self._exports.meter),
             zone=settings.zone,
--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -234,9 +234,7 @@
         prefill = prompt_prefill.PromptPrefill(
             context=self._context, request=self._request, route=self._route
         )
-        call = runner_call.RunnerCall(
-            runner=runner, dialect=self._context.dialect
-        )
+        call = self._context.new_call(runner)
         try:
             prefilled = None
             if assigned.prefill is not None:
@@ -257,9 +255,7 @@
             if not await self._may_repeat_at(runner, step):
                 return step
             call.close()
-            call = runner_call.RunnerCall(
-                runner=runner, dialect=self._context.dialect
-            )
+            call = self._context.new_call(runner)
             return await self._decode(
                 call, None, session, assigned.forecast, is_repeat=True
             )
@@ -419,9 +415,7 @@
         """Return whether a runner that broke off cannot be reached."""
         if result.is_known_not_run:
             return False
-        call = runner_call.RunnerCall(
-            runner=runner, dialect=self._context.dialect
-        )
+        call = self._context.new_call(runner)
         try:
             return await call.connect() is not None
         finally:
--- a/limpetroute/platform/header_names.py
+++ b/limpetroute/platform/header_names.py
@@ -17,6 +17,11 @@
 PROMPT_PREFIX = 'Prompt-Prefix'
 # Requests per second that a runner accepts from all hosts together.
 SERVER_LIMIT = 'Server-Limit'
+# '1' in all responses of a runner that is leaving.
+SERVER_LEAVING = 'Server-Leaving'
+# Seconds, which may include fractions. In a runner's response it concerns
+# only the host that receives it.
+RETRY_AFTER = 'Retry-After'
 STAGE = 'Stage'
 # ADDRESS/HANDLE of the KV cache at the prefill runner.
 KV_FROM = 'Kv-From'
--- a/limpetroute/platform/http_dialect.py
+++ b/limpetroute/platform/http_dialect.py
@@ -16,6 +16,7 @@
 
 MILLIS = 1000.0
 HTTP_MISDIRECTED = 421
+HTTP_UNAVAILABLE = 503
 
 
 class HttpDialect:
@@ -91,6 +92,18 @@
         """Return the rate limit that a runner announces, as received."""
         return headers.get(header_names.SERVER_LIMIT)
 
+    def is_leaving(self, headers: httputil.HTTPHeaders) -> bool:
+        """Return whether a runner announces that it is leaving."""
+        return headers.get(header_names.SERVER_LEAVING, '').strip() == '1'
+
+    def backoff_text(
+        self, status: int, headers: httputil.HTTPHeaders
+    ) -> str | None:
+        """Return the backoff that a runner asks for, as received."""
+        if status != HTTP_UNAVAILABLE:
+            return None
+        return headers.get(header_names.RETRY_AFTER)
+
     def belongs_to(
         self,
         request: caller_request.CallerRequest,
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -17,6 +17,7 @@
 from limpetroute.forwarding import quarantine_client
 from limpetroute.forwarding import quota_client
 from limpetroute.forwarding import rate_limit_client
+from limpetroute.forwarding import response_monitor
 from limpetroute.forwarding import scheduler_client
 from limpetroute.forwarding import team_gate
 from limpetroute.platform import http_dialect
@@ -71,6 +72,9 @@
             limits=self.limits,
             teams=self.teams,
             quotas=self.quotas,
+            monitor=response_monitor.ResponseMonitor(
+                dialect=self.dialect, view=self.view
+            ),
             dialect=self.dialect,
             meters=forward_meters.ForwardMeters(
                 meter=metrics.NoOpMeter('test')
