Send no request to a runner during the backoff that it asked for

Cause: nothing read the pause. A refusal of a stream counted as a full runner, one of a plain request as a failure, and a host without a better choice sent again. Class: an answer is taken for a sign of the runner's state alone, though it also speaks to the host that gets it.

Change: a host records backoffs by runner, from all responses. Every call to a runner checks them right before it sends, as another request may have learned of one while this one was queued; choices of plain runners and local placements leave such runners out. The leader places streams for hosts that each have backoffs of their own: a host tells them beside its request, in a header, as leaders of earlier releases refuse unknown fields; these find the runners among those to avoid. A stream waits for a backoff that ends in time and holds up no other; otherwise it is rejected at once, and its caller is told when another host may have a slot. Runners that ask for a backoff rank last for all hosts. A backoff ejects no runner and does not count as a full one.

The test of known fields sends the body that hosts send, and a stub takes the hints.

A backoff outlives a restart of the runner under its id, as nothing tells which process sent the response.

--- /dev/null
+++ b/limpetroute/border/hints_header.py
@@ -0,0 +1,48 @@
+"""Hints on a stream to place, in a header of the placement request.
+
+They are not in the body because leaders of earlier releases reject a body
+with unknown fields, and the stream would then be placed locally.
+"""
+
+import pydantic
+
+from limpetroute.routing import placement_hints
+
+NAME = 'Limpetroute-Placement-Hints'
+
+
+class _HintsBody(pydantic.BaseModel):
+    """See `PlacementHints`; fields that later releases add are ignored."""
+
+    backoffs_s: dict[str, pydantic.NonNegativeFloat] = pydantic.Field(
+        default_factory=dict
+    )
+
+
+def encode(hints: placement_hints.PlacementHints) -> dict[str, str]:
+    """Return the header by its name; empty if there are no hints."""
+    if hints == placement_hints.PlacementHints():
+        return {}
+    body = _HintsBody(
+        backoffs_s={
+            runner_id: round(wait_s, 3)
+            for runner_id, wait_s in hints.backoffs_s.items()
+        },
+    )
+    return {NAME: body.model_dump_json(exclude_defaults=True)}
+
+
+def decode(text: str | None) -> placement_hints.PlacementHints:
+    """Return the hints in a header, or none without a header.
+
+    Raises
+    ------
+    ValueError
+        If the header contains no valid hints.
+    """
+    if text is None:
+        return placement_hints.PlacementHints()
+    body = _HintsBody.model_validate_json(text)
+    return placement_hints.PlacementHints(
+        backoffs_s=body.backoffs_s,
+    )
--- a/limpetroute/cli/day_account.py
+++ b/limpetroute/cli/day_account.py
@@ -10,6 +10,7 @@
 LOCAL = 'placement decided without the leader'
 REPLIED = 'answered for itself'
 LEFT = 'caller gone'
+NOT_RUN = ('refused', 'shed', 'withheld', 'not_sent', 'misdirected')
 # A first event later than this is late; the routes' targets are about as
 # long, and no log line names them.
 TARGET_MS = 900
@@ -55,10 +56,7 @@
         answered = [
             tokens for result, tokens in self.prefills if result == 'answered'
         ]
-        used = sum(
-            result not in ('refused', 'not_sent', 'misdirected')
-            for result in self.decodes
-        )
+        used = sum(result not in NOT_RUN for result in self.decodes)
         wasted = [(self._why_wasted(), tokens) for tokens in answered[used:]]
         if not self.is_answered and answered and used:
             wasted.append((f'stream {self.cause}', answered[0]))
@@ -83,6 +81,8 @@
     def _why_wasted(self) -> str:
         if self.caller_left:
             return 'caller left before the decode'
+        if 'shed' in self.decodes:
+            return 'the decode runner asked for a backoff'
         if 'refused' in self.decodes:
             return 'decode runner refused'
         return 'decode runner was not reached'
--- a/limpetroute/dispatch/placement_handlers.py
+++ b/limpetroute/dispatch/placement_handlers.py
@@ -8,6 +8,7 @@
 
 from limpetroute.border import errors
 from limpetroute.border import forecast_header
+from limpetroute.border import hints_header
 from limpetroute.border import limit_bodies
 from limpetroute.border import placement_bodies
 from limpetroute.border import quota_bodies
@@ -47,8 +48,17 @@
         if asked is None:
             return
         assert isinstance(asked, placement_bodies.PlacementRequestBody)
+        try:
+            hints = hints_header.decode(
+                self.request.headers.get(hints_header.NAME)
+            )
+        except ValueError as exc:
+            self.set_status(HTTP_BAD_REQUEST)
+            self.finish({'errors': [str(exc)]})
+            return
+        request = hints.apply(asked.to_request(), boot_clock.now_s())
         self._task = asyncio.create_task(
-            self.dispatcher.request_placement(asked.to_request())
+            self.dispatcher.request_placement(request)
         )
         try:
             answer = await self._task
--- a/limpetroute/forwarding/forward_context.py
+++ b/limpetroute/forwarding/forward_context.py
@@ -32,6 +32,8 @@
 
 LOG = logging.getLogger(__name__)
 
+# Retry time for a request that other hosts may be able to send now.
+OTHER_HOST_RETRY_S = 0.3
 # Result of a send that this host cancelled, in logs and counters.
 CUT = 'cut'
 
@@ -56,7 +58,7 @@
     quotas : QuotaClient
         Keeps teams within their quotas.
     monitor : ResponseMonitor
-        Logs what runners' responses say about further requests.
+        Knows which runners accept requests from this host.
     dialect : Dialect
         Formats of requests and responses.
     meters : ForwardMeters
@@ -147,6 +149,16 @@
         elapsed_s = asyncio.get_running_loop().time() - request.received_s
         return max(0.0, timeout_s - elapsed_s)
 
+    def retry_after_s(self, backoff_s: float) -> float:
+        """Return when a caller should retry if all runners asked to back off.
+
+        Each host has backoffs of its own, and a caller that retries usually
+        reaches another host.
+        """
+        if self.entry_hosts <= 1:
+            return backoff_s
+        return min(backoff_s, OTHER_HOST_RETRY_S)
+
     def run_in_background(
         self, work: typing.Coroutine[None, None, None]
     ) -> None:
--- a/limpetroute/forwarding/leader_channel.py
+++ b/limpetroute/forwarding/leader_channel.py
@@ -71,6 +71,7 @@
         body: typing.Any = None,
         *,
         method: str = 'POST',
+        headers: typing.Mapping[str, str] | None = None,
         timeout_s: float,
         connect_tries_s: typing.Sequence[float] = CONNECT_TRIES_S,
     ) -> reply_module.Reply | LeaderUnavailable:
@@ -79,6 +80,7 @@
             method=method,
             url=f'{self.url}{path}',
             body=body,
+            headers=headers,
             timeout_s=timeout_s,
             connect_tries_s=connect_tries_s,
         )
--- a/limpetroute/forwarding/local_reply.py
+++ b/limpetroute/forwarding/local_reply.py
@@ -34,6 +34,7 @@
 
 
 LIMITED = 'runners take no more for now'
+BACKED_OFF = 'runners asked this host to back off'
 QUARANTINED = 'runners crashed under this request'
 OVER_QUOTA = 'over quota'
 LOCAL_SHARE_USED = 'no leader: local share of the quota is used up'
--- a/limpetroute/forwarding/placement_session.py
+++ b/limpetroute/forwarding/placement_session.py
@@ -5,6 +5,7 @@
 import logging
 import typing
 
+from limpetroute.decisions import stage as stage_module
 from limpetroute.forwarding import caller_request
 from limpetroute.forwarding import forward_context
 from limpetroute.forwarding import local_reply
@@ -13,6 +14,7 @@
 from limpetroute.routing import forecast as forecast_module
 from limpetroute.routing import local_placement
 from limpetroute.routing import placement
+from limpetroute.routing import placement_hints
 from limpetroute.routing import route as route_module
 from limpetroute.routing import runner_info
 from limpetroute.routing import service as service_module
@@ -98,10 +100,15 @@
         """
         started_s = _now_s()
         while True:
+            hints = self._context.monitor.placement_hints(
+                self._service.name, tried=progress.tried
+            )
             request = self._make_request(
-                progress, waited_here_s=_now_s() - started_s
+                progress, hints, waited_here_s=_now_s() - started_s
+            )
+            answer = await self._context.scheduler.request_placement(
+                request, hints
             )
-            answer = await self._context.scheduler.request_placement(request)
             if isinstance(answer, placement.Rejection):
                 if answer.over_quota:
                     self._charge.note_refused()
@@ -112,6 +119,8 @@
                 if assigned is not None:
                     return assigned
                 self.release()
+                if self._has_become_unavailable(answer):
+                    continue
             # The leader may have held the request before it failed.
             waited_s = progress.waited_s + _now_s() - started_s
             request = dataclasses.replace(request, waited_s=waited_s)
@@ -123,6 +132,14 @@
                 return result
             await asyncio.sleep(RETRY_INTERVAL_S)
 
+    def _has_become_unavailable(self, assigned: placement.Placement) -> bool:
+        """Return whether the decode runner accepts no more requests now.
+
+        Another response may have said so while the leader decided.
+        """
+        runner = self._find_runner(assigned.decode_id, assigned)
+        return runner is not None and not self._context.monitor.accepts(runner)
+
     def note_prefill_done(self) -> None:
         """Report that the prefill runner has prefilled the prompt."""
         self._context.scheduler.note_prefill_done(
@@ -168,7 +185,11 @@
         )
 
     def _make_request(
-        self, progress: StreamProgress, *, waited_here_s: float
+        self,
+        progress: StreamProgress,
+        hints: placement_hints.PlacementHints,
+        *,
+        waited_here_s: float,
     ) -> placement.PlacementRequest:
         generation = self._request.generation
         assert generation is not None
@@ -186,12 +207,13 @@
             + self._context.remaining_s(self._request, self._route),
             goes_on=progress.is_resumed,
             written_tokens=progress.written_tokens,
-            reads_prompt=progress.may_use_prefill_runner,
+            reads_prompt=progress.may_use_prefill_runner
+            and self._has_prefill_runner(),
             may_repeat=self._route.repeatable,
             zone=self._context.zone,
             prompt_id=generation.prompt_id,
             attempt=self._attempt,
-            avoid=tuple(progress.tried),
+            avoid=(*progress.tried, *hints.unavailable),
             pause_target_s=self._route.gap_target_s,
             silence_s=self._route.silence_s,
             team=self._request.team,
@@ -199,6 +221,20 @@
             priority=self._priority(),
         )
 
+    def _has_prefill_runner(self) -> bool:
+        """Return whether a prefill runner may accept the prompt.
+
+        It is also true if this host knows of no prefill runner, because the
+        leader may know of one.
+        """
+        known = [
+            one
+            for one in self._context.view.runners(self._service.name)
+            if one.ready and one.stage is stage_module.Stage.PREFILL
+        ]
+        accepts = self._context.monitor.accepts
+        return not known or any(accepts(one) for one in known)
+
     def _priority(self) -> int:
         """Return the team's priority, or that of the route."""
         if self._request.priority is not None:
@@ -214,17 +250,20 @@
                 assigned.forecast.beside + 1, _now_s()
             )
         decode = self._find_runner(assigned.decode_id, assigned)
-        if decode is None or not decode.ready:
+        if decode is None or not self._is_usable(decode):
             return None
         prefill = None
         if assigned.prefill_id:
             prefill = self._find_runner(assigned.prefill_id, assigned)
-        if prefill is not None and not prefill.ready:
+        if prefill is not None and not self._is_usable(prefill):
             prefill = None
         return AssignedRunners(
             decode=decode, prefill=prefill, forecast=assigned.forecast
         )
 
+    def _is_usable(self, runner: runner_info.RunnerInfo) -> bool:
+        return runner.ready and self._context.monitor.accepts(runner)
+
     def _find_runner(
         self, runner_id: str, assigned: placement.Placement
     ) -> runner_info.RunnerInfo | None:
@@ -253,7 +292,7 @@
             )
         context = self._context
         assert self._service.engine is not None
-        runners = context.view.runners(self._service.name)
+        runners = context.monitor.accepting(self._service.name)
         now_s = _now_s()
         decode = local_placement.choose_decode(
             runners,
--- a/limpetroute/forwarding/plain_forward.py
+++ b/limpetroute/forwarding/plain_forward.py
@@ -131,12 +131,18 @@
         if wait_s:
             await self._replies.refuse(local_reply.LIMITED, wait_s)
             return
+        wait_s = self._context.monitor.first_backoff_end_s(self._service)
+        if wait_s:
+            await self._replies.refuse(
+                local_reply.BACKED_OFF, self._context.retry_after_s(wait_s)
+            )
+            return
         await self._replies.refuse('no runner')
 
     def _choose(self) -> runner_info.RunnerInfo | None:
         context = self._context
         return plain_runner_choice.choose(
-            context.view.runners(self._service),
+            context.monitor.accepting(self._service),
             loads=context.view.loads,
             zone=context.zone,
             tried=self._tried_runners,
@@ -176,7 +182,10 @@
         if result is send_result.SendResult.ANSWERED:
             load.note_success(took_s)
             context.quarantine.note_answered(self._request)
-        elif result is not send_result.SendResult.TIMED_OUT:
+        elif (
+            result is not send_result.SendResult.TIMED_OUT
+            and not result.is_backoff
+        ):
             load.note_failure(_now_s())
         if result is send_result.SendResult.BROKEN:
             await context.report_if_crashed(
--- a/limpetroute/forwarding/prompt_prefill.py
+++ b/limpetroute/forwarding/prompt_prefill.py
@@ -72,8 +72,8 @@
 
     async def run(
         self, runner: runner_info.RunnerInfo
-    ) -> PrefilledPrompt | None:
-        """Prefill the prompt and return its KV cache; None on failure.
+    ) -> PrefilledPrompt | runner_call.SendFailure:
+        """Prefill the prompt and return its KV cache, or why that failed.
 
         After a failure the caller has to request a new placement, because
         the scheduler has to plan for a decode runner that prefills by
@@ -105,7 +105,7 @@
 
     async def _prefill(
         self, runner: runner_info.RunnerInfo, tokens: int
-    ) -> PrefilledPrompt | None:
+    ) -> PrefilledPrompt | runner_call.SendFailure:
         context = self._context
         started_s = _now_s()
         call = context.new_call(runner)
@@ -134,7 +134,10 @@
         load = context.view.load(runner.runner_id)
         if failed is None:
             load.note_success(_now_s() - started_s)
-        elif failed.result is not send_result.SendResult.REFUSED:
+        elif (
+            failed.result is not send_result.SendResult.REFUSED
+            and not failed.result.is_backoff
+        ):
             load.note_failure(_now_s())
         context.log_send(
             self._request,
@@ -148,7 +151,7 @@
             part='prefill',
         )
         if failed is not None:
-            return None
+            return failed
         self._prefilled = PrefilledPrompt(
             runner=runner,
             source=dialect_module.KvSource(
@@ -179,6 +182,9 @@
             )
 
     async def _free(self, prefilled: PrefilledPrompt) -> None:
+        if not self._context.monitor.accepts(prefilled.runner):
+            # It accepts no requests from this host; the cache will expire.
+            return
         free_call = self._context.dialect.free_handle_call(
             prefilled.source.handle, prefilled.runner.runner_id
         )
--- a/limpetroute/forwarding/response_monitor.py
+++ b/limpetroute/forwarding/response_monitor.py
@@ -1,19 +1,23 @@
-"""Logs what runners' responses say about further requests."""
+"""Records what runners' responses say about further requests."""
 
+import asyncio
 import logging
 import math
+import typing
 
 from tornado import httputil
 
 from limpetroute.forwarding import dialect as dialect_module
 from limpetroute.forwarding import fleet_view
+from limpetroute.routing import placement_hints
+from limpetroute.routing import runner_availability
 from limpetroute.routing import runner_info
 
 LOG = logging.getLogger(__name__)
 
 
 class ResponseMonitor:
-    """Logs what runners' responses say about further requests.
+    """Records what runners' responses say about further requests.
 
     Parameters
     ----------
@@ -31,9 +35,10 @@
     ) -> None:
         self._dialect = dialect
         self._view = view
+        self._availability = runner_availability.RunnerAvailability()
 
     def __repr__(self) -> str:
-        return f'{type(self).__name__}(view={self._view!r})'
+        return f'{type(self).__name__}(availability={self._availability!r})'
 
     def note_response(
         self,
@@ -41,7 +46,7 @@
         status: int,
         headers: httputil.HTTPHeaders,
     ) -> None:
-        """Log the backoff and the departure that a response announces."""
+        """Record the backoff and log the departure that is announced."""
         if self._dialect.is_misdirected(status):
             return
         text = self._dialect.backoff_text(status, headers)
@@ -50,6 +55,42 @@
         if self._dialect.is_leaving(headers):
             self._note_leaving(runner)
 
+    def accepts(self, runner: runner_info.RunnerInfo) -> bool:
+        """Return whether a request may be sent to a runner now."""
+        return self._availability.accepts(runner, _now_s())
+
+    def accepting(self, service: str) -> list[runner_info.RunnerInfo]:
+        """Return a service's runners that accept requests from this host."""
+        return self._availability.accepting(
+            self._view.runners(service), _now_s()
+        )
+
+    def first_backoff_end_s(self, service: str) -> float:
+        """Return the time until a service's first backoff ends, or 0."""
+        return self._availability.first_backoff_end_s(
+            self._view.runners(service), _now_s()
+        )
+
+    def placement_hints(
+        self, service: str, *, tried: typing.Collection[str]
+    ) -> placement_hints.PlacementHints:
+        """Return what the leader cannot know about a stream to place.
+
+        Parameters
+        ----------
+        service : str
+            The stream's service.
+        tried : collection of str
+            Runners that it is not sent to again.
+        """
+        now_s = _now_s()
+        backoffs_s = {}
+        for runner in self._view.runners(service):
+            wait_s = self._availability.backoff_s(runner.runner_id, now_s)
+            if wait_s and runner.runner_id not in tried:
+                backoffs_s[runner.runner_id] = wait_s
+        return placement_hints.PlacementHints(backoffs_s=backoffs_s)
+
     def _note_backoff(self, runner: runner_info.RunnerInfo, text: str) -> None:
         backoff_s = _parse_seconds(text)
         if backoff_s is None:
@@ -58,6 +99,7 @@
                 extra={'runner': runner.runner_id, 'text': text[:80]},
             )
             return
+        self._availability.note_backoff(runner.runner_id, _now_s() + backoff_s)
         LOG.info(
             'runner asked this host to back off',
             extra={
@@ -88,3 +130,7 @@
     if not math.isfinite(seconds) or seconds < 0.0:
         return None
     return seconds
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/limpetroute/forwarding/runner_call.py
+++ b/limpetroute/forwarding/runner_call.py
@@ -41,7 +41,7 @@
     dialect : Dialect
         Formats of requests and responses.
     monitor : ResponseMonitor
-        Logs what runners' responses say about further requests.
+        Knows which runners accept requests from this host.
     """
 
     def __init__(
@@ -88,8 +88,15 @@
     ) -> SendFailure | None:
         """Send the request and wait for the headers of the response.
 
-        Returns None if the response is usable.
+        Returns None if the response is usable. A runner that asked this
+        host to back off gets no request. Other requests may have learned so
+        while this one was queued.
         """
+        if not self._monitor.accepts(self.runner):
+            return SendFailure(
+                result=send_result.SendResult.WITHHELD,
+                detail='the runner accepts no requests from this host',
+            )
         failed = await self._link.send(
             method=request.method,
             path=request.target,
@@ -103,11 +110,8 @@
         self._monitor.note_response(self.runner, self.status, self.headers)
         if self._dialect.is_refusal(self.status, self.headers):
             self.close()
-            result = send_result.SendResult.REFUSED
-            if self._dialect.is_misdirected(self.status):
-                result = send_result.SendResult.MISDIRECTED
             return SendFailure(
-                result=result,
+                result=self._kind_of_refusal(),
                 detail=f'status {self.status}',
             )
         if not self._dialect.belongs_to(request, self.headers):
@@ -120,6 +124,13 @@
             )
         return None
 
+    def _kind_of_refusal(self) -> send_result.SendResult:
+        if self._dialect.is_misdirected(self.status):
+            return send_result.SendResult.MISDIRECTED
+        if self._dialect.backoff_text(self.status, self.headers) is None:
+            return send_result.SendResult.REFUSED
+        return send_result.SendResult.SHED
+
     def chunks(self, idle_timeout_s: float) -> typing.AsyncIterator[bytes]:
         """Yield the chunks of the body; see `Connection.chunks`."""
         return self._link.chunks(idle_timeout_s=idle_timeout_s)
--- a/limpetroute/forwarding/scheduler_client.py
+++ b/limpetroute/forwarding/scheduler_client.py
@@ -6,9 +6,11 @@
 import logging
 
 from limpetroute.border import forecast_header
+from limpetroute.border import hints_header
 from limpetroute.border import runners_header
 from limpetroute.forwarding import leader_channel
 from limpetroute.routing import placement
+from limpetroute.routing import placement_hints
 from limpetroute.routing import stream_times
 
 LOG = logging.getLogger(__name__)
@@ -74,12 +76,21 @@
             self._channel.run_in_background(self._report_held())
 
     async def request_placement(
-        self, request: placement.PlacementRequest
+        self,
+        request: placement.PlacementRequest,
+        hints: placement_hints.PlacementHints | None = None,
     ) -> PlacementResult:
         """Return the leader's decision about a stream.
 
         The call lasts until a place is free or the leader rejects the
         request.
+
+        Parameters
+        ----------
+        request : PlacementRequest
+            The stream.
+        hints : PlacementHints or None
+            What only this host knows about it.
         """
         unavailable = self._channel.unavailable
         if unavailable is not None:
@@ -88,6 +99,7 @@
             reply = await self._channel.call(
                 '/v1/places',
                 placement.to_body(request),
+                headers=hints_header.encode(hints) if hints else None,
                 timeout_s=_max_wait_s(request) + RESPONSE_MARGIN_S,
             )
         except asyncio.CancelledError:
--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -244,9 +244,12 @@
                 failed = await call.connect()
                 if failed is not None:
                     return self._handle_failed_connect(runner, failed)
-                prefilled = await prefill.run(assigned.prefill)
-                if prefilled is None:
-                    return self._handle_failed_prefill(assigned.prefill)
+                result = await prefill.run(assigned.prefill)
+                if isinstance(result, runner_call.SendFailure):
+                    return self._handle_failed_prefill(
+                        assigned.prefill, result
+                    )
+                prefilled = result
                 self._prefills += 1
                 session.note_prefill_done()
             step = await self._decode(
@@ -303,7 +306,9 @@
         self._failed_runners.add(runner.runner_id)
 
     def _handle_failed_prefill(
-        self, prefill: runner_info.RunnerInfo
+        self,
+        prefill: runner_info.RunnerInfo,
+        failed: runner_call.SendFailure,
     ) -> next_step.Step:
         """Record a failed prefill and return the next step.
 
@@ -311,7 +316,10 @@
         all its other streams, so the scheduler has to plan for it. The
         stream therefore requests a new placement. Nothing has run yet.
         """
-        self._failed_runners.add(prefill.runner_id)
+        if not failed.result.is_backoff:
+            self._failed_runners.add(prefill.runner_id)
+        if failed.result is send_result.SendResult.WITHHELD:
+            return next_step.Step.RETRY
         self._failed_prefills += 1
         if self._failed_prefills > MAX_FAILED_PREFILLS:
             return next_step.Step.REFUSE
@@ -434,6 +442,8 @@
             self._failed_runners.discard(runner.runner_id)
             self._context.quarantine.note_answered(self._request)
             self._context.view.load(runner.runner_id).note_success(took_s)
+        elif result.is_backoff:
+            self._tried_runners.discard(runner.runner_id)
         elif result is send_result.SendResult.REFUSED and prefilled:
             # Usually the KV cache expired before the decode runner
             # fetched it; the decode runner may still have capacity.
--- a/limpetroute/routing/admission.py
+++ b/limpetroute/routing/admission.py
@@ -44,6 +44,8 @@
         stream: waiting_stream.WaitingStream,
         slot_free_s: float,
         now_s: float,
+        *,
+        host_backs_off: bool = False,
     ) -> placement.Rejection:
         """Return the rejection of a stream, with the time to retry after.
 
@@ -55,9 +57,20 @@
             When the first slot that no waiting stream will take becomes free.
         now_s : float
             Monotonic time in seconds.
+        host_backs_off : bool
+            Whether only its entry host may not send it to any runner. Its
+            caller usually reaches another host with a retry.
         """
         request = stream.request
         self._retries.note_refused(request, stream.first_sent_s, now_s)
+        if host_backs_off:
+            return placement.Rejection(
+                request_id=request.request_id,
+                retry_after_s=max(
+                    retry_after.MIN_RETRY_AFTER_S, slot_free_s - now_s
+                ),
+                reason='its host has to back off from all runners',
+            )
         remaining_s = request.patience_s - (now_s - stream.sent_s)
         served_share = self._retries.served_share(now_s)
         if served_share is not None and served_share < MIN_SERVED_SHARE:
--- a/limpetroute/routing/decode_placement.py
+++ b/limpetroute/routing/decode_placement.py
@@ -147,9 +147,10 @@
         """Return a runner's rank for a stream, or None if it does not fit.
 
         The rank is the memory in tokens that stays free at the peak, plus a
-        bonus for runners in the caller's zone.
+        bonus for runners in the caller's zone. A runner that refuses streams
+        of any host ranks behind the others.
         """
-        if runner.runner_id in request.avoid:
+        if not request.accepts(runner.runner_id, now_s):
             return None
         taken = self._reservations.stream_count(runner.runner_id)
         hidden = self._outliers.hidden_slots(runner.runner_id, now_s)
@@ -166,4 +167,6 @@
         rank = usable - peak
         if runner.zone == request.zone:
             rank += usable * SAME_ZONE_BONUS
+        if self._outliers.sheds(runner.runner_id, now_s):
+            rank -= 2 * self._engine.memory_tokens
         return rank
--- a/limpetroute/routing/next_step.py
+++ b/limpetroute/routing/next_step.py
@@ -79,8 +79,8 @@
 
 
 def _may_retry(context: RetryContext) -> bool:
-    # A failed connect reached no runner and is not counted in `sends`.
-    if context.result is send_result.SendResult.NOT_SENT:
+    # Only sends that reached a runner are counted in `sends`.
+    if not context.result.reached_runner:
         return context.sends < context.max_sends
     if context.sends >= context.max_sends:
         return False
--- a/limpetroute/routing/outlier_detector.py
+++ b/limpetroute/routing/outlier_detector.py
@@ -1,5 +1,6 @@
 """Ejects runners whose recent streams failed."""
 
+import math
 import typing
 
 from limpetroute.routing import runner_info
@@ -27,6 +28,7 @@
         self._stream_count = stream_count
         self._failing: dict[str, runner_load.RunnerLoad] = {}
         self._hidden_slots: dict[str, tuple[int, float]] = {}
+        self._backoff_until_s: dict[str, float] = {}
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(failing={self._failing!r})'
@@ -44,6 +46,20 @@
         """Remove the records of a runner that has restarted."""
         self._failing.pop(runner_id, None)
         self._hidden_slots.pop(runner_id, None)
+        self._backoff_until_s.pop(runner_id, None)
+
+    def note_backoffs(self, until_s: typing.Mapping[str, float]) -> None:
+        """Record which runners asked a host to back off, and until when."""
+        for runner_id, end_s in until_s.items():
+            known_s = self._backoff_until_s.get(runner_id, end_s)
+            self._backoff_until_s[runner_id] = max(known_s, end_s)
+
+    def sheds(self, runner_id: str, now_s: float) -> bool:
+        """Return whether a runner has refused streams of some host.
+
+        It still serves other streams, but is likely to refuse some of them.
+        """
+        return now_s < self._backoff_until_s.get(runner_id, -math.inf)
 
     def note_full(self, runner_id: str, hidden: int, now_s: float) -> None:
         """Record that a runner refused a stream because it is full.
--- a/limpetroute/routing/placement.py
+++ b/limpetroute/routing/placement.py
@@ -1,14 +1,18 @@
 """Requests for placements of streams, and their results."""
 
 import dataclasses
+import math
 import typing
 
 from limpetroute.routing import forecast as forecast_module
+from limpetroute.routing import free_memory_index
 from limpetroute.routing import runner_info
 
 # Fits streams whose first event is due within 0.9 s.
 DEFAULT_SILENCE_S = 3.6
 
+# Hosts send these in a header, see `PlacementHints`.
+_HINT_FIELDS = ('blocked_until_s',)
 _TEAM_FIELDS = ('team', 'quota_cost', 'priority', 'over_quota')
 
 
@@ -51,7 +55,7 @@
     attempt : int
         Distinguishes the placements that are requested under one id.
     avoid : tuple of str
-        Decode runners that must not be chosen.
+        Runners that must not be chosen.
     pause_target_s : float or None
         Longest gap between two events that meets the target, if the route sets
         one.
@@ -64,6 +68,9 @@
     priority : int
         Priority of the stream; 0 is the highest. It is logged and decides
         nothing yet.
+    blocked_until_s : mapping of str to float
+        Runners that accept no requests from the entry host, and until when,
+        by the scheduler's clock.
     """
 
     request_id: str
@@ -87,12 +94,43 @@
     team: str = ''
     quota_cost: float = 0.0
     priority: int = 0
+    blocked_until_s: typing.Mapping[str, float] = dataclasses.field(
+        default_factory=dict
+    )
 
     @property
     def prefill_tokens(self) -> int:
         """Tokens that a runner prefills before it writes output."""
         return self.prompt_tokens + self.written_tokens
 
+    def accepts(self, runner_id: str, now_s: float) -> bool:
+        """Return whether a runner may be chosen at a time."""
+        if runner_id in self.avoid:
+            return False
+        return now_s >= self.blocked_until_s.get(runner_id, -math.inf)
+
+    def available_from_s(
+        self,
+        decode_runners: free_memory_index.FreeMemoryIndex,
+        now_s: float,
+    ) -> float:
+        """Return when the host may send to one of the decode runners.
+
+        This ignores whether the runner has capacity. Infinity if there is no
+        decode runner.
+        """
+        blocked_until_s = self.blocked_until_s
+        if len(decode_runners) > len(blocked_until_s):
+            return now_s
+        starts_s = (
+            blocked_until_s.get(one.runner_id, now_s) for one in decode_runners
+        )
+        return max(now_s, min(starts_s, default=math.inf))
+
+    def without_backoffs(self) -> 'PlacementRequest':
+        """Return the same request of a host that may use all runners."""
+        return dataclasses.replace(self, blocked_until_s={})
+
 
 def to_body(
     message: 'PlacementRequest | Rejection',
@@ -103,6 +141,8 @@
     hosts of earlier releases refuse fields that they do not know.
     """
     body = dataclasses.asdict(message)
+    for name in _HINT_FIELDS:
+        body.pop(name, None)
     for name in _TEAM_FIELDS:
         if not body.get(name, True):
             del body[name]
--- /dev/null
+++ b/limpetroute/routing/placement_hints.py
@@ -0,0 +1,52 @@
+"""What an entry host knows about a stream that its leader does not."""
+
+import dataclasses
+import typing
+
+from limpetroute.routing import placement
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PlacementHints:
+    """What an entry host knows about a stream that its leader does not.
+
+    Parameters
+    ----------
+    backoffs_s : mapping of str to float
+        Runners that accept no requests from this host, and for how long.
+    """
+
+    backoffs_s: typing.Mapping[str, float] = dataclasses.field(
+        default_factory=dict
+    )
+
+    @property
+    def unavailable(self) -> tuple[str, ...]:
+        """Identities of the runners that may not be used now."""
+        return tuple(self.backoffs_s)
+
+    def apply(
+        self, request: placement.PlacementRequest, now_s: float
+    ) -> placement.PlacementRequest:
+        """Return a request with these hints.
+
+        In the request, runners that ask for a backoff are listed among
+        those to avoid, for leaders that do not read hints.
+
+        Parameters
+        ----------
+        request : PlacementRequest
+            The request as received.
+        now_s : float
+            Time of the scheduler's clock.
+        """
+        return dataclasses.replace(
+            request,
+            avoid=tuple(
+                one for one in request.avoid if one not in self.backoffs_s
+            ),
+            blocked_until_s={
+                runner_id: now_s + wait_s
+                for runner_id, wait_s in self.backoffs_s.items()
+            },
+        )
--- a/limpetroute/routing/prefill_queue.py
+++ b/limpetroute/routing/prefill_queue.py
@@ -116,12 +116,25 @@
         for runner_id in self._prefill_runners:
             self._sort(runner_id)
 
-    def first_free(self, now_s: float) -> runner_info.RunnerInfo | None:
-        """Return the prefill runner with the shortest queue, or None."""
+    def first_free(
+        self,
+        now_s: float,
+        request: placement.PlacementRequest | None = None,
+    ) -> runner_info.RunnerInfo | None:
+        """Return the prefill runner with the shortest queue, or None.
+
+        Parameters
+        ----------
+        now_s : float
+            Monotonic time in seconds.
+        request : PlacementRequest or None
+            Skips the runners that must not be chosen for it.
+        """
         self._expire(now_s)
-        if not self._order:
-            return None
-        return self._prefill_runners[self._order[0][1]]
+        for _, runner_id in self._order:
+            if request is None or request.accepts(runner_id, now_s):
+                return self._prefill_runners[runner_id]
+        return None
 
     def may_queue(
         self, prefill_runner: runner_info.RunnerInfo, now_s: float
--- a/limpetroute/routing/runner_selector.py
+++ b/limpetroute/routing/runner_selector.py
@@ -6,6 +6,7 @@
 
 from limpetroute.routing import decode_placement as placement_module
 from limpetroute.routing import fleet as fleet_module
+from limpetroute.routing import placement
 from limpetroute.routing import prefill_queue
 from limpetroute.routing import runner_info
 from limpetroute.routing import waiting_stream
@@ -86,10 +87,11 @@
         next stream.
         """
         request = stream.request
-        prefill_runner = (
-            self._first_free_prefill_runner() if request.reads_prompt else None
-        )
-        if prefill_runner is not None and self._prefill_runner_is_busy:
+        prefill_runner = None
+        is_busy = False
+        if request.reads_prompt:
+            prefill_runner, is_busy = self._first_free_prefill_runner(request)
+        if prefill_runner is not None and is_busy:
             # A decode runner that prefills itself is slower, but may finish
             # earlier than the busy prefill runner with its queue.
             if (
@@ -128,16 +130,22 @@
     def _free_tokens(self, runner: runner_info.RunnerInfo) -> float:
         return self._fleet.decode_runners.free_tokens(runner.runner_id)
 
-    def _first_free_prefill_runner(self) -> runner_info.RunnerInfo | None:
+    def _first_free_prefill_runner(
+        self, request: placement.PlacementRequest
+    ) -> tuple[runner_info.RunnerInfo | None, bool]:
+        """Return the next prefill runner and whether it is busy."""
+        if request.avoid or request.blocked_until_s:
+            runner = self._prefill.first_free(self._now_s, request)
+            return runner, self._is_busy(runner)
         if self._prefill_runner is None:
             self._prefill_runner = self._prefill.first_free(self._now_s)
-            self._prefill_runner_is_busy = (
-                self._prefill_runner is not None
-                and not self._prefill.may_queue(
-                    self._prefill_runner, self._now_s
-                )
-            )
-        return self._prefill_runner
+            self._prefill_runner_is_busy = self._is_busy(self._prefill_runner)
+        return self._prefill_runner, self._prefill_runner_is_busy
+
+    def _is_busy(self, runner: runner_info.RunnerInfo | None) -> bool:
+        return runner is not None and not self._prefill.may_queue(
+            runner, self._now_s
+        )
 
     def _best_decode_runner(
         self, stream: waiting_stream.WaitingStream, ready_s: float
--- a/limpetroute/routing/send_history.py
+++ b/limpetroute/routing/send_history.py
@@ -63,7 +63,7 @@
             retry. It is called only if the route allows another send.
         """
         self._is_sending = False
-        if result is not send_result.SendResult.NOT_SENT:
+        if result.reached_runner:
             self.sends += 1
         context = next_step.RetryContext(
             repeatable=self._route.repeatable,
--- a/limpetroute/routing/send_result.py
+++ b/limpetroute/routing/send_result.py
@@ -6,14 +6,20 @@
 class SendResult(enum.StrEnum):
     """How one send to a runner ended.
 
-    Only after ``NOT_SENT``, ``REFUSED`` and ``MISDIRECTED`` is it certain
-    that the request did not run and will not run: no byte left this host,
-    or the runner reported it. ``MISDIRECTED`` also means that the intended
-    runner is no longer at its address.
+    Only after ``NOT_SENT``, ``WITHHELD``, ``REFUSED``, ``SHED`` and
+    ``MISDIRECTED`` is it certain that the request did not run and will not
+    run: no byte left this host, or the runner reported it.
+
+    After ``WITHHELD`` this host sent nothing, because the runner accepts no
+    requests from it for now. ``SHED`` is a refusal that asks this host to
+    back off. ``MISDIRECTED`` also means that the intended runner is no
+    longer at its address.
     """
 
     NOT_SENT = 'not_sent'
+    WITHHELD = 'withheld'
     REFUSED = 'refused'
+    SHED = 'shed'
     MISDIRECTED = 'misdirected'
     FAILED = 'failed'
     BROKEN = 'broken'
@@ -25,6 +31,21 @@
         """Whether the request certainly did not run and will not run."""
         return self in (
             SendResult.NOT_SENT,
+            SendResult.WITHHELD,
             SendResult.REFUSED,
+            SendResult.SHED,
             SendResult.MISDIRECTED,
         )
+
+    @property
+    def reached_runner(self) -> bool:
+        """Whether the request may have reached a runner."""
+        return self not in (SendResult.NOT_SENT, SendResult.WITHHELD)
+
+    @property
+    def is_backoff(self) -> bool:
+        """Whether the runner accepts no requests from this host for now.
+
+        This says nothing about the runner's health or its load.
+        """
+        return self in (SendResult.WITHHELD, SendResult.SHED)
--- a/limpetroute/routing/stream_scheduler.py
+++ b/limpetroute/routing/stream_scheduler.py
@@ -181,6 +181,7 @@
         never, so the placement is dropped here.
         """
         self._drop(request.request_id)
+        self._outliers.note_backoffs(request.blocked_until_s)
         sent_s = now_s - request.waited_s
         first_sent_s = self._admission.first_sent_s(request, sent_s, now_s)
         if first_sent_s == sent_s and not request.goes_on:
@@ -341,8 +342,11 @@
             # A stream that cannot be prefilled yet waits for other streams to
             # end, not for capacity. Capacity that is kept free for it would be
             # unused.
-            if waited_s > HEAD_OF_LINE_TIMEOUT_S and (
-                self._estimate.can_be_prefilled(one.request)
+            # Neither does one whose host has to back off from all runners.
+            if (
+                waited_s > HEAD_OF_LINE_TIMEOUT_S
+                and self._estimate.can_be_prefilled(one.request)
+                and not self._is_host_blocked(one.request, now_s)
             ):
                 break
         return placements
@@ -418,7 +422,6 @@
         Between full passes, only new streams are checked, queued behind those
         that are expected to be placed.
         """
-        has_decode_runner = bool(self._fleet.decode_runners)
         probe = capacity_probe.CapacityProbe(
             decode_placement=self._decode_placement, now_s=now_s
         )
@@ -428,21 +431,29 @@
         for one in self._waiting.in_order():
             if full or not one.is_examined:
                 one.is_examined = True
-                has_free_runner = (
-                    not one.fits_nowhere and probe.has_free_runner(one.request)
+                available_s = one.request.available_from_s(
+                    self._fleet.decode_runners, now_s
                 )
+                has_free_runner = self._has_free_runner(one, probe, now_s)
+                has_decode_runner = available_s < math.inf
                 # A stream that turns out to be late goes behind the late
                 # ones that wait already.
-                start_s = self._estimate.start_s(
-                    one.request, ahead, has_free_runner
+                start_s = max(
+                    available_s,
+                    self._estimate.start_s(
+                        one.request, ahead, has_free_runner
+                    ),
                 )
                 one.counts_in_queue = has_decode_runner and (
                     self._can_meet_target(one, start_s)
                     or (one.request.goes_on and not _is_too_late(one, start_s))
                 )
                 if not one.counts_in_queue:
-                    start_s = self._estimate.start_s(
-                        one.request, ahead + late, has_free_runner
+                    start_s = max(
+                        available_s,
+                        self._estimate.start_s(
+                            one.request, ahead + late, has_free_runner
+                        ),
                     )
                     if (
                         not has_decode_runner
@@ -462,7 +473,41 @@
     ) -> placement.Rejection:
         self._waiting.remove(one.request_id)
         slot_free_s = self._estimate.slot_free_s(len(self._waiting))
-        return self._admission.reject(one, slot_free_s, now_s)
+        if not self._is_host_blocked(one.request, now_s):
+            return self._admission.reject(one, slot_free_s, now_s)
+        if self._decode_placement.has_free_runner(
+            one.request.without_backoffs(), now_s
+        ):
+            slot_free_s = now_s
+        return self._admission.reject(
+            one, slot_free_s, now_s, host_backs_off=True
+        )
+
+    def _has_free_runner(
+        self,
+        one: waiting_stream.WaitingStream,
+        probe: capacity_probe.CapacityProbe,
+        now_s: float,
+    ) -> bool:
+        """Return whether a decode runner has free capacity for a stream.
+
+        If its host has to back off from all of them, the runners are checked
+        all the same: the stream is placed when the first backoff ends.
+        """
+        if self._is_host_blocked(one.request, now_s):
+            return self._decode_placement.has_free_runner(
+                one.request.without_backoffs(), now_s
+            )
+        return not one.fits_nowhere and probe.has_free_runner(one.request)
+
+    def _is_host_blocked(
+        self, request: placement.PlacementRequest, now_s: float
+    ) -> bool:
+        """Return whether a host has to back off from all decode runners."""
+        available_s = request.available_from_s(
+            self._fleet.decode_runners, now_s
+        )
+        return now_s < available_s < math.inf
 
 
 def _is_too_late(one: waiting_stream.WaitingStream, start_s: float) -> bool:
--- a/tests/dispatch/test_placement_handlers.py
+++ b/tests/dispatch/test_placement_handlers.py
@@ -1,5 +1,4 @@
 import asyncio
-import dataclasses
 
 from tornado import httpserver
 from tornado import netutil
@@ -65,7 +64,7 @@
         return await caller.Caller().call(
             method='POST',
             url=f'{url}/v1/places',
-            body=dataclasses.asdict(builders.make_request('s')),
+            body=placement.to_body(builders.make_request('s')),
             timeout_s=2.0,
         )
 
--- a/tests/forwarding/test_backoff.py
+++ b/tests/forwarding/test_backoff.py
@@ -85,14 +85,15 @@
 
 # A name, the scripts, the stages, the route, and the runner under test.
 WAYS = [
-    (
-        'decode',
-        [prefills, streams, streams],
-        [PREFILL, DECODE, DECODE],
-        STREAM,
-        1,
-    ),
-]
+    ('plain', [answers, answers], None, PLAIN, 0),
+    ('once', [answers, answers], None, ONCE, 0),
+    ('prefill', [prefills, prefills, streams], [PREFILL, PREFILL, DECODE],
+     STREAM, 0),
+    ('only-prefill', [prefills, streams], [PREFILL, DECODE], STREAM, 0),
+    ('decode', [prefills, streams, streams], [PREFILL, DECODE, DECODE],
+     STREAM, 1),
+    ('self-prefill', [streams, streams], [DECODE, DECODE], STREAM, 0),
+]  # fmt: skip
 BY_WAY = pytest.mark.parametrize(
     ('scripts', 'stages', 'route', 'tested'),
     [way[1:] for way in WAYS],
@@ -121,8 +122,36 @@
     asyncio.run(work())
 
 
-# Guards against requests to a runner that said in an answer that it leaves.
+# Guards against a backoff that never ends.
 @BY_WAY
+def test_a_runner_is_used_again_after_its_backoff(
+    scripts, stages, route, tested
+):
+    async def work():
+        shedding = Shedding(scripts[tested], backoff='0.2')
+        used = [*scripts]
+        used[tested] = shedding
+        async with harness.running(used, stages=stages, **route) as (
+            front,
+            servers,
+        ):
+            for _ in range(6):
+                await front.request(headers=USAGE)
+            shedding.sheds = False
+            await asyncio.sleep(0.25)
+            for _ in range(12):
+                await front.request(headers=USAGE)
+            assert len(requests_to(servers[tested])) > 1
+
+    asyncio.run(work())
+
+
+# Guards against requests to a runner that said in an answer that it leaves.
+@pytest.mark.parametrize(
+    ('scripts', 'stages', 'route', 'tested'),
+    [way[1:] for way in WAYS if way[0] == 'decode'],
+    ids=['decode'],
+)
 def test_a_leaving_runner_gets_no_further_request(
     scripts, stages, route, tested
 ):
@@ -141,3 +170,115 @@
             assert served >= 8
 
     asyncio.run(work())
+
+
+# Guards against a runner that gets a resumed stream during its backoff.
+def test_a_stream_does_not_resume_at_a_runner_during_its_backoff():
+    async def work():
+        async def breaks_off(request, writer):
+            writer.write(scripted_runner.STREAM_HEAD)
+            writer.write(scripted_runner.chunk(scripted_runner.event(1)))
+            await writer.drain()
+
+        async with harness.running(
+            [Shedding(streams), breaks_off, streams],
+            stages=[DECODE, DECODE, DECODE],
+            resumable=True,
+            max_sends=3,
+            **STREAM,
+        ) as (front, (shedding, broken, other)):
+            front.view.load('r1').tokens = 10
+            front.view.load('r2').tokens = 20
+            # The first request learns of the backoff.
+            await front.request(headers=USAGE)
+            front.view.load('r2').tokens = 0
+            front.view.load('r1').ejected_until_s = 0.0
+            await front.request(headers=USAGE)
+            assert len(shedding.requests) == 1
+            assert len(broken.requests) + len(other.requests) >= 2
+
+    asyncio.run(work())
+
+
+# Guards against callers that wait for a runner which this host must not
+# use, and against a refusal of a request that ran.
+@pytest.mark.parametrize(
+    ('hosts', 'longest_s'), [(1, 30.0), (7, 0.3)], ids=['alone', 'of-many']
+)
+def test_a_caller_is_refused_at_once_if_all_runners_asked_to_back_off(
+    hosts, longest_s
+):
+    async def work():
+        async with harness.running([Shedding(answers)], **PLAIN) as (
+            front,
+            (runner,),
+        ):
+            front.context._watch.entry_hosts = hosts
+            await front.request()
+            loop = asyncio.get_running_loop()
+            started_s = loop.time()
+            got = await front.request()
+            assert loop.time() - started_s < 0.1
+            assert harness.status(got) == 503
+            assert _retry_after_s(got) <= longest_s
+            assert _retry_after_s(got) > longest_s - 1.0
+            assert len(runner.requests) == 1
+
+    asyncio.run(work())
+
+
+# Guards against a runner that is ejected or thought full because it asked
+# one host to back off.
+def test_a_backoff_says_nothing_about_a_runners_health():
+    async def work():
+        released = []
+        async with harness.running(
+            [prefills, Shedding(streams), streams],
+            stages=[PREFILL, DECODE, DECODE],
+            **STREAM,
+        ) as (front, _):
+            front.view.load('r2').tokens = 10
+            front.scheduler.release = lambda service, release, **_: (
+                released.append(release)
+            )
+            await front.request(headers=USAGE)
+            assert front.view.load('r1').failures == 0
+        assert not any(one.failed or one.full for one in released)
+
+    asyncio.run(work())
+
+
+@pytest.mark.parametrize('text', ['soon', '-1', 'nan', 'inf', ''])
+def test_a_backoff_that_cannot_be_parsed_is_logged_and_ignored(text, caplog):
+    async def work():
+        async with harness.running(
+            [Shedding(answers, backoff=text)], **PLAIN
+        ) as (front, (runner,)):
+            await front.request()
+            await front.request()
+            assert len(runner.requests) == 2
+
+    asyncio.run(work())
+    assert 'invalid backoff of a runner' in caplog.text
+
+
+# Guards against another runner at a reused address whose refusal counts
+# for the runner that was there before.
+def test_a_misdirected_response_says_nothing_about_its_runner():
+    async def work():
+        async with harness.running([answers], **PLAIN) as (front, _):
+            monitor = front.context.monitor
+            runner = front.view.runner('r0')
+            headers = {'Server-Leaving': '1', 'Retry-After': '30'}
+            monitor.note_response(runner, 421, headers)
+            assert monitor.accepts(runner)
+
+    asyncio.run(work())
+
+
+def _retry_after_s(data):
+    head = data.partition(b'\r\n\r\n')[0].decode()
+    for line in head.split('\r\n'):
+        if line.lower().startswith('retry-after:'):
+            return float(line.partition(':')[2])
+    return None
--- a/tests/forwarding/test_streams.py
+++ b/tests/forwarding/test_streams.py
@@ -425,7 +425,7 @@
             [_stream(1)], stages=[DECODE], silence_s=1.5, **STREAM
         ) as (front, (decode,)):
 
-            async def time_out(placement_request):
+            async def time_out(placement_request, hints):
                 await asyncio.sleep(0.4)
                 return scheduler_client.SchedulerUnavailable(reason='timeout')
 
--- a/tests/routing/test_next_step.py
+++ b/tests/routing/test_next_step.py
@@ -16,7 +16,9 @@
 # Whether the request may have run, for each result that a router sees.
 MAY_HAVE_RUN = {
     Result.NOT_SENT: (False,),
+    Result.WITHHELD: (False,),
     Result.REFUSED: (False,),
+    Result.SHED: (False,),
     Result.MISDIRECTED: (False,),
     Result.FAILED: (True,),
     Result.BROKEN: (True, False),
@@ -44,7 +46,7 @@
     for result, choice in sends:
         outcomes = MAY_HAVE_RUN[result]
         runs += outcomes[choice % len(outcomes)]
-        reached += result is not Result.NOT_SENT
+        reached += result not in (Result.NOT_SENT, Result.WITHHELD)
         context = next_step.RetryContext(
             repeatable=repeatable,
             result=result,
