Send no further request to a runner whose answers say that it leaves

Cause: only heartbeats said that a runner drains. One that is cut off from the control hosts, or says farewell first, leaves unnoticed by hosts that its answers reach.

Change: a host records the departure from any response, for this start of the runner, and every call checks it right before it sends. Hosts name such runners beside their requests for placements, and the leader gives them no stream of any host. A restarted runner is used again; a late answer of the process before the restart changes nothing.

--- a/limpetroute/border/hints_header.py
+++ b/limpetroute/border/hints_header.py
@@ -7,16 +7,25 @@
 import pydantic
 
 from limpetroute.routing import placement_hints
+from limpetroute.routing import runner_incarnation
 
 NAME = 'Limpetroute-Placement-Hints'
 
 
+class _LeavingBody(pydantic.BaseModel):
+    """See `RunnerIncarnation`."""
+
+    runner_id: str
+    started_ms: int = pydantic.Field(ge=0)
+
+
 class _HintsBody(pydantic.BaseModel):
     """See `PlacementHints`; fields that later releases add are ignored."""
 
     backoffs_s: dict[str, pydantic.NonNegativeFloat] = pydantic.Field(
         default_factory=dict
     )
+    leaving: tuple[_LeavingBody, ...] = ()
 
 
 def encode(hints: placement_hints.PlacementHints) -> dict[str, str]:
@@ -28,6 +37,10 @@
             runner_id: round(wait_s, 3)
             for runner_id, wait_s in hints.backoffs_s.items()
         },
+        leaving=tuple(
+            _LeavingBody(runner_id=one.runner_id, started_ms=one.started_ms)
+            for one in hints.leaving
+        ),
     )
     return {NAME: body.model_dump_json(exclude_defaults=True)}
 
@@ -45,4 +58,10 @@
     body = _HintsBody.model_validate_json(text)
     return placement_hints.PlacementHints(
         backoffs_s=body.backoffs_s,
+        leaving=tuple(
+            runner_incarnation.RunnerIncarnation(
+                runner_id=one.runner_id, started_ms=one.started_ms
+            )
+            for one in body.leaving
+        ),
     )
--- a/limpetroute/forwarding/response_monitor.py
+++ b/limpetroute/forwarding/response_monitor.py
@@ -46,7 +46,7 @@
         status: int,
         headers: httputil.HTTPHeaders,
     ) -> None:
-        """Record the backoff and log the departure that is announced."""
+        """Record the backoff and the departure that a response announces."""
         if self._dialect.is_misdirected(status):
             return
         text = self._dialect.backoff_text(status, headers)
@@ -85,11 +85,18 @@
         """
         now_s = _now_s()
         backoffs_s = {}
+        leaving = []
         for runner in self._view.runners(service):
+            if self._availability.is_leaving(runner):
+                leaving.append(runner.incarnation)
+                continue
             wait_s = self._availability.backoff_s(runner.runner_id, now_s)
             if wait_s and runner.runner_id not in tried:
                 backoffs_s[runner.runner_id] = wait_s
-        return placement_hints.PlacementHints(backoffs_s=backoffs_s)
+        return placement_hints.PlacementHints(
+            backoffs_s=backoffs_s,
+            leaving=tuple(leaving),
+        )
 
     def _note_backoff(self, runner: runner_info.RunnerInfo, text: str) -> None:
         backoff_s = _parse_seconds(text)
@@ -111,14 +118,18 @@
 
     def _note_leaving(self, runner: runner_info.RunnerInfo) -> None:
         current = self._view.runner(runner.runner_id)
-        LOG.info(
-            'runner announced that it is leaving',
-            extra={
-                'runner': runner.runner_id,
-                'address': runner.address,
-                'is_ready': current is not None and current.ready,
-            },
-        )
+        if current is not None and current.incarnation != runner.incarnation:
+            # The response may be that of the process before a restart.
+            return
+        if self._availability.note_leaving(runner.incarnation):
+            LOG.info(
+                'runner announced that it is leaving',
+                extra={
+                    'runner': runner.runner_id,
+                    'address': runner.address,
+                    'is_ready': current is not None and current.ready,
+                },
+            )
 
 
 def _parse_seconds(text: str) -> float | None:
--- a/limpetroute/forwarding/runner_call.py
+++ b/limpetroute/forwarding/runner_call.py
@@ -89,8 +89,8 @@
         """Send the request and wait for the headers of the response.
 
         Returns None if the response is usable. A runner that asked this
-        host to back off gets no request. Other requests may have learned so
-        while this one was queued.
+        host to back off, or that is leaving, gets no request. Other
+        requests may have learned so while this one was queued.
         """
         if not self._monitor.accepts(self.runner):
             return SendFailure(
--- a/limpetroute/routing/placement.py
+++ b/limpetroute/routing/placement.py
@@ -6,13 +6,14 @@
 
 from limpetroute.routing import forecast as forecast_module
 from limpetroute.routing import free_memory_index
+from limpetroute.routing import runner_incarnation
 from limpetroute.routing import runner_info
 
 # Fits streams whose first event is due within 0.9 s.
 DEFAULT_SILENCE_S = 3.6
 
 # Hosts send these in a header, see `PlacementHints`.
-_HINT_FIELDS = ('blocked_until_s',)
+_HINT_FIELDS = ('blocked_until_s', 'leaving')
 _TEAM_FIELDS = ('team', 'quota_cost', 'priority', 'over_quota')
 
 
@@ -71,6 +72,8 @@
     blocked_until_s : mapping of str to float
         Runners that accept no requests from the entry host, and until when,
         by the scheduler's clock.
+    leaving : tuple of RunnerIncarnation
+        Runners that have announced to the entry host that they are leaving.
     """
 
     request_id: str
@@ -97,6 +100,7 @@
     blocked_until_s: typing.Mapping[str, float] = dataclasses.field(
         default_factory=dict
     )
+    leaving: tuple[runner_incarnation.RunnerIncarnation, ...] = ()
 
     @property
     def prefill_tokens(self) -> int:
--- a/limpetroute/routing/placement_hints.py
+++ b/limpetroute/routing/placement_hints.py
@@ -4,6 +4,7 @@
 import typing
 
 from limpetroute.routing import placement
+from limpetroute.routing import runner_incarnation
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -14,16 +15,20 @@
     ----------
     backoffs_s : mapping of str to float
         Runners that accept no requests from this host, and for how long.
+    leaving : tuple of RunnerIncarnation
+        Runners that have announced that they are leaving.
     """
 
     backoffs_s: typing.Mapping[str, float] = dataclasses.field(
         default_factory=dict
     )
+    leaving: tuple[runner_incarnation.RunnerIncarnation, ...] = ()
 
     @property
     def unavailable(self) -> tuple[str, ...]:
         """Identities of the runners that may not be used now."""
-        return tuple(self.backoffs_s)
+        leaving = (one.runner_id for one in self.leaving)
+        return (*self.backoffs_s, *leaving)
 
     def apply(
         self, request: placement.PlacementRequest, now_s: float
@@ -49,4 +54,5 @@
                 runner_id: now_s + wait_s
                 for runner_id, wait_s in self.backoffs_s.items()
             },
+            leaving=self.leaving,
         )
--- a/limpetroute/routing/stream_scheduler.py
+++ b/limpetroute/routing/stream_scheduler.py
@@ -13,6 +13,7 @@
 from limpetroute.routing import placement
 from limpetroute.routing import prefill_queue
 from limpetroute.routing import reservations
+from limpetroute.routing import runner_incarnation
 from limpetroute.routing import runner_info
 from limpetroute.routing import runner_limits
 from limpetroute.routing import runner_selector
@@ -103,6 +104,8 @@
         )
         self._admission = admission.Admission()
         self._waiting = waiting_queue.WaitingQueue()
+        # Runners that entry hosts report as leaving, by identity.
+        self._leaving: dict[str, runner_incarnation.RunnerIncarnation] = {}
         self._has_new = False
         self._full_pass_s = -math.inf
         self._unfinished = False
@@ -170,6 +173,7 @@
         self._reservations.reset_runner(runner_id)
         self._prefill.reset_runner(runner_id)
         self._outliers.reset(runner_id)
+        self._leaving.pop(runner_id, None)
 
     def submit(
         self, request: placement.PlacementRequest, now_s: float
@@ -182,6 +186,8 @@
         """
         self._drop(request.request_id)
         self._outliers.note_backoffs(request.blocked_until_s)
+        for incarnation in request.leaving:
+            self._leaving[incarnation.runner_id] = incarnation
         sent_s = now_s - request.waited_s
         first_sent_s = self._admission.first_sent_s(request, sent_s, now_s)
         if first_sent_s == sent_s and not request.goes_on:
@@ -271,7 +277,10 @@
         their old stage.
         """
         self._reservations.expire(now_s)
-        is_changed = self._fleet.refresh(runners, changing, now_s)
+        runners = list(runners)
+        is_changed = self._fleet.refresh(
+            runners, {*changing, *self._find_leaving(runners)}, now_s
+        )
         full = is_changed or now_s - self._full_pass_s >= FULL_PASS_S
         if is_changed:
             self._prefill.set_runners(
@@ -291,6 +300,20 @@
             self._has_new = False
         return results
 
+    def _find_leaving(
+        self, runners: typing.Sequence[runner_info.RunnerInfo]
+    ) -> list[str]:
+        """Return the runners that are leaving; drop those that have left."""
+        if not self._leaving:
+            return []
+        incarnations = {one.incarnation for one in runners}
+        self._leaving = {
+            runner_id: incarnation
+            for runner_id, incarnation in self._leaving.items()
+            if incarnation in incarnations
+        }
+        return list(self._leaving)
+
     def _drop(self, request_id: str) -> None:
         attempt = self._reservations.drop(request_id)
         if attempt is not None:
--- a/tests/dispatch/test_placement_hints.py
+++ b/tests/dispatch/test_placement_hints.py
@@ -8,10 +8,14 @@
 from limpetroute.border import placement_bodies
 from limpetroute.routing import placement
 from limpetroute.routing import placement_hints
+from limpetroute.routing import runner_incarnation
 from tests.routing import builders
 
 HINTS = placement_hints.PlacementHints(
     backoffs_s={'d0': 1.25},
+    leaving=(
+        runner_incarnation.RunnerIncarnation(runner_id='d1', started_ms=7),
+    ),
 )
 # Fields that leaders of earlier releases accept.
 KNOWN_FIELDS = set(placement_bodies.PlacementRequestBody.model_fields)
@@ -36,7 +40,7 @@
     assert set(body) <= KNOWN_FIELDS
     body = placement.to_body(request)
     assert set(body) <= KNOWN_FIELDS
-    assert set(body['avoid']) == {'t', 'd0'}
+    assert set(body['avoid']) == {'t', 'd0', 'd1'}
 
 
 def test_the_leader_knows_when_each_backoff_ends():
@@ -46,6 +50,7 @@
     assert not applied.accepts('d0', 6.2)
     assert applied.accepts('d0', 6.25)
     assert not applied.accepts('t', 100.0)
+    assert not applied.accepts('d1', 100.0)
 
 
 def test_fields_of_later_releases_are_ignored():
@@ -53,7 +58,9 @@
     assert hints_header.decode(text).backoffs_s == {'d0': 1.0}
 
 
-@pytest.mark.parametrize('text', ['', 'x', '[]', '{"backoffs_s": {"d0": -1}}'])
+@pytest.mark.parametrize(
+    'text', ['', 'x', '[]', '{"backoffs_s": {"d0": -1}}', '{"leaving": [3]}']
+)
 def test_invalid_hints_are_refused(text):
     with pytest.raises(ValueError, match='validation error'):
         hints_header.decode(text)
--- a/tests/forwarding/test_backoff.py
+++ b/tests/forwarding/test_backoff.py
@@ -1,6 +1,7 @@
 """Runners that ask one host to back off, and runners that are leaving."""
 
 import asyncio
+import dataclasses
 import json
 
 import pytest
@@ -147,11 +148,7 @@
 
 
 # Guards against requests to a runner that said in an answer that it leaves.
-@pytest.mark.parametrize(
-    ('scripts', 'stages', 'route', 'tested'),
-    [way[1:] for way in WAYS if way[0] == 'decode'],
-    ids=['decode'],
-)
+@BY_WAY
 def test_a_leaving_runner_gets_no_further_request(
     scripts, stages, route, tested
 ):
@@ -262,6 +259,27 @@
     assert 'invalid backoff of a runner' in caplog.text
 
 
+# Guards against a restarted runner that stays excluded, and against one
+# whose backoff is forgotten because its old process asked for it.
+def test_a_restart_ends_a_departure_but_not_a_backoff():
+    async def work():
+        async with harness.running([answers], **PLAIN) as (front, _):
+            monitor = front.context.monitor
+            before = front.view.runner('r0')
+            monitor.note_response(before, 200, {'Server-Leaving': '1'})
+            assert not monitor.accepts(before)
+            after = dataclasses.replace(before, started_ms=7)
+            front.view._runners['r0'] = after
+            assert monitor.accepts(after)
+            # A late response of the process before the restart.
+            monitor.note_response(before, 200, {'Server-Leaving': '1'})
+            assert monitor.accepts(after)
+            monitor.note_response(before, 503, {'Retry-After': '30'})
+            assert not monitor.accepts(after)
+
+    asyncio.run(work())
+
+
 # Guards against another runner at a reused address whose refusal counts
 # for the runner that was there before.
 def test_a_misdirected_response_says_nothing_about_its_runner():
--- a/tests/routing/test_runners_that_back_off.py
+++ b/tests/routing/test_runners_that_back_off.py
@@ -1,7 +1,10 @@
 """Streams of hosts that must not use some of the runners for now."""
 
+import dataclasses
+
 from limpetroute.routing import placement
 from limpetroute.routing import placement_hints
+from limpetroute.routing import runner_incarnation
 from limpetroute.routing import stream_scheduler
 from tests.routing import builders
 
@@ -19,10 +22,14 @@
     ]
 
 
-def request(name, now_s=0.0, *, backoffs=None, **fields):
+def request(name, now_s=0.0, *, backoffs=None, leaving=(), **fields):
     """Return a request as the leader gets it from its host."""
     hints = placement_hints.PlacementHints(
         backoffs_s=backoffs or {},
+        leaving=tuple(
+            runner_incarnation.RunnerIncarnation(runner_id=one, started_ms=0)
+            for one in leaving
+        ),
     )
     avoid = (*fields.pop('tried', ()), *hints.unavailable)
     return hints.apply(
@@ -144,3 +151,22 @@
     scheduler.submit(request('s', backoffs={'d0': 0.2}, tried=('d1',)), 0.0)
     _, placed = decide(scheduler, fleet('d0', 'd1'), until_s=1.0)['s']
     assert placed.decode_id == 'd0'
+
+
+def test_a_runner_that_is_leaving_gets_no_stream_of_any_host():
+    scheduler = make_scheduler()
+    scheduler.submit(request('s', leaving=('d0',)), 0.0)
+    scheduler.submit(request('t'), 0.0)
+    answers = decide(scheduler, fleet('d0', 'd1'), until_s=0.5)
+    assert {one.decode_id for _, one in answers.values()} == {'d1'}
+
+
+def test_a_runner_that_has_restarted_is_no_longer_leaving():
+    scheduler = make_scheduler()
+    scheduler.submit(request('s', leaving=('d0',)), 0.0)
+    decide(scheduler, fleet('d0', 'd1'), until_s=0.5)
+    scheduler.reset_runner('d0')
+    restarted = [dataclasses.replace(one, started_ms=9) for one in fleet('d0')]
+    scheduler.submit(request('t', 1.0), 1.0)
+    _, placed = decide(scheduler, restarted, from_s=1.0, until_s=1.5)['t']
+    assert placed.decode_id == 'd0'
