Offer a KV cache that a decode runner refused to another one

Cause: a refusal of a stream with a KV cache was always taken for an expired cache. The stream went back to the runner that had just refused it, without the cache, was refused again and given up.

Change: before the cache is due to expire, the stream asks for another decode runner that fetches it; the leader plans no second prefill. A cache that two runners refuse counts as lost, and so does one where there is no other decode runner: the stream goes back to the same runner as before. Runners that refuse placed streams rank last for three seconds.

--- a/limpetroute/border/hints_header.py
+++ b/limpetroute/border/hints_header.py
@@ -26,6 +26,8 @@
         default_factory=dict
     )
     leaving: tuple[_LeavingBody, ...] = ()
+    shedding: tuple[str, ...] = ()
+    is_prefilled: bool = False
 
 
 def encode(hints: placement_hints.PlacementHints) -> dict[str, str]:
@@ -41,6 +43,8 @@
             _LeavingBody(runner_id=one.runner_id, started_ms=one.started_ms)
             for one in hints.leaving
         ),
+        shedding=hints.shedding,
+        is_prefilled=hints.is_prefilled,
     )
     return {NAME: body.model_dump_json(exclude_defaults=True)}
 
@@ -64,4 +68,6 @@
             )
             for one in body.leaving
         ),
+        shedding=body.shedding,
+        is_prefilled=body.is_prefilled,
     )
--- a/limpetroute/forwarding/placement_session.py
+++ b/limpetroute/forwarding/placement_session.py
@@ -42,12 +42,17 @@
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class StreamProgress:
-    """Progress of a stream; see `PlacementRequest` for the fields."""
+    """Progress of a stream; see `PlacementRequest` for the fields.
+
+    ``shedding`` are runners that refused it although it had been placed.
+    """
 
     tried: frozenset[str]
     is_resumed: bool
     written_tokens: int
     may_use_prefill_runner: bool
+    is_prefilled: bool
+    shedding: frozenset[str]
     waited_s: float
 
 
@@ -101,7 +106,10 @@
         started_s = _now_s()
         while True:
             hints = self._context.monitor.placement_hints(
-                self._service.name, tried=progress.tried
+                self._service.name,
+                tried=progress.tried,
+                shedding=progress.shedding,
+                is_prefilled=progress.is_prefilled,
             )
             request = self._make_request(
                 progress, hints, waited_here_s=_now_s() - started_s
@@ -124,7 +132,9 @@
             # The leader may have held the request before it failed.
             waited_s = progress.waited_s + _now_s() - started_s
             request = dataclasses.replace(request, waited_s=waited_s)
-            result = self._place_locally(request)
+            result = self._place_locally(
+                request, is_prefilled=progress.is_prefilled
+            )
             if isinstance(
                 result, AssignedRunners
             ) or not stream_times.may_wait(request, RETRY_INTERVAL_S):
@@ -282,7 +292,7 @@
         return None
 
     def _place_locally(
-        self, request: placement.PlacementRequest
+        self, request: placement.PlacementRequest, *, is_prefilled: bool
     ) -> AssignedRunners | placement.Rejection:
         if request.waited_s > stream_times.max_wait_s(request):
             return placement.Rejection(
@@ -312,8 +322,12 @@
                 now_s=now_s,
                 rng=context.rng,
             )
-        may_prefill = prefill or local_placement.may_self_prefill_locally(
-            request, entry_hosts=context.entry_hosts
+        may_prefill = (
+            is_prefilled
+            or prefill
+            or local_placement.may_self_prefill_locally(
+                request, entry_hosts=context.entry_hosts
+            )
         )
         if (
             decode is None
--- a/limpetroute/forwarding/prompt_prefill.py
+++ b/limpetroute/forwarding/prompt_prefill.py
@@ -26,6 +26,8 @@
 # would leave without an event.
 PREFILL_SLACK_S = 0.6
 SLOWEST_TOKENS_PER_S = 25_000.0
+# Time that a decode runner needs to fetch a KV cache before it expires.
+FETCH_MARGIN_S = 0.1
 
 
 @dataclasses.dataclass(kw_only=True, slots=True)
@@ -34,11 +36,13 @@
 
     ``taken`` is set once the cache needs no freeing: a decode runner
     accepted the request that fetches it, or a call to free it was made.
+    After ``expires_s`` it is too late to fetch it.
     """
 
     runner: runner_info.RunnerInfo
     source: dialect_module.KvSource
     tokens: int
+    expires_s: float
     taken: bool = False
 
 
@@ -53,6 +57,8 @@
         The caller's request.
     route : Route
         Its route.
+    result_ttl_s : float
+        Time after which a prefill runner drops an unused KV cache.
     """
 
     def __init__(
@@ -61,15 +67,29 @@
         context: forward_context.ForwardContext,
         request: caller_request.CallerRequest,
         route: route_module.Route,
+        result_ttl_s: float,
     ) -> None:
         self._context = context
         self._request = request
         self._route = route
+        self._result_ttl_s = result_ttl_s
         self._prefilled: PrefilledPrompt | None = None
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(prefilled={self._prefilled!r})'
 
+    @property
+    def unused(self) -> PrefilledPrompt | None:
+        """KV cache that a decode runner can still fetch, or None.
+
+        A decode runner that refuses a stream does not fetch the cache, so
+        another one may.
+        """
+        prefilled = self._prefilled
+        if prefilled is None or prefilled.taken:
+            return None
+        return prefilled if _now_s() < prefilled.expires_s else None
+
     async def run(
         self, runner: runner_info.RunnerInfo
     ) -> PrefilledPrompt | runner_call.SendFailure:
@@ -79,6 +99,7 @@
         the scheduler has to plan for a decode runner that prefills by
         itself.
         """
+        self.free_unless_taken()
         context = self._context
         generation = self._request.generation
         tokens = generation.prompt_tokens if generation else 0
@@ -158,6 +179,7 @@
                 address=runner.address, handle=handle
             ),
             tokens=tokens,
+            expires_s=_now_s() + self._result_ttl_s - FETCH_MARGIN_S,
         )
         return self._prefilled
 
--- a/limpetroute/forwarding/response_monitor.py
+++ b/limpetroute/forwarding/response_monitor.py
@@ -72,7 +72,12 @@
         )
 
     def placement_hints(
-        self, service: str, *, tried: typing.Collection[str]
+        self,
+        service: str,
+        *,
+        tried: typing.Collection[str],
+        shedding: typing.Collection[str],
+        is_prefilled: bool,
     ) -> placement_hints.PlacementHints:
         """Return what the leader cannot know about a stream to place.
 
@@ -82,6 +87,10 @@
             The stream's service.
         tried : collection of str
             Runners that it is not sent to again.
+        shedding : collection of str
+            Runners that refused it although it had been placed.
+        is_prefilled : bool
+            Whether a prefill runner holds the KV cache of its prompt.
         """
         now_s = _now_s()
         backoffs_s = {}
@@ -96,6 +105,8 @@
         return placement_hints.PlacementHints(
             backoffs_s=backoffs_s,
             leaving=tuple(leaving),
+            shedding=tuple(sorted(shedding)),
+            is_prefilled=is_prefilled,
         )
 
     def _note_backoff(self, runner: runner_info.RunnerInfo, text: str) -> None:
--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -4,6 +4,7 @@
 import functools
 import logging
 
+from limpetroute.decisions import stage as stage_module
 from limpetroute.forwarding import caller_request
 from limpetroute.forwarding import dialect as dialect_module
 from limpetroute.forwarding import forward_context
@@ -73,6 +74,8 @@
         self._tried_runners: set[str] = set()
         self._failed_runners: set[str] = set()
         self._full_runners: set[str] = set()
+        # Runners that refused the stream with a KV cache to fetch.
+        self._shedding_runners: set[str] = set()
         self._history = send_history.SendHistory(route=route)
         self._replies = request_replies.RequestReplies(
             context=context,
@@ -87,12 +90,21 @@
         self._charge = quota_charge.QuotaCharge(
             client=context.quotas, request=request
         )
+        assert service.engine is not None
+        self._prefill = prompt_prefill.PromptPrefill(
+            context=context,
+            request=request,
+            route=route,
+            result_ttl_s=service.engine.prefill_result_ttl_s,
+        )
         self._prefills = 0
         self._failed_prefills = 0
         self._sends_to_unreachable = 0
         self._is_complete = False
         # Whether a live runner broke off before the first event.
         self._broke_unread = False
+        # Whether another runner may fetch the KV cache after the last send.
+        self._keeps_prefill = False
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(request={self._request.request_id!r})'
@@ -105,6 +117,7 @@
         try:
             await self._place_until_answered()
         finally:
+            self._prefill.free_unless_taken()
             self._charge.settle(may_have_run=self._history.may_have_run)
 
     async def _place_until_answered(self) -> None:
@@ -120,10 +133,16 @@
                 charge=self._charge,
             )
             try:
-                result = await session.acquire(self._progress())
+                progress = self._progress()
+                result = await self._acquire(session, progress)
                 if isinstance(result, placement.Rejection):
                     await self._reply_rejected(result)
                     return
+                if result is None or (
+                    progress.is_prefilled and self._prefill.unused is None
+                ):
+                    # The KV cache expired while the stream waited.
+                    continue
                 if not self._is_team_current():
                     await self._replies.refuse(local_reply.KEY_CHANGED)
                     return
@@ -148,6 +167,24 @@
                 await self._replies.end(step, 'after a send')
                 return
 
+    async def _acquire(
+        self,
+        session: placement_session.PlacementSession,
+        progress: placement_session.StreamProgress,
+    ) -> placement_session.AssignedRunners | placement.Rejection | None:
+        """Return the stream's runners, or a rejection.
+
+        None if the KV cache of a prefilled prompt expires before that.
+        """
+        prefilled = self._prefill.unused
+        if not progress.is_prefilled or prefilled is None:
+            return await session.acquire(progress)
+        try:
+            async with asyncio.timeout_at(prefilled.expires_s):
+                return await session.acquire(progress)
+        except TimeoutError:
+            return None
+
     async def _reply_rejected(self, rejection: placement.Rejection) -> None:
         if not rejection.over_quota:
             await self._replies.refuse(
@@ -187,11 +224,15 @@
             )
 
     def _progress(self) -> placement_session.StreamProgress:
+        is_prefilled = self._prefill.unused is not None
         return placement_session.StreamProgress(
             tried=frozenset(self._tried_runners),
             is_resumed=self._is_resumed(),
             written_tokens=self._written_tokens(),
-            may_use_prefill_runner=self._may_use_prefill_runner(),
+            may_use_prefill_runner=not is_prefilled
+            and self._may_use_prefill_runner(),
+            is_prefilled=is_prefilled,
+            shedding=frozenset(self._shedding_runners),
             waited_s=self._relay.waited_s,
         )
 
@@ -231,20 +272,18 @@
         load = self._context.view.load(runner.runner_id)
         load.requests += 1
         load.tokens += self._peak_tokens()
-        prefill = prompt_prefill.PromptPrefill(
-            context=self._context, request=self._request, route=self._route
-        )
         call = self._context.new_call(runner)
+        keeps_prefill = False
         try:
-            prefilled = None
-            if assigned.prefill is not None:
+            prefilled = self._prefill.unused
+            if prefilled is None and assigned.prefill is not None:
                 # Connect to the decode runner first: a prefill for an
                 # unresponsive decode runner is wasted (30,000 tokens
                 # within 2 s while one of three was unresponsive).
                 failed = await call.connect()
                 if failed is not None:
                     return self._handle_failed_connect(runner, failed)
-                result = await prefill.run(assigned.prefill)
+                result = await self._prefill.run(assigned.prefill)
                 if isinstance(result, runner_call.SendFailure):
                     return self._handle_failed_prefill(
                         assigned.prefill, result
@@ -255,6 +294,7 @@
             step = await self._decode(
                 call, prefilled, session, assigned.forecast
             )
+            keeps_prefill = self._keeps_prefill
             if not await self._may_repeat_at(runner, step):
                 return step
             call.close()
@@ -264,7 +304,8 @@
             )
         finally:
             call.close()
-            prefill.free_unless_taken()
+            if not keeps_prefill:
+                self._prefill.free_unless_taken()
             load.requests -= 1
             load.tokens -= self._peak_tokens()
 
@@ -369,6 +410,7 @@
                     may_switch_runner=self._history.allows_another_send,
                     on_first_event=on_first_event,
                 )
+        self._keeps_prefill = self._may_reuse_prefill(runner, result)
         self._record_result(runner, result, prefilled, _now_s() - started_s)
         if result is send_result.SendResult.ANSWERED:
             self._record_forecast_error(predicted, resumed=events_before > 0)
@@ -445,14 +487,39 @@
         elif result.is_backoff:
             self._tried_runners.discard(runner.runner_id)
         elif result is send_result.SendResult.REFUSED and prefilled:
-            # Usually the KV cache expired before the decode runner
-            # fetched it; the decode runner may still have capacity.
+            if self._keeps_prefill:
+                self._shedding_runners.add(runner.runner_id)
+                return
+            # The KV cache may have expired before the decode runner fetched
+            # it; the decode runner may still have capacity.
             self._tried_runners.discard(runner.runner_id)
         elif result is send_result.SendResult.REFUSED:
             self._full_runners.add(runner.runner_id)
         else:
             self._note_failure(runner)
 
+    def _may_reuse_prefill(
+        self, runner: runner_info.RunnerInfo, result: send_result.SendResult
+    ) -> bool:
+        """Return whether another runner may fetch the KV cache.
+
+        A runner that refuses a stream before its KV cache is due to expire
+        has most likely not tried to fetch it. If there is no other decode
+        runner, or the second one refuses the stream as well, the cache counts
+        as lost.
+        """
+        if result is not send_result.SendResult.REFUSED:
+            return result.keeps_kv_cache
+        if self._shedding_runners or self._prefill.unused is None:
+            return False
+        return any(
+            one.ready
+            and one.stage is stage_module.Stage.DECODE
+            and one.runner_id != runner.runner_id
+            and one.runner_id not in self._tried_runners
+            for one in self._context.monitor.accepting(self._service.name)
+        )
+
     async def _relay_failure(self, call: runner_call.RunnerCall) -> None:
         """Relay a runner's error response, or abort a started stream."""
         if self._responder.started:
--- a/limpetroute/routing/outlier_detector.py
+++ b/limpetroute/routing/outlier_detector.py
@@ -10,6 +10,9 @@
 # counted after a runner refused a stream. Their streams last longer, but
 # the leader does not see when one of them ends.
 HIDDEN_SLOTS_VALID_S = 1.5
+# Time for which a runner that refused a placed stream ranks last. Overload
+# mostly lasts for a few streams.
+SHEDDING_VALID_S = 3.0
 
 
 class OutlierDetector:
@@ -54,6 +57,12 @@
             known_s = self._backoff_until_s.get(runner_id, end_s)
             self._backoff_until_s[runner_id] = max(known_s, end_s)
 
+    def note_shedding(
+        self, runner_ids: typing.Iterable[str], now_s: float
+    ) -> None:
+        """Record runners that refused a stream that was placed there."""
+        self.note_backoffs(dict.fromkeys(runner_ids, now_s + SHEDDING_VALID_S))
+
     def sheds(self, runner_id: str, now_s: float) -> bool:
         """Return whether a runner has refused streams of some host.
 
--- a/limpetroute/routing/placement.py
+++ b/limpetroute/routing/placement.py
@@ -13,7 +13,7 @@
 DEFAULT_SILENCE_S = 3.6
 
 # Hosts send these in a header, see `PlacementHints`.
-_HINT_FIELDS = ('blocked_until_s', 'leaving')
+_HINT_FIELDS = ('blocked_until_s', 'leaving', 'shedding', 'is_prefilled')
 _TEAM_FIELDS = ('team', 'quota_cost', 'priority', 'over_quota')
 
 
@@ -74,6 +74,10 @@
         by the scheduler's clock.
     leaving : tuple of RunnerIncarnation
         Runners that have announced to the entry host that they are leaving.
+    shedding : tuple of str
+        Runners that refused the stream although it had been placed.
+    is_prefilled : bool
+        Whether a prefill runner holds the KV cache of the prompt.
     """
 
     request_id: str
@@ -101,12 +105,21 @@
         default_factory=dict
     )
     leaving: tuple[runner_incarnation.RunnerIncarnation, ...] = ()
+    shedding: tuple[str, ...] = ()
+    is_prefilled: bool = False
 
     @property
     def prefill_tokens(self) -> int:
-        """Tokens that a runner prefills before it writes output."""
+        """Tokens of the prompt and of the answer that is written already."""
         return self.prompt_tokens + self.written_tokens
 
+    @property
+    def self_prefill_tokens(self) -> int:
+        """Tokens that a decode runner prefills without a prefill runner."""
+        return (
+            self.written_tokens if self.is_prefilled else self.prefill_tokens
+        )
+
     def accepts(self, runner_id: str, now_s: float) -> bool:
         """Return whether a runner may be chosen at a time."""
         if runner_id in self.avoid:
--- a/limpetroute/routing/placement_hints.py
+++ b/limpetroute/routing/placement_hints.py
@@ -17,12 +17,18 @@
         Runners that accept no requests from this host, and for how long.
     leaving : tuple of RunnerIncarnation
         Runners that have announced that they are leaving.
+    shedding : tuple of str
+        Runners that refused the stream although it had been placed.
+    is_prefilled : bool
+        Whether a prefill runner holds the KV cache of the prompt.
     """
 
     backoffs_s: typing.Mapping[str, float] = dataclasses.field(
         default_factory=dict
     )
     leaving: tuple[runner_incarnation.RunnerIncarnation, ...] = ()
+    shedding: tuple[str, ...] = ()
+    is_prefilled: bool = False
 
     @property
     def unavailable(self) -> tuple[str, ...]:
@@ -55,4 +61,7 @@
                 for runner_id, wait_s in self.backoffs_s.items()
             },
             leaving=self.leaving,
+            shedding=self.shedding,
+            is_prefilled=self.is_prefilled,
+            reads_prompt=request.reads_prompt and not self.is_prefilled,
         )
--- a/limpetroute/routing/prefill_queue.py
+++ b/limpetroute/routing/prefill_queue.py
@@ -181,7 +181,10 @@
         if has_prefill_runner:
             prefill_s = request.prefill_tokens / self.tokens_per_s
             return stream_times.FIRST_EVENT_OVERHEAD_S + prefill_s
-        prefill_s = request.prefill_tokens / self.self_prefill_tokens_per_s()
+        tokens = request.self_prefill_tokens
+        if not tokens:
+            return stream_times.FIRST_EVENT_OVERHEAD_S
+        prefill_s = tokens / self.self_prefill_tokens_per_s()
         return self._self_prefills.overhead_s + prefill_s
 
     def prefill_tokens_per_s(
@@ -209,9 +212,10 @@
         prefill_runner: runner_info.RunnerInfo | None,
     ) -> float:
         """Return the longest gap between events that a prefill causes."""
-        if prefill_runner is not None:
+        tokens = request.self_prefill_tokens
+        if prefill_runner is not None or not tokens:
             return 0.0
-        prefill_s = request.prefill_tokens / self.self_prefill_tokens_per_s()
+        prefill_s = tokens / self.self_prefill_tokens_per_s()
         return prefill_pause.pause_s(
             prefill_s,
             event_s=self._event_s,
@@ -288,7 +292,7 @@
         self_prefill_tokens = (
             request.written_tokens
             if prefill_runner
-            else request.prefill_tokens
+            else request.self_prefill_tokens
         )
         if self_prefill_tokens:
             queue_s = 0.0
--- a/limpetroute/routing/runner_selector.py
+++ b/limpetroute/routing/runner_selector.py
@@ -109,7 +109,7 @@
             ready_s = self._prefill.ready_s(
                 request, prefill_runner, self._now_s
             )
-        if prefill_runner is None:
+        if prefill_runner is None and not request.is_prefilled:
             decode_runner = self._self_prefilling_decode_runner(
                 stream, ready_s
             )
--- a/limpetroute/routing/send_result.py
+++ b/limpetroute/routing/send_result.py
@@ -49,3 +49,11 @@
         This says nothing about the runner's health or its load.
         """
         return self in (SendResult.WITHHELD, SendResult.SHED)
+
+    @property
+    def keeps_kv_cache(self) -> bool:
+        """Whether a KV cache that the request names is still unused.
+
+        After ``REFUSED`` it is not known: the cache may have expired.
+        """
+        return self.is_known_not_run and self is not SendResult.REFUSED
--- a/limpetroute/routing/stream_scheduler.py
+++ b/limpetroute/routing/stream_scheduler.py
@@ -186,6 +186,7 @@
         """
         self._drop(request.request_id)
         self._outliers.note_backoffs(request.blocked_until_s)
+        self._outliers.note_shedding(request.shedding, now_s)
         for incarnation in request.leaving:
             self._leaving[incarnation.runner_id] = incarnation
         sent_s = now_s - request.waited_s
--- a/limpetroute/routing/wait_estimate.py
+++ b/limpetroute/routing/wait_estimate.py
@@ -102,6 +102,8 @@
         """Return when a stream can be placed, after those ahead of it."""
         if not self.can_be_prefilled(request):
             return self._long_prefill_s()
+        if request.is_prefilled:
+            return self._now_s if has_free_runner else self.slot_free_s(ahead)
         if not self._fleet.prefill_runners or not request.reads_prompt:
             return min(
                 self.slot_free_s(ahead),
--- a/tests/dispatch/test_placement_hints.py
+++ b/tests/dispatch/test_placement_hints.py
@@ -16,6 +16,7 @@
     leaving=(
         runner_incarnation.RunnerIncarnation(runner_id='d1', started_ms=7),
     ),
+    is_prefilled=True,
 )
 # Fields that leaders of earlier releases accept.
 KNOWN_FIELDS = set(placement_bodies.PlacementRequestBody.model_fields)
--- a/tests/forwarding/test_backoff.py
+++ b/tests/forwarding/test_backoff.py
@@ -169,6 +169,54 @@
     asyncio.run(work())
 
 
+# Guards against a second prefill, or a failed stream, where the KV cache
+# that a shedding decode runner did not fetch is still valid.
+@pytest.mark.parametrize('backoff', ['30', None], ids=['backoff', 'none'])
+def test_the_kv_cache_goes_to_another_decode_runner(backoff):
+    async def work():
+        async with harness.running(
+            [prefills, Shedding(streams, backoff=backoff), streams],
+            stages=[PREFILL, DECODE, DECODE],
+            **STREAM,
+        ) as (front, (prefill, shedding, other)):
+            front.view.load('r2').tokens = 10
+            got = await front.request(headers=USAGE)
+            assert harness.status(got) == 200
+            assert len(shedding.requests) == 1
+            assert [one.header('Stage') for one in prefill.requests] == [
+                'prefill'
+            ]
+            assert other.requests[0].header('Kv-From').endswith('/h1')
+
+    asyncio.run(work())
+
+
+# Guards against the use of a KV cache that has expired meanwhile.
+def test_an_expired_kv_cache_is_not_sent_to_another_runner(monkeypatch):
+    async def work():
+        async with harness.running(
+            [prefills, Shedding(streams), streams],
+            stages=[PREFILL, DECODE, DECODE],
+            max_sends=3,
+            **STREAM,
+        ) as (front, (prefill, _, other)):
+            front.view.load('r2').tokens = 10
+            service = front.view.plan.service('model')
+            engine = dataclasses.replace(
+                service.engine, prefill_result_ttl_s=0.0
+            )
+            service = dataclasses.replace(service, engine=engine)
+            front.view.plan = builders.make_plan(
+                *front.view.plan.routes, services=(service,)
+            )
+            got = await front.request(headers=USAGE)
+            assert harness.status(got) == 200
+            assert len(requests_to(prefill)) == 2
+            assert len(other.requests) == 1
+
+    asyncio.run(work())
+
+
 # Guards against a runner that gets a resumed stream during its backoff.
 def test_a_stream_does_not_resume_at_a_runner_during_its_backoff():
     async def work():
@@ -197,6 +245,33 @@
     asyncio.run(work())
 
 
+# Guards against a request that was queued while its runner asked for a
+# backoff and is sent to it all the same.
+def test_a_backoff_during_the_prefill_holds_for_the_decode_runner():
+    async def work():
+        async def slow_prefill(request, writer):
+            await asyncio.sleep(0.2)
+            await prefills(request, writer)
+
+        async with harness.running(
+            [slow_prefill, streams, streams],
+            stages=[PREFILL, DECODE, DECODE],
+            **STREAM,
+        ) as (front, (prefill, backing_off, other)):
+            front.view.load('r2').tokens = 10
+            task = asyncio.create_task(front.request(headers=USAGE))
+            await asyncio.sleep(0.1)
+            front.context.monitor.note_response(
+                front.view.runner('r1'), 503, {'Retry-After': '30'}
+            )
+            assert harness.status(await task) == 200
+            assert not backing_off.requests
+            assert other.requests[0].header('Kv-From').endswith('/h1')
+            assert len(requests_to(prefill)) == 1
+
+    asyncio.run(work())
+
+
 # Guards against callers that wait for a runner which this host must not
 # use, and against a refusal of a request that ran.
 @pytest.mark.parametrize(
--- a/tests/routing/test_runners_that_back_off.py
+++ b/tests/routing/test_runners_that_back_off.py
@@ -2,6 +2,8 @@
 
 import dataclasses
 
+import pytest
+
 from limpetroute.routing import placement
 from limpetroute.routing import placement_hints
 from limpetroute.routing import runner_incarnation
@@ -30,6 +32,7 @@
             runner_incarnation.RunnerIncarnation(runner_id=one, started_ms=0)
             for one in leaving
         ),
+        is_prefilled=fields.pop('is_prefilled', False),
     )
     avoid = (*fields.pop('tried', ()), *hints.unavailable)
     return hints.apply(
@@ -170,3 +173,30 @@
     scheduler.submit(request('t', 1.0), 1.0)
     _, placed = decide(scheduler, restarted, from_s=1.0, until_s=1.5)['t']
     assert placed.decode_id == 'd0'
+
+
+# Guards against a second prefill, and against a place that is planned as if
+# the decode runner had to prefill the prompt.
+def test_a_prefilled_stream_needs_only_a_decode_runner():
+    scheduler = make_scheduler()
+    for number in range(8):
+        scheduler.submit(request(f's{number}', is_prefilled=True), 0.0)
+    answers = decide(scheduler, fleet('d0', prefill_ids=()), until_s=0.05)
+    placed = [one for _, one in answers.values()]
+    assert [one.decode_id for one in placed] == ['d0'] * 8
+    assert {one.prefill_id for one in placed} == {''}
+    assert max(one.forecast.first_event_s for one in placed) < 0.2
+    assert max(one.forecast.pause_s for one in placed) == 0.0
+
+
+@pytest.mark.parametrize('tokens', [0, 300])
+def test_a_prefilled_stream_may_also_resume(tokens):
+    scheduler = make_scheduler()
+    scheduler.submit(
+        request(
+            's', is_prefilled=True, goes_on=tokens > 0, written_tokens=tokens
+        ),
+        0.0,
+    )
+    _, placed = decide(scheduler, fleet('d0'), until_s=0.5)['s']
+    assert (placed.decode_id, placed.prefill_id) == ('d0', '')
