Keep the logs of processes that tests start

Cause: processes log to standard output, and tests read it up to the ready line only.

Change: a thread copies the rest of the output to the log file beside the settings.

--- a/tests/whole_path/processes.py
+++ b/tests/whole_path/processes.py
@@ -7,6 +7,7 @@
 import signal
 import subprocess
 import sys
+import threading
 import time
 import typing
 import urllib.request
@@ -44,6 +45,7 @@
             text=True,
         )
         self.ready_line = ''
+        self._copier: threading.Thread | None = None
 
     @property
     def pid(self) -> int:
@@ -54,8 +56,19 @@
         assert self._popen.stdout is not None
         self.ready_line = next_plain_line(self._popen.stdout)
         assert self.ready_line.startswith('ready:'), self.ready_line
+        # Log lines go to standard output too. Without a reader the pipe
+        # fills up, and the log of a failed run would be empty.
+        self._copier = threading.Thread(
+            target=self._copy_log, args=(self._popen.stdout,), daemon=True
+        )
+        self._copier.start()
         return [int(word) for word in re.findall(r' (\d+)', self.ready_line)]
 
+    def _copy_log(self, stream: typing.TextIO) -> None:
+        for line in stream:
+            self._log.write(line)
+            self._log.flush()
+
     def send_signal(self, number: int) -> None:
         self._popen.send_signal(number)
 
@@ -63,6 +76,8 @@
         if self._popen.poll() is None:
             self._popen.send_signal(number)
         code = self._popen.wait(timeout=READY_S)
+        if self._copier is not None:
+            self._copier.join(READY_S)
         if self._popen.stdout is not None:
             self._popen.stdout.close()
         self._log.close()
