Let a refused stream go back to the same runner where no other has a slot

Cause: the runner that had refused was among those to avoid, also after the cache had expired.

Change: it only ranks last, at the leader and in local placements.

The test failed before (no placement within the cache's time). Also: the scheduler copies its list of runners only while some are leaving, and the record of runners that shed has one name.

--- a/limpetroute/forwarding/placement_session.py
+++ b/limpetroute/forwarding/placement_session.py
@@ -132,9 +132,7 @@
             # The leader may have held the request before it failed.
             waited_s = progress.waited_s + _now_s() - started_s
             request = dataclasses.replace(request, waited_s=waited_s)
-            result = self._place_locally(
-                request, is_prefilled=progress.is_prefilled
-            )
+            result = self._place_locally(request, progress)
             if isinstance(
                 result, AssignedRunners
             ) or not stream_times.may_wait(request, RETRY_INTERVAL_S):
@@ -292,7 +290,9 @@
         return None
 
     def _place_locally(
-        self, request: placement.PlacementRequest, *, is_prefilled: bool
+        self,
+        request: placement.PlacementRequest,
+        progress: StreamProgress,
     ) -> AssignedRunners | placement.Rejection:
         if request.waited_s > stream_times.max_wait_s(request):
             return placement.Rejection(
@@ -301,29 +301,21 @@
                 reason='its caller is about to leave',
             )
         context = self._context
-        assert self._service.engine is not None
-        runners = context.monitor.accepting(self._service.name)
-        now_s = _now_s()
-        decode = local_placement.choose_decode(
-            runners,
-            engine=self._service.engine,
-            loads=context.view.loads,
-            tokens=request.prompt_tokens + request.most_output_tokens,
-            share=LOCAL_SHARE_FACTOR / context.entry_hosts,
-            tried=request.avoid,
-            now_s=now_s,
-            rng=context.rng,
+        decode = self._choose_decode_locally(
+            request, tried=(*request.avoid, *progress.shedding)
         )
+        if decode is None and progress.shedding:
+            decode = self._choose_decode_locally(request, tried=request.avoid)
         prefill = None
         if request.reads_prompt:
             prefill = local_placement.choose_prefill(
-                runners,
+                context.monitor.accepting(self._service.name),
                 loads=context.view.loads,
-                now_s=now_s,
+                now_s=_now_s(),
                 rng=context.rng,
             )
         may_prefill = (
-            is_prefilled
+            progress.is_prefilled
             or prefill
             or local_placement.may_self_prefill_locally(
                 request, entry_hosts=context.entry_hosts
@@ -356,6 +348,25 @@
         )
         return AssignedRunners(decode=decode, prefill=prefill)
 
+    def _choose_decode_locally(
+        self,
+        request: placement.PlacementRequest,
+        *,
+        tried: typing.Collection[str],
+    ) -> runner_info.RunnerInfo | None:
+        context = self._context
+        assert self._service.engine is not None
+        return local_placement.choose_decode(
+            context.monitor.accepting(self._service.name),
+            engine=self._service.engine,
+            loads=context.view.loads,
+            tokens=request.prompt_tokens + request.most_output_tokens,
+            share=LOCAL_SHARE_FACTOR / context.entry_hosts,
+            tried=tried,
+            now_s=_now_s(),
+            rng=context.rng,
+        )
+
     def _take_rate_limits(
         self,
         decode: runner_info.RunnerInfo,
--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -487,12 +487,11 @@
         elif result.is_backoff:
             self._tried_runners.discard(runner.runner_id)
         elif result is send_result.SendResult.REFUSED and prefilled:
+            # The decode runner may still have capacity: it sheds a part of
+            # its requests, or the KV cache expired before it was fetched.
+            self._tried_runners.discard(runner.runner_id)
             if self._keeps_prefill:
                 self._shedding_runners.add(runner.runner_id)
-                return
-            # The KV cache may have expired before the decode runner fetched
-            # it; the decode runner may still have capacity.
-            self._tried_runners.discard(runner.runner_id)
         elif result is send_result.SendResult.REFUSED:
             self._full_runners.add(runner.runner_id)
         else:
--- a/limpetroute/routing/outlier_detector.py
+++ b/limpetroute/routing/outlier_detector.py
@@ -31,7 +31,7 @@
         self._stream_count = stream_count
         self._failing: dict[str, runner_load.RunnerLoad] = {}
         self._hidden_slots: dict[str, tuple[int, float]] = {}
-        self._backoff_until_s: dict[str, float] = {}
+        self._sheds_until_s: dict[str, float] = {}
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(failing={self._failing!r})'
@@ -49,13 +49,13 @@
         """Remove the records of a runner that has restarted."""
         self._failing.pop(runner_id, None)
         self._hidden_slots.pop(runner_id, None)
-        self._backoff_until_s.pop(runner_id, None)
+        self._sheds_until_s.pop(runner_id, None)
 
     def note_backoffs(self, until_s: typing.Mapping[str, float]) -> None:
         """Record which runners asked a host to back off, and until when."""
         for runner_id, end_s in until_s.items():
-            known_s = self._backoff_until_s.get(runner_id, end_s)
-            self._backoff_until_s[runner_id] = max(known_s, end_s)
+            known_s = self._sheds_until_s.get(runner_id, end_s)
+            self._sheds_until_s[runner_id] = max(known_s, end_s)
 
     def note_shedding(
         self, runner_ids: typing.Iterable[str], now_s: float
@@ -68,7 +68,7 @@
 
         It still serves other streams, but is likely to refuse some of them.
         """
-        return now_s < self._backoff_until_s.get(runner_id, -math.inf)
+        return now_s < self._sheds_until_s.get(runner_id, -math.inf)
 
     def note_full(self, runner_id: str, hidden: int, now_s: float) -> None:
         """Record that a runner refused a stream because it is full.
--- a/limpetroute/routing/stream_scheduler.py
+++ b/limpetroute/routing/stream_scheduler.py
@@ -278,10 +278,10 @@
         their old stage.
         """
         self._reservations.expire(now_s)
-        runners = list(runners)
-        is_changed = self._fleet.refresh(
-            runners, {*changing, *self._find_leaving(runners)}, now_s
-        )
+        if self._leaving:
+            runners = list(runners)
+            changing = {*changing, *self._find_leaving(runners)}
+        is_changed = self._fleet.refresh(runners, changing, now_s)
         full = is_changed or now_s - self._full_pass_s >= FULL_PASS_S
         if is_changed:
             self._prefill.set_runners(
@@ -305,8 +305,6 @@
         self, runners: typing.Sequence[runner_info.RunnerInfo]
     ) -> list[str]:
         """Return the runners that are leaving; drop those that have left."""
-        if not self._leaving:
-            return []
         incarnations = {one.incarnation for one in runners}
         self._leaving = {
             runner_id: incarnation
--- a/tests/routing/test_runners_that_back_off.py
+++ b/tests/routing/test_runners_that_back_off.py
@@ -32,6 +32,7 @@
             runner_incarnation.RunnerIncarnation(runner_id=one, started_ms=0)
             for one in leaving
         ),
+        shedding=fields.pop('shedding', ()),
         is_prefilled=fields.pop('is_prefilled', False),
     )
     avoid = (*fields.pop('tried', ()), *hints.unavailable)
@@ -200,3 +201,23 @@
     )
     _, placed = decide(scheduler, fleet('d0'), until_s=0.5)['s']
     assert (placed.decode_id, placed.prefill_id) == ('d0', '')
+
+
+# Guards against a KV cache that expires while its stream waits for a full
+# runner, although the one that refused it may accept it now.
+@pytest.mark.parametrize('others', [0, builders.ENGINE.slots])
+def test_a_refused_stream_goes_to_another_runner_or_to_the_same(others):
+    scheduler = make_scheduler()
+    for number in range(others):
+        scheduler.submit(
+            request(f'o{number}', tried=('d0',), is_prefilled=True), 0.0
+        )
+    decide(scheduler, fleet('d0', 'd1'), until_s=0.1)
+    scheduler.submit(
+        request('s', 0.1, shedding=('d0',), is_prefilled=True), 0.1
+    )
+    at_s, placed = decide(
+        scheduler, fleet('d0', 'd1'), from_s=0.1, until_s=0.5
+    )['s']
+    assert at_s == 0.1
+    assert placed.decode_id == ('d0' if others else 'd1')
