Note the crash of a runner that only the leader knows so far

For a runner that a host doesn't know, a broken answer was taken for that of a runner that had left, so no crash was counted.

Change: a host remembers which runners have left, by their start. One that it has not heard of may crash like any other.

The same cause elsewhere: a rate limit of such a runner is dropped until its next answer; left, as the next answer names it again.

--- a/limpetroute/forwarding/crash_check.py
+++ b/limpetroute/forwarding/crash_check.py
@@ -14,12 +14,13 @@
 
     The host of a crashed runner refuses connections. A runner that is cut
     off by the network does not respond at all, and a runner that was told
-    to leave has announced it.
+    to leave has announced it. A runner that only the leader knows so far may
+    crash like any other.
     """
-    current = view.runner(runner.runner_id)
-    if current is None or not current.ready:
+    if view.has_left(runner):
         return False
-    if current.started_ms != runner.started_ms:
+    current = view.runner(runner.runner_id)
+    if current is not None and not current.ready:
         return False
     link = connection.Connection(host=runner.host, port=runner.port)
     try:
--- a/limpetroute/forwarding/fleet_view.py
+++ b/limpetroute/forwarding/fleet_view.py
@@ -1,5 +1,6 @@
 """The routes and runners that this host has received."""
 
+import collections
 import json
 import logging
 import typing
@@ -13,6 +14,8 @@
 
 LOG = logging.getLogger(__name__)
 
+# Runners that have left and are remembered; the oldest is dropped first.
+MAX_LEFT = 4000
 STATE_READY = 'ready'
 STATE_GONE = 'gone'
 
@@ -40,6 +43,10 @@
             _ignore_plan
         )
         self._runners: dict[str, runner_info.RunnerInfo] = {}
+        # Start times of runners that have left, by identity.
+        self._left: collections.OrderedDict[str, int] = (
+            collections.OrderedDict()
+        )
         self._by_service: dict[str, list[runner_info.RunnerInfo]] = {}
 
     def __repr__(self) -> str:
@@ -57,6 +64,17 @@
         """Return a runner that is not gone."""
         return self._runners.get(runner_id)
 
+    def has_left(self, runner: runner_info.RunnerInfo) -> bool:
+        """Return whether a runner is gone or has restarted since.
+
+        A runner that this view has never received has not left: the leader
+        may place streams there before other hosts learn of it.
+        """
+        known = self._runners.get(runner.runner_id)
+        if known is not None:
+            return known.started_ms > runner.started_ms
+        return self._left.get(runner.runner_id, -1) >= runner.started_ms
+
     def load(self, runner_id: str) -> runner_load.RunnerLoad:
         """Return the load record of a runner, a new one if necessary."""
         info = self.loads.get(runner_id)
@@ -104,9 +122,14 @@
 
     def _apply_runner(self, row: typing.Mapping[str, typing.Any]) -> None:
         runner_id = row['runner_id']
+        detail = json.loads(row['text']) if row['text'] else {}
         if row['state'] == STATE_GONE:
             self._runners.pop(runner_id, None)
             self.loads.pop(runner_id, None)
+            self._left[runner_id] = detail.get('started_ms', 0)
+            self._left.move_to_end(runner_id)
+            if len(self._left) > MAX_LEFT:
+                self._left.popitem(last=False)
         else:
             previous = self._runners.get(runner_id)
             info = runner_info.from_detail(
@@ -125,7 +148,7 @@
                 'runner': runner_id,
                 'address': row['address'],
                 'state': row['state'],
-                'detail': json.loads(row['text']) if row['text'] else {},
+                'detail': detail,
             },
         )
 
