--- a/tests/peers/failure_run.py
+++ b/tests/peers/failure_run.py
@@ -1,7 +1,8 @@
 """Load and seeded random faults on a fleet of real processes.
 
 ``python -m tests.peers.failure_run --seconds 120 --seed 1`` runs it
-outside CI and prints the counts as JSON.
+outside CI and prints the counts as JSON. ``--logs FOLDER`` keeps the logs
+of all processes.
 """
 
 import argparse
@@ -258,8 +259,10 @@
     parser = argparse.ArgumentParser(description=__doc__)
     parser.add_argument('--seconds', type=float, default=120)
     parser.add_argument('--seed', type=int, default=1)
+    parser.add_argument('--logs', type=pathlib.Path)
     args = parser.parse_args()
-    with tempfile.TemporaryDirectory() as folder:
+    with tempfile.TemporaryDirectory() as temporary:
+        folder = args.logs or temporary
         fleet = fleet_module.Fleet(pathlib.Path(folder))
         try:
             fleet.start()
