--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -33,6 +33,14 @@
         self.crashes_s = []
         # Requests a second that it says it takes; None for no limit.
         self.limit_per_s = None
+        # Says whether to turn a request away, and the pause that it then asks
+        # its sender for.
+        self.sheds = None
+        self.backoff_s = 0.0
+        # (time, request's id) of each request that was turned away.
+        self.refusals = []
+        # Whether its answers, and not its heartbeats, say that it leaves.
+        self.answers_leaving = False
         self._lives = 0
         self._first_name = name
         self._doors = set()
@@ -117,6 +125,16 @@
         if fields.get('expect-instance') != self.name:
             await self._write(writer, _head(421, {'Content-Length': '0'}))
             return
+        if self.sheds is not None and self.sheds():
+            now_s = asyncio.get_running_loop().time()
+            self.refusals.append((now_s, request_id))
+            headers = {
+                'Not-Run': '1',
+                'Retry-After': str(self.backoff_s),
+                'Content-Length': '0',
+            }
+            await self._write(writer, _head(503, headers))
+            return
         if self.slow_s:
             await asyncio.sleep(self.slow_s)
         if self.leaving:
@@ -173,9 +191,12 @@
         await self._write(writer, b'0\r\n\r\n')
 
     def _limit(self):
-        if self.limit_per_s is None:
-            return {}
-        return {'Server-Limit': str(self.limit_per_s)}
+        headers = {}
+        if self.limit_per_s is not None:
+            headers['Server-Limit'] = str(self.limit_per_s)
+        if self.answers_leaving:
+            headers['Server-Leaving'] = '1'
+        return headers
 
     async def _write(self, writer, data):
         if writer in self._silent:
