--- a/limpetroute/forwarding/prompt_prefill.py
+++ b/limpetroute/forwarding/prompt_prefill.py
@@ -205,7 +205,8 @@
 
     async def _free(self, prefilled: PrefilledPrompt) -> None:
         if not self._context.monitor.accepts(prefilled.runner):
-            # It accepts no requests from this host; the cache will expire.
+            # The runner accepts no requests from this host, so the cache
+            # expires by itself.
             return
         free_call = self._context.dialect.free_handle_call(
             prefilled.source.handle, prefilled.runner.runner_id
