Do not place a stream again at a runner that only the leader knows

Cause: what a host tells the leader of backoffs is about runners that it has heard of. The leader may place a stream at one that it has not, and that asked it for a backoff by an answer to another such stream: the host released the placement and asked again, got the same runner, and so on until it heard of it (0.7 s at most).

Change: within one request for runners, one that turned out not to be usable is among those to avoid from then on.

The test did not end before. Found by reading the change once more.

--- a/limpetroute/forwarding/placement_session.py
+++ b/limpetroute/forwarding/placement_session.py
@@ -14,7 +14,6 @@
 from limpetroute.routing import forecast as forecast_module
 from limpetroute.routing import local_placement
 from limpetroute.routing import placement
-from limpetroute.routing import placement_hints
 from limpetroute.routing import route as route_module
 from limpetroute.routing import runner_info
 from limpetroute.routing import service as service_module
@@ -104,6 +103,7 @@
         which is sooner than a rejected caller retries.
         """
         started_s = _now_s()
+        unavailable: set[str] = set()
         while True:
             hints = self._context.monitor.placement_hints(
                 self._service.name,
@@ -112,7 +112,9 @@
                 is_prefilled=progress.is_prefilled,
             )
             request = self._make_request(
-                progress, hints, waited_here_s=_now_s() - started_s
+                progress,
+                avoid=(*progress.tried, *hints.unavailable, *unavailable),
+                waited_here_s=_now_s() - started_s,
             )
             answer = await self._context.scheduler.request_placement(
                 request, hints
@@ -128,6 +130,7 @@
                     return assigned
                 self.release()
                 if self._has_become_unavailable(answer):
+                    unavailable.add(answer.decode_id)
                     continue
             # The leader may have held the request before it failed.
             waited_s = progress.waited_s + _now_s() - started_s
@@ -195,8 +198,8 @@
     def _make_request(
         self,
         progress: StreamProgress,
-        hints: placement_hints.PlacementHints,
         *,
+        avoid: tuple[str, ...],
         waited_here_s: float,
     ) -> placement.PlacementRequest:
         generation = self._request.generation
@@ -221,7 +224,7 @@
             zone=self._context.zone,
             prompt_id=generation.prompt_id,
             attempt=self._attempt,
-            avoid=(*progress.tried, *hints.unavailable),
+            avoid=avoid,
             pause_target_s=self._route.gap_target_s,
             silence_s=self._route.silence_s,
             team=self._request.team,
--- a/tests/forwarding/test_backoff.py
+++ b/tests/forwarding/test_backoff.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from limpetroute.routing import placement
 from limpetroute.routing import route_kind
 from tests.forwarding import harness
 from tests.forwarding import scripted_runner
@@ -272,6 +273,39 @@
     asyncio.run(work())
 
 
+# Guards against a host that asks the leader without end, because the leader
+# places the stream at a runner that the host has not heard of and must not
+# use.
+def test_a_runner_that_only_the_leader_knows_is_avoided_after_its_backoff():
+    async def work():
+        async with harness.running([streams], stages=[DECODE], **STREAM) as (
+            front,
+            _,
+        ):
+            unknown = builders.make_runner('new', port=9)
+            front.context.monitor.note_response(
+                unknown, 503, {'Retry-After': '30'}
+            )
+            requests = []
+
+            async def place(request, hints):
+                requests.append(request)
+                is_new = 'new' not in request.avoid
+                return placement.Placement(
+                    request_id=request.request_id,
+                    decode_id='new' if is_new else 'r0',
+                    prefill_id='',
+                    runners=(unknown,) if is_new else (),
+                )
+
+            front.scheduler.request_placement = place
+            got = await front.request(headers=USAGE)
+            assert harness.status(got) == 200
+            assert len(requests) == 2
+
+    asyncio.run(work())
+
+
 # Guards against callers that wait for a runner which this host must not
 # use, and against a refusal of a request that ran.
 @pytest.mark.parametrize(
