Give each server that tests start a port of its own

Cause: fleet.free_ports and control_fleet.free_port let the system choose a port and closed it again before the server bound it. Such ports lie in the range of outgoing connections (14 of 14, 36637 to 59393), and belong to nobody while a killed host is down. A runner took a new port of that range each time, and its old one could come to belong to a runner of another fleet.

Change: ports below that range, from blocks of which each process reserves its own by a bound socket, each handed out once. Runners of these fleets take theirs from there too.

--- a/tests/control/control_fleet.py
+++ b/tests/control/control_fleet.py
@@ -3,27 +3,21 @@
 import asyncio
 import contextlib
 import shutil
-import socket
 
 from limpetroute.border import control_settings
 from limpetroute.control import control_client
 from limpetroute.control import http_claim_store
 from limpetroute.control import server as server_module
 from limpetroute.wire import caller
+from tests.whole_path import port_pool
 
 WAIT_S = 20.0
 
 
-def free_port():
-    with socket.socket() as sock:
-        sock.bind(('127.0.0.1', 0))
-        return sock.getsockname()[1]
-
-
 class ControlFleet:
     def __init__(self, folder, hosts=('c1', 'c2', 'c3'), **settings):
         self.folder = folder
-        self.ports = {host: free_port() for host in hosts}
+        self.ports = {host: port_pool.free_port() for host in hosts}
         self.hosts = hosts
         self.extra = settings
         self.servers = {}
--- a/tests/control/process_fleet.py
+++ b/tests/control/process_fleet.py
@@ -9,7 +9,7 @@
 from limpetroute.control import control_client
 from limpetroute.control import http_claim_store
 from limpetroute.wire import caller
-from tests.control import control_fleet
+from tests.whole_path import port_pool
 from tests.whole_path import processes
 
 CHECKS_AT_ONCE = 16
@@ -21,7 +21,7 @@
 
     def __init__(self, folder, entries):
         self.folder = folder
-        self.ports = {f'c{n}': control_fleet.free_port() for n in range(3)}
+        self.ports = {f'c{n}': port_pool.free_port() for n in range(3)}
         self.urls = {
             host: f'http://127.0.0.1:{port}'
             for host, port in self.ports.items()
--- a/tests/control/seed_fleet.py
+++ b/tests/control/seed_fleet.py
@@ -8,7 +8,7 @@
 from limpetroute.control import command_submitter
 from limpetroute.control import server as server_module
 from limpetroute.wire import caller
-from tests.control import control_fleet
+from tests.whole_path import port_pool
 
 WAIT_S = 20.0
 
@@ -18,7 +18,7 @@
 
     def __init__(self, folder, seeds, tolerated_losses=2):
         self.folder = folder
-        self.port = control_fleet.free_port()
+        self.port = port_pool.free_port()
         self.seeds = seeds
         self.tolerated_losses = tolerated_losses
         self.servers = {}
--- a/tests/control/test_control_hosts.py
+++ b/tests/control/test_control_hosts.py
@@ -9,6 +9,7 @@
 from limpetroute.wire import caller
 from tests.control import control_fleet
 from tests.control import failing_files
+from tests.whole_path import port_pool
 
 CLAIM = {
     'team': 'bank',
@@ -235,7 +236,7 @@
             for number in range(20):
                 got = await _claim(fleet, f'k{number}', 'c1', 'c2')
                 assert isinstance(got, claim_store.ClaimFound), number
-            fleet.ports['c4'] = control_fleet.free_port()
+            fleet.ports['c4'] = port_pool.free_port()
             fleet.start('c4', peers=('c1', 'c2', 'c4'))
             await fleet.until(lambda: fleet.leader(0) and fleet.leader(1))
             await fleet.until(lambda: 'c4' in node._seen_hosts)
--- a/tests/control/test_metrics.py
+++ b/tests/control/test_metrics.py
@@ -3,15 +3,15 @@
 from limpetroute.border import listen_settings
 from limpetroute.control import metrics_component
 from limpetroute.wire import caller
-from tests.control import control_fleet
 from tests.control import seed_fleet
+from tests.whole_path import port_pool
 
 
 def test_a_control_host_exports_its_metrics(tmp_path):
     async def work():
         fleet = seed_fleet.SeedFleet(tmp_path, ['127.0.0.41'], 0)
         fleet.start('127.0.0.41')
-        port = control_fleet.free_port()
+        port = port_pool.free_port()
         component = metrics_component.MetricsComponent(
             node=fleet.servers['127.0.0.41'].node,
             listen=listen_settings.ListenSettings(port=port),
--- a/tests/peers/fleet.py
+++ b/tests/peers/fleet.py
@@ -3,10 +3,10 @@
 import asyncio
 import json
 import signal
-import socket
 import urllib.request
 
 from limpetroute.wire import caller
+from tests.whole_path import port_pool
 from tests.whole_path import processes
 
 ZONES = ['evere', 'anderlecht', 'zaventem']
@@ -23,17 +23,6 @@
 }
 
 
-def free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for item in sockets:
-            item.bind(('127.0.0.1', 0))
-        return [item.getsockname()[1] for item in sockets]
-    finally:
-        for item in sockets:
-            item.close()
-
-
 def get(port, path, timeout=5):
     url = f'http://127.0.0.1:{port}{path}'
     with urllib.request.urlopen(url, timeout=timeout) as got:
@@ -58,9 +47,12 @@
     ):
         self.folder = folder
         self.hosts = [f'e{n}' for n in range(hosts)]
-        ports = free_ports(2 * hosts)
-        self.caller_ports = dict(zip(self.hosts, ports[:hosts], strict=True))
-        self.internal_ports = dict(zip(self.hosts, ports[hosts:], strict=True))
+        self.caller_ports = {
+            name: port_pool.free_port() for name in self.hosts
+        }
+        self.internal_ports = {
+            name: port_pool.free_port() for name in self.hosts
+        }
         self.processes = {}
         self.runner_ports = {}
         self.runner_settings = {
@@ -128,6 +120,7 @@
                 'runner_id': name,
                 'role': role,
                 'zone': ZONES[int(name[1:]) % 3],
+                'listen': {'port': port_pool.free_port()},
                 'announce_urls': self.urls(),
             },
             self.folder,
--- a/tests/peers/test_manifest_from_peers.py
+++ b/tests/peers/test_manifest_from_peers.py
@@ -5,6 +5,7 @@
 from limpetroute.border import manifest
 from limpetroute.entry import server as entry_server
 from tests.peers import fleet as fleet_module
+from tests.whole_path import port_pool
 
 UNREACHABLE_URL = 'http://127.0.0.1:9'
 
@@ -43,7 +44,7 @@
     """
 
     async def scenario():
-        ports = fleet_module.free_ports(3)
+        ports = [port_pool.free_port() for _ in range(3)]
         servers = [_server(ports, index) for index in range(3)]
         for server in servers:
             server.start()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -10,8 +10,8 @@
 
 from limpetroute.wire import call_failed
 from limpetroute.wire import caller
-from tests.control import control_fleet
 from tests.soak import runner as runner_module
+from tests.whole_path import port_pool
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 CONTROLS = 3
@@ -82,8 +82,8 @@
 class World:
     def __init__(self, folder, base):
         self.base = base
-        port = control_fleet.free_port()
-        public = control_fleet.free_port()
+        port = port_pool.free_port()
+        public = port_pool.free_port()
         self.http = caller.Caller()
         hosts = [f'127.{base}.1.{n + 1}' for n in range(CONTROLS)]
         seeds = [f'{host}:{public}' for host in hosts]
