Tell a host that did not start from a lost answer

A run whose host could not bind its port ended with an AssertionError on an empty line.

The defaults are those of before, so seeds play the same faults.

--- a/tests/peers/failure_run.py
+++ b/tests/peers/failure_run.py
@@ -2,7 +2,8 @@
 
 ``python -m tests.peers.failure_run --seconds 120 --seed 1`` runs it
 outside CI and prints the counts as JSON. ``--logs FOLDER`` keeps the logs
-of all processes.
+of all processes. ``--words 150 400 --freeze-s 5 14`` plays long answers
+whose hosts freeze for longer than a takeover takes.
 """
 
 import argparse
@@ -19,17 +20,24 @@
 
 from limpetroute.standins import answer_text
 from tests.peers import fleet as fleet_module
+from tests.whole_path import processes
 
 CALLERS = 24
 MAX_DOWN = 2
+WORDS = (10, 90)
+FREEZE_S = (1.0, 8.0)
 READ_TIMEOUT_S = 45
 
 
 class FailureRun:
     """Runs callers that resume at other hosts, and injects faults."""
 
-    def __init__(self, fleet, *, seed, seconds):
+    def __init__(
+        self, fleet, *, seed, seconds, words=WORDS, freeze_s=FREEZE_S
+    ):
         self.fleet = fleet
+        self.words = words
+        self.freeze_s = freeze_s
         self.rng = random.Random(seed)
         self.seconds = seconds
         self.counts = collections.Counter()
@@ -46,7 +54,12 @@
         callers = [asyncio.create_task(self._caller()) for _ in range(CALLERS)]
         faults = asyncio.create_task(self._faults())
         await asyncio.gather(*callers)
-        await faults
+        try:
+            await faults
+        except processes.NotReadyError as exc:
+            # A host that did not start is no lost answer.
+            exc.add_note(f'counts until then: {dict(self.counts)}')
+            raise
         await self._check_runners()
         return {
             **{name: self.counts[name] for name in COUNTED},
@@ -67,7 +80,7 @@
                 self.fleet,
                 prompt=f'Dossier {self.number}\nOf some length.',
                 key=f'key-{self.number}',
-                words=self.rng.randrange(10, 90),
+                words=self.rng.randrange(*self.words),
             )
             self.counts['requests'] += 1
             if self.rng.random() < 0.05:
@@ -173,7 +186,7 @@
             return
         self.faults.append(f'freeze {name}')
         self.fleet.send(name, signal.SIGSTOP)
-        await asyncio.sleep(self.rng.uniform(1.0, 8.0))
+        await asyncio.sleep(self.rng.uniform(*self.freeze_s))
         self.fleet.send(name, signal.SIGCONT)
         self.down.discard(name)
 
@@ -260,13 +273,22 @@
     parser.add_argument('--seconds', type=float, default=120)
     parser.add_argument('--seed', type=int, default=1)
     parser.add_argument('--logs', type=pathlib.Path)
+    parser.add_argument('--words', type=int, nargs=2, default=WORDS)
+    parser.add_argument('--freeze-s', type=float, nargs=2, default=FREEZE_S)
     args = parser.parse_args()
     with tempfile.TemporaryDirectory() as temporary:
-        folder = args.logs or temporary
-        fleet = fleet_module.Fleet(pathlib.Path(folder))
+        folder = args.logs or pathlib.Path(temporary)
+        folder.mkdir(parents=True, exist_ok=True)
+        fleet = fleet_module.Fleet(folder)
         try:
             fleet.start()
-            run = FailureRun(fleet, seed=args.seed, seconds=args.seconds)
+            run = FailureRun(
+                fleet,
+                seed=args.seed,
+                seconds=args.seconds,
+                words=args.words,
+                freeze_s=args.freeze_s,
+            )
             result = asyncio.run(run.run())
         finally:
             fleet.stop()
--- a/tests/whole_path/processes.py
+++ b/tests/whole_path/processes.py
@@ -14,6 +14,11 @@
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 READY_S = 20
+LOG_TAIL_LINES = 3
+
+
+class NotReadyError(Exception):
+    """A process ended, or failed, before it was ready."""
 
 
 class Process:
@@ -26,9 +31,11 @@
         folder: pathlib.Path,
         name: str,
     ) -> None:
+        self._name = name
         path = folder / f'{name}.json'
         path.write_text(json.dumps({'demo': True, **settings}))
-        self._log = (folder / f'{name}.log').open('w')
+        self._log_path = folder / f'{name}.log'
+        self._log = self._log_path.open('w')
         self._popen = subprocess.Popen(
             [
                 sys.executable,
@@ -52,10 +59,19 @@
         return self._popen.pid
 
     def wait_ready(self) -> list[int]:
-        """Return the ports of the ready line."""
+        """Return the ports of the ready line.
+
+        Raises
+        ------
+        NotReadyError
+            If the process printed no ready line.
+        """
         assert self._popen.stdout is not None
         self.ready_line = next_plain_line(self._popen.stdout)
-        assert self.ready_line.startswith('ready:'), self.ready_line
+        if not self.ready_line.startswith('ready:'):
+            log = self._log_path.read_text().splitlines()
+            tail = '; '.join([self.ready_line, *log[-LOG_TAIL_LINES:]])
+            raise NotReadyError(f'{self._name}: {tail}')
         # Log lines go to standard output too. Without a reader the pipe
         # fills up, and the log of a failed run would be empty.
         self._copier = threading.Thread(
