Show how listed tests ended, and the failure of those that failed

The summary now says of each listed test that it passed, failed or was not run, with the failure in full.

test_a_failure_that_comes_sometimes_is_shown fails without it.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -16,7 +16,7 @@
     parser.addoption(
         '--known-red',
         default=str(known_red.PATH),
-        help='list of the tests that fail for a known fault',
+        help='list of tests that fail for a known fault: --known-red=FILE',
     )
 
 
@@ -53,7 +53,22 @@
 
 
 def pytest_terminal_summary(terminalreporter, config):
+    """Print how each listed test ended, and the failure if it failed."""
+    failed = _reports(terminalreporter, 'xfailed')
+    passed = _reports(terminalreporter, 'xpassed')
     for red in config.stash[RED]:
+        result = 'not run'
+        if red.test in failed:
+            result = 'FAILED in this run'
+        elif red.test in passed:
+            result = 'passed in this run'
         terminalreporter.write_line(
-            f'KNOWN RED: {red.test}: {red.cause} (issue {red.issue})'
+            f'KNOWN RED: {red.test}: {red.cause} (issue {red.issue}): {result}'
         )
+        if red.test in failed:
+            terminalreporter.write_line(failed[red.test].longreprtext)
+
+
+def _reports(terminalreporter, outcome):
+    reports = terminalreporter.stats.get(outcome, [])
+    return {report.nodeid: report for report in reports}
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -53,6 +53,19 @@
     assert f'KNOWN RED: test_it.py::{name}' in output
 
 
+def test_a_failure_that_comes_sometimes_is_shown(pytester):
+    """A listed test fails once, and nobody sees it."""
+    listed = [
+        _line(name).replace('| 0 |', '| 0, sometimes |')
+        for name in ('test_red', 'test_green')
+    ]
+    got, output = _verdict(pytester, listed)
+    assert got == 0
+    assert 'test_green: a cause (issue 7): passed in this run' in output
+    assert 'test_red: a cause (issue 7): FAILED in this run' in output
+    assert 'assert False' in output
+
+
 def test_a_line_without_its_fields_is_refused():
     with pytest.raises(known_red.KnownRedError, match='test_it.py'):
         known_red.parse('test_it.py::test_red | no cause\n')
