Count a relayed answer as delivered when its caller has it

What callers saw: one that had received nothing was told 409 already_delivered, on every repeat of its key, for as long as the record is kept. It happens where the caller's second try reaches a host that relays to the holder of the answer, and that host is lost after the holder has written the answer to it and before it has written any of it to the caller.

Cause: the holder took a write to the relaying host for a delivery.

Change: the relaying host asks the holder to withhold the end of the answer (an answer that is not streamed: all of it) and requests it once all else has been written to the caller. The holder then notes the delivery, in the copy too, and sends the end, unless a newer connection has replaced this one. If the end doesn't come, the caller's stream breaks off and it resumes with its last event. A host of an earlier build doesn't ask, and gets the whole answer as before.

--- a/limpetroute/entry/callers/answer_handler.py
+++ b/limpetroute/entry/callers/answer_handler.py
@@ -1,5 +1,6 @@
 """Base handler that sends a record's answer to its connection."""
 
+import functools
 import http
 import sys
 
@@ -9,6 +10,7 @@
 from limpetroute.entry.callers import attachment_writer
 from limpetroute.entry.callers import base_handler
 from limpetroute.entry.callers import body_handler
+from limpetroute.entry.peering import peer_relay
 from limpetroute.entry.records import live_record
 from limpetroute.peers import request_record
 from limpetroute.peers import run_end
@@ -93,6 +95,7 @@
         self.set_header('Content-Type', 'text/event-stream')
         self.set_header('Cache-Control', 'no-store')
         self.set_header('X-Accel-Buffering', 'no')
+        self._name_attachment(attachment)
         writer = attachment_writer.AttachmentWriter(
             handler=self,
             live=live,
@@ -100,6 +103,7 @@
             write_stall_s=settings.write_stall_s,
             keep_alive_s=settings.keep_alive_s,
             max_buffer_bytes=settings.max_buffer_bytes,
+            withholds_end=self._withholds_end,
         )
         if await writer.run():
             self.finish()
@@ -140,14 +144,20 @@
             record.mark_end_delivered(attachment)
             self.fail_with_end(end)
             return
-        await live.close()
+        if not self._withholds_end:
+            await live.close()
         if not record.is_current(attachment):
             self._abort_connection()
             return
         self.set_header('Limpetroute-Outcome', str(end.kind))
         self.set_header('Content-Type', 'application/json')
-        body = live.shape.whole(record.text, end)
-        self.write(answer_format.encode(body))
+        if self._withholds_end:
+            self._name_attachment(attachment)
+            render = functools.partial(_whole_body, live, end)
+            live.withhold_end(attachment, render)
+            await self.finish()
+            return
+        self.write(_whole_body(live, end))
         try:
             await self.finish()
         except tornado.iostream.StreamClosedError:
@@ -155,6 +165,19 @@
         record.mark_delivered(attachment, len(record.events) - 1)
         record.mark_end_delivered(attachment)
 
+    @property
+    def _withholds_end(self) -> bool:
+        return (
+            self.is_relayed
+            and peer_relay.WITHHOLD_HEADER in self.request.headers
+        )
+
+    def _name_attachment(self, attachment: request_record.Attachment) -> None:
+        if self._withholds_end:
+            self.set_header(
+                peer_relay.ATTACHMENT_HEADER, str(attachment.number)
+            )
+
     def _abort_connection(self) -> None:
         """Close the connection without ending the stream properly.
 
@@ -163,3 +186,7 @@
         """
         stream = self.request.connection.stream  # type: ignore[union-attr]
         stream.close()
+
+
+def _whole_body(live: live_record.LiveRecord, end: run_end.RunEnd) -> bytes:
+    return answer_format.encode(live.shape.whole(live.record.text, end))
--- a/limpetroute/entry/callers/attachment_writer.py
+++ b/limpetroute/entry/callers/attachment_writer.py
@@ -1,6 +1,7 @@
 """Writes a record's events to one caller's connection."""
 
 import asyncio
+import functools
 
 import tornado.iostream
 import tornado.web
@@ -43,6 +44,8 @@
         connections, because writes to them stall.
     max_buffer_bytes : int
         Size at which a batch of events is written.
+    withholds_end : bool
+        Whether to leave the end to `LiveRecord.release_end`.
     """
 
     __slots__ = (
@@ -52,6 +55,7 @@
         '_live',
         '_max_buffer_bytes',
         '_prefix',
+        '_withholds_end',
         '_write_stall_s',
     )
 
@@ -64,6 +68,7 @@
         write_stall_s: float,
         keep_alive_s: float,
         max_buffer_bytes: int,
+        withholds_end: bool,
     ) -> None:
         self._handler = handler
         self._live = live
@@ -71,6 +76,7 @@
         self._write_stall_s = write_stall_s
         self._keep_alive_s = keep_alive_s
         self._max_buffer_bytes = max_buffer_bytes
+        self._withholds_end = withholds_end
         self._prefix = f'id: {live.record.run_id}-'.encode()
 
     def __repr__(self) -> str:
@@ -103,6 +109,10 @@
             await self._write(batch)
             record.mark_delivered(attachment, index - 1)
         assert record.end is not None
+        if self._withholds_end:
+            render = functools.partial(self._ending, record.end)
+            live.withhold_end(attachment, render)
+            return True
         await live.close()
         if not record.is_current(attachment):
             return False
--- a/limpetroute/entry/peering/peer_relay.py
+++ b/limpetroute/entry/peering/peer_relay.py
@@ -1,5 +1,6 @@
 """Relays a caller's request to the entry host that holds its record."""
 
+import logging
 import typing
 
 import tornado.iostream
@@ -7,12 +8,27 @@
 
 from limpetroute.wire import call_failed
 from limpetroute.wire import caller
+from limpetroute.wire import connection
+
+LOG = logging.getLogger(__name__)
 
 PREFIX = '/v1/peers/relay'
 TEAM_HEADER = 'Limpetroute-Relayed-Team'
+# Asks the holder to withhold the end of the answer until the relaying host
+# requests it.
+WITHHOLD_HEADER = 'Limpetroute-Withhold-End'
+# The holder names the attachment whose end it withholds.
+ATTACHMENT_HEADER = 'Limpetroute-Attachment'
 FORWARDED_HEADERS = ('Last-Event-ID', 'Idempotency-Key', 'Content-Type')
 DROPPED_HEADERS = frozenset(
-    {'connection', 'content-length', 'date', 'server', 'transfer-encoding'}
+    {
+        ATTACHMENT_HEADER.lower(),
+        'connection',
+        'content-length',
+        'date',
+        'server',
+        'transfer-encoding',
+    }
 )
 
 
@@ -20,7 +36,9 @@
     """Streams an answer from the host that holds a record to the caller.
 
     Only the holder decides which connection receives the answer: it
-    fences older attachments on all hosts.
+    fences older attachments on all hosts. It withholds the end until all
+    other bytes have been written to the caller. Otherwise an answer that
+    was lost with the relaying host would count as delivered.
 
     Parameters
     ----------
@@ -57,7 +75,7 @@
     ) -> bool:
         """Relay a request; return False if the holder sent no answer."""
         request = handler.request
-        headers = {TEAM_HEADER: team}
+        headers = {TEAM_HEADER: team, WITHHOLD_HEADER: '1'}
         for name in FORWARDED_HEADERS:
             value = request.headers.get(name)
             if value is not None:
@@ -84,6 +102,8 @@
                 handler.write(chunk)
                 await handler.flush()
             complete = link.whole
+            if complete and not caller_is_gone():
+                complete = await self._write_end(handler, url, team, link)
         except (TimeoutError, tornado.iostream.StreamClosedError):
             complete = False
         finally:
@@ -93,6 +113,37 @@
             return True
         # Closes the connection so that a truncated answer does not look
         # complete.
-        connection = request.connection
-        connection.stream.close()  # type: ignore[union-attr]
+        stream = request.connection.stream  # type: ignore[union-attr]
+        stream.close()
+        return True
+
+    async def _write_end(
+        self,
+        handler: tornado.web.RequestHandler,
+        url: str,
+        team: str,
+        link: connection.Connection,
+    ) -> bool:
+        """Write the end that the holder withheld, if it withheld one.
+
+        Returns
+        -------
+        bool
+            False if the holder does not release the end, because it is
+            lost or another connection has replaced this one.
+        """
+        number = link.headers.get(ATTACHMENT_HEADER)
+        if number is None:
+            return True
+        request_id = link.headers['Limpetroute-Request-Id']
+        end = await self._http.call(
+            method='POST',
+            url=f'{url}{PREFIX}/v1/requests/{request_id}/end/{number}',
+            headers={TEAM_HEADER: team},
+            timeout_s=self._idle_timeout_s,
+        )
+        if isinstance(end, call_failed.CallFailed) or not end.ok:
+            LOG.info('the end of %s was not released: %r', request_id, end)
+            return False
+        handler.write(end.body)
         return True
--- a/limpetroute/entry/peering/peer_routes.py
+++ b/limpetroute/entry/peering/peer_routes.py
@@ -3,6 +3,7 @@
 import tornado.web
 
 from limpetroute.entry.callers import completions_handler
+from limpetroute.entry.callers import end_handler
 from limpetroute.entry.callers import events_handler
 from limpetroute.entry.callers import request_handler
 from limpetroute.entry.hosting import host as host_module
@@ -30,6 +31,11 @@
             events_handler.EventsHandler,
             state,
         ),
+        url(
+            f'{relay}/v1/requests/([^/]+)/end/([0-9]{{1,9}})',
+            end_handler.EndHandler,
+            state,
+        ),
         url(
             f'{relay}/v1/requests/([^/]+)',
             request_handler.RequestHandler,
--- a/limpetroute/entry/records/live_record.py
+++ b/limpetroute/entry/records/live_record.py
@@ -1,6 +1,7 @@
 """A request's record, its run's task and the coroutines waiting on it."""
 
 import asyncio
+import dataclasses
 import time
 import typing
 
@@ -10,6 +11,13 @@
 from limpetroute.peers import run_end
 
 BeforeEnd = typing.Callable[['LiveRecord'], typing.Awaitable[None]]
+RenderEnd = typing.Callable[[], bytes]
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _WithheldEnd:
+    attachment: request_record.Attachment
+    render: RenderEnd
 
 
 class LiveRecord:
@@ -51,6 +59,7 @@
         '_on_end',
         '_wait_timer',
         '_waiters',
+        '_withheld',
         'arrived_s',
         'attached',
         'attempt_start_index',
@@ -101,6 +110,7 @@
         self._grace_timer: asyncio.TimerHandle | None = None
         self._wait_timer: asyncio.TimerHandle | None = None
         self._waiters: list[tuple[float, asyncio.Future[bool]]] = []
+        self._withheld: _WithheldEnd | None = None
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(record={self.record!r})'
@@ -183,6 +193,34 @@
         if self.before_end is not None:
             await self.before_end(self)
 
+    def withhold_end(
+        self, attachment: request_record.Attachment, end: RenderEnd
+    ) -> None:
+        """Keep the end of an answer back until `release_end`."""
+        self._withheld = _WithheldEnd(attachment=attachment, render=end)
+
+    async def release_end(self, number: int) -> bytes | None:
+        """Return the withheld end, which counts as delivered from now on.
+
+        Parameters
+        ----------
+        number : int
+            Number of the attachment.
+
+        Returns
+        -------
+        bytes or None
+            None if the attachment is not the newest one, or has no end.
+        """
+        withheld = self._withheld
+        if withheld is None or withheld.attachment.number != number:
+            return None
+        await self.close()
+        if not self.record.is_current(withheld.attachment):
+            return None
+        self.record.mark_end_delivered(withheld.attachment)
+        return withheld.render()
+
     def wake(self) -> None:
         """Wake all coroutines that wait in `wait_for_event`."""
         waiters, self._waiters = self._waiters, []
