Do not take a host's silence for a request that it lacks

What callers saw: one that resumed its answer was told 409 start_over while the answer was there. A lookup asks all hosts, each for half a second; a host that did not reply in time, because it was slow or frozen for a moment, was left out, and with the others the answer was gone. What the caller had received was to be thrown away, and a repeat of its key then met the record that had been overlooked.

Change: a lookup by id goes on until each host that may be alive has replied, at most as long as it waits for a takeover; then the caller gets 503 with Retry-After. Hosts that are gone are no longer asked, so a dead one delays a lookup by the time that membership takes. A key's claim doesn't wait: it would hold back every new request for as long as any host is frozen.

--- a/limpetroute/entry/peering/peer_lookup.py
+++ b/limpetroute/entry/peering/peer_lookup.py
@@ -81,14 +81,15 @@
     ) -> tuple[str | None, bool]:
         """Find the host that holds a request.
 
-        Waits at most ``timeout_s`` while a copy is being taken over.
+        Waits at most ``timeout_s`` while a copy is being taken over, or
+        while a host that may hold the request does not reply.
 
         Returns
         -------
         (str or None, bool)
             The holder's id, and whether the request is unresolved: a
             copy exists whose owner is gone and that no host has taken
-            over.
+            over, or a host did not reply.
         """
         deadline_s = peer_clock.clock_s() + timeout_s
         while True:
@@ -100,7 +101,8 @@
                     return host_id, False
             copied = self._is_copied(call)
             copied = copied or any(got.copied for got in replies.values())
-            if not copied:
+            silent = self._urls().keys() - replies.keys()
+            if not copied and not silent:
                 return None, False
             if peer_clock.clock_s() >= deadline_s:
                 return None, True
