Ignore copies of records that their owner has dropped

What callers saw: a key whose earlier request is no longer kept got 503 being_taken_over on each repeat, after a wait of takeover_wait_s, for as long as the owner of the earlier request lived. docs/CALLERS.md promises a new run.

Cause: a host whose successor was away for a moment copies its records to another one. The former successor keeps what it has, and the notice that a record was dropped goes to the new one only. A lookup took any copy for a request that is being taken over.

Change: a host names itself, and the owner of its copy, in the reply to a lookup. A copy doesn't count if its owner replied too and doesn't hold the request. An owner that lost its lease has another name from then on, so its copies count as before; so do those of hosts of an earlier build. The copies themselves stay where they are until their owner is gone.

Evidence: read from the caller's side. test_a_copy_that_its_owner_has_dropped_is_no_request fails on ((None, True) instead of (None, False)).

--- a/limpetroute/entry/peering/peer_codec.py
+++ b/limpetroute/entry/peering/peer_codec.py
@@ -80,11 +80,17 @@
     claimed_by : str
         Id of the replying host if it is about to start a request under
         the key, else empty.
+    owner : str
+        Name of the replying host as an owner of records.
+    copied_from : str
+        Name of the owner of the copy, if ``copied``.
     """
 
     held: bool = False
     copied: bool = False
     claimed_by: str = ''
+    owner: str = ''
+    copied_from: str = ''
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
--- a/limpetroute/entry/peering/peer_copies.py
+++ b/limpetroute/entry/peering/peer_copies.py
@@ -98,6 +98,11 @@
     def __repr__(self) -> str:
         return f'{type(self).__name__}(owner={self._owner!r})'
 
+    @property
+    def owner(self) -> str:
+        """Name under which this host owns its records now."""
+        return self._owner
+
     @property
     def may_serve(self) -> bool:
         """Whether this host holds the lease on its own records."""
--- a/limpetroute/entry/peering/peer_lookup.py
+++ b/limpetroute/entry/peering/peer_lookup.py
@@ -7,8 +7,8 @@
 from limpetroute.entry.peering import peer_calls
 from limpetroute.entry.peering import peer_clock
 from limpetroute.entry.peering import peer_codec
+from limpetroute.entry.peering import peer_copies
 from limpetroute.entry.records import record_store
-from limpetroute.peers import copy_holder
 
 CLAIM_S = 5.0
 CLAIM_TRIES = 20
@@ -29,8 +29,8 @@
         This host.
     records : RecordStore
         Records of this host.
-    copies : CopyHolder
-        Copies of other hosts' records.
+    copies : PeerCopies
+        Copies of other hosts' records, and this host's name as an owner.
     calls : PeerCalls
         Calls to other hosts.
     urls : callable
@@ -51,7 +51,7 @@
         *,
         host_id: str,
         records: record_store.RecordStore,
-        copies: copy_holder.CopyHolder,
+        copies: peer_copies.PeerCopies,
         calls: peer_calls.PeerCalls,
         urls: typing.Callable[[], dict[str, str]],
     ) -> None:
@@ -67,13 +67,18 @@
 
     def answer(self, call: peer_codec.LookupCall) -> peer_codec.LookupReply:
         """Return this host's reply to a lookup."""
+        owner = self._copies.owner
         if self._is_held(call):
-            return peer_codec.LookupReply(held=True)
+            return peer_codec.LookupReply(held=True, owner=owner)
         claimed_by = ''
         if call.key and self._is_claimed(call):
             claimed_by = self._host_id
+        copied_from = self._copied_from(call)
         return peer_codec.LookupReply(
-            copied=self._is_copied(call), claimed_by=claimed_by
+            copied=copied_from is not None,
+            claimed_by=claimed_by,
+            owner=owner,
+            copied_from=copied_from or '',
         )
 
     async def find(
@@ -99,10 +104,8 @@
             for host_id, reply in replies.items():
                 if reply.held:
                     return host_id, False
-            copied = self._is_copied(call)
-            copied = copied or any(got.copied for got in replies.values())
             silent = self._urls().keys() - replies.keys()
-            if not copied and not silent:
+            if not silent and not self._is_copied(call, replies):
                 return None, False
             if peer_clock.clock_s() >= deadline_s:
                 return None, True
@@ -138,8 +141,7 @@
             if held:
                 self.settle(team, key)
                 return held[0], False
-            copied = any(got.copied for got in replies.values())
-            if copied or self._is_copied(call):
+            if self._is_copied(call, replies):
                 self.settle(team, key)
                 return await self.find(call, timeout_s=timeout_s)
             if not any(got.claimed_by for got in replies.values()):
@@ -178,9 +180,28 @@
             return records.by_run(call.team, call.run_id) is not None
         return records.by_key(call.team, call.key) is not None
 
-    def _is_copied(self, call: peer_codec.LookupCall) -> bool:
+    def _copied_from(self, call: peer_codec.LookupCall) -> str | None:
         name = call.request_id or call.run_id or call.key
-        return self._copies.find(call.team, name) is not None
+        copied = self._copies.copies.find(call.team, name)
+        return None if copied is None else copied.owner
+
+    def _is_copied(
+        self,
+        call: peer_codec.LookupCall,
+        replies: typing.Mapping[str, peer_codec.LookupReply],
+    ) -> bool:
+        """Whether a copy exists whose owner may be gone.
+
+        An owner that replies no longer has the request. A host that was
+        its successor before may still have the copy.
+        """
+        owners = {self._copies.owner}
+        owners.update(got.owner for got in replies.values() if got.owner)
+        found = [got.copied_from for got in replies.values() if got.copied]
+        copied_from = self._copied_from(call)
+        if copied_from is not None:
+            found.append(copied_from)
+        return any(owner not in owners for owner in found)
 
     def _is_claimed(self, call: peer_codec.LookupCall) -> bool:
         expires_s = self._claims.get((call.team, call.key))
--- a/limpetroute/entry/peering/peer_node.py
+++ b/limpetroute/entry/peering/peer_node.py
@@ -135,7 +135,7 @@
         self.lookup = peer_lookup.PeerLookup(
             host_id=host_id,
             records=records,
-            copies=self.copies.copies,
+            copies=self.copies,
             calls=self.calls,
             urls=self.other_urls,
         )
--- a/tests/peers/test_lookup.py
+++ b/tests/peers/test_lookup.py
@@ -1,4 +1,5 @@
 import asyncio
+import types
 
 from limpetroute.entry.peering import peer_codec
 from limpetroute.entry.peering import peer_lookup
@@ -25,7 +26,9 @@
     return peer_lookup.PeerLookup(
         host_id='a',
         records=record_store.RecordStore(retain_s=300.0),
-        copies=copy_holder.CopyHolder(),
+        copies=types.SimpleNamespace(
+            owner='a@1.0', copies=copy_holder.CopyHolder()
+        ),
         calls=_Calls(**replies),
         urls=lambda: {name: name for name in replies},
     )
@@ -50,3 +53,32 @@
 def test_a_request_that_no_host_has_is_not_found():
     lookup = _lookup(b=[ABSENT], c=[ABSENT])
     assert _find(lookup) == (None, False)
+
+
+def test_a_copy_that_its_owner_has_dropped_is_no_request():
+    """A key gets 503 for as long as a former successor has its copy."""
+    stale = peer_codec.LookupReply(
+        copied=True, owner='b@1.0', copied_from='c@1.0'
+    )
+    lookup = _lookup(b=[stale], c=[peer_codec.LookupReply(owner='c@1.0')])
+    assert _find(lookup) == (None, False)
+    claimed = asyncio.run(lookup.claim('t', 'key', timeout_s=0.3))
+    assert claimed == (None, False)
+
+
+def test_a_copy_of_an_owner_that_lost_its_lease_is_waited_for():
+    """A request is started again while its successor takes it over."""
+    copied = peer_codec.LookupReply(
+        copied=True, owner='b@1.0', copied_from='c@1.0'
+    )
+    owner = peer_codec.LookupReply(owner='c@1.1')
+    lookup = _lookup(b=[copied, HELD], c=[owner])
+    assert _find(lookup) == ('b', False)
+    lookup = _lookup(b=[copied], c=[owner])
+    assert _find(lookup, timeout_s=0.3) == (None, True)
+
+
+def test_a_copy_that_a_host_of_an_earlier_build_has_is_waited_for():
+    copied = peer_codec.LookupReply(copied=True)
+    lookup = _lookup(b=[copied], c=[ABSENT])
+    assert _find(lookup, timeout_s=0.3) == (None, True)
