Blame the prefill runner for a KV cache that it no longer has

What callers saw: requests that ended with 'retries' (outcome unknown) though a good prefill runner and all decode runners were there, and others that waited for a second.

Cause: the entry host read each refusal of an import as a failure of the decode runner. The reason 'no such KV cache' says something else: its source does not have the result. After three such transfers in a row a decode runner was ejected, without a limit on the share of the pool; the retry went to the same prefill runner, as nothing told the router to avoid it.

Change: a transfer that is refused for this reason is reported as failed at the prefill runner. The request goes to other runners of both roles, as the link between them may be at fault too; only the prefill runner's failures are counted.

--- a/limpetroute/decisions/full_policy.py
+++ b/limpetroute/decisions/full_policy.py
@@ -305,22 +305,27 @@
         if job is None or job.phase is Phase.OVER:
             return
         was_decode = runner_id == job.decode_id
+        is_transfer = at is stage.Stage.TRANSFER
+        # If the transfer of one result fails to a second runner, the
+        # result is at fault and not the runner: the prompt is prefilled
+        # again, and the runner may be used for it.
+        bad_result = is_transfer and job.transfer_count > 1
+        source_failed = is_transfer and not was_decode
+        if source_failed and not bad_result:
+            # The link between both runners may be at fault as well.
+            self._avoid(job, at, job.decode_id or '')
         failed_runner = self._fleet.runners.get(runner_id)
-        if failed_runner is not None:
+        if failed_runner is not None and not (source_failed and bad_result):
             self._pause(failed_runner, now_s + DENIED_PAUSE_S)
             if self._config.uses(Decision.EJECTION):
                 self._ejection.record_failure(failed_runner, now_s)
         self._release_all(job)
-        # If the transfer of one result fails to a second runner, the
-        # result is at fault and not the runner: the prompt is prefilled
-        # again, and the runner may be used for it.
-        bad_result = at is stage.Stage.TRANSFER and job.transfer_count > 1
         if not bad_result:
             self._avoid(job, at, runner_id)
         if not may_repeat:
             self._reject(job, action.Reason.RETRIES, now_s)
             return
-        if at is stage.Stage.TRANSFER and was_decode and not bad_result:
+        if is_transfer and was_decode and not bad_result:
             if (
                 now_s + RESULT_MARGIN_S
                 < job.prefill_done_s + self._result_ttl_s
--- a/limpetroute/decisions/router.py
+++ b/limpetroute/decisions/router.py
@@ -82,6 +82,9 @@
 
         Parameters
         ----------
+        runner_id : str
+            The runner at fault: for a transfer the decode runner, or the
+            prefill runner if that one no longer has the KV cache.
         may_repeat : bool
             Whether the request may be run again.
         """
--- a/limpetroute/entry/runs/attempt.py
+++ b/limpetroute/entry/runs/attempt.py
@@ -29,6 +29,8 @@
         Fencing numbers of the attempt's grants, by runner id.
     source : EngineClient or None
         Client of the prefill runner that holds the prefill's result.
+    source_id : str
+        Id of that runner; empty before the prefill.
     result : PrefillResult or None
         Result of the prefill.
     """
@@ -39,6 +41,7 @@
         'result',
         'run_id',
         'source',
+        'source_id',
         'start_index',
     )
 
@@ -48,6 +51,7 @@
         self.contacted: dict[str, engine_client.EngineClient] = {}
         self.fences: dict[str, int] = {}
         self.source: engine_client.EngineClient | None = None
+        self.source_id = ''
         self.result: engine_call.PrefillResult | None = None
 
     def __repr__(self) -> str:
--- a/limpetroute/entry/runs/run_task.py
+++ b/limpetroute/entry/runs/run_task.py
@@ -245,6 +245,7 @@
             self._failed(stage.Stage.PREFILL, todo.runner_id)
             return
         attempt.source = engine
+        attempt.source_id = todo.runner_id
         attempt.result = result
         self._step_reported = True
         self._context.scheduler.prefill_done(
@@ -289,7 +290,10 @@
             LOG.debug('transfer of %s failed: %s', attempt.run_id, imported)
             self._note_failure(imported, todo.runner_id)
             self._resources.free_one(todo.runner_id)
-            self._transfer_failed(todo.runner_id)
+            at_fault = todo.runner_id
+            if _is_source_at_fault(imported):
+                at_fault = attempt.source_id
+            self._transfer_failed(at_fault)
             return
         self._context.scheduler.transfer_done(self._item.work_id)
         # The record is copied to another host during the transfer. No
@@ -429,6 +433,13 @@
         self._live.finish(outcome.as_run_end(result, events))
 
 
+def _is_source_at_fault(failure: engine_failure.EngineFailure) -> bool:
+    return (
+        isinstance(failure, engine_failure.Refused)
+        and failure.reason == engine_failure.NO_KV_CACHE
+    )
+
+
 async def _cancel_step(step: 'asyncio.Task[None]') -> None:
     step.cancel()
     with contextlib.suppress(asyncio.CancelledError):
--- a/limpetroute/runners/engine_failure.py
+++ b/limpetroute/runners/engine_failure.py
@@ -2,6 +2,9 @@
 
 import dataclasses
 
+# Reason of a decode runner whose source does not have the KV cache.
+NO_KV_CACHE = 'no such KV cache'
+
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class Refused:
--- a/limpetroute/standins/engine_handlers.py
+++ b/limpetroute/standins/engine_handlers.py
@@ -7,6 +7,7 @@
 import tornado.iostream
 import tornado.web
 
+from limpetroute.runners import engine_failure
 from limpetroute.standins import engine_faults
 from limpetroute.standins import engine_state
 from limpetroute.standins import stream_faults
@@ -100,7 +101,7 @@
         """Return a KV cache and remove it from this engine."""
         held = self.state.held.pop(handle, None)
         if held is None:
-            self.refuse('no such KV cache')
+            self.refuse(engine_failure.NO_KV_CACHE)
             self.set_status(404)
             return
         self.finish({'prompt': held.prompt, 'kv_bytes': held.kv_bytes})
@@ -135,7 +136,7 @@
             timeout_s=TRANSFER_TIMEOUT_S,
         )
         if isinstance(reply, call_failed.CallFailed) or not reply.ok:
-            self.refuse('no such KV cache')
+            self.refuse(engine_failure.NO_KV_CACHE)
             return
         cache = reply.json()
         seconds = cache['kv_bytes'] / state.settings.link_bytes_per_s
--- a/tests/decisions/test_retry_placement.py
+++ b/tests/decisions/test_retry_placement.py
@@ -149,3 +149,29 @@
     assert [item.work_id for item in rejections] == ['a']
     policy.on_end('a', stage.Ending.FAILED, 7.0)
     assert policy.idle
+
+
+def test_a_request_whose_result_is_lost_goes_to_other_runners():
+    """A request returns to the prefill runner that loses its results."""
+    policy = _policy_with(2, 2)
+    (started,) = _offer(policy, 'a')
+    decode_id = _finish_prefill(policy, 'a', 0.1)
+    policy.on_failed('a', stage.Stage.TRANSFER, started.runner_id, 0.1)
+    (retry,) = policy.actions(0.2)
+    assert isinstance(retry, action.StartPrefill)
+    assert retry.runner_id != started.runner_id
+    assert _finish_prefill(policy, 'a', 0.3) != decode_id
+
+
+def test_a_result_that_a_decode_runner_took_is_no_fault_of_its_source():
+    """A stalled transfer leaves a request without any runner to go to."""
+    policy = _policy_with(1, 2)
+    (started,) = _offer(policy, 'a')
+    stalled_id = _finish_prefill(policy, 'a', 0.1)
+    policy.on_failed('a', stage.Stage.TRANSFER, stalled_id, 0.2)
+    (moved,) = policy.actions(0.2)
+    assert isinstance(moved, action.StartDecode)
+    policy.on_failed('a', stage.Stage.TRANSFER, started.runner_id, 0.3)
+    (retry,) = policy.actions(0.4)
+    assert isinstance(retry, action.StartPrefill)
+    assert _finish_prefill(policy, 'a', 0.5) == moved.runner_id
--- a/tests/entry/test_answers_whole.py
+++ b/tests/entry/test_answers_whole.py
@@ -369,3 +369,30 @@
         body_digest='',
         run_id='run-' + 32 * '0',
     )
+
+
+def test_a_prefill_runner_that_loses_its_results_fails_no_request() -> None:
+    """Requests end as failed while another prefill runner is fine."""
+
+    async def story(fleet: fleet_module.Fleet) -> None:
+        state = fleet.prefills[0].state
+        prefill = state.prefill
+
+        async def prefill_and_lose(run_id: str, prompt: str):
+            done = await prefill(run_id, prompt)
+            state.held.clear()
+            return done
+
+        state.prefill = prefill_and_lose
+        callers = [
+            await raw_caller.ask(
+                fleet, prompt=f'Wording {number}\nIt is long.'
+            )
+            for number in range(12)
+        ]
+        for caller in callers:
+            events = await caller.read_events()
+            assert events[-1][1] == '[DONE]'
+        assert fleet.count('prefills') > len(callers)
+
+    fleet_module.play(story, prefills=2, decodes=2)
