--- a/tests/entry/test_relayed_ends.py
+++ b/tests/entry/test_relayed_ends.py
@@ -21,10 +21,9 @@
 WORDS = 12
 
 
-async def _relay(
-    fleet: fleet_module.Fleet, *, stream: bool
+async def _call_holder(
+    fleet: fleet_module.Fleet, headers: dict[str, str], *, stream: bool
 ) -> raw_caller.RawCaller:
-    """Call the holder of an answer as another entry host does."""
     relay = raw_caller.RawCaller(fleet.entry.internal_port)
     body = {
         'model': fleet_module.MODEL,
@@ -33,7 +32,15 @@
         'stream': stream,
     }
     path = f'{peer_relay.PREFIX}/v1/completions'
-    await relay.send('POST', path, body, RELAYED)
+    await relay.send('POST', path, body, headers)
+    return relay
+
+
+async def _relay(
+    fleet: fleet_module.Fleet, *, stream: bool
+) -> raw_caller.RawCaller:
+    """Read all of an answer but its end, as a relaying host does."""
+    relay = await _call_holder(fleet, RELAYED, stream=stream)
     if stream:
         await relay.read_events(WORDS)
     else:
@@ -117,16 +124,8 @@
     """A relaying host that asks for no end ends its caller's stream."""
 
     async def story(fleet: fleet_module.Fleet) -> None:
-        relay = raw_caller.RawCaller(fleet.entry.internal_port)
-        body = {
-            'model': fleet_module.MODEL,
-            'prompt': fleet_module.PROMPT,
-            'max_tokens': WORDS,
-            'stream': True,
-        }
         headers = {**KEY, 'Limpetroute-Relayed-Team': 'default'}
-        path = f'{peer_relay.PREFIX}/v1/completions'
-        await relay.send('POST', path, body, headers)
+        relay = await _call_holder(fleet, headers, stream=True)
         events = await relay.read_events()
         assert 'limpetroute-attachment' not in relay.headers
         assert events[-1][1] == '[DONE]'
