Log how a runner's answer was framed and what it left incomplete

A line 'sent' of a stream did not tell an answer that ends with its connection from one with a length or chunks, nor an end between two events from one inside an event, so the hypotheses could not be told apart. It now has 'framing' and 'partial_bytes'.

--- a/limpetroute/forwarding/event_splitter.py
+++ b/limpetroute/forwarding/event_splitter.py
@@ -22,6 +22,11 @@
     def __repr__(self) -> str:
         return f'{type(self).__name__}(last_id={self.last_id!r})'
 
+    @property
+    def partial_bytes(self) -> int:
+        """Size of the incomplete event that is held back."""
+        return len(self._partial)
+
     def feed(self, data: bytes) -> bytes:
         """Return the events that are complete with this chunk."""
         data = self._partial + data
--- a/limpetroute/forwarding/runner_call.py
+++ b/limpetroute/forwarding/runner_call.py
@@ -69,6 +69,11 @@
         """Headers of the response."""
         return self._link.headers
 
+    @property
+    def framing(self) -> connection.Framing:
+        """What marks the end of the response's body."""
+        return self._link.framing
+
     @property
     def is_complete(self) -> bool:
         """Whether the response arrived completely."""
--- a/limpetroute/forwarding/stream_relay.py
+++ b/limpetroute/forwarding/stream_relay.py
@@ -51,6 +51,7 @@
         self._first_event_s = 0.0
         self._decode_s = 0.0
         self._longest_gap_s = 0.0
+        self._partial_bytes = 0
         self._on_first_event: typing.Callable[[], None] | None = None
 
     def __repr__(self) -> str:
@@ -66,6 +67,11 @@
         """Identity of the last relayed event; empty if there is none."""
         return self._events.last_id
 
+    @property
+    def partial_bytes(self) -> int:
+        """Size of the incomplete event at which the last runner ended."""
+        return self._partial_bytes
+
     @property
     def decode_s(self) -> float:
         """Time from the first event to the last event, in seconds."""
@@ -125,11 +131,12 @@
                 if events:
                     await self._write(call, events)
         except TimeoutError:
-            self._events.discard_partial()
+            self._end_runner()
             return send_result.SendResult.TIMED_OUT
         if not call.is_complete:
-            self._events.discard_partial()
+            self._end_runner()
             return send_result.SendResult.BROKEN
+        self._partial_bytes = self._events.partial_bytes
         remainder = self._events.take_remainder()
         if remainder or not responder.started:
             await self._write(call, remainder)
@@ -137,6 +144,11 @@
         self._context.count(self._route, call.status, self._request)
         return send_result.SendResult.ANSWERED
 
+    def _end_runner(self) -> None:
+        """Discard the incomplete event of a runner that ended."""
+        self._partial_bytes = self._events.partial_bytes
+        self._events.discard_partial()
+
     async def _write(
         self, call: runner_call.RunnerCall, events: bytes
     ) -> None:
--- a/limpetroute/wire/connection.py
+++ b/limpetroute/wire/connection.py
@@ -1,6 +1,7 @@
 """An HTTP connection for a single request."""
 
 import asyncio
+import enum
 import ipaddress
 import socket
 import ssl
@@ -21,6 +22,14 @@
 IP_VERSION_6 = 6
 
 
+class Framing(enum.StrEnum):
+    """What marks the end of a response's body (RFC 9112, section 6.3)."""
+
+    LENGTH = 'length'
+    CHUNKED = 'chunked'
+    CLOSE = 'close'
+
+
 class _Collector(httputil.HTTPMessageDelegate):
     """Buffers the chunks of one response until they are taken.
 
@@ -348,6 +357,15 @@
         """Headers of the response."""
         return self._collector.headers
 
+    @property
+    def framing(self) -> Framing:
+        """What marks the end of the response's body."""
+        if 'Transfer-Encoding' in self._collector.headers:
+            return Framing.CHUNKED
+        if 'Content-Length' in self._collector.headers:
+            return Framing.LENGTH
+        return Framing.CLOSE
+
     @property
     def whole(self) -> bool:
         """Whether the complete response arrived.
@@ -358,9 +376,7 @@
         """
         if not self._collector.whole:
             return False
-        headers = self._collector.headers
-        framed = 'Content-Length' in headers or 'Transfer-Encoding' in headers
-        if framed or self._stream is None:
+        if self.framing is not Framing.CLOSE or self._stream is None:
             return True
         return self._stream.error is None
 
