Count events whatever ends their lines

Events whose lines end with CRLF (or CR) were relayed and counted as none: the relay of a stream that broke off after them took it for one of which nothing had come, so the same runner got it again, a crash was blamed on it as on an unread request, and its tokens and speed were taken for 0. One expression now finds the blank line of each event, and the id of the last one.

--- a/limpetroute/forwarding/event_splitter.py
+++ b/limpetroute/forwarding/event_splitter.py
@@ -1,7 +1,11 @@
 """Splits a stream of server-sent events into complete events."""
 
-_ID = b'id:'
-_END = b'\n\n'
+import re
+
+# A blank line ends an event. A line ends with LF, CRLF or CR.
+_LINE_END = rb'(?:\r\n|\n|\r(?!\n))'
+_EVENT_END = re.compile(_LINE_END + _LINE_END)
+_ID = re.compile(rb'(?:^|[\r\n])id:([^\r\n]*)')
 
 
 class EventSplitter:
@@ -30,11 +34,11 @@
     def feed(self, data: bytes) -> bytes:
         """Return the events that are complete with this chunk."""
         data = self._partial + data
-        end = max(data.rfind(b'\n\n') + 2, data.rfind(b'\r\n\r\n') + 4)
-        if end < 4 and not data.endswith(b'\n\n'):
-            end = 0
+        end = 0
+        for match in _EVENT_END.finditer(data):
+            end = match.end()
+            self.count += 1
         complete, self._partial = data[:end], data[end:]
-        self.count += complete.count(_END)
         self._record_last_id(complete)
         return complete
 
@@ -48,10 +52,6 @@
         self._partial = b''
 
     def _record_last_id(self, complete: bytes) -> None:
-        at = complete.rfind(_ID)
-        while at > 0 and complete[at - 1 : at] != b'\n':
-            at = complete.rfind(_ID, 0, at)
-        if at < 0:
-            return
-        line = complete[at + len(_ID) :].split(b'\n', 1)[0]
-        self.last_id = line.strip().decode('latin1')
+        ids = _ID.findall(complete)
+        if ids:
+            self.last_id = ids[-1].strip().decode('latin1')
