Take a stream that ends inside an event for broken off

Cause: the relay took every end that the framing calls complete for the end of the answer, and passed on what was left of an event. The connection of a crashed runner may be closed without an error; an answer that has neither a length nor chunks then ends like a complete one. Class: a check of one layer (the framing) stands in for that of another (the events).

Now an answer of events that ends inside one is broken off, whatever its framing: the half event is dropped, a resumable stream goes on at another runner after its last event, another one is cut off. An answer that ends with its connection and has no event is broken off too, unless it resumes a stream of which nothing may be left. Error bodies and other media types are relayed as before. A crash is looked for as after any other broken answer.

--- a/limpetroute/forwarding/event_splitter.py
+++ b/limpetroute/forwarding/event_splitter.py
@@ -42,8 +42,13 @@
         self._record_last_id(complete)
         return complete
 
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether an event has begun and is not complete."""
+        return bool(self._partial.strip(b'\r\n'))
+
     def take_remainder(self) -> bytes:
-        """Return and clear the rest of a stream that ended normally."""
+        """Return and clear what follows the last event."""
         remainder, self._partial = self._partial, b''
         return remainder
 
--- a/limpetroute/forwarding/runner_call.py
+++ b/limpetroute/forwarding/runner_call.py
@@ -20,7 +20,10 @@
 # attempt has left or is unreachable, and nothing has been sent to it.
 CONNECT_TRIES_S = (0.1, 0.15)
 
+HTTP_OK = 200
+HTTP_REDIRECTION = 300
 HTTP_SERVER_ERROR = 500
+EVENT_STREAM = 'text/event-stream'
 
 
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
@@ -74,6 +77,19 @@
         """What marks the end of the response's body."""
         return self._link.framing
 
+    @property
+    def is_event_stream(self) -> bool:
+        """Whether the body of the response consists of events.
+
+        A successful response to a stream's request without a media type
+        counts as one.
+        """
+        media_type = self.headers.get('Content-Type', EVENT_STREAM)
+        is_success = HTTP_OK <= self.status < HTTP_REDIRECTION
+        return is_success and media_type.strip().lower().startswith(
+            EVENT_STREAM
+        )
+
     @property
     def is_complete(self) -> bool:
         """Whether the response arrived completely."""
--- a/limpetroute/forwarding/stream_relay.py
+++ b/limpetroute/forwarding/stream_relay.py
@@ -10,6 +10,7 @@
 from limpetroute.forwarding import runner_call
 from limpetroute.routing import route as route_module
 from limpetroute.routing import send_result
+from limpetroute.wire import connection
 
 # Time without data after which a resumable stream leaves its runner. It
 # is longer than the gap in a preempted stream (about 0.5 s) and shorter
@@ -133,7 +134,7 @@
         except TimeoutError:
             self._end_runner()
             return send_result.SendResult.TIMED_OUT
-        if not call.is_complete:
+        if not call.is_complete or self._is_cut_short(call):
             self._end_runner()
             return send_result.SendResult.BROKEN
         self._partial_bytes = self._events.partial_bytes
@@ -144,6 +145,23 @@
         self._context.count(self._route, call.status, self._request)
         return send_result.SendResult.ANSWERED
 
+    def _is_cut_short(self, call: runner_call.RunnerCall) -> bool:
+        """Return whether events are missing from an answer that has ended.
+
+        The connection of a crashed runner may be closed without an error. An
+        answer without a length or chunks then ends like a complete one.
+        """
+        if not call.is_event_stream:
+            return False
+        if self._events.is_inside_event:
+            return True
+        # Nothing may be left of a stream that is resumed.
+        return (
+            call.framing is connection.Framing.CLOSE
+            and not self.event_count
+            and not self._request.resume_after
+        )
+
     def _end_runner(self) -> None:
         """Discard the incomplete event of a runner that ended."""
         self._partial_bytes = self._events.partial_bytes
