Reset a cut stream whose caller gets no chunks

To a caller of HTTP/1.0 a stream has neither a length nor chunks, so it ends with the connection. A stream that was cut off was ended by closing it, as a complete one is, and looked complete. A complete one left the connection of a caller open that asked to keep it, so the caller waited for its end.

Such an answer now ends by closing the connection, and a cut one by resetting it. Both tests failed before; tests/forwarding pass.

--- a/limpetroute/forwarding/front_server.py
+++ b/limpetroute/forwarding/front_server.py
@@ -144,6 +144,7 @@
         responder = responder_module.Responder(
             connection=self._connection,
             closing=lambda: self._server.closing,
+            version=self._start.version,
         )
         self._connection.set_close_callback(self.on_connection_close)
         self._task = asyncio.create_task(
--- a/limpetroute/forwarding/responder.py
+++ b/limpetroute/forwarding/responder.py
@@ -1,6 +1,8 @@
 """Writes one answer to one caller."""
 
 import asyncio
+import socket
+import struct
 import typing
 
 from tornado import http1connection
@@ -10,6 +12,9 @@
 # A caller that reads nothing for this long counts as gone. Its connection
 # may be dead, and the open answer occupies memory of a runner.
 WRITE_TIMEOUT_S = 10.0
+HTTP_1_1 = 'HTTP/1.1'
+# On, with no time to linger: closing the socket resets the connection.
+NO_LINGER = struct.pack('ii', 1, 0)
 
 
 class CallerGoneError(Exception):
@@ -25,6 +30,9 @@
         The caller's connection.
     closing : callable
         Returns whether the connection is to close after this answer.
+    version : str
+        HTTP version of the request. Before HTTP/1.1, callers do not
+        understand chunks.
     """
 
     def __init__(
@@ -32,8 +40,11 @@
         *,
         connection: http1connection.HTTP1Connection,
         closing: typing.Callable[[], bool],
+        version: str = HTTP_1_1,
     ) -> None:
         self._connection = connection
+        self._version = version
+        self._ends_with_connection = False
         self._should_close = closing
         self._closes_connection = False
         self.gone = asyncio.Event()
@@ -51,7 +62,12 @@
     ) -> None:
         """Write the status line, the headers and the first bytes."""
         self.started = True
-        self._closes_connection = self._should_close()
+        self._ends_with_connection = (
+            self._version != HTTP_1_1 and 'Content-Length' not in headers
+        )
+        self._closes_connection = (
+            self._ends_with_connection or self._should_close()
+        )
         if self._closes_connection:
             headers['Connection'] = 'close'
         line = httputil.ResponseStartLine(
@@ -78,6 +94,11 @@
     def abort(self) -> None:
         """Close the connection so that the answer cannot look complete."""
         self.finished = True
+        stream = self._connection.stream
+        if self._ends_with_connection and not stream.closed():
+            stream.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER
+            )
         self._connection.close()
 
     async def write_whole(
--- a/tests/forwarding/test_stream_ends.py
+++ b/tests/forwarding/test_stream_ends.py
@@ -146,3 +146,33 @@
     got = asyncio.run(_request([script], **STREAM))
     assert harness.status(got) == status
     assert b'{"error": "x"}' in got
+
+
+async def _read_as_http_1_0(script):
+    async with harness.running([script], stages=[DECODE], **STREAM) as (
+        front,
+        _,
+    ):
+        reader, writer = await front.connect()
+        writer.write(
+            b'GET /a/x HTTP/1.0\r\nHost: h.example\r\nRequest-Id: q1\r\n'
+            b'Connection: keep-alive\r\n' + USAGE.encode() + b'\r\n'
+        )
+        try:
+            async with asyncio.timeout(2):
+                return await reader.read()
+        finally:
+            writer.close()
+
+
+# Guards against a cut answer without chunks that ends like a whole one.
+def test_a_cut_stream_is_reset_where_the_caller_gets_no_chunks():
+    script = _answer('close', _event(1), _event(2)[:-3])
+    with pytest.raises(ConnectionResetError):
+        asyncio.run(_read_as_http_1_0(script))
+
+
+# Guards against a caller that waits for the end of an answer without a length.
+def test_a_whole_stream_ends_the_connection_where_the_caller_gets_no_chunks():
+    got = asyncio.run(_read_as_http_1_0(_answer('close', _event(1))))
+    assert got.endswith(b'\r\n\r\n' + _event(1))
