Show that a host whose links to runners are cut serves nobody

One entry host of two sees other addresses of the runners, at which the test passes connections on or cuts them: new ones are refused, refused with open ones reset, or hang.

--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -15,6 +15,7 @@
 
     def __init__(self, name, service, stage=None):
         self.name = name
+        self.address = ''
         self.service = service
         self.stage = stage
         self.runs = []
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -132,9 +132,13 @@
         ]
         self._beats = {}
 
-    async def start(self):
+    async def start_runners(self):
         for number, one in enumerate(self.runners):
             await one.start(f'127.{self.base}.3.{number + 1}')
+
+    async def start(self):
+        if not self.runners[0].address:
+            await self.start_runners()
         for process in [*self.controls, *self.forwards]:
             process.start()
 
--- a/tests/whole_path/fleet.py
+++ b/tests/whole_path/fleet.py
@@ -4,6 +4,7 @@
 
 from limpetroute.wire import connection
 from tests.soak import world as world_module
+from tests.whole_path import partition as partition_module
 
 BASE = 18
 ALWAYS = 1_000_000
@@ -12,8 +13,17 @@
 class Fleet:
     """The processes, and what callers ask of them."""
 
-    def __init__(self, folder, teams=None, key=''):
+    def __init__(self, folder, teams=None, key='', partitioned=None):
         self.world = world_module.World(folder, BASE)
+        self.partition = None
+        if partitioned is not None:
+            self.partition = partition_module.Partition(
+                world=self.world,
+                number=partitioned,
+                port=self.world.controls[0].listen_port,
+            )
+            host = self.world.forwards[partitioned]
+            host.change(seeds=[f'{self.partition.host}:1'])
         self.version = 1
         self._teams = teams
         self._key = key
@@ -21,6 +31,9 @@
         self._asked = 0
 
     async def __aenter__(self):
+        if self.partition is not None:
+            await self.world.start_runners()
+            await self.partition.start()
         await self.world.start()
         self._beats = [
             asyncio.create_task(self._beat(one)) for one in self.world.runners
@@ -36,6 +49,8 @@
         for task in self._beats:
             task.cancel()
         self.world.end()
+        if self.partition is not None:
+            self.partition.close()
 
     def make_fatal(self, body, times=ALWAYS):
         """Have a request crash each runner that runs it, so often."""
--- /dev/null
+++ b/tests/whole_path/test_unreachable_runners.py
@@ -0,0 +1,39 @@
+"""An entry host whose links to all runners are cut, on real processes."""
+
+import asyncio
+
+import pytest
+
+from tests.whole_path import fleet as fleet_module
+from tests.whole_path import partition
+
+CUTS = [partition.Cut.REFUSE, partition.Cut.RESET, partition.Cut.HANG]
+
+
+async def _ask_repeatedly(fleet, path, count):
+    answers = []
+    for number in range(count):
+        answers.append(await fleet.ask(0, path, f'{path}{number}'.encode()))
+        await asyncio.sleep(0.05)
+    return answers
+
+
+# Guards against callers that are refused because their host alone is cut off.
+@pytest.mark.parametrize('cut', CUTS)
+def test_a_host_without_a_runner_in_reach_serves_its_callers(tmp_path, cut):
+    async def work():
+        async with fleet_module.Fleet(tmp_path, partitioned=0) as fleet:
+            await fleet.partition.cut(cut)
+            await asyncio.sleep(1.0)
+            for path in ('/safe/x', '/once/x', '/stream/x'):
+                answers = await _ask_repeatedly(fleet, path, 8)
+                statuses = [status for status, _, _ in answers]
+                assert statuses.count(200) >= 7, (path, statuses)
+            await fleet.partition.heal()
+            await asyncio.sleep(1.0)
+            answers = await _ask_repeatedly(fleet, '/once/x', 4)
+            assert [status for status, _, _ in answers] == [200] * 4
+            runs = [run for one in fleet.world.runners for run in one.runs]
+            assert len(runs) == len(set(runs))
+
+    asyncio.run(work())
