Pass requests to another entry host while no runner is in reach

Cause: a host forwards only by links of its own, so it had no other way. Class: a process takes part in the service as long as it is in touch with control and callers, and a third party that it needs isn't part of that.

A host that does nothing with a request says so in a header, and only then another one is asked, two at most. Hosts report to the leader where they accept requests of hosts, on a port of its own that admits the deployment's token.

--- a/limpetroute/border/forwarder_settings.py
+++ b/limpetroute/border/forwarder_settings.py
@@ -27,6 +27,9 @@
     callers, ready, metrics : ListenSettings
         Addresses that serve callers, the load balancer's readiness checks
         and metrics.
+    peers : ListenSettings or None
+        Address that serves the other entry hosts; None to pass no requests
+        between entry hosts.
     seeds : list of str
         ``IP:PORT`` of control hosts; reloaded when the file changes.
     control_port : int
@@ -44,6 +47,7 @@
     callers: listen_settings.ListenSettings
     ready: listen_settings.ListenSettings
     metrics: listen_settings.ListenSettings
+    peers: listen_settings.ListenSettings | None = None
     seeds: list[addresses.HostPort]
     control_port: units.Port
     grace_s: units.Seconds = 8.0
--- a/limpetroute/control/node.py
+++ b/limpetroute/control/node.py
@@ -20,6 +20,7 @@
 from limpetroute.control import commands
 from limpetroute.control import control_state
 from limpetroute.control import data_folder
+from limpetroute.control import entry_directory
 from limpetroute.control import folder_error
 from limpetroute.control import group as group_module
 from limpetroute.control import host_reports
@@ -93,6 +94,7 @@
         self.reports = host_reports.HostReports(
             live_s=HOST_LIVE_S, forget_s=HOST_FORGET_S
         )
+        self.entry_directory = entry_directory.EntryDirectory()
         self.failure = ''
         self.replacements = replacements.Replacements()
         self.routes_splitter = routes_splitter.RoutesSplitter()
--- a/limpetroute/control/server.py
+++ b/limpetroute/control/server.py
@@ -11,6 +11,7 @@
 from limpetroute.control import claim_handlers
 from limpetroute.control import command_handler
 from limpetroute.control import data_folder
+from limpetroute.control import entry_handlers
 from limpetroute.control import files as files_module
 from limpetroute.control import manifest_handler
 from limpetroute.control import node as node_module
@@ -158,6 +159,7 @@
         url('/v1/fences', claim_handlers.FenceHandler, args),
         url('/v1/peer', peer_handlers.PeerHandler, args),
         url('/v1/watch', watch_handler.WatchHandler, args),
+        url('/v1/entry-hosts', entry_handlers.EntryHostsHandler, args),
         url('/v1/crashes', quarantine_handlers.CrashesHandler, args),
         url('/v1/quarantine/clear', quarantine_handlers.ClearHandler, args),
         url('/v1/quarantine/trial', quarantine_handlers.TrialHandler, args),
--- a/limpetroute/forwarding/caller_request.py
+++ b/limpetroute/forwarding/caller_request.py
@@ -73,6 +73,8 @@
         The team's quota; None if there is none.
     hides_credentials : bool
         Whether runners must not receive the caller's credentials.
+    from_peer : bool
+        Whether another entry host has passed the request on.
     """
 
     request_id: str
@@ -91,6 +93,7 @@
     priority: int | None = None
     quota: team_module.Quota | None = None
     hides_credentials: bool = False
+    from_peer: bool = False
 
     @property
     def path(self) -> str:
--- a/limpetroute/forwarding/dialect.py
+++ b/limpetroute/forwarding/dialect.py
@@ -70,6 +70,19 @@
     ) -> httputil.HTTPHeaders:
         """Return the headers for a runner."""
 
+    def peer_headers(
+        self, request: caller_request.CallerRequest, remaining_s: float
+    ) -> httputil.HTTPHeaders:
+        """Return a caller's headers for another entry host.
+
+        Parameters
+        ----------
+        request : CallerRequest
+            The caller's request.
+        remaining_s : float
+            Time left for the answer.
+        """
+
     def is_refusal(self, status: int, headers: httputil.HTTPHeaders) -> bool:
         """Return whether a runner proves that it did not run a request."""
 
--- a/limpetroute/forwarding/fleet_view.py
+++ b/limpetroute/forwarding/fleet_view.py
@@ -60,6 +60,10 @@
         """Return a service's runners."""
         return self._by_service.get(service, [])
 
+    def ready_runners(self) -> list[runner_info.RunnerInfo]:
+        """Return the ready runners of all services."""
+        return [one for one in self._runners.values() if one.ready]
+
     def runner(self, runner_id: str) -> runner_info.RunnerInfo | None:
         """Return a runner that is not gone."""
         return self._runners.get(runner_id)
--- a/limpetroute/forwarding/forward_context.py
+++ b/limpetroute/forwarding/forward_context.py
@@ -12,12 +12,14 @@
 from limpetroute.forwarding import dialect as dialect_module
 from limpetroute.forwarding import fleet_view
 from limpetroute.forwarding import forward_meters
+from limpetroute.forwarding import peer_client
 from limpetroute.forwarding import quarantine_client
 from limpetroute.forwarding import quota_client
 from limpetroute.forwarding import rate_limit_client
 from limpetroute.forwarding import responder as responder_module
 from limpetroute.forwarding import response_monitor
 from limpetroute.forwarding import runner_call
+from limpetroute.forwarding import runner_links
 from limpetroute.forwarding import scheduler_client
 from limpetroute.forwarding import team_gate
 from limpetroute.routing import moving_mean
@@ -59,6 +61,10 @@
         Keeps teams within their quotas.
     monitor : ResponseMonitor
         Knows which runners accept requests from this host.
+    links : RunnerLinks
+        Watches whether this host reaches runners at all.
+    peers : PeerClient
+        Passes requests to other entry hosts.
     dialect : Dialect
         Formats of requests and responses.
     meters : ForwardMeters
@@ -82,6 +88,8 @@
         teams: team_gate.TeamGate,
         quotas: quota_client.QuotaClient,
         monitor: response_monitor.ResponseMonitor,
+        links: runner_links.RunnerLinks,
+        peers: peer_client.PeerClient,
         dialect: dialect_module.Dialect,
         meters: forward_meters.ForwardMeters,
         zone: str,
@@ -95,6 +103,8 @@
         self.teams = teams
         self.quotas = quotas
         self.monitor = monitor
+        self.links = links
+        self.peers = peers
         self.dialect = dialect
         self.meters = meters
         self.zone = zone
@@ -112,6 +122,11 @@
     def __repr__(self) -> str:
         return f'{type(self).__name__}(view={self.view!r})'
 
+    @property
+    def may_pass_on(self) -> bool:
+        """Whether this host reaches no runner and another one may help."""
+        return self.links.are_cut and self.peers.has_usable
+
     @property
     def entry_hosts(self) -> int:
         """Known number of entry hosts, including this host."""
@@ -172,7 +187,10 @@
     ) -> runner_call.RunnerCall:
         """Return a new call to a runner."""
         return runner_call.RunnerCall(
-            runner=runner, dialect=self.dialect, monitor=self.monitor
+            runner=runner,
+            dialect=self.dialect,
+            monitor=self.monitor,
+            links=self.links,
         )
 
     def note_request(self, service: str) -> None:
--- a/limpetroute/forwarding/forwarder.py
+++ b/limpetroute/forwarding/forwarder.py
@@ -6,6 +6,7 @@
 from limpetroute.forwarding import caller_request
 from limpetroute.forwarding import forward_context
 from limpetroute.forwarding import local_reply
+from limpetroute.forwarding import peer_forward
 from limpetroute.forwarding import plain_forward
 from limpetroute.forwarding import responder as responder_module
 from limpetroute.forwarding import stream_forward
@@ -19,6 +20,9 @@
 
 # Interval at which a waiting request checks for the first configuration.
 POLL_INTERVAL_S = 0.02
+# Open requests of other entry hosts; their bodies and answers use memory
+# that this host needs for its own callers.
+MAX_PEER_REQUESTS = 64
 
 
 class Forwarder:
@@ -33,6 +37,8 @@
     def __init__(self, *, context: forward_context.ForwardContext) -> None:
         self._context = context
         self.active = 0
+        self._peer_requests = 0
+        self.is_stopping = False
         self._started_s = asyncio.get_running_loop().time()
 
     def __repr__(self) -> str:
@@ -57,10 +63,51 @@
             if not responder.finished:
                 responder.abort()
 
+    async def decline(
+        self,
+        request: caller_request.CallerRequest,
+        responder: responder_module.Responder,
+        reason: str,
+    ) -> None:
+        """Tell another entry host that nothing was done with its request."""
+        await local_reply.decline(
+            self._context, request=request, responder=responder, reason=reason
+        )
+
     async def _answer(
         self,
         request: caller_request.CallerRequest,
         responder: responder_module.Responder,
+    ) -> None:
+        if not request.from_peer:
+            await self._answer_caller(request, responder)
+            return
+        reason = self._reason_to_decline()
+        if reason:
+            await self.decline(request, responder, reason)
+            return
+        self._peer_requests += 1
+        try:
+            await self._answer_caller(request, responder)
+        finally:
+            self._peer_requests -= 1
+
+    def _reason_to_decline(self) -> str:
+        """Return why a request of another entry host is not taken."""
+        if self.is_stopping:
+            return 'stopping'
+        if self._context.view.plan is None:
+            return 'no routes'
+        if self._context.links.are_cut:
+            return local_reply.UNREACHABLE
+        if self._peer_requests >= MAX_PEER_REQUESTS:
+            return 'busy'
+        return ''
+
+    async def _answer_caller(
+        self,
+        request: caller_request.CallerRequest,
+        responder: responder_module.Responder,
     ) -> None:
         context = self._context
         plan = context.view.plan
@@ -101,7 +148,9 @@
     ) -> route_module.Route | None:
         """Return the request's route; answer the request if it has none."""
         route = plan.find(request.host, request.path)
-        if route is None:
+        if route is None and request.from_peer:
+            await self.decline(request, responder, 'no route')
+        elif route is None:
             await local_reply.write_status(
                 self._context,
                 request=request,
@@ -119,6 +168,9 @@
         route: route_module.Route,
         responder: responder_module.Responder,
     ) -> None:
+        if request.from_peer:
+            await self.decline(request, responder, denied.value)
+            return
         status = local_reply.HTTP_UNAUTHORIZED
         if denied is team_gate.Denied.UNCERTAIN:
             status = local_reply.HTTP_UNAVAILABLE
@@ -166,7 +218,8 @@
         assert context.view.plan is not None
         service_name = plain_forward.draw_service(route, context.rng)
         service = context.view.plan.service(service_name)
-        context.note_request(service_name)
+        if not request.from_peer:
+            context.note_request(service_name)
         forward: stream_forward.StreamForward | plain_forward.PlainForward
         if service is not None and service.engine and request.generation:
             forward = stream_forward.StreamForward(
@@ -187,7 +240,7 @@
         timeout_s = context.remaining_s(request, route)
         try:
             async with asyncio.timeout(timeout_s):
-                await forward.run()
+                await self._run(forward, request, route, responder)
         except TimeoutError:
             await local_reply.write(
                 context,
@@ -198,5 +251,38 @@
                 reason='no answer in time',
             )
 
+    async def _run(
+        self,
+        forward: stream_forward.StreamForward | plain_forward.PlainForward,
+        request: caller_request.CallerRequest,
+        route: route_module.Route,
+        responder: responder_module.Responder,
+    ) -> None:
+        """Answer a request through a runner, or through another entry host."""
+        context = self._context
+        may_pass_on = not request.from_peer and context.shutdown_s is None
+        if not (may_pass_on and context.may_pass_on) and await forward.run():
+            return
+        if request.from_peer:
+            await self.decline(request, responder, local_reply.UNREACHABLE)
+            return
+        if may_pass_on:
+            peer = peer_forward.PeerForward(
+                context=context,
+                request=request,
+                route=route,
+                responder=responder,
+            )
+            if await peer.run():
+                return
+        await local_reply.write(
+            context,
+            request=request,
+            route=route,
+            responder=responder,
+            step=next_step.Step.REFUSE,
+            reason=local_reply.UNREACHABLE,
+        )
+
     def _log_caller_gone(self, request: caller_request.CallerRequest) -> None:
         LOG.info('caller gone', extra={'request': request.request_id})
--- a/limpetroute/forwarding/front_server.py
+++ b/limpetroute/forwarding/front_server.py
@@ -1,7 +1,9 @@
-"""The HTTP server for callers."""
+"""The HTTP server for callers and for other entry hosts."""
 
 import asyncio
+import dataclasses
 import logging
+import ssl
 import typing
 
 from tornado import http1connection
@@ -9,10 +11,13 @@
 from tornado import httputil
 from tornado import netutil
 
+from limpetroute.forwarding import caller_request
 from limpetroute.forwarding import dialect as dialect_module
 from limpetroute.forwarding import forwarder as forwarder_module
+from limpetroute.forwarding import peer_protocol
 from limpetroute.forwarding import responder as responder_module
 from limpetroute.routing import caller_limits
+from limpetroute.wire import token_guard
 
 LOG = logging.getLogger(__name__)
 
@@ -21,7 +26,7 @@
 
 
 class FrontServer(httputil.HTTPServerConnectionDelegate):
-    """The HTTP server for callers.
+    """The HTTP server for callers and for other entry hosts.
 
     Parameters
     ----------
@@ -29,6 +34,8 @@
         Answers the requests.
     dialect : Dialect
         Decodes the requests.
+    guard : TokenGuard or None
+        Admits other entry hosts; None for a server for callers.
     """
 
     def __init__(
@@ -36,7 +43,9 @@
         *,
         forwarder: forwarder_module.Forwarder,
         dialect: dialect_module.Dialect,
+        guard: token_guard.TokenGuard | None = None,
     ) -> None:
+        self.guard = guard
         self.forwarder = forwarder
         self.dialect = dialect
         self.closing = False
@@ -48,11 +57,13 @@
     def __repr__(self) -> str:
         return f'{type(self).__name__}(port={self.port!r})'
 
-    def listen(self, address: str, port: int) -> None:
+    def listen(
+        self, address: str, port: int, tls: ssl.SSLContext | None = None
+    ) -> None:
         """Open the port."""
         sockets = netutil.bind_sockets(port, address, backlog=1024)
         self.port = int(sockets[0].getsockname()[1])
-        self._server = httpserver.HTTPServer(self)
+        self._server = httpserver.HTTPServer(self, ssl_options=tls)
         self.apply_limits(self.limits)
         self._server.add_sockets(sockets)
         self._is_listening = True
@@ -147,11 +158,28 @@
             version=self._start.version,
         )
         self._connection.set_close_callback(self.on_connection_close)
-        self._task = asyncio.create_task(
-            self._server.forwarder.answer(request, responder)
-        )
+        self._task = asyncio.create_task(self._answer(request, responder))
         self._task.add_done_callback(_log_failure)
 
+    async def _answer(
+        self,
+        request: caller_request.CallerRequest,
+        responder: responder_module.Responder,
+    ) -> None:
+        guard = self._server.guard
+        forwarder = self._server.forwarder
+        if guard is None:
+            await forwarder.answer(request, responder)
+            return
+        # The token is for this host and must not reach a runner.
+        token = request.headers.pop(peer_protocol.TOKEN, None)
+        if not guard.admits(token):
+            await forwarder.decline(request, responder, 'no accepted token')
+            return
+        await forwarder.answer(
+            dataclasses.replace(request, from_peer=True), responder
+        )
+
     def on_connection_close(self) -> None:
         """Cancel the request of a caller that has disconnected."""
         if self._task is not None:
--- a/limpetroute/forwarding/local_reply.py
+++ b/limpetroute/forwarding/local_reply.py
@@ -3,8 +3,11 @@
 import json
 import logging
 
+from tornado import httputil
+
 from limpetroute.forwarding import caller_request
 from limpetroute.forwarding import forward_context
+from limpetroute.forwarding import peer_protocol
 from limpetroute.forwarding import responder as responder_module
 from limpetroute.routing import next_step
 from limpetroute.routing import route as route_module
@@ -38,11 +41,28 @@
 QUARANTINED = 'runners crashed under this request'
 OVER_QUOTA = 'over quota'
 LOCAL_SHARE_USED = 'no leader: local share of the quota is used up'
+UNREACHABLE = 'no runner reachable'
 KEY_CHANGED = 'the key changed while the request waited'
 
 _RETRYABLE = (HTTP_UNAVAILABLE, HTTP_TOO_MANY_REQUESTS)
 
 
+async def decline(
+    context: forward_context.ForwardContext,
+    *,
+    request: caller_request.CallerRequest,
+    responder: responder_module.Responder,
+    reason: str,
+) -> None:
+    """Tell another entry host that nothing was done with its request."""
+    LOG.info(
+        'declined a request of another entry host',
+        extra={'request': request.request_id, 'reason': reason},
+    )
+    headers = httputil.HTTPHeaders({peer_protocol.DECLINED: reason})
+    await responder.write_whole(HTTP_UNAVAILABLE, headers, b'')
+
+
 async def write(
     context: forward_context.ForwardContext,
     *,
--- /dev/null
+++ b/limpetroute/forwarding/peer_client.py
@@ -0,0 +1,83 @@
+"""Passes requests to other entry hosts."""
+
+import asyncio
+import ssl
+
+from tornado import httputil
+
+from limpetroute.forwarding import caller_request
+from limpetroute.forwarding import dialect as dialect_module
+from limpetroute.forwarding import peer_call
+from limpetroute.forwarding import peer_protocol
+from limpetroute.forwarding import response_reader
+from limpetroute.routing import peer_directory
+from limpetroute.routing import send_result
+from limpetroute.wire import credentials
+from limpetroute.wire import token_guard
+
+
+class PeerClient:
+    """Passes requests to other entry hosts.
+
+    Parameters
+    ----------
+    directory : PeerDirectory
+        The other entry hosts.
+    dialect : Dialect
+        Formats of requests.
+    trust : Credentials
+        What this host sends and accepts.
+    """
+
+    def __init__(
+        self,
+        *,
+        directory: peer_directory.PeerDirectory,
+        dialect: dialect_module.Dialect,
+        trust: credentials.Credentials,
+    ) -> None:
+        self.directory = directory
+        self._dialect = dialect
+        self._token = trust.token
+        self._tls: ssl.SSLContext | None = trust.client_tls
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(directory={self.directory!r})'
+
+    @property
+    def has_usable(self) -> bool:
+        """Whether some host may take a request now."""
+        return self.directory.has_usable(_now_s())
+
+    def choose(self, tried: set[str]) -> peer_directory.PeerHost | None:
+        """Return the host to pass a request to, or None."""
+        return self.directory.choose(tried=tried, now_s=_now_s())
+
+    def new_call(self, host: peer_directory.PeerHost) -> peer_call.PeerCall:
+        """Return a new call to a host."""
+        return peer_call.PeerCall(host=host, tls=self._tls)
+
+    def note_result(
+        self,
+        host: peer_directory.PeerHost,
+        failed: response_reader.SendFailure | None,
+    ) -> None:
+        """Pass over a host for a while that did nothing with a request."""
+        if failed is None:
+            return
+        if failed.result is not send_result.SendResult.TIMED_OUT:
+            self.directory.avoid(host.host_id, _now_s())
+
+    def headers(
+        self, request: caller_request.CallerRequest, remaining_s: float
+    ) -> httputil.HTTPHeaders:
+        """Return the headers of a request that is passed on."""
+        headers = self._dialect.peer_headers(request, remaining_s)
+        headers.pop(peer_protocol.TOKEN, None)
+        if self._token is not None:
+            headers[peer_protocol.TOKEN] = token_guard.SCHEME + self._token
+        return headers
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/limpetroute/forwarding/peer_forward.py
@@ -0,0 +1,167 @@
+"""Passes one request to another entry host and relays its answer."""
+
+import asyncio
+import logging
+
+from limpetroute.forwarding import caller_request
+from limpetroute.forwarding import forward_context
+from limpetroute.forwarding import local_reply
+from limpetroute.forwarding import peer_call
+from limpetroute.forwarding import responder as responder_module
+from limpetroute.forwarding import response_reader
+from limpetroute.forwarding import stream_relay
+from limpetroute.routing import next_step
+from limpetroute.routing import peer_directory
+from limpetroute.routing import route as route_module
+from limpetroute.routing import route_kind
+from limpetroute.routing import send_result
+
+LOG = logging.getLogger(__name__)
+
+# A host that is cut off and meets two that decline is unlikely to find a
+# third, and its caller can be served elsewhere.
+MAX_HOSTS = 2
+
+
+class PeerForward:
+    """Passes one request to another entry host and relays its answer.
+
+    Only for a request of which nothing was sent to a runner. The other host
+    treats it like a request of its own caller.
+
+    Parameters
+    ----------
+    context : ForwardContext
+        Shared state of the forwarder.
+    request : CallerRequest
+        The caller's request.
+    route : Route
+        Its route.
+    responder : Responder
+        Writes the answer.
+    """
+
+    def __init__(
+        self,
+        *,
+        context: forward_context.ForwardContext,
+        request: caller_request.CallerRequest,
+        route: route_module.Route,
+        responder: responder_module.Responder,
+    ) -> None:
+        self._context = context
+        self._request = request
+        self._route = route
+        self._responder = responder
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(request={self._request.request_id!r})'
+
+    async def run(self) -> bool:
+        """Answer the request; return False if no host takes it.
+
+        Then no host has done anything with it, and nothing was written.
+        """
+        tried: set[str] = set()
+        while len(tried) < MAX_HOSTS:
+            host = self._context.peers.choose(tried)
+            if host is None:
+                return False
+            tried.add(host.host_id)
+            self._context.peers.directory.begin(host.host_id)
+            try:
+                if await self._pass_to(host):
+                    return True
+            finally:
+                self._context.peers.directory.end(host.host_id)
+        return False
+
+    async def _pass_to(self, host: peer_directory.PeerHost) -> bool:
+        context = self._context
+        started_s = _now_s()
+        remaining_s = context.remaining_s(self._request, self._route)
+        call = context.peers.new_call(host)
+        try:
+            failed = await call.open(
+                self._request,
+                headers=context.peers.headers(self._request, remaining_s),
+                timeout_s=remaining_s,
+            )
+            context.peers.note_result(host, failed)
+            if failed is None:
+                failed = await self._relay(call)
+        finally:
+            call.close()
+        result = send_result.SendResult.ANSWERED
+        if failed is not None:
+            result = failed.result
+        context.meters.sent('peer', result.value)
+        LOG.info(
+            'passed to another entry host',
+            extra={
+                'request': self._request.request_id,
+                'host': host.host_id,
+                'result': result.value,
+                'detail': failed.detail if failed else f'status {call.status}',
+                'took_ms': round((_now_s() - started_s) * 1000),
+            },
+        )
+        if failed is None:
+            return True
+        if result.is_known_not_run:
+            return False
+        await self._reply_failed(result)
+        return True
+
+    async def _relay(
+        self, call: peer_call.PeerCall
+    ) -> response_reader.SendFailure | None:
+        """Relay the other host's answer; return why it is incomplete."""
+        context = self._context
+        if (
+            self._route.kind is route_kind.RouteKind.STREAM
+            and call.is_event_stream
+        ):
+            return await self._relay_stream(call)
+        body = await call.read(context.remaining_s(self._request, self._route))
+        if isinstance(body, response_reader.SendFailure):
+            return body
+        await self._responder.write_whole(
+            call.status, context.dialect.caller_headers(call.headers), body
+        )
+        context.count(self._route, call.status, self._request)
+        return None
+
+    async def _relay_stream(
+        self, call: peer_call.PeerCall
+    ) -> response_reader.SendFailure | None:
+        relay = stream_relay.StreamRelay(
+            context=self._context,
+            request=self._request,
+            route=self._route,
+            responder=self._responder,
+        )
+        result = await relay.run(call, may_switch_runner=False)
+        if result is send_result.SendResult.ANSWERED:
+            return None
+        return response_reader.SendFailure(
+            result=result, detail=f'after {relay.event_count} events'
+        )
+
+    async def _reply_failed(self, result: send_result.SendResult) -> None:
+        """Answer a request that may have run, or cut its answer off."""
+        step = next_step.Step.FAIL
+        if result is send_result.SendResult.TIMED_OUT:
+            step = next_step.Step.EXPIRE
+        await local_reply.write(
+            self._context,
+            request=self._request,
+            route=self._route,
+            responder=self._responder,
+            step=step,
+            reason='another entry host broke off',
+        )
+
+
+def _now_s() -> float:
+    return asyncio.get_running_loop().time()
--- a/limpetroute/forwarding/plain_forward.py
+++ b/limpetroute/forwarding/plain_forward.py
@@ -12,6 +12,7 @@
 from limpetroute.forwarding import quota_charge
 from limpetroute.forwarding import request_replies
 from limpetroute.forwarding import responder as responder_module
+from limpetroute.forwarding import response_reader
 from limpetroute.forwarding import runner_call
 from limpetroute.routing import next_step
 from limpetroute.routing import plain_runner_choice
@@ -60,6 +61,7 @@
         self._service = service
         self._responder = responder
         self._tried_runners: set[str] = set()
+        self._failed_connects = 0
         self._history = send_history.SendHistory(route=route)
         self._replies = request_replies.RequestReplies(
             context=context,
@@ -78,43 +80,58 @@
     def __repr__(self) -> str:
         return f'{type(self).__name__}(request={self._request.request_id!r})'
 
-    async def run(self) -> None:
-        """Answer the request."""
+    async def run(self) -> bool:
+        """Answer the request; return False if no runner was reachable.
+
+        Then nothing was sent to a runner, and nothing was written.
+        """
         if not self._context.accepts_calls:
             await self._replies.refuse('this host stops')
-            return
+            return True
         verdict = self._charge.take()
         if not verdict.allowed:
             await self._replies.refuse_over_quota(verdict)
-            return
+            return True
         try:
-            await self._send_until_answered()
+            return await self._send_until_answered()
         finally:
             self._charge.settle(may_have_run=self._history.may_have_run)
 
-    async def _send_until_answered(self) -> None:
+    async def _send_until_answered(self) -> bool:
         while True:
+            if self._is_unreached and self._context.may_pass_on:
+                return False
             runner = self._choose()
             if runner is None:
+                if self._is_unreached:
+                    return False
                 await self._refuse_without_runner()
-                return
+                return True
             if not self._context.teams.is_current(self._request, self._route):
                 await self._replies.refuse(local_reply.KEY_CHANGED)
-                return
+                return True
             if self._gate.is_closed():
                 await self._refuse_quarantined()
-                return
+                return True
             if not await self._context.limits.take(runner):
                 continue
             if not await self._gate.may_send():
                 await self._refuse_quarantined()
-                return
+                return True
             step = await self._send(runner)
             if step is next_step.Step.RELAY:
-                return
-            if step is not next_step.Step.RETRY:
-                await self._replies.end(step, 'after a send')
-                return
+                return True
+            if step is next_step.Step.RETRY:
+                continue
+            if self._is_unreached:
+                return False
+            await self._replies.end(step, 'after a send')
+            return True
+
+    @property
+    def _is_unreached(self) -> bool:
+        """Whether no runner that was tried accepted a connection."""
+        return bool(self._failed_connects) and not self._history.sends
 
     async def _refuse_quarantined(self) -> None:
         await self._replies.refuse(
@@ -167,7 +184,7 @@
             with context.log_if_cancelled(self._request, runner):
                 failed = await call.open(self._request, options)
                 context.note_rate_limit(call)
-                body: bytes | runner_call.SendFailure = b''
+                body: bytes | response_reader.SendFailure = b''
                 if failed is None:
                     body = await call.read(
                         context.remaining_s(self._request, self._route)
@@ -175,9 +192,11 @@
         finally:
             load.requests -= 1
             call.close()
-        if failed is None and isinstance(body, runner_call.SendFailure):
+        if failed is None and isinstance(body, response_reader.SendFailure):
             failed = body
         result = _result(call, failed)
+        if result is send_result.SendResult.NOT_SENT:
+            self._failed_connects += 1
         took_s = _now_s() - started_s
         if result is send_result.SendResult.ANSWERED:
             load.note_success(took_s)
@@ -226,11 +245,11 @@
 
 
 def _result(
-    call: runner_call.RunnerCall, failed: runner_call.SendFailure | None
+    call: runner_call.RunnerCall, failed: response_reader.SendFailure | None
 ) -> send_result.SendResult:
     if failed is not None:
         return failed.result
-    if call.status >= runner_call.HTTP_SERVER_ERROR:
+    if call.status >= response_reader.HTTP_SERVER_ERROR:
         return send_result.SendResult.FAILED
     return send_result.SendResult.ANSWERED
 
--- a/limpetroute/forwarding/prompt_prefill.py
+++ b/limpetroute/forwarding/prompt_prefill.py
@@ -7,6 +7,7 @@
 from limpetroute.forwarding import caller_request
 from limpetroute.forwarding import dialect as dialect_module
 from limpetroute.forwarding import forward_context
+from limpetroute.forwarding import response_reader
 from limpetroute.forwarding import runner_call
 from limpetroute.routing import next_step
 from limpetroute.routing import route as route_module
@@ -92,7 +93,7 @@
 
     async def run(
         self, runner: runner_info.RunnerInfo
-    ) -> PrefilledPrompt | runner_call.SendFailure:
+    ) -> PrefilledPrompt | response_reader.SendFailure:
         """Prefill the prompt and return its KV cache, or why that failed.
 
         After a failure the caller has to request a new placement, because
@@ -126,7 +127,7 @@
 
     async def _prefill(
         self, runner: runner_info.RunnerInfo, tokens: int
-    ) -> PrefilledPrompt | runner_call.SendFailure:
+    ) -> PrefilledPrompt | response_reader.SendFailure:
         context = self._context
         started_s = _now_s()
         call = context.new_call(runner)
@@ -185,21 +186,21 @@
 
     async def _read_handle(
         self, call: runner_call.RunnerCall
-    ) -> tuple[str, runner_call.SendFailure | None]:
+    ) -> tuple[str, response_reader.SendFailure | None]:
         body = await call.read(
             self._context.remaining_s(self._request, self._route)
         )
-        if isinstance(body, runner_call.SendFailure):
+        if isinstance(body, response_reader.SendFailure):
             return '', body
-        if call.status >= runner_call.HTTP_SERVER_ERROR:
-            return '', runner_call.SendFailure(
+        if call.status >= response_reader.HTTP_SERVER_ERROR:
+            return '', response_reader.SendFailure(
                 result=send_result.SendResult.FAILED,
                 detail=f'status {call.status}',
             )
         try:
             return self._context.dialect.read_handle(body), None
         except ValueError as exc:
-            return '', runner_call.SendFailure(
+            return '', response_reader.SendFailure(
                 result=send_result.SendResult.BROKEN, detail=str(exc)
             )
 
--- a/limpetroute/forwarding/server.py
+++ b/limpetroute/forwarding/server.py
@@ -6,6 +6,7 @@
 import typing
 
 from limpetroute.border import forwarder_settings
+from limpetroute.border import listen_settings
 from limpetroute.control import seeds as seeds_module
 from limpetroute.forwarding import admin_server
 from limpetroute.forwarding import config_freshness
@@ -17,16 +18,21 @@
 from limpetroute.forwarding import forwarder as forwarder_module
 from limpetroute.forwarding import front_server
 from limpetroute.forwarding import leader_channel
+from limpetroute.forwarding import peer_client
+from limpetroute.forwarding import peer_reporter
 from limpetroute.forwarding import quarantine_client
 from limpetroute.forwarding import quota_client
 from limpetroute.forwarding import rate_limit_client
 from limpetroute.forwarding import response_monitor
+from limpetroute.forwarding import runner_links
 from limpetroute.forwarding import scheduler_client
 from limpetroute.forwarding import team_gate
+from limpetroute.routing import peer_directory
 from limpetroute.routing import retry_budget
 from limpetroute.routing import route_plan
 from limpetroute.telemetry import exports as exports_module
 from limpetroute.wire import caller
+from limpetroute.wire import token_guard
 
 LOG = logging.getLogger(__name__)
 
@@ -106,6 +112,18 @@
                 channel=self._channel, view=self.view
             ),
         )
+        self._peers = peer_client.PeerClient(
+            directory=peer_directory.PeerDirectory(
+                host_id=settings.host_id,
+                zone=settings.zone,
+                rng=random.Random(),
+            ),
+            dialect=dialect,
+            trust=trust,
+        )
+        self._links = runner_links.RunnerLinks(
+            view=self.view, rng=random.Random()
+        )
         self._context = forward_context.ForwardContext(
             view=self.view,
             watch=self.watch,
@@ -117,6 +135,8 @@
             monitor=response_monitor.ResponseMonitor(
                 dialect=dialect, view=self.view
             ),
+            links=self._links,
+            peers=self._peers,
             dialect=dialect,
             meters=forward_meters.ForwardMeters(meter=self._exports.meter),
             zone=settings.zone,
@@ -127,6 +147,12 @@
         self._front = front_server.FrontServer(
             forwarder=self.forwarder, dialect=dialect
         )
+        self._peer_front = front_server.FrontServer(
+            forwarder=self.forwarder,
+            dialect=dialect,
+            guard=token_guard.TokenGuard(tokens=trust.tokens),
+        )
+        self._peer_reporter: peer_reporter.PeerReporter | None = None
         self.view.on_plan = self._apply_caller_limits
         self._admin = admin_server.AdminServer(
             ready_path=ready_path,
@@ -153,6 +179,8 @@
         self._front.listen(settings.callers.address, settings.callers.port)
         self._admin.listen(settings.ready.address, settings.ready.port)
         self._admin.listen(settings.metrics.address, settings.metrics.port)
+        if settings.peers is not None:
+            self._start_peers(settings.peers)
         self.watch.start()
         LOG.info(
             'started',
@@ -164,6 +192,28 @@
             },
         )
 
+    def _start_peers(self, listen: listen_settings.ListenSettings) -> None:
+        """Serve other entry hosts and tell the leader where."""
+        self._peer_front.listen(
+            listen.address, listen.port, listen.tls_context()
+        )
+        url = seeds_module.url(
+            host=listen.address,
+            scheme='https' if listen.tls else 'http',
+            port=self._peer_front.port,
+        )
+        self._peer_reporter = peer_reporter.PeerReporter(
+            channel=self._channel,
+            directory=self._peers.directory,
+            entry_hosts=lambda: self.watch.entry_hosts,
+            host=peer_directory.PeerHost(
+                host_id=self.settings.host_id,
+                zone=self.settings.zone,
+                url=url,
+            ),
+        )
+        self._peer_reporter.start()
+
     async def stop(self) -> None:
         """Leave the balancer's rotation, drain open requests, and stop.
 
@@ -178,6 +228,9 @@
         loop = asyncio.get_running_loop()
         started_s = loop.time()
         self._is_stopping = True
+        self.forwarder.is_stopping = True
+        if self._peer_reporter is not None:
+            self._peer_reporter.stop()
         self._front.closing = True
         LOG.info('stopping', extra={'active': self.forwarder.active})
         await asyncio.sleep(OUT_OF_ROTATION_S)
@@ -193,11 +246,15 @@
         self.watch.stop()
         self._context.quarantine.stop()
         self._quotas.stop()
+        self._links.stop()
+        self._peer_front.stop_listening()
+        await self._peer_front.close()
         await self._front.close()
         self._admin.close()
 
     def _apply_caller_limits(self, plan: route_plan.RoutePlan) -> None:
         self._front.apply_limits(plan.limits)
+        self._peer_front.apply_limits(plan.limits)
 
     def _control_urls(self) -> list[str]:
         hosts = [seeds_module.host_of(seed) for seed in self._read_seeds()]
--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -15,6 +15,7 @@
 from limpetroute.forwarding import quota_charge
 from limpetroute.forwarding import request_replies
 from limpetroute.forwarding import responder as responder_module
+from limpetroute.forwarding import response_reader
 from limpetroute.forwarding import runner_call
 from limpetroute.forwarding import stream_relay
 from limpetroute.routing import forecast
@@ -100,6 +101,7 @@
         self._prefills = 0
         self._failed_prefills = 0
         self._sends_to_unreachable = 0
+        self._failed_connects = 0
         self._is_complete = False
         # Whether a live runner broke off before the first event.
         self._broke_unread = False
@@ -109,22 +111,27 @@
     def __repr__(self) -> str:
         return f'{type(self).__name__}(request={self._request.request_id!r})'
 
-    async def run(self) -> None:
-        """Answer the request."""
+    async def run(self) -> bool:
+        """Answer the request; return False if no runner was reachable.
+
+        Then nothing was sent to a runner, and nothing was written.
+        """
         if not self._is_accepted():
             await self._replies.refuse('this host stops')
-            return
+            return True
         try:
-            await self._place_until_answered()
+            return await self._place_until_answered()
         finally:
             self._prefill.free_unless_taken()
             self._charge.settle(may_have_run=self._history.may_have_run)
 
-    async def _place_until_answered(self) -> None:
+    async def _place_until_answered(self) -> bool:
         while True:
+            if self._is_unreached and self._context.may_pass_on:
+                return False
             if self._gate.is_closed():
                 await self._refuse_quarantined()
-                return
+                return True
             session = placement_session.PlacementSession(
                 context=self._context,
                 request=self._request,
@@ -136,8 +143,10 @@
                 progress = self._progress()
                 result = await self._acquire(session, progress)
                 if isinstance(result, placement.Rejection):
+                    if self._is_unreached and not result.over_quota:
+                        return False
                     await self._reply_rejected(result)
-                    return
+                    return True
                 if result is None or (
                     progress.is_prefilled and self._prefill.unused is None
                 ):
@@ -145,10 +154,10 @@
                     continue
                 if not self._is_team_current():
                     await self._replies.refuse(local_reply.KEY_CHANGED)
-                    return
+                    return True
                 if not await self._gate.may_send():
                     await self._refuse_quarantined()
-                    return
+                    return True
                 step = await self._send(result, session)
             finally:
                 session.release(
@@ -162,10 +171,18 @@
                 self._failed_runners.clear()
                 self._full_runners.clear()
             if step is next_step.Step.RELAY:
-                return
-            if step is not next_step.Step.RETRY:
-                await self._replies.end(step, 'after a send')
-                return
+                return True
+            if step is next_step.Step.RETRY:
+                continue
+            if self._is_unreached:
+                return False
+            await self._replies.end(step, 'after a send')
+            return True
+
+    @property
+    def _is_unreached(self) -> bool:
+        """Whether no runner that was tried accepted a connection."""
+        return bool(self._failed_connects) and not self._history.sends
 
     async def _acquire(
         self,
@@ -284,7 +301,7 @@
                 if failed is not None:
                     return self._handle_failed_connect(runner, failed)
                 result = await self._prefill.run(assigned.prefill)
-                if isinstance(result, runner_call.SendFailure):
+                if isinstance(result, response_reader.SendFailure):
                     return self._handle_failed_prefill(
                         assigned.prefill, result
                     )
@@ -325,10 +342,13 @@
         )
 
     def _handle_failed_connect(
-        self, runner: runner_info.RunnerInfo, failed: runner_call.SendFailure
+        self,
+        runner: runner_info.RunnerInfo,
+        failed: response_reader.SendFailure,
     ) -> next_step.Step:
         """Record a failed connect to a decode runner, return the next step."""
         self._tried_runners.add(runner.runner_id)
+        self._failed_connects += 1
         self._note_failure(runner)
         step = self._decide(failed.result)
         self._context.log_send(
@@ -349,7 +369,7 @@
     def _handle_failed_prefill(
         self,
         prefill: runner_info.RunnerInfo,
-        failed: runner_call.SendFailure,
+        failed: response_reader.SendFailure,
     ) -> next_step.Step:
         """Record a failed prefill and return the next step.
 
@@ -400,7 +420,10 @@
             failed = await call.open(self._request, options)
             context.note_rate_limit(call)
             result = failed.result if failed else None
-            if failed is None and call.status >= runner_call.HTTP_SERVER_ERROR:
+            if (
+                failed is None
+                and call.status >= response_reader.HTTP_SERVER_ERROR
+            ):
                 result = send_result.SendResult.FAILED
             if result is None:
                 if prefilled is not None:
@@ -410,6 +433,8 @@
                     may_switch_runner=self._history.allows_another_send,
                     on_first_event=on_first_event,
                 )
+        if result is send_result.SendResult.NOT_SENT:
+            self._failed_connects += 1
         self._keeps_prefill = self._may_reuse_prefill(runner, result)
         self._record_result(runner, result, prefilled, _now_s() - started_s)
         if result is send_result.SendResult.ANSWERED:
@@ -529,7 +554,7 @@
         body = await call.read(
             self._context.remaining_s(self._request, self._route)
         )
-        if isinstance(body, runner_call.SendFailure):
+        if isinstance(body, response_reader.SendFailure):
             await self._replies.end(next_step.Step.FAIL, body.detail)
             return
         await self._responder.write_whole(
--- a/limpetroute/forwarding/stream_relay.py
+++ b/limpetroute/forwarding/stream_relay.py
@@ -7,7 +7,7 @@
 from limpetroute.forwarding import event_splitter
 from limpetroute.forwarding import forward_context
 from limpetroute.forwarding import responder as responder_module
-from limpetroute.forwarding import runner_call
+from limpetroute.forwarding import response_reader
 from limpetroute.routing import route as route_module
 from limpetroute.routing import send_result
 from limpetroute.wire import connection
@@ -101,7 +101,7 @@
 
     async def run(
         self,
-        call: runner_call.RunnerCall,
+        call: response_reader.ResponseReader,
         *,
         may_switch_runner: bool,
         on_first_event: typing.Callable[[], None] | None = None,
@@ -145,7 +145,7 @@
         self._context.count(self._route, call.status, self._request)
         return send_result.SendResult.ANSWERED
 
-    def _is_cut_short(self, call: runner_call.RunnerCall) -> bool:
+    def _is_cut_short(self, call: response_reader.ResponseReader) -> bool:
         """Return whether events are missing from an answer that has ended.
 
         The connection of a crashed runner may be closed without an error. An
@@ -168,7 +168,7 @@
         self._events.discard_partial()
 
     async def _write(
-        self, call: runner_call.RunnerCall, events: bytes
+        self, call: response_reader.ResponseReader, events: bytes
     ) -> None:
         responder = self._responder
         now_s = _now_s()
--- a/limpetroute/platform/http_dialect.py
+++ b/limpetroute/platform/http_dialect.py
@@ -59,17 +59,13 @@
         self, request: caller_request.CallerRequest, note: dialect.SendOptions
     ) -> httputil.HTTPHeaders:
         """Return the headers for a runner."""
-        headers = _without(
-            request.headers,
-            (*header_names.HOP_BY_HOP, *header_names.SYSTEM_ONLY),
-        )
-        headers.pop('Content-Length', None)
+        headers = self.peer_headers(request, note.remaining_s)
+        for name in header_names.SYSTEM_ONLY:
+            headers.pop(name, None)
         if request.hides_credentials:
             headers.pop(header_names.AUTHORIZATION, None)
         if request.team:
             headers[header_names.TENANT] = request.team
-        remaining_ms = max(1, int(note.remaining_s * MILLIS))
-        headers[header_names.DEADLINE_MS] = str(remaining_ms)
         headers[header_names.EXPECT_INSTANCE] = note.runner_id
         if note.prefill_only:
             headers[header_names.STAGE] = 'prefill'
@@ -80,6 +76,16 @@
             headers[header_names.LAST_EVENT_ID] = note.resume_after
         return headers
 
+    def peer_headers(
+        self, request: caller_request.CallerRequest, remaining_s: float
+    ) -> httputil.HTTPHeaders:
+        """Return a caller's headers for another entry host."""
+        headers = _without(request.headers, header_names.HOP_BY_HOP)
+        headers.pop('Content-Length', None)
+        remaining_ms = max(1, int(remaining_s * MILLIS))
+        headers[header_names.DEADLINE_MS] = str(remaining_ms)
+        return headers
+
     def is_refusal(self, status: int, headers: httputil.HTTPHeaders) -> bool:
         """Return whether a runner proves that it did not run a request."""
         return header_names.NOT_RUN in headers or status == HTTP_MISDIRECTED
--- /dev/null
+++ b/limpetroute/routing/peer_directory.py
@@ -0,0 +1,118 @@
+"""The other entry hosts, and which of them to pass a request to."""
+
+import dataclasses
+import math
+import random
+import typing
+
+# Time for which a host that failed or declined is passed over. A lost link
+# lasts for seconds; a host that has stopped is dropped from the list later.
+AVOID_S = 1.0
+# Time for which a host is kept that is not listed any more. A new leader
+# lists all hosts only once each of them has reported to it.
+KEEP_S = 30.0
+
+
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class PeerHost:
+    """Another entry host, and where it accepts requests of entry hosts."""
+
+    host_id: str
+    zone: str
+    url: str
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Entry:
+    host: PeerHost
+    listed_s: float
+    avoid_until_s: float = -math.inf
+    requests: int = 0
+
+
+class PeerDirectory:
+    """The other entry hosts, and which of them to pass a request to.
+
+    Parameters
+    ----------
+    host_id : str
+        Identity of this host, which is never chosen.
+    zone : str
+        Availability zone of this host.
+    rng : random.Random
+        Breaks ties.
+    """
+
+    __slots__ = ('_entries', '_host_id', '_rng', '_zone')
+
+    def __init__(self, *, host_id: str, zone: str, rng: random.Random) -> None:
+        self._host_id = host_id
+        self._zone = zone
+        self._rng = rng
+        self._entries: dict[str, _Entry] = {}
+
+    def __repr__(self) -> str:
+        return f'{type(self).__name__}(hosts={len(self._entries)!r})'
+
+    def update(self, hosts: typing.Iterable[PeerHost], now_s: float) -> None:
+        """Record the hosts that the leader lists."""
+        for host in hosts:
+            if host.host_id == self._host_id:
+                continue
+            entry = self._entries.get(host.host_id)
+            if entry is None or entry.host != host:
+                entry = _Entry(host=host, listed_s=now_s)
+                self._entries[host.host_id] = entry
+            entry.listed_s = now_s
+        for host_id, entry in list(self._entries.items()):
+            if now_s - entry.listed_s > KEEP_S:
+                del self._entries[host_id]
+
+    def choose(
+        self, *, tried: typing.Collection[str], now_s: float
+    ) -> PeerHost | None:
+        """Return the host to pass a request to, or None.
+
+        It is the one with the fewest requests of this host, and one in the
+        same zone where several have as few.
+        """
+        usable = [
+            entry
+            for entry in self._entries.values()
+            if entry.avoid_until_s <= now_s and entry.host.host_id not in tried
+        ]
+        if not usable:
+            return None
+        best = min(
+            usable,
+            key=lambda entry: (
+                entry.requests,
+                entry.host.zone != self._zone,
+                self._rng.random(),
+            ),
+        )
+        return best.host
+
+    def has_usable(self, now_s: float) -> bool:
+        """Return whether some host may take a request."""
+        return any(
+            entry.avoid_until_s <= now_s for entry in self._entries.values()
+        )
+
+    def avoid(self, host_id: str, now_s: float) -> None:
+        """Pass over a host for a while."""
+        entry = self._entries.get(host_id)
+        if entry is not None:
+            entry.avoid_until_s = now_s + AVOID_S
+
+    def begin(self, host_id: str) -> None:
+        """Count a request that is passed to a host."""
+        entry = self._entries.get(host_id)
+        if entry is not None:
+            entry.requests += 1
+
+    def end(self, host_id: str) -> None:
+        """Count the end of a request that was passed to a host."""
+        entry = self._entries.get(host_id)
+        if entry is not None:
+            entry.requests = max(0, entry.requests - 1)
--- a/tests/forwarding/harness.py
+++ b/tests/forwarding/harness.py
@@ -14,18 +14,22 @@
 from limpetroute.forwarding import forwarder
 from limpetroute.forwarding import front_server
 from limpetroute.forwarding import leader_channel
+from limpetroute.forwarding import peer_client
 from limpetroute.forwarding import quarantine_client
 from limpetroute.forwarding import quota_client
 from limpetroute.forwarding import rate_limit_client
 from limpetroute.forwarding import response_monitor
+from limpetroute.forwarding import runner_links
 from limpetroute.forwarding import scheduler_client
 from limpetroute.forwarding import team_gate
 from limpetroute.platform import http_dialect
+from limpetroute.routing import peer_directory
 from limpetroute.routing import quota_window
 from limpetroute.routing import retry_budget
 from limpetroute.routing import route
 from limpetroute.routing import route_kind
 from limpetroute.wire import caller
+from limpetroute.wire import credentials
 from tests.forwarding import scripted_runner
 from tests.routing import builders
 
@@ -75,6 +79,16 @@
             monitor=response_monitor.ResponseMonitor(
                 dialect=self.dialect, view=self.view
             ),
+            links=runner_links.RunnerLinks(
+                view=self.view, rng=random.Random(1)
+            ),
+            peers=peer_client.PeerClient(
+                directory=peer_directory.PeerDirectory(
+                    host_id='e1', zone='a', rng=random.Random(1)
+                ),
+                dialect=self.dialect,
+                trust=credentials.Credentials(),
+            ),
             dialect=self.dialect,
             meters=forward_meters.ForwardMeters(
                 meter=metrics.NoOpMeter('test')
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -116,6 +116,7 @@
                 'callers': f'{host}:{public}',
                 'ready': f'{host}:{port}',
                 'metrics': f'{host}:0',
+                'peers': f'{host}:0',
                 'seeds': seeds,
                 'control_port': port,
                 'grace_s': 5.0,
