Blame no request for a runner of a host that reaches none

A runner that broke off and then refuses connections counts as crashed under the requests that were there. A host whose links are cut is refused by all runners: each request in flight is blamed once for each sound runner, and with three it is quarantined everywhere.

A refused connection is now taken for a crash only while one of two other runners accepts a connection from this host, or there is no other. The new test fails before with all runners refusing (one crash noted) and passes with one; tests/forwarding and the tests of crashing requests pass.

--- a/limpetroute/forwarding/forward_context.py
+++ b/limpetroute/forwarding/forward_context.py
@@ -266,6 +266,16 @@
         """
         if not await crash_check.has_crashed(runner, self.view):
             return
+        if not await self.links.reaches_another(runner):
+            LOG.info(
+                'refused connection not taken for a crash',
+                extra={
+                    'request': request.request_id,
+                    'runner': runner.runner_id,
+                    'address': runner.address,
+                },
+            )
+            return
         self.meters.crashed(answer_begun)
         LOG.info(
             'runner crashed while processing a request',
--- a/tests/forwarding/test_peers.py
+++ b/tests/forwarding/test_peers.py
@@ -346,6 +346,36 @@
     asyncio.run(work())
 
 
+# Guards against requests that are quarantined for links that were reset.
+@pytest.mark.parametrize('others_answer', [False, True])
+def test_a_refused_connection_is_no_crash_where_all_are_refused(
+    others_answer,
+):
+    async def dies(request, writer):
+        for one in servers[:1] if others_answer else servers:
+            await one.stop()
+        writer.transport.abort()
+
+    servers = []
+
+    async def work():
+        async with harness.running(
+            [dies, GOOD, GOOD], max_sends=1, kind=ONCE
+        ) as (host, runners):
+            servers.extend(runners)
+            noted = []
+            host.quarantine.note_crash = lambda *args, **more: noted.append(
+                args
+            )
+            for name in ('r1', 'r2'):
+                host.view.load(name).requests = 9
+            got = await host.request()
+            assert harness.status(got) == 502
+            assert len(noted) == others_answer
+
+    asyncio.run(work())
+
+
 class _Leader:
     """A leader that answers reports in a given way."""
 
