--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,4 +1,4 @@
-"""Soak real processes: python -m tests.soak [--seeds 1-50] [--teams].
+"""Soak real processes: python -m tests.soak [--seeds 1-50] [--teams] [--cuts].
 
 Prints a line for each seed, with its folder of logs where it failed.
 """
@@ -18,13 +18,19 @@
     parser.add_argument('--seeds', default='1-5')
     parser.add_argument('--seconds', type=float, default=20.0)
     parser.add_argument('--teams', action='store_true')
+    parser.add_argument('--cuts', action='store_true')
     args = parser.parse_args()
     first, _, last = args.seeds.partition('-')
     failed = 0
     for seed in range(int(first), int(last or first) + 1):
         folder = pathlib.Path(tempfile.mkdtemp(prefix=f'soak-{seed}-'))
         run = soak.Soak(
-            folder, seed, args.seconds, grows=True, has_teams=args.teams
+            folder,
+            seed,
+            args.seconds,
+            grows=True,
+            has_teams=args.teams,
+            has_cuts=args.cuts,
         )
         try:
             broken = asyncio.run(run.run())
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -16,6 +16,8 @@
     'drain_runner',
     'submit',
 )
+# With hosts whose links to runners are cut; seeds of plain runs keep theirs.
+KINDS_WITH_CUTS = (*KINDS, *('cut_links',) * 6)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -26,7 +28,7 @@
     for_s: float
 
 
-def make(seed, seconds):
+def make(seed, seconds, kinds=KINDS):
     """Faults come alone, in series and overlapping."""
     rng = random.Random(seed)
     faults = []
@@ -34,7 +36,7 @@
     while at_s < seconds:
         fault = Fault(
             at_s=round(at_s, 2),
-            kind=rng.choice(KINDS),
+            kind=rng.choice(kinds),
             target=rng.randrange(5),
             for_s=round(rng.choice([0.2, 0.8, 2.5]), 2),
         )
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -12,6 +12,7 @@
 from tests.soak import promises as promises_module
 from tests.soak import teams
 from tests.soak import world as world_module
+from tests.whole_path import partition
 
 CALLERS = 6
 PREFIXES = {'once': '/once/x', 'safe': '/safe/x', 'stream': '/stream/x'}
@@ -23,8 +24,18 @@
 
 
 class Soak:
-    def __init__(self, folder, seed, seconds, *, grows=False, has_teams=False):
+    def __init__(
+        self,
+        folder,
+        seed,
+        seconds,
+        *,
+        grows=False,
+        has_teams=False,
+        has_cuts=False,
+    ):
         self.seed = seed
+        self._has_cuts = has_cuts
         self._has_teams = has_teams
         self.owners = {}
         self.losses = 0
@@ -32,6 +43,9 @@
         self._others = 0
         self.seconds = seconds
         self.world = world_module.World(folder, 20 + seed % 200)
+        self.partitions = []
+        if has_cuts:
+            self.partitions = partition.partitions(self.world)
         self.promises = promises_module.Promises()
         self.version = 0
         self._names = itertools.count()
@@ -40,6 +54,10 @@
     async def run(self):
         """Play the seed's plan; return what was broken."""
         try:
+            if self.partitions:
+                await self.world.start_runners()
+            for one in self.partitions:
+                await one.start()
             await self.world.start()
             await self._begin()
             self._tasks = [
@@ -62,6 +80,8 @@
             for task in self._tasks:
                 task.cancel()
             self.world.end()
+            for one in self.partitions:
+                one.close()
 
     async def _begin(self):
         await world_module.wait_until(self._submit, 15, 'the first routes')
@@ -171,7 +191,8 @@
         loop = asyncio.get_running_loop()
         begun_s = loop.time()
         running = []
-        for fault in plan.make(self.seed, self.seconds):
+        kinds = plan.KINDS_WITH_CUTS if self._has_cuts else plan.KINDS
+        for fault in plan.make(self.seed, self.seconds, kinds):
             await asyncio.sleep(max(0, begun_s + fault.at_s - loop.time()))
             running.append(asyncio.create_task(self._do(fault)))
         await asyncio.gather(*running)
@@ -182,6 +203,8 @@
             await self._signal(self.world.controls, subject, fault)
         elif where == 'forward':
             await self._signal(self.world.forwards, subject, fault)
+        elif where == 'links':
+            await self._cut(fault)
         elif where == 'runner':
             await self._spoil(subject, fault)
         else:
@@ -204,6 +227,14 @@
             process.change(may_found=False)
         process.start()
 
+    async def _cut(self, fault):
+        """Cut one host's links to all runners; cuts of a host may overlap."""
+        one = self.partitions[fault.target % len(self.partitions)]
+        cuts = list(partition.Cut)[1:]
+        await one.cut(cuts[int(fault.at_s * 100) % len(cuts)])
+        await asyncio.sleep(fault.for_s)
+        await one.heal()
+
     async def _spoil(self, subject, fault):
         one = self.world.runners[fault.target]
         if subject == 'silence':
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -51,6 +51,21 @@
     assert sum(one.status == 200 and one.whole for one in answers) > 20
 
 
+@pytest.mark.parametrize(('seed', 'seconds'), [(91001, 8)])
+def test_promises_hold_while_links_to_runners_are_cut(tmp_path, seed, seconds):
+    run = soak.Soak(tmp_path, seed, seconds, has_cuts=True)
+    broken = asyncio.run(run.run())
+    logs = {one.name: one.log()[-1500:] for one in run.world.forwards}
+    assert not broken, (broken, logs)
+    answers = run.promises.answers
+    assert sum(one.status == 200 and one.whole for one in answers) > 20
+    passed = [
+        one.log().count('passed to another') for one in run.world.forwards
+    ]
+    # The run shows nothing if no request took the way through another host.
+    assert any(passed)
+
+
 @pytest.mark.parametrize(('seed', 'seconds'), [(81001, 10)])
 def test_teams_keep_their_promises_under_faults(tmp_path, seed, seconds):
     """Keys rotate with each change, and one team is over its quota."""
--- a/tests/whole_path/partition.py
+++ b/tests/whole_path/partition.py
@@ -104,7 +104,7 @@
             await asyncio.gather(
                 self._pass_on(reader, other), self._pass_on(back, writer)
             )
-        except OSError:
+        except (OSError, asyncio.CancelledError):
             return
         finally:
             self._writers.discard(writer)
@@ -192,6 +192,18 @@
         return json.dumps(told).encode()
 
 
+def partitions(world):
+    """Return a partition for each entry host, which then starts behind it."""
+    found = []
+    for number, host in enumerate(world.forwards):
+        one = Partition(
+            world=world, number=number, port=world.controls[0].listen_port
+        )
+        host.change(seeds=[f'{one.host}:1'])
+        found.append(one)
+    return found
+
+
 class _Handler(web.RequestHandler):
     def initialize(self, partition):
         self._partition = partition
