Leave a request to another host only while this host is cut off

A stream whose only decode runner accepts no connection, and which the leader then rejects, went on to another host, which asked the same leader again: a later refusal and more load, at no gain. Only a host that counts as cut off passes requests on now, and declines those of others. A host that is about to stop checks first whether it would answer in time.

The tests of the unreachable runners on real processes pass, so do those of tests/forwarding.

--- a/limpetroute/forwarding/forward_context.py
+++ b/limpetroute/forwarding/forward_context.py
@@ -122,10 +122,17 @@
     def __repr__(self) -> str:
         return f'{type(self).__name__}(view={self.view!r})'
 
-    @property
-    def may_pass_on(self) -> bool:
-        """Whether this host reaches no runner and another one may help."""
-        return self.links.are_cut and self.peers.has_usable
+    def should_leave_to_peer(
+        self, request: caller_request.CallerRequest
+    ) -> bool:
+        """Return whether another entry host should serve a request.
+
+        This host reaches no runner, and another host may take the request or
+        has passed it on.
+        """
+        return self.links.are_cut and (
+            request.from_peer or self.peers.has_usable
+        )
 
     @property
     def entry_hosts(self) -> int:
--- a/limpetroute/forwarding/forwarder.py
+++ b/limpetroute/forwarding/forwarder.py
@@ -260,21 +260,23 @@
     ) -> None:
         """Answer a request through a runner, or through another entry host."""
         context = self._context
-        may_pass_on = not request.from_peer and context.shutdown_s is None
-        if not (may_pass_on and context.may_pass_on) and await forward.run():
-            return
+        # A host that is about to stop checks first whether the answer would
+        # end in time.
+        is_stopping = context.shutdown_s is not None
+        if is_stopping or not context.should_leave_to_peer(request):
+            if await forward.run():
+                return
         if request.from_peer:
             await self.decline(request, responder, local_reply.UNREACHABLE)
             return
-        if may_pass_on:
-            peer = peer_forward.PeerForward(
-                context=context,
-                request=request,
-                route=route,
-                responder=responder,
-            )
-            if await peer.run():
-                return
+        peer = peer_forward.PeerForward(
+            context=context,
+            request=request,
+            route=route,
+            responder=responder,
+        )
+        if await peer.run():
+            return
         await local_reply.write(
             context,
             request=request,
--- a/limpetroute/forwarding/plain_forward.py
+++ b/limpetroute/forwarding/plain_forward.py
@@ -81,7 +81,7 @@
         return f'{type(self).__name__}(request={self._request.request_id!r})'
 
     async def run(self) -> bool:
-        """Answer the request; return False if no runner was reachable.
+        """Answer the request; return False to leave it to another host.
 
         Then nothing was sent to a runner, and nothing was written.
         """
@@ -99,12 +99,10 @@
 
     async def _send_until_answered(self) -> bool:
         while True:
-            if self._is_unreached and self._context.may_pass_on:
+            if self._should_leave_to_peer():
                 return False
             runner = self._choose()
             if runner is None:
-                if self._is_unreached:
-                    return False
                 await self._refuse_without_runner()
                 return True
             if not self._context.teams.is_current(self._request, self._route):
@@ -123,15 +121,18 @@
                 return True
             if step is next_step.Step.RETRY:
                 continue
-            if self._is_unreached:
+            if self._should_leave_to_peer():
                 return False
             await self._replies.end(step, 'after a send')
             return True
 
-    @property
-    def _is_unreached(self) -> bool:
-        """Whether no runner that was tried accepted a connection."""
-        return bool(self._failed_connects) and not self._history.sends
+    def _should_leave_to_peer(self) -> bool:
+        """Return whether nothing was sent and another host should try."""
+        return (
+            bool(self._failed_connects)
+            and not self._history.sends
+            and self._context.should_leave_to_peer(self._request)
+        )
 
     async def _refuse_quarantined(self) -> None:
         await self._replies.refuse(
--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -112,7 +112,7 @@
         return f'{type(self).__name__}(request={self._request.request_id!r})'
 
     async def run(self) -> bool:
-        """Answer the request; return False if no runner was reachable.
+        """Answer the request; return False to leave it to another host.
 
         Then nothing was sent to a runner, and nothing was written.
         """
@@ -127,7 +127,7 @@
 
     async def _place_until_answered(self) -> bool:
         while True:
-            if self._is_unreached and self._context.may_pass_on:
+            if self._should_leave_to_peer():
                 return False
             if self._gate.is_closed():
                 await self._refuse_quarantined()
@@ -143,7 +143,7 @@
                 progress = self._progress()
                 result = await self._acquire(session, progress)
                 if isinstance(result, placement.Rejection):
-                    if self._is_unreached and not result.over_quota:
+                    if self._should_leave_to_peer():
                         return False
                     await self._reply_rejected(result)
                     return True
@@ -174,15 +174,18 @@
                 return True
             if step is next_step.Step.RETRY:
                 continue
-            if self._is_unreached:
+            if self._should_leave_to_peer():
                 return False
             await self._replies.end(step, 'after a send')
             return True
 
-    @property
-    def _is_unreached(self) -> bool:
-        """Whether no runner that was tried accepted a connection."""
-        return bool(self._failed_connects) and not self._history.sends
+    def _should_leave_to_peer(self) -> bool:
+        """Return whether nothing was sent and another host should try."""
+        return (
+            bool(self._failed_connects)
+            and not self._history.sends
+            and self._context.should_leave_to_peer(self._request)
+        )
 
     async def _acquire(
         self,
