--- a/tests/forwarding/test_peers.py
+++ b/tests/forwarding/test_peers.py
@@ -319,6 +319,21 @@
     asyncio.run(work())
 
 
+# Guards against a service without runners that is tried at every host.
+def test_a_host_that_may_reach_other_runners_passes_nothing_on():
+    async def work():
+        async with _pair([GOOD]) as (cut, _, (runner,)):
+            for name in ('o1', 'o2'):
+                cut.view._runners[name] = dataclasses.replace(
+                    builders.make_runner(name), service='other'
+                )
+            got = await cut.request()
+            assert harness.status(got) == 503
+            assert not runner.requests
+
+    asyncio.run(work())
+
+
 # Guards against a host that stays cut off after its links are back.
 def test_a_probe_ends_the_outage():
     async def work():
