--- a/tests/whole_path/test_unreachable_runners.py
+++ b/tests/whole_path/test_unreachable_runners.py
@@ -7,6 +7,7 @@
 from tests.whole_path import fleet as fleet_module
 from tests.whole_path import partition
 
+KEY = 'a-key-of-the-bank-4jd8'
 CUTS = [partition.Cut.REFUSE, partition.Cut.RESET, partition.Cut.HANG]
 
 
@@ -37,3 +38,33 @@
             assert len(runs) == len(set(runs))
 
     asyncio.run(work())
+
+
+# Guards against keys that get past, or out through, a second host.
+def test_keys_and_teams_hold_through_another_host(tmp_path):
+    async def work():
+        teams = [{'name': 'bank', 'api-keys': [KEY]}]
+        async with fleet_module.Fleet(
+            tmp_path, teams, KEY, partitioned=0
+        ) as fleet:
+            await fleet.partition.cut()
+            await asyncio.sleep(1.0)
+            await fleet.ask(0, '/safe/x', b'finds out')
+            for path in ('/once/x', '/stream/x'):
+                statuses = [
+                    (await fleet.ask(0, path, b'behind', key=key))[0]
+                    for key in (KEY, 'never-a-key-3kd9', '')
+                ]
+                assert statuses == [200, 401, 401]
+            ran = [
+                (team, credentials)
+                for one in fleet.world.runners
+                for _, _, team, credentials, _ in one.callers
+            ]
+            assert set(ran) == {('bank', '')}
+            processes = [*fleet.world.controls, *fleet.world.forwards]
+            logs = ''.join(process.log() for process in processes)
+            assert KEY not in logs
+            assert 'passed to another entry host' in logs
+
+    asyncio.run(work())
