--- a/limpetroute/forwarding/plain_forward.py
+++ b/limpetroute/forwarding/plain_forward.py
@@ -61,7 +61,6 @@
         self._service = service
         self._responder = responder
         self._tried_runners: set[str] = set()
-        self._failed_connects = 0
         self._history = send_history.SendHistory(route=route)
         self._replies = request_replies.RequestReplies(
             context=context,
@@ -127,10 +126,8 @@
             return True
 
     def _should_leave_to_peer(self) -> bool:
-        """Return whether nothing was sent and another host should try."""
         return (
-            bool(self._failed_connects)
-            and not self._history.sends
+            self._history.has_reached_none
             and self._context.should_leave_to_peer(self._request)
         )
 
@@ -196,8 +193,6 @@
         if failed is None and isinstance(body, response_reader.SendFailure):
             failed = body
         result = _result(call, failed)
-        if result is send_result.SendResult.NOT_SENT:
-            self._failed_connects += 1
         took_s = _now_s() - started_s
         if result is send_result.SendResult.ANSWERED:
             load.note_success(took_s)
--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -101,7 +101,6 @@
         self._prefills = 0
         self._failed_prefills = 0
         self._sends_to_unreachable = 0
-        self._failed_connects = 0
         self._is_complete = False
         # Whether a live runner broke off before the first event.
         self._broke_unread = False
@@ -180,10 +179,8 @@
             return True
 
     def _should_leave_to_peer(self) -> bool:
-        """Return whether nothing was sent and another host should try."""
         return (
-            bool(self._failed_connects)
-            and not self._history.sends
+            self._history.has_reached_none
             and self._context.should_leave_to_peer(self._request)
         )
 
@@ -351,7 +348,6 @@
     ) -> next_step.Step:
         """Record a failed connect to a decode runner, return the next step."""
         self._tried_runners.add(runner.runner_id)
-        self._failed_connects += 1
         self._note_failure(runner)
         step = self._decide(failed.result)
         self._context.log_send(
@@ -436,8 +432,6 @@
                     may_switch_runner=self._history.allows_another_send,
                     on_first_event=on_first_event,
                 )
-        if result is send_result.SendResult.NOT_SENT:
-            self._failed_connects += 1
         self._keeps_prefill = self._may_reuse_prefill(runner, result)
         self._record_result(runner, result, prefilled, _now_s() - started_s)
         if result is send_result.SendResult.ANSWERED:
--- a/limpetroute/routing/send_history.py
+++ b/limpetroute/routing/send_history.py
@@ -20,6 +20,7 @@
         self._route = route
         self._ran_before = False
         self._is_sending = False
+        self._failed_connects = 0
         self.sends = 0
 
     def __repr__(self) -> str:
@@ -33,6 +34,11 @@
         """Whether the route allows another send after the current one."""
         return self.sends + 1 < self._route.max_sends
 
+    @property
+    def has_reached_none(self) -> bool:
+        """Whether runners were tried and none accepted a connection."""
+        return self._failed_connects > 0 and not self.sends
+
     @property
     def may_have_run(self) -> bool:
         """Whether a runner may have run the request, or may run it now."""
@@ -65,6 +71,8 @@
         self._is_sending = False
         if result.reached_runner:
             self.sends += 1
+        if result is send_result.SendResult.NOT_SENT:
+            self._failed_connects += 1
         context = next_step.RetryContext(
             repeatable=self._route.repeatable,
             result=result,
