Let cuts of one host's links overlap in tests

A soak of this build beside itself ended with 'address already in use' where two cuts of one host healed at once. Each link has a lock now, and a port of the tests' own range.

--- a/tests/whole_path/partition.py
+++ b/tests/whole_path/partition.py
@@ -15,6 +15,7 @@
 
 from limpetroute.wire import call_failed
 from limpetroute.wire import caller
+from tests.whole_path import port_pool
 
 
 class Cut(enum.StrEnum):
@@ -32,11 +33,12 @@
 class Link:
     """One entry host's way to one runner."""
 
-    def __init__(self, runner, host):
+    def __init__(self, runner, host, port):
         self._runner = runner
         self._host = host
-        self._port = 0
-        self._state = Cut.OPEN
+        self._port = port
+        # Cuts of one host may overlap.
+        self._lock = asyncio.Lock()
         self._server = None
         self._blocker = None
         self._filler = []
@@ -48,23 +50,22 @@
         return f'{self._host}:{self._port}'
 
     async def open(self):
-        self._close_port()
-        self._state = Cut.OPEN
-        self._may_pass.set()
-        self._server = await asyncio.start_server(
-            self._serve, self._host, self._port
-        )
-        self._port = self._server.sockets[0].getsockname()[1]
+        async with self._lock:
+            self._close_port()
+            self._may_pass.set()
+            self._server = await asyncio.start_server(
+                self._serve, self._host, self._port
+            )
 
     async def cut(self, state):
-        self._close_port()
-        self._state = state
-        if state is Cut.RESET:
-            for writer in list(self._writers):
-                writer.transport.abort()
-        if state is Cut.HANG:
-            self._may_pass.clear()
-            self._block_port()
+        async with self._lock:
+            self._close_port()
+            if state is Cut.RESET:
+                for writer in list(self._writers):
+                    writer.transport.abort()
+            if state is Cut.HANG:
+                self._may_pass.clear()
+                self._block_port()
 
     def close(self):
         self._close_port()
@@ -140,8 +141,11 @@
         self.host = f'127.{world.base}.4.{number + 1}'
         self._port = port
         self._http = caller.Caller(unzips=True)
+        runner_port = port_pool.free_port()
         self.links = {
-            one.name: Link(one, f'127.{world.base}.{5 + number}.{n + 1}')
+            one.name: Link(
+                one, f'127.{world.base}.{5 + number}.{n + 1}', runner_port
+            )
             for n, one in enumerate(world.runners)
         }
 
