Hold up no stream behind one that no runner may take

The first host's broken streams ask to be resumed and have tried both runners; resumed streams go first, and one that has waited for a quarter of a second keeps all capacity free for itself. It can use none of it. The same happens without a cut: a resumable stream that a lone decode runner broke off blocks that runner for all others.

Such a stream goes on waiting for a runner that comes, but keeps nothing free and counts for nobody's waiting time. Ruled out: rejecting it at once, as streams whose runners restart are placed within milliseconds.

The test of resumed streams fails before; tests/routing (with the bound of steps an event) and tests/dispatch pass.

--- a/limpetroute/routing/placement.py
+++ b/limpetroute/routing/placement.py
@@ -126,6 +126,14 @@
             return False
         return now_s >= self.blocked_until_s.get(runner_id, -math.inf)
 
+    def avoids_all(
+        self, decode_runners: free_memory_index.FreeMemoryIndex
+    ) -> bool:
+        """Return whether none of the decode runners may be chosen again."""
+        if len(self.avoid) < len(decode_runners):
+            return False
+        return all(one.runner_id in self.avoid for one in decode_runners)
+
     def available_from_s(
         self,
         decode_runners: free_memory_index.FreeMemoryIndex,
--- a/limpetroute/routing/stream_scheduler.py
+++ b/limpetroute/routing/stream_scheduler.py
@@ -364,9 +364,11 @@
             # A stream that cannot be prefilled yet waits for other streams to
             # end, not for capacity. Capacity that is kept free for it would be
             # unused.
-            # Neither does one whose host has to back off from all runners.
+            # Neither does one whose host has to back off from all runners, nor
+            # one that may only go to a runner that is not there yet.
             if (
                 waited_s > HEAD_OF_LINE_TIMEOUT_S
+                and not one.request.avoids_all(self._fleet.decode_runners)
                 and self._estimate.can_be_prefilled(one.request)
                 and not self._is_host_blocked(one.request, now_s)
             ):
@@ -466,9 +468,16 @@
                         one.request, ahead, has_free_runner
                     ),
                 )
-                one.counts_in_queue = has_decode_runner and (
-                    self._can_meet_target(one, start_s)
-                    or (one.request.goes_on and not _is_too_late(one, start_s))
+                one.counts_in_queue = (
+                    has_decode_runner
+                    and not one.request.avoids_all(self._fleet.decode_runners)
+                    and (
+                        self._can_meet_target(one, start_s)
+                        or (
+                            one.request.goes_on
+                            and not _is_too_late(one, start_s)
+                        )
+                    )
                 )
                 if not one.counts_in_queue:
                     start_s = max(
