Keep a host that lost its links from stopping streams elsewhere

The host that is cut off reported each broken stream and each failed connection as a failure of the runner, and the leader ejected both sound runners for all hosts, up to seconds; its broken streams were then placed one after the other, and each failed connection kept the runner's prefill for a quarter of a second.

A failed send now makes the host probe three runners; one that reaches none reports no failures. A request that may be sent again, also a stream that has begun, goes on through another host instead of asking for placements that this host cannot use; a non-repeatable one that was sent stays where it is.

test_streams_at_all_hosts_go_on_while_one_is_cut_off failed before with reset and hanging links, and passes now: 40 streams on each host, all whole. The forwarder's tests pass.

--- a/limpetroute/forwarding/dialect.py
+++ b/limpetroute/forwarding/dialect.py
@@ -71,7 +71,10 @@
         """Return the headers for a runner."""
 
     def peer_headers(
-        self, request: caller_request.CallerRequest, remaining_s: float
+        self,
+        request: caller_request.CallerRequest,
+        remaining_s: float,
+        last_event_id: str = '',
     ) -> httputil.HTTPHeaders:
         """Return a caller's headers for another entry host.
 
@@ -81,6 +84,9 @@
             The caller's request.
         remaining_s : float
             Time left for the answer.
+        last_event_id : str
+            Event after which the stream resumes; empty keeps the caller's
+            own header.
         """
 
     def is_refusal(self, status: int, headers: httputil.HTTPHeaders) -> bool:
--- a/limpetroute/forwarding/forwarder.py
+++ b/limpetroute/forwarding/forwarder.py
@@ -274,6 +274,7 @@
             request=request,
             route=route,
             responder=responder,
+            relay=forward.relay,
         )
         if await peer.run():
             return
@@ -282,7 +283,7 @@
             request=request,
             route=route,
             responder=responder,
-            step=next_step.Step.REFUSE,
+            step=forward.history.final_step(next_step.Step.REFUSE),
             reason=local_reply.UNREACHABLE,
         )
 
--- a/limpetroute/forwarding/peer_client.py
+++ b/limpetroute/forwarding/peer_client.py
@@ -69,10 +69,25 @@
             self.directory.avoid(host.host_id, _now_s())
 
     def headers(
-        self, request: caller_request.CallerRequest, remaining_s: float
+        self,
+        request: caller_request.CallerRequest,
+        remaining_s: float,
+        last_event_id: str,
     ) -> httputil.HTTPHeaders:
-        """Return the headers of a request that is passed on."""
-        headers = self._dialect.peer_headers(request, remaining_s)
+        """Return the headers of a request that is passed on.
+
+        Parameters
+        ----------
+        request : CallerRequest
+            The caller's request.
+        remaining_s : float
+            Time left for the answer.
+        last_event_id : str
+            Last event that was relayed to the caller; empty if none was.
+        """
+        headers = self._dialect.peer_headers(
+            request, remaining_s, last_event_id
+        )
         headers.pop(peer_protocol.TOKEN, None)
         if self._token is not None:
             headers[peer_protocol.TOKEN] = token_guard.SCHEME + self._token
--- a/limpetroute/forwarding/peer_forward.py
+++ b/limpetroute/forwarding/peer_forward.py
@@ -13,7 +13,6 @@
 from limpetroute.routing import next_step
 from limpetroute.routing import peer_directory
 from limpetroute.routing import route as route_module
-from limpetroute.routing import route_kind
 from limpetroute.routing import send_result
 
 LOG = logging.getLogger(__name__)
@@ -26,8 +25,8 @@
 class PeerForward:
     """Passes one request to another entry host and relays its answer.
 
-    Only for a request of which nothing was sent to a runner. The other host
-    treats it like a request of its own caller.
+    Only for a request that may still be sent. The other host treats it like
+    a request of its own caller, which resumes a stream that has begun.
 
     Parameters
     ----------
@@ -39,6 +38,8 @@
         Its route.
     responder : Responder
         Writes the answer.
+    relay : StreamRelay or None
+        Has relayed the events so far; None for a plain request.
     """
 
     def __init__(
@@ -48,7 +49,9 @@
         request: caller_request.CallerRequest,
         route: route_module.Route,
         responder: responder_module.Responder,
+        relay: stream_relay.StreamRelay | None,
     ) -> None:
+        self._stream_relay = relay
         self._context = context
         self._request = request
         self._route = route
@@ -60,7 +63,7 @@
     async def run(self) -> bool:
         """Answer the request; return False if no host takes it.
 
-        Then no host has done anything with it, and nothing was written.
+        Then no host has done anything with it.
         """
         tried: set[str] = set()
         while len(tried) < MAX_HOSTS:
@@ -84,7 +87,9 @@
         try:
             failed = await call.open(
                 self._request,
-                headers=context.peers.headers(self._request, remaining_s),
+                headers=context.peers.headers(
+                    self._request, remaining_s, self._last_event_id
+                ),
                 timeout_s=remaining_s,
             )
             context.peers.note_result(host, failed)
@@ -118,11 +123,12 @@
     ) -> response_reader.SendFailure | None:
         """Relay the other host's answer; return why it is incomplete."""
         context = self._context
-        if (
-            self._route.kind is route_kind.RouteKind.STREAM
-            and call.is_event_stream
-        ):
-            return await self._relay_stream(call)
+        if self._stream_relay is not None and call.is_event_stream:
+            return await self._relay_stream(call, self._stream_relay)
+        if self._responder.started:
+            # The stream that has begun is not resumed.
+            self._responder.abort()
+            return None
         body = await call.read(context.remaining_s(self._request, self._route))
         if isinstance(body, response_reader.SendFailure):
             return body
@@ -132,15 +138,14 @@
         context.count(self._route, call.status, self._request)
         return None
 
+    @property
+    def _last_event_id(self) -> str:
+        """Last event that the caller has; empty if it has none from here."""
+        return self._stream_relay.last_id if self._stream_relay else ''
+
     async def _relay_stream(
-        self, call: peer_call.PeerCall
+        self, call: peer_call.PeerCall, relay: stream_relay.StreamRelay
     ) -> response_reader.SendFailure | None:
-        relay = stream_relay.StreamRelay(
-            context=self._context,
-            request=self._request,
-            route=self._route,
-            responder=self._responder,
-        )
         result = await relay.run(call, may_switch_runner=False)
         if result is send_result.SendResult.ANSWERED:
             return None
--- a/limpetroute/forwarding/plain_forward.py
+++ b/limpetroute/forwarding/plain_forward.py
@@ -79,10 +79,20 @@
     def __repr__(self) -> str:
         return f'{type(self).__name__}(request={self._request.request_id!r})'
 
+    @property
+    def relay(self) -> None:
+        """None, as the answer has no events."""
+        return None
+
+    @property
+    def history(self) -> send_history.SendHistory:
+        """Its sends so far."""
+        return self._history
+
     async def run(self) -> bool:
         """Answer the request; return False to leave it to another host.
 
-        Then nothing was sent to a runner, and nothing was written.
+        Then it may be sent again, and a stream may have begun.
         """
         if not self._context.accepts_calls:
             await self._replies.refuse('this host stops')
@@ -116,20 +126,21 @@
                 await self._refuse_quarantined()
                 return True
             step = await self._send(runner)
+            if self._history.failed_connects:
+                await self._context.links.verify()
             if step is next_step.Step.RELAY:
                 return True
             if step is next_step.Step.RETRY:
                 continue
-            if self._should_leave_to_peer():
+            if self._history.has_reached_none and self._should_leave_to_peer():
                 return False
             await self._replies.end(step, 'after a send')
             return True
 
     def _should_leave_to_peer(self) -> bool:
-        return (
-            self._history.has_reached_none
-            and self._context.should_leave_to_peer(self._request)
-        )
+        return self._history.may_go_to_peer(
+            self._request.from_peer
+        ) and self._context.should_leave_to_peer(self._request)
 
     async def _refuse_quarantined(self) -> None:
         await self._replies.refuse(
--- a/limpetroute/forwarding/runner_links.py
+++ b/limpetroute/forwarding/runner_links.py
@@ -41,6 +41,7 @@
         self._reachability = runner_reachability.RunnerReachability()
         self._task: asyncio.Task[None] | None = None
         self._cut_off_since_s = 0.0
+        self._verification: asyncio.Task[None] | None = None
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}({self._reachability!r})'
@@ -72,6 +73,18 @@
         )
         self._task = asyncio.create_task(self._probe_until_connected())
 
+    async def verify(self) -> None:
+        """Find out whether runners are reachable after a send that failed.
+
+        Sends that fail at the same time share the probes.
+        """
+        if self.are_cut:
+            return
+        if self._verification is None:
+            self._verification = asyncio.create_task(self._probe_some())
+            self._verification.add_done_callback(self._end_verification)
+        await asyncio.shield(self._verification)
+
     async def reaches_another(self, runner: runner_info.RunnerInfo) -> bool:
         """Return whether this host reaches runners besides the given one.
 
@@ -93,6 +106,20 @@
             self._task.cancel()
             self._task = None
 
+    async def _probe_some(self) -> None:
+        runners = self._view.ready_runners()
+        count = min(runner_reachability.MIN_UNREACHABLE, len(runners))
+        probed = self._rng.sample(runners, count)
+        accepted = await asyncio.gather(*(_accepts(one) for one in probed))
+        if any(accepted):
+            self.note_connected()
+            return
+        for one in probed:
+            self.note_failed(one)
+
+    def _end_verification(self, task: asyncio.Task[None]) -> None:
+        self._verification = None
+
     async def _probe_until_connected(self) -> None:
         while self.are_cut:
             await asyncio.sleep(PROBE_INTERVAL_S)
--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -110,10 +110,20 @@
     def __repr__(self) -> str:
         return f'{type(self).__name__}(request={self._request.request_id!r})'
 
+    @property
+    def relay(self) -> stream_relay.StreamRelay:
+        """Relays its events."""
+        return self._relay
+
+    @property
+    def history(self) -> send_history.SendHistory:
+        """Its sends so far."""
+        return self._history
+
     async def run(self) -> bool:
         """Answer the request; return False to leave it to another host.
 
-        Then nothing was sent to a runner, and nothing was written.
+        Then it may be sent again, and a stream may have begun.
         """
         if not self._is_accepted():
             await self._replies.refuse('this host stops')
@@ -158,6 +168,8 @@
                     await self._refuse_quarantined()
                     return True
                 step = await self._send(result, session)
+                if self._failed_runners:
+                    await self._drop_failures_of_cut_links()
             finally:
                 session.release(
                     decode_s=self._relay.decode_s,
@@ -173,16 +185,24 @@
                 return True
             if step is next_step.Step.RETRY:
                 continue
-            if self._should_leave_to_peer():
+            if self._history.has_reached_none and self._should_leave_to_peer():
                 return False
             await self._replies.end(step, 'after a send')
             return True
 
+    async def _drop_failures_of_cut_links(self) -> None:
+        """Report no failure of a runner if this host reaches none.
+
+        The leader would eject sound runners for all hosts.
+        """
+        await self._context.links.verify()
+        if self._context.links.are_cut:
+            self._failed_runners.clear()
+
     def _should_leave_to_peer(self) -> bool:
-        return (
-            self._history.has_reached_none
-            and self._context.should_leave_to_peer(self._request)
-        )
+        return self._history.may_go_to_peer(
+            self._request.from_peer
+        ) and self._context.should_leave_to_peer(self._request)
 
     async def _acquire(
         self,
--- a/limpetroute/platform/http_dialect.py
+++ b/limpetroute/platform/http_dialect.py
@@ -77,13 +77,18 @@
         return headers
 
     def peer_headers(
-        self, request: caller_request.CallerRequest, remaining_s: float
+        self,
+        request: caller_request.CallerRequest,
+        remaining_s: float,
+        last_event_id: str = '',
     ) -> httputil.HTTPHeaders:
         """Return a caller's headers for another entry host."""
         headers = _without(request.headers, header_names.HOP_BY_HOP)
         headers.pop('Content-Length', None)
         remaining_ms = max(1, int(remaining_s * MILLIS))
         headers[header_names.DEADLINE_MS] = str(remaining_ms)
+        if last_event_id:
+            headers[header_names.LAST_EVENT_ID] = last_event_id
         return headers
 
     def is_refusal(self, status: int, headers: httputil.HTTPHeaders) -> bool:
--- a/limpetroute/routing/send_history.py
+++ b/limpetroute/routing/send_history.py
@@ -20,7 +20,7 @@
         self._route = route
         self._ran_before = False
         self._is_sending = False
-        self._failed_connects = 0
+        self.failed_connects = 0
         self.sends = 0
 
     def __repr__(self) -> str:
@@ -37,7 +37,15 @@
     @property
     def has_reached_none(self) -> bool:
         """Whether runners were tried and none accepted a connection."""
-        return self._failed_connects > 0 and not self.sends
+        return self.failed_connects > 0 and not self.sends
+
+    def may_go_to_peer(self, from_peer: bool) -> bool:
+        """Return whether another entry host may continue the request.
+
+        ``from_peer`` is whether one has passed it on: then it goes back only
+        if nothing was sent.
+        """
+        return self.has_reached_none or (self.sends > 0 and not from_peer)
 
     @property
     def may_have_run(self) -> bool:
@@ -72,7 +80,7 @@
         if result.reached_runner:
             self.sends += 1
         if result is send_result.SendResult.NOT_SENT:
-            self._failed_connects += 1
+            self.failed_connects += 1
         context = next_step.RetryContext(
             repeatable=self._route.repeatable,
             result=result,
--- a/tests/forwarding/test_peers.py
+++ b/tests/forwarding/test_peers.py
@@ -142,6 +142,33 @@
     asyncio.run(work())
 
 
+# Guards against a second run of what was sent before the links were lost.
+@pytest.mark.parametrize('kind', list(route_kind.RouteKind)[:2])
+def test_only_a_repeatable_request_is_passed_on_after_a_send(kind):
+    async def dies(request, writer):
+        for one in runners:
+            await one.stop()
+        writer.transport.abort()
+
+    runners = []
+
+    async def work():
+        async with harness.running([dies] * 3, kind=kind) as (host, started):
+            runners.extend(started)
+            async with harness.running([GOOD], kind=kind) as (other, (good,)):
+                port = PeerPort(other)
+                listed = [port.listed('e2')]
+                host.context.peers.directory.update(listed, _now_s())
+                got = await host.request()
+                repeats = kind is not ONCE
+                assert harness.status(got) == (200 if repeats else 502)
+                assert len(good.requests) == repeats
+                await port.front.close()
+            host.context.links.stop()
+
+    asyncio.run(work())
+
+
 # Guards against a host that says "not run" for one that broke off.
 def test_a_host_that_breaks_off_leaves_open_whether_the_request_ran():
     async def work():
--- a/tests/whole_path/test_unreachable_runners.py
+++ b/tests/whole_path/test_unreachable_runners.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from tests.soak import runner
 from tests.whole_path import fleet as fleet_module
 from tests.whole_path import partition
 
@@ -68,3 +69,27 @@
             assert 'passed to another entry host' in logs
 
     asyncio.run(work())
+
+
+# Guards against sound runners that one host without links has ejected for all,
+# and against streams that break off with its links.
+@pytest.mark.parametrize('cut', CUTS)
+def test_streams_at_all_hosts_go_on_while_one_is_cut_off(tmp_path, cut):
+    async def work():
+        async with fleet_module.Fleet(tmp_path, partitioned=0) as fleet:
+            asked = {0: [], 1: []}
+            for number in range(40):
+                if number == 10:
+                    await fleet.partition.cut(cut)
+                for host, tasks in asked.items():
+                    body = f'{host} {number}'.encode()
+                    call = fleet.ask(host, '/stream/x', body)
+                    tasks.append(asyncio.create_task(call))
+                await asyncio.sleep(0.1)
+            for tasks in asked.values():
+                answers = await asyncio.gather(*tasks)
+                assert [status for status, _, _ in answers] == [200] * 40
+                events = [body.count(b'id: ') for _, _, body in answers]
+                assert events == [runner.EVENTS] * 40
+
+    asyncio.run(work())
