Promise nothing for another host about what ran here before

Found by reading: a repeatable request that was sent, lost its runner with the links and went to another host was answered with that host's 503, which says that it has not run. It is answered 502 now; a stream that has begun and is not resumed there counts as broken. The probes of a host that is cut off draw three runners at a time, so that one new runner among dead ones is found sooner.

The test of the refusal failed before (503). tests/forwarding and the unreachable runners on real processes pass.

--- a/limpetroute/forwarding/forwarder.py
+++ b/limpetroute/forwarding/forwarder.py
@@ -275,6 +275,7 @@
             route=route,
             responder=responder,
             relay=forward.relay,
+            may_have_run=forward.history.may_have_run,
         )
         if await peer.run():
             return
--- a/limpetroute/forwarding/peer_forward.py
+++ b/limpetroute/forwarding/peer_forward.py
@@ -20,6 +20,8 @@
 # A host that is cut off and meets two that decline is unlikely to find a
 # third, and its caller can be served elsewhere.
 MAX_HOSTS = 2
+# Tell a caller that its request has not run and will not run.
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
 class PeerForward:
@@ -40,6 +42,8 @@
         Writes the answer.
     relay : StreamRelay or None
         Has relayed the events so far; None for a plain request.
+    may_have_run : bool
+        Whether a runner may have run the request before.
     """
 
     def __init__(
@@ -50,12 +54,14 @@
         route: route_module.Route,
         responder: responder_module.Responder,
         relay: stream_relay.StreamRelay | None,
+        may_have_run: bool,
     ) -> None:
-        self._stream_relay = relay
         self._context = context
         self._request = request
         self._route = route
         self._responder = responder
+        self._stream_relay = relay
+        self._may_have_run = may_have_run
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(request={self._request.request_id!r})'
@@ -125,10 +131,14 @@
         context = self._context
         if self._stream_relay is not None and call.is_event_stream:
             return await self._relay_stream(call, self._stream_relay)
-        if self._responder.started:
-            # The stream that has begun is not resumed.
-            self._responder.abort()
-            return None
+        if self._responder.started or (
+            self._may_have_run and call.status in NOT_RUN_STATUSES
+        ):
+            # The other host did not run it again, but it may have run before.
+            return response_reader.SendFailure(
+                result=send_result.SendResult.BROKEN,
+                detail=f'status {call.status}',
+            )
         body = await call.read(context.remaining_s(self._request, self._route))
         if isinstance(body, response_reader.SendFailure):
             return body
@@ -164,7 +174,7 @@
             route=self._route,
             responder=self._responder,
             step=step,
-            reason='another entry host broke off',
+            reason='another entry host failed',
         )
 
 
--- a/limpetroute/forwarding/runner_links.py
+++ b/limpetroute/forwarding/runner_links.py
@@ -22,8 +22,8 @@
 class RunnerLinks:
     """Watches whether this host reaches runners at all.
 
-    While it does not, one runner after the other is probed with a
-    connection, so that the end of the outage is noticed without a request.
+    While it does not, a few runners at a time are probed with connections, so
+    that the end of the outage is noticed without a request.
 
     Parameters
     ----------
@@ -49,7 +49,9 @@
     @property
     def are_cut(self) -> bool:
         """Whether this host seems to reach no runner."""
-        return self._reachability.is_cut_off(len(self._view.ready_runners()))
+        return self._reachability.has_failures and (
+            self._reachability.is_cut_off(len(self._view.ready_runners()))
+        )
 
     def note_connected(self) -> None:
         """Record that a runner accepted a connection."""
@@ -81,7 +83,7 @@
         if self.are_cut:
             return
         if self._verification is None:
-            self._verification = asyncio.create_task(self._probe_some())
+            self._verification = asyncio.create_task(self._verify())
             self._verification.add_done_callback(self._end_verification)
         await asyncio.shield(self._verification)
 
@@ -98,7 +100,7 @@
         if not others:
             return True
         witnesses = self._rng.sample(others, min(MAX_WITNESSES, len(others)))
-        return any(await asyncio.gather(*(_accepts(one) for one in witnesses)))
+        return await _any_accepts(witnesses)
 
     def stop(self) -> None:
         """Stop probing."""
@@ -106,25 +108,26 @@
             self._task.cancel()
             self._task = None
 
-    async def _probe_some(self) -> None:
-        runners = self._view.ready_runners()
-        count = min(runner_reachability.MIN_UNREACHABLE, len(runners))
-        probed = self._rng.sample(runners, count)
-        accepted = await asyncio.gather(*(_accepts(one) for one in probed))
-        if any(accepted):
+    async def _verify(self) -> None:
+        probed = self._choose_probed()
+        if await _any_accepts(probed):
             self.note_connected()
             return
         for one in probed:
             self.note_failed(one)
 
+    def _choose_probed(self) -> list[runner_info.RunnerInfo]:
+        runners = self._view.ready_runners()
+        count = min(runner_reachability.MIN_UNREACHABLE, len(runners))
+        return self._rng.sample(runners, count)
+
     def _end_verification(self, task: asyncio.Task[None]) -> None:
         self._verification = None
 
     async def _probe_until_connected(self) -> None:
         while self.are_cut:
             await asyncio.sleep(PROBE_INTERVAL_S)
-            runners = self._view.ready_runners()
-            if runners and await _accepts(self._rng.choice(runners)):
+            if await _any_accepts(self._choose_probed()):
                 self._reachability.note_connected()
         self._end_outage()
 
@@ -137,6 +140,11 @@
         )
 
 
+async def _any_accepts(runners: list[runner_info.RunnerInfo]) -> bool:
+    """Return whether one of the runners accepts a connection."""
+    return any(await asyncio.gather(*(_accepts(one) for one in runners)))
+
+
 async def _accepts(runner: runner_info.RunnerInfo) -> bool:
     """Return whether a runner accepts a connection."""
     link = connection.Connection(host=runner.host, port=runner.port)
--- a/limpetroute/routing/runner_reachability.py
+++ b/limpetroute/routing/runner_reachability.py
@@ -20,6 +20,11 @@
     def __repr__(self) -> str:
         return f'{type(self).__name__}(unreachable={self._unreachable!r})'
 
+    @property
+    def has_failures(self) -> bool:
+        """Whether a connection failed since the last one that succeeded."""
+        return bool(self._unreachable)
+
     def note_connected(self) -> None:
         """Record that some runner accepted a connection."""
         self._unreachable.clear()
--- a/tests/forwarding/test_peers.py
+++ b/tests/forwarding/test_peers.py
@@ -169,6 +169,33 @@
     asyncio.run(work())
 
 
+# Guards against "not run" for what ran before the links were lost.
+def test_a_refusal_of_the_other_host_is_no_proof_after_a_send():
+    async def dies(request, writer):
+        for one in runners:
+            await one.stop()
+        writer.transport.abort()
+
+    async def refuses(request, writer):
+        writer.write(scripted_runner.response(b'', 503, Not_Run='1'))
+        await writer.drain()
+
+    runners = []
+
+    async def work():
+        async with harness.running([dies] * 3) as (host, started):
+            runners.extend(started)
+            async with harness.running([refuses]) as (other, _):
+                port = PeerPort(other)
+                listed = [port.listed('e2')]
+                host.context.peers.directory.update(listed, _now_s())
+                assert harness.status(await host.request()) == 502
+                await port.front.close()
+            host.context.links.stop()
+
+    asyncio.run(work())
+
+
 # Guards against a host that says "not run" for one that broke off.
 def test_a_host_that_breaks_off_leaves_open_whether_the_request_ran():
     async def work():
