List a refusal that comes late while all hosts are cut off

Found by a trial on real processes with both hosts' links hanging: a host whose peers have just declined is refused at once (4 ms), but while it passes them over for a second it tries its own runners first, which it knows not to reach, and refuses after 0.26 to 0.76 s. No request looped or ran. The test counts calls to runners in that second: one is made, none should be.

--- a/tests/forwarding/test_peers.py
+++ b/tests/forwarding/test_peers.py
@@ -240,6 +240,24 @@
     asyncio.run(work())
 
 
+# Guards against callers that wait for connections that are known to fail.
+def test_a_host_whose_peers_declined_tries_no_runner():
+    async def work():
+        async with _pair([GOOD]) as (cut, host, _):
+            host.forwarder.is_stopping = True
+            assert harness.status(await cut.request()) == 503
+            assert cut.context.links.are_cut
+            calls = []
+            new_call = cut.context.new_call
+            cut.context.new_call = lambda one: (
+                calls.append(one) or new_call(one)
+            )
+            assert harness.status(await cut.request()) == 503
+            assert not calls
+
+    asyncio.run(work())
+
+
 # Guards against work that a host is given while it ends or is overloaded.
 @pytest.mark.parametrize('state', ['stopping', 'busy', 'no routes'])
 def test_a_host_that_declines_gets_no_request_for_a_while(state):
