Check routes in the soak with callers that have no quota

Cause: the last check of a soak asks each entry host for the newest route as callers 0 and 1, and with teams both belong to the one that is over its quota. A correct 429 then counted as a route not in force, and the run failed if the team stayed over its quota for 5 s.

Change: the last callers ask, one at each host, whose teams have no quota, so that every answer but 200 shows a route that is not served. The new test failed before.

--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -175,9 +175,13 @@
             await asyncio.sleep(0.15)
 
     async def _serves(self, path=PREFIXES['safe']):
-        """Return whether all entry hosts forward a path."""
+        """Return whether all entry hosts forward a path.
+
+        The last callers ask: their teams have no quota, so that only 200
+        shows that a path is served.
+        """
         statuses = set()
-        for number in range(world_module.FORWARDS):
+        for number in range(CALLERS - world_module.FORWARDS, CALLERS):
             answer = promises_module.Answer(
                 request_id=f'safe-{next(self._names)}', kind='safe'
             )
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -9,6 +9,7 @@
 from tests.soak import runner
 from tests.soak import soak
 from tests.soak import teams
+from tests.soak import world as world_module
 
 WHOLE = b''.join(
     f'id: {n}\ndata: q\n\n'.encode() for n in range(1, runner.EVENTS + 1)
@@ -157,6 +158,21 @@
     assert later is not None
 
 
+# Guards against a check that takes a team's 429 for a route not in force.
+def test_checks_of_the_routes_use_no_team_with_a_quota(tmp_path):
+    run = soak.Soak(tmp_path, 1, 1.0, has_teams=True)
+    sent = []
+
+    async def send(answer, number, path):
+        sent.append(number)
+
+    run._send = send
+    assert not asyncio.run(run._serves())
+    assert teams.HOT not in {teams.name_of(number) for number in sent}
+    hosts = {number % world_module.FORWARDS for number in sent}
+    assert hosts == set(range(world_module.FORWARDS))
+
+
 def test_work_long_after_an_acknowledged_farewell_is_seen(tmp_path):
     run = soak.Soak(tmp_path, 1, 1.0)
     one = run.world.runners[2]
