Test that a cut answer of a prefill runner names no KV cache

The incident of streams that end inside an event was looked for in each place that reads an answer; this one had only been read. An answer without a length was cut at each byte: no cache was fetched and the stream came whole, so nothing is mended.

--- a/tests/forwarding/test_stream_ends.py
+++ b/tests/forwarding/test_stream_ends.py
@@ -1,6 +1,7 @@
 """Tests of how a stream may end, in every framing of a runner's answer."""
 
 import asyncio
+import json
 
 import pytest
 
@@ -12,6 +13,7 @@
 STREAM = {'kind': route_kind.RouteKind.STREAM, 'timeout_s': 10.0}
 RESUMABLE = {**STREAM, 'resumable': True}
 DECODE = builders.DECODE
+PREFILL = builders.PREFILL
 USAGE = harness.STREAM_HEADERS
 HEAD = 'Runner-Stamp: s.1\r\nContent-Type: text/event-stream\r\n'
 FRAMINGS = ('close', 'close-1.0', 'chunked', 'length')
@@ -148,6 +150,29 @@
     assert b'{"error": "x"}' in got
 
 
+# Guards against a KV cache that a decode runner fetches under half a handle.
+def test_a_cut_answer_of_a_prefill_runner_names_no_cache():
+    whole = json.dumps({'kv-handle': 'h1', 'tokens': 9, 'version': 1})
+
+    async def work():
+        for length in range(len(whole)):
+            cut = _answer('close', whole[:length].encode())
+            async with harness.running(
+                [cut, _answer('chunked', _event(1))],
+                stages=[PREFILL, DECODE],
+                **STREAM,
+            ) as (front, (prefill, decode)):
+                got = await front.request(
+                    method='POST', body=b'prompt', headers=USAGE
+                )
+                assert _is_complete(got), length
+                assert prefill.requests, length
+                sources = [one.header('Kv-From') for one in decode.requests]
+                assert sources == [None], length
+
+    asyncio.run(work())
+
+
 async def _read_as_http_1_0(script):
     async with harness.running([script], stages=[DECODE], **STREAM) as (
         front,
