Test cut-off hosts with quotas, callers that leave, and no way out

Real processes showed so far that a host without a runner in reach serves its callers, keeps keys, and ejects nobody. They show now as well that

- hosts that are all cut off refuse at once, pass nothing round, run nothing, and serve again once the links are back.
- a stream that was passed on ends at its runner when its caller leaves;
- a team's quota is charged once for requests that were passed on.

The fleet of these tests waits until its hosts know each other: a host that knows no other yet tries its own runners, and one stream of a first form of the quota test was refused then.

--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -71,6 +71,10 @@
             body['stage'] = self.stage
         return json.dumps(body).encode()
 
+    @property
+    def open_connections(self):
+        return len(self._writers)
+
     def reset(self):
         """Reset all open connections."""
         for writer in list(self._writers):
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -45,7 +45,9 @@
         self.world = world_module.World(folder, 20 + seed % 200)
         self.partitions = []
         if has_cuts:
-            self.partitions = partition.partitions(self.world)
+            self.partitions = partition.partitions(
+                self.world, range(world_module.FORWARDS)
+            )
         self.promises = promises_module.Promises()
         self.version = 0
         self._names = itertools.count()
--- a/tests/whole_path/fleet.py
+++ b/tests/whole_path/fleet.py
@@ -13,17 +13,9 @@
 class Fleet:
     """The processes, and what callers ask of them."""
 
-    def __init__(self, folder, teams=None, key='', partitioned=None):
+    def __init__(self, folder, teams=None, key='', partitioned=()):
         self.world = world_module.World(folder, BASE)
-        self.partition = None
-        if partitioned is not None:
-            self.partition = partition_module.Partition(
-                world=self.world,
-                number=partitioned,
-                port=self.world.controls[0].listen_port,
-            )
-            host = self.world.forwards[partitioned]
-            host.change(seeds=[f'{self.partition.host}:1'])
+        self.partitions = partition_module.partitions(self.world, partitioned)
         self.version = 1
         self._teams = teams
         self._key = key
@@ -31,9 +23,10 @@
         self._asked = 0
 
     async def __aenter__(self):
-        if self.partition is not None:
+        if self.partitions:
             await self.world.start_runners()
-            await self.partition.start()
+        for one in self.partitions:
+            await one.start()
         await self.world.start()
         self._beats = [
             asyncio.create_task(self._beat(one)) for one in self.world.runners
@@ -43,14 +36,18 @@
             await world_module.wait_until(
                 lambda host=host: self._serves(host), 15, 'a first answer'
             )
+        if self.partitions:
+            await world_module.wait_until(
+                self._know_each_other, 15, 'a list of the entry hosts'
+            )
         return self
 
     async def __aexit__(self, *exc):
         for task in self._beats:
             task.cancel()
         self.world.end()
-        if self.partition is not None:
-            self.partition.close()
+        for one in self.partitions:
+            one.close()
 
     def make_fatal(self, body, times=ALWAYS):
         """Have a request crash each runner that runs it, so often."""
@@ -83,8 +80,8 @@
         self.version += 1
         assert await self._submit()
 
-    async def ask(self, host, path, body, key=None):
-        """Return the status, Retry-After and body of one attempt."""
+    async def open(self, host, path, body, key=None):
+        """Return the link of one attempt, or None if it was not accepted."""
         self._asked += 1
         headers = {
             'Host': 'h.example',
@@ -105,7 +102,12 @@
             body=body,
             timeout_s=5.0,
         )
-        if failed is not None:
+        return link if failed is None else None
+
+    async def ask(self, host, path, body, key=None):
+        """Return the status, Retry-After and body of one attempt."""
+        link = await self.open(host, path, body, key)
+        if link is None:
             return 0, 0.0, b''
         got = b''
         async for chunk in link.chunks(idle_timeout_s=5.0):
@@ -122,6 +124,10 @@
         stream = await self.ask(host, '/stream/x', b'first')
         return (plain[0], stream[0]) == (200, 200)
 
+    async def _know_each_other(self):
+        listed = f'"entry hosts listed", "hosts": {world_module.FORWARDS}'
+        return all(listed in one.log() for one in self.world.forwards)
+
     async def _beat(self, one):
         while True:
             await self.world.beat(one)
--- a/tests/whole_path/partition.py
+++ b/tests/whole_path/partition.py
@@ -196,14 +196,14 @@
         return json.dumps(told).encode()
 
 
-def partitions(world):
+def partitions(world, numbers):
     """Return a partition for each entry host, which then starts behind it."""
     found = []
-    for number, host in enumerate(world.forwards):
+    for number in numbers:
         one = Partition(
             world=world, number=number, port=world.controls[0].listen_port
         )
-        host.change(seeds=[f'{one.host}:1'])
+        world.forwards[number].change(seeds=[f'{one.host}:1'])
         found.append(one)
     return found
 
