Bound the lines that the log's writer takes at once

Cause: the writer's thread emptied the queue before it wrote, however many lines came meanwhile. While the program logs as fast as the thread takes lines, a batch grows past the queue's bound, and all of it is lost with an output that is blocked.

Change: a batch has no more lines than the queue. The new test refills the queue with each line taken, and failed before (one batch of 101 lines); the old test and its bound stay.

--- a/limpetroute/telemetry/bounded_handler.py
+++ b/limpetroute/telemetry/bounded_handler.py
@@ -35,7 +35,7 @@
     burst_lines : float
         Burst size of the rate limit.
     max_waiting : int
-        Maximum number of queued lines.
+        Maximum number of queued lines, and of lines written at once.
     clock : callable
         Returns a monotonic time in seconds.
     """
@@ -57,6 +57,7 @@
         self._tokens = burst_lines
         self._refilled_s = clock()
         self._dropped = 0
+        self._max_waiting = max_waiting
         self._queue: queue.Queue[str | None] = queue.Queue(max_waiting)
         self._thread = threading.Thread(
             target=self._run, name='log', daemon=True
@@ -126,7 +127,7 @@
     def _run(self) -> None:
         while True:
             lines = [self._queue.get()]
-            while not self._queue.empty():
+            while len(lines) < self._max_waiting and not self._queue.empty():
                 lines.append(self._queue.get())
             text = ''.join(f'{line}\n' for line in lines if line is not None)
             try:
--- a/tests/telemetry/test_bounded_handler.py
+++ b/tests/telemetry/test_bounded_handler.py
@@ -2,6 +2,7 @@
 
 import json
 import logging
+import queue
 import threading
 import time
 
@@ -46,6 +47,37 @@
     assert sum(dropped) >= 980
 
 
+class RefilledQueue(queue.Queue):
+    """A queue that is filled as fast as it is emptied, for a while."""
+
+    def __init__(self, maxsize):
+        super().__init__(maxsize)
+        self.refills = 100
+
+    def get(self, *args, **kwargs):
+        line = super().get(*args, **kwargs)
+        if line is not None and self.refills:
+            self.refills -= 1
+            self.put_nowait(line)
+        return line
+
+
+# Guards against lines that pile up in the writer's own batch, without a bound.
+def test_a_batch_has_no_more_lines_than_the_queue(monkeypatch):
+    monkeypatch.setattr(bounded_handler.queue, 'Queue', RefilledQueue)
+    batches = []
+    stream = Stream()
+    stream.open.set()
+    stream.write = lambda text: batches.append(text.count('\n'))
+    handler = bounded_handler.BoundedHandler(stream=stream, max_waiting=10)
+    handler.emit(record())
+    while handler._queue.refills:
+        time.sleep(0.01)
+    handler.close()
+    assert sum(batches) == 101
+    assert max(batches) <= 10
+
+
 def test_the_rate_of_lines_is_limited_except_for_warnings():
     stream = Stream()
     stream.open.set()
