Run the tests in three processes

Most of the time tests wait for processes of their own.

KNOWN-RED.txt works as before: in each process the listed tests may fail and no other; one that passes fails the run; a name that no test has ends it with the same message, which the main process prints, as the error of a worker process is not shown.

--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,8 @@
 PORT ?= 8080
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.locked
+# Most of the tests wait for processes of their own.
+TEST_PROCESSES ?= 3
 SOURCES := limpetroute tests build_tools
 
 .PHONY: demo test lint dead format dist clean
@@ -18,7 +20,7 @@
 	$(BIN)/python -m limpetroute demo --port $(PORT)
 
 test: $(STAMP)
-	$(BIN)/python -m pytest
+	$(BIN)/python -m pytest -n $(TEST_PROCESSES) --dist loadfile
 
 lint: $(STAMP)
 	$(BIN)/ruff format --check $(SOURCES)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -36,20 +36,31 @@
     does a name that no test has.
     """
     by_name = {item.nodeid: item for item in items}
-    whole_run = not config.getoption('file_or_dir')
-    unknown = []
     for red in config.stash[RED]:
         item = by_name.get(red.test)
         if item is None:
-            unknown.append(red.test)
             continue
         reason = f'{red.cause} (issue {red.issue})'
         item.add_marker(
             pytest.mark.xfail(reason=reason, strict=not red.sometimes)
         )
-    if unknown and whole_run:
-        names = ', '.join(unknown)
-        raise pytest.UsageError(f'KNOWN-RED.txt: no such test: {names}')
+    # The error of a worker process would not be shown.
+    if not hasattr(config, 'workerinput'):
+        _check_names(config, by_name)
+
+
+@pytest.hookimpl(optionalhook=True)
+def pytest_xdist_node_collection_finished(node, ids):
+    _check_names(node.config, ids)
+
+
+def _check_names(config, names):
+    if config.getoption('file_or_dir'):
+        return
+    unknown = [red.test for red in config.stash[RED] if red.test not in names]
+    if unknown:
+        missing = ', '.join(unknown)
+        raise pytest.UsageError(f'KNOWN-RED.txt: no such test: {missing}')
 
 
 def pytest_terminal_summary(terminalreporter, config):
