Compare a stream's age with the time that it waited

Cause: the test started a dispatcher whose new leader places nothing for 0.1 s, and asked that the stream counts 0.1 s or more as waited. The wait begins with the term and the stream's own with its request, a fraction of a millisecond later, after the leader has found its service.

Change: the period is measured from the start of the dispatcher, and the stream's age against the time between its request and its submission.

--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -10,6 +10,7 @@
 from limpetroute.routing import placement
 from limpetroute.routing import runner_info
 from limpetroute.routing import stream_scheduler
+from limpetroute.telemetry import boot_clock
 from tests.routing import builders
 
 
@@ -214,7 +215,7 @@
     submit = stream_scheduler.StreamScheduler.submit
 
     def noted(self, request, now_s):
-        submitted.append(request)
+        submitted.append((request, now_s))
         return submit(self, request, now_s)
 
     monkeypatch.setattr(stream_scheduler.StreamScheduler, 'submit', noted)
@@ -222,11 +223,16 @@
 
     async def work():
         leader = Leader()
+        started_s = boot_clock.now_s()
         leader.dispatcher.start()
+        asked_s = boot_clock.now_s()
         placed = await leader.place('a', team='bank', quota_cost=5.0)
         assert isinstance(placed, placement.Placement)
         leader.dispatcher.stop()
+        return started_s, asked_s
 
-    asyncio.run(work())
-    (request,) = submitted
-    assert 0.1 <= request.waited_s < 0.5
+    started_s, asked_s = asyncio.run(work())
+    ((request, submitted_s),) = submitted
+    assert 0.1 <= submitted_s - started_s < 0.5
+    # It does not wait while the leader finds its service.
+    assert 0.0 <= submitted_s - asked_s - request.waited_s < 0.05
