Ask again soon for the entry hosts where none was listed

A host that is told of no other host reported again after two seconds, as all hosts do. Where a whole fleet starts, the first to report hears of none, and passes nothing on until then; if the leader is lost meanwhile, for longer.

Change: such a host asks again after 0.25 s and then after twice the time before, also after a new leader. A host that knows another one reports as before.

--- a/limpetroute/forwarding/peer_reporter.py
+++ b/limpetroute/forwarding/peer_reporter.py
@@ -13,6 +13,9 @@
 LOG = logging.getLogger(__name__)
 
 MIN_INTERVAL_S = 2.0
+# The first host that reports to a new group is told of no other one. It asks
+# again after this time, and then after twice the time before.
+FIRST_INTERVAL_S = 0.25
 # The leader gets at most this many reports a second from all hosts.
 MAX_REPORTS_PER_S = 50.0
 # A new leader gets the reports of all hosts within this time.
@@ -69,17 +72,22 @@
         self._new_leader.set()
 
     async def _run(self) -> None:
+        interval_s = FIRST_INTERVAL_S
         while True:
             await self._report()
-            interval_s = max(
+            longest_s = max(
                 MIN_INTERVAL_S, self._entry_hosts() / MAX_REPORTS_PER_S
             )
+            if self._directory.has_hosts:
+                interval_s = longest_s
             try:
                 async with asyncio.timeout(interval_s):
                     await self._new_leader.wait()
             except TimeoutError:
+                interval_s = min(longest_s, 2 * interval_s)
                 continue
             self._new_leader.clear()
+            interval_s = FIRST_INTERVAL_S
             await asyncio.sleep(random.random() * NEW_LEADER_SPREAD_S)
 
     async def _report(self) -> None:
--- a/tests/forwarding/test_peers.py
+++ b/tests/forwarding/test_peers.py
@@ -471,7 +471,8 @@
 
     def __init__(self, status, hosts=None):
         self._status = status
-        self._hosts = hosts
+        self.hosts = hosts
+        self.digest = 'd'
         self.reports = []
 
     def subscribe(self, listener):
@@ -479,8 +480,8 @@
 
     async def call(self, path, body, **rest):
         self.reports.append(body)
-        listed = {'digest': 'd', 'hosts': self._hosts}
-        if body['digest'] == 'd':
+        listed = {'digest': self.digest, 'hosts': self.hosts}
+        if body['digest'] == self.digest:
             listed['hosts'] = None
         return reply.Reply(
             status=self._status, headers={}, body=json.dumps(listed).encode()
@@ -509,3 +510,33 @@
         assert (chosen is not None and chosen.host_id == 'e2') is known
 
     asyncio.run(work())
+
+
+# Guards against a host that knows no other for seconds after a common start.
+def test_a_host_that_is_told_of_no_other_host_asks_again_soon():
+    async def work():
+        hosts = [
+            {'host_id': name, 'zone': 'a', 'url': f'http://127.0.0.1:{port}'}
+            for name, port in (('e1', 1), ('e2', 2))
+        ]
+        leader = _Leader(200, hosts[:1])
+        directory = harness.Harness(None, []).context.peers.directory
+        reporter = peer_reporter.PeerReporter(
+            channel=leader,
+            directory=directory,
+            entry_hosts=lambda: 2,
+            host=peer_directory.PeerHost(**hosts[0]),
+        )
+        reporter.start()
+        await asyncio.sleep(0.1)
+        assert not directory.has_hosts
+        leader.hosts, leader.digest = hosts, 'e'
+        await asyncio.sleep(0.5)
+        assert directory.has_hosts
+        reports = len(leader.reports)
+        await asyncio.sleep(1.0)
+        # The usual time lies between two reports from then on.
+        assert len(leader.reports) == reports
+        reporter.stop()
+
+    asyncio.run(work())
