--- a/Makefile
+++ b/Makefile
@@ -1,10 +1,11 @@
-# Every target sets itself up; PORT=, VENV= and PYTHON= may be given.
+# Every target sets itself up; PORT=, VENV=, PYTHON= and TEST_PROCESSES= may
+# be given.
 PYTHON ?= python3
 VENV ?= .venv
 PORT ?= 8080
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.locked
-# Most of the tests wait for processes of their own.
+# Long tests wait for processes of their own most of the time.
 TEST_PROCESSES ?= 3
 SOURCES := limpetroute tests build_tools
 
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -52,6 +52,7 @@
     assert sum(one.status == 200 and one.whole for one in answers) > 20
 
 
+# 91001: the first host to report was told of no other one for two seconds.
 @pytest.mark.parametrize(('seed', 'seconds'), [(91001, 8)])
 def test_promises_hold_while_links_to_runners_are_cut(tmp_path, seed, seconds):
     run = soak.Soak(tmp_path, seed, seconds, has_cuts=True)
@@ -67,6 +68,7 @@
     assert any(passed)
 
 
+# 81001: the check asked for routes as the team that is over its quota.
 @pytest.mark.parametrize(('seed', 'seconds'), [(81001, 10)])
 def test_teams_keep_their_promises_under_faults(tmp_path, seed, seconds):
     """Keys rotate with each change, and one team is over its quota."""
