--- a/limpetroute/agreement/replica.py
+++ b/limpetroute/agreement/replica.py
@@ -580,8 +580,8 @@
         refusal = self._propose_refusal()
         if refusal:
             return refusal
-        # One change at a time: quorums of two memberships that differ by
-        # two voters need not overlap, and each could elect a leader.
+        # Two uncommitted changes could give two quorums without a common
+        # voter, each of which could elect a leader.
         if self.log.membership_index > self.commit_index:
             return 'an earlier membership change is not committed'
         # A committed entry of the current term ensures that no change
--- a/limpetroute/control/routes_splitter.py
+++ b/limpetroute/control/routes_splitter.py
@@ -31,7 +31,7 @@
         if task is None:
             task = asyncio.create_task(self._run(state.recent_routes, routes))
             self._running[routes.digest] = task
-        # One waiting caller may be cancelled while others still wait.
+        # Others may wait for the task when this caller is cancelled.
         await asyncio.shield(task)
 
     async def _run(
--- a/limpetroute/platform/routes_body.py
+++ b/limpetroute/platform/routes_body.py
@@ -100,5 +100,5 @@
     routes: list[RouteBody]
     services: list[ServiceBody]
     limits: LimitsBody = LimitsBody()
-    # None if callers need no keys.
+    # Without this field, callers need no keys.
     tenants: list[TenantBody] | None = None
--- a/limpetroute/routing/host_quotas.py
+++ b/limpetroute/routing/host_quotas.py
@@ -248,7 +248,7 @@
                 ),
             )
         elif state.quota != quota:
-            # What the leader said of another quota means nothing now.
+            # The leader's decisions were about the earlier quota.
             state.quota = quota
             state.limit = self._window.limit(quota)
             state.level = None
--- a/limpetroute/routing/pool_sizing.py
+++ b/limpetroute/routing/pool_sizing.py
@@ -26,8 +26,8 @@
 # changed, and undoing it takes as long. Because measured rates fluctuate, a
 # change must raise the rate of accepted streams by this factor.
 MIN_CHANGE_GAIN = 1.2
-# One in this many runners may change its stage at a time; in smaller pools,
-# one runner.
+# At most one in this many runners, but at least one, changes its stage at a
+# time.
 RUNNERS_PER_CHANGE = 10
 # A runner that has failed all requests for this long is considered gone for
 # good: a runner that crashes is usually back within five seconds.
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -234,5 +234,5 @@
     started_s, asked_s = asyncio.run(work())
     ((request, submitted_s),) = submitted
     assert 0.1 <= submitted_s - started_s < 0.5
-    # It does not wait while the leader finds its service.
+    # The leader finds the service before the wait, which takes a moment.
     assert 0.0 <= submitted_s - asked_s - request.waited_s < 0.05
