--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -88,6 +88,7 @@
         self.control_ips = [self.new_ip() for _ in range(control)]
         self.seeds = [f'{ip}:{self.public_port}' for ip in self.control_ips[:3]]
         self.front_ips = []
+        self._front_settings = {}
 
     def new_ip(self):
         ip = f'{self._net}.{self._next_host}'
@@ -158,9 +159,13 @@
             'grace_s': 8,
             'send_budget': {'ratio': 0.2, 'slack': 54, 'window_s': 10},
         }
+        self._front_settings[ip] = settings
         self._spawn(f'front-{ip}', 'forward', settings)
         return ip
 
+    def restart_front(self, ip):
+        self._spawn(f'front-{ip}', 'forward', self._front_settings[ip])
+
     def kill(self, name, number=signal.SIGKILL):
         process = self.processes[name]
         process.send_signal(number)
