--- a/review/lib/deployment.py
+++ b/review/lib/deployment.py
@@ -412,13 +412,21 @@
         made.append(Deployment(record, **options))
         return made[-1]
 
+    def end(number, frame):
+        for deployment in made:
+            deployment.stop_all()
+        os._exit(NOT_RUN)
+
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, end)
+
     async def run():
         async with asyncio.timeout(110):
             return await case(record, make)
 
     try:
         code = asyncio.run(run())
-    except (CannotRunError, TimeoutError) as exc:
+    except Exception as exc:  # noqa: BLE001 - only a broken rule exits with 1
         record.note(f'the case could not run: {exc!r}')
         code = NOT_RUN
     finally:
