Replace a lost control host while its successor catches up

What operators saw: five control hosts, two gone for good, two successors 4.6 s old; a change is acknowledged and a third host is gone.

Cause: a silent voter was removed about 9 s after its loss (6 s, and 3 s for which it counted as present), and each new leader began to count anew. A removed host stops counting once its successor has had 4 s, so two of five voters were still dead when the next loss was due to be borne. The logs show both successors as learners 0.6 s after their start and no further change of the membership: slow copies are ruled out.

Change: every control host records its contacts, so a new leader knows how long a voter has been silent. If a caught-up learner joined around the time of the loss or later, the voter is removed after three quarters of catch_up_s (a new setting, 4 s). Without such a successor it stays for 9 s as before, and without a caught-up learner always. The order stays: the lost voter is removed from a whole group, then the learner is promoted.

--- a/limpetroute/agreement/membership_reconciler.py
+++ b/limpetroute/agreement/membership_reconciler.py
@@ -3,13 +3,17 @@
 import typing
 
 from limpetroute.agreement import events
+from limpetroute.agreement import host_contacts
+from limpetroute.agreement import member as member_module
 from limpetroute.agreement import replica as replica_module
 
 # A host that is frozen or partitioned for some seconds returns with its
-# disk, and replacing it at once would cost a copy of the state each time.
-# After this time without contact, a learner that has caught up replaces
-# it.
-REPLACE_AFTER_S = 6.0
+# disk. A learner that was there before replaces it only after this time.
+REPLACE_AFTER_S = 9.0
+CATCH_UP_S = 4.0
+# Part of the catch-up time for which a voter has to be silent. The rest is
+# for the changes of the membership, which are made one after the other.
+SILENT_FRACTION = 0.75
 
 
 class MembershipReconciler:
@@ -22,24 +26,40 @@
     replace it and the group has all wanted voters. A removal without a
     replacement would only reduce the losses that the group tolerates.
 
+    A learner that joined around the time at which the voter fell silent
+    or later is its successor. The voter is then replaced within the
+    successor's catch-up time, because further losses are tolerated after
+    that. Of several silent voters, the one that was silent longest is
+    replaced first.
+
     Parameters
     ----------
+    catch_up_s : float
+        Time after its start within which a new host replaces a lost one.
     replace_after_s : float
-        Silence after which a member is replaced.
+        Silence after which a member without a successor is replaced.
     """
 
-    def __init__(self, *, replace_after_s: float = REPLACE_AFTER_S) -> None:
+    def __init__(
+        self,
+        *,
+        catch_up_s: float = CATCH_UP_S,
+        replace_after_s: float = REPLACE_AFTER_S,
+    ) -> None:
+        self._catch_up_s = catch_up_s
         self._replace_after_s = replace_after_s
-        self._last_seen_s: dict[str, float] = {}
 
     def __repr__(self) -> str:
-        return f'{type(self).__name__}(seen={len(self._last_seen_s)!r})'
+        return (
+            f'{type(self).__name__}(catch_up_s={self._catch_up_s!r}, '
+            f'replace_after_s={self._replace_after_s!r})'
+        )
 
     def next_change(
         self,
         *,
         replica: replica_module.Replica,
-        present: typing.Mapping[str, str],
+        contacts: host_contacts.HostContacts,
         wanted_voters: int,
         now_s: float,
     ) -> events.AddLearner | events.RemoveMember | None:
@@ -49,24 +69,23 @@
         ----------
         replica : Replica
             This host's replica of the group.
-        present : mapping of str to str
-            Replica of each host that was in contact recently, by host.
+        contacts : HostContacts
+            This host's contacts, itself included.
         wanted_voters : int
             Number of voters that the group should have.
         now_s : float
             The replica's clock.
         """
         if replica.role is not replica_module.Role.LEADER:
-            self._last_seen_s.clear()
             return None
-        members = replica.membership.members
-        for member in members:
-            if present.get(member.host_id) == member.replica_id:
-                self._last_seen_s[member.replica_id] = now_s
-            self._last_seen_s.setdefault(member.replica_id, now_s)
+        present = contacts.present(now_s)
         removed_id = self._member_of_lost_disk(replica, present)
         if removed_id is None:
-            removed_id = self._silent_member(replica, wanted_voters, now_s)
+            removed_id = self._silent_learner(replica, contacts, now_s)
+        if removed_id is None:
+            removed_id = self._silent_voter(
+                replica, contacts, wanted_voters, now_s
+            )
         if removed_id is not None:
             return events.RemoveMember(replica_id=removed_id)
         for host_id, replica_id in sorted(present.items()):
@@ -90,29 +109,57 @@
                 return member.replica_id
         return None
 
-    def _silent_member(
+    def _silent_learner(
         self,
         replica: replica_module.Replica,
-        wanted_voters: int,
+        contacts: host_contacts.HostContacts,
         now_s: float,
     ) -> str | None:
-        voters = replica.membership.voters
-        learners = [
-            member.replica_id
-            for member in replica.membership.members
-            if not member.voter
-        ]
-        ready = any(replica.has_caught_up(learner) for learner in learners)
         for member in replica.membership.members:
-            if member.replica_id == replica.replica_id:
-                continue
-            if (
-                now_s - self._last_seen_s[member.replica_id]
-                <= self._replace_after_s
-            ):
+            if member.voter or member.replica_id == replica.replica_id:
                 continue
-            if not member.voter:
-                return member.replica_id
-            if ready and len(voters) >= wanted_voters:
+            silent_s = now_s - contacts.last_s(member.host_id)
+            if silent_s > self._replace_after_s:
                 return member.replica_id
         return None
+
+    def _silent_voter(
+        self,
+        replica: replica_module.Replica,
+        contacts: host_contacts.HostContacts,
+        wanted_voters: int,
+        now_s: float,
+    ) -> str | None:
+        if len(replica.membership.voters) < wanted_voters:
+            return None
+        ready = [
+            member
+            for member in replica.membership.members
+            if not member.voter and replica.has_caught_up(member.replica_id)
+        ]
+        if not ready:
+            return None
+        voters = [
+            member
+            for member in replica.membership.members
+            if member.voter and member.replica_id != replica.replica_id
+        ]
+        voters.sort(key=lambda voter: contacts.last_s(voter.host_id))
+        for voter in voters:
+            silent_s = now_s - contacts.last_s(voter.host_id)
+            if silent_s > self._allowed_silence_s(voter, ready, contacts):
+                return voter.replica_id
+        return None
+
+    def _allowed_silence_s(
+        self,
+        voter: member_module.Member,
+        ready: typing.Iterable[member_module.Member],
+        contacts: host_contacts.HostContacts,
+    ) -> float:
+        # A new host may also start shortly before the lost one ends.
+        earliest_s = contacts.last_s(voter.host_id) - self._catch_up_s
+        for learner in ready:
+            if contacts.joined_s(learner.host_id) >= earliest_s:
+                return self._catch_up_s * SILENT_FRACTION
+        return self._replace_after_s
--- a/limpetroute/border/control_settings.py
+++ b/limpetroute/border/control_settings.py
@@ -37,6 +37,10 @@
     tolerated_losses : int or None
         Number of hosts that may lose their disks at once. With seeds, the
         group grows to twice this number plus one.
+    catch_up_s : float
+        With seeds, time after the start of a new host within which it
+        replaces one that is gone. A host that is silent for three quarters
+        of this time is replaced once a new host has caught up.
     full_group_wait_s : float
         Longest time for which a new group with seeds delays its first
         acknowledgement until it has grown to that size. Growth takes about
@@ -77,6 +81,7 @@
     metrics: listen_settings.ListenSettings | None = None
     seeds: list[addresses.HostPort] = []
     tolerated_losses: int | None = pydantic.Field(default=None, ge=0, le=10)
+    catch_up_s: units.Seconds = 4.0
     full_group_wait_s: units.Seconds = 8.0
     listen: listen_settings.ListenSettings = listen_settings.ListenSettings()
     data_dir: paths.FilePath
--- a/limpetroute/control/node.py
+++ b/limpetroute/control/node.py
@@ -10,6 +10,7 @@
 import xxhash
 
 from limpetroute.agreement import events
+from limpetroute.agreement import host_contacts
 from limpetroute.agreement import membership_reconciler
 from limpetroute.agreement import messages
 from limpetroute.agreement import replacement
@@ -41,7 +42,6 @@
 CONFIG_GROUP = 0
 # Heartbeat periods between two hello batches to a peer.
 HELLO_HEARTBEATS = 4
-SEEN_HOST_TTL_S = 3.0
 HOST_LIVE_S = 10.0
 HOST_FORGET_S = 86400.0
 FORGET_EVERY_S = 5.0
@@ -122,8 +122,11 @@
         self._journal_writer = self._make_journal_writer()
         self.groups: list[group_module.Group] = []
         self._started_s = 0.0
+        self._contacts = host_contacts.HostContacts(started_s=self.now_s)
         self._membership_reconciler = (
-            membership_reconciler.MembershipReconciler()
+            membership_reconciler.MembershipReconciler(
+                catch_up_s=settings.catch_up_s
+            )
         )
 
     def __repr__(self) -> str:
@@ -172,7 +175,7 @@
         seen = [
             seen_host.url
             for seen_host in self._seen_hosts.values()
-            if now_s - seen_host.last_seen_s <= SEEN_HOST_TTL_S
+            if now_s - seen_host.last_seen_s <= host_contacts.PRESENT_S
         ]
         return [self.url, *seen]
 
@@ -227,6 +230,7 @@
             blank=batch.blank,
             last_seen_s=now_s,
         )
+        self._contacts.record(batch.host_id, batch.replica_id, now_s)
         if batch.url not in self._links:
             self._add_link(batch.url)
         for url in batch.urls:
@@ -394,7 +398,7 @@
         for host_id, seen in self._seen_hosts.items():
             if (
                 not seen.blank
-                or self.now_s - seen.last_seen_s > SEEN_HOST_TTL_S
+                or self.now_s - seen.last_seen_s > host_contacts.PRESENT_S
             ):
                 return
             replicas[host_id] = seen.replica_id
@@ -427,7 +431,7 @@
             return
         wanted = self._wanted_voters()
         for host_id, seen in self._seen_hosts.items():
-            if self.now_s - seen.last_seen_s > SEEN_HOST_TTL_S:
+            if self.now_s - seen.last_seen_s > host_contacts.PRESENT_S:
                 continue
             if host_id in self.replacements:
                 continue
@@ -472,13 +476,12 @@
 
     def _reconcile_members(self, group: group_module.Group) -> None:
         now_s = self.now_s
-        present = {self.settings.host_id: self.folder.replica_id}
-        for host_id, seen in self._seen_hosts.items():
-            if now_s - seen.last_seen_s <= SEEN_HOST_TTL_S:
-                present[host_id] = seen.replica_id
+        self._contacts.record(
+            self.settings.host_id, self.folder.replica_id, now_s
+        )
         change = self._membership_reconciler.next_change(
             replica=group.replica,
-            present=present,
+            contacts=self._contacts,
             wanted_voters=self._wanted_voters(),
             now_s=now_s,
         )
--- a/tests/agreement/seed_cluster.py
+++ b/tests/agreement/seed_cluster.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from limpetroute import agreement
+from limpetroute.agreement import host_contacts
 from limpetroute.agreement import membership_reconciler
 from tests.agreement import cluster
 
@@ -15,6 +16,7 @@
 
     def __init__(self, size, seed):
         self.reconcilers = {}
+        self.contacts = {}
         super().__init__(size, seed)
 
     def start(self, host):
@@ -22,6 +24,9 @@
             self.timings, min_voters=2, max_voters=VOTERS
         )
         super().start(host)
+        self.contacts[host] = host_contacts.HostContacts(
+            started_s=self.clock(self.nodes[host])
+        )
         self.reconcilers.setdefault(
             host,
             membership_reconciler.MembershipReconciler(
@@ -34,6 +39,10 @@
         self.crash(host, 0)
         removed = self.nodes.pop(host)
         self.lost_replica_ids.add(removed.replica_id)
+        return self.add_host()
+
+    def add_host(self):
+        """Start one more host, with an empty disk and a new name."""
         number = max(int(name[1:]) for name in self.nodes) + 1
         new = f'c{max(number, self.size) + len(self.lost_replica_ids)}'
         self.nodes[new] = cluster.Node(
@@ -50,17 +59,19 @@
         super()._deliver()
 
     def _replace_lost(self):
-        for leader in list(self.running()):
-            present = {
-                node.host_id: node.replica_id
-                for node in self.running()
-                if (node.host_id, leader.host_id) not in self.blocked
-            }
-            change = self.reconcilers[leader.host_id].next_change(
-                replica=leader.replica,
-                present=present,
+        for node in list(self.running()):
+            contacts = self.contacts[node.host_id]
+            for other in self.running():
+                if (other.host_id, node.host_id) in self.blocked:
+                    continue
+                contacts.record(
+                    other.host_id, other.replica_id, self.clock(node)
+                )
+            change = self.reconcilers[node.host_id].next_change(
+                replica=node.replica,
+                contacts=contacts,
                 wanted_voters=VOTERS,
-                now_s=self.clock(leader),
+                now_s=self.clock(node),
             )
             if change is not None:
-                self.step(leader, change)
+                self.step(node, change)
--- a/tests/agreement/test_turnover.py
+++ b/tests/agreement/test_turnover.py
@@ -8,6 +8,7 @@
 import hypothesis
 from hypothesis import stateful
 from hypothesis import strategies as st
+import pytest
 
 from limpetroute.agreement import membership_reconciler
 from tests.agreement import seed_cluster
@@ -77,17 +78,84 @@
     assert f'{away}.0' in cluster.leader().replica.membership.voters
 
 
+def cluster_with_default_times(seed):
+    cluster = repaired_cluster(seed)
+    for host in cluster.nodes:
+        cluster.reconcilers[host] = (
+            membership_reconciler.MembershipReconciler()
+        )
+    return cluster
+
+
+def others_than_leader(cluster):
+    leader = cluster.leader()
+    return [host for host in cluster.nodes if host != leader.host_id]
+
+
+# Guards against replacing a host that returns with its disk by a spare one.
+@pytest.mark.parametrize('seed', range(5))
+def test_a_frozen_voter_keeps_its_place_beside_a_spare_host(seed):
+    cluster = cluster_with_default_times(seed)
+    spare = cluster.add_host()
+    cluster.run(100)
+    frozen = others_than_leader(cluster)[0]
+    cluster.nodes[frozen].frozen = True
+    cluster.run(80)
+    cluster.nodes[frozen].frozen = False
+    cluster.run(20)
+    membership = cluster.leader().replica.membership
+    assert membership.of_host(frozen).voter
+    assert not membership.of_host(spare).voter
+
+
+# Guards against a lost voter whose silence is counted anew by each leader.
+@pytest.mark.parametrize('seed', range(5))
+def test_a_voters_silence_counts_over_a_change_of_leader(seed):
+    cluster = cluster_with_default_times(seed)
+    lost = others_than_leader(cluster)[0]
+    cluster.crash(lost, 0)
+    cluster.run(10)
+    successor = cluster.add_host()
+    cluster.run(15)
+    former = cluster.leader().host_id
+    cluster.crash(former, 0)
+    while cluster.leader() is None:
+        cluster.run(1)
+    cluster.run(15)
+    membership = cluster.leader().replica.membership
+    assert cluster.leader().host_id != former
+    assert membership.of_host(lost) is None
+    assert membership.of_host(successor).voter
+
+
+# Guards against a group that stays incomplete when a successor is lost while
+# it catches up, and the host that it replaces returns.
+@pytest.mark.parametrize('seed', range(5))
+def test_a_host_returns_after_its_successor_was_lost(seed):
+    cluster = cluster_with_default_times(seed)
+    away = others_than_leader(cluster)[0]
+    cluster.crash(away, 0)
+    cluster.run(10)
+    successor = cluster.add_host()
+    cluster.run(2)
+    cluster.crash(successor, 0)
+    cluster.run(40)
+    cluster.start(away)
+    cluster.run(150)
+    membership = cluster.leader().replica.membership
+    assert membership.of_host(away).voter
+    assert membership.of_host(successor) is None
+
+
 class HastyReconciler(membership_reconciler.MembershipReconciler):
     """Removes silent voters even if no learner can replace them."""
 
-    def _silent_member(self, replica, wanted_voters, now_s):
+    def _silent_voter(self, replica, contacts, wanted_voters, now_s):
         for member in replica.membership.members:
             if member.replica_id == replica.replica_id:
                 continue
-            if (
-                now_s - self._last_seen_s[member.replica_id]
-                > self._replace_after_s
-            ):
+            silent_s = now_s - contacts.last_s(member.host_id)
+            if silent_s > self._replace_after_s:
                 return member.replica_id
         return None
 
--- a/tests/control/seed_fleet.py
+++ b/tests/control/seed_fleet.py
@@ -49,6 +49,13 @@
     async def stop_all(self):
         await self.stop(*list(self.servers))
 
+    async def lose(self, *hosts):
+        """End hosts at once and for good, with their disks."""
+        servers = [self.servers.pop(host) for host in hosts]
+        await asyncio.gather(*(server.stop() for server in servers))
+        for host in hosts:
+            self.lose_disk(host)
+
     def lose_disk(self, host):
         shutil.rmtree(self.folder / host)
 
@@ -60,17 +67,20 @@
             parse_services=lambda text: frozenset(),
         )
 
+    def leader(self):
+        """Return the host that leads with a valid lease, or None."""
+        for host, server in self.servers.items():
+            if server.node.config.replica.lease_valid(server.node.now_s):
+                return host
+        return None
+
     def voters(self):
         """Return the hosts of the voters in the leader's membership."""
-        for server in self.servers.values():
-            replica = server.node.config.replica
-            if replica.lease_valid(server.node.now_s):
-                return sorted(
-                    one.host_id
-                    for one in replica.membership.members
-                    if one.voter
-                )
-        return []
+        leader = self.leader()
+        if leader is None:
+            return []
+        members = self.servers[leader].node.config.replica.membership.members
+        return sorted(one.host_id for one in members if one.voter)
 
     async def until(self, check):
         async with asyncio.timeout(WAIT_S):
--- a/tests/control/test_seeds.py
+++ b/tests/control/test_seeds.py
@@ -3,6 +3,8 @@
 import asyncio
 import errno
 
+import pytest
+
 from limpetroute.control import command_submitter
 from tests.control import failing_files
 from tests.control import seed_fleet
@@ -10,6 +12,11 @@
 HOSTS = [f'127.0.0.{n}' for n in range(11, 16)]
 SEEDS = HOSTS[:3]
 NEW = '127.0.0.17'
+SUCCESSORS = [NEW, '127.0.0.18', '127.0.0.19']
+# Time between the loss of a host and its successor's start.
+SUCCESSOR_S = 1.0
+# Time after its successor's start after which a host does not count as lost.
+CATCH_UP_S = 4.0
 
 
 def run(tmp_path, work):
@@ -118,6 +125,31 @@
     run(tmp_path, work)
 
 
+# Guards against lost voters that still count when their successors have had
+# their time, so that the next loss ends the group for good.
+@pytest.mark.parametrize('loses_leader', [False, True])
+def test_a_loss_after_two_replaced_hosts_is_tolerated(tmp_path, loses_leader):
+    async def work(fleet):
+        await bootstrap(fleet)
+        await fleet.submit(HOSTS[0], 5)
+        leader = fleet.leader()
+        others = [host for host in HOSTS if host != leader]
+        first, second, third, last = others
+        await fleet.lose(first, leader if loses_leader else second)
+        await asyncio.sleep(SUCCESSOR_S)
+        for host in SUCCESSORS[:2]:
+            fleet.start(host, may_found=False)
+        await asyncio.sleep(CATCH_UP_S)
+        await fleet.submit(SUCCESSORS[0], 6)
+        await fleet.lose(third)
+        await asyncio.sleep(SUCCESSOR_S)
+        fleet.start(SUCCESSORS[2], may_found=False)
+        assert await fleet.read(last) == 6
+        await fleet.submit(SUCCESSORS[2], 7)
+
+    run(tmp_path, work)
+
+
 def test_an_unresponsive_host_is_not_removed_without_a_successor(tmp_path):
     async def work(fleet):
         await bootstrap(fleet)
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -28,6 +28,9 @@
     *('reset_decode',) * 4,
 )
 
+# With control hosts that are gone for good, with their disks.
+KINDS_WITH_LOSSES = (*KINDS, *('lose_control',) * 6)
+
 
 @dataclasses.dataclass(frozen=True)
 class Fault:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -28,6 +28,12 @@
 # Of the decode runners, in the middle of a release.
 VERSIONS = ('v1', 'v1', 'v2', 'v2')
 MAX_ATTEMPTS = 4
+# Time between the loss of a control host and its successor's start.
+SUCCESSOR_S = 1.0
+# Time for which a control host that is back, or new, counts as lost.
+CATCH_UP_S = 4.0
+# Longest wait for a group of which no host counts as lost.
+WHOLE_S = 15.0
 
 
 class Soak:
@@ -42,6 +48,7 @@
         has_cuts=False,
         has_silences=False,
         has_versions=False,
+        has_losses=False,
     ):
         self.seed = seed
         self._has_silences = has_silences
@@ -52,10 +59,14 @@
             self._kinds = plan.KINDS_WITH_SILENCES
         elif has_versions:
             self._kinds = plan.KINDS_WITH_VERSIONS
+        elif has_losses:
+            self._kinds = plan.KINDS_WITH_LOSSES
         self._has_teams = has_teams
         self._has_versions = has_versions
         self._replaced = itertools.count(1)
         self._replacing = asyncio.Lock()
+        self._control_whole_s = 0.0
+        self.replaced_controls = 0
         self.owners = {}
         self.losses = 0
         self._growth = random.Random(f'{seed} growth') if grows else None
@@ -254,8 +265,12 @@
     async def _do(self, fault):
         subject, _, where = fault.kind.partition('_')
         self._note_harm(fault)
-        if where == 'control':
+        if subject == 'lose':
+            await self._lose_control(fault)
+        elif where == 'control':
+            self._count_as_lost(fault.for_s)
             await self._signal(self.world.controls, subject, fault)
+            self._count_as_lost(0.0)
         elif where == 'forward':
             await self._signal(self.world.forwards, subject, fault)
         elif where == 'links':
@@ -301,6 +316,44 @@
             process.change(may_found=False)
         process.start()
 
+    def _count_as_lost(self, for_s):
+        loop = asyncio.get_running_loop()
+        self._control_whole_s = max(
+            self._control_whole_s, loop.time() + for_s + CATCH_UP_S
+        )
+
+    def _is_control_whole(self):
+        if asyncio.get_running_loop().time() < self._control_whole_s:
+            return False
+        for process in self.world.controls:
+            if process.runs and not process.stopping:
+                continue
+            process.start()
+            self._count_as_lost(0.0)
+            return False
+        return True
+
+    async def _lose_control(self, fault):
+        """Replace a control host as soon as no other one counts as lost."""
+        loop = asyncio.get_running_loop()
+        async with self._replacing:
+            until_s = loop.time() + WHOLE_S
+            while not self._is_control_whole():
+                if loop.time() > until_s:
+                    return
+                await asyncio.sleep(0.05)
+            number = fault.target % world_module.CONTROLS
+            self._count_as_lost(SUCCESSOR_S)
+            self.losses += 1
+            self.world.lose_control(number)
+            await asyncio.sleep(SUCCESSOR_S)
+            self.world.replace_control(number)
+            self.replaced_controls += 1
+            async with asyncio.timeout(WHOLE_S):
+                while not await self.world.answers(number):
+                    await asyncio.sleep(0.05)
+            self._count_as_lost(0.0)
+
     async def _cut(self, fault):
         """Cut one host's links to all runners; cuts of a host may overlap."""
         one = self.partitions[fault.target % len(self.partitions)]
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -69,6 +69,19 @@
     assert any(passed)
 
 
+# Guards against a group of control hosts that does not survive the loss of one
+# after the other, each with its disk, when the last successor has caught up.
+@pytest.mark.parametrize(('seed', 'seconds'), [(97002, 8)])
+def test_promises_hold_while_control_hosts_are_replaced(
+    tmp_path, seed, seconds
+):
+    run = soak.Soak(tmp_path, seed, seconds, has_losses=True)
+    broken = asyncio.run(run.run())
+    logs = {one.name: one.log()[-1500:] for one in run.world.controls}
+    assert not broken, (broken, logs)
+    assert run.replaced_controls > 1
+
+
 def test_promises_hold_while_sound_runners_are_silent(tmp_path):
     run = soak.Soak(tmp_path, 3, 8, has_silences=True)
     broken = asyncio.run(run.run())
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import shutil
 import signal
 import subprocess
 import sys
@@ -94,25 +95,13 @@
         port = port_pool.free_port()
         public = port_pool.free_port()
         self.http = caller.Caller()
+        self._folder = folder
+        self._control_port = port
+        self._public_port = public
+        self._control_hosts = CONTROLS
         hosts = [f'127.{base}.1.{n + 1}' for n in range(CONTROLS)]
         seeds = [f'{host}:{public}' for host in hosts]
-        self.control_urls = [f'http://{seed}' for seed in seeds]
-        self.controls = []
-        for host in hosts:
-            settings = {
-                'host_id': host,
-                'zone': 'a',
-                'demo': True,
-                'data_dir': str(folder / f'data-{host}'),
-                'listen': f'{host}:{port}',
-                'public_listen': f'{host}:{public}',
-                'seeds': seeds,
-                'tolerated_losses': 1,
-                'heartbeat_s': 0.15,
-                'election_s': 0.6,
-            }
-            process = Process('control', host, settings, folder)
-            self.controls.append(process)
+        self.controls = [self._control(host, seeds) for host in hosts]
         self.forwards = []
         self.entry_urls = []
         for number in range(FORWARDS):
@@ -145,6 +134,53 @@
         self.runners += self.decodes
         self._beats = {}
 
+    @property
+    def control_urls(self):
+        return [
+            f'http://{one.settings["public_listen"]}' for one in self.controls
+        ]
+
+    def _control(self, host, seeds, *, may_found=True):
+        settings = {
+            'host_id': host,
+            'zone': 'a',
+            'demo': True,
+            'data_dir': str(self._folder / f'data-{host}'),
+            'listen': f'{host}:{self._control_port}',
+            'public_listen': f'{host}:{self._public_port}',
+            'seeds': seeds,
+            'tolerated_losses': 1,
+            'may_found': may_found,
+            'heartbeat_s': 0.15,
+            'election_s': 0.6,
+        }
+        return Process('control', host, settings, self._folder)
+
+    def lose_control(self, number):
+        """End a control host for good, with its disk."""
+        process = self.controls[number]
+        process.end()
+        shutil.rmtree(process.settings['data_dir'])
+
+    def replace_control(self, number):
+        """Start an empty control host, at another address."""
+        self._control_hosts += 1
+        host = f'127.{self.base}.1.{self._control_hosts}'
+        self.controls[number] = self._control(host, [], may_found=False)
+        seeds = [one.settings['public_listen'] for one in self.controls]
+        for process in [*self.controls, *self.forwards]:
+            process.change(seeds=seeds)
+        self.controls[number].start()
+
+    async def answers(self, number):
+        """Return whether a control host answers at all."""
+        got = await self.http.call(
+            method='GET',
+            url=f'{self.control_urls[number]}/api/config',
+            timeout_s=1.0,
+        )
+        return not isinstance(got, call_failed.CallFailed)
+
     async def start_runners(self):
         for number, one in enumerate(self.runners):
             await one.start(f'127.{self.base}.3.{number + 1}')
