Refuse calls that may outlast a stopping host by their route

Cause: a stopping host refused plain calls from 1.6 s before it closes its connections, a figure that rested on one deployment's timeout of 0.8 s. The calls came before that time and needed longer than what was left; none was over its route's timeout.

Change: after the host has left the rotation, a call is taken only if the route's timeout or the caller's deadline, whichever is shorter, ends 0.2 s before the close; otherwise it is refused with 503 before it is sent. Calls of short routes are taken for longer than before. Streams had the same cause: one that was accepted could wait for a place without a bound and be cut off. It has a latest start now, after which it is refused.

The soak got calls that last almost as long as their route allows, on kept connections at hosts that stop (--stops).

--- a/limpetroute/cli/request_story.py
+++ b/limpetroute/cli/request_story.py
@@ -52,7 +52,8 @@
     'the key changed while the request waited': (
         'Its key was taken away, or moved to another team, before it was sent.'
     ),
-    'this host stops': 'The host was shutting down and takes no streams.',
+    'this host stops': 'The host was shutting down, and the answer might not '
+    'have ended in time.',
 }
 
 
--- a/limpetroute/forwarding/forward_context.py
+++ b/limpetroute/forwarding/forward_context.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import math
 import random
 import typing
 
@@ -143,7 +144,6 @@
         # clock.
         self.shutdown_s: float | None = None
         self._decode_speeds: dict[str, moving_mean.MovingMean] = {}
-        self.accepts_calls = True
         self._watch = watch
         self.connections = runner_connections.RunnerConnections(
             view=view,
@@ -177,18 +177,37 @@
         """Known number of entry hosts, including this host."""
         return self._watch.entry_hosts
 
-    def accepts_stream(
+    def accepts_call(
         self,
-        service: service_module.Service,
-        generation: caller_request.Generation,
+        request: caller_request.CallerRequest,
+        route: route_module.Route,
     ) -> bool:
-        """Return whether a stream is sure to end before this host stops."""
+        """Return whether a plain call is sure to end before this host stops.
+
+        It is true until the host has left the balancer's rotation.
+        """
         if self.shutdown_s is None:
             return True
-        return shutdown_admission.ends_before_shutdown(
+        return shutdown_admission.call_ends_in_time(
+            limit_s=self.remaining_s(request, route),
+            remaining_s=self.shutdown_s - _now_s(),
+        )
+
+    def latest_start_s(
+        self,
+        service: service_module.Service,
+        generation: caller_request.Generation,
+    ) -> float:
+        """Return until when a stream may start, by the event loop's clock.
+
+        A stream that starts later is not sure to end before this host stops.
+        It is infinite until the host has left the balancer's rotation.
+        """
+        if self.shutdown_s is None:
+            return math.inf
+        return self.shutdown_s - shutdown_admission.stream_s(
             max_tokens=generation.max_output_tokens,
             tokens_per_s=self._decode_speed(service).mean,
-            remaining_s=self.shutdown_s - _now_s(),
         )
 
     def note_decode_speed(
--- a/limpetroute/forwarding/local_reply.py
+++ b/limpetroute/forwarding/local_reply.py
@@ -45,6 +45,7 @@
 UNREACHABLE = 'no runner reachable'
 KEY_CHANGED = 'the key changed while the request waited'
 UNEXPECTED = 'unexpected error'
+STOPPING = 'this host stops'
 
 _RETRYABLE = (HTTP_UNAVAILABLE, HTTP_TOO_MANY_REQUESTS)
 
--- a/limpetroute/forwarding/plain_forward.py
+++ b/limpetroute/forwarding/plain_forward.py
@@ -113,8 +113,8 @@
 
         Then it may be sent again, and a stream may have begun.
         """
-        if not self._context.accepts_calls:
-            await self._replies.refuse('this host stops')
+        if not self._context.accepts_call(self._request, self._route):
+            await self._replies.refuse(local_reply.STOPPING)
             return True
         verdict = self._charge.take()
         if not verdict.allowed:
--- a/limpetroute/forwarding/request_preview.py
+++ b/limpetroute/forwarding/request_preview.py
@@ -15,6 +15,7 @@
 from limpetroute.forwarding import control_watch
 from limpetroute.forwarding import forward_context
 from limpetroute.forwarding import leader_channel
+from limpetroute.forwarding import local_reply
 from limpetroute.forwarding import placement_session
 from limpetroute.forwarding import plain_forward
 from limpetroute.forwarding import quota_charge
@@ -104,7 +105,10 @@
             runner = plain_forward.choose_runner(
                 self._context, name, zone=zone, tried=(), rng=rng
             )
-            found = HTTP_OK, self._describe_plain(name, zone, runner)
+            found = (
+                HTTP_OK,
+                self._describe_plain(request, route, name, zone, runner),
+            )
         status, decided = found
         return status, {**body, **decided}
 
@@ -159,7 +163,12 @@
         }
 
     def _describe_plain(
-        self, service: str, zone: str, runner: runner_info.RunnerInfo | None
+        self,
+        request: caller_request.CallerRequest,
+        route: route_module.Route,
+        service: str,
+        zone: str,
+        runner: runner_info.RunnerInfo | None,
     ) -> Body:
         context = self._context
         body: Body = {
@@ -169,8 +178,8 @@
                 for one in context.view.runners(service)
             ],
         }
-        if not context.accepts_calls:
-            body.update(decision='refuse', reason='this host stops')
+        if not context.accepts_call(request, route):
+            body.update(decision='refuse', reason=local_reply.STOPPING)
         elif context.links.are_cut:
             body.update(decision='pass_on', reason='no runner reachable')
         elif runner is None:
@@ -217,8 +226,13 @@
         service: service_module.Service,
     ) -> tuple[int, Body]:
         context = self._context
-        if not context.accepts_calls:
-            return HTTP_OK, {'decision': 'refuse', 'reason': 'this host stops'}
+        generation = request.generation
+        assert generation is not None
+        if _now_s() > context.latest_start_s(service, generation):
+            return HTTP_OK, {
+                'decision': 'refuse',
+                'reason': local_reply.STOPPING,
+            }
         session = placement_session.PlacementSession(
             context=context,
             request=request,
--- a/limpetroute/forwarding/server.py
+++ b/limpetroute/forwarding/server.py
@@ -49,10 +49,9 @@
 # Time before the process would be killed at which open requests are
 # aborted, so that the abort can be logged.
 ABORT_MARGIN_S = 0.4
-# Time before the abort from which plain calls are refused, because they
-# might be aborted while a runner processes them. A plain call has a
-# timeout of 0.8 s, and callers wait for 1.5 s at most.
-LAST_CALLS_MARGIN_S = 1.6
+# Time before the abort from which no connection is accepted. Callers reach
+# another host sooner if they are not answered with a refusal first.
+LAST_CONNECTIONS_MARGIN_S = 1.6
 POLL_INTERVAL_S = 0.05
 
 
@@ -265,9 +264,9 @@
         longer if it has too few other hosts, so the port stays open while
         requests are active. Each answer closes its connection, because
         callers would send more requests on a kept connection. After the
-        rotation time, this host refuses new streams that might outlast
-        it. Shortly before the abort it also refuses plain calls, if a
-        stream is still open.
+        rotation time, this host refuses new streams and plain calls that
+        might outlast it. Shortly before the abort it also accepts no
+        connections, if a request is still active.
         """
         loop = asyncio.get_running_loop()
         started_s = loop.time()
@@ -281,11 +280,12 @@
         abort_s = started_s + self.settings.grace_s - ABORT_MARGIN_S
         self._context.shutdown_s = abort_s
         while self.forwarder.active and loop.time() < abort_s:
-            if loop.time() > abort_s - LAST_CALLS_MARGIN_S:
-                self._context.accepts_calls = False
+            if loop.time() > abort_s - LAST_CONNECTIONS_MARGIN_S:
                 self._front.stop_listening()
             await asyncio.sleep(POLL_INTERVAL_S)
         self._front.stop_listening()
+        # A request that arrives while connections are closed is refused.
+        self._context.shutdown_s = loop.time()
         LOG.info('stopped', extra={'broken_off': self.forwarder.active})
         self.watch.stop()
         self._context.quarantine.stop()
--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -5,6 +5,7 @@
 import dataclasses
 import functools
 import logging
+import math
 import typing
 
 from limpetroute.forwarding import caller_request
@@ -145,6 +146,8 @@
         self._peer: peer_forward.PeerForward | None = None
         self._is_charged_for_peer = False
         self._is_opening_successor = False
+        # A stopping host has no time for a stream that starts later.
+        self._start_by_s = math.inf
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(request={self._request.request_id!r})'
@@ -174,8 +177,13 @@
 
         Then it may be sent again, and a stream may have begun.
         """
-        if not self._is_accepted():
-            await self._replies.refuse('this host stops')
+        generation = self._request.generation
+        assert generation is not None
+        self._start_by_s = self._context.latest_start_s(
+            self._service, generation
+        )
+        if not self._may_start():
+            await self._replies.refuse(local_reply.STOPPING)
             return True
         is_answered = True
         try:
@@ -224,6 +232,9 @@
         """
         progress = self._progress()
         result = await self._acquire(session, progress)
+        if not self._may_start():
+            await self._replies.refuse(local_reply.STOPPING)
+            return next_step.Step.RELAY
         if isinstance(result, placement.Rejection):
             if self._should_leave_to_peer():
                 return next_step.Step.RETRY
@@ -289,13 +300,17 @@
     ) -> placement_session.AssignedRunners | placement.Rejection | None:
         """Return the stream's runners, or a rejection.
 
-        None if the KV cache of a prefilled prompt expires before that.
+        None if the KV cache of a prefilled prompt expires before that, or
+        if the stream may not start any more.
         """
         prefilled = self._prefill.unused
-        if not progress.is_prefilled or prefilled is None:
-            return await session.acquire(progress)
+        until_s: float | None = None
+        if progress.is_prefilled and prefilled is not None:
+            until_s = prefilled.expires_s
+        elif not self._history.sends and self._start_by_s < math.inf:
+            until_s = self._start_by_s
         try:
-            async with asyncio.timeout_at(prefilled.expires_s):
+            async with asyncio.timeout_at(until_s):
                 return await session.acquire(progress)
         except TimeoutError:
             return None
@@ -327,10 +342,9 @@
             local_reply.QUARANTINED, self._gate.retry_after_s
         )
 
-    def _is_accepted(self) -> bool:
-        generation = self._request.generation
-        assert generation is not None
-        return self._context.accepts_stream(self._service, generation)
+    def _may_start(self) -> bool:
+        """Return whether the stream has started, or ends if it starts now."""
+        return self._history.sends > 0 or _now_s() <= self._start_by_s
 
     def _record_speed(self) -> None:
         decode_s = self._relay.decode_s
@@ -733,6 +747,8 @@
             return peer if await peer.open() is None else None
         finally:
             self._is_opening_successor = False
+        # A stopping host has no time for a stream that starts later.
+        self._start_by_s = math.inf
 
     async def _open_elsewhere(self) -> _Send | None:
         """Return an open send to another runner, or None.
@@ -798,6 +814,8 @@
             raise
         finally:
             self._is_opening_successor = False
+        # A stopping host has no time for a stream that starts later.
+        self._start_by_s = math.inf
 
     async def _record_refused_open(
         self, send: _Send, result: send_result.SendResult
--- a/tests/routing/test_shutdown_admission.py
+++ b/tests/routing/test_shutdown_admission.py
@@ -18,7 +18,26 @@
     streams were accepted by their estimated length, one in five was cut off
     when its host stopped.
     """
-    got = shutdown_admission.ends_before_shutdown(
-        max_tokens=max_tokens, tokens_per_s=170.0, remaining_s=remaining_s
+    needed_s = shutdown_admission.stream_s(
+        max_tokens=max_tokens, tokens_per_s=170.0
+    )
+    assert (needed_s <= remaining_s) is accepted
+
+
+# Guards against calls that are cut off in the middle of their run, and against
+# refusals of calls that end in time.
+@pytest.mark.parametrize(
+    ('limit_s', 'remaining_s', 'accepted'),
+    [
+        (2.0, 1.7, False),
+        (2.0, 2.1, False),
+        (2.0, 2.3, True),
+        (0.8, 1.7, True),
+        (0.8, 0.9, False),
+    ],
+)
+def test_a_call_that_surely_ends_is_accepted(limit_s, remaining_s, accepted):
+    got = shutdown_admission.call_ends_in_time(
+        limit_s=limit_s, remaining_s=remaining_s
     )
     assert got is accepted
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,6 +1,7 @@
 """Soak real processes: python -m tests.soak [--seeds 1-50] [options].
 
-Options are --teams and --cuts, --silences, --versions, or --losses.
+Options are --teams and --cuts, --silences, --versions, --losses,
+or --stops.
 Prints a line for each seed, with its folder of logs where it failed.
 """
 
@@ -23,11 +24,20 @@
     parser.add_argument('--silences', action='store_true')
     parser.add_argument('--versions', action='store_true')
     parser.add_argument('--losses', action='store_true')
+    parser.add_argument('--stops', action='store_true')
     args = parser.parse_args()
     if args.versions and (args.teams or args.cuts or args.silences):
         parser.error('--versions goes with no other option')
     if args.losses and (args.versions or args.cuts or args.silences):
         parser.error('--losses goes with no option but --teams')
+    if args.stops and (
+        args.teams
+        or args.cuts
+        or args.silences
+        or args.versions
+        or args.losses
+    ):
+        parser.error('--stops goes with no other option')
     first, _, last = args.seeds.partition('-')
     failed = 0
     for seed in range(int(first), int(last or first) + 1):
@@ -42,6 +52,7 @@
             has_silences=args.silences,
             has_versions=args.versions,
             has_losses=args.losses,
+            has_stops=args.stops,
         )
         try:
             broken = asyncio.run(run.run())
@@ -58,6 +69,8 @@
             ]
             whole = sum(one.is_whole for one in taken_up)
             print(f', {len(taken_up)} taken up, {whole} whole', end='')
+        if args.stops:
+            print(f', {run.long_calls} long calls served', end='')
         if args.losses:
             print(f', {run.replaced_controls} control hosts gone', end='')
         if not broken:
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -31,6 +31,15 @@
 # With control hosts that are gone for good, with their disks.
 KINDS_WITH_LOSSES = (*KINDS, *('lose_control',) * 6)
 
+# With entry hosts that are stopped and started, and none that breaks off.
+KINDS_WITH_STOPS = (
+    *('stop_forward',) * 4,
+    'kill_control',
+    'stop_control',
+    'pause_control',
+    'submit',
+)
+
 
 @dataclasses.dataclass(frozen=True)
 class Fault:
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -8,6 +8,8 @@
 EVENT_S = 0.04
 # A runner that crashed is back after this long.
 DOWN_S = 0.4
+# Time that it works on a request of the route with long calls.
+LONG_S = 1.8
 # Time from the head of an answer to a crash under a part of the prompt.
 CRASH_DELAY_S = 0.095
 
@@ -193,6 +195,8 @@
         if 'token-usage' in fields:
             await self._stream(fields, writer)
             return
+        if ' /long/' in head:
+            await asyncio.sleep(LONG_S)
         body = f'{request_id} by {self.name}'.encode()
         headers = {
             'Runner-Stamp': self.name,
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -13,6 +13,7 @@
 from tests.soak import promises as promises_module
 from tests.soak import teams
 from tests.soak import world as world_module
+from tests.whole_path import kept_caller
 from tests.whole_path import partition
 from tests.whole_path import stream_caller
 
@@ -32,6 +33,16 @@
 SUCCESSOR_S = 1.0
 # Time for which a control host that is back, or new, counts as lost.
 CATCH_UP_S = 4.0
+# Callers of the route with long calls, each with a connection of its own.
+LONG_CALLERS = 16
+# A call that came so late after a stop began is not broken off, and an earlier
+# one only in the last part of the grace time.
+STOPS_AFTER_S = 3.0
+LAST_PART = 5 / 6
+# Longest time for a host that is told to stop.
+STOP_S = 10.0
+# Grace time of hosts that long calls keep open.
+LONG_GRACE_S = 8.0
 # Longest wait for a group of which no host counts as lost.
 WHOLE_S = 15.0
 
@@ -49,6 +60,7 @@
         has_silences=False,
         has_versions=False,
         has_losses=False,
+        has_stops=False,
     ):
         self.seed = seed
         self._has_silences = has_silences
@@ -61,6 +73,13 @@
             self._kinds = plan.KINDS_WITH_VERSIONS
         elif has_losses:
             self._kinds = plan.KINDS_WITH_LOSSES
+        elif has_stops:
+            self._kinds = plan.KINDS_WITH_STOPS
+        self._has_stops = has_stops
+        self._stops_s = [[] for _ in range(world_module.FORWARDS)]
+        # Long calls without an answer: id, host, when they began and ended.
+        self._cut_off = []
+        self.long_calls = 0
         self._has_teams = has_teams
         self._has_versions = has_versions
         self._replaced = itertools.count(1)
@@ -80,6 +99,9 @@
         if has_silences and seed % 2:
             # No other runner takes a stream over.
             self.world.runners.pop()
+        if has_stops:
+            for process in self.world.forwards:
+                process.change(grace_s=LONG_GRACE_S)
         self.partitions = []
         if has_cuts:
             self.partitions = partition.partitions(
@@ -104,12 +126,18 @@
                 for number in range(CALLERS)
             ]
             self._tasks.append(asyncio.create_task(self._read()))
+            if self._has_stops:
+                self._tasks += [
+                    asyncio.create_task(self._call_long(number))
+                    for number in range(LONG_CALLERS)
+                ]
             await self._play()
             await self._recover()
             for task in self._tasks:
                 task.cancel()
             await asyncio.gather(*self._tasks, return_exceptions=True)
             self._judge_drains()
+            self._judge_stops()
             if self._has_silences:
                 self.promises.judge_ends()
             if self._has_teams:
@@ -189,6 +217,29 @@
                 return
             await asyncio.sleep(rng.choice([0.0, 0.1, 0.6]))
 
+    async def _call_long(self, number):
+        """Keep a connection to one host, and use it until it is closed."""
+        loop = asyncio.get_running_loop()
+        rng = random.Random(f'{self.seed} long {number}')
+        host = number % world_module.FORWARDS
+        name = f'long-{number}'
+        one = kept_caller.KeptCaller(self.world.entry_urls[host], name)
+        try:
+            for count in itertools.count(1):
+                await asyncio.sleep(rng.random() * 0.5)
+                began_s = loop.time()
+                try:
+                    outcome = await one.ask('/long/x', count)
+                except OSError:
+                    continue
+                self.long_calls += outcome.status == 200
+                if not outcome.whole:
+                    self._cut_off.append(
+                        (f'{name}-{count}', host, began_s, loop.time())
+                    )
+        finally:
+            one.close()
+
     async def _ask(self, answer, number):
         link = await self._send(answer, number, PREFIXES[answer.kind])
         try:
@@ -308,9 +359,17 @@
             process.send(signal.SIGCONT)
             return
         number = signal.SIGKILL if subject == 'kill' else signal.SIGTERM
+        if 'forward' in fault.kind and process.runs and not process.stopping:
+            stops_s = self._stops_s[processes.index(process)]
+            stops_s.append(asyncio.get_running_loop().time())
         process.send(number)
         await asyncio.sleep(fault.for_s)
         process.end() if subject == 'kill' else None
+        if subject == 'stop' and self._has_stops:
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(STOP_S):
+                    while process.stopping:
+                        await asyncio.sleep(0.05)
         # Restarted as the platform does: never again to found a group.
         if 'control' in fault.kind:
             process.change(may_found=False)
@@ -411,6 +470,22 @@
     async def _has_newest(self):
         return await self._serves(f'/v{self.version}/x')
 
+    def _judge_stops(self):
+        """A long call that a runner has got is answered by its host."""
+        ran = {name for one in self.world.runners for name in one.runs}
+        for name, host, began_s, ended_s in self._cut_off:
+            if name not in ran:
+                continue
+            if any(
+                began_s <= stop_s + STOPS_AFTER_S
+                and ended_s >= stop_s + LONG_GRACE_S * LAST_PART
+                for stop_s in self._stops_s[host]
+            ):
+                continue
+            self.promises.broken.append(
+                f'{name}: ran, and was cut off after {ended_s - began_s:.2f} s'
+            )
+
     def _judge_drains(self):
         for one in self.world.runners:
             if one.draining_since is None:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -82,6 +82,17 @@
     assert run.replaced_controls > 1
 
 
+# Guards against long calls that a stopping host takes and cuts off in the
+# middle of their run.
+@pytest.mark.parametrize(('seed', 'seconds'), [(98001, 10)])
+def test_long_calls_are_not_cut_off_by_stopping_hosts(tmp_path, seed, seconds):
+    run = soak.Soak(tmp_path, seed, seconds, has_stops=True)
+    broken = asyncio.run(run.run())
+    logs = {one.name: one.log()[-1500:] for one in run.world.forwards}
+    assert not broken, (broken, logs)
+    assert run.long_calls > 20
+
+
 def test_promises_hold_while_sound_runners_are_silent(tmp_path):
     run = soak.Soak(tmp_path, 3, 8, has_silences=True)
     broken = asyncio.run(run.run())
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -249,6 +249,8 @@
         {**common, 'path-prefix': '/once/', 'kind': 'non_idempotent'},
         {**common, 'path-prefix': '/safe/', 'kind': 'idempotent'},
     ]
+    long = {**found[0], 'path-prefix': '/long/', 'timeout-ms': 2000}
+    found.append(long)
     for route in found:
         route.update({'service': 'plain', 'attempts': 2})
     found.append(
--- a/tests/whole_path/kept_caller.py
+++ b/tests/whole_path/kept_caller.py
@@ -44,10 +44,11 @@
         while not busy.done():
             path = paths[number % len(paths)]
             number += 1
-            self.outcomes.append(await self._ask(path, number))
-        self._close()
+            self.outcomes.append(await self.ask(path, number))
+        self.close()
 
-    async def _ask(self, path, number):
+    async def ask(self, path, number):
+        """Send one request; raise OSError if no connection is accepted."""
         if self._link is None:
             self._link = await asyncio.open_connection(*self._address)
         else:
@@ -64,7 +65,7 @@
                     body += piece
                 whole = True
         if not (whole and keeps):
-            self._close()
+            self.close()
         return Outcome(path, status, body, whole)
 
     async def _send(self, path, number):
@@ -96,7 +97,8 @@
             size = int(await reader.readuntil(b'\r\n'), 16)
             yield (await reader.readexactly(size + 2))[:-2]
 
-    def _close(self):
+    def close(self):
+        """Close its connection."""
         if self._link is not None:
             self._link[1].close()
             self._link = None
