Bound the memory of all requests' bodies, and hold each once

What callers saw: twenty bodies of 4,000,000 bytes at once end an entry host by its memory (150 MB), and then the next one.

Cause: the chunks of a body were kept beside their join until the next request of the connection, and sending copied the body behind the headers. Nothing bounded all bodies together. Memory kept after answers and large answers are ruled out: one after the other the same requests take 44 MB.

Change: a body is kept in chunks and sent from there, one copy of it. All bodies together have a bound, max_bodies_bytes (80 MiB), with metrics. A body that does not fit is answered 503 with Retry-After before anything is sent on, at once where the headers say so; the rest is read and dropped, so that the caller gets the answer. Memory counts as it arrives, so stalled uploads use what they have sent. Bodies of other entry hosts count as well and are declined. Large answers are no longer copied either.

The soak got floods of large bodies and watches memory (--bodies).

--- a/limpetroute/border/forwarder_settings.py
+++ b/limpetroute/border/forwarder_settings.py
@@ -12,6 +12,9 @@
 from limpetroute.border import trust_settings
 from limpetroute.border import units
 
+# Beside 33 MB of the process and 32 MiB of answers, on a host of 150 MB.
+MAX_BODIES_BYTES = 80 << 20
+
 
 class RetryBudgetSettings(strict_model.StrictModel):
     """Bound on all hosts' retries to one service; see `RetryBudget`."""
@@ -44,6 +47,9 @@
         How teams' quotas are kept.
     balancing : BalancingSettings
         How the load is balanced; ``local`` here keeps this host by itself.
+    max_bodies_bytes : int
+        Maximum size of the bodies of all open requests together. A request
+        whose body does not fit is refused.
     capacity : CapacitySettings
         Processor capacity of this host.
     connections : ConnectionSettings
@@ -60,6 +66,9 @@
     control_port: units.Port
     grace_s: units.Seconds = 8.0
     send_budget: RetryBudgetSettings = RetryBudgetSettings()
+    max_bodies_bytes: int = pydantic.Field(
+        default=MAX_BODIES_BYTES, ge=1 << 20
+    )
     quotas: quota_settings.QuotaSettings = quota_settings.QuotaSettings()
     balancing: balancing_settings.BalancingSettings = (
         balancing_settings.BalancingSettings()
--- a/limpetroute/cli/request_story.py
+++ b/limpetroute/cli/request_story.py
@@ -52,8 +52,14 @@
     'the key changed while the request waited': (
         'Its key was taken away, or moved to another team, before it was sent.'
     ),
-    'this host stops': 'The host was shutting down, and the answer might not '
-    'have ended in time.',
+    'this host stops': (
+        'The host was shutting down, and the answer might not have ended in '
+        'time.'
+    ),
+    'no memory for its body': (
+        'The bodies of open requests used all of max_bodies_bytes. Nothing '
+        'was sent on.'
+    ),
 }
 
 
--- a/limpetroute/forwarding/caller_request.py
+++ b/limpetroute/forwarding/caller_request.py
@@ -7,6 +7,7 @@
 
 from limpetroute.routing import fingerprint
 from limpetroute.routing import team as team_module
+from limpetroute.wire import chunked_body
 
 # Parts of a prompt that may be blamed for crashes of runners.
 MAX_BLAMED_PARTS = 16
@@ -57,7 +58,7 @@
         Method, path with query, and ``Host`` header.
     headers : HTTPHeaders
         All headers, as received.
-    body : bytes
+    body : bytes or ChunkedBody
         The complete body.
     received_s : float
         When the headers were read, by the event loop's clock.
@@ -94,7 +95,7 @@
     target: str
     host: str
     headers: httputil.HTTPHeaders
-    body: bytes
+    body: bytes | chunked_body.ChunkedBody
     received_s: float
     deadline_s: float | None
     generation: Generation | None
@@ -143,7 +144,7 @@
             host=self.host,
             path=self.path,
             caller=self.team or self.credentials_digest,
-            body=self.body,
+            body=bytes(self.body),
         )
 
     @functools.cached_property
--- a/limpetroute/forwarding/dialect.py
+++ b/limpetroute/forwarding/dialect.py
@@ -8,6 +8,7 @@
 from limpetroute.forwarding import caller_request
 from limpetroute.routing import config_fragments
 from limpetroute.routing import route_plan
+from limpetroute.wire import chunked_body
 from limpetroute.wire import small_call
 
 
@@ -64,7 +65,7 @@
         self,
         start: httputil.RequestStartLine,
         headers: httputil.HTTPHeaders,
-        body: bytes,
+        body: bytes | chunked_body.ChunkedBody,
         received_s: float,
     ) -> caller_request.CallerRequest:
         """Decode a caller's request."""
--- a/limpetroute/forwarding/forward_context.py
+++ b/limpetroute/forwarding/forward_context.py
@@ -7,6 +7,7 @@
 import random
 import typing
 
+from limpetroute.border import forwarder_settings
 from limpetroute.forwarding import balancing_state
 from limpetroute.forwarding import caller_request
 from limpetroute.forwarding import control_watch
@@ -95,6 +96,8 @@
         Breaks ties and draws services.
     max_idle_s : float
         Longest time that a connection to a runner is kept; 0 keeps none.
+    max_bodies_bytes : int
+        Maximum size of the bodies of all open requests together.
     """
 
     def __init__(
@@ -119,6 +122,7 @@
         make_retry_budget: typing.Callable[[], retry_budget.RetryBudget],
         rng: random.Random,
         max_idle_s: float = runner_connections.DEFAULT_IDLE_S,
+        max_bodies_bytes: int = forwarder_settings.MAX_BODIES_BYTES,
     ) -> None:
         self.view = view
         self.scheduler = scheduler
@@ -137,9 +141,13 @@
         self.zone = zone
         self.rng = rng
         self.answer_buffers = buffer_budget.BufferBudget(
-            max_answer_bytes=MAX_ANSWER_BYTES,
+            max_body_bytes=MAX_ANSWER_BYTES,
             max_total_bytes=MAX_ANSWERS_BYTES,
         )
+        self.request_buffers = buffer_budget.BufferBudget(
+            max_body_bytes=max_bodies_bytes,
+            max_total_bytes=max_bodies_bytes,
+        )
         # When a stopping host aborts open requests, by the event loop's
         # clock.
         self.shutdown_s: float | None = None
--- a/limpetroute/forwarding/forward_meters.py
+++ b/limpetroute/forwarding/forward_meters.py
@@ -83,6 +83,10 @@
             'limpetroute_connections_closed_unread',
             description='New connections closed, as they were too many.',
         )
+        self._bodies_refused = meter.create_counter(
+            'limpetroute_bodies_refused',
+            description='Requests refused, as their bodies did not fit.',
+        )
 
         self._connections = meter.create_counter(
             'limpetroute_connections',
@@ -133,6 +137,10 @@
         """Count connections of callers that were closed unread."""
         self._closed_unread.add(count)
 
+    def body_refused(self) -> None:
+        """Count a request whose body found no memory."""
+        self._bodies_refused.add(1)
+
     def connections_to(
         self, server: str
     ) -> connection_meters.ConnectionMeters:
--- a/limpetroute/forwarding/forwarder.py
+++ b/limpetroute/forwarding/forwarder.py
@@ -15,6 +15,7 @@
 from limpetroute.routing import route as route_module
 from limpetroute.routing import route_plan
 from limpetroute.routing import startup_wait
+from limpetroute.wire import buffer_budget
 
 LOG = logging.getLogger(__name__)
 
@@ -94,6 +95,31 @@
             reason='headers over the limit',
         )
 
+    @property
+    def request_buffers(self) -> buffer_budget.BufferBudget:
+        """The memory of the bodies of open requests."""
+        return self._context.request_buffers
+
+    async def refuse_body(
+        self,
+        request: caller_request.CallerRequest,
+        responder: responder_module.Responder,
+    ) -> None:
+        """Answer a request whose body finds no memory."""
+        self._context.meters.body_refused()
+        if request.from_peer:
+            await self.decline(request, responder, local_reply.NO_MEMORY)
+            return
+        await local_reply.write_status(
+            self._context,
+            request=request,
+            route=None,
+            responder=responder,
+            status=local_reply.HTTP_UNAVAILABLE,
+            reason=local_reply.NO_MEMORY,
+            retry_after_s=local_reply.RETRY_AFTER_S,
+        )
+
     async def _answer(
         self,
         request: caller_request.CallerRequest,
--- a/limpetroute/forwarding/front_server.py
+++ b/limpetroute/forwarding/front_server.py
@@ -21,6 +21,8 @@
 from limpetroute.forwarding import peer_protocol
 from limpetroute.forwarding import responder as responder_module
 from limpetroute.routing import caller_limits
+from limpetroute.wire import body_buffer
+from limpetroute.wire import buffer_budget
 from limpetroute.wire import token_guard
 
 LOG = logging.getLogger(__name__)
@@ -182,7 +184,13 @@
         self._connection = connection
         self._start: httputil.RequestStartLine | None = None
         self._headers = httputil.HTTPHeaders()
-        self._chunks: list[bytes] = []
+        self._body = body_buffer.BodyBuffer(
+            lease=buffer_budget.BufferLease(
+                budget=server.forwarder.request_buffers
+            )
+        )
+        self._is_refused = False
+        self._is_read = asyncio.Event()
         self._received_s = 0.0
         self._task: asyncio.Task[None] | None = None
 
@@ -201,30 +209,66 @@
         self._connection.set_max_body_size(limits.max_body_bytes)
         self._connection.set_body_timeout(limits.idle_timeout_s)
         self._received_s = asyncio.get_running_loop().time()
+        text = headers.get('Content-Length', '')
+        length = int(text) if text.isdecimal() else 0
+        # Tornado refuses a body over the limit by itself.
+        if length <= limits.max_body_bytes and not self._body.may_fit(length):
+            self._refuse_body()
         return None
 
     def data_received(self, chunk: bytes) -> typing.Awaitable[None] | None:
         """Store a chunk of the body."""
-        self._chunks.append(chunk)
+        if not self._is_refused and not self._body.append(chunk):
+            self._refuse_body()
         return None
 
     def finish(self) -> None:
         """Start the task that answers the request."""
-        assert self._start is not None
-        request = self._server.dialect.read_request(
-            self._start,
-            self._headers,
-            b''.join(self._chunks),
-            self._received_s,
-        )
+        self._is_read.set()
+        self._connection.set_close_callback(self.on_connection_close)
+        if self._is_refused:
+            return
         responder = responder_module.Responder(
             connection=self._connection,
             closing=lambda: self._server.closing,
-            version=self._start.version,
+            version=self._read_start().version,
         )
-        self._connection.set_close_callback(self.on_connection_close)
-        self._task = asyncio.create_task(self._answer(request, responder))
-        self._task.add_done_callback(_log_failure)
+        self._run(self._answer(self._read_request(), responder))
+
+    def _refuse_body(self) -> None:
+        """Answer a request whose body finds no memory, and skip the body."""
+        self._is_refused = True
+        self._body.release()
+        responder = responder_module.Responder(
+            connection=self._connection,
+            closing=lambda: True,
+            version=self._read_start().version,
+            request_read=self._is_read,
+        )
+        request = dataclasses.replace(
+            self._read_request(), from_peer=self._server.guard is not None
+        )
+        self._run(self._server.forwarder.refuse_body(request, responder))
+
+    def _read_start(self) -> httputil.RequestStartLine:
+        assert self._start is not None
+        return self._start
+
+    def _read_request(self) -> caller_request.CallerRequest:
+        return self._server.dialect.read_request(
+            self._read_start(),
+            self._headers,
+            self._body.take(),
+            self._received_s,
+        )
+
+    def _run(self, work: typing.Coroutine[None, None, None]) -> None:
+        self._task = asyncio.create_task(work)
+        self._task.add_done_callback(self._on_answered)
+
+    def _on_answered(self, task: 'asyncio.Task[None]') -> None:
+        self._body.release()
+        _log_failure(task)
 
     async def _answer(
         self,
@@ -272,6 +316,8 @@
         """Cancel the request of a caller that has disconnected."""
         if self._task is not None:
             self._task.cancel()
+        else:
+            self._body.release()
 
 
 def _log_failure(task: 'asyncio.Task[None]') -> None:
--- a/limpetroute/forwarding/local_reply.py
+++ b/limpetroute/forwarding/local_reply.py
@@ -46,6 +46,7 @@
 KEY_CHANGED = 'the key changed while the request waited'
 UNEXPECTED = 'unexpected error'
 STOPPING = 'this host stops'
+NO_MEMORY = 'no memory for its body'
 
 _RETRYABLE = (HTTP_UNAVAILABLE, HTTP_TOO_MANY_REQUESTS)
 
--- a/limpetroute/forwarding/responder.py
+++ b/limpetroute/forwarding/responder.py
@@ -13,6 +13,9 @@
 # may be dead, and the open answer occupies memory of a runner.
 WRITE_TIMEOUT_S = 10.0
 HTTP_1_1 = 'HTTP/1.1'
+# A body of at least this size is written by itself. With the headers, it
+# would be copied.
+LARGE_BODY_BYTES = 1 << 16
 # On, with no time to linger: closing the socket resets the connection.
 NO_LINGER = struct.pack('ii', 1, 0)
 
@@ -33,6 +36,10 @@
     version : str
         HTTP version of the request. Before HTTP/1.1, callers do not
         understand chunks.
+    request_read : Event or None
+        Set when the request has been read to its end, if the answer starts
+        before that. Closing the connection earlier would reset it, and the
+        caller might lose the answer.
     """
 
     def __init__(
@@ -41,7 +48,9 @@
         connection: http1connection.HTTP1Connection,
         closing: typing.Callable[[], bool],
         version: str = HTTP_1_1,
+        request_read: asyncio.Event | None = None,
     ) -> None:
+        self._request_read = request_read
         self._connection = connection
         self._version = version
         self._ends_with_connection = False
@@ -73,9 +82,17 @@
         line = httputil.ResponseStartLine(
             'HTTP/1.1', status, httputil.responses.get(status, 'Unknown')
         )
+        if len(body) < LARGE_BODY_BYTES:
+            await self._flush(
+                lambda: self._connection.write_headers(
+                    line, headers, body or None
+                )
+            )
+            return
         await self._flush(
-            lambda: self._connection.write_headers(line, headers, body or None)
+            lambda: self._connection.write_headers(line, headers)
         )
+        await self.write(body)
 
     async def write(self, data: bytes) -> None:
         """Write a chunk of the body and wait until it is flushed."""
@@ -84,6 +101,8 @@
     async def finish(self) -> None:
         """End a complete answer."""
         self.finished = True
+        if self._request_read is not None:
+            await self._request_read.wait()
         try:
             self._connection.finish()
         except (iostream.StreamClosedError, httputil.HTTPOutputError) as exc:
--- a/limpetroute/forwarding/server.py
+++ b/limpetroute/forwarding/server.py
@@ -178,6 +178,11 @@
             make_retry_budget=self._make_retry_budget,
             rng=random.Random(),
             max_idle_s=settings.connections.idle_s,
+            max_bodies_bytes=settings.max_bodies_bytes,
+        )
+        self._exports.observe(
+            'body_bytes',
+            lambda: float(self._context.request_buffers.used_bytes),
         )
         self.forwarder = forwarder_module.Forwarder(context=self._context)
         self._front = front_server.FrontServer(
--- a/limpetroute/platform/http_dialect.py
+++ b/limpetroute/platform/http_dialect.py
@@ -13,6 +13,7 @@
 from limpetroute.routing import config_fragments
 from limpetroute.routing import route_plan
 from limpetroute.routing import team
+from limpetroute.wire import chunked_body
 from limpetroute.wire import small_call
 
 MILLIS = 1000.0
@@ -33,7 +34,7 @@
         self,
         start: httputil.RequestStartLine,
         headers: httputil.HTTPHeaders,
-        body: bytes,
+        body: bytes | chunked_body.ChunkedBody,
         received_s: float,
     ) -> caller_request.CallerRequest:
         """Decode a caller's request."""
--- a/limpetroute/wire/connection.py
+++ b/limpetroute/wire/connection.py
@@ -13,6 +13,7 @@
 from tornado import tcpclient
 
 from limpetroute.wire import call_failed
+from limpetroute.wire import chunked_body
 from limpetroute.wire import connection_pool
 from limpetroute.wire import drop_reason
 from limpetroute.wire import idle_check
@@ -247,7 +248,7 @@
         method: str,
         path: str,
         headers: typing.Mapping[str, str],
-        body: bytes,
+        body: bytes | chunked_body.ChunkedBody,
         timeout_s: float,
         connect_tries_s: typing.Sequence[float] = (CONNECT_TIMEOUT_S,),
     ) -> call_failed.CallFailed | None:
@@ -354,7 +355,7 @@
         method: str,
         path: str,
         headers: typing.Mapping[str, str],
-        body: bytes,
+        body: bytes | chunked_body.ChunkedBody,
     ) -> None:
         """Start to write the request and to read the response.
 
@@ -383,9 +384,13 @@
             self._collector.on_head = self._check_early_answer
         if body or method in ('POST', 'PUT', 'PATCH'):
             fields['Content-Length'] = str(len(body))
-        connection.write_headers(
-            httputil.RequestStartLine(method, path, 'HTTP/1.1'), fields, body
-        )
+        line = httputil.RequestStartLine(method, path, 'HTTP/1.1')
+        if isinstance(body, chunked_body.ChunkedBody):
+            connection.write_headers(line, fields)
+            for chunk in body.chunks:
+                connection.write(chunk)
+        else:
+            connection.write_headers(line, fields, body)
         connection.finish()
         self._task = asyncio.ensure_future(
             connection.read_response(self._collector)
--- a/tests/forwarding/test_buffer_budget.py
+++ b/tests/forwarding/test_buffer_budget.py
@@ -6,7 +6,7 @@
 
 
 def _budget():
-    return buffer_budget.BufferBudget(max_answer_bytes=10, max_total_bytes=15)
+    return buffer_budget.BufferBudget(max_body_bytes=10, max_total_bytes=15)
 
 
 def test_one_answer_takes_no_more_than_its_part():
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,7 +1,7 @@
 """Soak real processes: python -m tests.soak [--seeds 1-50] [options].
 
 Options are --teams and --cuts, --silences, --versions, --losses,
-or --stops.
+--stops, or --bodies.
 Prints a line for each seed, with its folder of logs where it failed.
 """
 
@@ -25,19 +25,16 @@
     parser.add_argument('--versions', action='store_true')
     parser.add_argument('--losses', action='store_true')
     parser.add_argument('--stops', action='store_true')
+    parser.add_argument('--bodies', action='store_true')
     args = parser.parse_args()
     if args.versions and (args.teams or args.cuts or args.silences):
         parser.error('--versions goes with no other option')
     if args.losses and (args.versions or args.cuts or args.silences):
         parser.error('--losses goes with no option but --teams')
-    if args.stops and (
-        args.teams
-        or args.cuts
-        or args.silences
-        or args.versions
-        or args.losses
-    ):
-        parser.error('--stops goes with no other option')
+    alone = ('stops', 'bodies')
+    given = [name for name, value in vars(args).items() if value is True]
+    if len(given) > 1 and any(name in given for name in alone):
+        parser.error('--stops and --bodies go with no other option')
     first, _, last = args.seeds.partition('-')
     failed = 0
     for seed in range(int(first), int(last or first) + 1):
@@ -53,6 +50,7 @@
             has_versions=args.versions,
             has_losses=args.losses,
             has_stops=args.stops,
+            has_bodies=args.bodies,
         )
         try:
             broken = asyncio.run(run.run())
@@ -69,6 +67,10 @@
             ]
             whole = sum(one.is_whole for one in taken_up)
             print(f', {len(taken_up)} taken up, {whole} whole', end='')
+        if args.bodies:
+            served = sum(one == 200 for one in run.large.values())
+            print(f', {served} of {len(run.large)} large bodies', end='')
+            print(f' served, {run.watch.peak_mb:.0f} MB at most', end='')
         if args.stops:
             print(f', {run.long_calls} long calls served', end='')
         if args.losses:
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -40,6 +40,9 @@
     'submit',
 )
 
+# With large bodies of many callers at once.
+KINDS_WITH_BODIES = (*KINDS, *('flood_forward',) * 8)
+
 
 @dataclasses.dataclass(frozen=True)
 class Fault:
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -1,6 +1,7 @@
 """One seeded run: callers and an operator go on while faults happen."""
 
 import asyncio
+import collections
 import contextlib
 import itertools
 import json
@@ -9,6 +10,7 @@
 import signal
 
 from limpetroute.wire import connection
+from tests.soak import bodies
 from tests.soak import plan
 from tests.soak import promises as promises_module
 from tests.soak import teams
@@ -61,6 +63,7 @@
         has_versions=False,
         has_losses=False,
         has_stops=False,
+        has_bodies=False,
     ):
         self.seed = seed
         self._has_silences = has_silences
@@ -75,7 +78,12 @@
             self._kinds = plan.KINDS_WITH_LOSSES
         elif has_stops:
             self._kinds = plan.KINDS_WITH_STOPS
+        elif has_bodies:
+            self._kinds = plan.KINDS_WITH_BODIES
         self._has_stops = has_stops
+        # Status of each request with a large body, by its id.
+        self.large = {}
+        self.watch = None
         self._stops_s = [[] for _ in range(world_module.FORWARDS)]
         # Long calls without an answer: id, host, when they began and ended.
         self._cut_off = []
@@ -126,6 +134,8 @@
                 for number in range(CALLERS)
             ]
             self._tasks.append(asyncio.create_task(self._read()))
+            self.watch = bodies.MemoryWatch(self.world.forwards)
+            self._tasks.append(asyncio.create_task(self.watch.run()))
             if self._has_stops:
                 self._tasks += [
                     asyncio.create_task(self._call_long(number))
@@ -138,6 +148,7 @@
             await asyncio.gather(*self._tasks, return_exceptions=True)
             self._judge_drains()
             self._judge_stops()
+            self._judge_bodies()
             if self._has_silences:
                 self.promises.judge_ends()
             if self._has_teams:
@@ -322,6 +333,8 @@
             self._count_as_lost(fault.for_s)
             await self._signal(self.world.controls, subject, fault)
             self._count_as_lost(0.0)
+        elif subject == 'flood':
+            await self._flood(fault)
         elif where == 'forward':
             await self._signal(self.world.forwards, subject, fault)
         elif where == 'links':
@@ -486,6 +499,30 @@
                 f'{name}: ran, and was cut off after {ended_s - began_s:.2f} s'
             )
 
+    async def _flood(self, fault):
+        """Have callers send large bodies at once, more than fit at times."""
+        address = self.world.entry_urls[fault.target % world_module.FORWARDS]
+        count = bodies.AT_ONCE + 5 * fault.target
+        name = f'large-{next(self._names)}'
+        self.large |= await bodies.flood(address, name, count)
+
+    def _judge_bodies(self):
+        """Hosts keep to their memory, and what is refused has not run."""
+        if self.watch.peak_mb > bodies.MEMORY_MB:
+            self.promises.broken.append(
+                f'an entry host used {self.watch.peak_mb:.0f} MB'
+            )
+        runs = collections.Counter(
+            name for one in self.world.runners for name in one.runs
+        )
+        for name, status in self.large.items():
+            if runs[name] > 1:
+                self.promises.broken.append(f'{name} ran {runs[name]} times')
+            if runs[name] and status in promises_module.NOT_RUN:
+                self.promises.broken.append(
+                    f'{name} was said not to have run, and did'
+                )
+
     def _judge_drains(self):
         for one in self.world.runners:
             if one.draining_since is None:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -93,6 +93,19 @@
     assert run.long_calls > 20
 
 
+# Guards against entry hosts that end by their memory while many callers send
+# large bodies at once.
+@pytest.mark.parametrize(('seed', 'seconds'), [(99002, 8)])
+def test_hosts_keep_to_their_memory_under_large_bodies(
+    tmp_path, seed, seconds
+):
+    run = soak.Soak(tmp_path, seed, seconds, has_bodies=True)
+    broken = asyncio.run(run.run())
+    logs = {one.name: one.log()[-1500:] for one in run.world.forwards}
+    assert not broken, (broken, logs)
+    assert sum(status == 200 for status in run.large.values()) > 20
+
+
 def test_promises_hold_while_sound_runners_are_silent(tmp_path):
     run = soak.Soak(tmp_path, 3, 8, has_silences=True)
     broken = asyncio.run(run.run())
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -45,6 +45,10 @@
         """Whether it was started and has not ended."""
         return self._popen is not None and self._popen.poll() is None
 
+    @property
+    def pid(self):
+        return self._popen.pid
+
     @property
     def stopping(self):
         """Whether it was told to stop and has not ended."""
