Forget the version of a placement that is made again

What callers see, by a report from a system like ours: beside two software versions all entry hosts are killed at once, and streams that are taken up are joined from both.

Cause here: the leader notes the version of a placement when its prompt is prefilled. If the decode runner then fails, the stream is placed again, perhaps at another version, and the first note stays until the host has reported the first event, which the caller gets at the same time. A host that is killed before that leaves the note of a version that never wrote an event. Unknown streams and versions that have just left were ruled out by reading, for runners with a new id for each start.

Not shown: that this is the cause of the report; it was not played with processes.

--- a/limpetroute/routing/stream_origins.py
+++ b/limpetroute/routing/stream_origins.py
@@ -105,6 +105,10 @@
         ):
             self._entries.popitem(last=False)
 
+    def forget(self, key: StreamKey) -> None:
+        """Forget a stream, whose version is not certain any more."""
+        self._entries.pop(key, None)
+
     def find(self, key: StreamKey, now_s: float) -> str | None:
         """Return a stream's version, or None if it is not known."""
         entry = self._entries.get(key)
--- a/tests/dispatch/test_stream_versions.py
+++ b/tests/dispatch/test_stream_versions.py
@@ -104,6 +104,29 @@
     asyncio.run(work())
 
 
+# Guards against a stream that is taken up at the version of a placement that
+# was prefilled and failed, when its host was lost before it named the next.
+@pytest.mark.parametrize('is_late', [False, True])
+def test_a_stream_that_was_placed_again_is_not_taken_up_at_the_first_version(
+    is_late,
+):
+    async def work():
+        leader = Leader('v1', 'v2')
+        await leader.place('a', version='v1')
+        if not is_late:
+            leader.dispatcher.note_prefill_done('model', 'a', 0)
+        placed = await leader.place('a', version='v2', attempt=1)
+        assert leader.version_of(placed) == 'v2'
+        if is_late:
+            leader.dispatcher.note_prefill_done('model', 'a', 0)
+        assert is_unknown(await leader.take_up('b', 'a'))
+        leader.dispatcher.note_first_event('model', 'a', 1, 0.1)
+        placed = await leader.take_up('c', 'a')
+        assert leader.version_of(placed) == 'v2'
+
+    asyncio.run(work())
+
+
 @pytest.mark.parametrize(
     ('resumes', 'team'),
     [('', 'team'), ('made-up', 'team'), ('a', 'other'), ('a', '')],
