Keep a stream's latest start, and log callers that leave a refusal

Read-through of: an edit had repeated the reset of the latest start behind each opened successor, where a stream has been sent already, so that nothing changed for callers. A caller that leaves while its body is refused was logged as an unexpected error; it is logged as gone now.

--- a/limpetroute/forwarding/forwarder.py
+++ b/limpetroute/forwarding/forwarder.py
@@ -107,18 +107,20 @@
     ) -> None:
         """Answer a request whose body finds no memory."""
         self._context.meters.body_refused()
-        if request.from_peer:
-            await self.decline(request, responder, local_reply.NO_MEMORY)
-            return
-        await local_reply.write_status(
-            self._context,
-            request=request,
-            route=None,
-            responder=responder,
-            status=local_reply.HTTP_UNAVAILABLE,
-            reason=local_reply.NO_MEMORY,
-            retry_after_s=local_reply.RETRY_AFTER_S,
-        )
+        try:
+            if request.from_peer:
+                await self.decline(request, responder, local_reply.NO_MEMORY)
+                return
+            await local_reply.write_status(
+                self._context,
+                request=request,
+                route=None,
+                responder=responder,
+                status=local_reply.HTTP_UNAVAILABLE,
+                reason=local_reply.NO_MEMORY,
+            )
+        except responder_module.CallerGoneError:
+            self._log_caller_gone(request)
 
     async def _answer(
         self,
--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -747,8 +747,6 @@
             return peer if await peer.open() is None else None
         finally:
             self._is_opening_successor = False
-        # A stopping host has no time for a stream that starts later.
-        self._start_by_s = math.inf
 
     async def _open_elsewhere(self) -> _Send | None:
         """Return an open send to another runner, or None.
@@ -814,8 +812,6 @@
             raise
         finally:
             self._is_opening_successor = False
-        # A stopping host has no time for a stream that starts later.
-        self._start_by_s = math.inf
 
     async def _record_refused_open(
         self, send: _Send, result: send_result.SendResult
