Forget a placement's version also where the next names none

Cause: a stream that is placed again at a runner that names no version kept the note of its first placement, as an unknown version returned before the note was removed. Change: the note is removed first. The soak got all entry hosts killed at once beside several versions (--herds).

--- a/limpetroute/dispatch/placed_versions.py
+++ b/limpetroute/dispatch/placed_versions.py
@@ -63,8 +63,6 @@
     ) -> None:
         """Keep the version of a placement's decode runner."""
         version = _decode_version(placed)
-        if version is None:
-            return
         ids = [request.request_id]
         if request.goes_on and request.resumes:
             # A later attempt may name the same one.
@@ -80,6 +78,8 @@
         )
         if not request.goes_on:
             self._forget_earlier(keys[0], version, now_s)
+        if version is None:
+            return
         remaining_s = max(0.0, request.patience_s - request.waited_s)
         key = (request.service, request.request_id, request.attempt)
         self._pop(key)
@@ -109,7 +109,10 @@
         self._pop((service, request_id, attempt))
 
     def _forget_earlier(
-        self, key: stream_origins.StreamKey, version: str, now_s: float
+        self,
+        key: stream_origins.StreamKey,
+        version: str | None,
+        now_s: float,
     ) -> None:
         """Forget earlier placements of a stream that is placed again."""
         earlier = self._last.get(key)
--- a/tests/dispatch/test_stream_versions.py
+++ b/tests/dispatch/test_stream_versions.py
@@ -127,6 +127,19 @@
     asyncio.run(work())
 
 
+# Guards against the same where the second runner names no version.
+def test_a_stream_that_was_placed_again_at_no_version_is_unknown():
+    async def work():
+        leader = Leader('v1', 'v2')
+        await leader.place('a', version='v1')
+        leader.dispatcher.note_prefill_done('model', 'a', 0)
+        leader.set_versions(None)
+        await leader.place('a', attempt=1)
+        assert is_unknown(await leader.take_up('b', 'a'))
+
+    asyncio.run(work())
+
+
 @pytest.mark.parametrize(
     ('resumes', 'team'),
     [('', 'team'), ('made-up', 'team'), ('a', 'other'), ('a', '')],
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,7 +1,7 @@
 """Soak real processes: python -m tests.soak [--seeds 1-50] [options].
 
 Options are --teams and --cuts, --silences, --versions, --losses,
---stops, or --bodies.
+--stops, --bodies, or --herds.
 Prints a line for each seed, with its folder of logs where it failed.
 """
 
@@ -26,15 +26,16 @@
     parser.add_argument('--losses', action='store_true')
     parser.add_argument('--stops', action='store_true')
     parser.add_argument('--bodies', action='store_true')
+    parser.add_argument('--herds', action='store_true')
     args = parser.parse_args()
     if args.versions and (args.teams or args.cuts or args.silences):
         parser.error('--versions goes with no other option')
     if args.losses and (args.versions or args.cuts or args.silences):
         parser.error('--losses goes with no option but --teams')
-    alone = ('stops', 'bodies')
+    alone = ('stops', 'bodies', 'herds')
     given = [name for name, value in vars(args).items() if value is True]
     if len(given) > 1 and any(name in given for name in alone):
-        parser.error('--stops and --bodies go with no other option')
+        parser.error('--stops, --bodies and --herds go with no other option')
     first, _, last = args.seeds.partition('-')
     failed = 0
     for seed in range(int(first), int(last or first) + 1):
@@ -47,7 +48,8 @@
             has_teams=args.teams,
             has_cuts=args.cuts,
             has_silences=args.silences,
-            has_versions=args.versions,
+            has_versions=args.versions or args.herds,
+            has_herds=args.herds,
             has_losses=args.losses,
             has_stops=args.stops,
             has_bodies=args.bodies,
@@ -61,7 +63,7 @@
         over = sum(one.status == 429 for one in answers)
         print(f'seed {seed}: {len(answers)} requests, {good} whole', end='')
         print(f', {over} over quota' if args.teams else '', end='')
-        if args.versions:
+        if args.versions or args.herds:
             taken_up = [
                 one for one in run.promises.streams if len(one.attempts) > 1
             ]
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -28,6 +28,8 @@
     *('reset_decode',) * 4,
 )
 
+# With all entry hosts killed at once, beside several versions.
+KINDS_WITH_HERDS = (*KINDS_WITH_VERSIONS, *('herd_forward',) * 4)
 # With control hosts that are gone for good, with their disks.
 KINDS_WITH_LOSSES = (*KINDS, *('lose_control',) * 6)
 
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -64,6 +64,7 @@
         has_losses=False,
         has_stops=False,
         has_bodies=False,
+        has_herds=False,
     ):
         self.seed = seed
         self._has_silences = has_silences
@@ -72,6 +73,8 @@
             self._kinds = plan.KINDS_WITH_CUTS
         elif has_silences:
             self._kinds = plan.KINDS_WITH_SILENCES
+        elif has_herds:
+            self._kinds = plan.KINDS_WITH_HERDS
         elif has_versions:
             self._kinds = plan.KINDS_WITH_VERSIONS
         elif has_losses:
@@ -333,6 +336,8 @@
             self._count_as_lost(fault.for_s)
             await self._signal(self.world.controls, subject, fault)
             self._count_as_lost(0.0)
+        elif subject == 'herd':
+            await self._kill_all_forwards(fault)
         elif subject == 'flood':
             await self._flood(fault)
         elif where == 'forward':
@@ -426,6 +431,15 @@
                     await asyncio.sleep(0.05)
             self._count_as_lost(0.0)
 
+    async def _kill_all_forwards(self, fault):
+        """Kill all entry hosts at the same moment."""
+        self.losses += 1
+        for process in self.world.forwards:
+            process.end()
+        await asyncio.sleep(fault.for_s)
+        for process in self.world.forwards:
+            process.start()
+
     async def _cut(self, fault):
         """Cut one host's links to all runners; cuts of a host may overlap."""
         one = self.partitions[fault.target % len(self.partitions)]
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -133,6 +133,20 @@
     assert sum(one.is_whole for one in taken_up) > 10
 
 
+# Guards against streams that are taken up at another version when all entry
+# hosts were lost at once, in the middle of a release.
+@pytest.mark.parametrize(('seed', 'seconds'), [(96001, 8)])
+def test_streams_keep_to_their_version_when_all_hosts_are_lost(
+    tmp_path, seed, seconds
+):
+    run = soak.Soak(tmp_path, seed, seconds, has_versions=True, has_herds=True)
+    broken = asyncio.run(run.run())
+    logs = {one.name: one.log()[-1500:] for one in run.world.forwards}
+    assert not broken, (broken, logs)
+    taken_up = [one for one in run.promises.streams if len(one.attempts) > 1]
+    assert sum(one.is_whole for one in taken_up) > 10
+
+
 # 81001: the check asked for routes as the team that is over its quota.
 @pytest.mark.parametrize(('seed', 'seconds'), [(81001, 10)])
 def test_teams_keep_their_promises_under_faults(tmp_path, seed, seconds):
