Replace a lost voter in time also after the leader's own start

No quorum was left.

Change: a voter that the leader has not heard since its own start is replaced after half of catch_up_s, if its successor has caught up.

--- a/limpetroute/agreement/host_contacts.py
+++ b/limpetroute/agreement/host_contacts.py
@@ -70,6 +70,10 @@
             if now_s - contact.last_s <= PRESENT_S
         }
 
+    def has_heard(self, host_id: str) -> bool:
+        """Return whether a host was heard since the recording started."""
+        return host_id in self._contacts
+
     def last_s(self, host_id: str) -> float:
         """Return when a host was last heard."""
         known = self._contacts.get(host_id)
--- a/limpetroute/agreement/membership_reconciler.py
+++ b/limpetroute/agreement/membership_reconciler.py
@@ -14,6 +14,9 @@
 # Part of the catch-up time for which a voter has to be silent. The rest is
 # for the changes of the membership, which are made one after the other.
 SILENT_FRACTION = 0.75
+# The same for a voter that this host has not heard since its own start. The
+# voter was silent for longer, but how long is not known here.
+UNHEARD_FRACTION = 0.5
 
 
 class MembershipReconciler:
@@ -161,5 +164,7 @@
         earliest_s = contacts.last_s(voter.host_id) - self._catch_up_s
         for learner in ready:
             if contacts.joined_s(learner.host_id) >= earliest_s:
-                return self._catch_up_s * SILENT_FRACTION
+                if contacts.has_heard(voter.host_id):
+                    return self._catch_up_s * SILENT_FRACTION
+                return self._catch_up_s * UNHEARD_FRACTION
         return self._replace_after_s
--- a/tests/agreement/test_turnover.py
+++ b/tests/agreement/test_turnover.py
@@ -128,6 +128,27 @@
     assert membership.of_host(successor).voter
 
 
+# Guards against a lost voter that stays as all others were started again and
+# count its silence from their own start.
+@pytest.mark.parametrize('seed', range(5))
+def test_a_lost_voter_is_replaced_in_time_after_a_restart_of_all(seed):
+    cluster = cluster_with_default_times(seed)
+    lost = others_than_leader(cluster)[0]
+    cluster.crash(lost, 0)
+    cluster.run(10)
+    successor = cluster.add_host()
+    cluster.run(10)
+    others = [host for host in cluster.nodes if host != lost]
+    for host in others:
+        cluster.crash(host, 0)
+    for host in others:
+        cluster.start(host)
+    cluster.run(30)
+    membership = cluster.leader().replica.membership
+    assert membership.of_host(lost) is None
+    assert membership.of_host(successor).voter
+
+
 # Guards against a group that stays incomplete when a successor is lost while
 # it catches up, and the host that it replaces returns.
 @pytest.mark.parametrize('seed', range(5))
