--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -340,7 +340,6 @@
                 return
             self._count_as_lost(fault.for_s)
             await self._signal(self.world.controls, subject, fault)
-            await self._until_answers(fault.target % world_module.CONTROLS)
             self._count_as_lost(0.0)
         elif subject == 'herd':
             await self._kill_all_forwards(fault)
--- a/tests/soak/test_disruptions.py
+++ b/tests/soak/test_disruptions.py
@@ -10,9 +10,11 @@
 from tests.soak import soak
 
 
+# 97002: a leader that had just been started counted the silence of a lost
+# voter from its own start, and the next loss left no quorum.
 # Guards against a group of control hosts that does not survive the loss of one
 # after the other, each with its disk, when the last successor has caught up.
-@pytest.mark.parametrize(('seed', 'seconds'), [(97104, 8)])
+@pytest.mark.parametrize(('seed', 'seconds'), [(97002, 8), (97104, 8)])
 def test_promises_hold_while_control_hosts_are_replaced(
     tmp_path, seed, seconds
 ):
