--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,7 +1,7 @@
 """Soak real processes: python -m tests.soak [--seeds 1-50] [options].
 
 Options are --teams and --cuts, --silences, --versions, --losses,
---stops, --bodies, or --herds.
+--stops, --bodies, --herds, or --leaders.
 Prints a line for each seed, with its folder of logs where it failed.
 """
 
@@ -12,6 +12,7 @@
 import sys
 import tempfile
 
+from tests.soak import orders as orders_module
 from tests.soak import soak
 
 
@@ -27,15 +28,16 @@
     parser.add_argument('--stops', action='store_true')
     parser.add_argument('--bodies', action='store_true')
     parser.add_argument('--herds', action='store_true')
+    parser.add_argument('--leaders', action='store_true')
     args = parser.parse_args()
     if args.versions and (args.teams or args.cuts or args.silences):
         parser.error('--versions goes with no other option')
     if args.losses and (args.versions or args.cuts or args.silences):
         parser.error('--losses goes with no option but --teams')
-    alone = ('stops', 'bodies', 'herds')
+    alone = ('stops', 'bodies', 'herds', 'leaders')
     given = [name for name, value in vars(args).items() if value is True]
     if len(given) > 1 and any(name in given for name in alone):
-        parser.error('--stops, --bodies and --herds go with no other option')
+        parser.error(f'{", ".join(alone)} go with no other option')
     first, _, last = args.seeds.partition('-')
     failed = 0
     for seed in range(int(first), int(last or first) + 1):
@@ -53,6 +55,7 @@
             has_losses=args.losses,
             has_stops=args.stops,
             has_bodies=args.bodies,
+            has_leaders=args.leaders,
         )
         try:
             broken = asyncio.run(run.run())
@@ -77,6 +80,10 @@
             print(f', {run.long_calls} long calls served', end='')
         if args.losses:
             print(f', {run.replaced_controls} control hosts gone', end='')
+        if run.orders:
+            print(f', {len(run.orders)} orders', end='')
+            changes = orders_module.changes(run.orders)
+            print(f', {changes} changes of their sender', end='')
         if not broken:
             print(', kept')
             shutil.rmtree(folder)
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -45,6 +45,24 @@
 # With large bodies of many callers at once.
 KINDS_WITH_BODIES = (*KINDS, *('flood_forward',) * 8)
 
+# With leaders that change while they give orders.
+KINDS_WITH_LEADERS = (
+    *('slow_leader',) * 4,
+    *('stall_leader',) * 3,
+    *('cut_leader',) * 4,
+    *('hold_leader',) * 4,
+    *('pause_leader',) * 3,
+    *('kill_leader',) * 2,
+    'stop_leader',
+    'kill_control',
+    'pause_control',
+    'replace_swing',
+    'submit',
+)
+# Between two disruptions. A new leader gives orders after a few seconds.
+GAPS_S = (0.05, 0.3, 1.0, 2.5)
+LEADER_GAPS_S = (0.3, 2.5, 6.0, 9.0)
+
 
 @dataclasses.dataclass(frozen=True)
 class Fault:
@@ -54,7 +72,7 @@
     for_s: float
 
 
-def make(seed, seconds, kinds=KINDS):
+def make(seed, seconds, kinds=KINDS, gaps_s=GAPS_S):
     """Faults come alone, in series and overlapping."""
     rng = random.Random(seed)
     faults = []
@@ -73,5 +91,5 @@
             for_s=round(for_s, 2),
         )
         faults.append(fault)
-        at_s += rng.choice([0.05, 0.3, 1.0, 2.5])
+        at_s += rng.choice(gaps_s)
     return faults
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -4,6 +4,8 @@
 import json
 import time
 
+from tests.soak import orders as orders_module
+
 EVENTS = 12
 EVENT_S = 0.04
 # A runner that crashed is back after this long.
@@ -12,6 +14,10 @@
 LONG_S = 1.8
 # Time from the head of an answer to a crash under a part of the prompt.
 CRASH_DELAY_S = 0.095
+ORDER_PATH = '/api/order'
+REPORT_PATH = '/api/report'
+# Time after which an order is carried out that was not answered.
+DEFERRED_S = 6.0
 
 
 class Runner:
@@ -54,15 +60,26 @@
         # For how long it falls silent once before an event of a stream; 0
         # stands for the head of any answer.
         self.silences_s = {}
+        # What it was ordered to, and by whom.
+        self.orders = []
+        # Time after which it takes its first stage again; None for never.
+        self.reverts_s = None
+        # Says whether to carry an order out later, and to leave it unanswered.
+        self.defers = None
+        self._first_stage = stage
+        self._reverts = set()
+        # Called once, as soon as somebody connects.
+        self.on_connect = None
         self._silent_until_s = 0.0
         self._lives = 0
         self._first_name = name
         self._doors = set()
         self._silent = set()
         self._writers = set()
+        self._served = set()
 
     async def start(self, host, port=0):
-        self._server = await asyncio.start_server(self._serve, host, port)
+        self._server = await asyncio.start_server(self._accept, host, port)
         self.address = f'{host}:{self._server.sockets[0].getsockname()[1]}'
 
     def close(self):
@@ -135,6 +152,14 @@
             self.fatal[body] = left - 1
         return left > 0
 
+    def _accept(self, reader, writer):
+        on_connect, self.on_connect = self.on_connect, None
+        if on_connect is not None:
+            on_connect()
+        task = asyncio.create_task(self._serve(reader, writer))
+        self._served.add(task)
+        task.add_done_callback(self._served.discard)
+
     async def _serve(self, reader, writer):
         self._writers.add(writer)
         try:
@@ -162,6 +187,14 @@
         if fields.get('expect-instance') != self.name:
             await self._write(writer, _head(421, {'Content-Length': '0'}))
             return
+        if ORDER_PATH in head.split('\r\n')[0]:
+            await self._take_order(json.loads(body), writer)
+            return
+        if REPORT_PATH in head.split('\r\n')[0]:
+            report = json.dumps({'busy': False, 'seq': len(self.orders)})
+            headers = {'Content-Length': str(len(report))}
+            await self._write(writer, _head(200, headers) + report.encode())
+            return
         if self.sheds is not None and self.sheds():
             now_s = asyncio.get_running_loop().time()
             self.refusals.append((now_s, request_id))
@@ -206,6 +239,34 @@
         }
         await self._write(writer, _head(200, headers) + body)
 
+    def revert(self):
+        """Take the first stage again."""
+        self.stage = self._first_stage
+
+    async def _take_order(self, body, writer):
+        loop = asyncio.get_running_loop()
+        self.orders.append(
+            orders_module.Order(
+                runner=self.name,
+                holder=body['holder'],
+                fence=body['fence'],
+                arrived_s=loop.time(),
+            )
+        )
+        if self.defers is not None and self.defers():
+            await asyncio.sleep(DEFERRED_S)
+        else:
+            await self._write(writer, _head(202, {'Content-Length': '0'}))
+        self.stage = body['stage']
+        if self.reverts_s is not None:
+            task = asyncio.create_task(self._revert(self.reverts_s))
+            self._reverts.add(task)
+            task.add_done_callback(self._reverts.discard)
+
+    async def _revert(self, after_s):
+        await asyncio.sleep(after_s)
+        self.revert()
+
     def _note_caller(self, now_s, request_id, fields):
         usage = fields.get('token-usage', '0,0').split(',')
         self.callers.append(
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -3,14 +3,17 @@
 import asyncio
 import collections
 import contextlib
+import dataclasses
 import itertools
 import json
 import math
 import random
 import signal
 
+from limpetroute.dispatch import stage_orders
 from limpetroute.wire import connection
 from tests.soak import bodies
+from tests.soak import orders as orders_module
 from tests.soak import plan
 from tests.soak import promises as promises_module
 from tests.soak import teams
@@ -45,6 +48,16 @@
 STOP_S = 10.0
 # Grace time of hosts that long calls keep open.
 LONG_GRACE_S = 8.0
+# Time between heartbeats of a runner that needs orders.
+SWING_BEAT_S = 0.2
+# Longest wait for an order, before a disruption of the host that gives it.
+NEXT_ORDER_S = 1.5
+# A leader that is cut off keeps its lease for so long; an order has 1.0 s.
+LEASE_S = 0.5
+HOLD_S = 0.9
+# A slowed host runs for a part of each period.
+SLOW_RUN_S = 0.004
+SLOW_STOP_S = 0.05
 # Longest wait for a group of which no host counts as lost.
 WHOLE_S = 15.0
 
@@ -65,10 +78,12 @@
         has_stops=False,
         has_bodies=False,
         has_herds=False,
+        has_leaders=False,
     ):
         self.seed = seed
         self._has_silences = has_silences
         self._kinds = plan.KINDS
+        self._gaps_s = plan.GAPS_S
         if has_cuts:
             self._kinds = plan.KINDS_WITH_CUTS
         elif has_silences:
@@ -83,6 +98,11 @@
             self._kinds = plan.KINDS_WITH_STOPS
         elif has_bodies:
             self._kinds = plan.KINDS_WITH_BODIES
+        elif has_leaders:
+            self._kinds = plan.KINDS_WITH_LEADERS
+            self._gaps_s = plan.LEADER_GAPS_S
+        # Hosts that were frozen, and when they went on.
+        self._thaws = []
         self._has_stops = has_stops
         # Status of each request with a large body, by its id.
         self.large = {}
@@ -108,6 +128,7 @@
             folder,
             20 + seed % 200,
             VERSIONS if has_versions else ('v1', 'v1'),
+            has_orders=has_leaders,
         )
         if has_silences and seed % 2:
             # No other runner takes a stream over.
@@ -154,6 +175,9 @@
             self._judge_drains()
             self._judge_stops()
             self._judge_bodies()
+            self.promises.broken += orders_module.judge(
+                self.orders, self._thaws
+            )
             if self._has_silences:
                 self.promises.judge_ends()
             if self._has_teams:
@@ -168,6 +192,11 @@
             for one in self.partitions:
                 one.close()
 
+    @property
+    def orders(self):
+        """All orders that runners got."""
+        return [order for one in self.world.runners for order in one.orders]
+
     async def _begin(self):
         await world_module.wait_until(self._submit, 15, 'the first routes')
         for one in self.world.runners:
@@ -182,6 +211,7 @@
             version,
             self._others,
             teams.bodies(version) if self._has_teams else None,
+            has_swings=bool(self.world.swings),
         )
         got = await self.world.to_control('PUT', '/api/config', body, version)
         if got is None:
@@ -199,7 +229,8 @@
                 acked = await self.world.beat(one)
                 if acked and says_so and one.draining_since is None:
                     one.draining_since = asyncio.get_running_loop().time()
-            await asyncio.sleep(0.5)
+            beat_s = SWING_BEAT_S if one in self.world.swings else 0.5
+            await asyncio.sleep(beat_s)
 
     async def _call(self, number):
         rng = random.Random(f'{self.seed} {number}')
@@ -324,7 +355,9 @@
         loop = asyncio.get_running_loop()
         begun_s = loop.time()
         running = []
-        for fault in plan.make(self.seed, self.seconds, self._kinds):
+        for fault in plan.make(
+            self.seed, self.seconds, self._kinds, self._gaps_s
+        ):
             await asyncio.sleep(max(0, begun_s + fault.at_s - loop.time()))
             running.append(asyncio.create_task(self._do(fault)))
         await asyncio.gather(*running)
@@ -334,6 +367,11 @@
         self._note_harm(fault)
         if subject == 'lose':
             await self._lose_control(fault)
+        elif where == 'leader':
+            await self._disrupt_leader(subject, fault)
+        elif where == 'swing':
+            swings = self.world.swings
+            await swings[fault.target % len(swings)].crash()
         elif where == 'control':
             if fault.target % world_module.CONTROLS == self._lost_control:
                 # It never comes back.
@@ -379,6 +417,7 @@
         if subject == 'pause':
             process.send(signal.SIGSTOP)
             await asyncio.sleep(fault.for_s)
+            self._thaws.append((process.name, _now_s()))
             process.send(signal.SIGCONT)
             return
         number = signal.SIGKILL if subject == 'kill' else signal.SIGTERM
@@ -398,6 +437,80 @@
             process.change(may_found=False)
         process.start()
 
+    async def _disrupt_leader(self, subject, fault):
+        """Disrupt the control host that gives the next order, right after."""
+        known = len(self.orders)
+        until_s = _now_s() + NEXT_ORDER_S
+        while len(self.orders) == known and _now_s() < until_s:
+            await asyncio.sleep(0.01)
+        if not self.orders:
+            return
+        last = max(self.orders, key=lambda order: order.arrived_s)
+        process = next(
+            one for one in self.world.controls if one.name == last.holder
+        )
+        if subject == 'cut':
+            self.world.core_links.cut(process.name)
+            await asyncio.sleep(fault.for_s)
+            self.world.core_links.heal(process.name)
+        elif subject == 'hold':
+            await self._hold_orders(process)
+        elif subject == 'slow':
+            until_s = _now_s() + fault.for_s
+            while _now_s() < until_s:
+                await self._stall(process, SLOW_STOP_S)
+                await asyncio.sleep(SLOW_RUN_S)
+        elif subject == 'stall':
+            for _ in range(3):
+                await self._stall(process, fault.for_s / 3)
+                await asyncio.sleep(SLOW_RUN_S)
+        else:
+            number = self.world.controls.index(process)
+            at_leader = dataclasses.replace(
+                fault, kind=f'{subject}_control', target=number
+            )
+            await self._signal(self.world.controls, subject, at_leader)
+
+    async def _hold_orders(self, process):
+        """Slow a leader down between its connection and its order.
+
+        It is cut off from the others before, so that its lease ends.
+        """
+        swings = self.world.swings
+        # Orders are due a while after the last change of a service's runners.
+        for one in swings:
+            one.stage = 'decode'
+        await asyncio.sleep(2 * SWING_BEAT_S)
+        for one in swings:
+            one.revert()
+        await asyncio.sleep(SWING_BEAT_S + stage_orders.SETTLE_S - LEASE_S)
+        connected = asyncio.Event()
+
+        def stop():
+            if not connected.is_set():
+                process.send(signal.SIGSTOP)
+                connected.set()
+
+        self.world.core_links.cut(process.name)
+        await asyncio.sleep(LEASE_S / 2)
+        for one in swings:
+            one.on_connect = stop
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LEASE_S):
+                await connected.wait()
+        for one in swings:
+            one.on_connect = None
+        if connected.is_set():
+            await asyncio.sleep(HOLD_S)
+            process.send(signal.SIGCONT)
+        await asyncio.sleep(HOLD_S)
+        self.world.core_links.heal(process.name)
+
+    async def _stall(self, process, for_s):
+        process.send(signal.SIGSTOP)
+        await asyncio.sleep(for_s)
+        process.send(signal.SIGCONT)
+
     def _count_as_lost(self, for_s):
         loop = asyncio.get_running_loop()
         self._control_whole_s = max(
@@ -560,3 +673,7 @@
                     f'{one.name} got work {max(late):.1f} s after it was '
                     'acknowledged to be leaving'
                 )
+
+
+def _now_s():
+    return asyncio.get_running_loop().time()
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -4,6 +4,7 @@
 import json
 import os
 import pathlib
+import random
 import shutil
 import signal
 import subprocess
@@ -11,12 +12,22 @@
 
 from limpetroute.wire import call_failed
 from limpetroute.wire import caller
+from tests.soak import core_links
 from tests.soak import runner as runner_module
 from tests.whole_path import port_pool
 
 ROOT = pathlib.Path(__file__).resolve().parents[2]
 CONTROLS = 3
 FORWARDS = 2
+# Services whose runners keep an ordered stage for a moment only. Without a
+# decode runner an order follows each change at once, else some time later.
+SWINGS = (
+    *(('prefill', 'prefill'),) * 2,
+    *(('prefill', 'prefill', 'decode'),) * 6,
+)
+REVERTS_S = 0.4
+# Part of their orders that they carry out late, and do not answer.
+DEFERRED_SHARE = 0.4
 
 
 class Process:
@@ -93,8 +104,14 @@
 
 
 class World:
-    def __init__(self, folder, base, versions=('v1', 'v1')):
-        """Start nothing yet; ``versions`` has one of each decode runner."""
+    def __init__(
+        self, folder, base, versions=('v1', 'v1'), *, has_orders=False
+    ):
+        """Start nothing yet; ``versions`` has one of each decode runner.
+
+        With ``has_orders``, some more runners need orders all the time, and
+        links between control hosts can be cut.
+        """
         self.base = base
         port = port_pool.free_port()
         public = port_pool.free_port()
@@ -105,6 +122,11 @@
         self._control_hosts = CONTROLS
         hosts = [f'127.{base}.1.{n + 1}' for n in range(CONTROLS)]
         seeds = [f'{host}:{public}' for host in hosts]
+        self.core_links = None
+        if has_orders:
+            self.core_links = core_links.CoreLinks(
+                targets={host: _behind(host) for host in hosts}, port=port
+            )
         self.controls = [self._control(host, seeds) for host in hosts]
         self.forwards = []
         self.entry_urls = []
@@ -136,6 +158,18 @@
             for n, version in enumerate(versions, 1)
         ]
         self.runners += self.decodes
+        self.swings = []
+        if has_orders:
+            self.swings = [
+                runner_module.Runner(f's{n}{m}', f'swing{n}', stage)
+                for n, stages in enumerate(SWINGS)
+                for m, stage in enumerate(stages)
+            ]
+        rng = random.Random(base)
+        for one in self.swings:
+            one.reverts_s = REVERTS_S
+            one.defers = lambda: rng.random() < DEFERRED_SHARE
+        self.runners += self.swings
         self._beats = {}
 
     @property
@@ -158,6 +192,9 @@
             'heartbeat_s': 0.15,
             'election_s': 0.6,
         }
+        if self.core_links is not None:
+            settings['listen'] = f'{_behind(host)}:{self._control_port}'
+            settings['advertise_url'] = f'http://{host}:{self._control_port}'
         return Process('control', host, settings, self._folder)
 
     def lose_control(self, number):
@@ -192,6 +229,8 @@
     async def start(self):
         if not self.runners[0].address:
             await self.start_runners()
+        if self.core_links is not None:
+            await self.core_links.start()
         for process in [*self.controls, *self.forwards]:
             process.start()
 
@@ -201,6 +240,8 @@
             process.end()
         for one in self.runners:
             one.close()
+        if self.core_links is not None:
+            self.core_links.close()
 
     async def to_control(self, method, path, body=None, first=0):
         """Call one control host after the other, as an operator does."""
@@ -243,10 +284,11 @@
         return got is not None
 
 
-def routes(version, others=0, teams=None):
+def routes(version, others=0, teams=None, *, has_swings=False):
     """A configuration; each version has a route of its own, and others.
 
-    ``teams`` is the list of the teams, if callers need keys.
+    ``teams`` is the list of the teams, if callers need keys. With
+    ``has_swings``, there are the services whose runners need orders.
     """
     common = {'host': 'h.example', 'timeout-ms': 4000, 'slo-ms': 900}
     found = [
@@ -279,11 +321,20 @@
             {'name': 'model', 'engine': engine},
         ],
     }
+    for number in range(len(SWINGS) if has_swings else 0):
+        swing = {'name': f'swing{number}', 'engine': engine}
+        body['services'].append(swing)
     if teams is not None:
         body['tenants'] = teams
     return json.dumps(body).encode()
 
 
+def _behind(host):
+    """Return where a control host listens that others reach by a proxy."""
+    first, second, _, last = host.split('.')
+    return f'{first}.{second}.9.{last}'
+
+
 async def wait_until(holds, seconds, what):
     try:
         async with asyncio.timeout(seconds):
