Log when an order was written, and what was left of the lease

An order was logged when it had ended, so the log could not tell a new leader's wait that is too short from an order that outlives its decision or from two leases at once.

'ordered a stage' now says how long after the decision the first byte was written, how long the order took, and what the host's lease had left at the write; 'no longer dispatching' says when a leader's lease has ended. The lease's remaining time is a method of the replica. No decision depends on either.

--- a/limpetroute/agreement/replica.py
+++ b/limpetroute/agreement/replica.py
@@ -115,9 +115,16 @@
 
         While its lease is valid, no other leader can be elected.
         """
+        return self.lease_remaining_s(now_s) > 0
+
+    def lease_remaining_s(self, now_s: float) -> float:
+        """Return for how long the lease is still valid.
+
+        It may be negative, if the lease has ended.
+        """
         if self.role is not Role.LEADER:
-            return False
-        return now_s < self._quorum_round_s(now_s) + self.timings.lease_s
+            return -math.inf
+        return self._quorum_round_s(now_s) + self.timings.lease_s - now_s
 
     def can_read(self, now_s: float) -> bool:
         """Return whether a read of the applied state is linearizable.
--- a/limpetroute/dispatch/dispatcher.py
+++ b/limpetroute/dispatch/dispatcher.py
@@ -86,6 +86,7 @@
             holder=node.settings.host_id,
             codec=codec,
             http=caller.Caller(),
+            lease_remaining_s=self._lease_remaining_s,
         )
         self._limits = runner_limits.RunnerLimits()
         self._quotas = quota_ledger.QuotaLedger(
@@ -127,6 +128,10 @@
         """Whether this host holds the leader lease, so no other leads."""
         return self._node.config.replica.lease_valid(boot_clock.now_s())
 
+    def _lease_remaining_s(self) -> float:
+        replica = self._node.config.replica
+        return replica.lease_remaining_s(boot_clock.now_s())
+
     async def request_placement(
         self, request: placement.PlacementRequest
     ) -> Answer | None:
@@ -394,6 +399,11 @@
             # The next leader needs to know which versions there were.
             self._service_runners.update(self._node.config.state.runners)
             if not self.leads:
+                if self._led_term:
+                    LOG.info(
+                        'no longer dispatching',
+                        extra={'term': self._led_term},
+                    )
                 self._led_term = 0
                 self._resolve_pending()
                 continue
--- a/limpetroute/dispatch/stage_orders.py
+++ b/limpetroute/dispatch/stage_orders.py
@@ -3,6 +3,7 @@
 import asyncio
 import dataclasses
 import logging
+import math
 import typing
 
 from limpetroute.decisions import stage as stage_module
@@ -11,6 +12,7 @@
 from limpetroute.routing import runner_info
 from limpetroute.routing import service as service_module
 from limpetroute.routing import stage_rates
+from limpetroute.telemetry import boot_clock
 from limpetroute.wire import call_failed
 from limpetroute.wire import caller
 
@@ -38,6 +40,28 @@
 FLEET_START_S = 5.0
 FLEET_START_SETTLE_S = 2.6
 HTTP_ACCEPTED = 202
+# A host that no longer leads at all has no end of its lease to name.
+LOGGED_LEASE_S = 60.0
+
+
+@dataclasses.dataclass(kw_only=True, slots=True)
+class _Written:
+    """When an order was written, and what was left of the lease."""
+
+    at_s: float | None = None
+    lease_remaining_s: float = -math.inf
+
+    def describe(self, decided_s: float) -> dict[str, int]:
+        """Return log fields; none if the order was not written."""
+        if self.at_s is None:
+            return {}
+        return {
+            'written_after_ms': round((self.at_s - decided_s) * 1000),
+            'took_ms': round((boot_clock.now_s() - self.at_s) * 1000),
+            'lease_remaining_ms': round(
+                max(-LOGGED_LEASE_S, self.lease_remaining_s) * 1000
+            ),
+        }
 
 
 class StageOrders:
@@ -51,6 +75,8 @@
         Encodes orders.
     http : Caller
         Calls runners.
+    lease_remaining_s : callable
+        Returns for how long this host still leads.
     """
 
     def __init__(
@@ -59,7 +85,9 @@
         holder: str,
         codec: order_codec.OrderCodec,
         http: caller.Caller,
+        lease_remaining_s: typing.Callable[[], float],
     ) -> None:
+        self._lease_remaining_s = lease_remaining_s
         self._holder = holder
         self._codec = codec
         self._http = http
@@ -188,7 +216,7 @@
         self._wanted_s.pop(service.name, None)
         self._ordered_s[target.runner_id] = now_s
         self._accepted.discard(target.runner_id)
-        self._run(self._order(target, change, rates))
+        self._run(self._order(target, change, rates, boot_clock.now_s()))
 
     def _query_once(
         self,
@@ -301,6 +329,7 @@
         target: runner_info.RunnerInfo,
         change: pool_sizing.StageChange,
         rates: stage_rates.StageRates | None,
+        decided_s: float,
     ) -> None:
         order = self._codec.stage_order(
             change.stage,
@@ -308,12 +337,19 @@
             holder=self._holder,
             fence=self._fence,
         )
+        written = _Written()
+
+        def note_write() -> None:
+            written.at_s = boot_clock.now_s()
+            written.lease_remaining_s = self._lease_remaining_s()
+
         got = await self._http.call(
             method=order.method,
             url=f'http://{target.address}{order.path}',
             body=order.body,
             headers=order.headers,
             timeout_s=ORDER_TIMEOUT_S,
+            on_write=note_write,
         )
         outcome = 'no answer'
         if not isinstance(got, call_failed.CallFailed):
@@ -329,6 +365,7 @@
                 'fence': self._fence,
                 'outcome': outcome,
                 'rates': _rounded(rates),
+                **written.describe(decided_s),
             },
         )
 
--- a/limpetroute/wire/caller.py
+++ b/limpetroute/wire/caller.py
@@ -65,6 +65,7 @@
         ),
         slot: connection_pool.PoolSlot | None = None,
         counts_interim: bool = False,
+        on_write: typing.Callable[[], None] | None = None,
     ) -> connection.Connection | call_failed.CallFailed:
         """Send a request and wait for the response headers.
 
@@ -84,6 +85,7 @@
             unzips=self._unzips,
             slot=slot,
             counts_interim=counts_interim,
+            on_write=on_write,
         )
         path = parts.path or '/'
         if parts.query:
@@ -115,6 +117,7 @@
         body_timeout_s: float | None = None,
         idle_timeout_s: float | None = None,
         counts_interim: bool = False,
+        on_write: typing.Callable[[], None] | None = None,
     ) -> reply.Reply | call_failed.CallFailed:
         """Send a request and read the complete reply.
 
@@ -122,7 +125,8 @@
         The body must arrive within ``body_timeout_s`` after the headers;
         the default is ``timeout_s``. No gap between its chunks may exceed
         ``idle_timeout_s``. With ``counts_interim``, ``timeout_s`` is the time
-        to the first response, which may be an interim one.
+        to the first response, which may be an interim one. ``on_write`` is
+        called right before the first byte of the request is written.
         """
         slot = self._slot(url)
         link = await self.open(
@@ -134,6 +138,7 @@
             connect_tries_s=connect_tries_s,
             slot=slot,
             counts_interim=counts_interim,
+            on_write=on_write,
         )
         result: reply.Reply | call_failed.CallFailed
         if isinstance(link, call_failed.CallFailed):
--- a/limpetroute/wire/connection.py
+++ b/limpetroute/wire/connection.py
@@ -174,6 +174,9 @@
     counts_interim : bool
         Whether `send` returns at an interim response; its status is then that
         of the final response once the body has been read.
+    on_write : callable or None
+        Called right before the first byte of the request is written, in the
+        same step of the event loop.
     """
 
     __slots__ = (
@@ -181,6 +184,7 @@
         '_has_early_answer',
         '_host',
         '_is_head_request',
+        '_on_write',
         '_port',
         '_slot',
         '_stream',
@@ -199,7 +203,9 @@
         unzips: bool = False,
         slot: connection_pool.PoolSlot | None = None,
         counts_interim: bool = False,
+        on_write: typing.Callable[[], None] | None = None,
     ) -> None:
+        self._on_write = on_write
         # Whether the request was sent on a kept socket.
         self.is_reused = False
         self._slot = slot
@@ -282,6 +288,8 @@
                         self._slot.pool.observer.opened()
                 assert self._stream is not None
                 self._stream.set_nodelay(True)
+                if self._on_write is not None:
+                    self._on_write()
                 sent = True
                 self._write(method, path, headers, body)
                 await self._collector.started.wait()
--- a/tests/dispatch/test_late_orders.py
+++ b/tests/dispatch/test_late_orders.py
@@ -63,7 +63,10 @@
 
     async def work():
         controller = stage_orders.StageOrders(
-            holder='c1', codec=orders.Orders(), http=runners
+            holder='c1',
+            codec=orders.Orders(),
+            http=runners,
+            lease_remaining_s=lambda: 1.0,
         )
         controller.begin_term(1, 0.0)
         service = builders.make_service('model', builders.ENGINE)
--- a/tests/dispatch/test_stage_orders.py
+++ b/tests/dispatch/test_stage_orders.py
@@ -24,7 +24,10 @@
 
 def make_orders(calls):
     return stage_orders.StageOrders(
-        holder='c1', codec=orders.Orders(), http=calls
+        holder='c1',
+        codec=orders.Orders(),
+        http=calls,
+        lease_remaining_s=lambda: 1.0,
     )
 
 
--- a/tests/dispatch/test_started_again.py
+++ b/tests/dispatch/test_started_again.py
@@ -66,7 +66,10 @@
     async def work():
         http = Accepting()
         controller = stage_orders.StageOrders(
-            holder='c1', codec=orders.Orders(), http=http
+            holder='c1',
+            codec=orders.Orders(),
+            http=http,
+            lease_remaining_s=lambda: 1.0,
         )
         controller.begin_term(1, 0.0)
         service = builders.make_service('model', builders.ENGINE)
