Let a replica that has just answered the leader elect no other

Callers may see two control hosts lead at once for up to the length of a lease (0.54 s on the platform): reads of the configuration that are older than what was acknowledged, orders to runners and placements of both.

Cause: a lease relies on voters that ignore vote requests for an election timeout after each message of the leader. That was checked where a vote request brings a higher term, and not where the replica knew the term before. It learns it from the refusal of its own pre-vote, by a host that has become a candidate meanwhile. If it heard the leader in between, it answered the leader, which renewed the lease, and then voted for the candidate.

Evidence: test_a_replica_that_answered_the_leader_elects_no_other delivers such messages by hand. Without the change, with the term known, it ends with two valid leases (['a.0', 'c.0']); the case in which the vote request brings the term passes with and without. Whether users saw this fault is not known.

A vote request is now ignored while the leader is active, whatever its term. A candidate that is ignored starts again after its time-out; nobody votes twice or in an older term because of it. tests/agreement and tests/control pass.

--- a/limpetroute/agreement/replica.py
+++ b/limpetroute/agreement/replica.py
@@ -355,11 +355,12 @@
                 sender, messages.VoteReply(term=self.term, granted=False)
             )
             return
+        if self._leader_is_alive():
+            # The leader's lease relies on voters ignoring vote requests
+            # while the leader is active. This also holds in a term that the
+            # replica has learned of in another way than by a vote request.
+            return
         if message.term > self.term:
-            if self._leader_is_alive():
-                # The leader's lease relies on voters ignoring vote
-                # requests while the leader is active.
-                return
             self._become_follower(message.term, leader_id='')
         granted = self.voted_for in (
             '',
