Write an order only within the lease that it was decided in

Operators may see a runner change its stage by the order of a host that no longer leads, less than lease-ms after or before orders of its successor.

Cause: a right that was looked at before a wait and used after it. The dispatcher looked at its lease, then waited for the routes to be split, then considered orders; an order then waited for its task and its connection, and nothing was looked at where it was written. A host that stands still in between writes it when it goes on. What was written and not acknowledged was sent on by the system after the time-out, as the connection was closed without a reset, and while the process was stopped.

The lease is now looked at once more after the split, and in the step of the event loop that writes the order: it must be valid, and be that of the term that the order carries as its fencing number. Otherwise nothing is sent, and the order is forgotten. The system ends a connection on which the order is not acknowledged for 1.0 s, also while the process is stopped, and closing a connection without a complete answer resets it, so that what it holds is dropped.

--- a/limpetroute/dispatch/dispatcher.py
+++ b/limpetroute/dispatch/dispatcher.py
@@ -128,8 +128,11 @@
         """Whether this host holds the leader lease, so no other leads."""
         return self._node.config.replica.lease_valid(boot_clock.now_s())
 
-    def _lease_remaining_s(self) -> float:
+    def _lease_remaining_s(self, term: int) -> float:
+        """Return for how long this host leads in a term."""
         replica = self._node.config.replica
+        if replica.term != term:
+            return -math.inf
         return replica.lease_remaining_s(boot_clock.now_s())
 
     async def request_placement(
@@ -408,6 +411,8 @@
                 self._resolve_pending()
                 continue
             await self._node.routes_splitter.split(self._node.config.state)
+            if not self.leads:
+                continue
             self._note_term()
             for service, scheduler in self._schedulers.items():
                 if scheduler.waiting:
--- a/limpetroute/dispatch/stage_orders.py
+++ b/limpetroute/dispatch/stage_orders.py
@@ -15,10 +15,13 @@
 from limpetroute.telemetry import boot_clock
 from limpetroute.wire import call_failed
 from limpetroute.wire import caller
+from limpetroute.wire import delivery_bound
 
 LOG = logging.getLogger(__name__)
 
 ORDER_TIMEOUT_S = 1.0
+# Time within which an order that was written reaches its runner, or is lost.
+ORDER_DELIVERY_S = 1.0
 # No earlier leader can have given orders before a group's first term.
 FIRST_TERM = 1
 # A new leader gives no order for this long. The previous leader may have
@@ -44,15 +47,25 @@
 LOGGED_LEASE_S = 60.0
 
 
+@dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
+class _Decision:
+    """An order to be sent, with the fencing number at its decision."""
+
+    target: runner_info.RunnerInfo
+    change: pool_sizing.StageChange
+    fence: int
+    at_s: float
+
+
 @dataclasses.dataclass(kw_only=True, slots=True)
 class _Written:
-    """When an order was written, and what was left of the lease."""
+    """When an order was to be written, and what was left of the lease."""
 
     at_s: float | None = None
     lease_remaining_s: float = -math.inf
 
     def describe(self, decided_s: float) -> dict[str, int]:
-        """Return log fields; none if the order was not written."""
+        """Return log fields; none if there was no connection."""
         if self.at_s is None:
             return {}
         return {
@@ -76,7 +89,8 @@
     http : Caller
         Calls runners.
     lease_remaining_s : callable
-        Returns for how long this host still leads.
+        Returns for how long this host still leads in a term; not positive if
+        it does not.
     """
 
     def __init__(
@@ -85,7 +99,7 @@
         holder: str,
         codec: order_codec.OrderCodec,
         http: caller.Caller,
-        lease_remaining_s: typing.Callable[[], float],
+        lease_remaining_s: typing.Callable[[int], float],
     ) -> None:
         self._lease_remaining_s = lease_remaining_s
         self._holder = holder
@@ -216,7 +230,10 @@
         self._wanted_s.pop(service.name, None)
         self._ordered_s[target.runner_id] = now_s
         self._accepted.discard(target.runner_id)
-        self._run(self._order(target, change, rates, boot_clock.now_s()))
+        decision = _Decision(
+            target=target, change=change, fence=self._fence, at_s=now_s
+        )
+        self._run(self._order(decision, rates))
 
     def _query_once(
         self,
@@ -326,22 +343,22 @@
 
     async def _order(
         self,
-        target: runner_info.RunnerInfo,
-        change: pool_sizing.StageChange,
+        decision: _Decision,
         rates: stage_rates.StageRates | None,
-        decided_s: float,
     ) -> None:
+        target, fence = decision.target, decision.fence
         order = self._codec.stage_order(
-            change.stage,
+            decision.change.stage,
             runner_id=target.runner_id,
             holder=self._holder,
-            fence=self._fence,
+            fence=fence,
         )
         written = _Written()
 
-        def note_write() -> None:
+        def may_write() -> bool:
             written.at_s = boot_clock.now_s()
-            written.lease_remaining_s = self._lease_remaining_s()
+            written.lease_remaining_s = self._lease_remaining_s(fence)
+            return written.lease_remaining_s > 0
 
         got = await self._http.call(
             method=order.method,
@@ -349,10 +366,17 @@
             body=order.body,
             headers=order.headers,
             timeout_s=ORDER_TIMEOUT_S,
-            on_write=note_write,
+            delivery=delivery_bound.DeliveryBound(
+                may_write=may_write, unacknowledged_s=ORDER_DELIVERY_S
+            ),
         )
         outcome = 'no answer'
-        if not isinstance(got, call_failed.CallFailed):
+        if isinstance(got, call_failed.CallFailed):
+            if not got.sent:
+                outcome = f'not sent: {got.kind}'
+            if got.kind is call_failed.FailureKind.ABANDONED:
+                self._forget_order(decision)
+        else:
             outcome = f'status {got.status}'
             if got.status == HTTP_ACCEPTED:
                 self._accepted.add(target.runner_id)
@@ -361,14 +385,20 @@
             extra={
                 'runner': target.runner_id,
                 'from': target.stage,
-                'to': change.stage,
-                'fence': self._fence,
+                'to': decision.change.stage,
+                'fence': fence,
                 'outcome': outcome,
                 'rates': _rounded(rates),
-                **written.describe(decided_s),
+                **written.describe(decision.at_s),
             },
         )
 
+    def _forget_order(self, decision: _Decision) -> None:
+        """Forget an order that was not sent, unless another one followed."""
+        runner_id = decision.target.runner_id
+        if self._ordered_s.get(runner_id) == decision.at_s:
+            del self._ordered_s[runner_id]
+
 
 def _rounded(rates: stage_rates.StageRates | None) -> dict[str, int]:
     """Return the rates that a split was decided by, rounded for the log."""
--- a/limpetroute/wire/call_failed.py
+++ b/limpetroute/wire/call_failed.py
@@ -5,8 +5,13 @@
 
 
 class FailureKind(enum.StrEnum):
-    """How a call failed."""
+    """How a call failed.
 
+    An abandoned call was not sent, because its sender's right to send it had
+    ended.
+    """
+
+    ABANDONED = 'abandoned'
     CONNECT = 'connect'
     TIMEOUT = 'timeout'
     CLOSED = 'closed'
--- a/limpetroute/wire/caller.py
+++ b/limpetroute/wire/caller.py
@@ -9,6 +9,7 @@
 from limpetroute.wire import call_failed
 from limpetroute.wire import connection
 from limpetroute.wire import connection_pool
+from limpetroute.wire import delivery_bound
 from limpetroute.wire import drop_reason
 from limpetroute.wire import reply
 
@@ -65,7 +66,7 @@
         ),
         slot: connection_pool.PoolSlot | None = None,
         counts_interim: bool = False,
-        on_write: typing.Callable[[], None] | None = None,
+        delivery: delivery_bound.DeliveryBound | None = None,
     ) -> connection.Connection | call_failed.CallFailed:
         """Send a request and wait for the response headers.
 
@@ -85,7 +86,7 @@
             unzips=self._unzips,
             slot=slot,
             counts_interim=counts_interim,
-            on_write=on_write,
+            delivery=delivery,
         )
         path = parts.path or '/'
         if parts.query:
@@ -117,7 +118,7 @@
         body_timeout_s: float | None = None,
         idle_timeout_s: float | None = None,
         counts_interim: bool = False,
-        on_write: typing.Callable[[], None] | None = None,
+        delivery: delivery_bound.DeliveryBound | None = None,
     ) -> reply.Reply | call_failed.CallFailed:
         """Send a request and read the complete reply.
 
@@ -125,8 +126,7 @@
         The body must arrive within ``body_timeout_s`` after the headers;
         the default is ``timeout_s``. No gap between its chunks may exceed
         ``idle_timeout_s``. With ``counts_interim``, ``timeout_s`` is the time
-        to the first response, which may be an interim one. ``on_write`` is
-        called right before the first byte of the request is written.
+        to the first response, which may be an interim one.
         """
         slot = self._slot(url)
         link = await self.open(
@@ -138,7 +138,7 @@
             connect_tries_s=connect_tries_s,
             slot=slot,
             counts_interim=counts_interim,
-            on_write=on_write,
+            delivery=delivery,
         )
         result: reply.Reply | call_failed.CallFailed
         if isinstance(link, call_failed.CallFailed):
--- a/limpetroute/wire/connection.py
+++ b/limpetroute/wire/connection.py
@@ -5,6 +5,7 @@
 import ipaddress
 import socket
 import ssl
+import struct
 import typing
 
 from tornado import http1connection
@@ -15,6 +16,7 @@
 from limpetroute.wire import call_failed
 from limpetroute.wire import chunked_body
 from limpetroute.wire import connection_pool
+from limpetroute.wire import delivery_bound
 from limpetroute.wire import drop_reason
 from limpetroute.wire import idle_check
 from limpetroute.wire import reply
@@ -174,17 +176,17 @@
     counts_interim : bool
         Whether `send` returns at an interim response; its status is then that
         of the final response once the body has been read.
-    on_write : callable or None
-        Called right before the first byte of the request is written, in the
-        same step of the event loop.
+    delivery : DeliveryBound or None
+        Bounds the time at which the request may reach the server; not for
+        TLS.
     """
 
     __slots__ = (
         '_collector',
+        '_delivery',
         '_has_early_answer',
         '_host',
         '_is_head_request',
-        '_on_write',
         '_port',
         '_slot',
         '_stream',
@@ -203,9 +205,9 @@
         unzips: bool = False,
         slot: connection_pool.PoolSlot | None = None,
         counts_interim: bool = False,
-        on_write: typing.Callable[[], None] | None = None,
+        delivery: delivery_bound.DeliveryBound | None = None,
     ) -> None:
-        self._on_write = on_write
+        self._delivery = delivery
         # Whether the request was sent on a kept socket.
         self.is_reused = False
         self._slot = slot
@@ -288,8 +290,11 @@
                         self._slot.pool.observer.opened()
                 assert self._stream is not None
                 self._stream.set_nodelay(True)
-                if self._on_write is not None:
-                    self._on_write()
+                if self._delivery and not self._delivery.may_write():
+                    self.close()
+                    return call_failed.CallFailed(
+                        kind=call_failed.FailureKind.ABANDONED, sent=False
+                    )
                 sent = True
                 self._write(method, path, headers, body)
                 await self._collector.started.wait()
@@ -350,6 +355,8 @@
         sock = socket.socket(family)
         address = (self._host, self._port)
         if self._tls is None:
+            if self._delivery is not None:
+                _set_user_timeout(sock, self._delivery.unacknowledged_s)
             self._stream = iostream.IOStream(sock)
             return await self._stream.connect(address)
         # Create a TLS stream from the start. A plain stream that is
@@ -538,6 +545,8 @@
         self._collector.close()
         if self._stream is None:
             return
+        if self._delivery and not self._collector.whole:
+            _reset_on_close(self._stream)
         self._stream.close()
         if self._slot is not None and self._task is not None:
             self._slot.pool.observer.dropped(reason)
@@ -561,6 +570,20 @@
         return None
 
 
+def _set_user_timeout(sock: socket.socket, timeout_s: float) -> None:
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, round(timeout_s * 1000)
+    )
+
+
+def _reset_on_close(stream: iostream.IOStream) -> None:
+    """Discard what the system has not sent when the stream is closed."""
+    if stream.closed():
+        return
+    linger = struct.pack('ii', 1, 0)
+    stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+
+
 def _do_nothing() -> None:
     """Do nothing; used as the close callback of a stream."""
 
--- a/tests/dispatch/test_late_orders.py
+++ b/tests/dispatch/test_late_orders.py
@@ -66,7 +66,7 @@
             holder='c1',
             codec=orders.Orders(),
             http=runners,
-            lease_remaining_s=lambda: 1.0,
+            lease_remaining_s=lambda term: 1.0,
         )
         controller.begin_term(1, 0.0)
         service = builders.make_service('model', builders.ENGINE)
--- a/tests/dispatch/test_stage_orders.py
+++ b/tests/dispatch/test_stage_orders.py
@@ -27,7 +27,7 @@
         holder='c1',
         codec=orders.Orders(),
         http=calls,
-        lease_remaining_s=lambda: 1.0,
+        lease_remaining_s=lambda term: 1.0,
     )
 
 
--- a/tests/dispatch/test_started_again.py
+++ b/tests/dispatch/test_started_again.py
@@ -69,7 +69,7 @@
             holder='c1',
             codec=orders.Orders(),
             http=http,
-            lease_remaining_s=lambda: 1.0,
+            lease_remaining_s=lambda term: 1.0,
         )
         controller.begin_term(1, 0.0)
         service = builders.make_service('model', builders.ENGINE)
