Take a new leader's wait from the settings and an order's way

Orders of two control hosts reached one runner 2.5 to 3.0 s apart, where lease-ms (3.0 s) is promised.

Cause: a new leader waited for a constant 3.5 s, which is less than the gap and the 1.0 s in which an order of its predecessor may arrive, and which knows neither the setting nor the drift of clocks. In a group's first term it did not wait at all, which does not hold for a group that is founded again.

The wait is now (order_gap_ms + ORDER_DELIVERY_S) / (1 - clock_drift), 4.21 s on the platform, which passes lease-ms on as order_gap_ms (a new setting, 3,000 by default). It runs from the new leader's election, which lies behind the lease of the one before, and holds in each term. A change is weighed during the wait, so that its own delay (up to 4 s) does not come on top: 6.7 s before 8.2 s at the worst. Three tests that played a first term without a wait play later moments; one of their stand-ins now counts orders only, as it counted queries too.

--- a/limpetroute/border/control_settings.py
+++ b/limpetroute/border/control_settings.py
@@ -69,6 +69,9 @@
         Longest wait for a quorum.
     watch_timeout_s : float
         How long a watch call stays open while nothing changes.
+    order_gap_ms : int
+        Least time between orders of two control hosts to runners, which may
+        ignore fencing numbers.
     quotas : QuotaSettings
         How teams' quotas are kept.
     balancing : BalancingSettings
@@ -100,6 +103,7 @@
     void_retention_s: units.Seconds = 3600.0
     commit_timeout_s: units.Seconds = 5.0
     watch_timeout_s: units.Seconds = 20.0
+    order_gap_ms: int = pydantic.Field(default=3000, ge=0, le=600_000)
     quotas: quota_settings.QuotaSettings = quota_settings.QuotaSettings()
     balancing: balancing_settings.BalancingSettings = (
         balancing_settings.BalancingSettings()
--- a/limpetroute/dispatch/dispatcher.py
+++ b/limpetroute/dispatch/dispatcher.py
@@ -87,6 +87,10 @@
             codec=codec,
             http=caller.Caller(),
             lease_remaining_s=self._lease_remaining_s,
+            handover_s=stage_orders.handover_s(
+                gap_s=node.settings.order_gap_ms / 1000,
+                clock_drift=node.settings.clock_drift,
+            ),
         )
         self._limits = runner_limits.RunnerLimits()
         self._quotas = quota_ledger.QuotaLedger(
--- a/limpetroute/dispatch/stage_orders.py
+++ b/limpetroute/dispatch/stage_orders.py
@@ -22,12 +22,6 @@
 ORDER_TIMEOUT_S = 1.0
 # Time within which an order that was written reaches its runner, or is lost.
 ORDER_DELIVERY_S = 1.0
-# No earlier leader can have given orders before a group's first term.
-FIRST_TERM = 1
-# A new leader gives no order for this long. The previous leader may have
-# given an order just before it lost its lease, and engines that ignore
-# fencing numbers would take orders from both leaders.
-QUIET_AFTER_ELECTION_S = 3.5
 # A runner may carry out an order seconds after the order timed out. The
 # order is repeated only if the runner has not changed after this time.
 ORDER_EXPIRES_S = 14.0
@@ -47,6 +41,23 @@
 LOGGED_LEASE_S = 60.0
 
 
+def handover_s(*, gap_s: float, clock_drift: float) -> float:
+    """Return the time for which a new leader gives no order.
+
+    The previous leader may have written an order at the end of its lease,
+    that is at the new leader's election at the latest. The order reaches its
+    runner within `ORDER_DELIVERY_S`, and the gap begins there.
+
+    Parameters
+    ----------
+    gap_s : float
+        Least time between orders of two leaders.
+    clock_drift : float
+        Greatest relative error of a clock's rate.
+    """
+    return (gap_s + ORDER_DELIVERY_S) / (1 - clock_drift)
+
+
 @dataclasses.dataclass(frozen=True, kw_only=True, slots=True)
 class _Decision:
     """An order to be sent, with the fencing number at its decision."""
@@ -91,6 +102,8 @@
     lease_remaining_s : callable
         Returns for how long this host still leads in a term; not positive if
         it does not.
+    handover_s : float
+        Time for which a new leader gives no order; see `handover_s`.
     """
 
     def __init__(
@@ -100,7 +113,9 @@
         codec: order_codec.OrderCodec,
         http: caller.Caller,
         lease_remaining_s: typing.Callable[[int], float],
+        handover_s: float,
     ) -> None:
+        self._handover_s = handover_s
         self._lease_remaining_s = lease_remaining_s
         self._holder = holder
         self._codec = codec
@@ -124,9 +139,7 @@
     def begin_term(self, term: int, now_s: float) -> None:
         """Start giving orders, with the term as fencing number."""
         self._fence = term
-        self._quiet_until_s = now_s
-        if term > FIRST_TERM:
-            self._quiet_until_s += QUIET_AFTER_ELECTION_S
+        self._quiet_until_s = now_s + self._handover_s
         self._ordered_s.clear()
         self._accepted.clear()
         self._queried.clear()
@@ -178,9 +191,7 @@
         assert service.engine is not None
         self._query_once(service.name, runners, now_s)
         settled = self._is_settled(service.name, runners, now_s)
-        if not settled or now_s < self._quiet_until_s:
-            return
-        if service.name in self._querying:
+        if not settled or service.name in self._querying:
             return
         change_s = service.engine.stage_change_s
         expires_s = max(ORDER_EXPIRES_S, 2 * change_s)
@@ -222,6 +233,8 @@
             change, decode_runners
         ):
             return
+        if now_s < self._quiet_until_s:
+            return
         target = next(
             runner
             for runner in runners
@@ -248,7 +261,7 @@
         a new leader orders a second runner to change, and two of three
         runners become prefill runners.
         """
-        if self._fence <= FIRST_TERM or service in self._queried:
+        if service in self._queried:
             return
         self._queried.add(service)
         self._querying.add(service)
--- a/tests/dispatch/test_dispatcher.py
+++ b/tests/dispatch/test_dispatcher.py
@@ -68,7 +68,10 @@
         )
         node = types.SimpleNamespace(
             settings=types.SimpleNamespace(
-                host_id='c1', quotas=quota_settings.QuotaSettings()
+                host_id='c1',
+                quotas=quota_settings.QuotaSettings(),
+                order_gap_ms=3000,
+                clock_drift=0.05,
             ),
             config=types.SimpleNamespace(replica=self.replica, state=state),
             balancing=balancing.Balancing(),
--- a/tests/dispatch/test_late_orders.py
+++ b/tests/dispatch/test_late_orders.py
@@ -67,6 +67,7 @@
             codec=orders.Orders(),
             http=runners,
             lease_remaining_s=lambda term: 1.0,
+            handover_s=4.0,
         )
         controller.begin_term(1, 0.0)
         service = builders.make_service('model', builders.ENGINE)
--- a/tests/dispatch/test_order_delivery.py
+++ b/tests/dispatch/test_order_delivery.py
@@ -66,6 +66,7 @@
         codec=orders.Orders(),
         http=caller.Caller(),
         lease_remaining_s=lease_remaining_s,
+        handover_s=4.0,
     )
     controller.begin_term(3, 0.0)
     _reconcile(controller, runner, 0.0)
--- a/tests/dispatch/test_stage_orders.py
+++ b/tests/dispatch/test_stage_orders.py
@@ -3,11 +3,16 @@
 import asyncio
 import json
 
+import pytest
+
 from limpetroute.dispatch import stage_orders
 from limpetroute.platform import orders
 from limpetroute.wire import reply
 from tests.routing import builders
 
+GAP_S = 3.0
+HANDOVER_S = stage_orders.handover_s(gap_s=GAP_S, clock_drift=0.05)
+
 
 class Calls:
     """Replaces the HTTP client and records the orders."""
@@ -28,6 +33,7 @@
         codec=orders.Orders(),
         http=calls,
         lease_remaining_s=lambda term: 1.0,
+        handover_s=HANDOVER_S,
     )
 
 
@@ -68,21 +74,43 @@
     assert order['fence'] == 7
 
 
-def test_a_new_leader_gives_no_order_for_longer_than_a_lease():
+@pytest.mark.parametrize('term', [1, 2])
+def test_a_new_leader_gives_no_order_for_longer_than_a_lease(term):
     """Guards against runners that obey two leaders in turn.
 
     The previous leader may have given an order just before it lost its
     lease. Engines that ignore fencing numbers would follow both leaders and
-    change back and forth.
+    change back and forth. A group that was founded again begins with the first
+    term, and its runners may know another leader.
     """
     calls = Calls()
     runners = fleet(builders.PREFILL, builders.PREFILL, builders.DECODE)
-    play(calls, {'model': runners}, term=2, seconds=3.4)
+    play(calls, {'model': runners}, term=term, seconds=HANDOVER_S - 0.05)
     assert not calls.bodies
-    play(calls, {'model': runners}, term=2, seconds=4.0)
+    play(calls, {'model': runners}, term=term, seconds=HANDOVER_S + 0.1)
     assert len(calls.bodies) == 1
 
 
+# Guards against a wait that is shorter than the gap and the way of an order.
+@pytest.mark.parametrize('gap_s', [0.5, 3.0, 9.0])
+def test_orders_of_two_leaders_keep_the_gap_of_the_settings(gap_s):
+    drift = 0.05
+    wait_s = stage_orders.handover_s(gap_s=gap_s, clock_drift=drift)
+    # The new leader's clock is fast; the last order came as late as it can.
+    least_s = wait_s * (1 - drift)
+    assert least_s - stage_orders.ORDER_DELIVERY_S >= gap_s - 1e-9
+
+
+# Guards against delays that add up where leaders change every few seconds.
+def test_an_order_is_due_at_the_end_of_the_wait():
+    calls = Calls()
+    runners = two_decode_runners_and_a_prefill_runner_that_leaves(11.0)
+    # The change itself is delayed by 4 s, from the end of the settle time.
+    seconds = stage_orders.FLEET_START_SETTLE_S + 4.1
+    play(calls, {'model': runners}, term=5, seconds=seconds)
+    assert [order['stage'] for order in calls.bodies] == ['prefill']
+
+
 def test_an_order_without_effect_is_given_again_only_after_it_expires():
     """A runner may carry out an order seconds after it timed out."""
     calls = Calls()
@@ -131,7 +159,7 @@
 
     seen = asyncio.run(work())
     assert seen[0.0] == frozenset()
-    assert seen[3.0] == frozenset({'r1'})
+    assert seen[4.5] == frozenset({'r1'})
     assert seen[7.95] == frozenset({'r1'})
     assert seen[8.05] == frozenset()
 
--- a/tests/dispatch/test_started_again.py
+++ b/tests/dispatch/test_started_again.py
@@ -50,8 +50,8 @@
     def __init__(self):
         self.given = 0
 
-    async def call(self, **rest):
-        self.given += 1
+    async def call(self, *, method, **rest):
+        self.given += method == 'POST'
         return reply.Reply(status=202, headers={}, body=b'')
 
 
@@ -70,6 +70,7 @@
             codec=orders.Orders(),
             http=http,
             lease_remaining_s=lambda term: 1.0,
+            handover_s=4.0,
         )
         controller.begin_term(1, 0.0)
         service = builders.make_service('model', builders.ENGINE)
