Ask again whether a host leads, after each wait and before a term begins

A host whose lease ended while it waited for what hosts had spent decided on a team's quota all the same. An announcement that changes nothing was acknowledged by a host that had lost touch with the group while the routes were split, so that a runner that leaves might be told so by a host that nobody hears. A report could begin a new leader's wait at a host that does not lead; its only callers ask before, so this was not seen.

Found by reading. The three tests fail without the change: the request for a placement waits on (CancelledError), a candidate notes term 7, and the announcement is acknowledged (Done). Read as well and left: claims, fencing numbers, manifests, routes, quarantine and membership are committed by a quorum; reads of the newest routes, plain slots and rate limits ask where they decide, without a wait; leases between entry hosts are asked at the delivery, and their orders carry a number that engines check.

--- a/limpetroute/control/command_submitter.py
+++ b/limpetroute/control/command_submitter.py
@@ -182,6 +182,9 @@
             )
             return UnknownService(service=service)
         if not group.state.runners.is_update(command):
+            # The routes may have been split meanwhile, which takes a while.
+            if not group.replica.has_active_leader(node.now_s):
+                return Unconfirmed(reason='out of touch with the group')
             return results.Done()
         got = await self._commit(command)
         LOG.info(
--- a/limpetroute/dispatch/dispatcher.py
+++ b/limpetroute/dispatch/dispatcher.py
@@ -163,6 +163,8 @@
             request = dataclasses.replace(request, version=version)
         if request.quota_cost:
             request = await self._after_restores(request)
+            if not self.leads:
+                return None
             refused = self._quotas.charge(request, boot_clock.now_s())
             if refused is not None:
                 return refused
@@ -393,7 +395,6 @@
         self, origins: typing.Iterable[stream_origins.StreamOrigin]
     ) -> None:
         """Note the software versions at which a host's streams began."""
-        self._note_term()
         now_s = boot_clock.now_s()
         for origin in origins:
             self._origins.note(
@@ -435,8 +436,9 @@
                 pending.future.set_result(None)
 
     def _note_term(self) -> None:
+        """Begin a new term, if this host leads in it."""
         term = self._node.config.replica.term
-        if term == self._led_term:
+        if term == self._led_term or not self.leads:
             return
         self._led_term = term
         if term == self._state_term:
--- a/tests/control/test_command_submitter.py
+++ b/tests/control/test_command_submitter.py
@@ -87,6 +87,28 @@
     asyncio.run(work())
 
 
+# Guards against a host that acknowledges an announcement though it lost touch
+# with the group while the routes were split.
+def test_an_announcement_is_not_acknowledged_after_contact_was_lost(
+    monkeypatch,
+):
+    async def work():
+        submitter, _ = make_submitter()
+        group = submitter._node.config
+        await submitter.note_runner(note('i-1', '10.0.0.1:80'), 'model')
+
+        async def split(state):
+            monkeypatch.setattr(
+                group, 'has_active_leader', lambda now_s: False
+            )
+
+        monkeypatch.setattr(submitter._node.routes_splitter, 'split', split)
+        got = await submitter.note_runner(note('i-1', '10.0.0.1:80'), 'model')
+        assert isinstance(got, command_submitter.Unconfirmed)
+
+    asyncio.run(work())
+
+
 def test_runners_do_not_wait_for_the_first_configuration():
     async def work():
         submitter, state = make_submitter()
--- a/tests/dispatch/test_lapsed_lease.py
+++ b/tests/dispatch/test_lapsed_lease.py
@@ -74,6 +74,46 @@
     assert asyncio.run(work()) == 1
 
 
+# Guards against a quota that a host decides on though it no longer leads, when
+# its lease ended while it waited for what hosts had spent.
+def test_a_host_whose_lease_ended_charges_no_quota(monkeypatch):
+    monkeypatch.setattr(dispatcher_module, 'RESTORE_PERIOD_S', LAPSE_S)
+
+    async def work():
+        leader = test_dispatcher.Leader()
+        charged = []
+        monkeypatch.setattr(
+            leader.dispatcher._quotas,
+            'charge',
+            lambda request, now_s: charged.append(request),
+        )
+        waiting = asyncio.create_task(
+            leader.place('s', team='bank', quota_cost=5.0)
+        )
+        await asyncio.sleep(0)
+        leader.replica.leads = False
+        try:
+            assert await asyncio.wait_for(waiting, 2 * LAPSE_S) is None
+        finally:
+            waiting.cancel()
+        return charged
+
+    assert not asyncio.run(work())
+
+
+# Guards against a wait that begins before the host is elected.
+def test_a_candidate_begins_no_term():
+    async def work():
+        leader = test_dispatcher.Leader()
+        leader.replica.term = 7
+        leader.replica.leads = False
+        leader.dispatcher.note_streams([])
+        leader.dispatcher.note_spent('h', {}, {})
+        assert leader.dispatcher.term == 0
+
+    asyncio.run(work())
+
+
 async def _do_nothing(state):
     """Split no routes."""
 
