--- a/limpetroute/wire/connection.py
+++ b/limpetroute/wire/connection.py
@@ -177,8 +177,7 @@
         Whether `send` returns at an interim response; its status is then that
         of the final response once the body has been read.
     delivery : DeliveryBound or None
-        Bounds the time at which the request may reach the server; not for
-        TLS.
+        Bounds the time at which the request may reach the server.
     """
 
     __slots__ = (
--- a/tests/soak/orders.py
+++ b/tests/soak/orders.py
@@ -1,11 +1,15 @@
 """Orders that runners got, checked against the rule of one sender."""
 
+import contextlib
 import dataclasses
+import json
 
 # A change of the sender takes at least this long, by the users' settings.
 LEASE_S = 3.0
 # An order that arrives so soon after its sender was thawed does not count.
 THAW_S = 0.3
+# Message of the log line of an order.
+LOGGED = 'ordered a stage'
 
 
 @dataclasses.dataclass(frozen=True)
@@ -33,6 +37,24 @@
     return broken
 
 
+def judge_log(text):
+    """Return the orders in a control host's log that outlived its lease."""
+    broken = []
+    for line in text.splitlines():
+        if f'"{LOGGED}"' not in line:
+            continue
+        with contextlib.suppress(ValueError):
+            row = json.loads(line)
+            is_sent = not row['outcome'].startswith('not sent')
+            remaining_ms = row.get('lease_remaining_ms', 0)
+            if is_sent and remaining_ms < 0:
+                broken.append(
+                    f'{row["runner"]}: an order with fence {row["fence"]}, '
+                    f'{-remaining_ms} ms after its lease'
+                )
+    return broken
+
+
 def changes(orders):
     """Return how often the sender of a runner's orders changed."""
     last = {}
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -182,6 +182,9 @@
             self.promises.broken += orders_module.judge(
                 self.orders, self._thaws
             )
+            for process in self.world.controls:
+                found = orders_module.judge_log(process.log())
+                self.promises.broken += found
             if self._has_silences:
                 self.promises.judge_ends()
             if self._has_teams:
@@ -374,8 +377,10 @@
         elif where == 'leader':
             await self._disrupt_leader(subject, fault)
         elif where == 'swing':
-            swings = self.world.swings
-            await swings[fault.target % len(swings)].crash()
+            # A runner that is down already has no second crash.
+            async with self._replacing:
+                swings = self.world.swings
+                await swings[fault.target % len(swings)].crash()
         elif where == 'control':
             if fault.target % world_module.CONTROLS == self._lost_control:
                 # It never comes back.
--- a/tests/soak/test_orders.py
+++ b/tests/soak/test_orders.py
@@ -1,5 +1,7 @@
 """The check of orders that runners got."""
 
+import json
+
 import pytest
 
 from tests.soak import orders
@@ -48,3 +50,26 @@
     assert not orders.judge(found, [(A, 11.8)])
     assert orders.judge(found, [(A, 11.6)])
     assert orders.judge(found, [(B, 11.8)])
+
+
+@pytest.mark.parametrize(
+    ('outcome', 'remaining_ms', 'is_broken'),
+    [
+        ('status 202', -1, True),
+        ('no answer', -800, True),
+        ('status 202', 20, False),
+        ('not sent: abandoned', -800, False),
+    ],
+)
+def test_an_order_that_outlives_its_lease_is_seen(
+    outcome, remaining_ms, is_broken
+):
+    row = {
+        'message': orders.LOGGED,
+        'runner': 'r',
+        'fence': 2,
+        'outcome': outcome,
+        'lease_remaining_ms': remaining_ms,
+    }
+    log = f'starting\n{json.dumps(row)}\n'
+    assert bool(orders.judge_log(log)) == is_broken
