Bound what callers and peers hold of an entry host

Callers saw: a host that ended, or answered nobody, while a few hundred connections sent requests that never end.

Cause: only the bytes of bodies were counted, not heads, connections, bytes read ahead or left unread in the system; tornado kept copies of small chunks; each connection handed back the processor on its own, so that a turn of the event loop grew with their number, at 20 to 40 us a chunk; the time limit of a body was for the whole body, so that slow links and small chunks missed it; and a body over the limit was reset before its caller could read an answer.

Change: a server for all ports (`limpetroute/server/`). One memory budget for connections, heads and bodies; listening sockets keep 16 KiB unread; a head is checked before it is parsed; a decoder for chunks, about 1 us a chunk; one bound a turn of the event loop for all bodies together; a timeout for silence. If memory or connections run out, what has made no progress for a second is closed, a body with 408, and what then does not fit gets 503 or is closed unread. A body over the limit gets 413 and is dropped for a while. A request that was closed cannot complete: it is checked after each wait.

The test of narrower limits on kept connections now expects 413 instead of tornado's 400: it checks the same refusal, with the status that callers know.

--- a/limpetroute/forwarding/acceptor.py
+++ b/limpetroute/forwarding/acceptor.py
@@ -31,6 +31,9 @@
         Takes a connection and its address.
     open_connections : callable
         Returns the number of connections that are open.
+    free_connections : callable
+        Returns how many more connections may be open. It may close idle ones
+        to free the number that it is called with.
     on_closed : callable
         Called with the number of connections that were closed unread.
     """
@@ -41,13 +44,14 @@
         sock: socket.socket,
         serve: typing.Callable[[socket.socket, typing.Any], None],
         open_connections: typing.Callable[[], int],
+        free_connections: typing.Callable[[int], int],
         on_closed: typing.Callable[[int], None],
     ) -> None:
         self._socket = sock
         self._serve = serve
         self._open_connections = open_connections
+        self._free_connections = free_connections
         self._on_closed = on_closed
-        self._max_connections = _max_connections()
         self._control = accept_control.AcceptControl()
         self._poll = select.poll()
         self._loop = asyncio.get_running_loop()
@@ -69,7 +73,7 @@
         self._socket.close()
 
     def _accept_share(self) -> None:
-        free = self._max_connections - self._open_connections()
+        free = self._free_connections(self._control.share)
         for _ in range(min(self._control.share, free)):
             accepted = self._accept()
             if accepted is None:
@@ -137,7 +141,8 @@
         self._control.note_turn(self._loop.time() - begun_s)
 
 
-def _max_connections() -> int:
+def max_connections() -> int:
+    """Return how many connections of callers may be open."""
     descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     if descriptors == resource.RLIM_INFINITY:
         return MAX_CONNECTIONS
--- a/limpetroute/forwarding/forward_context.py
+++ b/limpetroute/forwarding/forward_context.py
@@ -49,6 +49,9 @@
 # Memory of answers that are buffered. A host has 128 MB.
 MAX_ANSWER_BYTES = 8 << 20
 MAX_ANSWERS_BYTES = 32 << 20
+# Memory of connections and heads beside that of bodies. If they use more,
+# less is left for bodies.
+CONNECTIONS_BYTES = 1 << 20
 # Parts of a prompt in the log line of a crash.
 MAX_LOGGED_PARTS = 16
 
@@ -144,9 +147,15 @@
             max_body_bytes=MAX_ANSWER_BYTES,
             max_total_bytes=MAX_ANSWERS_BYTES,
         )
+        max_received_bytes = max_bodies_bytes + CONNECTIONS_BYTES
+        self.received_bytes = buffer_budget.BufferBudget(
+            max_body_bytes=max_received_bytes,
+            max_total_bytes=max_received_bytes,
+        )
         self.request_buffers = buffer_budget.BufferBudget(
             max_body_bytes=max_bodies_bytes,
             max_total_bytes=max_bodies_bytes,
+            parent=self.received_bytes,
         )
         # When a stopping host aborts open requests, by the event loop's
         # clock.
--- a/limpetroute/forwarding/forwarder.py
+++ b/limpetroute/forwarding/forwarder.py
@@ -100,6 +100,34 @@
         """The memory of the bodies of open requests."""
         return self._context.request_buffers
 
+    @property
+    def received_bytes(self) -> buffer_budget.BufferBudget:
+        """The memory of connections and of what has arrived on them."""
+        return self._context.received_bytes
+
+    async def refuse_large_body(
+        self,
+        request: caller_request.CallerRequest,
+        responder: responder_module.Responder,
+    ) -> None:
+        """Answer a request whose body is over the limit."""
+        try:
+            if request.from_peer:
+                await self.decline(
+                    request, responder, local_reply.BODY_TOO_LARGE
+                )
+                return
+            await local_reply.write_status(
+                self._context,
+                request=request,
+                route=None,
+                responder=responder,
+                status=local_reply.HTTP_BODY_TOO_LARGE,
+                reason=local_reply.BODY_TOO_LARGE,
+            )
+        except responder_module.CallerGoneError:
+            self._log_caller_gone(request)
+
     async def refuse_body(
         self,
         request: caller_request.CallerRequest,
--- a/limpetroute/forwarding/local_reply.py
+++ b/limpetroute/forwarding/local_reply.py
@@ -17,6 +17,7 @@
 HTTP_NOT_FOUND = 404
 HTTP_BAD_REQUEST = 400
 HTTP_UNAUTHORIZED = 401
+HTTP_BODY_TOO_LARGE = 413
 HTTP_TOO_MANY_REQUESTS = 429
 HTTP_HEADERS_TOO_LARGE = 431
 HTTP_BAD_GATEWAY = 502
@@ -47,6 +48,7 @@
 UNEXPECTED = 'unexpected error'
 STOPPING = 'this host stops'
 NO_MEMORY = 'no memory for its body'
+BODY_TOO_LARGE = 'body over the limit'
 
 _RETRYABLE = (HTTP_UNAVAILABLE, HTTP_TOO_MANY_REQUESTS)
 
--- a/limpetroute/forwarding/server.py
+++ b/limpetroute/forwarding/server.py
@@ -36,6 +36,7 @@
 from limpetroute.routing import retry_budget
 from limpetroute.routing import route_plan
 from limpetroute.telemetry import exports as exports_module
+from limpetroute.telemetry import port_meters
 from limpetroute.wire import caller
 from limpetroute.wire import connection_pool
 from limpetroute.wire import drop_reason
@@ -184,16 +185,23 @@
             'body_bytes',
             lambda: float(self._context.request_buffers.used_bytes),
         )
+        self._exports.observe(
+            'received_bytes',
+            lambda: float(self._context.received_bytes.used_bytes),
+        )
         self.forwarder = forwarder_module.Forwarder(context=self._context)
+        observer = port_meters.PortMeters(meter=self._exports.meter)
         self._front = front_server.FrontServer(
             forwarder=self.forwarder,
             dialect=dialect,
             on_closed=self._context.meters.closed_unread,
+            observer=observer,
         )
         self._peer_front = front_server.FrontServer(
             forwarder=self.forwarder,
             dialect=dialect,
             guard=token_guard.TokenGuard(tokens=trust.tokens),
+            observer=observer,
         )
         self._peer_reporter: peer_reporter.PeerReporter | None = None
         self.view.on_plan = self._apply_caller_limits
--- /dev/null
+++ b/limpetroute/server/bounded_stream.py
@@ -0,0 +1,74 @@
+"""Streams that report what they read and write."""
+
+import asyncio
+import typing
+
+from tornado import iostream
+
+# Also the most that a stream reads ahead in a body.
+READ_BYTES = 1 << 14
+
+
+class StreamOwner(typing.Protocol):
+    """The connection of a stream."""
+
+    def note_read(self, count: int) -> None:
+        """Record that bytes have arrived."""
+
+    def note_written(self, count: int) -> None:
+        """Record that the client has taken bytes."""
+
+    def take_unsent(self, count: int) -> bool:
+        """Reserve memory for bytes of an answer; False if there is none."""
+
+    def note_closed(self) -> None:
+        """Record that the stream is closed."""
+
+
+class _Reporting(iostream.BaseIOStream):
+    owner: StreamOwner | None = None
+    _pushed_back = b''
+
+    def push_back(self, data: bytes) -> None:
+        """Have the next read return these bytes first."""
+        self._pushed_back = data
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        if self._pushed_back:
+            count = min(len(buf), len(self._pushed_back))
+            buf[:count] = self._pushed_back[:count]
+            self._pushed_back = self._pushed_back[count:]
+            return count
+        found = super().read_from_fd(buf)
+        if found and self.owner is not None:
+            self.owner.note_read(found)
+        return found
+
+    def write_to_fd(self, data: memoryview) -> int:
+        count = super().write_to_fd(data)
+        if count and self.owner is not None:
+            self.owner.note_written(count)
+        return count
+
+    def write(self, data: bytes | memoryview) -> typing.Any:
+        if self.owner is None or self.owner.take_unsent(len(data)):
+            return super().write(data)
+        # The answer is cut off, so that it cannot look complete.
+        self.close()
+        future = asyncio.get_running_loop().create_future()
+        future.set_exception(iostream.StreamClosedError())
+        future.exception()
+        return future
+
+    def close_fd(self) -> None:
+        super().close_fd()
+        if self.owner is not None:
+            self.owner.note_closed()
+
+
+class BoundedStream(_Reporting, iostream.IOStream):
+    """A TCP connection that reports what it reads and writes."""
+
+
+class BoundedTlsStream(_Reporting, iostream.SSLIOStream):
+    """A TLS connection that reports what it reads and writes."""
--- a/limpetroute/wire/body_buffer.py
+++ b/limpetroute/wire/body_buffer.py
@@ -3,7 +3,9 @@
 from limpetroute.wire import buffer_budget
 from limpetroute.wire import chunked_body
 
-CHUNK_BYTES = 65536
+# Smaller pieces are joined, as each object takes memory of its own.
+MIN_PIECE_BYTES = 4096
+MIN_JOINED_BYTES = 16384
 
 
 class BodyBuffer:
@@ -19,7 +21,6 @@
 
     def __init__(self, *, lease: buffer_budget.BufferLease) -> None:
         self._lease = lease
-        # Small pieces are added to the last chunk.
         self._chunks: list[bytes] = []
         self._last = bytearray()
 
@@ -28,15 +29,19 @@
 
     def may_fit(self, size: int) -> bool:
         """Return whether there is memory for a body of this size now."""
-        return size <= self._lease.free_bytes
+        return self._lease.make_room(size)
 
     def append(self, data: bytes) -> bool:
         """Add data; return False if there is no memory for it."""
         if not self._lease.take(len(data)):
             return False
-        if len(self._last) + len(data) > CHUNK_BYTES:
+        if len(data) >= MIN_PIECE_BYTES:
             self._end_chunk()
+            self._chunks.append(data)
+            return True
         self._last += data
+        if len(self._last) >= MIN_JOINED_BYTES:
+            self._end_chunk()
         return True
 
     def take(self) -> bytes | chunked_body.ChunkedBody:
--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -15,6 +15,7 @@
 from limpetroute.entry.hosting import host_exports
 from limpetroute.replay import parts
 from limpetroute.telemetry import exports
+from limpetroute.telemetry import port_meters
 from tests.cli import commands
 
 ROOT = commands.ROOT
@@ -136,6 +137,7 @@
     'forwarding',
     'platform',
     'runners',
+    'server',
     'telemetry',
     'wire',
 )
@@ -179,6 +181,11 @@
     meters.gone_caller_freed('decode', 1)
     for gauge in host_exports.GAUGES:
         found.observe(gauge, float)
+    # Of other processes.
+    ports = port_meters.PortMeters(meter=found.meter)
+    ports.closed('callers', 'memory')
+    ports.refused('callers', 413)
+    found.observe('received_bytes', float)
     shown = found.text().decode()
     assert names
     for name in names:
