Bound what the ports for readiness and metrics of a host hold

Seen: 40 connections that send 8 MB each to the port for readiness or metrics ended the host (361 and 354 MB of 62); 300 idle ones took all descriptors, and no caller was answered for 60 s.

Cause: both ports had tornado's defaults, 100 MB a body, and no bound for all bodies or connections.

--- a/limpetroute/forwarding/server.py
+++ b/limpetroute/forwarding/server.py
@@ -212,6 +212,8 @@
             preview=request_preview.RequestPreview(
                 context=self._context, channel=self._channel, watch=self.watch
             ).describe,
+            memory=self._context.received_bytes,
+            observer=observer,
         )
         self._is_stopping = False
 
@@ -232,7 +234,9 @@
         settings = self.settings
         self._front.listen(settings.callers.address, settings.callers.port)
         self._admin.listen(settings.ready.address, settings.ready.port)
-        self._admin.listen(settings.metrics.address, settings.metrics.port)
+        self._admin.listen(
+            settings.metrics.address, settings.metrics.port, 'metrics'
+        )
         if settings.peers is not None:
             self._start_peers(settings.peers)
         self.watch.start()
