Bound what strangers hold of a control host

Seen: 20 connections with a configuration each that never ends ended a control host (614 MB of 296); 400 with chunks of one byte, or 300 that send nothing to each port, kept operators, runners and members from it for over 60 s.

Cause: the ports bounded one body, not all bodies, heads, answers, connections or the time of the event loop, and no body had a time limit.

Change: all three ports are served by the bounded server. Public port: three tenths of the descriptors and `max_public_bytes` (80 MiB, one configuration of 32 MiB in both its copies beside the rest); port for hosts: as many descriptors, twice `max_body_bytes` and 16 MiB; metrics: 2 MiB. What the one holds is never taken from the other, and what stalls makes way for a configuration, heartbeats and members' messages.

--- a/limpetroute/border/control_settings.py
+++ b/limpetroute/border/control_settings.py
@@ -72,6 +72,11 @@
     order_gap_ms : int
         Least time between orders of two control hosts to runners, which may
         ignore fencing numbers.
+    max_body_bytes : int
+        Maximum size of a request of another host.
+    max_public_bytes : int
+        Memory of all connections of ``public_listen``, with what has arrived
+        on them and what they have not taken.
     quotas : QuotaSettings
         How teams' quotas are kept.
     balancing : BalancingSettings
@@ -109,6 +114,7 @@
         balancing_settings.BalancingSettings()
     )
     max_body_bytes: int = pydantic.Field(default=64 << 20, ge=65536)
+    max_public_bytes: int = pydantic.Field(default=80 << 20, ge=1 << 20)
 
     @pydantic.field_validator('peer_urls')
     @classmethod
--- a/limpetroute/control/metrics_component.py
+++ b/limpetroute/control/metrics_component.py
@@ -3,15 +3,23 @@
 import functools
 import typing
 
-from tornado import httpserver
-from tornado import netutil
 from tornado import web
 
 from limpetroute.agreement import replica as replica_module
 from limpetroute.border import listen_settings
 from limpetroute.control import node as node_module
+from limpetroute.server import http_server
+from limpetroute.server import port_limits
 from limpetroute.telemetry import exports as exports_module
 from limpetroute.telemetry import instruments
+from limpetroute.telemetry import port_meters
+from limpetroute.wire import buffer_budget
+
+DESCRIPTORS_SHARE = 1 / 16
+MAX_CONNECTIONS = 32
+MAX_HEAD_BYTES = 16 << 10
+MAX_BODY_BYTES = 16 << 10
+MAX_BYTES = 2 << 20
 
 
 class _MetricsHandler(web.RequestHandler):
@@ -50,12 +58,27 @@
             self._exports.observe(f'control_{name}', read)
         histogram = instruments.loop_lag(self._exports.meter)
         node.loop_lag.record_to(histogram.record)
+        node.port_observer.report_to(
+            port_meters.PortMeters(meter=self._exports.meter)
+        )
         args = {'text': self._exports.text}
-        self._server = httpserver.HTTPServer(
-            web.Application(
+        self._server = http_server.HttpServer(
+            delegate=web.Application(
                 [('/metrics', _MetricsHandler, args)],
                 log_function=lambda handler: None,
-            )
+            ),
+            name='metrics',
+            limits=port_limits.PortLimits(
+                max_connections=port_limits.share_of_descriptors(
+                    DESCRIPTORS_SHARE, MAX_CONNECTIONS
+                ),
+                max_head_bytes=MAX_HEAD_BYTES,
+                max_body_bytes=MAX_BODY_BYTES,
+            ),
+            memory=buffer_budget.BufferBudget(
+                max_body_bytes=MAX_BYTES, max_total_bytes=MAX_BYTES
+            ),
+            observer=node.port_observer,
         )
 
     def __repr__(self) -> str:
@@ -67,9 +90,7 @@
 
     def start(self) -> None:
         """Open the port."""
-        self._server.add_sockets(
-            netutil.bind_sockets(self._listen.port, self._listen.address)
-        )
+        self._server.listen(self._listen.address, self._listen.port)
 
     def stop(self) -> None:
         """Close the port."""
--- a/limpetroute/control/node.py
+++ b/limpetroute/control/node.py
@@ -33,6 +33,7 @@
 from limpetroute.control import seeds as seeds_module
 from limpetroute.control import trial_times
 from limpetroute.routing import balancing
+from limpetroute.server import port_observer
 from limpetroute.telemetry import boot_clock
 from limpetroute.telemetry import loop_lag
 from limpetroute.wire import caller
@@ -101,6 +102,7 @@
         self.replacements = replacements.Replacements()
         self.routes_splitter = routes_splitter.RoutesSplitter()
         self.trial_times = trial_times.TrialTimes()
+        self.port_observer = port_observer.RelayedObserver()
         self.loop_lag = loop_lag.LoopLag(
             log_from_s=settings.election_s * LOOP_LAG_LOG_FRACTION
         )
--- a/limpetroute/control/server.py
+++ b/limpetroute/control/server.py
@@ -3,8 +3,6 @@
 import logging
 import typing
 
-import tornado.httpserver
-import tornado.netutil
 import tornado.web
 
 from limpetroute.border import control_settings
@@ -21,10 +19,23 @@
 from limpetroute.control import seeds
 from limpetroute.control import server_component
 from limpetroute.control import watch_handler
+from limpetroute.server import http_server
+from limpetroute.server import port_limits
+from limpetroute.server import port_observer
+from limpetroute.wire import buffer_budget
 from limpetroute.wire import token_guard
 
 LOG = logging.getLogger(__name__)
 
+# Other ports of the process get the rest.
+DESCRIPTORS_SHARE = 0.3
+MAX_CONNECTIONS = 2048
+IDLE_CONNECTION_S = 75.0
+# A body is received in parts and then joined.
+BODY_COPIES = 2
+# Memory of connections, heads and answers beside that of one body.
+OTHER_BYTES = 16 << 20
+
 
 class ControlServer:
     """The server of a control process, with its node and components.
@@ -62,7 +73,7 @@
         self._max_batch = max_batch
         self._files = files
         self._folder = self._open_folder()
-        self._server: tornado.httpserver.HTTPServer | None = None
+        self._server: http_server.HttpServer | None = None
 
     def __repr__(self) -> str:
         return f'{type(self).__name__}(port={self.port!r})'
@@ -97,7 +108,7 @@
     def start(self) -> None:
         """Open the port and start the node and its components."""
         listen = self.settings.listen
-        sockets = tornado.netutil.bind_sockets(listen.port, listen.address)
+        sockets = http_server.bind_sockets(listen.address, listen.port)
         self.port = int(sockets[0].getsockname()[1])
         node = node_module.Node(
             settings=self.settings,
@@ -111,19 +122,40 @@
         routes = _routes(node)
         for component in self._components:
             routes.extend(component.routes())
-        self._server = tornado.httpserver.HTTPServer(
-            token_guard.GuardedApplication(
-                routes, tokens=self.settings.credentials().tokens
-            ),
-            ssl_options=listen.tls_context(),
-            max_body_size=self.settings.max_body_bytes,
-        )
+        self._server = self._make_server(routes, node.port_observer)
+        tls = listen.tls_context()
         node.start()
-        self._server.add_sockets(sockets)
+        self._server.accept(sockets, tls)
         for component in self._components:
             component.start()
         LOG.info('control %s on port %d', self.settings.host_id, self.port)
 
+    def _make_server(
+        self,
+        routes: list[tornado.web.URLSpec],
+        observer: port_observer.PortObserver,
+    ) -> http_server.HttpServer:
+        settings = self.settings
+        max_bytes = BODY_COPIES * settings.max_body_bytes + OTHER_BYTES
+        return http_server.HttpServer(
+            delegate=token_guard.GuardedApplication(
+                routes, tokens=settings.credentials().tokens
+            ),
+            name='internal',
+            limits=port_limits.PortLimits(
+                max_connections=port_limits.share_of_descriptors(
+                    DESCRIPTORS_SHARE, MAX_CONNECTIONS
+                ),
+                max_body_bytes=settings.max_body_bytes,
+                body_copies=BODY_COPIES,
+                idle_timeout_s=IDLE_CONNECTION_S,
+            ),
+            memory=buffer_budget.BufferBudget(
+                max_body_bytes=max_bytes, max_total_bytes=max_bytes
+            ),
+            observer=observer,
+        )
+
     async def stop(self) -> None:
         """Close the port and stop the node and its components."""
         for component in self._components:
--- a/limpetroute/platform/control_port.py
+++ b/limpetroute/platform/control_port.py
@@ -5,8 +5,6 @@
 import logging
 import typing
 
-from tornado import httpserver
-from tornado import netutil
 from tornado import web
 
 from limpetroute.border import listen_settings
@@ -16,6 +14,9 @@
 from limpetroute.platform import routes_codec
 from limpetroute.platform import routes_reader
 from limpetroute.routing import config_fragments
+from limpetroute.server import http_server
+from limpetroute.server import port_limits
+from limpetroute.wire import buffer_budget
 from limpetroute.wire import caller
 
 LOG = logging.getLogger(__name__)
@@ -23,6 +24,12 @@
 HTTP_BAD_REQUEST = 400
 HTTP_UNAVAILABLE = 503
 MAX_BODY_BYTES = 32 << 20
+# Other ports of the process get the rest.
+DESCRIPTORS_SHARE = 0.3
+MAX_CONNECTIONS = 2048
+IDLE_CONNECTION_S = 75.0
+# A body is received in parts and then joined.
+BODY_COPIES = 2
 
 
 class _Handler(web.RequestHandler):
@@ -138,15 +145,28 @@
             node=node, http=http, parse_services=_service_names
         )
         args = {'submitter': submitter}
-        self._server = httpserver.HTTPServer(
-            web.Application(
+        self._server = http_server.HttpServer(
+            delegate=web.Application(
                 [
                     ('/api/config', _RoutesHandler, args),
                     ('/api/instances/([^/]+)', _RunnerHandler, args),
                 ],
                 log_function=lambda handler: None,
             ),
-            max_body_size=MAX_BODY_BYTES,
+            name='public',
+            limits=port_limits.PortLimits(
+                max_connections=port_limits.share_of_descriptors(
+                    DESCRIPTORS_SHARE, MAX_CONNECTIONS
+                ),
+                max_body_bytes=MAX_BODY_BYTES,
+                body_copies=BODY_COPIES,
+                idle_timeout_s=IDLE_CONNECTION_S,
+            ),
+            memory=buffer_budget.BufferBudget(
+                max_body_bytes=node.settings.max_public_bytes,
+                max_total_bytes=node.settings.max_public_bytes,
+            ),
+            observer=node.port_observer,
         )
 
     def __repr__(self) -> str:
@@ -158,9 +178,7 @@
 
     def start(self) -> None:
         """Start listening."""
-        self._server.add_sockets(
-            netutil.bind_sockets(self._listen.port, self._listen.address)
-        )
+        self._server.listen(self._listen.address, self._listen.port)
 
     def stop(self) -> None:
         """Stop listening."""
