Bound what clients of the product's own interface hold

Seen: 40 uploads that stall, or 400 heads of 4,000 fields, took 188 to 283 MB of a host of 128; 300 idle connections on each port kept others from it.

Cause: a body had a limit of 4 MiB and of time, but all of them together had none, nor had heads and connections. A handler whose caller had left kept the body until the garbage collector ran.

Change: both ports are served by the bounded server with one budget, `max_received_bytes` (48 MiB), which also counts answers that are not taken; a handler drops the body when its connection is closed.

--- a/limpetroute/border/entry_settings.py
+++ b/limpetroute/border/entry_settings.py
@@ -39,6 +39,7 @@
     keep_alive_s: units.Seconds = 5.0
     max_buffer_bytes: int = pydantic.Field(default=262144, ge=4096)
     max_body_bytes: int = pydantic.Field(default=4 << 20, ge=1024)
+    max_received_bytes: int = pydantic.Field(default=48 << 20, ge=1 << 20)
     body_timeout_s: units.Seconds = 10.0
     drain_timeout_s: units.Seconds = 60.0
     telemetry: telemetry_settings.TelemetrySettings = (
--- a/limpetroute/entry/callers/body_handler.py
+++ b/limpetroute/entry/callers/body_handler.py
@@ -80,8 +80,9 @@
         return True
 
     def on_connection_close(self) -> None:
-        """Cancel the timer of the body."""
+        """Cancel the timer of the body and discard what has arrived."""
         self._cancel_timer()
+        self._chunks.clear()
         super().on_connection_close()
 
     def on_finish(self) -> None:
--- a/limpetroute/entry/server.py
+++ b/limpetroute/entry/server.py
@@ -1,16 +1,16 @@
 """HTTP servers for the two ports of the entry process."""
 
 import logging
+import math
 import socket
 import typing
 
-import tornado.httpserver
-import tornado.netutil
 import tornado.web
 
 from limpetroute.border import entry_settings
 from limpetroute.border import listen_settings
 from limpetroute.entry.callers import base_handler
+from limpetroute.entry.callers import body_handler
 from limpetroute.entry.callers import completions_handler
 from limpetroute.entry.callers import connections
 from limpetroute.entry.callers import events_handler
@@ -23,6 +23,10 @@
 from limpetroute.entry.hosting import host as host_module
 from limpetroute.entry.operators import operator_routes
 from limpetroute.entry.peering import peer_routes
+from limpetroute.server import http_server
+from limpetroute.server import port_limits
+from limpetroute.telemetry import port_meters
+from limpetroute.wire import buffer_budget
 from limpetroute.wire import token_guard
 
 LOG = logging.getLogger(__name__)
@@ -30,8 +34,11 @@
 # Above these limits tornado closes the connection without an answer.
 # The handlers' own limits are lower and are answered with an error body.
 MAX_HEADER_BYTES = 256 << 10
-MAX_BODY_BYTES = 1 << 40
 IDLE_CONNECTION_S = 75.0
+# A connection of a caller may need one to a runner.
+CALLERS_SHARE = 0.4
+INTERNAL_SHARE = 0.2
+MAX_CONNECTIONS = 1024
 
 
 class EntryServer:
@@ -46,7 +53,12 @@
     def __init__(self, *, settings: entry_settings.EntrySettings) -> None:
         self.host = host_module.Host(settings=settings)
         self._settings = settings
-        self._servers: list[tornado.httpserver.HTTPServer] = []
+        self._servers: list[http_server.HttpServer] = []
+        self._observer = port_meters.PortMeters(meter=self.host.exports.meter)
+        self._memory = buffer_budget.BufferBudget(
+            max_body_bytes=settings.max_received_bytes,
+            max_total_bytes=settings.max_received_bytes,
+        )
         self.port = 0
         self.internal_port = 0
 
@@ -56,17 +68,22 @@
     def start(self) -> None:
         """Listen on both ports."""
         self.port = self._listen(
+            'callers',
             self._caller_routes(),
             self._settings.listen,
-            max_body_size=MAX_BODY_BYTES,
-            body_timeout=None,
+            # The handlers answer with their own error up to this size.
+            max_body_bytes=body_handler.DISCARD_FACTOR
+            * self._settings.max_body_bytes,
+            share=CALLERS_SHARE,
         )
         self.internal_port = self._listen(
+            'internal',
             self._internal_routes(),
             self._settings.internal_listen,
             self._settings.credentials().tokens,
-            max_body_size=self._settings.max_body_bytes,
-            body_timeout=self._settings.body_timeout_s,
+            max_body_bytes=self._settings.max_body_bytes,
+            share=INTERNAL_SHARE,
+            progress_timeout_s=self._settings.body_timeout_s,
         )
         self.host.start()
         if self._settings.peers.enabled:
@@ -95,30 +112,41 @@
 
     def _listen(
         self,
+        name: str,
         routes: list[tornado.web.URLSpec],
         listen: listen_settings.ListenSettings,
         tokens: typing.Sequence[str] = (),
         *,
-        max_body_size: int,
-        body_timeout: float | None,
+        max_body_bytes: int,
+        share: float,
+        progress_timeout_s: float = math.inf,
     ) -> int:
-        server = tornado.httpserver.HTTPServer(
-            token_guard.GuardedApplication(
+        server = http_server.HttpServer(
+            delegate=token_guard.GuardedApplication(
                 routes,
                 tokens=tokens,
                 default_handler_class=base_handler.NotFoundHandler,
                 default_handler_args={'host': self.host},
             ),
-            ssl_options=listen.tls_context(),
-            max_header_size=MAX_HEADER_BYTES,
-            max_body_size=max_body_size,
-            body_timeout=body_timeout,
-            idle_connection_timeout=IDLE_CONNECTION_S,
+            name=name,
+            limits=port_limits.PortLimits(
+                max_connections=port_limits.share_of_descriptors(
+                    share, MAX_CONNECTIONS
+                ),
+                max_head_bytes=MAX_HEADER_BYTES,
+                max_body_bytes=max_body_bytes,
+                idle_timeout_s=IDLE_CONNECTION_S,
+                progress_timeout_s=progress_timeout_s,
+                stall_timeout_s=self._settings.write_stall_s,
+            ),
+            memory=self._memory,
+            observer=self._observer,
         )
-        sockets = tornado.netutil.bind_sockets(listen.port, listen.address)
+        tls = listen.tls_context()
+        sockets = http_server.bind_sockets(listen.address, listen.port)
         for item in sockets:
             self._limit_connections(item)
-        server.add_sockets(sockets)
+        server.accept(sockets, tls)
         self._servers.append(server)
         return int(sockets[0].getsockname()[1])
 
