Bound what it takes to read a document of a stranger

Seen: four configurations of 30 MB, each a list of empty lists, took 9,047 MB of a control host; four of 2 MB with empty routes, 3,839 MB as heartbeats of 30 MB did, and kept it from answering for 60 s; four bodies of 3.9 MB took 1,462 MB of `entry`. One such request is enough, and each is inside the limit for bodies.

Cause: parsed values take up to 300 bytes each, and each error of an element more, while an element takes two or three bytes of the document; all documents were read at the same time.

Change: the values of a document are counted, without its texts, before it is parsed; lists of a configuration are read up to their first wrong element, and many errors are only counted; one configuration is decoded at a time; a message of a runner has 64 KiB at most.

--- a/limpetroute/border/caller_body.py
+++ b/limpetroute/border/caller_body.py
@@ -8,6 +8,10 @@
 import pydantic_core
 
 from limpetroute.border import errors
+from limpetroute.border import json_size
+
+# Values in the body of a request.
+MAX_VALUES = 50_000
 
 _Model = typing.TypeVar('_Model', bound=pydantic.BaseModel)
 
@@ -34,9 +38,13 @@
     Raises
     ------
     InvalidInputError
-        If the body is not UTF-8 or JSON, is nested too deeply, or does
-        not match the model.
+        If the body is not UTF-8 or JSON, is nested too deeply, has too many
+        values, or does not match the model.
     """
+    try:
+        json_size.check(data, MAX_VALUES)
+    except json_size.TooManyValuesError as exc:
+        raise errors.InvalidInputError(lines=[f'body: {exc}']) from exc
     try:
         content = pydantic_core.from_json(data, allow_inf_nan=False)
     except ValueError as exc:
--- a/limpetroute/border/errors.py
+++ b/limpetroute/border/errors.py
@@ -11,6 +11,8 @@
 
 MAX_SHOWN = 60
 MAX_ALLOWED = 8
+# More errors are counted and not listed, as each takes memory.
+MAX_ERRORS = 1000
 
 _Model = typing.TypeVar('_Model', bound=pydantic.BaseModel)
 
@@ -34,6 +36,8 @@
     model: type[pydantic.BaseModel] | None = None,
 ) -> list[str]:
     """Return one line per invalid field, with its path."""
+    if error.error_count() > MAX_ERRORS:
+        return [f'{error.error_count()} fields are invalid']
     lines = []
     for item in error.errors(include_url=False):
         path = '.'.join(str(part) for part in item['loc'])
--- a/limpetroute/entry/callers/service_handler.py
+++ b/limpetroute/entry/callers/service_handler.py
@@ -6,6 +6,7 @@
 import urllib.parse
 
 from limpetroute.border import caller_body
+from limpetroute.border import json_size
 from limpetroute.entry.callers import body_handler
 from limpetroute.entry.hosting import host as host_module
 from limpetroute.entry.services import call_rules
@@ -118,6 +119,7 @@
     @staticmethod
     def _digest(call: service_call.ServiceCall) -> str:
         try:
+            json_size.check(call.body, caller_body.MAX_VALUES)
             body = caller_body.digest(json.loads(call.body))
         except (ValueError, RecursionError):
             body = hashlib.sha256(call.body).hexdigest()
--- a/limpetroute/platform/control_port.py
+++ b/limpetroute/platform/control_port.py
@@ -22,8 +22,10 @@
 LOG = logging.getLogger(__name__)
 
 HTTP_BAD_REQUEST = 400
+HTTP_TOO_LARGE = 413
 HTTP_UNAVAILABLE = 503
 MAX_BODY_BYTES = 32 << 20
+MAX_RUNNER_BODY_BYTES = 1 << 16
 # Other ports of the process get the rest.
 DESCRIPTORS_SHARE = 0.3
 MAX_CONNECTIONS = 2048
@@ -34,9 +36,12 @@
 
 class _Handler(web.RequestHandler):
     def initialize(
-        self, submitter: command_submitter.CommandSubmitter
+        self,
+        submitter: command_submitter.CommandSubmitter,
+        decoding: asyncio.Lock,
     ) -> None:
         self.submitter = submitter
+        self._decoding = decoding
 
     def reply_unconfirmed(self, result: command_submitter.Unconfirmed) -> None:
         self.set_status(HTTP_UNAVAILABLE)
@@ -50,11 +55,13 @@
 class _RoutesHandler(_Handler):
     async def put(self) -> None:
         try:
-            # Decoding thousands of routes on the event loop would delay
-            # the leader's heartbeats by as much as an election timeout.
-            plan = await asyncio.to_thread(
-                routes_codec.decode, self.request.body
-            )
+            # One at a time, as each takes many times its size.
+            async with self._decoding:
+                # Decoding thousands of routes on the event loop would delay
+                # the leader's heartbeats by as much as an election timeout.
+                plan = await asyncio.to_thread(
+                    routes_codec.decode, self.request.body
+                )
         except routes_codec.InvalidRoutesError as exc:
             LOG.info('routes refused', extra={'reason': str(exc)[:300]})
             self.reply_invalid(str(exc))
@@ -79,6 +86,11 @@
 
 
 class _RunnerHandler(_Handler):
+    def prepare(self) -> None:
+        if len(self.request.body) > MAX_RUNNER_BODY_BYTES:
+            self.set_status(HTTP_TOO_LARGE)
+            self.finish({'reason': 'the body is over the limit'})
+
     async def put(self, runner_id: str) -> None:
         try:
             announced = heartbeat_codec.decode(runner_id, self.request.body)
@@ -144,7 +156,7 @@
         submitter = command_submitter.CommandSubmitter(
             node=node, http=http, parse_services=_service_names
         )
-        args = {'submitter': submitter}
+        args = {'submitter': submitter, 'decoding': asyncio.Lock()}
         self._server = http_server.HttpServer(
             delegate=web.Application(
                 [
--- a/limpetroute/platform/routes_body.py
+++ b/limpetroute/platform/routes_body.py
@@ -93,12 +93,16 @@
     burst: float = pydantic.Field(default=0.0, ge=0, allow_inf_nan=False)
 
 
+_Tenants = typing.Annotated[list[TenantBody], pydantic.Field(fail_fast=True)]
+
+
 class RoutesBody(_Body):
     """The whole configuration."""
 
     version: int
-    routes: list[RouteBody]
-    services: list[ServiceBody]
+    # An error in each of many elements takes more memory than the elements.
+    routes: list[RouteBody] = pydantic.Field(fail_fast=True)
+    services: list[ServiceBody] = pydantic.Field(fail_fast=True)
     limits: LimitsBody = LimitsBody()
     # Without this field, callers need no keys.
-    tenants: list[TenantBody] | None = None
+    tenants: _Tenants | None = None
--- a/limpetroute/platform/routes_codec.py
+++ b/limpetroute/platform/routes_codec.py
@@ -4,6 +4,7 @@
 
 import pydantic
 
+from limpetroute.border import json_size
 from limpetroute.platform import routes_body
 from limpetroute.routing import caller_limits
 from limpetroute.routing import route as route_module
@@ -30,6 +31,12 @@
 }
 
 
+# Values in a configuration; 20,000 routes have fewer.
+MAX_VALUES = 500_000
+# More errors are counted and not listed.
+MAX_ERRORS = 100
+
+
 class InvalidRoutesError(ValueError):
     """A routing configuration that is malformed or inconsistent."""
 
@@ -42,6 +49,12 @@
     InvalidRoutesError
         If the text is malformed or the configuration is inconsistent.
     """
+    try:
+        json_size.check(
+            text.encode() if isinstance(text, str) else text, MAX_VALUES
+        )
+    except json_size.TooManyValuesError as exc:
+        raise InvalidRoutesError(str(exc)) from exc
     try:
         body = routes_body.RoutesBody.model_validate_json(text)
     except pydantic.ValidationError as exc:
@@ -142,6 +155,8 @@
 
 def _describe(exc: pydantic.ValidationError, text: str | bytes) -> str:
     """Return the errors with the names of the teams they concern."""
+    if exc.error_count() > MAX_ERRORS:
+        return f'{exc.error_count()} fields are invalid'
     lines = []
     for error in exc.errors(include_input=False, include_url=False):
         where = '.'.join(str(part) for part in error['loc'])
--- a/tests/clients/payloads.py
+++ b/tests/clients/payloads.py
@@ -52,6 +52,16 @@
     return _head(CHUNKED, start) + b'10000000000\r\n' + b'w' * sent
 
 
+def whole(body, start=START):
+    """A request with its whole body."""
+    return _head(f'Content-Length: {len(body)}\r\n', start) + body
+
+
+def repeated(start, item, size, end):
+    """A document of about this size that repeats one short item."""
+    return start + item * (size // len(item)) + end
+
+
 def followed(size):
     """A whole request, and at once one that lacks its last byte."""
     whole = _head('Request-Id: whole\r\nContent-Length: 0\r\n', WHOLE)
--- a/tests/clients/system.py
+++ b/tests/clients/system.py
@@ -46,8 +46,10 @@
         limits=None,
         timeout_ms=4000,
         descriptors=MAX_DESCRIPTORS,
+        padding_bytes=0,
     ):
         super().__init__(folder)
+        self._padding_bytes = padding_bytes
         self._limits = {**LIMITS, **(limits or {})}
         self._timeout_ms = timeout_ms
         self._descriptors = descriptors
@@ -72,6 +74,8 @@
     async def _submit(self):
         body = json.loads(world_module.routes(self.version))
         body['limits'] = self._limits
+        if self._padding_bytes:
+            body['note'] = 'n' * self._padding_bytes
         for route in body['routes']:
             route['timeout-ms'] = self._timeout_ms
         return await self.world.to_control(
--- a/tests/clients/test_control_host.py
+++ b/tests/clients/test_control_host.py
@@ -51,6 +51,22 @@
         ),
     },
 }
+BEAT = 'PUT /api/instances/p9 HTTP/1.1\r\nHost: h.example\r\n'
+ROUTES = b'{"version":1,"services":[],"routes":['
+# Whole requests that take many times their size to read.
+WHOLE = {
+    'empty routes': payloads.whole(
+        payloads.repeated(ROUTES, b'{},', 2_000_000, b'{}]}'), PUBLIC
+    ),
+    'lists': payloads.whole(
+        payloads.repeated(b'{"x":[', b'[],', LARGE_BYTES, b'[]]}'), PUBLIC
+    ),
+    'lists in a heartbeat': payloads.whole(
+        payloads.repeated(b'{"x":[', b'[],', LARGE_BYTES, b'[]]}'), BEAT
+    ),
+}
+FEW_WHOLE = 4
+READERS = 200
 CASES = [(port, name) for port in CROWDS for name in CROWDS[port]]
 
 
@@ -110,6 +126,31 @@
     _check(_press(tmp_path, [port], payload, count))
 
 
+# Guards against requests that take many times their size to read.
+@pytest.mark.parametrize('name', WHOLE)
+def test_requests_that_are_hard_to_read(tmp_path, name):
+    _check(_press(tmp_path, ['public_listen'], WHOLE[name], FEW_WHOLE))
+
+
+# Guards against answers that are made for clients that do not take them.
+def test_answers_that_are_not_taken(tmp_path):
+    payload = b'GET /api/config HTTP/1.1\r\nHost: h.example\r\n\r\n'
+
+    async def work():
+        async with system_module.System(tmp_path, padding_bytes=4 << 20) as s:
+            return await system_module.press(
+                s.control,
+                ['public_listen'],
+                payload,
+                READERS,
+                lambda: _takes_orders(s),
+            )
+
+    watch = asyncio.run(work())
+    print(watch)
+    _check(watch)
+
+
 # Guards against connections that take the descriptors of members.
 def test_connections_that_send_nothing(tmp_path):
     watch = _press(
--- a/tests/clients/test_own_interface.py
+++ b/tests/clients/test_own_interface.py
@@ -29,6 +29,15 @@
         'one byte short': (payloads.one_byte_short(3_900_000, INTERNAL), FEW),
     },
 }
+CHAT = 'POST /v1/chat/completions HTTP/1.1\r\nHost: h.example\r\n'
+# Takes many times its size to read.
+MESSAGES = payloads.whole(
+    payloads.repeated(
+        b'{"model":"m","messages":[', b'{},', 3_900_000, b'{}]}'
+    ),
+    CHAT,
+)
+FEW_WHOLE = 4
 CASES = [(port, name) for port in CROWDS for name in CROWDS[port]]
 
 
@@ -92,6 +101,12 @@
     _press(tmp_path, [port], payload, count, descriptors)
 
 
+# Guards against requests that take many times their size to read.
+def test_requests_that_are_hard_to_read(tmp_path):
+    descriptors = system_module.MAX_DESCRIPTORS
+    _press(tmp_path, ['listen'], MESSAGES, FEW_WHOLE, descriptors)
+
+
 # Guards against connections that take all descriptors of the process.
 def test_connections_that_send_nothing(tmp_path):
     _press(tmp_path, list(CROWDS), b'', TOO_MANY, FEW_DESCRIPTORS)
