Keep room for the largest configuration beside a crowd, and count TLS

Cause: nothing tested that an operator's configuration of 30 MB arrives while stalled ones hold control's public port, and the buffers of TLS connections counted nothing.

Change: a test of it; `max_public_bytes` is 72 MiB by default, one configuration with its copy and 8 MiB beside; a TLS connection counts 48 KiB more.

--- a/limpetroute/border/control_settings.py
+++ b/limpetroute/border/control_settings.py
@@ -114,7 +114,7 @@
         balancing_settings.BalancingSettings()
     )
     max_body_bytes: int = pydantic.Field(default=64 << 20, ge=65536)
-    max_public_bytes: int = pydantic.Field(default=80 << 20, ge=1 << 20)
+    max_public_bytes: int = pydantic.Field(default=72 << 20, ge=1 << 20)
 
     @pydantic.field_validator('peer_urls')
     @classmethod
--- a/limpetroute/server/http_server.py
+++ b/limpetroute/server/http_server.py
@@ -128,7 +128,10 @@
         if self.free_connections(1) <= 0:
             self._close_unread(sock, 'connections')
             return
-        if not lease.take(served_connection.CONNECTION_BYTES):
+        size = served_connection.CONNECTION_BYTES
+        if self._tls is not None:
+            size += served_connection.TLS_BYTES
+        if not lease.take(size):
             self._close_unread(sock, 'memory')
             return
         try:
--- a/limpetroute/server/served_connection.py
+++ b/limpetroute/server/served_connection.py
@@ -23,6 +23,8 @@
 
 # State of a connection.
 CONNECTION_BYTES = 8 << 10
+# Buffers of a TLS connection.
+TLS_BYTES = 48 << 10
 # What a connection with a request has read ahead, what the system keeps
 # unread for it, and the objects of the request.
 ACTIVE_BYTES = 64 << 10
--- a/tests/clients/system.py
+++ b/tests/clients/system.py
@@ -47,6 +47,7 @@
         timeout_ms=4000,
         descriptors=MAX_DESCRIPTORS,
         padding_bytes=0,
+        control_body_bytes=MAX_CONTROL_BODY_BYTES,
     ):
         super().__init__(folder)
         self._padding_bytes = padding_bytes
@@ -64,7 +65,7 @@
         for process in self.world.controls:
             process.change(
                 metrics=f'{process.name}:{port_pool.free_port()}',
-                max_body_bytes=MAX_CONTROL_BODY_BYTES,
+                max_body_bytes=control_body_bytes,
             )
 
     async def __aenter__(self):
--- a/tests/clients/test_control_host.py
+++ b/tests/clients/test_control_host.py
@@ -70,14 +70,17 @@
 CASES = [(port, name) for port in CROWDS for name in CROWDS[port]]
 
 
-async def _takes_orders(system):
+async def _takes_orders(system, padding_bytes=4096):
     """Return whether the host takes a configuration and a heartbeat.
 
     Both go to this host alone, which hands them to the leader.
     """
     system.version += 1
     body = json.dumps(
-        {**json.loads(world_module.routes(system.version)), 'note': 'n' * 4096}
+        {
+            **json.loads(world_module.routes(system.version)),
+            'note': 'n' * padding_bytes,
+        }
     )
     address = system_module.address_of(system.control, 'public_listen')
     runner = system.world.runners[0]
@@ -126,6 +129,28 @@
     _check(_press(tmp_path, [port], payload, count))
 
 
+# Guards against strangers that keep out the largest configuration.
+def test_a_large_configuration_arrives_beside_a_crowd(tmp_path):
+    payload = payloads.one_byte_short(LARGE_BYTES, PUBLIC)
+    control_body_bytes = 64 << 20
+
+    async def work():
+        async with system_module.System(
+            tmp_path, control_body_bytes=control_body_bytes
+        ) as system:
+            return await system_module.press(
+                system.control,
+                ['public_listen'],
+                payload,
+                FEW,
+                lambda: _takes_orders(system, LARGE_BYTES),
+            )
+
+    watch = asyncio.run(work())
+    print(watch)
+    _check(watch)
+
+
 # Guards against requests that take many times their size to read.
 @pytest.mark.parametrize('name', WHOLE)
 def test_requests_that_are_hard_to_read(tmp_path, name):
