Do not run a request that its own search for memory refused

Seen in review, and in a test: an upload that had made no progress for a second looked for memory for its last part, was itself the one that makes way, got 408, and then ran.

Cause: the connection's own request is among those that may be closed, and the reader went on after that.

Change: the reader checks that its connection is still open once it has the memory. Writes check the same. The time without progress of an answer counts from its first unsent byte. A host closes idle connections for new ones only when none is free.

Evidence: `test_a_request_that_made_way_for_itself_does_not_run` fails without the check (the body reached the handler) and passes with it.

--- a/limpetroute/forwarding/acceptor.py
+++ b/limpetroute/forwarding/acceptor.py
@@ -73,7 +73,7 @@
         self._socket.close()
 
     def _accept_share(self) -> None:
-        free = self._free_connections(self._control.share)
+        free = self._free_connections(1)
         for _ in range(min(self._control.share, free)):
             accepted = self._accept()
             if accepted is None:
--- a/limpetroute/server/bounded_stream.py
+++ b/limpetroute/server/bounded_stream.py
@@ -51,7 +51,9 @@
         return count
 
     def write(self, data: bytes | memoryview) -> typing.Any:
-        if self.owner is None or self.owner.take_unsent(len(data)):
+        if self.owner is None or self.closed():
+            return super().write(data)
+        if self.owner.take_unsent(len(data)) and not self.closed():
             return super().write(data)
         # The answer is cut off, so that it cannot look complete.
         self.close()
--- a/limpetroute/server/http_connection.py
+++ b/limpetroute/server/http_connection.py
@@ -97,6 +97,7 @@
         headers: httputil.HTTPHeaders,
         delegate: httputil.HTTPMessageDelegate,
     ) -> typing.Awaitable[None] | None:
+        self._check_open()
         is_chunked = http1connection.is_transfer_encoding_chunked(headers)
         length = _content_length(headers)
         refusal = None
@@ -114,6 +115,14 @@
         )
         return self._read_and_deliver(delegate, source, refusal)
 
+    def _check_open(self) -> None:
+        """Check that a search for memory did not close this connection.
+
+        Its client may repeat the request elsewhere, so it must not run.
+        """
+        if self.stream.closed():
+            raise iostream.StreamClosedError()
+
     def _own_stream(self) -> bounded_stream.BoundedStream:
         return typing.cast(bounded_stream.BoundedStream, self.stream)
 
@@ -155,6 +164,7 @@
                 delegate, len(body)
             ):
                 return refusal_module.Refusal.NO_MEMORY
+            self._check_open()
             await self._deliver_body(delegate, body)
             # The part must not stay in memory while the next one is awaited.
             del body
--- a/limpetroute/server/served_connection.py
+++ b/limpetroute/server/served_connection.py
@@ -240,6 +240,8 @@
 
     def take_unsent(self, count: int) -> bool:
         """Reserve memory for bytes of an answer; False if there is none."""
+        if not self._stream.writing():
+            self.progress.active_s = self._loop.time()
         if not self._server.limits.counts_unsent:
             return True
         if self.progress.phase is _Phase.REFUSED:
@@ -248,8 +250,6 @@
         if not self._lease.take(count):
             self._server.note_closed('memory for its answer')
             return False
-        if not self.progress.unsent_bytes:
-            self.progress.active_s = self._loop.time()
         self.progress.unsent_bytes += count
         return True
 
--- a/tests/server/test_http_server.py
+++ b/tests/server/test_http_server.py
@@ -179,6 +179,32 @@
     assert bodies == [b'v' * MAX_BODY_BYTES]
 
 
+# Guards against a request that runs although its own search for memory closed
+# its connection.
+def test_a_request_that_made_way_for_itself_does_not_run(monkeypatch):
+    monkeypatch.setattr(connection_eviction, 'MIN_LAG_S', 0.2)
+    room = 2 * BUSY_BYTES + 32_000
+
+    async def work():
+        async with _port(max_bytes=room) as port:
+            start = HEAD + b'Content-Length: 18000\r\n\r\n'
+            reader, writer = await port.open(start + b'w' * 16_000)
+            await asyncio.sleep(0.4)
+            _, other = await port.open(start + b'w' * 15_000)
+            await asyncio.sleep(0.05)
+            writer.write(b'w' * 2_000)
+            async with asyncio.timeout(TIMEOUT_S):
+                refused = await reader.readline()
+            await asyncio.sleep(0.1)
+            writer.close()
+            other.close()
+            return refused, port.bodies
+
+    refused, bodies = _run(work)
+    assert refused.startswith(b'HTTP/1.1 408')
+    assert bodies == []
+
+
 # Guards against connections without a request that take all descriptors.
 def test_an_unused_connection_makes_way(monkeypatch):
     monkeypatch.setattr(connection_eviction, 'MIN_LAG_S', 0.2)
