--- a/limpetroute/server/served_connection.py
+++ b/limpetroute/server/served_connection.py
@@ -26,8 +26,8 @@
 # Buffers of a TLS connection.
 TLS_BYTES = 48 << 10
 # What a connection with a request has read ahead, what the system keeps
-# unread for it, and the objects of the request.
-ACTIVE_BYTES = 64 << 10
+# unread for it, and the objects of the request and of its link to a runner.
+ACTIVE_BYTES = 96 << 10
 # Objects of one header, beside its text.
 FIELD_BYTES = 512
 # How often the text of a head is kept.
