Remove a parameter that nobody gives, and a second reading of memory

Cause: read-through. `HttpServer` took a pacer that no caller passed, and the tests of clients had their own copy of `tests.soak.bodies.used_mb`.

Change: both are gone; crowds, bounds and checks are as before.

--- a/limpetroute/server/http_server.py
+++ b/limpetroute/server/http_server.py
@@ -47,8 +47,6 @@
         Limits of the port.
     memory : BufferBudget
         Memory that all connections may use together.
-    pacer : ReadPacer or None
-        Shared by the ports of one process; None for a pacer of its own.
     observer : PortObserver or None
         Counts what is closed and refused.
     """
@@ -60,7 +58,6 @@
         name: str,
         limits: port_limits.PortLimits,
         memory: buffer_budget.BufferBudget,
-        pacer: read_pacer.ReadPacer | None = None,
         observer: port_observer.PortObserver | None = None,
     ) -> None:
         self.delegate = delegate
@@ -75,7 +72,8 @@
         self.observer = observer or port_observer.RelayedObserver()
         self.table = connection_table.ConnectionTable(server=self)
         memory.reclaimers.append(self.table.free_memory)
-        self._pacer = pacer
+        # Needs the event loop, which runs when the first connection comes.
+        self._pacer: read_pacer.ReadPacer | None = None
         self._sockets: list[socket.socket] = []
         self._stop_accepting: list[typing.Callable[[], None]] = []
         self._tls: ssl.SSLContext | None = None
--- a/tests/clients/usage.py
+++ b/tests/clients/usage.py
@@ -5,23 +5,13 @@
 import pathlib
 import struct
 
+from tests.soak import bodies
+
 PERIOD_S = 0.02
 # Columns of /proc/net/tcp.
 LOCAL, QUEUES = 1, 4
 
 
-def private_mb(pid):
-    """Return the memory that a process has for itself, without files."""
-    try:
-        text = pathlib.Path(f'/proc/{pid}/status').read_text()
-    except OSError:
-        return 0.0
-    for line in text.splitlines():
-        if line.startswith('RssAnon:'):
-            return int(line.split()[1]) / 1024
-    return 0.0
-
-
 def unread_mb(host):
     """Return the bytes that have arrived for an address, and are unread."""
     packed = ipaddress.IPv4Address(host).packed
@@ -49,7 +39,7 @@
     def __init__(self, pid, host):
         self._pid = pid
         self._host = host
-        self.idle_mb = private_mb(pid)
+        self.idle_mb = bodies.used_mb(pid)
         self.peak_mb = 0.0
         self.peak_unread_mb = 0.0
         self.peak_descriptors = 0
@@ -72,7 +62,7 @@
     async def _run(self):
         while True:
             unread_mb_now = await asyncio.to_thread(unread_mb, self._host)
-            used_mb = private_mb(self._pid) + unread_mb_now
+            used_mb = bodies.used_mb(self._pid) + unread_mb_now
             self.peak_mb = max(self.peak_mb, used_mb)
             self.peak_unread_mb = max(self.peak_unread_mb, unread_mb_now)
             self.peak_descriptors = max(
