--- a/limpetroute/platform/control_port.py
+++ b/limpetroute/platform/control_port.py
@@ -55,7 +55,8 @@
 class _RoutesHandler(_Handler):
     async def put(self) -> None:
         try:
-            # One at a time, as each takes many times its size.
+            # Parsed configurations take many times their size, so they are
+            # decoded one at a time.
             async with self._decoding:
                 # Decoding thousands of routes on the event loop would delay
                 # the leader's heartbeats by as much as an election timeout.
