--- a/limpetroute/border/json_size.py
+++ b/limpetroute/border/json_size.py
@@ -14,7 +14,7 @@
 def check(data: bytes, max_values: int) -> None:
     """Check the number of values in a JSON document before it is parsed.
 
-    A value takes up to 300 bytes, however few it takes in the document.
+    A value takes some hundred bytes, however few it takes in the document.
 
     Raises
     ------
