Review: a late heartbeat removes live runners for good (Starved)

The control log lets a heartbeat of an identity that it does not know take over an address, also one of a shorter and earlier life, and never takes back the runner that it displaced, whose heartbeats it acknowledges.

--- a/review/lib-2/kit.py
+++ b/review/lib-2/kit.py
@@ -259,11 +259,17 @@
         number: int,
         work_s: typing.Callable[[], float],
         slots: int = 6,
+        has_born: bool = False,
     ) -> None:
+        self._has_born = has_born
+        self.born = 0
+        self.acknowledged = 0
+        self.misdirected = 0
         self._deployment = deployment
         self._record = deployment.record
         self.service = service
-        self.runner_id = f'i-{number:04x}{random.getrandbits(32):08x}'
+        self._number = number
+        self.runner_id = new_id(number)
         self.ip = f'{deployment.runner_net}{10 + number}'
         self.port = free_ports([self.ip], 1)[0]
         self._work_s = work_s
@@ -283,22 +289,35 @@
     def address(self) -> str:
         return f'{self.ip}:{self.port}'
 
+    def renew(self) -> None:
+        """Begin a new life, with an identity of its own."""
+        self.born = round(time.time() * 1000)
+        self.runner_id = new_id(self._number)
+        self._sequence = 0
+
+    async def crash(self) -> None:
+        """End without a word; connections to the address are refused."""
+        self._record(f'{self.runner_id} crashes')
+        await self.end()
+
     async def start(self) -> None:
-        await self._listen()
+        if not self.born:
+            self.renew()
+        await self.listen()
         await until(self._is_announced, 25, 'an acknowledged heartbeat')
         self._beats = asyncio.create_task(self._beat_on())
 
     async def _is_announced(self) -> bool:
         return 200 <= await self.beat() < 300
 
-    async def _listen(self) -> None:
+    async def listen(self) -> None:
         self._server = await asyncio.start_server(
             self._serve, self.ip, self.port
         )
 
-    async def beat(self, state: str = 'ready') -> int:
+    def heartbeat(self, state: str = 'ready') -> dict[str, typing.Any]:
         self._sequence += 1
-        body = {
+        body: dict[str, typing.Any] = {
             'service': self.service,
             'address': self.address,
             'zone': ZONES[0],
@@ -308,11 +327,18 @@
             'cold-left-ms': 0,
             'seq': self._sequence,
         }
+        if self._has_born:
+            body['born'] = self.born
+        return body
+
+    async def beat(self, state: str = 'ready') -> int:
+        body = self.heartbeat(state)
         status, _ = await self._deployment.control(
             'PUT',
             f'/api/instances/{self.runner_id}',
             json.dumps(body).encode(),
         )
+        self.acknowledged += 200 <= status < 300
         return status
 
     async def _beat_on(self) -> None:
@@ -353,7 +379,7 @@
         for task in list(self._tasks):
             task.cancel()
         await asyncio.sleep(0)
-        await self._listen()
+        await self.listen()
         await self.beat()
         self._beats = asyncio.create_task(self._beat_on())
         self._record(f'runner {self.runner_id} is back')
@@ -396,6 +422,7 @@
             return True
         echoed = {'Request-Id': request_id}
         if headers.get('expect-instance', self.runner_id) != self.runner_id:
+            self.misdirected += 1
             write(writer, 421, echoed, b'')
             return True
         if not request_id:
@@ -422,7 +449,7 @@
         while self._is_dark:
             await asyncio.sleep(0.05)
         status, answer = run.result()
-        extra = {} if status == 200 else {}
+        extra = {}
         if status == 503:
             extra['Not-Run'] = '1'
         else:
@@ -455,6 +482,10 @@
             self._slots.release()
 
 
+def new_id(number: int) -> str:
+    return f'i-{number:04x}{random.getrandbits(32):08x}'
+
+
 # HTTP
 
 
