--- a/review/lib-2/kit.py
+++ b/review/lib-2/kit.py
@@ -283,6 +283,7 @@
         self._sequence = 0
         self._silent: list[socket.socket] = []
         self._is_dark = False
+        self._is_down = False
         deployment.runners.append(self)
 
     @property
@@ -311,6 +312,7 @@
         return 200 <= await self.beat() < 300
 
     async def listen(self) -> None:
+        self._is_down = False
         self._server = await asyncio.start_server(
             self._serve, self.ip, self.port
         )
@@ -385,6 +387,7 @@
         self._record(f'runner {self.runner_id} is back')
 
     async def end(self) -> None:
+        self._is_down = True
         if self._beats is not None:
             self._beats.cancel()
         if self._server is not None:
@@ -397,6 +400,10 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        if self._is_down:
+            # Accepted just before the end.
+            writer.transport.abort()
+            return
         task = asyncio.current_task()
         assert task is not None
         self._tasks.add(task)
