Keep connections open whose request has been answered

What callers saw: one of several plain runners drops all packets. A caller with a kept connection gets its answer from another runner, sends its next request, and the connection is closed without an answer to that, while it runs at a sound runner. Once-only requests among them can't be sent again.

Cause: the timeout of a route covered all that the host does for a request, also after its answer. After a connect that failed, the host probes other runners for up to 0.1 s. If the time ended there, `write_status` took the answer for one that had begun and closed the connection, which carried the next request by then.

Change: once an answer is complete, the time of its request no longer runs, and a complete answer is neither replaced nor aborted. What is left to do is done to its end and counts as an open request of a host that stops. The probe, the wait of the next try, and the end of an incomplete answer stay as they are. Streams have the same path: the release of a placement waits for the probe. There, failures were also reported unchecked when the time ended.

Why this works: the limit is lifted in the step that completes the answer, before the connection reads the next request.

--- a/limpetroute/forwarding/forwarder.py
+++ b/limpetroute/forwarding/forwarder.py
@@ -1,7 +1,9 @@
 """Forwards each request by its route."""
 
 import asyncio
+import contextlib
 import logging
+import typing
 
 from limpetroute.forwarding import caller_request
 from limpetroute.forwarding import forward_context
@@ -315,7 +317,7 @@
             )
         timeout_s = context.remaining_s(request, route)
         try:
-            async with asyncio.timeout(timeout_s):
+            async with _answer_timeout(timeout_s, responder):
                 await self._run(forward, request, route, responder)
         except TimeoutError:
             await local_reply.write(
@@ -408,3 +410,25 @@
 
     def _log_caller_gone(self, request: caller_request.CallerRequest) -> None:
         LOG.info('caller gone', extra={'request': request.request_id})
+
+
+@contextlib.asynccontextmanager
+async def _answer_timeout(
+    timeout_s: float, responder: responder_module.Responder
+) -> typing.AsyncIterator[None]:
+    """Limit the time until an answer is complete.
+
+    What is left to do after the answer is not cut: the time of the request
+    has ended with it.
+    """
+    async with asyncio.timeout(timeout_s) as timeout:
+
+        def disarm() -> None:
+            if not timeout.expired():
+                timeout.reschedule(None)
+
+        responder.on_complete = disarm
+        try:
+            yield
+        finally:
+            responder.on_complete = None
--- a/limpetroute/forwarding/local_reply.py
+++ b/limpetroute/forwarding/local_reply.py
@@ -104,8 +104,11 @@
     """Answer a request with a status and a reason.
 
     A refusal without ``retry_after_s`` names no time for a retry.
-    An answer that has already started is aborted instead.
+    An answer that has already started is aborted instead, and one that is
+    complete is left as it is.
     """
+    if responder.finished:
+        return
     headers = context.dialect.local_reply_headers(request)
     headers['Content-Type'] = 'application/json'
     if status in _RETRYABLE and retry_after_s is not None:
--- a/limpetroute/forwarding/responder.py
+++ b/limpetroute/forwarding/responder.py
@@ -59,6 +59,9 @@
         self.gone = asyncio.Event()
         self.started = False
         self.finished = False
+        # Called once the answer is complete. From then on, the connection
+        # belongs to the caller's next request.
+        self.on_complete: typing.Callable[[], None] | None = None
 
     def __repr__(self) -> str:
         return (
@@ -101,6 +104,8 @@
     async def finish(self) -> None:
         """End a complete answer."""
         self.finished = True
+        if self.on_complete is not None:
+            self.on_complete()
         if self._request_read is not None:
             await self._request_read.wait()
         try:
@@ -111,7 +116,12 @@
             await self._close_after_flush()
 
     def abort(self) -> None:
-        """Close the connection so that the answer cannot look complete."""
+        """Close the connection so that the answer cannot look complete.
+
+        Without effect on an answer that is complete.
+        """
+        if self.finished:
+            return
         self.finished = True
         stream = self._connection.stream
         if self._ends_with_connection and not stream.closed():
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,7 +1,7 @@
 """Soak real processes: python -m tests.soak [--seeds 1-50] [options].
 
 Options are --teams and --cuts, --silences, --versions, --losses,
---stops, --bodies, --herds, --leaders, or --holds.
+--stops, --bodies, --herds, --leaders, --holds, or --dark.
 Prints a line for each seed, with its folder of logs where it failed.
 """
 
@@ -30,12 +30,13 @@
     parser.add_argument('--herds', action='store_true')
     parser.add_argument('--leaders', action='store_true')
     parser.add_argument('--holds', action='store_true')
+    parser.add_argument('--dark', action='store_true')
     args = parser.parse_args()
     if args.versions and (args.teams or args.cuts or args.silences):
         parser.error('--versions goes with no other option')
     if args.losses and (args.versions or args.cuts or args.silences):
         parser.error('--losses goes with no option but --teams')
-    alone = ('stops', 'bodies', 'herds', 'leaders', 'holds')
+    alone = ('stops', 'bodies', 'herds', 'leaders', 'holds', 'dark')
     given = [name for name, value in vars(args).items() if value is True]
     if len(given) > 1 and any(name in given for name in alone):
         parser.error(f'{", ".join(alone)} go with no other option')
@@ -58,6 +59,7 @@
             has_bodies=args.bodies,
             has_leaders=args.leaders,
             has_holds=args.holds,
+            has_dark=args.dark,
         )
         try:
             broken = asyncio.run(run.run())
@@ -80,6 +82,8 @@
             print(f' served, {run.watch.peak_mb:.0f} MB at most', end='')
         if args.stops:
             print(f', {run.long_calls} long calls served', end='')
+        if args.dark:
+            print(f', brief calls {dict(run.brief_calls)}', end='')
         if args.losses:
             print(f', {run.replaced_controls} control hosts gone', end='')
         if run.orders:
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -45,6 +45,16 @@
 # With large bodies of many callers at once.
 KINDS_WITH_BODIES = (*KINDS, *('flood_forward',) * 8)
 
+# With runners that drop all packets for a while, and hosts that go on.
+KINDS_WITH_DARK = (
+    *('darken_runner',) * 6,
+    *('slow_runner',) * 2,
+    'kill_control',
+    'stop_control',
+    'pause_control',
+    'submit',
+)
+
 # With leaders that change while they give orders.
 KINDS_WITH_LEADERS = (
     *('slow_leader',) * 4,
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -1,7 +1,10 @@
 """A runner that notes what it ran, and a proxy before it with faults."""
 
 import asyncio
+import contextlib
 import json
+import random
+import socket
 import time
 
 from tests.soak import orders as orders_module
@@ -12,6 +15,10 @@
 DOWN_S = 0.4
 # Time that it works on a request of the route with long calls.
 LONG_S = 1.8
+# Shortest and longest time for a request of the routes with brief calls.
+BRIEF_S = (0.03, 0.2)
+# Connections that fill the queue of a port that accepts none.
+FILLING = 3
 # Time from the head of an answer to a crash under a part of the prompt.
 CRASH_DELAY_S = 0.095
 ORDER_PATH = '/api/order'
@@ -71,6 +78,9 @@
         # Called once, as soon as somebody connects.
         self.on_connect = None
         self._silent_until_s = 0.0
+        # Sockets of a port that drops what arrives.
+        self._dark = []
+        self._rng = random.Random(name)
         self._lives = 0
         self._first_name = name
         self._doors = set()
@@ -84,6 +94,7 @@
 
     def close(self):
         self._server.close()
+        self._light_up()
 
     def heartbeat(self, sequence):
         body = {
@@ -119,6 +130,43 @@
         now_s = asyncio.get_running_loop().time()
         self._silent_until_s = max(self._silent_until_s, now_s + for_s)
 
+    @property
+    def is_dark(self):
+        return bool(self._dark)
+
+    async def go_dark(self, for_s):
+        """Drop all packets for a while, and then go on.
+
+        Its port stays bound with a full queue of connections, so that a
+        connect is neither accepted nor refused.
+        """
+        if self._dark:
+            return
+        host, _, port = self.address.rpartition(':')
+        address = (host, int(port))
+        self._server.close()
+        self.silence()
+        bound = socket.socket()
+        self._dark = [bound]
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound.bind(address)
+        bound.listen(0)
+        for _ in range(FILLING):
+            filling = socket.socket()
+            self._dark.append(filling)
+            filling.setblocking(False)
+            with contextlib.suppress(BlockingIOError):
+                filling.connect(address)
+        await asyncio.sleep(for_s)
+        self._light_up()
+        self.reset()
+        await self.start(*address)
+
+    def _light_up(self):
+        for one in self._dark:
+            one.close()
+        self._dark = []
+
     async def crash(self, version=None):
         """End, and come back at the same address as another runner.
 
@@ -244,6 +292,8 @@
             return
         if ' /long/' in head:
             await asyncio.sleep(LONG_S)
+        elif ' /brief' in head:
+            await asyncio.sleep(self._rng.uniform(*BRIEF_S))
         body = f'{request_id} by {self.name}'.encode()
         headers = {
             'Runner-Stamp': self.name,
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -40,6 +40,8 @@
 CATCH_UP_S = 4.0
 # Callers of the route with long calls, each with a connection of its own.
 LONG_CALLERS = 16
+# The same of the routes with brief calls, which call without a pause.
+BRIEF_CALLERS = 24
 # A call that came so late after a stop began is not broken off, and an earlier
 # one only in the last part of the grace time.
 STOPS_AFTER_S = 3.0
@@ -80,6 +82,7 @@
         has_herds=False,
         has_leaders=False,
         has_holds=False,
+        has_dark=False,
     ):
         self.seed = seed
         self._has_silences = has_silences
@@ -105,6 +108,8 @@
         elif has_holds:
             self._kinds = plan.KINDS_WITH_HOLDS
             self._gaps_s = plan.HOLD_GAPS_S
+        elif has_dark:
+            self._kinds = plan.KINDS_WITH_DARK
         # Hosts that were frozen, and when they went on.
         self._thaws = []
         self._has_stops = has_stops
@@ -115,6 +120,9 @@
         # Long calls without an answer: id, host, when they began and ended.
         self._cut_off = []
         self.long_calls = 0
+        self._has_dark = has_dark
+        # How each of the brief calls ended.
+        self.brief_calls = collections.Counter()
         self._has_teams = has_teams
         self._has_versions = has_versions
         self._replaced = itertools.count(1)
@@ -171,6 +179,11 @@
                     asyncio.create_task(self._call_long(number))
                     for number in range(LONG_CALLERS)
                 ]
+            if self._has_dark:
+                self._tasks += [
+                    asyncio.create_task(self._call_briefly(number))
+                    for number in range(BRIEF_CALLERS)
+                ]
             await self._play()
             await self._recover()
             for task in self._tasks:
@@ -219,6 +232,7 @@
             self._others,
             teams.bodies(version) if self._has_teams else None,
             has_swings=bool(self.world.swings),
+            brief=self._has_dark,
         )
         got = await self.world.to_control('PUT', '/api/config', body, version)
         if got is None:
@@ -233,7 +247,7 @@
                 # What is acknowledged is what this heartbeat says, not
                 # what the runner has become meanwhile.
                 says_so = one.leaving
-                acked = await self.world.beat(one)
+                acked = not one.is_dark and await self.world.beat(one)
                 if acked and says_so and one.draining_since is None:
                     one.draining_since = asyncio.get_running_loop().time()
             beat_s = SWING_BEAT_S if one in self.world.swings else 0.5
@@ -294,6 +308,29 @@
         finally:
             one.close()
 
+    async def _call_briefly(self, number):
+        """Call without a pause on a kept connection.
+
+        No host is disturbed, so that each call is answered.
+        """
+        host = number % world_module.FORWARDS
+        name = f'brief-{number}'
+        one = kept_caller.KeptCaller(self.world.entry_urls[host], name)
+        routes = len(world_module.BRIEF_TIMEOUTS_MS)
+        kind = ('once', 'safe')[number // routes % 2]
+        path = f'/brief{number % routes}/{kind}/x'
+        try:
+            for count in itertools.count(1):
+                outcome = await one.ask(path, count)
+                self.brief_calls[outcome.status] += 1
+                if not outcome.whole:
+                    self.promises.broken.append(
+                        f'{name}-{count}: status {outcome.status}, '
+                        f'connection closed after {len(outcome.body)} bytes'
+                    )
+        finally:
+            one.close()
+
     async def _ask(self, answer, number):
         link = await self._send(answer, number, PREFIXES[answer.kind])
         try:
@@ -602,6 +639,8 @@
             one.reset()
         elif subject == 'hush':
             one.fall_silent(fault.for_s)
+        elif subject == 'darken':
+            await one.go_dark(fault.for_s)
         elif subject == 'slow':
             one.slow_s = 0.3
             await asyncio.sleep(fault.for_s)
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -81,6 +81,22 @@
     )
 
 
+# Guards against answered requests that close what their callers send next,
+# while hosts probe runners that drop all packets.
+@pytest.mark.parametrize(('seed', 'seconds'), [(7002, 8), (7006, 8)])
+def test_kept_connections_stay_open_while_runners_are_dark(
+    tmp_path, seed, seconds
+):
+    run = soak.Soak(tmp_path, seed, seconds, has_dark=True)
+    broken = asyncio.run(run.run())
+    logs = {one.name: one.log()[-1500:] for one in run.world.forwards}
+    assert not broken, (broken, logs)
+    assert run.brief_calls[200] > 100
+    # The run shows nothing if no host met a runner that drops its packets.
+    sends = [one.log().count('"not_sent"') for one in run.world.forwards]
+    assert any(sends)
+
+
 # Guards against streams with events of two software versions, while a release
 # replaces decode runners one by one and hosts are lost.
 @pytest.mark.parametrize(('seed', 'seconds'), [(95001, 8)])
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -26,6 +26,8 @@
     *(('prefill', 'prefill', 'decode'),) * 6,
 )
 REVERTS_S = 0.4
+# Timeouts of routes that leave little time after a connect that fails.
+BRIEF_TIMEOUTS_MS = (450, 500, 600)
 # Part of their orders that they carry out late, and do not answer.
 DEFERRED_SHARE = 0.4
 
@@ -284,11 +286,12 @@
         return got is not None
 
 
-def routes(version, others=0, teams=None, *, has_swings=False):
+def routes(version, others=0, teams=None, *, has_swings=False, brief=False):
     """A configuration; each version has a route of its own, and others.
 
     ``teams`` is the list of the teams, if callers need keys. With
-    ``has_swings``, there are the services whose runners need orders.
+    ``has_swings``, there are the services whose runners need orders, and
+    with ``brief``, the routes of brief calls.
     """
     common = {'host': 'h.example', 'timeout-ms': 4000, 'slo-ms': 900}
     found = [
@@ -297,6 +300,15 @@
     ]
     long = {**found[0], 'path-prefix': '/long/', 'timeout-ms': 2000}
     found.append(long)
+    for number, timeout_ms in enumerate(BRIEF_TIMEOUTS_MS if brief else ()):
+        for kind in found[:2]:
+            found.append(
+                {
+                    **kind,
+                    'path-prefix': f'/brief{number}{kind["path-prefix"]}',
+                    'timeout-ms': timeout_ms,
+                }
+            )
     for route in found:
         route.update({'service': 'plain', 'attempts': 2})
     found.append(
