Take no success without a length while the request is unsent

What callers saw (reported of other systems, and shown here): a runner answers a long upload at once with a 200 without a length, sends a part of the body, ends its side and resets the connection later, while the upload is being written. The caller got the part as a complete answer.

Cause: the reader took the end of the connection for the end of the answer and closed its socket, which drops what is unsent. Whether the request had been received played no part.

A reset that comes before the end was seen as one already.

Change: at the end of a connection, before its socket is closed, the reader looks whether bytes of the request are unsent or unacknowledged and whether the connection has been reset as well. A success without a length is incomplete then, like one that broke off. Nothing waits.

Not covered: a request that fits in the receive buffer of the runner's machine counts as received, and servers that are named by host name are not checked.

--- a/limpetroute/wire/connection.py
+++ b/limpetroute/wire/connection.py
@@ -15,6 +15,7 @@
 
 from limpetroute.wire import call_failed
 from limpetroute.wire import chunked_body
+from limpetroute.wire import client_stream
 from limpetroute.wire import connection_pool
 from limpetroute.wire import delivery_bound
 from limpetroute.wire import drop_reason
@@ -27,6 +28,7 @@
 MAX_BUFFERED_CHUNKS = 16
 IP_VERSION_6 = 6
 HTTP_OK = 200
+HTTP_REDIRECTION = 300
 PERSISTENT_VERSION = 'HTTP/1.1'
 
 
@@ -50,6 +52,8 @@
         self._counts_interim = counts_interim
         # Called when the head of the response has arrived.
         self.on_head: typing.Callable[[], None] = _do_nothing
+        # Returns whether a response that has ended is incomplete.
+        self.is_cut: typing.Callable[[], bool] = lambda: False
         self.status = 0
         self.version = ''
         self.headers: httputil.HTTPHeaders = httputil.HTTPHeaders()
@@ -93,7 +97,7 @@
         await taken.wait()
 
     def finish(self) -> None:
-        self.whole = True
+        self.whole = not self.is_cut()
         self._end()
 
     def on_connection_close(self) -> None:
@@ -218,6 +222,7 @@
         self._tls = tls
         self._stream: iostream.IOStream | None = None
         self._collector = _Collector(counts_interim=counts_interim)
+        self._collector.is_cut = self._is_unread_success
         self._task: asyncio.Future[bool] | None = None
 
     def __repr__(self) -> str:
@@ -358,12 +363,14 @@
         sock = socket.socket(family)
         address = (self._host, self._port)
         if self._tls is None:
-            self._stream = iostream.IOStream(sock)
+            self._stream = client_stream.ClientStream(sock)
             return await self._stream.connect(address)
         # Create a TLS stream from the start. A plain stream that is
         # upgraded to TLS detaches its socket, which then could not be
         # closed if the handshake fails or hangs.
-        self._stream = iostream.SSLIOStream(sock, ssl_options=self._tls)
+        self._stream = client_stream.TlsClientStream(
+            sock, ssl_options=self._tls
+        )
         return await self._stream.connect(address, server_hostname=self._host)
 
     def _write(
@@ -421,6 +428,19 @@
         assert self._stream is not None
         self._has_early_answer = idle_check.has_unsent(self._stream)
 
+    def _is_unread_success(self) -> bool:
+        """Return whether a server that had not read the request succeeded.
+
+        The end of the connection is all that shows the end of the response,
+        and the server broke off. A refusal may come so early.
+        """
+        return (
+            self.framing is Framing.CLOSE
+            and HTTP_OK <= self.status < HTTP_REDIRECTION
+            and isinstance(self._stream, client_stream.STREAMS)
+            and self._stream.ended_early
+        )
+
     def _on_read_end(self, task: 'asyncio.Future[bool]') -> None:
         if not task.cancelled():
             task.exception()
--- a/limpetroute/wire/idle_check.py
+++ b/limpetroute/wire/idle_check.py
@@ -44,7 +44,10 @@
     """Return whether the server has not received all that was written."""
     if stream.closed():
         return False
-    if stream.writing():
-        return True
+    return stream.writing() or unacknowledged_bytes(stream) > 0
+
+
+def unacknowledged_bytes(stream: iostream.IOStream) -> int:
+    """Return how much of what the system has sent the server has not got."""
     queued = fcntl.ioctl(stream.socket, termios.TIOCOUTQ, b'\0' * 4)
-    return struct.unpack('i', queued)[0] > 0
+    return int(struct.unpack('i', queued)[0])
