Refuse answers whose status is above 599

What callers saw (reported of other systems; here for 600 and 999): a runner in trouble answers with a status that HTTP does not know, and the caller gets it.

Cause: the reader took every status of three digits from 200 on for a final answer. Values outside 100 to 599 are invalid (RFC 9110, section 15). 000 and 099 led to 502 only as they count as interim answers, after which none comes.

Change: an answer with a status above 599 is none, in the one class that reads all answers. The runner counts as failed, like one that broke off.

Also gives the soak runners in trouble (--trouble): invalid statuses, and uploads that are answered before they were read.

--- a/limpetroute/wire/client_stream.py
+++ b/limpetroute/wire/client_stream.py
@@ -6,7 +6,6 @@
 
 from limpetroute.wire import idle_check
 
-
 # At the end of a connection without the closing alert of the other side, TLS
 # queues an alert of its own.
 MAX_ALERT_BYTES = 64
--- a/limpetroute/wire/connection.py
+++ b/limpetroute/wire/connection.py
@@ -29,6 +29,7 @@
 IP_VERSION_6 = 6
 HTTP_OK = 200
 HTTP_REDIRECTION = 300
+MAX_STATUS = 599
 PERSISTENT_VERSION = 'HTTP/1.1'
 
 
@@ -72,6 +73,10 @@
         headers: httputil.HTTPHeaders,
     ) -> None:
         assert isinstance(start_line, httputil.ResponseStartLine)
+        if start_line.code > MAX_STATUS:
+            # No answer (RFC 9110, section 15).
+            self.started.set()
+            return
         if start_line.code < HTTP_OK:
             # An interim response; the checks of the head are for the final
             # one.
@@ -327,7 +332,9 @@
         if not self._collector.status:
             self.close()
             return call_failed.CallFailed(
-                kind=call_failed.FailureKind.CLOSED, sent=True
+                kind=call_failed.FailureKind.CLOSED,
+                sent=True,
+                detail='no valid answer',
             )
         return None
 
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,7 +1,8 @@
 """Soak real processes: python -m tests.soak [--seeds 1-50] [options].
 
 Options are --teams and --cuts, --silences, --versions, --losses,
---stops, --bodies, --herds, --leaders, --holds, or --dark.
+--stops, --bodies, --herds, --leaders, --holds, --dark,
+or --trouble.
 Prints a line for each seed, with its folder of logs where it failed.
 """
 
@@ -32,12 +33,13 @@
     parser.add_argument('--leaders', action='store_true')
     parser.add_argument('--holds', action='store_true')
     parser.add_argument('--dark', action='store_true')
+    parser.add_argument('--trouble', action='store_true')
     args = parser.parse_args()
     if args.versions and (args.teams or args.cuts or args.silences):
         parser.error('--versions goes with no other option')
     if args.losses and (args.versions or args.cuts or args.silences):
         parser.error('--losses goes with no option but --teams')
-    alone = ('stops', 'bodies', 'herds', 'leaders', 'holds', 'dark')
+    alone = ('stops', 'bodies', 'herds', 'leaders', 'holds', 'dark', 'trouble')
     given = [name for name, value in vars(args).items() if value is True]
     if len(given) > 1 and any(name in given for name in alone):
         parser.error(f'{", ".join(alone)} go with no other option')
@@ -61,6 +63,7 @@
             has_leaders=args.leaders,
             has_holds=args.holds,
             has_dark=args.dark,
+            has_trouble=args.trouble,
             first_version=plan.FIRST_VERSIONS[seed % len(plan.FIRST_VERSIONS)],
         )
         try:
@@ -84,6 +87,9 @@
             print(f' served, {run.watch.peak_mb:.0f} MB at most', end='')
         if args.stops:
             print(f', {run.long_calls} long calls served', end='')
+        if args.trouble:
+            troubled = sum(one.troubled for one in run.world.runners)
+            print(f', {troubled} answers in trouble', end='')
         if args.dark:
             print(f', brief calls {dict(run.brief_calls)}', end='')
         if args.losses:
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -55,6 +55,9 @@
     'submit',
 )
 
+# With runners that break off early answers, or give ones with no valid status.
+KINDS_WITH_TROUBLE = (*KINDS, *('trouble_runner',) * 8)
+
 # With leaders that change while they give orders.
 KINDS_WITH_LEADERS = (
     *('slow_leader',) * 4,
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -92,6 +92,8 @@
             self.broken.append(f'{name}: a key in force was refused')
         if answer.kind == 'once' and answer.status in NOT_RUN and runs:
             self.broken.append(f'{name} was said not to have run, and did')
+        if answer.status and not 200 <= answer.status <= 599:
+            self.broken.append(f'{name}: status {answer.status}')
         if answer.status != 200 or not answer.whole:
             return
         if answer.kind == 'stream':
--- a/tests/soak/runner.py
+++ b/tests/soak/runner.py
@@ -5,6 +5,7 @@
 import json
 import random
 import socket
+import struct
 import time
 
 from tests.soak import orders as orders_module
@@ -17,6 +18,10 @@
 LONG_S = 1.8
 # Shortest and longest time for a request of the routes with brief calls.
 BRIEF_S = (0.03, 0.2)
+# How a runner in trouble answers: without a length before it has read the
+# request, or with these statuses.
+EARLY = 'early'
+INVALID_STATUSES = ('000', '099', '600', '999')
 # Connections that fill the queue of a port that accepts none.
 FILLING = 3
 # Time from the head of an answer to a crash under a part of the prompt.
@@ -78,6 +83,9 @@
         # Called once, as soon as somebody connects.
         self.on_connect = None
         self._silent_until_s = 0.0
+        self._trouble_until_s = 0.0
+        # Requests that it answered in trouble.
+        self.troubled = 0
         # Sockets of a port that drops what arrives.
         self._dark = []
         self._rng = random.Random(name)
@@ -130,6 +138,33 @@
         now_s = asyncio.get_running_loop().time()
         self._silent_until_s = max(self._silent_until_s, now_s + for_s)
 
+    def get_into_trouble(self, for_s):
+        """Answer wrongly for a while."""
+        self._trouble_until_s = asyncio.get_running_loop().time() + for_s
+
+    async def _answer_in_trouble(self, request_id, writer, *, is_upload):
+        self.troubled += 1
+        self.runs.append(request_id)
+        # Nothing tells the early end of an answer to a request that has
+        # arrived from the end of one without a length.
+        ways = INVALID_STATUSES + (EARLY,) * 4 * is_upload
+        trouble = self._rng.choice(ways)
+        headers = {'Runner-Stamp': self.name, 'Request-Id': request_id}
+        part = f'{request_id} b'.encode()
+        if trouble != EARLY:
+            headers['Content-Length'] = str(len(part))
+            await self._write(writer, _head(trouble, headers) + part)
+            return
+        writer.transport.pause_reading()
+        await self._write(writer, _head(200, headers) + part)
+        await asyncio.sleep(0.02)
+        sock = writer.get_extra_info('socket')
+        sock.shutdown(socket.SHUT_WR)
+        await asyncio.sleep(0.05)
+        linger = struct.pack('ii', 1, 0)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+        writer.transport.abort()
+
     @property
     def is_dark(self):
         return bool(self._dark)
@@ -244,8 +279,14 @@
         for line in head.split('\r\n')[1:]:
             name, _, value = line.partition(':')
             fields[name.lower()] = value.strip()
-        body = await reader.readexactly(int(fields.get('content-length', 0)))
         request_id = fields.get('request-id', '')
+        if asyncio.get_running_loop().time() < self._trouble_until_s:
+            is_upload = int(fields.get('content-length', 0)) > 0
+            await self._answer_in_trouble(
+                request_id, writer, is_upload=is_upload
+            )
+            return
+        body = await reader.readexactly(int(fields.get('content-length', 0)))
         if fields.get('expect-instance') != self.name:
             await self._write(writer, _head(421, {'Content-Length': '0'}))
             return
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -40,6 +40,7 @@
 CATCH_UP_S = 4.0
 # Callers of the route with long calls, each with a connection of its own.
 LONG_CALLERS = 16
+UPLOAD_BYTES = 3_000_000
 # The same of the routes with brief calls, which call without a pause.
 BRIEF_CALLERS = 24
 # A call that came so late after a stop began is not broken off, and an earlier
@@ -83,6 +84,7 @@
         has_leaders=False,
         has_holds=False,
         has_dark=False,
+        has_trouble=False,
         first_version=1,
     ):
         self.seed = seed
@@ -111,6 +113,10 @@
             self._gaps_s = plan.HOLD_GAPS_S
         elif has_dark:
             self._kinds = plan.KINDS_WITH_DARK
+        elif has_trouble:
+            self._kinds = plan.KINDS_WITH_TROUBLE
+        # More than a runner has received that does not read.
+        self._upload = b'u' * UPLOAD_BYTES if has_trouble else b''
         # Hosts that were frozen, and when they went on.
         self._thaws = []
         self._has_stops = has_stops
@@ -363,7 +369,7 @@
             method='POST' if answer.kind == 'once' else 'GET',
             path=path,
             headers=headers,
-            body=b'',
+            body=self._upload if answer.kind == 'once' else b'',
             timeout_s=5.0,
         )
         return link if failed is None else None
@@ -640,6 +646,8 @@
             one.reset()
         elif subject == 'hush':
             one.fall_silent(fault.for_s)
+        elif subject == 'trouble':
+            one.get_into_trouble(fault.for_s)
         elif subject == 'darken':
             await one.go_dark(fault.for_s)
         elif subject == 'slow':
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -113,6 +113,17 @@
     assert any(sends)
 
 
+# Guards against parts of answers that look whole, and invalid statuses.
+@pytest.mark.parametrize('seed', [9003])
+def test_promises_hold_while_runners_answer_wrongly(tmp_path, seed):
+    run = soak.Soak(tmp_path, seed, 8, has_trouble=True)
+    broken = asyncio.run(run.run())
+    logs = {one.name: one.log()[-1500:] for one in run.world.forwards}
+    assert not broken, (broken, logs)
+    # The run shows nothing without such answers.
+    assert sum(one.troubled for one in run.world.runners) > 5
+
+
 # Guards against streams with events of two software versions, while a release
 # replaces decode runners one by one and hosts are lost.
 @pytest.mark.parametrize(('seed', 'seconds'), [(95001, 8)])
