Give back retries of sends that have reached no runner

Cause: a search for another runner takes a retry from the budget before it sends, and kept it when the connect failed. 32 failed connects left 12 of the 44 retries for the way through the other host. After a first send that broke off, each connect that failed cost a retry as well.

Evidence, log of a failed run: 32 searches, 32 times "not_sent"; the links counted as cut 0.3 s after the first silence; no request declined; 13 passed on, 19 without a further try until "no answer in time". Ruled out by it: a host that finds out late, and another host that declines.

Change: a retry is given back once its send is known to have reached no runner, in searches and when the next step is decided. The users' bound counts what arrives at runners, so it holds as before.

Measured: test_a_failed_connect_of_a_search_uses_up_no_retry and test_a_failed_connect_uses_up_no_retry failed before and pass.

--- a/limpetroute/forwarding/forward_context.py
+++ b/limpetroute/forwarding/forward_context.py
@@ -314,6 +314,10 @@
         """Take a retry from a service's budget; return False if empty."""
         return self._retry_budget(service).take(_now_s(), self.entry_hosts)
 
+    def give_back_retry(self, service: str) -> None:
+        """Return a retry to a service's budget that reached no runner."""
+        self._retry_budget(service).give_back()
+
     def count(
         self,
         route: route_module.Route | None,
--- a/limpetroute/forwarding/plain_forward.py
+++ b/limpetroute/forwarding/plain_forward.py
@@ -357,6 +357,8 @@
         return step
 
     def _decide(self, result: send_result.SendResult) -> next_step.Step:
+        if self._history.sends and not result.reached_runner:
+            self._context.give_back_retry(self._service)
         return self._history.decide(
             result,
             remaining_s=self._context.remaining_s(self._request, self._route),
--- a/limpetroute/forwarding/stream_forward.py
+++ b/limpetroute/forwarding/stream_forward.py
@@ -775,6 +775,8 @@
                 await self._open_or_abandon(send)
                 if send.result is None:
                     return send
+                if not send.result.reached_runner:
+                    self._context.give_back_retry(self._service.name)
                 await self._record_refused_open(send, send.result)
                 if self._runners.failed:
                     await self._drop_failures_of_cut_links()
@@ -796,11 +798,12 @@
         assigned = await session.acquire(
             dataclasses.replace(progress, has_runner=True)
         )
-        if (
-            isinstance(assigned, placement.Rejection)
-            or not self._context.take_retry(self._service.name)
-            or not await self._gate.may_send()
-        ):
+        if isinstance(
+            assigned, placement.Rejection
+        ) or not self._context.take_retry(self._service.name):
+            return None
+        if not await self._gate.may_send():
+            self._context.give_back_retry(self._service.name)
             return None
         return _Send(
             assigned=assigned,
@@ -935,6 +938,8 @@
         self._context.count(self._route, call.status, self._request)
 
     def _decide(self, result: send_result.SendResult) -> next_step.Step:
+        if self._history.sends and not result.reached_runner:
+            self._context.give_back_retry(self._service.name)
         return self._history.decide(
             result,
             remaining_s=self._context.remaining_s(self._request, self._route),
--- a/limpetroute/routing/retry_budget.py
+++ b/limpetroute/routing/retry_budget.py
@@ -64,6 +64,11 @@
         self._retries_s.append(now_s)
         return True
 
+    def give_back(self) -> None:
+        """Take a retry off the count that has reached no runner."""
+        if self._retries_s:
+            self._retries_s.pop()
+
     def _drop_old(self, now_s: float) -> None:
         oldest_s = now_s - self._window_s
         for times_s in (self._requests_s, self._retries_s):
--- a/tests/forwarding/test_plain.py
+++ b/tests/forwarding/test_plain.py
@@ -1,13 +1,17 @@
 """Tests of plain requests and of all ways in which a runner breaks one."""
 
 import asyncio
+import dataclasses
+import functools
 
 import pytest
 
 from limpetroute.routing import caller_limits
+from limpetroute.routing import retry_budget
 from limpetroute.routing import route_kind
 from tests.forwarding import harness
 from tests.forwarding import scripted_runner
+from tests.routing import builders
 
 ONCE = route_kind.RouteKind.ONCE
 GOOD = scripted_runner.answers(scripted_runner.response(b'whole answer'))
@@ -385,3 +389,31 @@
                 assert await reader.read() == b''
 
     run(work())
+
+
+# Guards against a request that is given up, as a connect that failed has used
+# up the only retry.
+def test_a_failed_connect_uses_up_no_retry():
+    async def work():
+        scripts = [
+            _reset,
+            scripted_runner.answers(scripted_runner.response(b'whole')),
+        ]
+        async with harness.running(scripts, max_sends=3) as (front, _):
+            front.context._make_retry_budget = functools.partial(
+                retry_budget.RetryBudget, ratio=0.0, slack=2.0, window_s=30.0
+            )
+            lost = dataclasses.replace(
+                builders.make_runner('lost', None, port=1), service='plain'
+            )
+            front.view._by_service['plain'].append(lost)
+            # The order in which they are chosen.
+            for number, name in enumerate(('r0', 'lost', 'r1')):
+                front.view.load(name).requests = number
+            got = await front.request()
+            return got, front.view.load('lost').failures
+
+    got, failures = asyncio.run(work())
+    assert harness.status(got) == 200
+    assert got.endswith(b'whole')
+    assert failures == 1
--- a/tests/forwarding/test_silent_runners.py
+++ b/tests/forwarding/test_silent_runners.py
@@ -1,10 +1,13 @@
 """Tests of streams whose sound runner is silent for a while."""
 
 import asyncio
+import dataclasses
+import functools
 
 import pytest
 
 from limpetroute.routing import placement
+from limpetroute.routing import retry_budget
 from limpetroute.routing import route_kind
 from tests.forwarding import harness
 from tests.forwarding import scripted_runner
@@ -296,3 +299,38 @@
     assert _is_complete(got)
     assert len(other.requests) == 1
     assert not held
+
+
+# Guards against streams that stay at silent runners, as connects that failed
+# have used up the retries.
+def test_a_failed_connect_of_a_search_uses_up_no_retry():
+    async def work():
+        scripts = [_stream_with_silence(5.0), _answers_after(0.0)]
+        async with harness.running(
+            scripts, stages=[builders.DECODE] * 2, **RESUMABLE
+        ) as (front, runners):
+            # One retry.
+            front.context._make_retry_budget = functools.partial(
+                retry_budget.RetryBudget, ratio=0.0, slack=2.0, window_s=30.0
+            )
+            silent, other = front.view._by_service['model']
+            front.view._by_service['model'] = [silent]
+            lost = dataclasses.replace(
+                builders.make_runner('lost', builders.DECODE, port=1),
+                service='model',
+            )
+            # The lost runner is chosen before the other one.
+            front.view.load(other.runner_id).tokens = 1000
+            asked = asyncio.create_task(front.request(headers=USAGE))
+            await asyncio.sleep(0.3)
+            front.view._by_service['model'] += [lost, other]
+            front.view._runners['lost'] = lost
+            got = await asked
+            return got, runners[1].requests, front.view.load('lost').failures
+
+    got, taken_up, failures = asyncio.run(work())
+    assert _events(got) == [1, 2, 3, 4]
+    assert _is_complete(got)
+    assert [one.header('Last-Event-Id') for one in taken_up] == ['2']
+    # The run shows nothing if no connect has failed.
+    assert failures
--- a/tests/routing/test_retry_budget.py
+++ b/tests/routing/test_retry_budget.py
@@ -54,3 +54,10 @@
     budget = retry_budget.RetryBudget(ratio=0, slack=4, window_s=1.0)
     assert [budget.take(0.0, 1) for _ in range(3)] == [True, True, False]
     assert budget.take(1.1, 1)
+
+
+def test_a_retry_that_is_given_back_can_be_taken_again():
+    budget = retry_budget.RetryBudget(ratio=0, slack=4, window_s=1.0)
+    assert [budget.take(0.0, 1) for _ in range(3)] == [True, True, False]
+    budget.give_back()
+    assert [budget.take(0.1, 1) for _ in range(2)] == [True, False]
