--- a/tests/wire/test_early_answers.py
+++ b/tests/wire/test_early_answers.py
@@ -11,9 +11,13 @@
 from limpetroute.wire import caller
 from tests.wire import test_cut_answers
 
-# More than a server has received that reads nothing.
+# More than a server has received that reads nothing, and less.
 UPLOAD = b'u' * 4_000_000
+RECEIVED = b'r' * 30_000
 RECEIVE_BUFFER_BYTES = 1 << 16
+# Time from an answer to its server's end, and to the reset after that.
+END_S = 0.02
+RESET_S = 2.0
 PART = b'the first part'
 LINGER_RESET = struct.pack('ii', 1, 0)
 LENGTH = f'Content-Length: {len(PART)}\r\n'
@@ -68,10 +72,10 @@
             writer.write(self._answer)
             await writer.drain()
             if self._resets != 'at once':
-                await asyncio.sleep(0.02)
+                await asyncio.sleep(END_S)
             sock.shutdown(socket.SHUT_WR)
             if self._resets == 'later':
-                await asyncio.sleep(0.1)
+                await asyncio.sleep(RESET_S)
             sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, LINGER_RESET)
             writer.transport.abort()
 
@@ -149,3 +153,18 @@
     assert not isinstance(got, call_failed.CallFailed), got
     assert got.body == PART
     assert got.status == int(answer.split(b' ')[1])
+
+
+# Guards against answers without a length that wait for what may follow their
+# end: the server's system has received the request.
+def test_a_success_without_a_length_ends_with_its_connection():
+    async def work():
+        started_s = asyncio.get_running_loop().time()
+        got = await _upload(_head(200) + PART, body=RECEIVED)
+        return got, asyncio.get_running_loop().time() - started_s
+
+    got, took_s = asyncio.run(work())
+    assert not isinstance(got, call_failed.CallFailed), got
+    assert got.body == PART
+    # The connection is reset later.
+    assert took_s < END_S + RESET_S
