--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -40,9 +40,10 @@
 CATCH_UP_S = 4.0
 # Callers of the route with long calls, each with a connection of its own.
 LONG_CALLERS = 16
-UPLOAD_BYTES = 3_000_000
 # The same of the routes with brief calls, which call without a pause.
 BRIEF_CALLERS = 24
+# Body of a once-only call, if runners may answer before they have read it.
+UPLOAD_BYTES = 3_000_000
 # A call that came so late after a stop began is not broken off, and an earlier
 # one only in the last part of the grace time.
 STOPS_AFTER_S = 3.0
