Release the part of an answer that its client has taken

Cause: Tornado keeps the data of one write until its last byte is sent, while the port gave their memory back byte by byte. The kernel takes most of an answer for a client that reads nothing, so an answer of 4 MB counted for the part that was left.

Change: large data are written in parts of 64 KB with memory of their own.

--- a/limpetroute/server/bounded_stream.py
+++ b/limpetroute/server/bounded_stream.py
@@ -7,6 +7,8 @@
 
 # Also the most that a stream reads ahead in a body.
 READ_BYTES = 1 << 14
+# Data that the client has taken are released in parts of this size.
+WRITE_BYTES = 1 << 16
 
 
 class StreamOwner(typing.Protocol):
@@ -54,7 +56,7 @@
         if self.owner is None or self.closed():
             return super().write(data)
         if self.owner.take_unsent(len(data)) and not self.closed():
-            return super().write(data)
+            return self._write_parts(data)
         # The answer is cut off, so that it cannot look complete.
         self.close()
         future = asyncio.get_running_loop().create_future()
@@ -62,6 +64,22 @@
         future.exception()
         return future
 
+    def _write_parts(self, data: bytes | memoryview) -> typing.Any:
+        """Write data whose memory is released while the client takes them.
+
+        Tornado keeps all data of one write until the last byte is sent.
+        """
+        if len(data) <= WRITE_BYTES:
+            return super().write(data)
+        future = None
+        with memoryview(data) as view:
+            for start in range(0, len(view), WRITE_BYTES):
+                part = bytes(view[start : start + WRITE_BYTES])
+                future = super().write(part)
+                if self.closed():
+                    break
+        return future
+
     def close_fd(self) -> None:
         super().close_fd()
         if self.owner is not None:
--- a/tests/server/test_http_server.py
+++ b/tests/server/test_http_server.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import socket
+import tracemalloc
 
 import pytest
 from tornado import web
@@ -52,7 +53,7 @@
 
 
 @contextlib.asynccontextmanager
-async def _port(max_bytes=MAX_BYTES, **limits):
+async def _port(max_bytes=MAX_BYTES, send_buffer_bytes=None, **limits):
     application = web.Application(
         [('/echo', _Echo)], log_function=lambda handler: None
     )
@@ -66,7 +67,13 @@
             max_body_bytes=max_bytes, max_total_bytes=max_bytes
         ),
     )
-    number = server.listen('127.0.0.1', 0)
+    sockets = http_server.bind_sockets('127.0.0.1', 0)
+    if send_buffer_bytes is not None:
+        sockets[0].setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, send_buffer_bytes
+        )
+    server.accept(sockets)
+    number = sockets[0].getsockname()[1]
     try:
         yield _Port(server, application, number)
     finally:
@@ -246,6 +253,45 @@
     assert _run(work) <= 8 << 20
 
 
+# Guards against answers that stay in memory as a whole, while only the part
+# that its client has not taken is counted.
+def test_the_part_of_an_answer_that_is_taken_is_released():
+    count = 20
+    size = 4 << 20
+    untaken = 1 << 18
+    max_bytes = 12 << 20
+
+    async def take(port, request):
+        sock = socket.socket()
+        sock.setblocking(False)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        loop = asyncio.get_running_loop()
+        await loop.sock_connect(sock, ('127.0.0.1', port.number))
+        await loop.sock_sendall(sock, request)
+        taken = 0
+        while taken < size - untaken:
+            taken += len(await loop.sock_recv(sock, 1 << 16))
+        return sock
+
+    async def work():
+        async with _port(max_bytes, send_buffer_bytes=1 << 14) as port:
+            request = b'GET /echo?size=%d HTTP/1.1\r\nHost: h\r\n\r\n' % size
+            tracemalloc.start()
+            async with asyncio.timeout(TIMEOUT_S):
+                opened = [await take(port, request) for _ in range(count)]
+            held, _ = tracemalloc.get_traced_memory()
+            tracemalloc.stop()
+            used = port.server.memory.used_bytes
+            for sock in opened:
+                sock.close()
+            return held, used
+
+    held, used = _run(work)
+    # All answers are still being sent.
+    assert used > count * untaken // 2
+    assert held < max_bytes
+
+
 # Guards against a head that takes more memory than its bytes suggest.
 def test_a_head_of_many_fields_counts_its_objects():
     async def work():
