Release the memory of large bodies as they are freed

Cause: after a large block has been freed, glibc takes blocks of up to 32 MB from the heap, which shrinks only at its end. mallinfo2() at the peak of a traced run: 153 MB in use, 160 MB free in the heap, 1 MB mapped apart.

Change: processes set the allocator's threshold to 1 MB, so larger blocks are mapped apart and unmapped when freed.

--- a/limpetroute/cli/serving.py
+++ b/limpetroute/cli/serving.py
@@ -11,6 +11,7 @@
 
 from limpetroute.border import errors
 from limpetroute.border import settings_file
+from limpetroute.cli import allocator
 from limpetroute.cli import exit_code
 from limpetroute.telemetry import log_setup
 
@@ -107,6 +108,7 @@
 
     Logs go to ``logs``, or to standard output.
     """
+    allocator.release_large_blocks()
     log_setup.set_up(stream=logs)
     return asyncio.run(_serve(make, on_ready))
 
--- a/tests/clients/system.py
+++ b/tests/clients/system.py
@@ -29,6 +29,8 @@
 ATTEMPT_S = 10.0
 # Lower than the default, so that a small crowd shows what it adds up to.
 MAX_CONTROL_BODY_BYTES = 16 << 20
+# Logged by the host that leads the group of the configuration.
+LEADS = 'group 0: leader in term'
 LIMITS = {
     'max-header-bytes': 16384,
     'max-body-bytes': 4 << 20,
@@ -93,6 +95,13 @@
         """The first control host."""
         return self.world.controls[0]
 
+    def control_host(self, leads):
+        """Return a control host that leads, or one that does not."""
+        for process in self.world.controls:
+            if (LEADS in process.log()) == leads:
+                return process
+        raise LookupError(f'leads={leads}')
+
 
 @contextlib.contextmanager
 def max_descriptors(count):
--- a/tests/clients/test_control_host.py
+++ b/tests/clients/test_control_host.py
@@ -70,10 +70,11 @@
 CASES = [(port, name) for port in CROWDS for name in CROWDS[port]]
 
 
-async def _takes_orders(system, padding_bytes=4096):
+async def _takes_orders(system, padding_bytes=4096, host=None):
     """Return whether the host takes a configuration and a heartbeat.
 
-    Both go to this host alone, which hands them to the leader.
+    Both go to this host alone, which hands them to the leader. By default, it
+    is the first control host.
     """
     system.version += 1
     body = json.dumps(
@@ -82,7 +83,7 @@
             'note': 'n' * padding_bytes,
         }
     )
-    address = system_module.address_of(system.control, 'public_listen')
+    address = system_module.address_of(host or system.control, 'public_listen')
     runner = system.world.runners[0]
     beat = runner.heartbeat(1_000_000 + system.version).decode()
     for path, text in (
@@ -130,7 +131,8 @@
 
 
 # Guards against strangers that keep out the largest configuration.
-def test_a_large_configuration_arrives_beside_a_crowd(tmp_path):
+@pytest.mark.parametrize('leads', [True, False])
+def test_a_large_configuration_arrives_beside_a_crowd(tmp_path, leads):
     payload = payloads.one_byte_short(LARGE_BYTES, PUBLIC)
     control_body_bytes = 64 << 20
 
@@ -138,12 +140,13 @@
         async with system_module.System(
             tmp_path, control_body_bytes=control_body_bytes
         ) as system:
+            host = system.control_host(leads)
             return await system_module.press(
-                system.control,
+                host,
                 ['public_listen'],
                 payload,
                 FEW,
-                lambda: _takes_orders(system, LARGE_BYTES),
+                lambda: _takes_orders(system, LARGE_BYTES, host),
             )
 
     watch = asyncio.run(work())
