Release answers whose write has failed

Found by the soak: control hosts that are frozen or killed beside clients that fetch a configuration of 4 MB and take none of it use up to 1,062 MB of their 296.

Cause: a stream stores the error of a failed write. Its traceback refers to the frames of the write and of its callers, these to the answer, and the frames to the stream. The garbage collector ends the cycle, but counts objects, not bytes.

Evidence, stacks at each new peak of a traced run: 231 to 598 MB within 0.25 s, two blocks of 4 MB for each fetch whose write fails, as the clients of a host that had been frozen had gone. Ruled out: open connections that count too little.

Change: streams of servers and clients drop the traceback as they close.

The soak gets such crowds (--crowds), and bounds the memory of control hosts in all runs.

--- a/limpetroute/server/bounded_stream.py
+++ b/limpetroute/server/bounded_stream.py
@@ -5,6 +5,8 @@
 
 from tornado import iostream
 
+from limpetroute.wire import untraced_stream
+
 # Also the most that a stream reads ahead in a body.
 READ_BYTES = 1 << 14
 # Data that the client has taken are released in parts of this size.
@@ -27,7 +29,7 @@
         """Record that the stream is closed."""
 
 
-class _Reporting(iostream.BaseIOStream):
+class _Reporting(untraced_stream.UntracedStream):
     owner: StreamOwner | None = None
     _pushed_back = b''
 
--- a/limpetroute/wire/client_stream.py
+++ b/limpetroute/wire/client_stream.py
@@ -5,13 +5,14 @@
 from tornado import iostream
 
 from limpetroute.wire import idle_check
+from limpetroute.wire import untraced_stream
 
 # At the end of a connection without the closing alert of the other side, TLS
 # queues an alert of its own.
 MAX_ALERT_BYTES = 64
 
 
-class _NotesEarlyEnd(iostream.BaseIOStream):
+class _NotesEarlyEnd(untraced_stream.UntracedStream):
     # What may be unsent although the server has received the whole request.
     _spare_bytes = 0
     # Whether the server ended the connection before it had received all that
--- a/tests/server/test_http_server.py
+++ b/tests/server/test_http_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import gc
 import socket
 import tracemalloc
 
@@ -292,6 +293,34 @@
     assert held < max_bytes
 
 
+# Guards against answers that stay in memory after their clients have gone,
+# until the next garbage collection.
+def test_answers_to_clients_that_have_gone_are_released():
+    count = 20
+    size = 4 << 20
+    max_bytes = 12 << 20
+
+    async def work():
+        async with _port(max_bytes) as port:
+            request = b'GET /echo?size=%d HTTP/1.1\r\nHost: h\r\n\r\n' % size
+            for _ in range(count):
+                sock = socket.create_connection(('127.0.0.1', port.number))
+                sock.sendall(request)
+                sock.close()
+                await asyncio.sleep(0.05)
+            return tracemalloc.get_traced_memory()[0], len(port.server.table)
+
+    gc.disable()
+    tracemalloc.start()
+    try:
+        held, connections = _run(work)
+    finally:
+        tracemalloc.stop()
+        gc.enable()
+    assert connections == 0
+    assert held < max_bytes
+
+
 # Guards against a head that takes more memory than its bytes suggest.
 def test_a_head_of_many_fields_counts_its_objects():
     async def work():
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -2,7 +2,7 @@
 
 Options are --teams and --cuts, --silences, --versions, --losses,
 --stops, --bodies, --herds, --leaders, --holds, --dark,
-or --trouble.
+--trouble, or --crowds.
 Prints a line for each seed, with its folder of logs where it failed.
 """
 
@@ -34,12 +34,22 @@
     parser.add_argument('--holds', action='store_true')
     parser.add_argument('--dark', action='store_true')
     parser.add_argument('--trouble', action='store_true')
+    parser.add_argument('--crowds', action='store_true')
     args = parser.parse_args()
     if args.versions and (args.teams or args.cuts or args.silences):
         parser.error('--versions goes with no other option')
     if args.losses and (args.versions or args.cuts or args.silences):
         parser.error('--losses goes with no option but --teams')
-    alone = ('stops', 'bodies', 'herds', 'leaders', 'holds', 'dark', 'trouble')
+    alone = (
+        'stops',
+        'bodies',
+        'herds',
+        'leaders',
+        'holds',
+        'dark',
+        'trouble',
+        'crowds',
+    )
     given = [name for name, value in vars(args).items() if value is True]
     if len(given) > 1 and any(name in given for name in alone):
         parser.error(f'{", ".join(alone)} go with no other option')
@@ -64,6 +74,7 @@
             has_holds=args.holds,
             has_dark=args.dark,
             has_trouble=args.trouble,
+            has_crowds=args.crowds,
             first_version=plan.FIRST_VERSIONS[seed % len(plan.FIRST_VERSIONS)],
         )
         try:
@@ -85,6 +96,10 @@
             served = sum(one == 200 for one in run.large.values())
             print(f', {served} of {len(run.large)} large bodies', end='')
             print(f' served, {run.watch.peak_mb:.0f} MB at most', end='')
+        if args.crowds:
+            print(f', {run.crowds} crowds', end='')
+            peak_mb = run.control_watch.peak_mb
+            print(f', {peak_mb:.0f} MB at most', end='')
         if args.stops:
             print(f', {run.long_calls} long calls served', end='')
         if args.trouble:
--- a/tests/soak/plan.py
+++ b/tests/soak/plan.py
@@ -58,6 +58,9 @@
 # With runners that break off early answers, or give ones with no valid status.
 KINDS_WITH_TROUBLE = (*KINDS, *('trouble_runner',) * 8)
 
+# With clients that fetch a large configuration and take none of it.
+KINDS_WITH_CROWDS = (*KINDS, *('crowd_control',) * 8)
+
 # With leaders that change while they give orders.
 KINDS_WITH_LEADERS = (
     *('slow_leader',) * 4,
--- a/tests/soak/soak.py
+++ b/tests/soak/soak.py
@@ -12,6 +12,7 @@
 
 from limpetroute.dispatch import stage_orders
 from limpetroute.wire import connection
+from tests.clients import crowd as crowd_module
 from tests.soak import bodies
 from tests.soak import orders as orders_module
 from tests.soak import plan
@@ -44,6 +45,13 @@
 BRIEF_CALLERS = 24
 # Body of a once-only call, if runners may answer before they have read it.
 UPLOAD_BYTES = 3_000_000
+# Of a configuration that clients fetch, and how many do at once, for how long.
+PADDING_BYTES = 4_000_000
+CROWD = 150
+CROWD_S = 0.5
+FETCH = b'GET /api/config HTTP/1.1\r\nHost: h.example\r\n\r\n'
+# Memory of the machine of a control host.
+CONTROL_MEMORY_MB = 296.0
 # A call that came so late after a stop began is not broken off, and an earlier
 # one only in the last part of the grace time.
 STOPS_AFTER_S = 3.0
@@ -86,6 +94,7 @@
         has_holds=False,
         has_dark=False,
         has_trouble=False,
+        has_crowds=False,
         first_version=1,
     ):
         self.seed = seed
@@ -116,6 +125,10 @@
             self._kinds = plan.KINDS_WITH_DARK
         elif has_trouble:
             self._kinds = plan.KINDS_WITH_TROUBLE
+        elif has_crowds:
+            self._kinds = plan.KINDS_WITH_CROWDS
+        self._padding_bytes = PADDING_BYTES if has_crowds else 0
+        self.crowds = 0
         # More than a runner has received that does not read.
         self._upload = b'u' * UPLOAD_BYTES if has_trouble else b''
         # Hosts that were frozen, and when they went on.
@@ -124,6 +137,7 @@
         # Status of each request with a large body, by its id.
         self.large = {}
         self.watch = None
+        self.control_watch = None
         self._stops_s = [[] for _ in range(world_module.FORWARDS)]
         # Long calls without an answer: id, host, when they began and ended.
         self._cut_off = []
@@ -182,6 +196,8 @@
             self._tasks.append(asyncio.create_task(self._read()))
             self.watch = bodies.MemoryWatch(self.world.forwards)
             self._tasks.append(asyncio.create_task(self.watch.run()))
+            self.control_watch = bodies.MemoryWatch(self.world.controls)
+            self._tasks.append(asyncio.create_task(self.control_watch.run()))
             if self._has_stops:
                 self._tasks += [
                     asyncio.create_task(self._call_long(number))
@@ -200,6 +216,7 @@
             self._judge_drains()
             self._judge_stops()
             self._judge_bodies()
+            self._judge_control_memory()
             self.promises.broken += orders_module.judge(
                 self.orders, self._thaws
             )
@@ -241,6 +258,7 @@
             teams.bodies(version) if self._has_teams else None,
             has_swings=bool(self.world.swings),
             brief=self._has_dark,
+            padding_bytes=self._padding_bytes,
         )
         got = await self.world.to_control('PUT', '/api/config', body, version)
         if got is None:
@@ -419,6 +437,8 @@
         self._note_harm(fault)
         if subject == 'lose':
             await self._lose_control(fault)
+        elif subject == 'crowd':
+            await self._crowd(fault)
         elif where == 'leader':
             await self._disrupt_leader(subject, fault)
         elif where == 'swing':
@@ -702,6 +722,22 @@
         name = f'large-{next(self._names)}'
         self.large |= await bodies.flood(address, name, count)
 
+    async def _crowd(self, fault):
+        """Have clients fetch the configuration and take none of it."""
+        self.crowds += 1
+        process = self.world.controls[fault.target % world_module.CONTROLS]
+        host, _, port = process.settings['public_listen'].rpartition(':')
+        crowd = crowd_module.Crowd((host, int(port)), FETCH, CROWD)
+        async with crowd:
+            await asyncio.sleep(CROWD_S + fault.for_s)
+
+    def _judge_control_memory(self):
+        peak_mb = self.control_watch.peak_mb
+        if peak_mb > CONTROL_MEMORY_MB:
+            self.promises.broken.append(
+                f'a control host used {peak_mb:.0f} MB'
+            )
+
     def _judge_bodies(self):
         """Hosts keep to their memory, and what is refused has not run."""
         if self.watch.peak_mb > bodies.MEMORY_MB:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -124,6 +124,16 @@
     assert sum(one.troubled for one in run.world.runners) > 5
 
 
+# Guards against answers that fill a control host because nobody takes them,
+# also if the host was frozen and their clients have gone.
+@pytest.mark.parametrize('seed', [9301])
+def test_control_hosts_keep_to_their_memory_beside_crowds(tmp_path, seed):
+    run = soak.Soak(tmp_path, seed, 10, has_crowds=True)
+    assert not asyncio.run(run.run())
+    # The run shows nothing without crowds.
+    assert run.crowds > 2
+
+
 # Guards against streams with events of two software versions, while a release
 # replaces decode runners one by one and hosts are lost.
 @pytest.mark.parametrize(('seed', 'seconds'), [(95001, 8)])
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -286,12 +286,21 @@
         return got is not None
 
 
-def routes(version, others=0, teams=None, *, has_swings=False, brief=False):
+def routes(
+    version,
+    others=0,
+    teams=None,
+    *,
+    has_swings=False,
+    brief=False,
+    padding_bytes=0,
+):
     """A configuration; each version has a route of its own, and others.
 
     ``teams`` is the list of the teams, if callers need keys. With
     ``has_swings``, there are the services whose runners need orders, and
-    with ``brief``, the routes of brief calls.
+    with ``brief``, the routes of brief calls. A note of ``padding_bytes``
+    makes the configuration large.
     """
     common = {'host': 'h.example', 'timeout-ms': 4000, 'slo-ms': 900}
     found = [
@@ -338,6 +347,8 @@
         body['services'].append(swing)
     if teams is not None:
         body['tenants'] = teams
+    if padding_bytes:
+        body['note'] = 'n' * padding_bytes
     return json.dumps(body).encode()
 
 
